--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Shorthands; each does its own set-up on a fresh Debian machine.
+.PHONY: all setup build test demo bench bench-quick format clean
+
+all: build
+
+setup:
+	@scripts/setup.sh
+
+build: setup
+	@cmake -S . -B build -G Ninja >build-cmake.log 2>&1 || (cat build-cmake.log; exit 1)
+	@rm -f build-cmake.log
+	@ninja -C build --quiet
+
+test: build
+	@scripts/test.sh
+
+demo: build
+	@scripts/demo.sh
+
+bench: build
+	@scripts/bench.sh full
+
+bench-quick: build
+	@scripts/bench.sh quick
+
+format:
+	@git ls-files '*.c' '*.h' '*.cc' | grep -v '^proto/gen/' | xargs clang-format -i
+
+clean:
+	@rm -rf build build-asan build-tsan build-fuzz stage out
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# demo.sh - three daemons, the searcher and platform stand-ins, two queries,
+# one change of the lists, and a clean stop. Ends with 0 when all went well.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+CLUSTER_BIN=${CLUSTER_BIN:-$root/build}
+CLUSTER_DIR=$(mktemp -d)
+CLUSTER_PORT=${CLUSTER_PORT:-21000}
+. "$root/scripts/cluster.sh"
+cluster_init
+start_standin demo --service-us 3000
+
+echo "== start three daemons, one with each of three data folders"
+for n in 1 2 3; do start_daemon "$n" --drain-lag-ms 200; done
+BAOBABLATCH_ADMIN=$(daemon_list daemon_admin 3)
+export BAOBABLATCH_ADMIN
+wait_for operator lists show
+wait_for operator lists apply --expected 0 --change first \
+    "$root/examples/plans.conf" "$root/examples/allowances.conf"
+for n in 1 2 3; do wait_for daemon_ready "$n"; done
+
+query() {
+    operator query --http "$(daemon_http "$1")" \
+        "{\"request_id\":\"demo-$1-$2\",\"customer\":\"temple-north\",
+          \"deadline_ms\":500,\"shards\":\"all\",\"query\":\"rack of 40 pairs\"}"
+}
+whole() { query "$1" probe | grep -q '"answered":6,"missing":\[\]'; }
+wait_for whole 1
+wait_for whole 2
+
+echo "== a query through daemon 1 and one through daemon 2"
+query 1 a
+query 2 b
+
+echo "== take data centre dc3 out for all plans"
+sed 's/^\[data-centre dc1\]/[data-centre dc3]\nstate = withdrawn\n\n&/' \
+    "$root/examples/allowances.conf" >"$CLUSTER_DIR/allowances.conf"
+operator lists apply --expected 1 "$root/examples/plans.conf" \
+    "$CLUSTER_DIR/allowances.conf"
+for n in 1 2 3; do
+    echo "daemon $n: $(operator status --admin "$(daemon_admin "$n")" |
+        grep -o '"ready":"[^"]*"\|"lists_version":[0-9]*' | tr '\n' ' ')"
+done
+query 1 c
+
+echo "== stop"
+for n in 3 2 1; do kill -TERM "$(daemon_pid "$n")"; done
+for n in 3 2 1; do wait "$(daemon_pid "$n")"; done
+kill -TERM "$STANDIN_PID"
+wait "$STANDIN_PID"
+rm -rf "$CLUSTER_DIR"
+echo "demo: all good"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# lint.sh - formatting and static checks; prints what is wrong and fails.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+bad=0
+files=$(git ls-files '*.c' '*.h' '*.cc' | grep -v '^proto/gen/')
+# shellcheck disable=SC2086
+clang-format --dry-run -Werror $files || bad=1
+# shellcheck disable=SC2086
+cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+    --enable=warning,performance,portability --suppress=missingInclude \
+    --suppress=normalCheckLevelMaxBranches -I include -I src -I proto \
+    -j "$(nproc)" $(git ls-files 'src/*.c' 'tools/*.c') || bad=1
+exit $bad
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# setup.sh - installs the Debian packages that building and testing need;
+# does nothing when all are there.
+set -euo pipefail
+packages="build-essential cmake ninja-build pkg-config clang clang-format
+clang-tidy cppcheck libck-dev libtirpc-dev libmicrohttpd-dev
+libcurl4-openssl-dev libglib2.0-dev libjansson-dev libxxhash-dev
+libsodium-dev check librapidcheck-dev libclang-rt-14-dev gnuplot-nox curl
+mandoc procps"
+missing=""
+for p in $packages; do
+    dpkg-query -W -f '${Status}' "$p" 2>/dev/null | grep -q 'ok installed' ||
+        missing="$missing $p"
+done
+[ -z "$missing" ] && exit 0
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -q >/dev/null
+# shellcheck disable=SC2086
+apt-get install -y -q --no-install-recommends $missing >/dev/null
--- /dev/null
+++ b/src/control/control.c
@@ -0,0 +1,1351 @@
+#include "control/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "control/fault.h"
+#include "util/alloc.h"
+
+#define ENTRIES_KEPT 1024 /* public entries kept for followers */
+#define FEED_ENTRIES 256  /* entries in one feed message */
+#define FEED_ROWS 4096    /* soft rows in one feed message */
+#define REPORTS_UP 1024   /* reports in one heartbeat */
+#define SENT_BEATS 64     /* send times remembered */
+#define CHILD_SILENT_US (2 * BBL_USEC_PER_SEC)
+#define RETRY_US (150 * BBL_USEC_PER_MS) /* resend of a proposal */
+#define PARENT_SILENT_BEATS 2 /* beats without a grant before a change */
+#define ASSIGN_EVERY_US (100 * BBL_USEC_PER_MS)
+#define PUBLISH_EVERY_US (50 * BBL_USEC_PER_MS)
+
+/* One public entry of the log, kept for followers. */
+typedef struct {
+    uint64_t index;
+    bbl_buf data;
+} kept_entry;
+
+/* A host that follows this one's feed. */
+typedef struct {
+    uint32_t host;
+    bblx_address address;
+    uint64_t applied;
+    uint64_t revision;
+    bbl_usec heard;
+} child;
+
+/* A child's beat waiting to go up. */
+typedef struct {
+    bblx_beat beat; /* zone owned */
+} relayed_beat;
+
+/* A proposal of this host, until it is answered. */
+typedef struct {
+    uint64_t number;
+    bbl_buf data;
+    bbl_usec deadline;
+    bbl_usec next_try;
+} pending;
+
+/* A proposal in this leader's log, until it is applied. */
+typedef struct {
+    uint64_t index;
+    uint64_t term;
+    uint64_t number;
+    uint32_t host; /* who asked; this host itself included */
+    bblx_address address;
+} waiting;
+
+struct bbl_control {
+    bbl_control_options options;
+    bbl_usec now;
+    uint64_t wall_ms;
+
+    bbl_quorum *quorum;
+    bbl_state *state;
+    bbl_rows rows;
+    bbl_registry registry;
+    uint64_t led_term; /* term that the registry belongs to */
+
+    bbl_vec kept;        /* kept_entry, oldest first */
+    uint64_t kept_floor; /* entries after it are all kept */
+
+    uint64_t feed_boot; /* names this host's numbering of rows */
+    bbl_vec children;   /* child */
+    bbl_vec up;         /* relayed_beat */
+    bool push;          /* children should hear at once */
+
+    uint32_t parent;
+    bblx_address parent_address;
+    uint64_t parent_boot;
+    uint64_t parent_revision;
+    uint32_t leader; /* as last told */
+    size_t seed_next;
+    bbl_usec answered_at;  /* last grant, or the change of parent */
+    bbl_usec relay_barred; /* no relay before this time */
+
+    uint64_t beat_seq;
+    bbl_usec beat_sent[SENT_BEATS]; /* by sequence number */
+    bbl_usec next_beat;
+    bool beat_now;
+    bbl_usec lease_until;
+    uint64_t required;
+    bool draining;
+    bool released;
+
+    uint64_t next_number;
+    bbl_vec pendings;   /* pending */
+    bbl_vec waitings;   /* waiting */
+    uint64_t confirmed; /* index that the traffic threads follow */
+    uint64_t serial;
+    uint64_t revision;
+    uint64_t rows_seen;
+    uint64_t lists_index;  /* log index of the present lists */
+    uint64_t public_index; /* last index that matters to members */
+    bbl_usec next_assign;
+    bbl_usec next_publish;
+    bbl_vec reports; /* scratch */
+    bbl_vec members; /* scratch */
+    bbl_vec assigns; /* scratch */
+
+    uint64_t beats_sent;
+    uint64_t beats_relayed;
+    uint64_t feeds_sent;
+    uint64_t snapshots_sent;
+};
+
+const char *
+bbl_ready_name(bbl_ready ready)
+{
+    static const char *const names[] = {
+        "ready",    "no-lease", "configuration-behind",
+        "no-lists", "draining", "data-centre-withdrawn",
+    };
+
+    return names[ready];
+}
+
+static bool
+leads(const bbl_control *c)
+{
+    return c->quorum != NULL && bbl_quorum_leads(c->quorum, c->now);
+}
+
+static void
+send_to(bbl_control *c, uint32_t host, bblx_address address,
+        const bblx_message *m)
+{
+    c->options.port.send(c->options.port.ctx, host, address, m);
+}
+
+/* ---- addresses ---- */
+
+static const bblx_voters *
+known_voters(const bbl_control *c)
+{
+    const bblx_voters *voters = bbl_state_voters(c->state);
+
+    if (c->quorum != NULL) {
+        const bblx_voters *own = bbl_quorum_get_voters(c->quorum);
+
+        if (own->list.list_len > 0) {
+            return own;
+        }
+    }
+    return voters->list.list_len > 0 ? voters : &c->options.seeds;
+}
+
+static bool
+find_voter(const bblx_voters *voters, uint32_t host, bblx_address *out)
+{
+    for (u_int i = 0; i < voters->list.list_len; i++) {
+        if (voters->list.list_val[i].host == host) {
+            *out = voters->list.list_val[i].control;
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+find_address(const bbl_control *c, uint32_t host, bblx_address *out)
+{
+    const bblx_member_row *member = bbl_rows_member(&c->rows, host);
+
+    if (find_voter(known_voters(c), host, out) ||
+        find_voter(&c->options.seeds, host, out)) {
+        return true;
+    }
+    if (member != NULL) {
+        *out = member->control;
+    }
+    return member != NULL;
+}
+
+/* ---- the log as followers see it ---- */
+
+static void
+keep_entry(bbl_control *c, uint64_t index, bbl_str data)
+{
+    kept_entry *e;
+
+    if (c->kept.size >= ENTRIES_KEPT) {
+        e = bbl_vec_at(&c->kept, 0);
+        c->kept_floor = e->index;
+        bbl_buf_free(&e->data);
+        bbl_vec_remove(&c->kept, 0);
+    }
+    e = bbl_vec_add(&c->kept);
+    e->index = index;
+    bbl_buf_put(&e->data, data.ptr, data.size);
+}
+
+static void
+forget_entries(bbl_control *c)
+{
+    for (size_t i = 0; i < c->kept.size; i++) {
+        bbl_buf_free(&BBL_VEC_AT(kept_entry, &c->kept, i)->data);
+    }
+    c->kept.size = 0;
+    c->kept_floor = bbl_state_applied(c->state);
+}
+
+/* After a snapshot: followers of this host need one too. */
+static void
+restart_log(bbl_control *c)
+{
+    forget_entries(c);
+    c->lists_index = bbl_state_applied(c->state);
+    c->public_index = c->lists_index;
+    c->revision++;
+    c->push = true;
+    c->beat_now = true;
+}
+
+static void
+apply_public(bbl_control *c, uint64_t index, bbl_str data,
+             bbl_state_result *result)
+{
+    uint64_t version = bbl_state_lists_version(c->state);
+
+    bbl_state_apply(c->state, index, data, result);
+    if (!bbl_state_is_public(data)) {
+        return;
+    }
+    keep_entry(c, index, data);
+    c->public_index = index;
+    if (bbl_state_lists_version(c->state) != version) {
+        c->lists_index = index;
+    }
+    c->revision++;
+    c->push = true;
+}
+
+/* ---- proposals ---- */
+
+static void
+finish_pending(bbl_control *c, const bblx_propose_reply *reply)
+{
+    for (size_t i = 0; i < c->pendings.size; i++) {
+        pending *p = bbl_vec_at(&c->pendings, i);
+
+        if (p->number == reply->number) {
+            bbl_buf_free(&p->data);
+            bbl_vec_remove(&c->pendings, i);
+            c->options.port.proposed(c->options.port.ctx, reply->number,
+                                     reply);
+            return;
+        }
+    }
+}
+
+static void
+answer_proposal(bbl_control *c, uint32_t host, bblx_address address,
+                const bblx_propose_reply *reply)
+{
+    bblx_message m;
+
+    if (host == c->options.host) {
+        if (reply->status != BBL_ELEADER) {
+            finish_pending(c, reply);
+        }
+        return;
+    }
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_PROPOSE_REPLY;
+    m.bblx_message_u.propose_reply = *reply;
+    send_to(c, host, address, &m);
+}
+
+/* Stamps the leader's time into claims and outcomes. */
+static int
+stamp(bbl_control *c, bbl_str data, bbl_buf *out)
+{
+    bblx_command command;
+    int error;
+
+    memset(&command, 0, sizeof(command));
+    error = BBL_DECODE(&command, bblx_command, data);
+    if (error != 0) {
+        return error;
+    }
+    if (command.kind == BBLX_CLAIM) {
+        command.bblx_command_u.claim.time_ms = c->wall_ms;
+    }
+    else if (command.kind == BBLX_OUTCOME) {
+        command.bblx_command_u.outcome.time_ms = c->wall_ms;
+    }
+    else if (command.kind != BBLX_LISTS) {
+        error = bbl_error_set(BBL_EINVAL, "only the leader proposes this");
+    }
+    if (error == 0) {
+        error = BBL_ENCODE(out, bblx_command, &command);
+    }
+    BBL_RELEASE(bblx_command, &command);
+    return error;
+}
+
+static void
+lead_proposal(bbl_control *c, uint32_t host, bblx_address address,
+              uint64_t number, bbl_str data)
+{
+    bblx_propose_reply reply;
+    waiting w = {0, 0, number, host, address};
+    bbl_buf stamped = BBL_BUF_INIT;
+    int error = BBL_ELEADER;
+
+    memset(&reply, 0, sizeof(reply));
+    if (leads(c)) {
+        error = stamp(c, data, &stamped);
+        if (error == 0) {
+            error = bbl_quorum_propose(c->quorum, &w.index, &w.term,
+                                       bbl_buf_str(&stamped));
+        }
+    }
+    bbl_buf_free(&stamped);
+    if (error == 0) {
+        bbl_vec_push(&c->waitings, &w);
+        return;
+    }
+    reply.number = number;
+    reply.status = error;
+    reply.leader = c->leader;
+    answer_proposal(c, host, address, &reply);
+}
+
+static void
+try_pending(bbl_control *c, pending *p)
+{
+    bblx_message m;
+    bblx_address address;
+
+    p->next_try = c->now + RETRY_US;
+    if (leads(c)) {
+        lead_proposal(c, c->options.host, c->options.control, p->number,
+                      bbl_buf_str(&p->data));
+        return;
+    }
+    if (c->leader == 0 || c->leader == c->options.host ||
+        !find_address(c, c->leader, &address)) {
+        return;
+    }
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_PROPOSE;
+    m.bblx_message_u.propose.number = p->number;
+    m.bblx_message_u.propose.data = bbl_text_borrow(bbl_buf_str(&p->data));
+    send_to(c, c->leader, address, &m);
+}
+
+static void
+tick_pendings(bbl_control *c)
+{
+    for (size_t i = 0; i < c->pendings.size;) {
+        pending *p = bbl_vec_at(&c->pendings, i);
+        bblx_propose_reply reply;
+
+        if (c->now >= p->deadline) {
+            memset(&reply, 0, sizeof(reply));
+            reply.number = p->number;
+            reply.status = BBL_ETIMEOUT;
+            finish_pending(c, &reply);
+            continue;
+        }
+        if (c->now >= p->next_try) {
+            try_pending(c, p);
+        }
+        i++;
+    }
+}
+
+uint64_t
+bbl_control_propose(bbl_control *c, bbl_usec now, bbl_str command)
+{
+    pending *p = bbl_vec_add(&c->pendings);
+
+    c->now = now;
+    p->number = ++c->next_number;
+    bbl_buf_put(&p->data, command.ptr, command.size);
+    p->deadline = now + c->options.proposal_timeout;
+    return c->next_number;
+}
+
+/* ---- what the quorum calls ---- */
+
+static void
+port_send(void *ctx, uint32_t host, const bblx_message *m)
+{
+    bbl_control *c = ctx;
+    bblx_address address;
+
+    if (find_address(c, host, &address)) {
+        send_to(c, host, address, m);
+    }
+}
+
+static void
+answer_waiting(bbl_control *c, uint64_t index, uint64_t term,
+               const bbl_state_result *result)
+{
+    for (size_t i = 0; i < c->waitings.size;) {
+        waiting w = *BBL_VEC_AT(waiting, &c->waitings, i);
+        bblx_propose_reply reply;
+
+        if (w.index > index) {
+            i++;
+            continue;
+        }
+        bbl_vec_remove(&c->waitings, i);
+        memset(&reply, 0, sizeof(reply));
+        reply.number = w.number;
+        reply.index = index;
+        reply.leader = c->leader;
+        reply.status = BBL_ELEADER;
+        if (w.index == index && w.term == term) {
+            reply.status = result->status;
+            reply.lists_version = result->version;
+            reply.fresh = result->fresh;
+            reply.done = result->done;
+            reply.answer = bbl_text_borrow(result->answer);
+        }
+        answer_proposal(c, w.host, w.address, &reply);
+    }
+}
+
+static void
+port_apply(void *ctx, uint64_t index, uint64_t term, bbl_str data)
+{
+    bbl_control *c = ctx;
+    bbl_state_result result;
+
+    apply_public(c, index, data, &result);
+    answer_waiting(c, index, term, &result);
+}
+
+static void
+port_save(void *ctx, bbl_buf *out)
+{
+    bbl_control *c = ctx;
+
+    bbl_state_save(c->state, true, out);
+}
+
+static int
+port_load(void *ctx, uint64_t index, bbl_str data)
+{
+    bbl_control *c = ctx;
+    int error = bbl_state_load(c->state, data);
+
+    if (error == 0) {
+        bbl_state_skip_to(c->state, index);
+        restart_log(c);
+    }
+    return error;
+}
+
+/* ---- feed to children ---- */
+
+static child *
+child_of(bbl_control *c, uint32_t host)
+{
+    for (size_t i = 0; i < c->children.size; i++) {
+        child *k = bbl_vec_at(&c->children, i);
+
+        if (k->host == host) {
+            return k;
+        }
+    }
+    return NULL;
+}
+
+/* Fills in entries after `applied`, or a snapshot when some are missing. */
+static uint64_t
+fill_entries(bbl_control *c, bblx_feed *f, uint64_t applied, bblx_entry *space,
+             bbl_buf *snapshot)
+{
+    u_int n = 0;
+
+    if (applied < c->kept_floor) {
+        bbl_state_save(c->state, false, snapshot);
+        f->snapshot_set = TRUE;
+        f->snapshot = bbl_text_borrow(bbl_buf_str(snapshot));
+        c->snapshots_sent++;
+        return bbl_state_applied(c->state);
+    }
+    for (size_t i = c->kept.size; i > 0; i--) {
+        const kept_entry *e = bbl_vec_at(&c->kept, i - 1);
+
+        if (e->index <= applied) {
+            break;
+        }
+        n++;
+    }
+    f->entries.entries_val = space;
+    for (size_t i = c->kept.size - n; i < c->kept.size; i++) {
+        const kept_entry *e = bbl_vec_at(&c->kept, i);
+
+        if (f->entries.entries_len == FEED_ENTRIES) {
+            return space[FEED_ENTRIES - 1].index;
+        }
+        space[f->entries.entries_len].index = e->index;
+        space[f->entries.entries_len].term = 0;
+        space[f->entries.entries_len].data =
+            bbl_text_borrow(bbl_buf_str(&e->data));
+        f->entries.entries_len++;
+    }
+    return bbl_state_applied(c->state);
+}
+
+static void
+send_feed(bbl_control *c, child *k, bblx_grant *grants, u_int grant_count)
+{
+    bblx_entry space[FEED_ENTRIES];
+    bbl_buf snapshot = BBL_BUF_INIT;
+    bblx_message m;
+    bblx_feed *f = &m.bblx_message_u.feed;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_FEED;
+    f->leader = c->leader;
+    f->boot = c->feed_boot;
+    f->grants.grants_len = grant_count;
+    f->grants.grants_val = grants;
+    f->applied_after = k->applied;
+    f->applied = fill_entries(c, f, k->applied, space, &snapshot);
+    c->reports.size = 0;
+    c->members.size = 0;
+    f->rows_after = k->revision;
+    f->revision = bbl_rows_since(&c->rows, k->revision, FEED_ROWS, &c->reports,
+                                 &c->members);
+    f->reports.reports_len = (u_int)c->reports.size;
+    f->reports.reports_val = c->reports.ptr;
+    f->members.members_len = (u_int)c->members.size;
+    f->members.members_val = c->members.ptr;
+    k->applied = f->applied;
+    k->revision = f->revision;
+    c->feeds_sent++;
+    send_to(c, k->host, k->address, &m);
+    bbl_buf_free(&snapshot);
+}
+
+static void
+push_feeds(bbl_control *c)
+{
+    for (size_t i = c->children.size; i > 0; i--) {
+        child *k = bbl_vec_at(&c->children, i - 1);
+
+        if (k->heard + CHILD_SILENT_US < c->now) {
+            bbl_vec_swap_remove(&c->children, i - 1);
+            continue;
+        }
+        if (k->applied < bbl_state_applied(c->state) ||
+            k->revision < c->rows.revision) {
+            send_feed(c, k, NULL, 0);
+        }
+    }
+    c->push = false;
+}
+
+/* ---- heartbeats from children ---- */
+
+static void
+free_up(bbl_control *c)
+{
+    for (size_t i = 0; i < c->up.size; i++) {
+        relayed_beat *b = bbl_vec_at(&c->up, i);
+
+        free(b->beat.zone.bblx_name_val);
+    }
+    c->up.size = 0;
+}
+
+static void
+relay_up(bbl_control *c, const bblx_beat *beat)
+{
+    relayed_beat *slot = NULL;
+
+    for (size_t i = 0; i < c->up.size && slot == NULL; i++) {
+        relayed_beat *b = bbl_vec_at(&c->up, i);
+
+        slot = b->beat.host == beat->host ? b : NULL;
+    }
+    if (slot == NULL) {
+        slot = bbl_vec_add(&c->up);
+    }
+    free(slot->beat.zone.bblx_name_val);
+    slot->beat = *beat;
+    slot->beat.zone.bblx_name_val =
+        bbl_memdup(beat->zone.bblx_name_val, beat->zone.bblx_name_len);
+    c->beats_relayed++;
+}
+
+/* Answers beats as the leader: one grant each. */
+static u_int
+grant_beats(bbl_control *c, const bblx_heartbeat *h, bblx_grant *grants)
+{
+    u_int n = 0;
+
+    for (u_int i = 0; i < h->beats.beats_len; i++) {
+        const bblx_beat *b = &h->beats.beats_val[i];
+        const bbl_member *m;
+
+        bbl_registry_beat(&c->registry, c->now, b, true);
+        m = bbl_registry_member(&c->registry, b->host);
+        if (m->incarnation != b->incarnation) {
+            continue;
+        }
+        grants[n].host = b->host;
+        grants[n].incarnation = b->incarnation;
+        grants[n].seq = b->seq;
+        grants[n].required = c->public_index;
+        grants[n].lease_us = (u_int)c->options.lease;
+        n++;
+    }
+    return n;
+}
+
+static child *
+note_child(bbl_control *c, uint32_t from, const bblx_heartbeat *h)
+{
+    child *k = child_of(c, from);
+
+    if (k == NULL) {
+        k = bbl_vec_add(&c->children);
+        k->host = from;
+    }
+    k->address = h->beats.beats_val[0].control;
+    k->heard = c->now;
+    k->applied = h->applied;
+    k->revision = h->feed_boot == c->feed_boot ? h->feed_revision : 0;
+    return k;
+}
+
+static void
+on_heartbeat(bbl_control *c, uint32_t from, const bblx_heartbeat *h)
+{
+    bblx_grant *grants = NULL;
+    u_int n = 0;
+    child *k;
+
+    if (h->beats.beats_len == 0 || h->beats.beats_val[0].host != from) {
+        return;
+    }
+    for (u_int i = 0; i < h->reports.reports_len; i++) {
+        const bblx_report *r = &h->reports.reports_val[i];
+
+        if (bbl_rows_put_report(&c->rows, r, true, !leads(c))) {
+            c->push = true;
+        }
+    }
+    k = note_child(c, from, h);
+    if (leads(c)) {
+        grants = bbl_calloc(h->beats.beats_len, sizeof(*grants));
+        n = grant_beats(c, h, grants);
+    }
+    else {
+        for (u_int i = 0; i < h->beats.beats_len; i++) {
+            if (h->beats.beats_val[i].host != c->options.host) {
+                relay_up(c, &h->beats.beats_val[i]);
+            }
+        }
+    }
+    send_feed(c, k, grants, n);
+    free(grants);
+}
+
+/* ---- own lease ---- */
+
+static void
+take_grant(bbl_control *c, const bblx_grant *g)
+{
+    bbl_usec sent;
+    bbl_usec length = g->lease_us;
+
+    if (g->incarnation != c->options.incarnation || g->seq > c->beat_seq ||
+        g->seq + SENT_BEATS <= c->beat_seq) {
+        return;
+    }
+    sent = c->beat_sent[g->seq % SENT_BEATS];
+    if (BBL_FAULT(BBL_FAULT_LEASE_RECEIPT)) {
+        sent = c->now;
+    }
+    length -= length * c->options.clock_ppm / 1000000;
+    if (g->required > c->required) {
+        c->required = g->required;
+    }
+    if (sent + length > c->lease_until) {
+        c->lease_until = sent + length;
+    }
+}
+
+/* Passes grants on to the children they are for. */
+static void
+relay_grants(bbl_control *c, const bblx_feed *f)
+{
+    bblx_grant *batch = bbl_calloc(f->grants.grants_len, sizeof(*batch));
+
+    for (size_t i = 0; i < c->children.size; i++) {
+        child *k = bbl_vec_at(&c->children, i);
+        u_int n = 0;
+
+        for (u_int g = 0; g < f->grants.grants_len; g++) {
+            const bblx_grant *grant = &f->grants.grants_val[g];
+
+            if (grant->host == k->host) {
+                batch[n++] = *grant;
+            }
+        }
+        if (n > 0) {
+            send_feed(c, k, batch, n);
+        }
+    }
+    free(batch);
+}
+
+/* ---- feed from the parent ---- */
+
+static void
+follow_snapshot(bbl_control *c, const bblx_feed *f)
+{
+    if (f->applied <= bbl_state_applied(c->state) &&
+        bbl_state_applied(c->state) > 0) {
+        return;
+    }
+    if (bbl_state_load(c->state, bbl_text_str(&f->snapshot)) == 0) {
+        bbl_state_skip_to(c->state, f->applied);
+        restart_log(c);
+    }
+}
+
+static void
+follow_entries(bbl_control *c, const bblx_feed *f)
+{
+    for (u_int i = 0; i < f->entries.entries_len; i++) {
+        const bblx_entry *e = &f->entries.entries_val[i];
+        bbl_state_result result;
+
+        if (e->index > bbl_state_applied(c->state)) {
+            apply_public(c, e->index, bbl_text_str(&e->data), &result);
+        }
+    }
+    if (f->applied > bbl_state_applied(c->state)) {
+        bbl_state_skip_to(c->state, f->applied);
+        c->push = true;
+    }
+}
+
+/* Takes the log of a feed in, unless an earlier feed was lost. */
+static void
+follow_log(bbl_control *c, const bblx_feed *f)
+{
+    if (c->quorum != NULL) {
+        bbl_quorum_status s;
+
+        bbl_quorum_get_status(c->quorum, &s);
+        if (s.voter || s.last > 0) {
+            return; /* the quorum itself brings the log */
+        }
+    }
+    if (f->snapshot_set) {
+        follow_snapshot(c, f);
+    }
+    else if (f->applied_after > bbl_state_applied(c->state)) {
+        c->beat_now = true; /* asks again from where this host stands */
+    }
+    else {
+        follow_entries(c, f);
+    }
+}
+
+static void
+follow_rows(bbl_control *c, const bblx_feed *f)
+{
+    for (u_int i = 0; i < f->reports.reports_len; i++) {
+        const bblx_report *r = &f->reports.reports_val[i];
+
+        bbl_rows_confirm(&c->rows, r);
+        if (bbl_rows_put_report(&c->rows, r, false, false)) {
+            c->push = true;
+        }
+    }
+    for (u_int i = 0; i < f->members.members_len; i++) {
+        if (bbl_rows_put_member(&c->rows, &f->members.members_val[i])) {
+            c->push = true;
+        }
+    }
+}
+
+static void
+on_feed(bbl_control *c, uint32_t from, const bblx_feed *f)
+{
+    if (from != c->parent || leads(c)) {
+        return;
+    }
+    if (f->leader != 0) {
+        c->leader = f->leader;
+    }
+    if (f->boot != c->parent_boot) {
+        c->parent_boot = f->boot;
+        c->parent_revision = 0;
+        bbl_rows_unconfirm(&c->rows);
+    }
+    follow_log(c, f);
+    if (f->rows_after <= c->parent_revision) {
+        follow_rows(c, f);
+        c->parent_revision = f->revision;
+    }
+    else {
+        c->beat_now = true;
+    }
+    for (u_int i = 0; i < f->grants.grants_len; i++) {
+        if (f->grants.grants_val[i].host == c->options.host) {
+            take_grant(c, &f->grants.grants_val[i]);
+            c->answered_at = c->now;
+        }
+    }
+    relay_grants(c, f);
+}
+
+/* ---- choice of the parent ---- */
+
+/* Returns the relay of this data centre, or 0. */
+static uint32_t
+zone_relay(const bbl_control *c)
+{
+    const bblx_member_row *m;
+    uint32_t best = 0;
+    size_t pos = 0;
+
+    if (c->rows.members.size < c->options.relay_members) {
+        return 0;
+    }
+    while ((m = bbl_rows_next_member(&c->rows, &pos)) != NULL) {
+        bbl_name zone;
+
+        bbl_name_from_wire(&zone, &m->zone);
+        if (m->live && !m->draining && m->host != c->leader &&
+            bbl_name_equal(&zone, &c->options.zone) &&
+            (best == 0 || m->host < best)) {
+            best = m->host;
+        }
+    }
+    return best == c->options.host ? 0 : best;
+}
+
+static void
+set_parent(bbl_control *c, uint32_t host, bblx_address address)
+{
+    if (host != c->parent) {
+        c->answered_at = c->now;
+        c->parent_boot = 0;
+        c->parent_revision = 0;
+    }
+    c->parent = host;
+    c->parent_address = address;
+}
+
+static void
+next_seed(bbl_control *c)
+{
+    const bblx_voters *voters = known_voters(c);
+    const bblx_voter *v;
+
+    if (voters->list.list_len == 0) {
+        return;
+    }
+    c->seed_next = (c->seed_next + 1) % voters->list.list_len;
+    v = &voters->list.list_val[c->seed_next];
+    if (v->host == c->options.host) {
+        c->seed_next = (c->seed_next + 1) % voters->list.list_len;
+        v = &voters->list.list_val[c->seed_next];
+    }
+    set_parent(c, v->host, v->control);
+}
+
+static void
+choose_parent(bbl_control *c)
+{
+    bblx_address address;
+    uint32_t relay = c->now >= c->relay_barred ? zone_relay(c) : 0;
+
+    if (c->now > c->answered_at + PARENT_SILENT_BEATS * c->options.beat) {
+        if (c->parent != c->leader) {
+            c->relay_barred = c->now + c->options.lease;
+        }
+        c->answered_at = c->now;
+        c->leader = c->parent == c->leader ? 0 : c->leader;
+        if (c->leader == 0) {
+            next_seed(c);
+            return;
+        }
+        relay = 0;
+    }
+    if (relay != 0 && find_address(c, relay, &address)) {
+        set_parent(c, relay, address);
+    }
+    else if (c->leader != 0 && c->leader != c->options.host &&
+             find_address(c, c->leader, &address)) {
+        set_parent(c, c->leader, address);
+    }
+    else if (c->parent == 0) {
+        next_seed(c);
+    }
+}
+
+/* ---- own heartbeat ---- */
+
+static void
+fill_beat(bbl_control *c, bblx_beat *b)
+{
+    c->beat_seq++;
+    c->beat_sent[c->beat_seq % SENT_BEATS] = c->now;
+    memset(b, 0, sizeof(*b));
+    b->host = c->options.host;
+    b->incarnation = c->options.incarnation;
+    b->seq = c->beat_seq;
+    b->applied = c->confirmed;
+    b->draining = c->draining;
+    b->released = c->released;
+    b->zone = bbl_name_to_wire(&c->options.zone);
+    b->control = c->options.control;
+    b->traffic = c->options.traffic;
+    b->http = c->options.http;
+}
+
+/* The leader is a member too: it grants its own lease. */
+static void
+beat_self(bbl_control *c)
+{
+    bblx_beat beat;
+    bblx_grant grant;
+
+    fill_beat(c, &beat);
+    bbl_registry_beat(&c->registry, c->now, &beat, true);
+    memset(&grant, 0, sizeof(grant));
+    grant.host = c->options.host;
+    grant.incarnation = c->options.incarnation;
+    grant.seq = beat.seq;
+    grant.required = c->public_index;
+    grant.lease_us = (u_int)c->options.lease;
+    take_grant(c, &grant);
+}
+
+static void
+beat_parent(bbl_control *c)
+{
+    bblx_message m;
+    bblx_heartbeat *h = &m.bblx_message_u.heartbeat;
+    bblx_beat *beats = bbl_calloc(c->up.size + 1, sizeof(*beats));
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_HEARTBEAT;
+    fill_beat(c, &beats[0]);
+    for (size_t i = 0; i < c->up.size; i++) {
+        beats[i + 1] = BBL_VEC_AT(relayed_beat, &c->up, i)->beat;
+    }
+    h->applied = bbl_state_applied(c->state);
+    h->feed_boot = c->parent_boot;
+    h->feed_revision = c->parent_revision;
+    h->beats.beats_len = (u_int)c->up.size + 1;
+    h->beats.beats_val = beats;
+    c->reports.size = 0;
+    bbl_rows_pending(&c->rows, &c->reports, REPORTS_UP);
+    h->reports.reports_len = (u_int)c->reports.size;
+    h->reports.reports_val = c->reports.ptr;
+    c->beats_sent++;
+    send_to(c, c->parent, c->parent_address, &m);
+    free(beats);
+    free_up(c);
+}
+
+static void
+tick_beat(bbl_control *c)
+{
+    if (c->now < c->next_beat && !c->beat_now) {
+        return;
+    }
+    if (c->now >= c->next_beat) {
+        c->next_beat = c->now + c->options.beat;
+    }
+    c->beat_now = false;
+    if (leads(c)) {
+        free_up(c);
+        beat_self(c);
+        return;
+    }
+    choose_parent(c);
+    if (c->parent != 0) {
+        beat_parent(c);
+    }
+}
+
+/* ---- leader's work ---- */
+
+static void
+propose_assigns(bbl_control *c)
+{
+    bblx_command command;
+    bbl_buf data = BBL_BUF_INIT;
+    bbl_quorum_status s;
+    uint64_t index;
+    uint64_t term;
+
+    bbl_quorum_get_status(c->quorum, &s);
+    if (s.last > s.commit) {
+        return; /* plan on what is applied only */
+    }
+    c->assigns.size = 0;
+    bbl_registry_assign(&c->registry, c->now, c->state, s.last + 1,
+                        &c->assigns);
+    if (c->assigns.size == 0) {
+        return;
+    }
+    memset(&command, 0, sizeof(command));
+    command.kind = BBLX_ASSIGN;
+    command.bblx_command_u.assign.rows.rows_len = (u_int)c->assigns.size;
+    command.bblx_command_u.assign.rows.rows_val = c->assigns.ptr;
+    if (BBL_ENCODE(&data, bblx_command, &command) == 0) {
+        bbl_quorum_propose(c->quorum, &index, &term, bbl_buf_str(&data));
+    }
+    bbl_buf_free(&data);
+}
+
+static void
+tick_leader(bbl_control *c)
+{
+    bbl_quorum_status s;
+
+    if (!leads(c)) {
+        return;
+    }
+    bbl_quorum_get_status(c->quorum, &s);
+    if (s.term != c->led_term) {
+        /* Within one term the leases granted so far stay known. */
+        c->led_term = s.term;
+        bbl_registry_reset(&c->registry, bbl_quorum_led_since(c->quorum));
+        c->next_assign = 0;
+        c->beat_now = true;
+    }
+    c->leader = c->options.host;
+    if (c->now >= c->next_publish) {
+        c->next_publish = c->now + PUBLISH_EVERY_US;
+        bbl_registry_publish(&c->registry, c->now, &c->rows);
+    }
+    if (c->now >= c->next_assign) {
+        c->next_assign = c->now + ASSIGN_EVERY_US;
+        propose_assigns(c);
+    }
+}
+
+/* ---- public ---- */
+
+static int
+open_quorum(bbl_control *c, bbl_disk *disk, bbl_usec now)
+{
+    bbl_quorum_options options = BBL_QUORUM_OPTIONS_INIT;
+
+    options.host = c->options.host;
+    options.seed = c->options.seed;
+    options.founders = c->options.seeds;
+    options.clock_ppm = c->options.clock_ppm;
+    options.compact_entries = c->options.compact_entries;
+    options.port.send = port_send;
+    options.port.apply = port_apply;
+    options.port.save = port_save;
+    options.port.load = port_load;
+    options.port.ctx = c;
+    return bbl_quorum_open(&c->quorum, &options, disk, now);
+}
+
+int
+bbl_control_open(bbl_control **out, const bbl_control_options *options,
+                 bbl_disk *disk, bbl_usec now)
+{
+    bbl_control *c = bbl_calloc(1, sizeof(*c));
+    int error = 0;
+
+    *out = NULL;
+    c->options = *options;
+    c->now = now;
+    c->state = bbl_state_new();
+    bbl_rows_init(&c->rows);
+    bbl_registry_init(&c->registry, options->lease, options->clock_ppm,
+                      (uint32_t)options->hold);
+    c->kept = (bbl_vec)BBL_VEC_INIT(kept_entry);
+    c->children = (bbl_vec)BBL_VEC_INIT(child);
+    c->up = (bbl_vec)BBL_VEC_INIT(relayed_beat);
+    c->pendings = (bbl_vec)BBL_VEC_INIT(pending);
+    c->waitings = (bbl_vec)BBL_VEC_INIT(waiting);
+    c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
+    c->members = (bbl_vec)BBL_VEC_INIT(bblx_member_row);
+    c->assigns = (bbl_vec)BBL_VEC_INIT(bblx_assign);
+    c->feed_boot = options->incarnation;
+    if (disk != NULL) {
+        error = open_quorum(c, disk, now);
+    }
+    if (error != 0) {
+        bbl_control_free(c);
+        return error;
+    }
+    *out = c;
+    return 0;
+}
+
+void
+bbl_control_free(bbl_control *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    bbl_quorum_free(c->quorum);
+    forget_entries(c);
+    free_up(c);
+    for (size_t i = 0; i < c->pendings.size; i++) {
+        bbl_buf_free(&BBL_VEC_AT(pending, &c->pendings, i)->data);
+    }
+    bbl_state_free(c->state);
+    bbl_rows_free(&c->rows);
+    bbl_registry_free(&c->registry);
+    bbl_vec_free(&c->kept);
+    bbl_vec_free(&c->children);
+    bbl_vec_free(&c->up);
+    bbl_vec_free(&c->pendings);
+    bbl_vec_free(&c->waitings);
+    bbl_vec_free(&c->reports);
+    bbl_vec_free(&c->members);
+    bbl_vec_free(&c->assigns);
+    free(c);
+}
+
+/* Sends what the last calls left to be sent. */
+static void
+settle(bbl_control *c)
+{
+    if (c->quorum != NULL) {
+        bbl_quorum_flush(c->quorum, c->now);
+    }
+    if (c->beat_now) {
+        tick_beat(c);
+    }
+    if (c->push) {
+        push_feeds(c);
+    }
+    if (c->rows_seen != c->rows.revision) {
+        c->rows_seen = c->rows.revision;
+        c->revision++;
+    }
+}
+
+void
+bbl_control_tick(bbl_control *c, bbl_usec now, uint64_t wall_ms)
+{
+    c->now = now;
+    c->wall_ms = wall_ms;
+    if (c->quorum != NULL) {
+        bbl_quorum_status s;
+
+        bbl_quorum_tick(c->quorum, now);
+        bbl_quorum_get_status(c->quorum, &s);
+        if (s.leader != 0) {
+            c->leader = s.leader;
+        }
+        tick_leader(c);
+    }
+    tick_beat(c);
+    tick_pendings(c);
+    settle(c);
+}
+
+void
+bbl_control_step(bbl_control *c, bbl_usec now, uint32_t from,
+                 const bblx_message *m)
+{
+    bblx_address address;
+
+    c->now = now;
+    switch (m->kind) {
+    case BBLX_HEARTBEAT:
+        on_heartbeat(c, from, &m->bblx_message_u.heartbeat);
+        break;
+    case BBLX_FEED:
+        on_feed(c, from, &m->bblx_message_u.feed);
+        break;
+    case BBLX_PROPOSE:
+        if (find_address(c, from, &address)) {
+            lead_proposal(c, from, address, m->bblx_message_u.propose.number,
+                          bbl_text_str(&m->bblx_message_u.propose.data));
+        }
+        break;
+    case BBLX_PROPOSE_REPLY:
+        if (m->bblx_message_u.propose_reply.status != BBL_ELEADER) {
+            finish_pending(c, &m->bblx_message_u.propose_reply);
+        }
+        break;
+    default:
+        if (c->quorum != NULL) {
+            bbl_quorum_step(c->quorum, now, from, m);
+        }
+        break;
+    }
+    settle(c);
+}
+
+void
+bbl_control_report(bbl_control *c, const bblx_report *report)
+{
+    bblx_report numbered = *report;
+
+    numbered.serial = ++c->serial;
+    if (bbl_rows_put_report(&c->rows, &numbered, true, true)) {
+        c->beat_now = true;
+        c->push = true;
+    }
+}
+
+void
+bbl_control_set_places(bbl_control *c, const bblx_place *places, size_t count)
+{
+    bbl_registry_set_places(&c->registry, places, count);
+}
+
+void
+bbl_control_confirm(bbl_control *c, uint64_t applied)
+{
+    /* Only a public entry is worth a beat of its own. */
+    if (c->confirmed < c->public_index && applied >= c->public_index) {
+        c->beat_now = true;
+    }
+    c->confirmed = applied > c->confirmed ? applied : c->confirmed;
+}
+
+void
+bbl_control_drain(bbl_control *c, bbl_usec now)
+{
+    c->now = now;
+    c->draining = true;
+    c->beat_now = true;
+    settle(c);
+}
+
+void
+bbl_control_release(bbl_control *c, bbl_usec now)
+{
+    c->now = now;
+    c->released = true;
+    c->beat_now = true;
+    settle(c);
+}
+
+bbl_usec
+bbl_control_lease_until(const bbl_control *c)
+{
+    return bbl_state_applied(c->state) >= c->required ? c->lease_until : 0;
+}
+
+bbl_ready
+bbl_control_ready(const bbl_control *c, bbl_usec now)
+{
+    const bbl_lists *lists = bbl_state_lists(c->state);
+
+    if (c->lease_until <= now) {
+        return BBL_NOT_NO_LEASE;
+    }
+    if (bbl_state_applied(c->state) < c->required) {
+        return BBL_NOT_BEHIND;
+    }
+    if (lists == NULL) {
+        return BBL_NOT_NO_LISTS;
+    }
+    if (c->draining) {
+        return BBL_NOT_DRAINING;
+    }
+    if (bbl_lists_zone_out(lists, &c->options.zone)) {
+        return BBL_NOT_ZONE_OUT;
+    }
+    return BBL_READY;
+}
+
+void
+bbl_control_get_status(const bbl_control *c, bbl_usec now,
+                       bbl_control_status *out)
+{
+    memset(out, 0, sizeof(*out));
+    out->has_quorum = c->quorum != NULL;
+    if (c->quorum != NULL) {
+        bbl_quorum_get_status(c->quorum, &out->quorum);
+    }
+    out->leader = c->leader;
+    out->parent = c->parent;
+    out->applied = bbl_state_applied(c->state);
+    out->required = c->required;
+    out->lists_version = bbl_state_lists_version(c->state);
+    out->lease_until = c->lease_until;
+    out->ready = bbl_control_ready(c, now);
+    out->claims = bbl_state_claim_count(c->state);
+    out->beats_sent = c->beats_sent;
+    out->beats_relayed = c->beats_relayed;
+    out->feeds_sent = c->feeds_sent;
+    out->snapshots_sent = c->snapshots_sent;
+}
+
+uint64_t
+bbl_control_revision(const bbl_control *c)
+{
+    return c->revision;
+}
+
+const bbl_state *
+bbl_control_state(const bbl_control *c)
+{
+    return c->state;
+}
+
+const bbl_rows *
+bbl_control_rows(const bbl_control *c)
+{
+    return &c->rows;
+}
+
+bbl_quorum *
+bbl_control_quorum(bbl_control *c)
+{
+    return c->quorum;
+}
+
+const bbl_registry *
+bbl_control_registry(const bbl_control *c)
+{
+    return &c->registry;
+}
+
+int
+bbl_control_in_force(const bbl_control *c, bbl_usec now, uint64_t version,
+                     uint32_t *waits_for)
+{
+    *waits_for = 0;
+    if (c->quorum == NULL || !bbl_quorum_leads(c->quorum, now)) {
+        return bbl_error_set(BBL_ELEADER, "only the leader knows");
+    }
+    if (bbl_state_lists_version(c->state) < version) {
+        return 0;
+    }
+    return bbl_registry_in_force(&c->registry, now, c->lists_index, waits_for);
+}
--- /dev/null
+++ b/src/control/fault.h
@@ -0,0 +1,28 @@
+/*
+ * fault.h - deliberate faults, compiled in for tests only. A test sets
+ * bbl_test_faults and must then see its invariants broken.
+ */
+#ifndef BBL_FAULT_H
+#define BBL_FAULT_H
+
+typedef enum {
+    BBL_FAULT_NO_SYNC = 1 << 0,         /* acknowledge before the sync */
+    BBL_FAULT_DOUBLE_VOTE = 1 << 1,     /* vote twice in a term */
+    BBL_FAULT_LEASE_RECEIPT = 1 << 2,   /* member counts from the receipt */
+    BBL_FAULT_LEARNER_COUNTS = 1 << 3,  /* learners count in the quorum */
+    BBL_FAULT_COMMIT_OLD_TERM = 1 << 4, /* commit entries of older terms */
+    BBL_FAULT_NO_LEASE_WAIT = 1 << 5,   /* new leader reassigns at once */
+    BBL_FAULT_FORGET_CHANGES = 1 << 6,  /* snapshot drops the change ids */
+    BBL_FAULT_CLAIM_TWICE = 1 << 7,     /* a second claim is granted */
+    BBL_FAULT_ANY_DISK = 1 << 8,        /* an emptied disk still counts */
+    BBL_FAULT_NO_HOLD = 1 << 9          /* new owner starts at full limit */
+} bbl_fault;
+
+#ifdef BBL_TEST_FAULTS
+extern unsigned bbl_test_faults;
+#define BBL_FAULT(fault) ((bbl_test_faults & (fault)) != 0)
+#else
+#define BBL_FAULT(fault) 0
+#endif
+
+#endif
--- /dev/null
+++ b/src/control/registry.c
@@ -0,0 +1,491 @@
+#include "control/registry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/fault.h"
+#include "util/alloc.h"
+
+#define REBALANCE_SLACK 3 /* searchers above the mean before one moves */
+
+/* Owners that already serve a replica of each service. */
+typedef struct {
+    const bbl_state *state;
+    bbl_registry *registry;
+    bbl_usec now;
+    uint64_t epoch;
+    bbl_vec *out;
+    bbl_vec moving; /* hash of services with a move under way */
+} planner;
+
+void
+bbl_registry_init(bbl_registry *r, bbl_usec lease, uint32_t clock_ppm,
+                  uint32_t hold_us)
+{
+    memset(r, 0, sizeof(*r));
+    r->lease = lease;
+    r->clock_ppm = clock_ppm;
+    r->hold_us = hold_us;
+    r->places = (bbl_vec)BBL_VEC_INIT(bblx_place);
+}
+
+static void
+clear_members(bbl_registry *r)
+{
+    bbl_member *m;
+    size_t pos = 0;
+
+    while ((m = bbl_map_next(&r->members, &pos)) != NULL) {
+        free(m);
+    }
+    bbl_map_free(&r->members);
+}
+
+static void
+clear_places(bbl_registry *r)
+{
+    for (size_t i = 0; i < r->places.size; i++) {
+        BBL_RELEASE(bblx_place, bbl_vec_at(&r->places, i));
+    }
+    r->places.size = 0;
+}
+
+void
+bbl_registry_free(bbl_registry *r)
+{
+    clear_members(r);
+    clear_places(r);
+    bbl_vec_free(&r->places);
+}
+
+void
+bbl_registry_reset(bbl_registry *r, bbl_usec now)
+{
+    clear_members(r);
+    r->led_since = now;
+    r->dirty = true;
+}
+
+/* Returns when a lease granted now has certainly run out. */
+static bbl_usec
+certain_end(const bbl_registry *r, bbl_usec now)
+{
+    return now + r->lease + r->lease * 2 * r->clock_ppm / 1000000 + 1;
+}
+
+static bbl_member *
+member_of(bbl_registry *r, uint32_t host)
+{
+    bbl_member *m = bbl_map_get(&r->members, host);
+
+    if (m == NULL) {
+        m = bbl_calloc(1, sizeof(*m));
+        m->host = host;
+        bbl_map_set(&r->members, host, m);
+        r->dirty = true;
+    }
+    return m;
+}
+
+void
+bbl_registry_beat(bbl_registry *r, bbl_usec now, const bblx_beat *beat,
+                  bool leads)
+{
+    bbl_member *m = member_of(r, beat->host);
+
+    if (beat->incarnation < m->incarnation) {
+        return; /* a delayed beat of an earlier process */
+    }
+    if (m->incarnation != beat->incarnation) {
+        if (m->lease_end > m->prior_end) {
+            m->prior_end = m->lease_end;
+        }
+        m->lease_end = 0;
+        m->incarnation = beat->incarnation;
+        m->applied = 0;
+        r->dirty = true;
+    }
+    r->dirty = r->dirty || m->draining != beat->draining ||
+               m->released != beat->released || m->lease_end <= now;
+    m->last_beat = now;
+    m->applied = beat->applied > m->applied ? beat->applied : m->applied;
+    m->draining = beat->draining;
+    m->released = beat->released;
+    bbl_name_from_wire(&m->zone, &beat->zone);
+    m->control = beat->control;
+    m->traffic = beat->traffic;
+    if (leads) {
+        m->lease_end = certain_end(r, now);
+    }
+}
+
+void
+bbl_registry_set_places(bbl_registry *r, const bblx_place *places,
+                        size_t count)
+{
+    clear_places(r);
+    for (size_t i = 0; i < count; i++) {
+        bblx_place *to = bbl_vec_add(&r->places);
+        const bblx_place *from = &places[i];
+
+        *to = *from;
+        to->zone.bblx_name_val =
+            bbl_memdup(from->zone.bblx_name_val, from->zone.bblx_name_len);
+        to->service.bblx_name_val = bbl_memdup(from->service.bblx_name_val,
+                                               from->service.bblx_name_len);
+    }
+    r->places_known = true;
+    r->dirty = true;
+}
+
+bool
+bbl_registry_settling(const bbl_registry *r, bbl_usec now)
+{
+    if (BBL_FAULT(BBL_FAULT_NO_LEASE_WAIT)) {
+        return false;
+    }
+    return now < certain_end(r, r->led_since);
+}
+
+bool
+bbl_registry_in_force(const bbl_registry *r, bbl_usec now, uint64_t index,
+                      uint32_t *waits_for)
+{
+    const bbl_member *m;
+    size_t pos = 0;
+
+    *waits_for = 0;
+    if (bbl_registry_settling(r, now)) {
+        return false;
+    }
+    while ((m = bbl_map_next(&r->members, &pos)) != NULL) {
+        if ((m->lease_end > now && m->applied < index) || m->prior_end > now) {
+            *waits_for = m->host;
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_live(const bbl_member *m, bbl_usec now)
+{
+    return m->lease_end > now;
+}
+
+void
+bbl_registry_publish(bbl_registry *r, bbl_usec now, bbl_rows *rows)
+{
+    bbl_member *m;
+    size_t pos = 0;
+
+    while ((m = bbl_map_next(&r->members, &pos)) != NULL) {
+        bblx_member_row row;
+
+        memset(&row, 0, sizeof(row));
+        row.host = m->host;
+        row.incarnation = m->incarnation;
+        row.live = is_live(m, now);
+        row.draining = m->draining;
+        row.zone = bbl_name_to_wire(&m->zone);
+        row.control = m->control;
+        row.traffic = m->traffic;
+        r->dirty = bbl_rows_put_member(rows, &row) || r->dirty;
+    }
+    /* A member that this leader has not heard of is lost once settled. */
+    pos = 0;
+    for (const bblx_member_row *old;
+         !bbl_registry_settling(r, now) &&
+         (old = bbl_rows_next_member(rows, &pos)) != NULL;) {
+        if (old->live && bbl_map_get(&r->members, old->host) == NULL) {
+            bblx_member_row lost = *old;
+
+            lost.live = false;
+            r->dirty = bbl_rows_put_member(rows, &lost) || r->dirty;
+            break;
+        }
+    }
+}
+
+/* ---- assignment ---- */
+
+static bool
+can_own(const bbl_member *m, bbl_usec now)
+{
+    return is_live(m, now) && !m->draining;
+}
+
+/* Returns whether the assigned owner may still use the searcher. */
+static bool
+owner_holds(const planner *p, const bblx_assign *row)
+{
+    const bbl_member *m = bbl_map_get(&p->registry->members, row->owner);
+
+    if (row->owner == 0) {
+        return false;
+    }
+    if (m == NULL) {
+        return bbl_registry_settling(p->registry, p->now);
+    }
+    if (m->incarnation != row->incarnation) {
+        return m->prior_end > p->now ||
+               bbl_registry_settling(p->registry, p->now);
+    }
+    if (m->released) {
+        return false;
+    }
+    return m->lease_end > p->now || bbl_registry_settling(p->registry, p->now);
+}
+
+static uint64_t
+service_hash(const bblx_place *place)
+{
+    return bbl_hash(place->service.bblx_name_val, place->service.bblx_name_len,
+                    3);
+}
+
+/* Returns whether `host` owns another searcher of the same service. */
+static bool
+owns_sibling(const planner *p, const bblx_place *place, uint32_t host)
+{
+    uint64_t service = service_hash(place);
+    size_t pos = 0;
+    const bblx_assign *row;
+
+    for (size_t i = 0; i < p->out->size; i++) {
+        const bblx_assign *o = bbl_vec_at(p->out, i);
+
+        if (o->owner == host && o->place.searcher != place->searcher &&
+            service_hash(&o->place) == service) {
+            return true;
+        }
+    }
+    while ((row = bbl_state_next_assign(p->state, &pos)) != NULL) {
+        if (row->owner == host && row->place.searcher != place->searcher &&
+            service_hash(&row->place) == service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Ranks a candidate owner; lower is better. */
+static uint64_t
+owner_cost(const planner *p, const bblx_place *place, const bbl_member *m)
+{
+    bbl_name zone;
+    uint64_t cost = m->owned;
+
+    bbl_name_from_wire(&zone, &place->zone);
+    if (!bbl_name_equal(&zone, &m->zone)) {
+        cost += 4;
+    }
+    if (owns_sibling(p, place, m->host)) {
+        cost += 1000;
+    }
+    return cost;
+}
+
+static bbl_member *
+best_owner(const planner *p, const bblx_place *place)
+{
+    bbl_member *best = NULL;
+    uint64_t best_cost = 0;
+    bbl_member *m;
+    size_t pos = 0;
+
+    while ((m = bbl_map_next(&p->registry->members, &pos)) != NULL) {
+        uint64_t cost;
+
+        if (!can_own(m, p->now)) {
+            continue;
+        }
+        cost = owner_cost(p, place, m);
+        if (best == NULL || cost < best_cost ||
+            (cost == best_cost && m->host < best->host)) {
+            best = m;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+static void
+give(planner *p, const bblx_place *place, bbl_member *to, uint32_t hold_us)
+{
+    bblx_assign *row = bbl_vec_add(p->out);
+
+    row->place = *place;
+    row->epoch = p->epoch;
+    row->hold_us = hold_us;
+    if (to != NULL) {
+        row->owner = to->host;
+        row->incarnation = to->incarnation;
+        to->owned++;
+    }
+}
+
+static bool
+same_place(const bblx_place *a, const bblx_place *b)
+{
+    return a->leaving == b->leaving && a->slots == b->slots &&
+           a->connections == b->connections &&
+           a->address.ip == b->address.ip &&
+           a->address.port == b->address.port;
+}
+
+/* Whether the last owner is known to have stopped by itself. */
+static bool
+was_released(const planner *p, const bblx_assign *row)
+{
+    const bbl_member *m = bbl_map_get(&p->registry->members, row->owner);
+
+    return row->owner == 0 ||
+           (m != NULL && m->incarnation == row->incarnation && m->released);
+}
+
+static void
+plan_place(planner *p, const bblx_place *place)
+{
+    const bblx_assign *row = bbl_state_assign(p->state, place->searcher);
+    bbl_member *to;
+
+    if (row != NULL && owner_holds(p, row)) {
+        if (!same_place(&row->place, place)) {
+            bblx_assign *update = bbl_vec_add(p->out);
+
+            *update = *row;
+            update->place = *place;
+        }
+        return;
+    }
+    to = best_owner(p, place);
+    if (to == NULL) {
+        return;
+    }
+    give(p, place, to,
+         row == NULL || was_released(p, row) ? 0 : p->registry->hold_us);
+}
+
+static bool
+is_moving(const planner *p, uint64_t service)
+{
+    for (size_t i = 0; i < p->moving.size; i++) {
+        if (*BBL_VEC_AT(uint64_t, &p->moving, i) == service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Moves searchers from overloaded owners, one of each service at a time. */
+static void
+rebalance(planner *p)
+{
+    bbl_registry *r = p->registry;
+    size_t live = 0;
+    size_t pos = 0;
+    uint32_t mean;
+    bbl_member *m;
+
+    while ((m = bbl_map_next(&r->members, &pos)) != NULL) {
+        live += can_own(m, p->now);
+    }
+    if (live == 0 || bbl_registry_settling(r, p->now)) {
+        return;
+    }
+    mean = (uint32_t)((r->places.size + live - 1) / live);
+    for (size_t i = 0; i < r->places.size; i++) {
+        const bblx_place *place = bbl_vec_at(&r->places, i);
+        const bblx_assign *row = bbl_state_assign(p->state, place->searcher);
+        uint64_t service = service_hash(place);
+        bbl_member *from;
+        bbl_member *to;
+
+        from = row ? bbl_map_get(&r->members, row->owner) : NULL;
+        if (from == NULL || from->incarnation != row->incarnation ||
+            from->owned < mean + REBALANCE_SLACK || is_moving(p, service)) {
+            continue;
+        }
+        to = best_owner(p, place);
+        if (to == NULL || to->owned + 1 >= mean + REBALANCE_SLACK) {
+            continue;
+        }
+        from->owned--;
+        bbl_vec_push(&p->moving, &service);
+        give(p, place, to, r->hold_us + (uint32_t)r->lease);
+    }
+}
+
+static void
+drop_unlisted(planner *p)
+{
+    bbl_map listed = BBL_MAP_INIT;
+    const bblx_assign *row;
+    size_t pos = 0;
+
+    for (size_t i = 0; i < p->registry->places.size; i++) {
+        bblx_place *place = bbl_vec_at(&p->registry->places, i);
+
+        bbl_map_set(&listed, place->searcher, place);
+    }
+    while ((row = bbl_state_next_assign(p->state, &pos)) != NULL) {
+        if (bbl_map_get(&listed, row->place.searcher) == NULL) {
+            bblx_assign *gone = bbl_vec_add(p->out);
+
+            *gone = *row;
+            gone->gone = true;
+        }
+    }
+    bbl_map_free(&listed);
+}
+
+static void
+count_owned(planner *p)
+{
+    const bblx_assign *row;
+    bbl_member *m;
+    size_t pos = 0;
+
+    while ((m = bbl_map_next(&p->registry->members, &pos)) != NULL) {
+        m->owned = 0;
+    }
+    pos = 0;
+    while ((row = bbl_state_next_assign(p->state, &pos)) != NULL) {
+        m = bbl_map_get(&p->registry->members, row->owner);
+        if (m != NULL && m->incarnation == row->incarnation) {
+            m->owned++;
+        }
+    }
+}
+
+void
+bbl_registry_assign(bbl_registry *r, bbl_usec now, const bbl_state *state,
+                    uint64_t epoch, bbl_vec *out)
+{
+    planner p = {state, r, now, epoch, out, BBL_VEC_INIT(uint64_t)};
+
+    if (!r->places_known) {
+        return;
+    }
+    count_owned(&p);
+    for (size_t i = 0; i < r->places.size; i++) {
+        if (out->size >= BBL_ASSIGN_BATCH) {
+            break;
+        }
+        plan_place(&p, bbl_vec_at(&r->places, i));
+    }
+    if (out->size == 0) {
+        drop_unlisted(&p);
+    }
+    if (out->size == 0) {
+        rebalance(&p);
+    }
+    bbl_vec_free(&p.moving);
+}
+
+const bbl_member *
+bbl_registry_member(const bbl_registry *r, uint32_t host)
+{
+    return bbl_map_get(&r->members, host);
+}
--- /dev/null
+++ b/src/control/rows.c
@@ -0,0 +1,275 @@
+#include "control/rows.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/alloc.h"
+
+#define CHANGES_SLACK 64 /* stale change references kept at least */
+
+/* One change; stale when the row has a later revision. */
+typedef struct {
+    uint64_t revision;
+    uint32_t key;
+    bool member;
+} change_ref;
+
+void
+bbl_rows_init(bbl_rows *rows)
+{
+    memset(rows, 0, sizeof(*rows));
+    rows->changes = (bbl_vec)BBL_VEC_INIT(change_ref);
+}
+
+void
+bbl_rows_free(bbl_rows *rows)
+{
+    bbl_report_row *report;
+    bbl_member_row *member;
+    size_t pos = 0;
+
+    while ((report = bbl_map_next(&rows->reports, &pos)) != NULL) {
+        BBL_RELEASE(bblx_report, &report->report);
+        free(report);
+    }
+    pos = 0;
+    while ((member = bbl_map_next(&rows->members, &pos)) != NULL) {
+        BBL_RELEASE(bblx_member_row, &member->member);
+        free(member);
+    }
+    bbl_map_free(&rows->reports);
+    bbl_map_free(&rows->members);
+    bbl_vec_free(&rows->changes);
+}
+
+static uint64_t
+current_revision(const bbl_rows *rows, const change_ref *ref)
+{
+    if (ref->member) {
+        bbl_member_row *row = bbl_map_get(&rows->members, ref->key);
+
+        return row ? row->revision : 0;
+    }
+    bbl_report_row *row = bbl_map_get(&rows->reports, ref->key);
+
+    return row ? row->revision : 0;
+}
+
+static void
+prune_changes(bbl_rows *rows)
+{
+    size_t kept = 0;
+    size_t live = rows->reports.size + rows->members.size;
+
+    if (rows->changes.size < 2 * live + CHANGES_SLACK) {
+        return;
+    }
+    for (size_t i = 0; i < rows->changes.size; i++) {
+        change_ref *ref = bbl_vec_at(&rows->changes, i);
+
+        if (current_revision(rows, ref) == ref->revision) {
+            *BBL_VEC_AT(change_ref, &rows->changes, kept) = *ref;
+            kept++;
+        }
+    }
+    rows->changes.size = kept;
+}
+
+static uint64_t
+note_change(bbl_rows *rows, uint32_t key, bool member)
+{
+    change_ref ref = {++rows->revision, key, member};
+
+    prune_changes(rows);
+    bbl_vec_push(&rows->changes, &ref);
+    return ref.revision;
+}
+
+/* Copies a value through its wire form, the one deep copy for every type. */
+static void
+deep_copy(void *to, const void *from, xdrproc_t proc)
+{
+    bbl_buf bytes = BBL_BUF_INIT;
+
+    if (bbl_encode(&bytes, proc, from) != 0 ||
+        bbl_decode(to, proc, bbl_buf_str(&bytes)) != 0) {
+        abort();
+    }
+    bbl_buf_free(&bytes);
+}
+
+static bool
+is_newer(const bblx_report *a, const bblx_report *b)
+{
+    return a->epoch > b->epoch ||
+           (a->epoch == b->epoch && a->serial > b->serial);
+}
+
+bool
+bbl_rows_put_report(bbl_rows *rows, const bblx_report *report, bool below,
+                    bool pending)
+{
+    bbl_report_row *row = bbl_map_get(&rows->reports, report->searcher);
+
+    if (row != NULL && !is_newer(report, &row->report)) {
+        return false;
+    }
+    if (row == NULL) {
+        row = bbl_calloc(1, sizeof(*row));
+        bbl_map_set(&rows->reports, report->searcher, row);
+    }
+    BBL_RELEASE(bblx_report, &row->report);
+    memset(&row->report, 0, sizeof(row->report));
+    deep_copy(&row->report, report, (xdrproc_t)xdr_bblx_report);
+    row->below = below;
+    row->pending = pending;
+    row->revision = note_change(rows, report->searcher, false);
+    return true;
+}
+
+static bool
+same_member(const bblx_member_row *a, const bblx_member_row *b)
+{
+    return a->incarnation == b->incarnation && a->live == b->live &&
+           a->draining == b->draining &&
+           a->zone.bblx_name_len == b->zone.bblx_name_len &&
+           memcmp(a->zone.bblx_name_val, b->zone.bblx_name_val,
+                  a->zone.bblx_name_len) == 0 &&
+           memcmp(&a->control, &b->control, sizeof(a->control)) == 0 &&
+           memcmp(&a->traffic, &b->traffic, sizeof(a->traffic)) == 0;
+}
+
+bool
+bbl_rows_put_member(bbl_rows *rows, const bblx_member_row *member)
+{
+    bbl_member_row *row = bbl_map_get(&rows->members, member->host);
+
+    if (row != NULL && same_member(&row->member, member)) {
+        return false;
+    }
+    if (row == NULL) {
+        row = bbl_calloc(1, sizeof(*row));
+        bbl_map_set(&rows->members, member->host, row);
+    }
+    BBL_RELEASE(bblx_member_row, &row->member);
+    memset(&row->member, 0, sizeof(row->member));
+    deep_copy(&row->member, member, (xdrproc_t)xdr_bblx_member_row);
+    row->revision = note_change(rows, member->host, true);
+    return true;
+}
+
+void
+bbl_rows_confirm(bbl_rows *rows, const bblx_report *seen)
+{
+    bbl_report_row *row = bbl_map_get(&rows->reports, seen->searcher);
+
+    if (row != NULL && row->report.epoch == seen->epoch &&
+        row->report.serial == seen->serial) {
+        row->pending = false;
+    }
+}
+
+void
+bbl_rows_unconfirm(bbl_rows *rows)
+{
+    bbl_report_row *row;
+    size_t pos = 0;
+
+    while ((row = bbl_map_next(&rows->reports, &pos)) != NULL) {
+        row->pending = row->below;
+    }
+}
+
+void
+bbl_rows_pending(const bbl_rows *rows, bbl_vec *out, size_t max)
+{
+    bbl_report_row *row;
+    size_t pos = 0;
+
+    while (out->size < max &&
+           (row = bbl_map_next(&rows->reports, &pos)) != NULL) {
+        if (row->pending) {
+            bbl_vec_push(out, &row->report);
+        }
+    }
+}
+
+/* Returns the first change after `since`. */
+static size_t
+first_after(const bbl_rows *rows, uint64_t since)
+{
+    size_t low = 0;
+    size_t high = rows->changes.size;
+
+    while (low < high) {
+        size_t mid = (low + high) / 2;
+
+        if (BBL_VEC_AT(change_ref, &rows->changes, mid)->revision <= since) {
+            low = mid + 1;
+        }
+        else {
+            high = mid;
+        }
+    }
+    return low;
+}
+
+uint64_t
+bbl_rows_since(const bbl_rows *rows, uint64_t since, size_t max,
+               bbl_vec *reports, bbl_vec *members)
+{
+    size_t i = first_after(rows, since);
+
+    for (; i < rows->changes.size; i++) {
+        const change_ref *ref = bbl_vec_at(&rows->changes, i);
+
+        if (current_revision(rows, ref) != ref->revision) {
+            continue;
+        }
+        if (reports->size + members->size >= max) {
+            return ref->revision - 1;
+        }
+        if (ref->member) {
+            bbl_vec_push(members, bbl_rows_member(rows, ref->key));
+        }
+        else {
+            bbl_vec_push(reports, bbl_rows_report(rows, ref->key));
+        }
+    }
+    return rows->revision;
+}
+
+const bblx_report *
+bbl_rows_report(const bbl_rows *rows, uint32_t searcher)
+{
+    bbl_report_row *row = bbl_map_get(&rows->reports, searcher);
+
+    return row ? &row->report : NULL;
+}
+
+const bblx_member_row *
+bbl_rows_member(const bbl_rows *rows, uint32_t host)
+{
+    bbl_member_row *row = bbl_map_get(&rows->members, host);
+
+    return row ? &row->member : NULL;
+}
+
+const bblx_member_row *
+bbl_rows_next_member(const bbl_rows *rows, size_t *pos)
+{
+    bbl_member_row *row = bbl_map_next(&rows->members, pos);
+
+    return row ? &row->member : NULL;
+}
+
+void
+bbl_rows_drop_report(bbl_rows *rows, uint32_t searcher)
+{
+    bbl_report_row *row = bbl_map_remove(&rows->reports, searcher);
+
+    if (row != NULL) {
+        BBL_RELEASE(bblx_report, &row->report);
+        free(row);
+    }
+}
--- /dev/null
+++ b/src/control/rows.h
@@ -0,0 +1,82 @@
+/*
+ * rows.h - soft rows that travel through the relay tree: what owners report
+ * of their searchers, and which members live. Not replicated and not
+ * durable; every row is sent again by its source after a loss.
+ *
+ * Each table numbers its changes, so that a follower that names the last
+ * number it has seen gets only what is new.
+ */
+#ifndef BBL_ROWS_H
+#define BBL_ROWS_H
+
+#include "model/codec.h"
+#include "util/map.h"
+#include "util/vec.h"
+
+typedef struct {
+    bblx_report report; /* owned */
+    uint64_t revision;
+    bool below;   /* learnt here or from a child */
+    bool pending; /* not yet seen back from the parent */
+} bbl_report_row;
+
+typedef struct {
+    bblx_member_row member; /* owned */
+    uint64_t revision;
+} bbl_member_row;
+
+typedef struct {
+    uint64_t revision; /* number of the last change */
+    bbl_map reports;   /* searcher -> bbl_report_row */
+    bbl_map members;   /* host -> bbl_member_row */
+    bbl_vec changes;   /* change_ref, by revision */
+} bbl_rows;
+
+void bbl_rows_init(bbl_rows *rows);
+void bbl_rows_free(bbl_rows *rows);
+
+/*
+ * Takes a report in if it is newer than the present one.
+ *
+ * @param below   learnt here or from a child, not from the parent
+ * @param pending the parent has yet to confirm it
+ * @return whether the row changed
+ */
+bool bbl_rows_put_report(bbl_rows *rows, const bblx_report *report, bool below,
+                         bool pending);
+
+/* Takes a member row in; returns whether it changed. */
+bool bbl_rows_put_member(bbl_rows *rows, const bblx_member_row *member);
+
+/* Marks a report as known to the parent when it is as new as `seen`. */
+void bbl_rows_confirm(bbl_rows *rows, const bblx_report *seen);
+
+/* Marks the reports from below as unknown to a new parent. */
+void bbl_rows_unconfirm(bbl_rows *rows);
+
+/* Appends borrowed copies of up to `max` pending reports to `out`. */
+void bbl_rows_pending(const bbl_rows *rows, bbl_vec *out, size_t max);
+
+/*
+ * Appends borrowed copies of the rows changed after `since`.
+ *
+ * @param reports vector of bblx_report
+ * @param members vector of bblx_member_row
+ * @return the revision that the follower has then reached
+ */
+uint64_t bbl_rows_since(const bbl_rows *rows, uint64_t since, size_t max,
+                        bbl_vec *reports, bbl_vec *members);
+
+/* Returns the report of a searcher, or NULL. */
+const bblx_report *bbl_rows_report(const bbl_rows *rows, uint32_t searcher);
+
+/* Returns the row of a member, or NULL. */
+const bblx_member_row *bbl_rows_member(const bbl_rows *rows, uint32_t host);
+
+/* Steps through the members as bbl_map_next does. */
+const bblx_member_row *bbl_rows_next_member(const bbl_rows *rows, size_t *pos);
+
+/* Drops the report of a searcher that is gone. */
+void bbl_rows_drop_report(bbl_rows *rows, uint32_t searcher);
+
+#endif
--- /dev/null
+++ b/src/control/state.c
@@ -0,0 +1,554 @@
+#include "control/state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "control/fault.h"
+#include "util/alloc.h"
+
+typedef struct {
+    bblx_claim_record record;
+    uint64_t order; /* of arrival */
+} claim_row;
+
+/* A place in the order of expiry; stale when the row has another order. */
+typedef struct {
+    uint64_t key;
+    uint64_t order;
+} claim_place;
+
+struct bbl_state {
+    uint64_t applied;
+    uint64_t lists_version;
+    uint64_t clock_ms; /* greatest time seen in a command */
+    bblx_text plans;
+    bblx_text allowances;
+    bbl_lists *lists;
+    bbl_vec changes; /* bblx_change_record, names owned, oldest first */
+    bbl_map assigns; /* searcher -> bblx_assign, owned */
+    uint64_t assign_revision;
+    bbl_map claims;          /* key -> claim_row, owned */
+    claim_place *claim_ring; /* in the order of arrival */
+    size_t claim_first;
+    size_t claim_count; /* places in use, stale ones included */
+    uint64_t claim_order;
+    bblx_voters voters;
+};
+
+bbl_state *
+bbl_state_new(void)
+{
+    bbl_state *s = bbl_calloc(1, sizeof(*s));
+
+    s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
+    return s;
+}
+
+static void
+free_assign(bblx_assign *row)
+{
+    BBL_RELEASE(bblx_assign, row);
+    free(row);
+}
+
+static void
+free_claim(claim_row *row)
+{
+    BBL_RELEASE(bblx_claim_record, &row->record);
+    free(row);
+}
+
+static void
+clear(bbl_state *s)
+{
+    size_t pos = 0;
+    bblx_assign *row;
+    claim_row *claim;
+
+    BBL_RELEASE(bblx_text, &s->plans);
+    BBL_RELEASE(bblx_text, &s->allowances);
+    bbl_lists_free(s->lists);
+    for (size_t i = 0; i < s->changes.size; i++) {
+        BBL_RELEASE(bblx_change_record, bbl_vec_at(&s->changes, i));
+    }
+    bbl_vec_free(&s->changes);
+    while ((row = bbl_map_next(&s->assigns, &pos)) != NULL) {
+        free_assign(row);
+    }
+    bbl_map_free(&s->assigns);
+    pos = 0;
+    while ((claim = bbl_map_next(&s->claims, &pos)) != NULL) {
+        free_claim(claim);
+    }
+    bbl_map_free(&s->claims);
+    free(s->claim_ring);
+    BBL_RELEASE(bblx_voters, &s->voters);
+}
+
+void
+bbl_state_free(bbl_state *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    clear(s);
+    free(s);
+}
+
+/* ---- lists ---- */
+
+static uint64_t
+digest(const bblx_lists *c)
+{
+    uint64_t h = bbl_hash(c->plans.bblx_text_val, c->plans.bblx_text_len, 1);
+
+    return bbl_hash(c->allowances.bblx_text_val, c->allowances.bblx_text_len,
+                    h);
+}
+
+static bblx_change_record *
+change_of(bbl_state *s, const bblx_name *change)
+{
+    for (size_t i = s->changes.size; i > 0; i--) {
+        bblx_change_record *r = bbl_vec_at(&s->changes, i - 1);
+
+        if (r->change.bblx_name_len == change->bblx_name_len &&
+            memcmp(r->change.bblx_name_val, change->bblx_name_val,
+                   change->bblx_name_len) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+static void
+remember_change(bbl_state *s, const bblx_lists *c)
+{
+    bblx_change_record r = {{0, NULL}, digest(c), s->lists_version};
+
+    r.change.bblx_name_len = c->change.bblx_name_len;
+    r.change.bblx_name_val =
+        bbl_memdup(c->change.bblx_name_val, c->change.bblx_name_len);
+    bbl_vec_push(&s->changes, &r);
+    if (s->changes.size > BBL_CHANGES_KEPT) {
+        BBL_RELEASE(bblx_change_record, bbl_vec_at(&s->changes, 0));
+        bbl_vec_remove(&s->changes, 0);
+    }
+}
+
+static void
+apply_lists(bbl_state *s, const bblx_lists *c, bbl_state_result *result)
+{
+    bblx_change_record *known = change_of(s, &c->change);
+    bbl_lists *lists;
+
+    if (known != NULL) {
+        /* A resend gets its first outcome; another text is another change. */
+        result->status = known->digest == digest(c) ? BBL_OK : BBL_EEXISTS;
+        result->version = known->lists_version;
+        return;
+    }
+    result->version = s->lists_version;
+    if (c->expected != s->lists_version) {
+        result->status = BBL_ECONFLICT;
+        return;
+    }
+    result->status = bbl_lists_parse(&lists, bbl_text_str(&c->plans),
+                                     bbl_text_str(&c->allowances));
+    if (result->status != 0) {
+        return;
+    }
+    bbl_lists_free(s->lists);
+    s->lists = lists;
+    bbl_text_copy(&s->plans, bbl_text_str(&c->plans));
+    bbl_text_copy(&s->allowances, bbl_text_str(&c->allowances));
+    s->lists_version++;
+    remember_change(s, c);
+    result->version = s->lists_version;
+}
+
+/* ---- assignments ---- */
+
+static void
+copy_name(bblx_name *to, const bblx_name *from)
+{
+    to->bblx_name_len = from->bblx_name_len;
+    to->bblx_name_val = bbl_memdup(from->bblx_name_val, from->bblx_name_len);
+}
+
+static void
+put_assign(bbl_state *s, const bblx_assign *from)
+{
+    uint32_t searcher = from->place.searcher;
+    bblx_assign *old = bbl_map_remove(&s->assigns, searcher);
+    bblx_assign *row;
+
+    s->assign_revision++;
+    if (old != NULL) {
+        free_assign(old);
+    }
+    if (from->gone) {
+        return;
+    }
+    row = bbl_calloc(1, sizeof(*row));
+    *row = *from;
+    copy_name(&row->place.zone, &from->place.zone);
+    copy_name(&row->place.service, &from->place.service);
+    bbl_map_set(&s->assigns, searcher, row);
+}
+
+static void
+apply_assign(bbl_state *s, const bblx_assigns *c, bbl_state_result *result)
+{
+    for (u_int i = 0; i < c->rows.rows_len; i++) {
+        const bblx_assign *from = &c->rows.rows_val[i];
+        const bblx_assign *old =
+            bbl_map_get(&s->assigns, from->place.searcher);
+
+        if (old != NULL && from->epoch < old->epoch) {
+            result->status = BBL_ECONFLICT;
+            continue;
+        }
+        put_assign(s, from);
+    }
+}
+
+/* ---- claims ---- */
+
+static uint64_t
+claim_key(const bblx_name *customer, u_int size, const char *ptr)
+{
+    uint64_t seed =
+        bbl_hash(customer->bblx_name_val, customer->bblx_name_len, 7);
+
+    return bbl_hash(ptr, size, seed);
+}
+
+/* Returns the row of a place, or NULL when the place is stale. */
+static claim_row *
+row_at(const bbl_state *s, size_t i)
+{
+    const claim_place *place =
+        &s->claim_ring[(s->claim_first + i) % BBL_CLAIMS_MAX];
+    claim_row *row = bbl_map_get(&s->claims, place->key);
+
+    return row != NULL && row->order == place->order ? row : NULL;
+}
+
+static void
+expire_claims(bbl_state *s)
+{
+    while (s->claim_count > 0) {
+        claim_row *row = row_at(s, 0);
+
+        if (row != NULL &&
+            row->record.claim.time_ms + BBL_CLAIM_RETENTION_MS > s->clock_ms) {
+            return;
+        }
+        if (row != NULL) {
+            bbl_map_remove(&s->claims, s->claim_ring[s->claim_first].key);
+            free_claim(row);
+        }
+        s->claim_first = (s->claim_first + 1) % BBL_CLAIMS_MAX;
+        s->claim_count--;
+    }
+}
+
+static claim_row *
+add_claim(bbl_state *s, const bblx_claim *c)
+{
+    claim_row *row = bbl_calloc(1, sizeof(*row));
+    claim_place *place;
+
+    if (s->claim_ring == NULL) {
+        s->claim_ring = bbl_calloc(BBL_CLAIMS_MAX, sizeof(claim_place));
+    }
+    row->record.claim = *c;
+    copy_name(&row->record.claim.customer, &c->customer);
+    row->record.claim.request.request_val =
+        bbl_memdup(c->request.request_val, c->request.request_len);
+    row->order = ++s->claim_order;
+    place = &s->claim_ring[(s->claim_first + s->claim_count) % BBL_CLAIMS_MAX];
+    place->key = claim_key(&c->customer, c->request.request_len,
+                           c->request.request_val);
+    place->order = row->order;
+    s->claim_count++;
+    bbl_map_set(&s->claims, place->key, row);
+    return row;
+}
+
+static void
+apply_claim(bbl_state *s, const bblx_claim *c, bbl_state_result *result)
+{
+    claim_row *row;
+
+    s->clock_ms = c->time_ms > s->clock_ms ? c->time_ms : s->clock_ms;
+    expire_claims(s);
+    row =
+        bbl_map_get(&s->claims, claim_key(&c->customer, c->request.request_len,
+                                          c->request.request_val));
+    if (row != NULL) {
+        /* The same try, sent again because its reply was lost, is fresh. */
+        result->fresh = BBL_FAULT(BBL_FAULT_CLAIM_TWICE) ||
+                        (row->record.claim.host == c->host &&
+                         row->record.claim.incarnation == c->incarnation &&
+                         row->record.claim.nonce == c->nonce);
+        result->done = row->record.done;
+        result->answer = bbl_text_str(&row->record.answer);
+        return;
+    }
+    if (s->claim_count >= BBL_CLAIMS_MAX) {
+        result->status = BBL_EFULL;
+        return;
+    }
+    add_claim(s, c);
+    result->fresh = true;
+}
+
+static void
+apply_outcome(bbl_state *s, const bblx_outcome *c, bbl_state_result *result)
+{
+    uint64_t key = claim_key(&c->customer, c->request.request_len,
+                             c->request.request_val);
+    claim_row *row = bbl_map_get(&s->claims, key);
+
+    if (row == NULL || row->record.done) {
+        result->status = BBL_ENOTFOUND;
+        return;
+    }
+    if (c->answer.bblx_text_len == 0) {
+        /* Known not to have run: the request may be sent again. */
+        bbl_map_remove(&s->claims, key);
+        free_claim(row);
+        return;
+    }
+    row->record.done = true;
+    if (c->answer.bblx_text_len <= BBL_CLAIM_ANSWER_MAX) {
+        bbl_text_copy(&row->record.answer, bbl_text_str(&c->answer));
+    }
+}
+
+/* ---- all commands ---- */
+
+static void
+apply_voters(bbl_state *s, const bblx_voters *c)
+{
+    size_t n = c->list.list_len;
+
+    free(s->voters.list.list_val);
+    s->voters.list.list_len = (u_int)n;
+    s->voters.list.list_val = bbl_calloc(n, sizeof(bblx_voter));
+    if (n > 0) {
+        memcpy(s->voters.list.list_val, c->list.list_val,
+               n * sizeof(bblx_voter));
+    }
+}
+
+void
+bbl_state_apply(bbl_state *s, uint64_t index, bbl_str data,
+                bbl_state_result *result)
+{
+    bblx_command c;
+
+    memset(result, 0, sizeof(*result));
+    result->version = s->lists_version;
+    s->applied = index;
+    memset(&c, 0, sizeof(c));
+    if (BBL_DECODE(&c, bblx_command, data) != 0) {
+        result->status = BBL_EDAMAGED;
+        return;
+    }
+    switch (c.kind) {
+    case BBLX_NOOP:
+        break;
+    case BBLX_LISTS:
+        apply_lists(s, &c.bblx_command_u.lists, result);
+        break;
+    case BBLX_ASSIGN:
+        apply_assign(s, &c.bblx_command_u.assign, result);
+        break;
+    case BBLX_CLAIM:
+        apply_claim(s, &c.bblx_command_u.claim, result);
+        break;
+    case BBLX_OUTCOME:
+        apply_outcome(s, &c.bblx_command_u.outcome, result);
+        break;
+    case BBLX_VOTERS:
+        apply_voters(s, &c.bblx_command_u.voters);
+        break;
+    }
+    BBL_RELEASE(bblx_command, &c);
+}
+
+/* ---- snapshots ---- */
+
+void
+bbl_state_save(const bbl_state *s, bool claims, bbl_buf *out)
+{
+    bblx_state w;
+    size_t pos = 0;
+    u_int n = 0;
+    const bblx_assign *row;
+
+    memset(&w, 0, sizeof(w));
+    w.applied = s->applied;
+    w.lists_version = s->lists_version;
+    w.clock_ms = s->clock_ms;
+    w.plans = s->plans;
+    w.allowances = s->allowances;
+    w.voters = s->voters;
+    if (claims && !BBL_FAULT(BBL_FAULT_FORGET_CHANGES)) {
+        w.changes.changes_len = (u_int)s->changes.size;
+        w.changes.changes_val = s->changes.ptr;
+    }
+    w.assigns.assigns_val = bbl_calloc(s->assigns.size, sizeof(*row));
+    while ((row = bbl_map_next(&s->assigns, &pos)) != NULL) {
+        w.assigns.assigns_val[w.assigns.assigns_len++] = *row;
+    }
+    if (claims && s->claim_count > 0) {
+        w.claims.claims_val =
+            bbl_calloc(s->claim_count, sizeof(bblx_claim_record));
+        for (size_t i = 0; i < s->claim_count; i++) {
+            const claim_row *c = row_at(s, i);
+
+            if (c != NULL) {
+                w.claims.claims_val[n++] = c->record;
+            }
+        }
+        w.claims.claims_len = n;
+    }
+    if (BBL_ENCODE(out, bblx_state, &w) != 0) {
+        abort();
+    }
+    free(w.assigns.assigns_val);
+    free(w.claims.claims_val);
+}
+
+static void
+adopt(bbl_state *s, bblx_state *w)
+{
+    for (u_int i = 0; i < w->changes.changes_len; i++) {
+        bbl_vec_push(&s->changes, &w->changes.changes_val[i]);
+    }
+    free(w->changes.changes_val);
+    for (u_int i = 0; i < w->assigns.assigns_len; i++) {
+        put_assign(s, &w->assigns.assigns_val[i]);
+        BBL_RELEASE(bblx_assign, &w->assigns.assigns_val[i]);
+    }
+    free(w->assigns.assigns_val);
+    for (u_int i = 0; i < w->claims.claims_len; i++) {
+        bblx_claim_record *r = &w->claims.claims_val[i];
+        claim_row *row = add_claim(s, &r->claim);
+
+        row->record.done = r->done;
+        bbl_text_copy(&row->record.answer, bbl_text_str(&r->answer));
+        BBL_RELEASE(bblx_claim_record, r);
+    }
+    free(w->claims.claims_val);
+    s->voters = w->voters;
+}
+
+int
+bbl_state_load(bbl_state *s, bbl_str data)
+{
+    uint64_t revision = s->assign_revision;
+    bbl_lists *lists = NULL;
+    bblx_state w;
+    int error;
+
+    memset(&w, 0, sizeof(w));
+    error = BBL_DECODE(&w, bblx_state, data);
+    if (error != 0) {
+        return error;
+    }
+    if (w.lists_version > 0) {
+        error = bbl_lists_parse(&lists, bbl_text_str(&w.plans),
+                                bbl_text_str(&w.allowances));
+    }
+    if (error != 0) {
+        BBL_RELEASE(bblx_state, &w);
+        return bbl_error_set(BBL_EDAMAGED, "a snapshot holds bad lists");
+    }
+    clear(s);
+    memset(s, 0, sizeof(*s));
+    s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
+    s->assign_revision = revision + 1;
+    s->applied = w.applied;
+    s->lists_version = w.lists_version;
+    s->clock_ms = w.clock_ms;
+    s->plans = w.plans;
+    s->allowances = w.allowances;
+    s->lists = lists;
+    adopt(s, &w);
+    return 0;
+}
+
+uint64_t
+bbl_state_applied(const bbl_state *s)
+{
+    return s->applied;
+}
+
+void
+bbl_state_skip_to(bbl_state *s, uint64_t index)
+{
+    s->applied = index > s->applied ? index : s->applied;
+}
+
+uint64_t
+bbl_state_lists_version(const bbl_state *s)
+{
+    return s->lists_version;
+}
+
+const bbl_lists *
+bbl_state_lists(const bbl_state *s)
+{
+    return s->lists;
+}
+
+void
+bbl_state_texts(const bbl_state *s, bbl_str *plans, bbl_str *allowances)
+{
+    *plans = bbl_text_str(&s->plans);
+    *allowances = bbl_text_str(&s->allowances);
+}
+
+const bblx_assign *
+bbl_state_next_assign(const bbl_state *s, size_t *pos)
+{
+    return bbl_map_next(&s->assigns, pos);
+}
+
+const bblx_assign *
+bbl_state_assign(const bbl_state *s, uint32_t searcher)
+{
+    return bbl_map_get(&s->assigns, searcher);
+}
+
+uint64_t
+bbl_state_assign_revision(const bbl_state *s)
+{
+    return s->assign_revision;
+}
+
+const bblx_voters *
+bbl_state_voters(const bbl_state *s)
+{
+    return &s->voters;
+}
+
+size_t
+bbl_state_claim_count(const bbl_state *s)
+{
+    return s->claims.size;
+}
+
+bool
+bbl_state_is_public(bbl_str data)
+{
+    char kind = data.size >= 4 ? data.ptr[3] : 0;
+
+    return kind == BBLX_LISTS || kind == BBLX_ASSIGN || kind == BBLX_VOTERS;
+}
--- /dev/null
+++ b/src/daemon/metrics.c
@@ -0,0 +1,309 @@
+#include "daemon/metrics.h"
+
+#include "util/clock.h"
+
+static const char *const role_names[] = {"follower", "candidate", "leader"};
+static const char *const phase_names[] = {"cold", "warm", "leaving", "held",
+                                          "down"};
+
+/* ---- metrics ---- */
+
+static void
+put_counter(bbl_buf *out, const char *name, uint64_t value)
+{
+    bbl_buf_printf(out, "# TYPE baobablatch_%s counter\nbaobablatch_%s %llu\n",
+                   name, name, (unsigned long long)value);
+}
+
+static void
+put_gauge(bbl_buf *out, const char *name, uint64_t value)
+{
+    bbl_buf_printf(out, "# TYPE baobablatch_%s gauge\nbaobablatch_%s %llu\n",
+                   name, name, (unsigned long long)value);
+}
+
+static void
+put_latency(bbl_buf *out, const bbl_histogram *h)
+{
+    static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+
+    bbl_buf_puts(out, "# TYPE baobablatch_query_latency_us summary\n");
+    for (size_t i = 0; i < 4; i++) {
+        bbl_buf_printf(out,
+                       "baobablatch_query_latency_us{quantile=\"%g\"} %u\n",
+                       quantiles[i], bbl_histogram_quantile(h, quantiles[i]));
+    }
+    bbl_buf_printf(out,
+                   "baobablatch_query_latency_us_sum %llu\n"
+                   "baobablatch_query_latency_us_count %llu\n",
+                   (unsigned long long)h->sum, (unsigned long long)h->total);
+}
+
+static void
+put_gather(bbl_buf *out, const bbl_gather_counters *g)
+{
+    put_counter(out, "queries_total", g->queries);
+    bbl_buf_puts(out, "# TYPE baobablatch_answers_total counter\n");
+    for (int i = 0; i <= BBL_ANSWER_RECORDED; i++) {
+        bbl_buf_printf(out, "baobablatch_answers_total{outcome=\"%s\"} %llu\n",
+                       bbl_answer_kind_name((bbl_answer_kind)i),
+                       (unsigned long long)g->answered[i]);
+    }
+    bbl_buf_puts(out, "# TYPE baobablatch_missing_shards_total counter\n");
+    for (int i = 1; i < BBL_MISSING_REASONS; i++) {
+        bbl_buf_printf(
+            out, "baobablatch_missing_shards_total{reason=\"%s\"} %llu\n",
+            bbl_missing_name((bbl_missing)i),
+            (unsigned long long)g->missing[i]);
+    }
+    put_counter(out, "shards_asked_total", g->shards_asked);
+    put_counter(out, "first_sends_total", g->first_sends);
+    put_counter(out, "hedges_total", g->hedges);
+    put_counter(out, "hedge_wins_total", g->hedge_wins);
+    put_counter(out, "hedges_denied_total", g->hedges_denied);
+    put_counter(out, "retries_total", g->retries);
+    put_counter(out, "restarts_total", g->restarts);
+    put_counter(out, "late_results_total", g->late_results);
+    put_counter(out, "foreign_results_total", g->foreign_results);
+    put_latency(out, &g->latency_us);
+}
+
+static void
+put_dispatch(bbl_buf *out, const bbl_dispatch_counters *d)
+{
+    put_counter(out, "sub_requests_total", d->requests);
+    put_counter(out, "exchanges_total", d->started);
+    put_counter(out, "exchange_hedges_total", d->hedges);
+    put_counter(out, "exchanges_answered_total", d->answered);
+    put_counter(out, "dropped_late_total", d->dropped_late);
+    put_counter(out, "dropped_full_total", d->dropped_full);
+    put_counter(out, "not_owner_total", d->not_owner);
+    put_counter(out, "withdrawn_total", d->withdrawn);
+    put_counter(out, "searcher_refusals_total", d->refused);
+    put_counter(out, "searcher_silences_total", d->silent);
+    put_counter(out, "cold_turns_total", d->cold_turns);
+    put_counter(out, "stale_exchange_results_total", d->stale_results);
+    put_counter(out, "slot_busy_us_total", d->busy_us);
+}
+
+static void
+put_net(bbl_buf *out, const bbl_traffic_figures *f)
+{
+    put_counter(out, "searcher_cancels_total", f->searchers->cancels);
+    put_counter(out, "searcher_infos_total", f->searchers->infos);
+    put_counter(out, "searcher_fresh_total", f->searchers->fresh);
+    put_counter(out, "searcher_connects_total", f->connects);
+    put_counter(out, "mesh_frames_sent_total", f->mesh->frames_sent);
+    put_counter(out, "mesh_frames_received_total", f->mesh->frames_received);
+    put_counter(out, "mesh_bytes_sent_total", f->mesh->bytes_sent);
+    put_counter(out, "mesh_bytes_received_total", f->mesh->bytes_received);
+    put_counter(out, "mesh_dropped_total", f->mesh->dropped);
+    put_counter(out, "mesh_refused_total", f->mesh->refused);
+    put_counter(out, "mesh_silent_total", f->mesh->silent);
+}
+
+void
+bbl_metrics_render(bbl_buf *out, uint32_t host, const bbl_traffic_figures *f)
+{
+    put_gauge(out, "host_id", host);
+    put_gather(out, f->gather);
+    put_dispatch(out, f->dispatch);
+    put_net(out, f);
+    put_gauge(out, "open_queries", f->open_queries);
+    put_gauge(out, "running_exchanges", f->running);
+    put_gauge(out, "hedge_delay_us", f->hedge_delay);
+    put_counter(out, "traffic_cpu_us_total", f->thread_cpu);
+    put_counter(out, "process_cpu_us_total", bbl_clock_cpu());
+}
+
+/* ---- dump ---- */
+
+void
+bbl_dump_traffic(bbl_buf *out, const bbl_traffic_figures *f,
+                 const bbl_dispatch *dispatch)
+{
+    bbl_dispatch_row row;
+    const char *comma = "";
+
+    bbl_buf_printf(out,
+                   "\"traffic\":{\"open_queries\":%zu,\"running\":%zu,"
+                   "\"hedge_delay_us\":%llu,\"queries\":%llu,"
+                   "\"first_sends\":%llu,\"hedges\":%llu,"
+                   "\"retries\":%llu},\"searchers\":[",
+                   f->open_queries, f->running,
+                   (unsigned long long)f->hedge_delay,
+                   (unsigned long long)f->gather->queries,
+                   (unsigned long long)f->gather->first_sends,
+                   (unsigned long long)f->gather->hedges,
+                   (unsigned long long)f->gather->retries);
+    for (size_t i = 0; bbl_dispatch_row_at(dispatch, i, &row); i++) {
+        bbl_buf_printf(out,
+                       "%s{\"searcher\":%u,\"phase\":\"%s\",\"limit\":%u,"
+                       "\"running\":%u,\"queued\":%u,\"boot\":\"%llx\","
+                       "\"service_us\":%u}",
+                       comma, row.searcher, phase_names[row.phase], row.limit,
+                       row.running, row.queued, (unsigned long long)row.boot,
+                       row.service_us);
+        comma = ",";
+    }
+    bbl_buf_puts(out, "]}\n");
+}
+
+static void
+put_name(bbl_buf *out, const bblx_name *name)
+{
+    bbl_buf_printf(out, "\"%.*s\"", (int)name->bblx_name_len,
+                   name->bblx_name_val);
+}
+
+static void
+put_members(bbl_buf *out, bbl_control *c, bbl_usec now)
+{
+    const bbl_registry *registry = bbl_control_registry(c);
+    const bblx_member_row *m;
+    const char *comma = "";
+    size_t pos = 0;
+
+    bbl_buf_puts(out, "\"members\":[");
+    while ((m = bbl_rows_next_member(bbl_control_rows(c), &pos)) != NULL) {
+        const bbl_member *known = bbl_registry_member(registry, m->host);
+
+        bbl_buf_printf(out, "%s{\"host\":%u,\"live\":%s,\"draining\":%s,",
+                       comma, m->host, m->live ? "true" : "false",
+                       m->draining ? "true" : "false");
+        bbl_buf_puts(out, "\"data_centre\":");
+        put_name(out, &m->zone);
+        if (known != NULL) {
+            bbl_buf_printf(
+                out, ",\"applied\":%llu,\"lease_left_ms\":%llu",
+                (unsigned long long)known->applied,
+                (unsigned long long)(known->lease_end > now
+                                         ? (known->lease_end - now) / 1000
+                                         : 0));
+        }
+        bbl_buf_puts(out, "}");
+        comma = ",";
+    }
+    bbl_buf_puts(out, "]");
+}
+
+static void
+put_voters(bbl_buf *out, bbl_control *c, bbl_usec now)
+{
+    bbl_quorum *q = bbl_control_quorum(c);
+    const bblx_voters *voters = bbl_state_voters(bbl_control_state(c));
+    const bbl_quorum_peer *peers = NULL;
+    size_t peer_count = 0;
+
+    if (q != NULL) {
+        peer_count = bbl_quorum_get_peers(q, now, &peers);
+    }
+    bbl_buf_puts(out, "\"voters\":[");
+    for (u_int i = 0; i < voters->list.list_len; i++) {
+        const bblx_voter *v = &voters->list.list_val[i];
+
+        bbl_buf_printf(out, "%s{\"host\":%u,\"role\":\"%s\"", i ? "," : "",
+                       v->host, v->role == BBLX_VOTER ? "voter" : "learner");
+        for (size_t k = 0; k < peer_count; k++) {
+            if (peers[k].host == v->host) {
+                bbl_buf_printf(out, ",\"match\":%llu,\"silent_ms\":%llu",
+                               (unsigned long long)peers[k].match,
+                               (unsigned long long)(peers[k].silent / 1000));
+            }
+        }
+        bbl_buf_puts(out, "}");
+    }
+    bbl_buf_puts(out, "]");
+}
+
+static void
+put_status(bbl_buf *out, bbl_control *c, uint32_t host, bbl_usec now)
+{
+    bbl_control_status s;
+
+    bbl_control_get_status(c, now, &s);
+    bbl_buf_printf(
+        out,
+        "\"host\":%u,\"ready\":\"%s\",\"leader\":%u,\"parent\":%u,"
+        "\"lists_version\":%llu,\"applied\":%llu,\"required\":%llu,"
+        "\"lease_left_ms\":%llu,\"claims\":%zu,",
+        host, bbl_ready_name(s.ready), s.leader, s.parent,
+        (unsigned long long)s.lists_version, (unsigned long long)s.applied,
+        (unsigned long long)s.required,
+        (unsigned long long)(s.lease_until > now ? (s.lease_until - now) / 1000
+                                                 : 0),
+        s.claims);
+    if (s.has_quorum) {
+        bbl_buf_printf(out,
+                       "\"quorum\":{\"role\":\"%s\",\"term\":%llu,"
+                       "\"last\":%llu,\"commit\":%llu,\"snapshot\":%llu,"
+                       "\"voter\":%s,\"journal_failed\":%s},",
+                       role_names[s.quorum.role],
+                       (unsigned long long)s.quorum.term,
+                       (unsigned long long)s.quorum.last,
+                       (unsigned long long)s.quorum.commit,
+                       (unsigned long long)s.quorum.snapshot,
+                       s.quorum.voter ? "true" : "false",
+                       s.quorum.failed ? "true" : "false");
+    }
+    put_voters(out, c, now);
+    bbl_buf_puts(out, ",");
+    put_members(out, c, now);
+}
+
+void
+bbl_status_render(bbl_buf *out, bbl_control *c, uint32_t host, bbl_usec now)
+{
+    bbl_buf_puts(out, "{");
+    put_status(out, c, host, now);
+    bbl_buf_puts(out, "}\n");
+}
+
+static void
+put_assigns(bbl_buf *out, bbl_control *c)
+{
+    const bblx_assign *a;
+    const char *comma = "";
+    size_t pos = 0;
+
+    bbl_buf_puts(out, "\"owners\":[");
+    while ((a = bbl_state_next_assign(bbl_control_state(c), &pos)) != NULL) {
+        const bblx_report *r =
+            bbl_rows_report(bbl_control_rows(c), a->place.searcher);
+
+        bbl_buf_printf(out,
+                       "%s{\"searcher\":%u,\"owner\":%u,\"epoch\":%llu,"
+                       "\"leaving\":%s,\"phase\":\"%s\",\"data_centre\":",
+                       comma, a->place.searcher, a->owner,
+                       (unsigned long long)a->epoch,
+                       a->place.leaving ? "true" : "false",
+                       r ? phase_names[r->phase] : "unknown");
+        put_name(out, &a->place.zone);
+        bbl_buf_puts(out, "}");
+        comma = ",";
+    }
+    bbl_buf_puts(out, "]");
+}
+
+void
+bbl_dump_control(bbl_buf *out, bbl_control *c, bbl_usec now,
+                 const bbl_mesh_counters *mesh)
+{
+    bbl_control_status s;
+
+    bbl_control_get_status(c, now, &s);
+    put_status(out, c, 0, now);
+    bbl_buf_printf(
+        out,
+        ",\"control\":{\"beats_sent\":%llu,\"beats_relayed\":%llu,"
+        "\"feeds_sent\":%llu,\"snapshots_sent\":%llu,"
+        "\"mesh_bytes_sent\":%llu,\"mesh_bytes_received\":%llu,"
+        "\"thread_cpu_us\":%llu},",
+        (unsigned long long)s.beats_sent, (unsigned long long)s.beats_relayed,
+        (unsigned long long)s.feeds_sent, (unsigned long long)s.snapshots_sent,
+        (unsigned long long)mesh->bytes_sent,
+        (unsigned long long)mesh->bytes_received,
+        (unsigned long long)bbl_clock_thread_cpu());
+    put_assigns(out, c);
+    bbl_buf_puts(out, ",");
+}
--- /dev/null
+++ b/src/daemon/options.c
@@ -0,0 +1,374 @@
+#include "daemon/options.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "bbl/errors.h"
+#include "util/alloc.h"
+
+#define KEY_BYTES 32
+#define VOTERS_MAX 31
+
+int
+bbl_address_parse(bblx_address *out, const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    char ip[INET_ADDRSTRLEN];
+    struct in_addr in;
+    char *end;
+    unsigned long port;
+
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(ip)) {
+        return bbl_error_set(BBL_EINVAL, "an address is a.b.c.d:port");
+    }
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = '\0';
+    port = strtoul(colon + 1, &end, 10);
+    if (inet_pton(AF_INET, ip, &in) != 1 || *end != '\0' || end == colon + 1 ||
+        port == 0 || port > 65535) {
+        return bbl_error_set(BBL_EINVAL, "an address is a.b.c.d:port");
+    }
+    out->ip = ntohl(in.s_addr);
+    out->port = (u_int)port;
+    return 0;
+}
+
+int
+bbl_key_read(uint8_t *key, const char *path)
+{
+    char text[2 * KEY_BYTES + 1] = "";
+    FILE *f = fopen(path, "re");
+    size_t n;
+    size_t size;
+
+    if (f == NULL) {
+        return bbl_error_set(BBL_EINVAL, "%s: %s", path, strerror(errno));
+    }
+    n = fread(text, 1, 2 * KEY_BYTES, f);
+    fclose(f);
+    if (sodium_hex2bin(key, KEY_BYTES, text, n, NULL, &size, NULL) != 0 ||
+        size != KEY_BYTES) {
+        return bbl_error_set(BBL_EINVAL, "a key file has 64 hex digits");
+    }
+    return 0;
+}
+
+static int
+read_number(uint32_t *out, const char *text, uint32_t least, uint32_t most)
+{
+    char *end;
+    unsigned long n;
+
+    errno = 0;
+    n = strtoul(text, &end, 10);
+    if (text[0] < '0' || text[0] > '9' || *end != '\0' || errno != 0 ||
+        n < least || n > most) {
+        return bbl_error_set(BBL_EINVAL, "a whole number from %u to %u", least,
+                             most);
+    }
+    *out = (uint32_t)n;
+    return 0;
+}
+
+static int
+read_host(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->host, text, 1, 0x7fffffff);
+}
+
+static int
+read_cluster(bbl_daemon_options *o, const char *text)
+{
+    return bbl_name_set(&o->cluster, text, strlen(text));
+}
+
+static int
+read_key_file(bbl_daemon_options *o, const char *text)
+{
+    return bbl_key_read(o->key, text);
+}
+
+static int
+read_zone(bbl_daemon_options *o, const char *text)
+{
+    return bbl_name_set(&o->zone, text, strlen(text));
+}
+
+static int
+read_control(bbl_daemon_options *o, const char *text)
+{
+    return bbl_address_parse(&o->control, text);
+}
+
+static int
+read_traffic(bbl_daemon_options *o, const char *text)
+{
+    return bbl_address_parse(&o->traffic, text);
+}
+
+static int
+read_http(bbl_daemon_options *o, const char *text)
+{
+    return bbl_address_parse(&o->http, text);
+}
+
+static int
+read_admin(bbl_daemon_options *o, const char *text)
+{
+    return bbl_address_parse(&o->admin, text);
+}
+
+static int
+add_voter(bbl_daemon_options *o, const char *text)
+{
+    u_int n = o->voters.list.list_len;
+    bblx_voter *v = &o->voters.list.list_val[n];
+    const char *equals = strchr(text, '=');
+    char number[16];
+
+    if (n == VOTERS_MAX || equals == NULL ||
+        (size_t)(equals - text) >= sizeof(number)) {
+        return bbl_error_set(BBL_EINVAL, "voters are HOST=a.b.c.d:port,...");
+    }
+    memcpy(number, text, (size_t)(equals - text));
+    number[equals - text] = '\0';
+    v->role = BBLX_VOTER;
+    if (read_number(&v->host, number, 1, 0x7fffffff) != 0 ||
+        bbl_address_parse(&v->control, equals + 1) != 0) {
+        return bbl_error_set(BBL_EINVAL, "voters are HOST=a.b.c.d:port,...");
+    }
+    v->disk = v->host;
+    o->voters.list.list_len++;
+    return 0;
+}
+
+static int
+read_voters(bbl_daemon_options *o, const char *text)
+{
+    char *copy = bbl_memdup(text, strlen(text));
+    char *save = NULL;
+    int error = 0;
+
+    o->voters.list.list_val = bbl_calloc(VOTERS_MAX, sizeof(bblx_voter));
+    for (char *part = strtok_r(copy, ",", &save); part != NULL && error == 0;
+         part = strtok_r(NULL, ",", &save)) {
+        error = add_voter(o, part);
+    }
+    free(copy);
+    if (error == 0 && o->voters.list.list_len == 0) {
+        error = bbl_error_set(BBL_EINVAL, "at least one voter");
+    }
+    return error;
+}
+
+static int
+copy_text(char **out, const char *text)
+{
+    *out = text[0] != '\0' ? bbl_memdup(text, strlen(text)) : NULL;
+    return 0;
+}
+
+static int
+read_data_dir(bbl_daemon_options *o, const char *text)
+{
+    return copy_text(&o->data_dir, text);
+}
+
+static int
+read_platform(bbl_daemon_options *o, const char *text)
+{
+    if (text[0] != '\0' && strncmp(text, "http://", 7) != 0) {
+        return bbl_error_set(BBL_EINVAL, "a URL that starts with http://");
+    }
+    return copy_text(&o->platform_url, text);
+}
+
+static int
+read_token(bbl_daemon_options *o, const char *text)
+{
+    return copy_text(&o->operator_token, text);
+}
+
+static int
+read_policy(bbl_daemon_options *o, const char *text)
+{
+    if (strcmp(text, "owner") != 0 && strcmp(text, "baseline") != 0) {
+        return bbl_error_set(BBL_EINVAL, "owner or baseline");
+    }
+    return copy_text(&o->policy, text);
+}
+
+static int
+read_hedge(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->hedge_ppm, text, 0, 500000);
+}
+
+static int
+read_beat(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->beat_ms, text, 10, 1000);
+}
+
+static int
+read_lease(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->lease_ms, text, 500, 10000);
+}
+
+static int
+read_exchange_max(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->exchange_max_ms, text, 10, 60000);
+}
+
+static int
+read_clock(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->clock_ppm, text, 0, 50000);
+}
+
+static int
+read_relay(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->relay_members, text, 2, 1000000);
+}
+
+static int
+read_drain_lag(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->drain_lag_ms, text, 0, 60000);
+}
+
+static int
+read_threads(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->http_threads, text, 2, 64);
+}
+
+static int
+read_compact(bbl_daemon_options *o, const char *text)
+{
+    return read_number(&o->compact_entries, text, 16, 1000000);
+}
+
+static int
+read_log_level(bbl_daemon_options *o, const char *text)
+{
+    return bbl_log_level_parse(&o->log_level, text);
+}
+
+#define ENV(name) "BAOBABLATCH_" name
+
+static const bbl_setting settings[] = {
+    {"host-id", ENV("HOST_ID"), NULL, "", "1 to 2147483647",
+     "number of this host, unique in the cluster", read_host},
+    {"cluster", ENV("CLUSTER"), NULL, "", "1 to 31 bytes",
+     "name of the cluster", read_cluster},
+    {"key-file", ENV("KEY_FILE"), NULL, "", "a readable file",
+     "file with the shared key, 64 hex digits", read_key_file},
+    {"data-centre", ENV("DATA_CENTRE"), NULL, "", "1 to 31 bytes",
+     "data centre of this host", read_zone},
+    {"control-address", ENV("CONTROL_ADDRESS"), NULL, "", "a.b.c.d:port",
+     "where other daemons reach the control thread", read_control},
+    {"traffic-address", ENV("TRAFFIC_ADDRESS"), NULL, "", "a.b.c.d:port",
+     "where other daemons reach the traffic thread", read_traffic},
+    {"http-address", ENV("HTTP_ADDRESS"), NULL, "", "a.b.c.d:port",
+     "where callers send queries", read_http},
+    {"admin-address", ENV("ADMIN_ADDRESS"), NULL, "", "a.b.c.d:port",
+     "where operators send commands", read_admin},
+    {"voters", ENV("VOTERS"), NULL, "", "HOST=a.b.c.d:port,...",
+     "founding voters and their control addresses", read_voters},
+    {"data-dir", ENV("DATA_DIR"), "", "", "a folder",
+     "data folder; a host that has one can vote", read_data_dir},
+    {"platform-url", ENV("PLATFORM_URL"), "", "", "http://...",
+     "the platform's list of hosts", read_platform},
+    {"operator-token", ENV("OPERATOR_TOKEN"), "", "", "",
+     "bearer token that operators must show", read_token},
+    {"policy", ENV("POLICY"), "owner", "", "owner or baseline",
+     "who decides what a searcher receives", read_policy},
+    {"hedge-ppm", ENV("HEDGE_PPM"), "40000", "parts per million",
+     "0 to 500000", "hedges over first sub-requests", read_hedge},
+    {"beat-ms", ENV("BEAT_MS"), "200", "ms", "10 to 1000",
+     "time between heartbeats", read_beat},
+    {"lease-ms", ENV("LEASE_MS"), "1500", "ms", "500 to 10000",
+     "length of a member's lease", read_lease},
+    {"exchange-max-ms", ENV("EXCHANGE_MAX_MS"), "1000", "ms", "10 to 60000",
+     "longest exchange with a searcher", read_exchange_max},
+    {"clock-error-ppm", ENV("CLOCK_ERROR_PPM"), "1000", "parts per million",
+     "0 to 50000", "bound on the rate error of any host's clock", read_clock},
+    {"relay-members", ENV("RELAY_MEMBERS"), "16", "hosts", "2 to 1000000",
+     "members from which relays are used", read_relay},
+    {"drain-lag-ms", ENV("DRAIN_LAG_MS"), "2000", "ms", "0 to 60000",
+     "time the balancer needs to notice a drain", read_drain_lag},
+    {"http-threads", ENV("HTTP_THREADS"), "2", "threads", "2 to 64",
+     "threads that serve callers", read_threads},
+    {"compact-entries", ENV("COMPACT_ENTRIES"), "1024", "entries",
+     "16 to 1000000", "log entries before a snapshot", read_compact},
+    {"log-level", ENV("LOG_LEVEL"), "info", "", "error, warn, info or debug",
+     "least level that is logged", read_log_level},
+};
+
+const bbl_setting *
+bbl_setting_at(size_t i)
+{
+    return i < sizeof(settings) / sizeof(settings[0]) ? &settings[i] : NULL;
+}
+
+static int
+read_setting(bbl_daemon_options *out, const bbl_setting *s, const char *text)
+{
+    char reason[256];
+
+    if (text == NULL) {
+        text = getenv(s->variable);
+    }
+    if (text == NULL) {
+        text = s->value;
+    }
+    if (text == NULL) {
+        return bbl_error_set(BBL_EINVAL, "--%s (or %s) is missing", s->flag,
+                             s->variable);
+    }
+    if (s->read(out, text) == 0) {
+        return 0;
+    }
+    snprintf(reason, sizeof(reason), "%s", bbl_error_last());
+    return bbl_error_set(BBL_EINVAL, "--%s (or %s): %s", s->flag, s->variable,
+                         reason);
+}
+
+int
+bbl_daemon_options_read(bbl_daemon_options *out,
+                        const char *(*value)(void *ctx, const char *flag),
+                        void *ctx)
+{
+    int error = 0;
+
+    memset(out, 0, sizeof(*out));
+    for (size_t i = 0; error == 0 && bbl_setting_at(i) != NULL; i++) {
+        const bbl_setting *s = bbl_setting_at(i);
+
+        error = read_setting(out, s, value(ctx, s->flag));
+    }
+    if (error == 0 && out->lease_ms < 4 * out->beat_ms) {
+        error = bbl_error_set(BBL_EINVAL,
+                              "--lease-ms must be 4 times --beat-ms at least");
+    }
+    return error;
+}
+
+void
+bbl_daemon_options_free(bbl_daemon_options *o)
+{
+    free(o->voters.list.list_val);
+    free(o->data_dir);
+    free(o->platform_url);
+    free(o->operator_token);
+    free(o->policy);
+}
--- /dev/null
+++ b/src/daemon/options.h
@@ -0,0 +1,68 @@
+/*
+ * options.h - the settings of `baobablatch serve`, from flags and from
+ * environment variables. A flag goes before its variable.
+ */
+#ifndef BBL_DAEMON_OPTIONS_H
+#define BBL_DAEMON_OPTIONS_H
+
+#include "model/codec.h"
+#include "util/log.h"
+
+typedef struct {
+    uint32_t host;
+    bbl_name cluster;
+    uint8_t key[32];
+    bbl_name zone;
+    bblx_address control;
+    bblx_address traffic;
+    bblx_address http;
+    bblx_address admin;
+    bblx_voters voters;   /* owned */
+    char *data_dir;       /* NULL: this host does not vote */
+    char *platform_url;   /* NULL: never asked */
+    char *operator_token; /* NULL: operators need none */
+    char *policy;         /* "owner" or "baseline" */
+    uint32_t hedge_ppm;
+    uint32_t beat_ms;
+    uint32_t lease_ms;
+    uint32_t exchange_max_ms;
+    uint32_t clock_ppm;
+    uint32_t relay_members;
+    uint32_t drain_lag_ms;
+    uint32_t http_threads;
+    uint32_t compact_entries;
+    bbl_log_level log_level;
+} bbl_daemon_options;
+
+/* One setting, for the help text and the manual. */
+typedef struct {
+    const char *flag;
+    const char *variable;
+    const char *value; /* its default; NULL: required */
+    const char *unit;
+    const char *range;
+    const char *help;
+    int (*read)(bbl_daemon_options *options, const char *text);
+} bbl_setting;
+
+/* Returns setting `i`, or NULL past the last. */
+const bbl_setting *bbl_setting_at(size_t i);
+
+/*
+ * Reads all settings.
+ *
+ * @param value returns the text given for a flag, or NULL
+ * @return 0, or BBL_EINVAL with a message naming the setting
+ */
+int bbl_daemon_options_read(bbl_daemon_options *out,
+                            const char *(*value)(void *ctx, const char *flag),
+                            void *ctx);
+void bbl_daemon_options_free(bbl_daemon_options *options);
+
+/* Parses "a.b.c.d:port"; returns 0 or BBL_EINVAL. */
+int bbl_address_parse(bblx_address *out, const char *text);
+
+/* Reads a key file: 64 hexadecimal digits. */
+int bbl_key_read(uint8_t *key, const char *path);
+
+#endif
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,390 @@
+#include "net/http_client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#include <curl/curl.h>
+
+#include "bbl/errors.h"
+#include "util/alloc.h"
+#include "util/vec.h"
+
+#define POOL_MAX 4096L /* connections kept open */
+#define CONNECT_MS 250L
+#define SPARE_HANDLES_MAX 512 /* unused handles kept */
+
+typedef struct {
+    bbl_http *http;
+    CURL *easy;
+    bbl_http_done done;
+    void *ctx;
+    bbl_buf body; /* of the request */
+    bbl_buf answer;
+    size_t answer_max;
+    bool too_large;
+    bool aborted;
+    bbl_http_response response;
+} exchange;
+
+struct bbl_http {
+    bbl_loop *loop;
+    CURLM *multi;
+    struct curl_slist *headers;
+    char interface[32];
+    bbl_vec spare;   /* CURL * */
+    bbl_vec aborted; /* exchange * */
+    bbl_vec running; /* exchange * */
+    uint64_t connects;
+};
+
+static void drain_done(bbl_http *http);
+
+static void
+socket_ready(void *ctx, int fd, uint32_t events)
+{
+    bbl_http *http = ctx;
+    int running;
+    int mask = 0;
+
+    mask |= (events & EPOLLIN) ? CURL_CSELECT_IN : 0;
+    mask |= (events & EPOLLOUT) ? CURL_CSELECT_OUT : 0;
+    mask |= (events & (EPOLLERR | EPOLLHUP)) ? CURL_CSELECT_ERR : 0;
+    curl_multi_socket_action(http->multi, fd, mask, &running);
+    drain_done(http);
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *unused)
+{
+    bbl_http *http = ctx;
+    uint32_t events = 0;
+
+    (void)easy;
+    (void)unused;
+    if (what == CURL_POLL_REMOVE) {
+        bbl_loop_forget(http->loop, fd);
+        return 0;
+    }
+    events |= (what & CURL_POLL_IN) ? EPOLLIN : 0;
+    events |= (what & CURL_POLL_OUT) ? EPOLLOUT : 0;
+    bbl_loop_watch(http->loop, fd, events, socket_ready, http);
+    return 0;
+}
+
+static size_t
+on_body(char *ptr, size_t size, size_t count, void *ctx)
+{
+    exchange *x = ctx;
+    size_t bytes = size * count;
+
+    if (x->answer.size + bytes > x->answer_max) {
+        x->too_large = true;
+        return 0;
+    }
+    bbl_buf_put(&x->answer, ptr, bytes);
+    return bytes;
+}
+
+/* Returns the value of a header line when its name matches. */
+static const char *
+header_value(const char *line, size_t size, const char *name)
+{
+    size_t n = strlen(name);
+
+    if (size <= n || strncasecmp(line, name, n) != 0) {
+        return NULL;
+    }
+    return line + n;
+}
+
+static size_t
+on_header(char *line, size_t size, size_t count, void *ctx)
+{
+    exchange *x = ctx;
+    size_t bytes = size * count;
+    char text[64];
+    const char *value;
+
+    if (bytes < 2 || (line[0] != 'X' && line[0] != 'x')) {
+        return bytes;
+    }
+    snprintf(text, sizeof(text), "%.*s", (int)bytes, line);
+    text[strcspn(text, "\r\n")] = '\0';
+    bytes = strlen(text);
+    if ((value = header_value(text, bytes, "X-Boot: ")) != NULL) {
+        x->response.boot = strtoull(value, NULL, 16);
+    }
+    else if ((value = header_value(text, bytes, "X-Index-Version: "))) {
+        x->response.index = strtoull(value, NULL, 10);
+    }
+    else if ((value = header_value(text, bytes, "X-Reason: ")) != NULL) {
+        snprintf(x->response.reason, sizeof(x->response.reason), "%.31s",
+                 value);
+    }
+    return size * count;
+}
+
+static void
+set_options(bbl_http *http, exchange *x, const bbl_http_request *r)
+{
+    CURL *easy = x->easy;
+
+    curl_easy_setopt(easy, CURLOPT_URL, r->url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, x);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, x);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, x);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     (long)((r->timeout + 999) / BBL_USEC_PER_MS));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, r->fresh ? 1L : 0L);
+    if (r->post) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)x->body.size);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                         x->body.ptr ? x->body.ptr : "");
+    }
+    else {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    }
+    (void)http;
+}
+
+static CURL *
+make_handle(bbl_http *http)
+{
+    CURL *easy = curl_easy_init();
+
+    if (easy == NULL) {
+        return NULL;
+    }
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 5L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, http->headers);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    if (http->interface[0] != '\0') {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, http->interface);
+    }
+    return easy;
+}
+
+static CURL *
+take_handle(bbl_http *http)
+{
+    CURL *easy;
+
+    if (http->spare.size == 0) {
+        return make_handle(http);
+    }
+    easy = *BBL_VEC_AT(CURL *, &http->spare, http->spare.size - 1);
+    http->spare.size--;
+    return easy;
+}
+
+static void
+forget_running(bbl_vec *list, const exchange *x)
+{
+    for (size_t i = 0; i < list->size; i++) {
+        if (*BBL_VEC_AT(exchange *, list, i) == x) {
+            bbl_vec_swap_remove(list, i);
+            return;
+        }
+    }
+}
+
+static void
+free_exchange(bbl_http *http, exchange *x)
+{
+    curl_multi_remove_handle(http->multi, x->easy);
+    if (http->spare.size < SPARE_HANDLES_MAX) {
+        bbl_vec_push(&http->spare, &x->easy);
+    }
+    else {
+        curl_easy_cleanup(x->easy);
+    }
+    forget_running(&http->running, x);
+    bbl_buf_free(&x->body);
+    bbl_buf_free(&x->answer);
+    free(x);
+}
+
+/* Returns whether any byte of the request may have left. */
+static bool
+was_sent(const exchange *x)
+{
+    long request_size = 0;
+
+    curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &request_size);
+    return request_size > 0;
+}
+
+static bbl_http_end
+end_of(const exchange *x, CURLcode code)
+{
+    if (x->aborted) {
+        return BBL_HTTP_ABORTED;
+    }
+    if (x->too_large || code == CURLE_PARTIAL_FILE) {
+        return BBL_HTTP_CUT;
+    }
+    if (code == CURLE_OK) {
+        return BBL_HTTP_DONE;
+    }
+    if (!was_sent(x)) {
+        return BBL_HTTP_UNSENT;
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? BBL_HTTP_TIMED_OUT
+                                            : BBL_HTTP_BROKEN;
+}
+
+static void
+end_exchange(bbl_http *http, exchange *x, CURLcode code)
+{
+    long connects = 0;
+
+    x->response.end = end_of(x, code);
+    curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->response.status);
+    curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
+    http->connects += (uint64_t)connects;
+    x->response.reused = connects == 0;
+    x->response.body = bbl_buf_str(&x->answer);
+    x->done(x->ctx, &x->response);
+    free_exchange(http, x);
+}
+
+static void
+drain_done(bbl_http *http)
+{
+    CURLMsg *msg;
+    int left;
+
+    while ((msg = curl_multi_info_read(http->multi, &left)) != NULL) {
+        exchange *x;
+
+        if (msg->msg != CURLMSG_DONE) {
+            continue;
+        }
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, (char **)&x);
+        forget_running(&http->aborted, x);
+        end_exchange(http, x, msg->data.result);
+    }
+}
+
+int
+bbl_http_open(bbl_http **out, bbl_loop *loop, uint32_t local_ip)
+{
+    bbl_http *http = bbl_calloc(1, sizeof(*http));
+
+    *out = NULL;
+    http->loop = loop;
+    http->spare = (bbl_vec)BBL_VEC_INIT(CURL *);
+    http->aborted = (bbl_vec)BBL_VEC_INIT(exchange *);
+    http->running = (bbl_vec)BBL_VEC_INIT(exchange *);
+    http->multi = curl_multi_init();
+    if (http->multi == NULL) {
+        free(http);
+        return bbl_error_set(BBL_ENET, "curl_multi_init");
+    }
+    if (local_ip != 0) {
+        snprintf(http->interface, sizeof(http->interface), "host!%u.%u.%u.%u",
+                 local_ip >> 24, (local_ip >> 16) & 255, (local_ip >> 8) & 255,
+                 local_ip & 255);
+    }
+    /* Empty values switch libcurl's own headers off. */
+    http->headers = curl_slist_append(NULL, "Expect:");
+    http->headers = curl_slist_append(http->headers, "Accept:");
+    http->headers = curl_slist_append(http->headers, "Content-Type:");
+    curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
+    curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS, POOL_MAX);
+    *out = http;
+    return 0;
+}
+
+void
+bbl_http_free(bbl_http *http)
+{
+    if (http == NULL) {
+        return;
+    }
+    while (http->running.size > 0) {
+        free_exchange(http, *BBL_VEC_AT(exchange *, &http->running, 0));
+    }
+    for (size_t i = 0; i < http->spare.size; i++) {
+        curl_easy_cleanup(*BBL_VEC_AT(CURL *, &http->spare, i));
+    }
+    curl_multi_cleanup(http->multi);
+    curl_slist_free_all(http->headers);
+    bbl_vec_free(&http->spare);
+    bbl_vec_free(&http->aborted);
+    bbl_vec_free(&http->running);
+    free(http);
+}
+
+int
+bbl_http_start(void **out, bbl_http *http, const bbl_http_request *r)
+{
+    exchange *x = bbl_calloc(1, sizeof(*x));
+    CURLMcode code;
+
+    *out = NULL;
+    x->http = http;
+    x->easy = take_handle(http);
+    if (x->easy == NULL) {
+        free(x);
+        return bbl_error_set(BBL_ENET, "curl_easy_init");
+    }
+    x->done = r->done;
+    x->ctx = r->ctx;
+    x->answer_max = r->response_max;
+    bbl_buf_put(&x->body, r->body.ptr, r->body.size);
+    bbl_vec_push(&http->running, &x);
+    set_options(http, x, r);
+    code = curl_multi_add_handle(http->multi, x->easy);
+    if (code != CURLM_OK) {
+        free_exchange(http, x);
+        return bbl_error_set(BBL_ENET, "%s", curl_multi_strerror(code));
+    }
+    *out = x;
+    return 0;
+}
+
+void
+bbl_http_abort(bbl_http *http, void *handle)
+{
+    exchange *x = handle;
+
+    if (!x->aborted) {
+        x->aborted = true;
+        bbl_vec_push(&http->aborted, &x);
+    }
+}
+
+void
+bbl_http_tick(bbl_http *http)
+{
+    int running;
+
+    while (http->aborted.size > 0) {
+        exchange *x = *BBL_VEC_AT(exchange *, &http->aborted, 0);
+
+        bbl_vec_swap_remove(&http->aborted, 0);
+        end_exchange(http, x, CURLE_ABORTED_BY_CALLBACK);
+    }
+    curl_multi_socket_action(http->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    drain_done(http);
+}
+
+uint64_t
+bbl_http_connects(const bbl_http *http)
+{
+    return http->connects;
+}
--- /dev/null
+++ b/src/policy/dispatch.c
@@ -0,0 +1,1122 @@
+#include "policy/dispatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "control/fault.h"
+#include "util/alloc.h"
+#include "util/buf.h"
+
+#define COMPLETIONS_PER_STEP 2 /* successes at a limit before it grows */
+#define SLOW_FACTOR 4          /* times the usual service time */
+#define SLOW_IN_A_ROW 4        /* slow answers that show a cold turn */
+#define SERVICE_SHIFT 4        /* weight of a new service time, 1/16 */
+#define BASE_SHIFT 8           /* the same for the slow baseline */
+#define LOW_CLASS_TURN 8       /* every so many picks the last class goes */
+#define LEAVING_RECHECK_US (10 * BBL_USEC_PER_SEC) /* lag of info pages */
+#define SHARE_UNIT 1000000ull /* parts per million in a full share */
+#define UNLISTED_SHARE 1000u  /* share of a plan no longer listed */
+
+typedef struct sub_item sub_item;
+
+/* Query text shared by the sub-requests of one message. */
+typedef struct {
+    unsigned uses;
+    char *ptr;
+    size_t size;
+} shared_text;
+
+struct sub_item {
+    sub_item *next;
+    sub_item *prev;
+    bblx_query_id query;
+    uint32_t host;
+    uint32_t sub;
+    uint32_t shard;
+    uint32_t searcher;
+    uint64_t version;
+    uint64_t exchange; /* 0 while queued */
+    bbl_usec deadline;
+    bbl_usec started;
+    bbl_urgency urgency;
+    bbl_name plan;
+    bool repeatable;
+    bool hedge;
+    bool cancelled;
+    shared_text *text;
+};
+
+typedef struct {
+    sub_item *first;
+    sub_item *last;
+} item_list;
+
+/* The queues of one plan at one searcher. */
+typedef struct {
+    bbl_name plan;
+    uint64_t served; /* virtual time: work done over share */
+    uint32_t queued;
+    uint32_t picks;
+    item_list classes[BBL_URGENCY_COUNT];
+} plan_queue;
+
+/* One owned searcher. */
+typedef struct {
+    uint32_t searcher;
+    uint64_t epoch;
+    bblx_address address;
+    uint32_t slots;
+    uint32_t connections;
+    bbl_name zone;
+    bblx_phase phase;
+    bbl_usec held_until;
+    bbl_usec leaving_since;
+    uint32_t limit;
+    uint32_t steps; /* successes since the limit grew */
+    uint32_t running;
+    uint32_t queued;
+    uint32_t slow;
+    uint64_t boot;
+    uint64_t service; /* smoothed service time, microseconds */
+    uint64_t base;    /* the same over a long time */
+    uint64_t virtual_now;
+    bool listed_leaving;
+    bool owned;
+    bbl_vec plans; /* plan_queue */
+    item_list hedges;
+    bblx_index *indexes;
+    size_t index_count;
+    uint64_t indexes_hash;
+    uint64_t reported; /* hash of the last report */
+} searcher_row;
+
+/* A slot that a broken exchange may still use. */
+typedef struct {
+    uint32_t searcher;
+    bbl_usec until;
+} lost_slot;
+
+struct bbl_dispatch {
+    bbl_dispatch_options options;
+    const bbl_view *view;
+    bbl_usec lease_until;
+    bool draining;
+    bbl_vec rows;       /* searcher_row */
+    bbl_map by_id;      /* searcher -> place + 1 */
+    bbl_map items;      /* hash of query and sub -> sub_item */
+    bbl_map exchanges;  /* exchange -> sub_item */
+    bbl_vec lost_slots; /* lost_slot */
+    uint64_t next_exchange;
+    bbl_dispatch_counters counters;
+};
+
+/* ---- limit policies ---- */
+
+static uint32_t
+limit_all(uint32_t slots, uint32_t daemons)
+{
+    (void)daemons;
+    return slots;
+}
+
+static uint32_t
+limit_share(uint32_t slots, uint32_t daemons)
+{
+    return slots / daemons > 0 ? slots / daemons : 1;
+}
+
+const bbl_limit_policy bbl_limit_owner = {"owner", limit_all};
+const bbl_limit_policy bbl_limit_static = {"static-share", limit_share};
+
+/* ---- lists of items ---- */
+
+static void
+list_add(item_list *list, sub_item *item)
+{
+    item->next = NULL;
+    item->prev = list->last;
+    if (list->last != NULL) {
+        list->last->next = item;
+    }
+    else {
+        list->first = item;
+    }
+    list->last = item;
+}
+
+static void
+list_remove(item_list *list, sub_item *item)
+{
+    if (item->prev != NULL) {
+        item->prev->next = item->next;
+    }
+    else {
+        list->first = item->next;
+    }
+    if (item->next != NULL) {
+        item->next->prev = item->prev;
+    }
+    else {
+        list->last = item->prev;
+    }
+}
+
+/* ---- items ---- */
+
+static uint64_t
+item_key(const bblx_query_id *query, uint32_t sub)
+{
+    uint64_t words[4] = {query->host, query->incarnation, query->seq, sub};
+
+    return bbl_hash(words, sizeof(words), 5);
+}
+
+static void
+release_text(shared_text *text)
+{
+    if (--text->uses == 0) {
+        free(text->ptr);
+        free(text);
+    }
+}
+
+static void
+free_item(bbl_dispatch *d, sub_item *item)
+{
+    bbl_map_remove(&d->items, item_key(&item->query, item->sub));
+    if (item->exchange != 0) {
+        bbl_map_remove(&d->exchanges, item->exchange);
+    }
+    release_text(item->text);
+    free(item);
+}
+
+static searcher_row *
+row_of(const bbl_dispatch *d, uint32_t searcher)
+{
+    uintptr_t place = (uintptr_t)bbl_map_get(&d->by_id, searcher);
+
+    return place ? bbl_vec_at(&d->rows, place - 1) : NULL;
+}
+
+/* ---- replies and reports ---- */
+
+static void
+reply_one(bbl_dispatch *d, uint32_t host, const bblx_query_id *query,
+          bblx_sub_result *result)
+{
+    bblx_sub_results out;
+
+    out.query = *query;
+    out.results.results_len = 1;
+    out.results.results_val = result;
+    d->options.port.reply(d->options.port.ctx, host, &out);
+}
+
+static void
+reply_item(bbl_dispatch *d, const sub_item *item, bblx_sub_status status,
+           uint64_t version, uint32_t service_us, bbl_str body)
+{
+    const searcher_row *row = row_of(d, item->searcher);
+    bblx_sub_result r;
+
+    memset(&r, 0, sizeof(r));
+    r.sub = item->sub;
+    r.searcher = item->searcher;
+    r.status = status;
+    r.index_version = version;
+    r.service_us = service_us;
+    r.backlog = row ? row->running + row->queued : 0;
+    r.body = bbl_text_borrow(body);
+    reply_one(d, item->host, &item->query, &r);
+}
+
+static uint64_t
+report_hash(const searcher_row *row)
+{
+    uint64_t words[5] = {row->epoch, row->boot, row->phase, row->limit,
+                         row->indexes_hash};
+
+    return bbl_hash(words, sizeof(words), 11) | 1;
+}
+
+static void
+report(bbl_dispatch *d, searcher_row *row)
+{
+    bblx_report r;
+    uint64_t hash = report_hash(row);
+
+    if (hash == row->reported || row->boot == 0) {
+        return;
+    }
+    row->reported = hash;
+    memset(&r, 0, sizeof(r));
+    r.searcher = row->searcher;
+    r.epoch = row->epoch;
+    r.boot = row->boot;
+    r.phase = row->phase;
+    r.limit = row->limit;
+    r.indexes.indexes_len = (u_int)row->index_count;
+    r.indexes.indexes_val = row->indexes;
+    d->options.port.report(d->options.port.ctx, &r);
+}
+
+/* ---- phases ---- */
+
+static uint32_t
+warm_limit(const bbl_dispatch *d, const searcher_row *row)
+{
+    uint32_t daemons = d->view ? bbl_view_live_count(d->view) : 1;
+
+    return d->options.limit->warm_limit(row->slots, daemons);
+}
+
+static void
+turn_cold(bbl_dispatch *d, searcher_row *row)
+{
+    if (row->phase == BBLX_HELD || row->phase == BBLX_LEAVING) {
+        return;
+    }
+    if (row->phase != BBLX_COLD) {
+        d->counters.cold_turns++;
+    }
+    row->phase = BBLX_COLD;
+    row->limit = 1;
+    row->steps = 0;
+    row->slow = 0;
+    report(d, row);
+}
+
+static void
+set_leaving(searcher_row *row, bbl_usec now)
+{
+    if (row->phase != BBLX_LEAVING) {
+        row->phase = BBLX_LEAVING;
+        row->leaving_since = now;
+    }
+}
+
+/* Grows the limit of a cold searcher by what it has completed. */
+static void
+grow(bbl_dispatch *d, searcher_row *row)
+{
+    uint32_t most = warm_limit(d, row);
+
+    if (row->phase != BBLX_COLD) {
+        return;
+    }
+    row->steps++;
+    if (row->steps >= COMPLETIONS_PER_STEP * row->limit) {
+        row->steps = 0;
+        row->limit++;
+    }
+    if (row->limit >= most) {
+        row->limit = most;
+        row->phase = BBLX_WARM;
+    }
+    report(d, row);
+}
+
+/* Follows the service time; a sudden lasting rise is a cold turn. */
+static void
+observe_service(bbl_dispatch *d, searcher_row *row, uint64_t us)
+{
+    if (row->service == 0) {
+        row->service = us;
+        row->base = us;
+    }
+    if (us > SLOW_FACTOR * row->base && row->phase == BBLX_WARM) {
+        row->slow++;
+        if (row->slow >= SLOW_IN_A_ROW) {
+            turn_cold(d, row);
+        }
+    }
+    else {
+        row->slow = 0;
+        row->base += (us >> BASE_SHIFT) - (row->base >> BASE_SHIFT);
+    }
+    row->service += (us >> SERVICE_SHIFT) - (row->service >> SERVICE_SHIFT);
+}
+
+static void
+see_boot(bbl_dispatch *d, searcher_row *row, uint64_t boot)
+{
+    if (boot == 0 || boot == row->boot) {
+        return;
+    }
+    row->boot = boot;
+    if (row->phase == BBLX_LEAVING && !row->listed_leaving) {
+        row->phase = BBLX_COLD; /* a new process: the drain is over */
+    }
+    if (row->phase == BBLX_DOWN) {
+        row->phase = BBLX_COLD;
+    }
+    turn_cold(d, row);
+    report(d, row);
+}
+
+/* ---- queues ---- */
+
+static plan_queue *
+plan_queue_of(searcher_row *row, const bbl_name *plan)
+{
+    plan_queue *q;
+
+    for (size_t i = 0; i < row->plans.size; i++) {
+        q = bbl_vec_at(&row->plans, i);
+        if (bbl_name_equal(&q->plan, plan)) {
+            return q;
+        }
+    }
+    q = bbl_vec_add(&row->plans);
+    q->plan = *plan;
+    q->served = row->virtual_now;
+    return q;
+}
+
+static void
+enqueue(searcher_row *row, sub_item *item)
+{
+    plan_queue *q = plan_queue_of(row, &item->plan);
+
+    if (item->hedge) {
+        list_add(&row->hedges, item);
+    }
+    else {
+        if (q->queued == 0 && q->served < row->virtual_now) {
+            q->served = row->virtual_now; /* idle time earns no credit */
+        }
+        list_add(&q->classes[item->urgency], item);
+        q->queued++;
+    }
+    row->queued++;
+}
+
+static void
+dequeue(searcher_row *row, sub_item *item)
+{
+    plan_queue *q = plan_queue_of(row, &item->plan);
+
+    if (item->hedge) {
+        list_remove(&row->hedges, item);
+    }
+    else {
+        list_remove(&q->classes[item->urgency], item);
+        q->queued--;
+    }
+    row->queued--;
+}
+
+/* Returns the plan that has had the least of its share. */
+static plan_queue *
+next_plan(searcher_row *row)
+{
+    plan_queue *best = NULL;
+
+    for (size_t i = 0; i < row->plans.size; i++) {
+        plan_queue *q = bbl_vec_at(&row->plans, i);
+
+        if (q->queued > 0 && (best == NULL || q->served < best->served)) {
+            best = q;
+        }
+    }
+    return best;
+}
+
+/*
+ * Returns the most urgent item of a plan; every LOW_CLASS_TURN picks the
+ * least urgent one, so that none starves within its own plan.
+ */
+static sub_item *
+next_in_plan(plan_queue *q)
+{
+    bool low = q->picks % LOW_CLASS_TURN == LOW_CLASS_TURN - 1;
+
+    for (int i = 0; i < BBL_URGENCY_COUNT; i++) {
+        int c = low ? BBL_URGENCY_COUNT - 1 - i : i;
+
+        if (q->classes[c].first != NULL) {
+            return q->classes[c].first;
+        }
+    }
+    return NULL;
+}
+
+static uint32_t
+share_of(const bbl_dispatch *d, const bbl_name *plan)
+{
+    const bbl_lists *lists = bbl_view_lists(d->view);
+    const bbl_plan *p = lists ? bbl_lists_plan_named(lists, plan) : NULL;
+
+    return p ? p->share_ppm : UNLISTED_SHARE;
+}
+
+static void
+charge(const bbl_dispatch *d, searcher_row *row, plan_queue *q)
+{
+    q->picks++;
+    q->served += SHARE_UNIT * SHARE_UNIT / share_of(d, &q->plan) /
+                 (row->slots ? row->slots : 1);
+    if (q->served > row->virtual_now) {
+        plan_queue *least = next_plan(row);
+
+        row->virtual_now = least ? least->served : q->served;
+    }
+}
+
+/* Takes the next item off the queues, or returns NULL. */
+static sub_item *
+next_item(bbl_dispatch *d, searcher_row *row)
+{
+    sub_item *item = row->hedges.first;
+    plan_queue *q = NULL;
+
+    if (item == NULL) {
+        q = next_plan(row);
+        item = q ? next_in_plan(q) : NULL;
+    }
+    if (item == NULL) {
+        return NULL;
+    }
+    dequeue(row, item);
+    if (q != NULL) {
+        charge(d, row, q);
+    }
+    return item;
+}
+
+/* ---- starting exchanges ---- */
+
+/* Returns why an item may not start now, or BBLX_SUB_OK. */
+static bool
+refuse_reason(bbl_dispatch *d, const searcher_row *row, const sub_item *item,
+              bbl_usec now, uint64_t **counter)
+{
+    const bbl_lists *lists = bbl_view_lists(d->view);
+    const bbl_plan *plan =
+        lists ? bbl_lists_plan_named(lists, &item->plan) : NULL;
+
+    if (now + row->service / 2 >= item->deadline) {
+        *counter = &d->counters.dropped_late;
+        return true;
+    }
+    if (lists != NULL && bbl_lists_zone_out_for(lists, plan, &row->zone)) {
+        *counter = &d->counters.withdrawn;
+        return true;
+    }
+    return false;
+}
+
+static void
+start(bbl_dispatch *d, searcher_row *row, sub_item *item, bbl_usec now)
+{
+    bbl_exchange e;
+
+    item->exchange = ++d->next_exchange;
+    item->started = now;
+    bbl_map_set(&d->exchanges, item->exchange, item);
+    row->running++;
+    d->counters.started++;
+    d->counters.hedges += item->hedge;
+    memset(&e, 0, sizeof(e));
+    e.exchange = item->exchange;
+    e.searcher = row->searcher;
+    e.address = row->address;
+    e.connections = row->connections;
+    e.shard = item->shard;
+    e.version = item->version;
+    e.deadline = item->deadline;
+    e.repeatable = item->repeatable;
+    e.query = item->query;
+    e.sub = item->sub;
+    e.text = (bbl_str){item->text->ptr, item->text->size};
+    d->options.port.start(d->options.port.ctx, &e);
+}
+
+static void
+refuse_item(bbl_dispatch *d, sub_item *item)
+{
+    reply_item(d, item, BBLX_SUB_NOT_RUN, 0, 0, (bbl_str){NULL, 0});
+    free_item(d, item);
+}
+
+/* Returns everything queued at a searcher unrun. */
+static void
+refuse_queued(bbl_dispatch *d, searcher_row *row)
+{
+    sub_item *item;
+
+    while ((item = next_item(d, row)) != NULL) {
+        refuse_item(d, item);
+    }
+}
+
+static bool
+may_start(const bbl_dispatch *d, const searcher_row *row, bbl_usec now)
+{
+    return row->owned && !d->draining && now < d->lease_until &&
+           (row->phase == BBLX_COLD || row->phase == BBLX_WARM);
+}
+
+/* Fills the free slots of one searcher. */
+static void
+pump(bbl_dispatch *d, searcher_row *row, bbl_usec now)
+{
+    if (row->queued > 0 && !may_start(d, row, now)) {
+        refuse_queued(d, row);
+        return;
+    }
+    while (row->running < row->limit) {
+        sub_item *item = next_item(d, row);
+        uint64_t *counter;
+
+        if (item == NULL) {
+            return;
+        }
+        if (refuse_reason(d, row, item, now, &counter)) {
+            (*counter)++;
+            refuse_item(d, item);
+            continue;
+        }
+        start(d, row, item, now);
+    }
+}
+
+/* ---- view ---- */
+
+static void
+own(bbl_dispatch *d, const bbl_view_searcher *s, bbl_usec now)
+{
+    searcher_row *row = row_of(d, s->searcher);
+    bool held = s->hold_us > 0 && !BBL_FAULT(BBL_FAULT_NO_HOLD);
+
+    if (row == NULL) {
+        row = bbl_vec_add(&d->rows);
+        row->searcher = s->searcher;
+        row->plans = (bbl_vec)BBL_VEC_INIT(plan_queue);
+        bbl_map_set(&d->by_id, s->searcher, (void *)(uintptr_t)d->rows.size);
+    }
+    if (row->epoch != s->epoch || !row->owned) {
+        row->epoch = s->epoch;
+        row->phase = held ? BBLX_HELD : BBLX_COLD;
+        row->held_until = now + s->hold_us;
+        row->limit = BBL_FAULT(BBL_FAULT_NO_HOLD) ? s->slots : 1;
+        row->steps = 0;
+        row->reported = 0;
+    }
+    row->owned = true;
+    row->address = s->address;
+    row->slots = s->slots;
+    row->connections = s->connections;
+    row->zone = s->zone;
+    if (s->leaving) {
+        set_leaving(row, now);
+    }
+    else if (row->listed_leaving && row->phase == BBLX_LEAVING) {
+        row->phase = BBLX_COLD;
+        row->limit = 1;
+        row->steps = 0;
+    }
+    row->listed_leaving = s->leaving;
+    report(d, row);
+}
+
+void
+bbl_dispatch_set_view(bbl_dispatch *d, bbl_usec now, const bbl_view *view)
+{
+    d->view = view;
+    for (size_t i = 0; i < bbl_view_searcher_count(view); i++) {
+        const bbl_view_searcher *s = bbl_view_searcher_at(view, i);
+
+        if (s->owner == d->options.host &&
+            s->incarnation == d->options.incarnation) {
+            own(d, s, now);
+        }
+    }
+    for (size_t i = 0; i < d->rows.size; i++) {
+        searcher_row *row = bbl_vec_at(&d->rows, i);
+        const bbl_view_searcher *s =
+            bbl_view_find_searcher(view, row->searcher);
+
+        if (s == NULL || s->owner != d->options.host ||
+            s->incarnation != d->options.incarnation) {
+            row->owned = false;
+        }
+        pump(d, row, now);
+    }
+}
+
+void
+bbl_dispatch_set_lease(bbl_dispatch *d, bbl_usec until)
+{
+    d->lease_until = until;
+}
+
+/* ---- requests ---- */
+
+static bool
+holds_shard(const searcher_row *row, uint64_t version, uint32_t shard)
+{
+    for (size_t i = 0; i < row->index_count; i++) {
+        const bblx_index *x = &row->indexes[i];
+
+        if (x->number != version) {
+            continue;
+        }
+        for (u_int k = 0; k < x->shards.shards_len; k++) {
+            if (x->shards.shards_val[k] == shard) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static void
+refuse_sub(bbl_dispatch *d, uint32_t host, const bblx_sub_request *request,
+           const bblx_sub *sub, bblx_sub_status status)
+{
+    const searcher_row *row = row_of(d, sub->searcher);
+    bblx_sub_result r;
+
+    memset(&r, 0, sizeof(r));
+    r.sub = sub->sub;
+    r.searcher = sub->searcher;
+    r.status = status;
+    r.backlog = row ? row->running + row->queued : 0;
+    reply_one(d, host, &request->query, &r);
+}
+
+static void
+accept_sub(bbl_dispatch *d, bbl_usec now, uint32_t host,
+           const bblx_sub_request *request, const bblx_sub *sub,
+           shared_text *text)
+{
+    searcher_row *row = row_of(d, sub->searcher);
+    uint64_t key = item_key(&request->query, sub->sub);
+    bbl_usec left = request->deadline_us;
+    sub_item *item;
+
+    if (bbl_map_get(&d->items, key) != NULL) {
+        return; /* a duplicate of one that is under way */
+    }
+    if (row == NULL || !may_start(d, row, now)) {
+        d->counters.not_owner++;
+        refuse_sub(d, host, request, sub, BBLX_SUB_NOT_RUN);
+        return;
+    }
+    if (!holds_shard(row, request->index_version, sub->shard)) {
+        refuse_sub(d, host, request, sub, BBLX_SUB_VERSION_GONE);
+        return;
+    }
+    if (row->queued >= d->options.queue_max) {
+        d->counters.dropped_full++;
+        refuse_sub(d, host, request, sub, BBLX_SUB_NOT_RUN);
+        return;
+    }
+    item = bbl_calloc(1, sizeof(*item));
+    item->query = request->query;
+    item->host = host;
+    item->sub = sub->sub;
+    item->shard = sub->shard;
+    item->searcher = sub->searcher;
+    item->version = request->index_version;
+    left = left < d->options.exchange_max ? left : d->options.exchange_max;
+    item->deadline = now + left;
+    item->urgency = request->urgency < BBL_URGENCY_COUNT
+                        ? (bbl_urgency)request->urgency
+                        : BBL_URGENCY_BATCH;
+    bbl_name_from_wire(&item->plan, &request->plan);
+    item->repeatable = request->repeatable;
+    item->hedge = sub->hedge;
+    item->text = text;
+    text->uses++;
+    bbl_map_set(&d->items, key, item);
+    enqueue(row, item);
+    pump(d, row, now);
+}
+
+void
+bbl_dispatch_request(bbl_dispatch *d, bbl_usec now, uint32_t host,
+                     const bblx_sub_request *request)
+{
+    shared_text *text = bbl_calloc(1, sizeof(*text));
+
+    text->uses = 1;
+    text->size = request->text.bblx_text_len;
+    text->ptr = bbl_memdup(request->text.bblx_text_val, text->size);
+    for (u_int i = 0; i < request->subs.subs_len; i++) {
+        d->counters.requests++;
+        accept_sub(d, now, host, request, &request->subs.subs_val[i], text);
+    }
+    release_text(text);
+}
+
+void
+bbl_dispatch_cancel(bbl_dispatch *d, bbl_usec now,
+                    const bblx_sub_cancel *cancel)
+{
+    for (u_int i = 0; i < cancel->subs.subs_len; i++) {
+        uint32_t sub = cancel->subs.subs_val[i];
+        sub_item *item = bbl_map_get(&d->items, item_key(&cancel->query, sub));
+
+        if (item == NULL || item->cancelled) {
+            continue;
+        }
+        if (item->exchange != 0) {
+            item->cancelled = true;
+            d->options.port.cancel(d->options.port.ctx, item->exchange,
+                                   item->searcher);
+            continue;
+        }
+        dequeue(row_of(d, item->searcher), item);
+        free_item(d, item);
+    }
+    (void)now;
+}
+
+/* ---- ends of exchanges ---- */
+
+static bblx_sub_status
+status_of(bbl_exchange_end end)
+{
+    switch (end) {
+    case BBL_EXCHANGE_OK:
+        return BBLX_SUB_OK;
+    case BBL_EXCHANGE_REFUSED:
+    case BBL_EXCHANGE_LEAVING:
+    case BBL_EXCHANGE_UNSENT:
+        return BBLX_SUB_NOT_RUN;
+    case BBL_EXCHANGE_VERSION_GONE:
+        return BBLX_SUB_VERSION_GONE;
+    case BBL_EXCHANGE_CANCELLED:
+        return BBLX_SUB_CANCELLED;
+    case BBL_EXCHANGE_TRUNCATED:
+        return BBLX_SUB_TRUNCATED;
+    default:
+        return BBLX_SUB_FAILED;
+    }
+}
+
+/* Learns from how an exchange ended. */
+static void
+observe_end(bbl_dispatch *d, searcher_row *row, const sub_item *item,
+            bbl_usec now, const bbl_exchange_result *result)
+{
+    switch (result->end) {
+    case BBL_EXCHANGE_OK:
+        see_boot(d, row, result->boot);
+        observe_service(d, row, now - item->started);
+        grow(d, row);
+        break;
+    case BBL_EXCHANGE_REFUSED:
+        d->counters.refused++;
+        turn_cold(d, row);
+        see_boot(d, row, result->boot);
+        break;
+    case BBL_EXCHANGE_LEAVING:
+        set_leaving(row, now);
+        see_boot(d, row, result->boot);
+        report(d, row);
+        break;
+    case BBL_EXCHANGE_SILENT:
+    case BBL_EXCHANGE_FAILED:
+        d->counters.silent++;
+        turn_cold(d, row);
+        break;
+    default:
+        see_boot(d, row, result->boot);
+        break;
+    }
+}
+
+/*
+ * Frees the slot of an exchange. One that broke off before its deadline may
+ * still run at the searcher, so its slot stays taken until then.
+ */
+static void
+release_slot(bbl_dispatch *d, searcher_row *row, const sub_item *item,
+             bbl_usec now, bbl_exchange_end end)
+{
+    bool broken = end == BBL_EXCHANGE_FAILED || end == BBL_EXCHANGE_SILENT;
+    lost_slot lost = {row->searcher, item->deadline};
+
+    if (broken && now < item->deadline) {
+        bbl_vec_push(&d->lost_slots, &lost);
+        return;
+    }
+    row->running--;
+}
+
+void
+bbl_dispatch_ended(bbl_dispatch *d, bbl_usec now, uint64_t exchange,
+                   const bbl_exchange_result *result)
+{
+    sub_item *item = bbl_map_get(&d->exchanges, exchange);
+    bblx_sub_status status = status_of(result->end);
+    searcher_row *row;
+    bbl_str body = {NULL, 0};
+
+    if (item == NULL) {
+        d->counters.stale_results++;
+        return;
+    }
+    row = row_of(d, item->searcher);
+    release_slot(d, row, item, now, result->end);
+    d->counters.busy_us += now - item->started;
+    observe_end(d, row, item, now, result);
+    if (status == BBLX_SUB_OK && result->version != item->version) {
+        d->counters.stale_results++;
+        status = BBLX_SUB_VERSION_GONE;
+    }
+    if (status == BBLX_SUB_VERSION_GONE && !item->repeatable &&
+        result->end == BBL_EXCHANGE_OK) {
+        status = BBLX_SUB_FAILED; /* it ran, on another version */
+    }
+    if (status == BBLX_SUB_OK) {
+        d->counters.answered++;
+        body = result->body;
+    }
+    if (!item->cancelled || status == BBLX_SUB_OK) {
+        reply_item(d, item, status, result->version,
+                   (uint32_t)(now - item->started), body);
+    }
+    free_item(d, item);
+    pump(d, row, now);
+}
+
+/* ---- info ---- */
+
+static uint64_t
+hash_indexes(const bbl_searcher_info *info)
+{
+    uint64_t h = 17;
+
+    for (size_t i = 0; i < info->index_count; i++) {
+        const bblx_index *x = &info->indexes[i];
+        uint64_t words[4] = {x->number, x->total, x->first, x->count};
+
+        h = bbl_hash(words, sizeof(words), h);
+        h = bbl_hash(x->shards.shards_val,
+                     x->shards.shards_len * sizeof(u_int), h);
+    }
+    return h;
+}
+
+static void
+free_indexes(searcher_row *row)
+{
+    for (size_t i = 0; i < row->index_count; i++) {
+        free(row->indexes[i].shards.shards_val);
+    }
+    free(row->indexes);
+    row->indexes = NULL;
+    row->index_count = 0;
+}
+
+static void
+copy_info_indexes(searcher_row *row, const bbl_searcher_info *info)
+{
+    free_indexes(row);
+    row->index_count = info->index_count;
+    row->indexes = bbl_calloc(info->index_count, sizeof(*row->indexes));
+    for (size_t i = 0; i < info->index_count; i++) {
+        const bblx_index *from = &info->indexes[i];
+
+        row->indexes[i] = *from;
+        row->indexes[i].shards.shards_val = (u_int *)bbl_memdup(
+            from->shards.shards_val, from->shards.shards_len * sizeof(u_int));
+    }
+}
+
+void
+bbl_dispatch_info(bbl_dispatch *d, bbl_usec now, uint32_t searcher,
+                  const bbl_searcher_info *info)
+{
+    searcher_row *row = row_of(d, searcher);
+    uint64_t hash;
+
+    if (row == NULL || !row->owned) {
+        return;
+    }
+    if (info == NULL) {
+        return; /* its health page may lag; exchanges tell more */
+    }
+    hash = hash_indexes(info);
+    if (hash != row->indexes_hash) {
+        copy_info_indexes(row, info);
+        row->indexes_hash = hash;
+    }
+    see_boot(d, row, info->boot);
+    if (info->leaving) {
+        set_leaving(row, now);
+    }
+    else if (row->phase == BBLX_LEAVING && !row->listed_leaving &&
+             now >= row->leaving_since + LEAVING_RECHECK_US) {
+        row->phase = BBLX_WARM;
+        turn_cold(d, row);
+    }
+    report(d, row);
+    pump(d, row, now);
+}
+
+/* ---- ticks ---- */
+
+static void
+expire_queue(bbl_dispatch *d, searcher_row *row, item_list *list, bbl_usec now)
+{
+    sub_item *item = list->first;
+
+    while (item != NULL) {
+        sub_item *next = item->next;
+
+        if (now + row->service / 2 >= item->deadline) {
+            d->counters.dropped_late++;
+            dequeue(row, item);
+            refuse_item(d, item);
+        }
+        item = next;
+    }
+}
+
+static void
+expire_row(bbl_dispatch *d, searcher_row *row, bbl_usec now)
+{
+    if (row->queued == 0) {
+        return;
+    }
+    expire_queue(d, row, &row->hedges, now);
+    for (size_t i = 0; i < row->plans.size; i++) {
+        for (int c = 0; c < BBL_URGENCY_COUNT; c++) {
+            plan_queue *q = bbl_vec_at(&row->plans, i);
+
+            expire_queue(d, row, &q->classes[c], now);
+        }
+    }
+}
+
+static void
+free_lost_slots(bbl_dispatch *d, bbl_usec now)
+{
+    for (size_t i = d->lost_slots.size; i > 0; i--) {
+        const lost_slot *lost = bbl_vec_at(&d->lost_slots, i - 1);
+
+        if (now >= lost->until) {
+            row_of(d, lost->searcher)->running--;
+            bbl_vec_swap_remove(&d->lost_slots, i - 1);
+        }
+    }
+}
+
+void
+bbl_dispatch_tick(bbl_dispatch *d, bbl_usec now)
+{
+    free_lost_slots(d, now);
+    for (size_t i = 0; i < d->rows.size; i++) {
+        searcher_row *row = bbl_vec_at(&d->rows, i);
+
+        if (row->phase == BBLX_HELD && now >= row->held_until) {
+            row->phase = BBLX_COLD;
+            report(d, row);
+        }
+        expire_row(d, row, now);
+        pump(d, row, now);
+    }
+}
+
+void
+bbl_dispatch_drain(bbl_dispatch *d, bbl_usec now)
+{
+    d->draining = true;
+    for (size_t i = 0; i < d->rows.size; i++) {
+        pump(d, bbl_vec_at(&d->rows, i), now);
+    }
+}
+
+size_t
+bbl_dispatch_running(const bbl_dispatch *d)
+{
+    return d->exchanges.size;
+}
+
+const bbl_dispatch_counters *
+bbl_dispatch_get_counters(const bbl_dispatch *d)
+{
+    return &d->counters;
+}
+
+bool
+bbl_dispatch_row_at(const bbl_dispatch *d, size_t i, bbl_dispatch_row *out)
+{
+    const searcher_row *row;
+
+    if (i >= d->rows.size) {
+        return false;
+    }
+    row = bbl_vec_at(&d->rows, i);
+    out->searcher = row->searcher;
+    out->phase = row->owned ? row->phase : BBLX_DOWN;
+    out->limit = row->owned ? row->limit : 0;
+    out->running = row->running;
+    out->queued = row->queued;
+    out->boot = row->boot;
+    out->service_us = (uint32_t)row->service;
+    return true;
+}
+
+bool
+bbl_dispatch_poll_at(const bbl_dispatch *d, size_t i, uint32_t *searcher,
+                     bblx_address *address, bool *urgent)
+{
+    const searcher_row *row;
+
+    if (i >= d->rows.size) {
+        return false;
+    }
+    row = bbl_vec_at(&d->rows, i);
+    *searcher = row->owned ? row->searcher : 0;
+    *address = row->address;
+    *urgent = row->index_count == 0;
+    return true;
+}
+
+/* ---- construction ---- */
+
+void
+bbl_dispatch_new(bbl_dispatch **out, const bbl_dispatch_options *options)
+{
+    bbl_dispatch *d = bbl_calloc(1, sizeof(*d));
+
+    d->options = *options;
+    d->rows = (bbl_vec)BBL_VEC_INIT(searcher_row);
+    d->lost_slots = (bbl_vec)BBL_VEC_INIT(lost_slot);
+    *out = d;
+}
+
+void
+bbl_dispatch_free(bbl_dispatch *d)
+{
+    sub_item *item;
+    size_t pos = 0;
+
+    if (d == NULL) {
+        return;
+    }
+    while ((item = bbl_map_next(&d->items, &pos)) != NULL) {
+        release_text(item->text);
+        free(item);
+    }
+    for (size_t i = 0; i < d->rows.size; i++) {
+        searcher_row *row = bbl_vec_at(&d->rows, i);
+
+        free_indexes(row);
+        bbl_vec_free(&row->plans);
+    }
+    bbl_vec_free(&d->rows);
+    bbl_vec_free(&d->lost_slots);
+    bbl_map_free(&d->by_id);
+    bbl_map_free(&d->items);
+    bbl_map_free(&d->exchanges);
+    free(d);
+}
--- /dev/null
+++ b/src/policy/gather.c
@@ -0,0 +1,1268 @@
+#include "policy/gather.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/alloc.h"
+#include "util/rng.h"
+
+#define ATTEMPTS_MAX 6    /* sub-requests for one shard of a query */
+#define RESTARTS_MAX 2    /* moves of a query to a newer snapshot */
+#define CANDIDATES_MAX 16 /* replicas weighed for one shard */
+#define PPM 1000000u
+#define BUDGET_BURST 100u      /* hedges or retries saved up at most */
+#define SAMPLES_KEPT 20000u    /* latencies before older ones fade */
+#define DELAY_EVERY 256u       /* latencies between two hedge delays */
+#define BACKLOG_FADE_US 20000u /* how long a told backlog counts */
+#define RETRY_PAUSE_US 2000u   /* before a refused part is tried again */
+#define SERVICE_SHIFT 3        /* weight of a new service time, 1/8 */
+#define RETRY_AFTER_MS 20u     /* told on overload */
+
+typedef struct {
+    uint32_t searcher;
+    uint32_t owner;
+    uint64_t owner_incarnation;
+    bbl_usec sent;
+    bool active;
+    bool hedge;
+} attempt;
+
+/* One shard of a query. */
+typedef struct {
+    uint32_t shard;
+    attempt attempts[ATTEMPTS_MAX];
+    uint8_t attempt_count;
+    uint8_t active;
+    bool done;           /* answered or given up */
+    bbl_missing missing; /* last reason seen while it has no answer */
+    bbl_usec retry_at;   /* 0: not waiting */
+    bbl_buf body;
+} part;
+
+typedef enum { QUERY_CLAIMING, QUERY_RUNNING } query_state;
+
+typedef struct {
+    uint64_t seq;
+    void *token;
+    query_state state;
+    bbl_buf request_id;
+    bbl_buf text;
+    bbl_name customer;
+    bbl_name plan;
+    bbl_name service;
+    bbl_urgency urgency;
+    bool repeatable;
+    bool all_shards;
+    bool claimed;
+    bool may_have_run;
+    uint32_t *shards;
+    size_t shard_count;
+    uint32_t coverage_ppm;
+    bbl_usec begun;
+    bbl_usec deadline;
+    uint64_t version;
+    unsigned restarts;
+    bbl_vec parts; /* part */
+    size_t open;
+    size_t answered;
+    uint32_t sent;
+} query;
+
+/* What this daemon has seen of one searcher. */
+typedef struct {
+    uint32_t mine;   /* own active attempts */
+    uint32_t others; /* backlog told, without the own part */
+    bbl_usec told;
+    uint32_t service_us;
+} load_row;
+
+/* A sub-request about to be sent. */
+typedef struct {
+    uint32_t owner;
+    bblx_sub sub;
+} outgoing;
+
+/* A part that lags. */
+typedef struct {
+    query *q;
+    part *p;
+    bbl_usec sent;
+} laggard;
+
+struct bbl_gather {
+    bbl_gather_options options;
+    const bbl_view *view;
+    bbl_admission admission;
+    bbl_rng rng;
+    bbl_map queries; /* seq -> query */
+    bbl_vec order;   /* query *, for ticks */
+    bbl_map loads;   /* searcher -> load_row */
+    uint64_t next_seq;
+    uint64_t hedge_budget; /* parts per million of one hedge */
+    uint64_t retry_budget;
+    bbl_histogram sub_latency;
+    unsigned fresh_samples;
+    bbl_usec hedge_delay;
+    bbl_vec out;     /* outgoing, scratch */
+    bbl_vec subs;    /* bblx_sub, scratch */
+    bbl_vec lagging; /* laggard, scratch */
+    bbl_gather_counters counters;
+};
+
+/* ---- names ---- */
+
+const char *
+bbl_answer_kind_name(bbl_answer_kind kind)
+{
+    static const char *const names[] = {
+        "ok",         "not-run",     "outcome-unknown",
+        "incomplete", "bad-request", "recorded",
+    };
+
+    return names[kind];
+}
+
+const char *
+bbl_missing_name(bbl_missing missing)
+{
+    static const char *const names[] = {
+        "none",      "no-replica", "no-such-shard",      "withdrawn",
+        "deadline",  "refused",    "index-version-gone", "failed",
+        "truncated",
+    };
+
+    return names[missing];
+}
+
+/* ---- replica policies ---- */
+
+static size_t
+choose_least(const double *scores, size_t count, uint64_t random)
+{
+    size_t best = (size_t)(random % count);
+
+    for (size_t i = 0; i < count; i++) {
+        if (scores[i] < scores[best]) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static size_t
+choose_random(const double *scores, size_t count, uint64_t random)
+{
+    (void)scores;
+    return (size_t)(random % count);
+}
+
+const bbl_replica_policy bbl_replica_least = {"least-wait", choose_least};
+const bbl_replica_policy bbl_replica_random = {"random", choose_random};
+
+/* ---- loads ---- */
+
+static load_row *
+load_of(bbl_gather *g, uint32_t searcher)
+{
+    load_row *row = bbl_map_get(&g->loads, searcher);
+
+    if (row == NULL) {
+        row = bbl_calloc(1, sizeof(*row));
+        bbl_map_set(&g->loads, searcher, row);
+    }
+    return row;
+}
+
+/* Returns the requests expected ahead of a new one. */
+static double
+expected_backlog(const load_row *row, bbl_usec now)
+{
+    bbl_usec age = now - row->told;
+
+    if (age >= BACKLOG_FADE_US) {
+        return row->mine;
+    }
+    return row->mine +
+           row->others * (1.0 - (double)age / (double)BACKLOG_FADE_US);
+}
+
+/* Returns the expected time to an answer, microseconds. */
+static double
+expected_wait(bbl_gather *g, const bbl_view_searcher *s, bbl_usec now)
+{
+    const load_row *row = load_of(g, s->searcher);
+    double limit = s->limit ? s->limit : 1;
+    double service = row->service_us ? row->service_us : 1000;
+
+    return (expected_backlog(row, now) + 1) / limit * service;
+}
+
+static void
+note_backlog(bbl_gather *g, uint32_t searcher, uint32_t backlog, bbl_usec now)
+{
+    load_row *row = load_of(g, searcher);
+
+    row->others = backlog > row->mine ? backlog - row->mine : 0;
+    row->told = now;
+}
+
+static void
+note_service(bbl_gather *g, uint32_t searcher, uint32_t us)
+{
+    load_row *row = load_of(g, searcher);
+
+    if (row->service_us == 0) {
+        row->service_us = us;
+    }
+    row->service_us =
+        (uint32_t)(row->service_us +
+                   ((int64_t)us - row->service_us) / (1 << SERVICE_SHIFT));
+}
+
+/* ---- hedge delay ---- */
+
+static void
+note_latency(bbl_gather *g, bbl_usec us)
+{
+    double keep = 1.0 - (double)g->options.hedge_ppm / PPM;
+
+    bbl_histogram_add(&g->sub_latency,
+                      us > UINT32_MAX ? UINT32_MAX : (uint32_t)us);
+    if (g->sub_latency.total >= SAMPLES_KEPT) {
+        bbl_histogram_decay(&g->sub_latency);
+    }
+    if (++g->fresh_samples < DELAY_EVERY) {
+        return;
+    }
+    g->fresh_samples = 0;
+    g->hedge_delay = bbl_histogram_quantile(&g->sub_latency, keep);
+    if (g->hedge_delay < g->options.hedge_min) {
+        g->hedge_delay = g->options.hedge_min;
+    }
+}
+
+static void
+earn(uint64_t *budget, uint32_t ppm)
+{
+    *budget += ppm;
+    if (*budget > (uint64_t)BUDGET_BURST * PPM) {
+        *budget = (uint64_t)BUDGET_BURST * PPM;
+    }
+}
+
+static bool
+spend(uint64_t *budget)
+{
+    if (*budget < PPM) {
+        return false;
+    }
+    *budget -= PPM;
+    return true;
+}
+
+/* ---- queries ---- */
+
+static void
+free_parts(query *q)
+{
+    for (size_t i = 0; i < q->parts.size; i++) {
+        bbl_buf_free(&BBL_VEC_AT(part, &q->parts, i)->body);
+    }
+    bbl_vec_free(&q->parts);
+}
+
+static void
+free_query(query *q)
+{
+    free_parts(q);
+    bbl_buf_free(&q->request_id);
+    bbl_buf_free(&q->text);
+    free(q->shards);
+    free(q);
+}
+
+static void
+forget_query(bbl_gather *g, query *q)
+{
+    bbl_map_remove(&g->queries, q->seq);
+    for (size_t i = 0; i < g->order.size; i++) {
+        if (*BBL_VEC_AT(query *, &g->order, i) == q) {
+            bbl_vec_swap_remove(&g->order, i);
+            break;
+        }
+    }
+    free_query(q);
+}
+
+static void
+end_attempt(bbl_gather *g, part *p, attempt *a)
+{
+    if (a->active) {
+        a->active = false;
+        p->active--;
+        load_of(g, a->searcher)->mine--;
+    }
+}
+
+static int
+compare_out(const void *a, const void *b)
+{
+    const outgoing *x = a;
+    const outgoing *y = b;
+
+    return x->owner < y->owner ? -1 : x->owner > y->owner;
+}
+
+/* Calls `use` once for each owner in g->out, with its sub-requests. */
+static void
+group_by_owner(bbl_gather *g, query *q, bbl_usec now,
+               void (*use)(bbl_gather *g, query *q, bbl_usec now,
+                           uint32_t owner))
+{
+    if (g->out.size == 0) {
+        return;
+    }
+    qsort(g->out.ptr, g->out.size, sizeof(outgoing), compare_out);
+    g->subs.size = 0;
+    for (size_t i = 0; i < g->out.size; i++) {
+        const outgoing *o = bbl_vec_at(&g->out, i);
+        bool last = i + 1 == g->out.size ||
+                    BBL_VEC_AT(outgoing, &g->out, i + 1)->owner != o->owner;
+
+        bbl_vec_push(&g->subs, &o->sub);
+        if (last) {
+            use(g, q, now, o->owner);
+            g->subs.size = 0;
+        }
+    }
+    g->out.size = 0;
+}
+
+static bblx_query_id
+wire_id(const bbl_gather *g, const query *q)
+{
+    return (bblx_query_id){g->options.host, g->options.incarnation, q->seq};
+}
+
+static void
+send_group(bbl_gather *g, query *q, bbl_usec now, uint32_t owner)
+{
+    bblx_sub_request r;
+    bbl_usec left = q->deadline - g->options.answer_margin - now;
+
+    memset(&r, 0, sizeof(r));
+    r.query = wire_id(g, q);
+    r.index_version = q->version;
+    r.deadline_us = left > UINT32_MAX ? UINT32_MAX : (u_int)left;
+    r.urgency = q->urgency;
+    r.repeatable = q->repeatable;
+    r.plan = bbl_name_to_wire(&q->plan);
+    r.text = bbl_text_borrow(bbl_buf_str(&q->text));
+    r.subs.subs_len = (u_int)g->subs.size;
+    r.subs.subs_val = g->subs.ptr;
+    g->options.port.send(g->options.port.ctx, owner, &r);
+}
+
+static void
+cancel_group(bbl_gather *g, query *q, bbl_usec now, uint32_t owner)
+{
+    bblx_sub_cancel c;
+    u_int *numbers = bbl_calloc(g->subs.size, sizeof(*numbers));
+
+    (void)now;
+    for (size_t i = 0; i < g->subs.size; i++) {
+        numbers[i] = BBL_VEC_AT(bblx_sub, &g->subs, i)->sub;
+    }
+    c.query = wire_id(g, q);
+    c.subs.subs_len = (u_int)g->subs.size;
+    c.subs.subs_val = numbers;
+    g->options.port.cancel(g->options.port.ctx, owner, &c);
+    free(numbers);
+}
+
+static uint32_t
+sub_number(const query *q, const part *p, unsigned attempt_place)
+{
+    size_t i = (size_t)(p - (const part *)q->parts.ptr);
+
+    return (uint32_t)(i * ATTEMPTS_MAX + attempt_place);
+}
+
+/* Ends all active attempts of a part and queues their cancellation. */
+static void
+cancel_part(bbl_gather *g, query *q, part *p)
+{
+    for (unsigned i = 0; i < p->attempt_count; i++) {
+        attempt *a = &p->attempts[i];
+        outgoing o = {a->owner,
+                      {sub_number(q, p, i), p->shard, a->searcher, a->hedge}};
+
+        if (a->active) {
+            end_attempt(g, p, a);
+            bbl_vec_push(&g->out, &o);
+        }
+    }
+}
+
+/* ---- choice of a replica ---- */
+
+/* Why no replica could be chosen, and whether waiting may help. */
+typedef struct {
+    bbl_missing reason;
+    bool transient;
+} no_choice;
+
+static bool
+tried(const part *p, uint32_t searcher, bool active_only)
+{
+    for (unsigned i = 0; i < p->attempt_count; i++) {
+        const attempt *a = &p->attempts[i];
+
+        if (a->searcher == searcher && (a->active || !active_only)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+candidate(const bbl_gather *g, const query *q, const bbl_view_searcher *s,
+          no_choice *why)
+{
+    const bbl_lists *lists = bbl_view_lists(g->view);
+    const bbl_plan *plan =
+        lists ? bbl_lists_plan_named(lists, &q->plan) : NULL;
+
+    if (lists != NULL && bbl_lists_zone_out_for(lists, plan, &s->zone)) {
+        why->reason = BBL_MISSING_WITHDRAWN;
+        return false;
+    }
+    if (!bbl_view_usable(s)) {
+        why->transient = why->transient || !s->owner_live || !s->reported ||
+                         s->phase == BBLX_HELD;
+        return false;
+    }
+    return true;
+}
+
+/*
+ * Chooses a replica for a part: one not tried yet if there is one, else one
+ * without an active attempt.
+ */
+static const bbl_view_searcher *
+choose(bbl_gather *g, const query *q, const part *p, bbl_usec now,
+       no_choice *why)
+{
+    const bbl_view_index *x = bbl_view_index_of(g->view, q->version);
+    const bbl_view_searcher *fresh[CANDIDATES_MAX];
+    const bbl_view_searcher *again[CANDIDATES_MAX];
+    const bbl_view_searcher **pool = fresh;
+    double scores[CANDIDATES_MAX];
+    size_t fresh_count = 0;
+    size_t again_count = 0;
+    size_t count;
+
+    *why = (no_choice){BBL_MISSING_NO_REPLICA, false};
+    if (x == NULL) {
+        why->reason = BBL_MISSING_VERSION_GONE;
+        return NULL;
+    }
+    if (p->shard >= x->total) {
+        why->reason = BBL_MISSING_NO_SUCH_SHARD;
+        return NULL;
+    }
+    for (uint32_t i = x->first[p->shard]; i < x->first[p->shard + 1]; i++) {
+        const bbl_view_searcher *s = bbl_view_searcher_at(g->view, x->rows[i]);
+
+        if (!candidate(g, q, s, why) || tried(p, s->searcher, true)) {
+            continue;
+        }
+        if (!tried(p, s->searcher, false) && fresh_count < CANDIDATES_MAX) {
+            fresh[fresh_count++] = s;
+        }
+        else if (again_count < CANDIDATES_MAX) {
+            again[again_count++] = s;
+        }
+    }
+    count = fresh_count;
+    if (fresh_count == 0) {
+        pool = again;
+        count = again_count;
+    }
+    if (count == 0) {
+        return NULL;
+    }
+    for (size_t i = 0; i < count; i++) {
+        scores[i] = expected_wait(g, pool[i], now);
+    }
+    return pool[g->options.replica->choose(scores, count,
+                                           bbl_rng_next(&g->rng))];
+}
+
+static void
+add_attempt(bbl_gather *g, query *q, part *p, const bbl_view_searcher *s,
+            bool hedge, bbl_usec now)
+{
+    attempt *a = &p->attempts[p->attempt_count];
+    outgoing o = {
+        s->owner,
+        {sub_number(q, p, p->attempt_count), p->shard, s->searcher, hedge}};
+
+    a->searcher = s->searcher;
+    a->owner = s->owner;
+    a->owner_incarnation = s->incarnation;
+    a->sent = now;
+    a->active = true;
+    a->hedge = hedge;
+    p->attempt_count++;
+    p->active++;
+    p->retry_at = 0;
+    q->sent++;
+    load_of(g, s->searcher)->mine++;
+    bbl_vec_push(&g->out, &o);
+}
+
+/* ---- the end of a query ---- */
+
+static bool
+is_whole(const query *q)
+{
+    return q->parts.size > 0 && q->answered == q->parts.size;
+}
+
+static bool
+enough(const query *q)
+{
+    uint64_t need = (uint64_t)q->parts.size * q->coverage_ppm;
+
+    return (uint64_t)q->answered * PPM >= need;
+}
+
+static void
+classify(const query *q, bbl_answer *a)
+{
+    if (is_whole(q) || (q->repeatable && enough(q) && q->answered > 0)) {
+        a->kind = BBL_ANSWER_OK;
+        a->reason = "";
+    }
+    else if (!q->may_have_run) {
+        a->kind = BBL_ANSWER_NOT_RUN;
+        a->reason = "no searcher could take it in time";
+        a->retry_after_ms = RETRY_AFTER_MS;
+    }
+    else if (!q->repeatable) {
+        a->kind = BBL_ANSWER_UNKNOWN;
+        a->reason = "a searcher may have run it";
+    }
+    else {
+        a->kind = BBL_ANSWER_INCOMPLETE;
+        a->reason = "coverage is below what is accepted";
+    }
+}
+
+static void
+deliver(bbl_gather *g, query *q, bbl_usec now, bbl_answer *a)
+{
+    bbl_usec elapsed = now - q->begun;
+
+    a->elapsed = elapsed;
+    a->sent = q->sent;
+    a->claimed = q->claimed;
+    g->counters.answered[a->kind]++;
+    bbl_histogram_add(&g->counters.latency_us,
+                      elapsed > UINT32_MAX ? UINT32_MAX : (uint32_t)elapsed);
+    g->options.port.answer(g->options.port.ctx, q->token, a);
+    bbl_admission_done(&g->admission, &q->plan);
+    forget_query(g, q);
+}
+
+static void
+finish(bbl_gather *g, query *q, bbl_usec now)
+{
+    bbl_answer answer;
+    bbl_answer_shard *shards = bbl_calloc(q->parts.size, sizeof(*shards));
+
+    for (size_t i = 0; i < q->parts.size; i++) {
+        part *p = bbl_vec_at(&q->parts, i);
+
+        q->may_have_run = q->may_have_run || p->active > 0;
+        cancel_part(g, q, p);
+        shards[i].shard = p->shard;
+        shards[i].missing = p->missing;
+        shards[i].body = bbl_buf_str(&p->body);
+        g->counters.missing[p->missing]++;
+    }
+    g->counters.shards_asked += q->parts.size;
+    group_by_owner(g, q, now, cancel_group);
+    memset(&answer, 0, sizeof(answer));
+    answer.version = q->version;
+    answer.shards = shards;
+    answer.asked = q->parts.size;
+    answer.answered = q->answered;
+    classify(q, &answer);
+    deliver(g, q, now, &answer);
+    free(shards);
+}
+
+static void
+close_part(query *q, part *p, bbl_missing missing)
+{
+    p->done = true;
+    p->missing = missing;
+    p->retry_at = 0;
+    q->open--;
+    q->answered += missing == BBL_MISSING_NONE;
+}
+
+/* ---- the start of a query ---- */
+
+/* Fills the parts for the pinned version; false when there is none. */
+static bool
+pin(bbl_gather *g, query *q, uint64_t after)
+{
+    const uint32_t *wanted = q->all_shards ? NULL : q->shards;
+    const bbl_view_index *x =
+        bbl_view_pin(g->view, wanted, q->shard_count, after);
+    uint32_t first = 0;
+    uint32_t count;
+
+    if (x == NULL) {
+        return false;
+    }
+    count = x->total;
+    if (q->service.size > 0 &&
+        bbl_view_service_shards(g->view, x->version, &q->service, &first,
+                                &count) != 0) {
+        return false;
+    }
+    if (!q->all_shards && q->service.size == 0) {
+        count = (uint32_t)q->shard_count;
+    }
+    q->version = x->version;
+    free_parts(q);
+    q->parts = (bbl_vec)BBL_VEC_INIT(part);
+    for (uint32_t i = 0; i < count; i++) {
+        part *p = bbl_vec_add(&q->parts);
+
+        p->shard = q->all_shards ? first + i : q->shards[i];
+        p->missing = BBL_MISSING_DEADLINE;
+    }
+    q->open = count;
+    q->answered = 0;
+    return count > 0;
+}
+
+/* Sends a part to a replica, or closes it, or leaves it waiting. */
+static void
+launch_part(bbl_gather *g, query *q, part *p, bbl_usec now)
+{
+    no_choice why;
+    const bbl_view_searcher *s;
+
+    if (p->attempt_count == ATTEMPTS_MAX) {
+        close_part(q, p, p->missing);
+        return;
+    }
+    s = choose(g, q, p, now, &why);
+    if (s != NULL) {
+        add_attempt(g, q, p, s, false, now);
+        return;
+    }
+    if (!why.transient) {
+        close_part(q, p, why.reason);
+        return;
+    }
+    p->missing = why.reason;
+    p->retry_at = now + RETRY_PAUSE_US;
+}
+
+static void
+launch(bbl_gather *g, query *q, bbl_usec now)
+{
+    q->state = QUERY_RUNNING;
+    for (size_t i = 0; i < q->parts.size; i++) {
+        launch_part(g, q, bbl_vec_at(&q->parts, i), now);
+        g->counters.first_sends++;
+        earn(&g->hedge_budget, g->options.hedge_ppm);
+        earn(&g->retry_budget, g->options.retry_ppm);
+    }
+    group_by_owner(g, q, now, send_group);
+    if (q->open == 0) {
+        finish(g, q, now);
+    }
+}
+
+/* Moves a query to a newer snapshot; false when there is none or no time. */
+static bool
+restart(bbl_gather *g, query *q, bbl_usec now)
+{
+    uint64_t old = q->version;
+
+    if (!q->repeatable || q->restarts == RESTARTS_MAX ||
+        bbl_view_pin(g->view, q->all_shards ? NULL : q->shards, q->shard_count,
+                     old) == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < q->parts.size; i++) {
+        cancel_part(g, q, bbl_vec_at(&q->parts, i));
+    }
+    group_by_owner(g, q, now, cancel_group);
+    bbl_map_remove(&g->queries, q->seq);
+    q->seq = ++g->next_seq; /* results of the old snapshot find no query */
+    bbl_map_set(&g->queries, q->seq, q);
+    q->restarts++;
+    g->counters.restarts++;
+    if (!pin(g, q, old)) {
+        return false;
+    }
+    launch(g, q, now);
+    return true;
+}
+
+/* ---- submission ---- */
+
+static void
+refuse(bbl_gather *g, void *token, bbl_answer_kind kind, const char *reason,
+       uint32_t retry_after_ms)
+{
+    bbl_answer a;
+
+    memset(&a, 0, sizeof(a));
+    a.kind = kind;
+    a.reason = reason;
+    a.retry_after_ms = retry_after_ms;
+    g->counters.answered[kind]++;
+    g->options.port.answer(g->options.port.ctx, token, &a);
+}
+
+static query *
+make_query(bbl_gather *g, bbl_usec now, const bbl_query *in,
+           const bbl_plan *plan, void *token)
+{
+    query *q = bbl_calloc(1, sizeof(*q));
+
+    q->seq = ++g->next_seq;
+    q->token = token;
+    bbl_buf_put(&q->request_id, in->request_id.ptr, in->request_id.size);
+    bbl_buf_put(&q->text, in->text.ptr, in->text.size);
+    q->customer = in->customer;
+    q->plan = plan->name;
+    q->service = in->service;
+    q->urgency = in->urgency;
+    q->repeatable = in->repeatable;
+    q->all_shards = in->all_shards || in->service.size > 0;
+    q->shard_count = in->shard_count;
+    q->shards =
+        (uint32_t *)bbl_memdup(in->shards, in->shard_count * sizeof(uint32_t));
+    q->coverage_ppm = PPM;
+    if (plan->partial) {
+        q->coverage_ppm = plan->coverage_ppm;
+        if (in->coverage_ppm != UINT32_MAX &&
+            in->coverage_ppm > q->coverage_ppm) {
+            q->coverage_ppm = in->coverage_ppm;
+        }
+    }
+    q->begun = now;
+    q->deadline = in->deadline;
+    q->parts = (bbl_vec)BBL_VEC_INIT(part);
+    bbl_map_set(&g->queries, q->seq, q);
+    bbl_vec_push(&g->order, &q);
+    return q;
+}
+
+/* Returns whether some shard could not be reached before the deadline. */
+static bool
+overloaded(bbl_gather *g, const query *q, bbl_usec now)
+{
+    const bbl_view_index *x = bbl_view_index_of(g->view, q->version);
+    double left = (double)(q->deadline - now);
+
+    for (size_t i = 0; i < q->parts.size; i++) {
+        const part *p = bbl_vec_at(&q->parts, i);
+        double least = 0;
+
+        if (p->shard >= x->total) {
+            continue;
+        }
+        for (uint32_t k = x->first[p->shard]; k < x->first[p->shard + 1];
+             k++) {
+            double wait = expected_wait(
+                g, bbl_view_searcher_at(g->view, x->rows[k]), now);
+
+            least = least == 0 || wait < least ? wait : least;
+        }
+        if (least > left) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+refuse_query(bbl_gather *g, query *q, bbl_usec now, const char *reason)
+{
+    bbl_answer a;
+
+    memset(&a, 0, sizeof(a));
+    a.kind = BBL_ANSWER_NOT_RUN;
+    a.reason = reason;
+    a.retry_after_ms = RETRY_AFTER_MS;
+    deliver(g, q, now, &a);
+}
+
+/* Refuses what this daemon may not take in; true when refused. */
+static bool
+refuse_early(bbl_gather *g, bbl_usec now, bbl_usec lease_until,
+             const bbl_query *in, void *token)
+{
+    const char *reason = NULL;
+
+    if (in->deadline <= now + g->options.answer_margin) {
+        reason = "the deadline has passed";
+    }
+    else if (now >= lease_until || g->view == NULL ||
+             bbl_view_lists(g->view) == NULL) {
+        reason = "this host may not take work now";
+    }
+    else if (g->order.size >= g->options.queries_max) {
+        reason = "too many queries at once";
+    }
+    if (reason == NULL) {
+        return false;
+    }
+    refuse(g, token, BBL_ANSWER_NOT_RUN, reason, RETRY_AFTER_MS);
+    return true;
+}
+
+void
+bbl_gather_submit(bbl_gather *g, bbl_usec now, bbl_usec lease_until,
+                  int64_t wall_sec, const bbl_query *in, void *token)
+{
+    bbl_admit_request ask;
+    const bbl_plan *plan;
+    uint32_t retry_after;
+    bbl_admit admit;
+    query *q;
+
+    g->counters.queries++;
+    if (refuse_early(g, now, lease_until, in, token)) {
+        return;
+    }
+    ask.customer = in->customer;
+    ask.urgency = in->urgency;
+    ask.time_left = in->deadline - now;
+    ask.wall_sec = wall_sec;
+    ask.daemons = bbl_view_live_count(g->view);
+    admit = bbl_admission_ask(&g->admission, now, bbl_view_lists(g->view),
+                              &ask, &plan, &retry_after);
+    if (admit != BBL_ADMIT_OK) {
+        refuse(g, token, BBL_ANSWER_NOT_RUN, bbl_admit_name(admit),
+               retry_after);
+        return;
+    }
+    q = make_query(g, now, in, plan, token);
+    if (!pin(g, q, 0)) {
+        refuse_query(g, q, now, "no index version is known for it");
+        return;
+    }
+    if (overloaded(g, q, now)) {
+        refuse_query(g, q, now, "overloaded");
+        return;
+    }
+    if (!q->repeatable) {
+        q->state = QUERY_CLAIMING;
+        g->options.port.claim(g->options.port.ctx, q->seq, &q->customer,
+                              bbl_buf_str(&q->request_id));
+        return;
+    }
+    launch(g, q, now);
+}
+
+void
+bbl_gather_claimed(bbl_gather *g, bbl_usec now, uint64_t seq,
+                   bbl_claim_outcome outcome, bbl_str recorded)
+{
+    query *q = bbl_map_get(&g->queries, seq);
+    bbl_answer a;
+
+    if (q == NULL || q->state != QUERY_CLAIMING) {
+        return;
+    }
+    memset(&a, 0, sizeof(a));
+    switch (outcome) {
+    case BBL_CLAIM_FRESH:
+        q->claimed = true;
+        if (now + g->options.answer_margin >= q->deadline) {
+            refuse_query(g, q, now, "the deadline passed while claiming");
+            return;
+        }
+        launch(g, q, now);
+        return;
+    case BBL_CLAIM_DONE:
+        a.kind = BBL_ANSWER_RECORDED;
+        a.reason = "";
+        a.recorded = recorded;
+        break;
+    case BBL_CLAIM_TAKEN:
+        a.kind = BBL_ANSWER_UNKNOWN;
+        a.reason = "claimed earlier; its outcome is not known";
+        break;
+    case BBL_CLAIM_FAILED:
+        a.kind = BBL_ANSWER_NOT_RUN;
+        a.reason = "it could not be claimed";
+        a.retry_after_ms = RETRY_AFTER_MS;
+        break;
+    case BBL_CLAIM_UNSURE:
+        /* This host has sent nothing, but an earlier try may have run. */
+        a.kind = BBL_ANSWER_UNKNOWN;
+        a.reason = "the claim was not confirmed in time";
+        break;
+    }
+    deliver(g, q, now, &a);
+}
+
+/* ---- results ---- */
+
+/* Handles a part whose attempt ended without an answer. */
+static void
+part_failed(bbl_gather *g, query *q, part *p, bbl_usec now, bool unrun)
+{
+    if (p->active > 0) {
+        return; /* another attempt may still answer */
+    }
+    if (!unrun && (!q->repeatable || !spend(&g->retry_budget))) {
+        close_part(q, p, p->missing);
+        return;
+    }
+    if (p->attempt_count == ATTEMPTS_MAX) {
+        close_part(q, p, p->missing);
+        return;
+    }
+    g->counters.retries++;
+    p->retry_at = now;
+    if (p->attempt_count >= 2) {
+        p->retry_at = now + RETRY_PAUSE_US;
+    }
+}
+
+static void
+on_answer(bbl_gather *g, query *q, part *p, const attempt *a,
+          const bblx_sub_result *r, bbl_usec now)
+{
+    bbl_buf_put(&p->body, r->body.bblx_text_val, r->body.bblx_text_len);
+    note_latency(g, now - p->attempts[0].sent);
+    g->counters.hedge_wins += a->hedge;
+    cancel_part(g, q, p);
+    close_part(q, p, BBL_MISSING_NONE);
+}
+
+static void
+on_result(bbl_gather *g, query *q, part *p, attempt *a,
+          const bblx_sub_result *r, bbl_usec now)
+{
+    end_attempt(g, p, a);
+    switch (r->status) {
+    case BBLX_SUB_OK:
+        q->may_have_run = true;
+        note_service(g, a->searcher, r->service_us);
+        if (r->index_version != q->version) {
+            g->counters.foreign_results++;
+            p->missing = BBL_MISSING_VERSION_GONE;
+            part_failed(g, q, p, now, false);
+            return;
+        }
+        on_answer(g, q, p, a, r, now);
+        return;
+    case BBLX_SUB_NOT_RUN:
+        p->missing = BBL_MISSING_REFUSED;
+        part_failed(g, q, p, now, true);
+        return;
+    case BBLX_SUB_VERSION_GONE:
+        q->may_have_run = q->may_have_run || q->repeatable;
+        p->missing = BBL_MISSING_VERSION_GONE;
+        part_failed(g, q, p, now, true);
+        return;
+    case BBLX_SUB_TRUNCATED:
+        q->may_have_run = true;
+        p->missing = BBL_MISSING_TRUNCATED;
+        part_failed(g, q, p, now, false);
+        return;
+    case BBLX_SUB_FAILED:
+    case BBLX_SUB_CANCELLED:
+        q->may_have_run = true;
+        p->missing = BBL_MISSING_FAILED;
+        part_failed(g, q, p, now, false);
+        return;
+    }
+}
+
+/* Retries the parts that wait; returns false when the query has ended. */
+static bool
+advance(bbl_gather *g, query *q, bbl_usec now)
+{
+    bool gone = false;
+
+    for (size_t i = 0; i < q->parts.size; i++) {
+        part *p = bbl_vec_at(&q->parts, i);
+
+        if (!p->done && p->retry_at != 0 && now >= p->retry_at) {
+            launch_part(g, q, p, now);
+        }
+        gone = gone || (p->done && p->missing == BBL_MISSING_VERSION_GONE);
+    }
+    group_by_owner(g, q, now, send_group);
+    if (gone && restart(g, q, now)) {
+        return false;
+    }
+    if (q->open == 0) {
+        finish(g, q, now);
+        return false;
+    }
+    return true;
+}
+
+void
+bbl_gather_results(bbl_gather *g, bbl_usec now, uint32_t owner,
+                   const bblx_sub_results *results)
+{
+    query *q = bbl_map_get(&g->queries, results->query.seq);
+    bool ours = results->query.host == g->options.host &&
+                results->query.incarnation == g->options.incarnation;
+
+    for (u_int i = 0; i < results->results.results_len; i++) {
+        const bblx_sub_result *r = &results->results.results_val[i];
+
+        note_backlog(g, r->searcher, r->backlog, now);
+    }
+    if (!ours || q == NULL || q->state != QUERY_RUNNING) {
+        g->counters.late_results += results->results.results_len;
+        return;
+    }
+    for (u_int i = 0; i < results->results.results_len; i++) {
+        const bblx_sub_result *r = &results->results.results_val[i];
+        size_t place = r->sub / ATTEMPTS_MAX;
+        part *p;
+        attempt *a;
+
+        if (place >= q->parts.size) {
+            g->counters.foreign_results++;
+            continue;
+        }
+        p = bbl_vec_at(&q->parts, place);
+        a = &p->attempts[r->sub % ATTEMPTS_MAX];
+        if (r->sub % ATTEMPTS_MAX >= p->attempt_count ||
+            a->searcher != r->searcher || a->owner != owner) {
+            g->counters.foreign_results++;
+            continue;
+        }
+        if (!a->active || p->done) {
+            g->counters.late_results++;
+            continue;
+        }
+        on_result(g, q, p, a, r, now);
+    }
+    group_by_owner(g, q, now, cancel_group);
+    advance(g, q, now);
+}
+
+/* ---- ticks ---- */
+
+static void
+expire(bbl_gather *g, query *q, bbl_usec now)
+{
+    if (q->state == QUERY_CLAIMING) {
+        bbl_gather_claimed(g, now, q->seq, BBL_CLAIM_UNSURE,
+                           (bbl_str){NULL, 0});
+        return;
+    }
+    for (size_t i = 0; i < q->parts.size; i++) {
+        part *p = bbl_vec_at(&q->parts, i);
+
+        if (!p->done && p->active > 0) {
+            p->missing = BBL_MISSING_DEADLINE;
+        }
+    }
+    finish(g, q, now);
+}
+
+static int
+compare_laggards(const void *a, const void *b)
+{
+    const laggard *x = a;
+    const laggard *y = b;
+
+    return x->sent < y->sent ? -1 : x->sent > y->sent;
+}
+
+static void
+collect_laggards(bbl_gather *g, query *q, bbl_usec now)
+{
+    if (!q->repeatable || q->state != QUERY_RUNNING) {
+        return;
+    }
+    for (size_t i = 0; i < q->parts.size; i++) {
+        part *p = bbl_vec_at(&q->parts, i);
+        attempt *a =
+            p->attempt_count > 0 ? &p->attempts[p->attempt_count - 1] : NULL;
+        laggard l = {q, p, a ? a->sent : 0};
+
+        if (!p->done && p->active == 1 && a->active &&
+            p->attempt_count < ATTEMPTS_MAX &&
+            now >= a->sent + g->hedge_delay) {
+            bbl_vec_push(&g->lagging, &l);
+        }
+    }
+}
+
+/* Hedges the parts furthest behind, as far as the budget goes. */
+static void
+hedge(bbl_gather *g, bbl_usec now)
+{
+    g->lagging.size = 0;
+    for (size_t i = 0; i < g->order.size; i++) {
+        collect_laggards(g, *BBL_VEC_AT(query *, &g->order, i), now);
+    }
+    if (g->lagging.size == 0) {
+        return;
+    }
+    qsort(g->lagging.ptr, g->lagging.size, sizeof(laggard), compare_laggards);
+    for (size_t i = 0; i < g->lagging.size; i++) {
+        laggard *l = bbl_vec_at(&g->lagging, i);
+        no_choice why;
+        const bbl_view_searcher *s = choose(g, l->q, l->p, now, &why);
+
+        if (s == NULL || tried(l->p, s->searcher, false)) {
+            continue;
+        }
+        if (!spend(&g->hedge_budget)) {
+            g->counters.hedges_denied++;
+            continue;
+        }
+        g->counters.hedges++;
+        add_attempt(g, l->q, l->p, s, true, now);
+        group_by_owner(g, l->q, now, send_group);
+    }
+}
+
+void
+bbl_gather_tick(bbl_gather *g, bbl_usec now)
+{
+    for (size_t i = g->order.size; i > 0; i--) {
+        query *q = *BBL_VEC_AT(query *, &g->order, i - 1);
+
+        if (now + g->options.answer_margin >= q->deadline) {
+            expire(g, q, now);
+        }
+        else if (q->state == QUERY_RUNNING) {
+            advance(g, q, now);
+        }
+    }
+    if (g->options.hedge_ppm > 0 && g->view != NULL) {
+        hedge(g, now);
+    }
+}
+
+/* ---- view ---- */
+
+static bool
+owner_lost(const bbl_gather *g, const attempt *a)
+{
+    const bbl_view_member *m = bbl_view_member_of(g->view, a->owner);
+
+    return m == NULL || !m->live || m->incarnation != a->owner_incarnation;
+}
+
+/* Ends the attempts at owners that are gone. */
+static void
+drop_lost_attempts(bbl_gather *g, query *q, bbl_usec now)
+{
+    for (size_t i = 0; i < q->parts.size; i++) {
+        part *p = bbl_vec_at(&q->parts, i);
+
+        for (unsigned k = 0; k < p->attempt_count && !p->done; k++) {
+            attempt *a = &p->attempts[k];
+
+            if (a->active && owner_lost(g, a)) {
+                end_attempt(g, p, a);
+                q->may_have_run = true;
+                p->missing = BBL_MISSING_FAILED;
+                part_failed(g, q, p, now, false);
+            }
+        }
+    }
+}
+
+void
+bbl_gather_set_view(bbl_gather *g, bbl_usec now, const bbl_view *view)
+{
+    g->view = view;
+    for (size_t i = g->order.size; i > 0; i--) {
+        query *q = *BBL_VEC_AT(query *, &g->order, i - 1);
+
+        if (q->state == QUERY_RUNNING) {
+            drop_lost_attempts(g, q, now);
+            advance(g, q, now);
+        }
+    }
+}
+
+size_t
+bbl_gather_open(const bbl_gather *g)
+{
+    return g->order.size;
+}
+
+const bbl_gather_counters *
+bbl_gather_get_counters(const bbl_gather *g)
+{
+    return &g->counters;
+}
+
+bbl_usec
+bbl_gather_hedge_delay(const bbl_gather *g)
+{
+    return g->hedge_delay;
+}
+
+/* ---- construction ---- */
+
+void
+bbl_gather_new(bbl_gather **out, const bbl_gather_options *options)
+{
+    bbl_gather *g = bbl_calloc(1, sizeof(*g));
+
+    g->options = *options;
+    g->rng.state = options->seed;
+    g->hedge_delay = 4 * options->hedge_min;
+    bbl_admission_init(&g->admission);
+    g->order = (bbl_vec)BBL_VEC_INIT(query *);
+    g->out = (bbl_vec)BBL_VEC_INIT(outgoing);
+    g->subs = (bbl_vec)BBL_VEC_INIT(bblx_sub);
+    g->lagging = (bbl_vec)BBL_VEC_INIT(laggard);
+    *out = g;
+}
+
+void
+bbl_gather_free(bbl_gather *g)
+{
+    load_row *row;
+    size_t pos = 0;
+
+    if (g == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < g->order.size; i++) {
+        free_query(*BBL_VEC_AT(query *, &g->order, i));
+    }
+    while ((row = bbl_map_next(&g->loads, &pos)) != NULL) {
+        free(row);
+    }
+    bbl_map_free(&g->loads);
+    bbl_map_free(&g->queries);
+    bbl_admission_free(&g->admission);
+    bbl_vec_free(&g->order);
+    bbl_vec_free(&g->out);
+    bbl_vec_free(&g->subs);
+    bbl_vec_free(&g->lagging);
+    free(g);
+}
--- /dev/null
+++ b/src/policy/view.c
@@ -0,0 +1,368 @@
+#include "policy/view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "util/alloc.h"
+
+struct bbl_view {
+    uint64_t revision;
+    const bbl_lists *lists;
+    uint64_t lists_version;
+    bbl_vec searchers; /* bbl_view_searcher */
+    bbl_map by_id;     /* searcher -> place + 1 */
+    bbl_vec members;   /* bbl_view_member */
+    bbl_map by_host;   /* host -> place + 1 */
+    bbl_vec indexes;   /* bbl_view_index, newest first */
+};
+
+bbl_view *
+bbl_view_new(uint64_t revision)
+{
+    bbl_view *v = bbl_calloc(1, sizeof(*v));
+
+    v->revision = revision;
+    v->searchers = (bbl_vec)BBL_VEC_INIT(bbl_view_searcher);
+    v->members = (bbl_vec)BBL_VEC_INIT(bbl_view_member);
+    v->indexes = (bbl_vec)BBL_VEC_INIT(bbl_view_index);
+    return v;
+}
+
+void
+bbl_view_set_lists(bbl_view *v, const bbl_lists *lists, uint64_t version)
+{
+    v->lists = lists;
+    v->lists_version = version;
+}
+
+static void
+copy_indexes(bbl_view_searcher *s, const bblx_report *report)
+{
+    s->index_count = report->indexes.indexes_len;
+    s->indexes = bbl_calloc(s->index_count, sizeof(*s->indexes));
+    for (size_t i = 0; i < s->index_count; i++) {
+        const bblx_index *from = &report->indexes.indexes_val[i];
+        size_t bytes = from->shards.shards_len * sizeof(u_int);
+
+        s->indexes[i] = *from;
+        s->indexes[i].shards.shards_val =
+            (u_int *)bbl_memdup(from->shards.shards_val, bytes);
+    }
+}
+
+void
+bbl_view_add_searcher(bbl_view *v, const bblx_assign *a,
+                      const bblx_report *report)
+{
+    bbl_view_searcher *s = bbl_vec_add(&v->searchers);
+
+    s->searcher = a->place.searcher;
+    s->owner = a->owner;
+    s->incarnation = a->incarnation;
+    s->epoch = a->epoch;
+    s->hold_us = a->hold_us;
+    bbl_name_from_wire(&s->zone, &a->place.zone);
+    bbl_name_from_wire(&s->service, &a->place.service);
+    s->address = a->place.address;
+    s->slots = a->place.slots;
+    s->connections = a->place.connections;
+    s->leaving = a->place.leaving;
+    if (report != NULL) {
+        s->reported = true;
+        s->boot = report->boot;
+        s->phase = report->epoch == a->epoch ? report->phase : BBLX_COLD;
+        s->limit = report->epoch == a->epoch ? report->limit : 1;
+        copy_indexes(s, report);
+    }
+    bbl_map_set(&v->by_id, s->searcher, (void *)(uintptr_t)v->searchers.size);
+}
+
+void
+bbl_view_add_member(bbl_view *v, const bblx_member_row *row)
+{
+    bbl_view_member *m = bbl_vec_add(&v->members);
+
+    m->host = row->host;
+    m->incarnation = row->incarnation;
+    m->live = row->live;
+    m->draining = row->draining;
+    bbl_name_from_wire(&m->zone, &row->zone);
+    m->traffic = row->traffic;
+    bbl_map_set(&v->by_host, m->host, (void *)(uintptr_t)v->members.size);
+}
+
+bool
+bbl_view_usable(const bbl_view_searcher *s)
+{
+    return s->reported && s->owner_live && !s->leaving &&
+           s->phase != BBLX_LEAVING && s->phase != BBLX_DOWN &&
+           s->phase != BBLX_HELD;
+}
+
+static bbl_view_index *
+index_row(bbl_view *v, uint64_t version, uint32_t total)
+{
+    bbl_view_index row = {.version = version, .total = total};
+    size_t i = 0;
+
+    while (i < v->indexes.size) {
+        bbl_view_index *x = bbl_vec_at(&v->indexes, i);
+
+        if (x->version == version) {
+            return x;
+        }
+        if (x->version < version) {
+            break;
+        }
+        i++;
+    }
+    bbl_vec_add(&v->indexes);
+    for (size_t j = v->indexes.size - 1; j > i; j--) {
+        *BBL_VEC_AT(bbl_view_index, &v->indexes, j) =
+            *BBL_VEC_AT(bbl_view_index, &v->indexes, j - 1);
+    }
+    row.first = bbl_calloc((size_t)total + 2, sizeof(*row.first));
+    *BBL_VEC_AT(bbl_view_index, &v->indexes, i) = row;
+    return bbl_vec_at(&v->indexes, i);
+}
+
+/* Calls `each` for every shard of every version that a searcher holds. */
+static void
+for_each_held(bbl_view *v,
+              void (*each)(bbl_view_index *x, uint32_t shard, uint32_t place))
+{
+    for (size_t p = 0; p < v->searchers.size; p++) {
+        const bbl_view_searcher *s = bbl_vec_at(&v->searchers, p);
+
+        for (size_t i = 0; i < s->index_count; i++) {
+            const bblx_index *held = &s->indexes[i];
+            bbl_view_index *x = index_row(v, held->number, held->total);
+
+            for (u_int k = 0; k < held->shards.shards_len; k++) {
+                if (held->shards.shards_val[k] < x->total) {
+                    each(x, held->shards.shards_val[k], (uint32_t)p);
+                }
+            }
+        }
+    }
+}
+
+/* Offsets are shifted by one place while the rows are filled. */
+static void
+count_held(bbl_view_index *x, uint32_t shard, uint32_t place)
+{
+    (void)place;
+    x->first[shard + 2]++;
+}
+
+static void
+fill_held(bbl_view_index *x, uint32_t shard, uint32_t place)
+{
+    x->rows[x->first[shard + 1]++] = place;
+}
+
+static void
+make_offsets(bbl_view_index *x)
+{
+    for (uint32_t i = 2; i <= x->total + 1; i++) {
+        x->first[i] += x->first[i - 1];
+    }
+    x->rows = bbl_calloc(x->first[x->total + 1], sizeof(*x->rows));
+}
+
+static bool
+shard_covered(const bbl_view *v, const bbl_view_index *x, uint32_t shard)
+{
+    for (uint32_t i = x->first[shard]; i < x->first[shard + 1]; i++) {
+        if (bbl_view_usable(bbl_vec_at(&v->searchers, x->rows[i]))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+bbl_view_finish(bbl_view *v)
+{
+    for (size_t i = 0; i < v->searchers.size; i++) {
+        bbl_view_searcher *s = bbl_vec_at(&v->searchers, i);
+        const bbl_view_member *m = bbl_view_member_of(v, s->owner);
+
+        s->owner_live =
+            m != NULL && m->live && m->incarnation == s->incarnation;
+    }
+    for_each_held(v, count_held);
+    for (size_t i = 0; i < v->indexes.size; i++) {
+        make_offsets(bbl_vec_at(&v->indexes, i));
+    }
+    for_each_held(v, fill_held);
+    for (size_t i = 0; i < v->indexes.size; i++) {
+        bbl_view_index *x = bbl_vec_at(&v->indexes, i);
+
+        for (uint32_t shard = 0; shard < x->total; shard++) {
+            x->covered += shard_covered(v, x, shard);
+        }
+    }
+}
+
+void
+bbl_view_free(bbl_view *v)
+{
+    if (v == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < v->searchers.size; i++) {
+        bbl_view_searcher *s = bbl_vec_at(&v->searchers, i);
+
+        for (size_t k = 0; k < s->index_count; k++) {
+            free(s->indexes[k].shards.shards_val);
+        }
+        free(s->indexes);
+    }
+    for (size_t i = 0; i < v->indexes.size; i++) {
+        bbl_view_index *x = bbl_vec_at(&v->indexes, i);
+
+        free(x->first);
+        free(x->rows);
+    }
+    bbl_vec_free(&v->searchers);
+    bbl_vec_free(&v->members);
+    bbl_vec_free(&v->indexes);
+    bbl_map_free(&v->by_id);
+    bbl_map_free(&v->by_host);
+    free(v);
+}
+
+uint64_t
+bbl_view_revision(const bbl_view *v)
+{
+    return v->revision;
+}
+
+const bbl_lists *
+bbl_view_lists(const bbl_view *v)
+{
+    return v->lists;
+}
+
+uint64_t
+bbl_view_lists_version(const bbl_view *v)
+{
+    return v->lists_version;
+}
+
+size_t
+bbl_view_searcher_count(const bbl_view *v)
+{
+    return v->searchers.size;
+}
+
+const bbl_view_searcher *
+bbl_view_searcher_at(const bbl_view *v, size_t i)
+{
+    return bbl_vec_at(&v->searchers, i);
+}
+
+const bbl_view_searcher *
+bbl_view_find_searcher(const bbl_view *v, uint32_t searcher)
+{
+    uintptr_t place = (uintptr_t)bbl_map_get(&v->by_id, searcher);
+
+    return place ? bbl_vec_at(&v->searchers, place - 1) : NULL;
+}
+
+const bbl_view_member *
+bbl_view_member_of(const bbl_view *v, uint32_t host)
+{
+    uintptr_t place = (uintptr_t)bbl_map_get(&v->by_host, host);
+
+    return place ? bbl_vec_at(&v->members, place - 1) : NULL;
+}
+
+uint32_t
+bbl_view_live_count(const bbl_view *v)
+{
+    uint32_t n = 0;
+
+    for (size_t i = 0; i < v->members.size; i++) {
+        const bbl_view_member *m = bbl_vec_at(&v->members, i);
+
+        n += m->live && !m->draining;
+    }
+    return n > 0 ? n : 1;
+}
+
+static bool
+covers(const bbl_view *v, const bbl_view_index *x, const uint32_t *shards,
+       size_t count)
+{
+    if (shards == NULL) {
+        return x->covered == x->total;
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (shards[i] >= x->total || !shard_covered(v, x, shards[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const bbl_view_index *
+bbl_view_pin(const bbl_view *v, const uint32_t *shards, size_t count,
+             uint64_t after)
+{
+    const bbl_view_index *best = NULL;
+
+    for (size_t i = 0; i < v->indexes.size; i++) {
+        const bbl_view_index *x = bbl_vec_at(&v->indexes, i);
+
+        if (x->version <= after) {
+            break;
+        }
+        if (covers(v, x, shards, count)) {
+            return x;
+        }
+        /* Failing a whole one, the version that covers the most of itself. */
+        if (best == NULL || (uint64_t)x->covered * best->total >
+                                (uint64_t)best->covered * x->total) {
+            best = x;
+        }
+    }
+    return best;
+}
+
+const bbl_view_index *
+bbl_view_index_of(const bbl_view *v, uint64_t version)
+{
+    for (size_t i = 0; i < v->indexes.size; i++) {
+        const bbl_view_index *x = bbl_vec_at(&v->indexes, i);
+
+        if (x->version == version) {
+            return x;
+        }
+    }
+    return NULL;
+}
+
+int
+bbl_view_service_shards(const bbl_view *v, uint64_t version,
+                        const bbl_name *service, uint32_t *first,
+                        uint32_t *count)
+{
+    for (size_t i = 0; i < v->searchers.size; i++) {
+        const bbl_view_searcher *s = bbl_vec_at(&v->searchers, i);
+
+        if (!bbl_name_equal(&s->service, service)) {
+            continue;
+        }
+        for (size_t k = 0; k < s->index_count; k++) {
+            if (s->indexes[k].number == version) {
+                *first = s->indexes[k].first;
+                *count = s->indexes[k].count;
+                return 0;
+            }
+        }
+    }
+    return bbl_error_set(BBL_ENOTFOUND, "no searcher serves this service");
+}
--- /dev/null
+++ b/src/util/clock.c
@@ -0,0 +1,37 @@
+#include "util/clock.h"
+
+#include <time.h>
+
+static bbl_usec
+read_clock(clockid_t id)
+{
+    struct timespec ts;
+
+    clock_gettime(id, &ts);
+    return (bbl_usec)ts.tv_sec * BBL_USEC_PER_SEC +
+           (bbl_usec)ts.tv_nsec / 1000;
+}
+
+bbl_usec
+bbl_clock_now(void)
+{
+    return read_clock(CLOCK_MONOTONIC);
+}
+
+uint64_t
+bbl_clock_wall_ms(void)
+{
+    return read_clock(CLOCK_REALTIME) / BBL_USEC_PER_MS;
+}
+
+bbl_usec
+bbl_clock_cpu(void)
+{
+    return read_clock(CLOCK_PROCESS_CPUTIME_ID);
+}
+
+bbl_usec
+bbl_clock_thread_cpu(void)
+{
+    return read_clock(CLOCK_THREAD_CPUTIME_ID);
+}
