--- /dev/null
+++ b/tests/support/memdisk.c
@@ -0,0 +1,222 @@
+#include "memdisk.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "util/alloc.h"
+
+typedef struct {
+    bbl_disk base;
+    memdisk *m;
+    bool holds_lock;
+} mem_handle;
+
+static void
+copy_buf(bbl_buf *to, const bbl_buf *from)
+{
+    bbl_buf_clear(to);
+    bbl_buf_put(to, from->ptr, from->size);
+}
+
+memdisk_file *
+memdisk_file_of(memdisk *m, const char *name)
+{
+    for (int i = 0; i < MEMDISK_FILES; i++) {
+        memdisk_file *f = &m->files[i];
+
+        if (f->name[0] == '\0') {
+            strncpy(f->name, name, sizeof(f->name) - 1);
+        }
+        if (strcmp(f->name, name) == 0) {
+            return f;
+        }
+    }
+    abort();
+}
+
+/* Counts a write-side call; returns the failure asked for, or 0. */
+static int
+count_call(memdisk *m)
+{
+    m->calls++;
+    if (m->fail_at != 0 && m->calls == m->fail_at) {
+        return bbl_error_set(m->fail_code, "failure asked for by the test");
+    }
+    return 0;
+}
+
+static int
+mem_lock(bbl_disk *disk)
+{
+    mem_handle *h = (mem_handle *)disk;
+
+    if (h->m->locked) {
+        return bbl_error_set(BBL_ELOCKED, "locked");
+    }
+    h->m->locked = true;
+    h->holds_lock = true;
+    return 0;
+}
+
+static int
+mem_read(bbl_disk *disk, const char *name, bbl_buf *out)
+{
+    memdisk_file *f = memdisk_file_of(((mem_handle *)disk)->m, name);
+
+    if (!f->present) {
+        return bbl_error_set(BBL_ENOTFOUND, "no file");
+    }
+    bbl_buf_put(out, f->written.ptr, f->written.size);
+    return 0;
+}
+
+static int
+mem_append(bbl_disk *disk, const char *name, bbl_str bytes)
+{
+    memdisk *m = ((mem_handle *)disk)->m;
+    memdisk_file *f = memdisk_file_of(m, name);
+    int error = count_call(m);
+
+    f->present = true;
+    if (error != 0 && m->fail_partly) {
+        bbl_buf_put(&f->written, bytes.ptr, bytes.size / 2);
+    }
+    if (error == 0) {
+        bbl_buf_put(&f->written, bytes.ptr, bytes.size);
+    }
+    return error;
+}
+
+static int
+mem_sync(bbl_disk *disk, const char *name)
+{
+    memdisk *m = ((mem_handle *)disk)->m;
+    memdisk_file *f = memdisk_file_of(m, name);
+    int error = count_call(m);
+
+    if (error == 0) {
+        copy_buf(&f->durable, &f->written);
+        f->present_durable = true;
+    }
+    return error;
+}
+
+static int
+mem_truncate(bbl_disk *disk, const char *name, uint64_t size)
+{
+    memdisk *m = ((mem_handle *)disk)->m;
+    memdisk_file *f = memdisk_file_of(m, name);
+    int error = count_call(m);
+
+    if (error == 0) {
+        f->written.size = (size_t)size;
+        copy_buf(&f->durable, &f->written);
+        f->present_durable = f->present;
+    }
+    return error;
+}
+
+static int
+mem_rename(bbl_disk *disk, const char *from, const char *to)
+{
+    memdisk *m = ((mem_handle *)disk)->m;
+    memdisk_file *a = memdisk_file_of(m, from);
+    memdisk_file *b = memdisk_file_of(m, to);
+    int error = count_call(m);
+
+    if (error != 0) {
+        return error;
+    }
+    copy_buf(&b->written, &a->written);
+    copy_buf(&b->durable, &a->durable);
+    b->present = true;
+    b->present_durable = true;
+    a->present = false;
+    a->present_durable = false;
+    return 0;
+}
+
+static int
+mem_remove(bbl_disk *disk, const char *name)
+{
+    memdisk *m = ((mem_handle *)disk)->m;
+    memdisk_file *f = memdisk_file_of(m, name);
+    int error = count_call(m);
+
+    if (error == 0) {
+        f->present = false;
+        f->present_durable = false;
+        bbl_buf_clear(&f->written);
+        bbl_buf_clear(&f->durable);
+    }
+    return error;
+}
+
+static void
+mem_free(bbl_disk *disk)
+{
+    mem_handle *h = (mem_handle *)disk;
+
+    if (h->holds_lock) {
+        h->m->locked = false;
+    }
+    free(h);
+}
+
+void
+memdisk_init(memdisk *m)
+{
+    memset(m, 0, sizeof(*m));
+}
+
+void
+memdisk_free(memdisk *m)
+{
+    for (int i = 0; i < MEMDISK_FILES; i++) {
+        bbl_buf_free(&m->files[i].durable);
+        bbl_buf_free(&m->files[i].written);
+    }
+}
+
+bbl_disk *
+memdisk_open(memdisk *m)
+{
+    static const bbl_disk calls = {
+        mem_lock, mem_read,   mem_append, mem_truncate,
+        mem_sync, mem_rename, mem_remove, mem_free,
+    };
+    mem_handle *h = bbl_calloc(1, sizeof(*h));
+
+    h->base = calls;
+    h->m = m;
+    return &h->base;
+}
+
+static void
+crash_file(memdisk_file *f, bbl_rng *rng)
+{
+    size_t extra = f->written.size > f->durable.size
+                       ? f->written.size - f->durable.size
+                       : 0;
+    size_t keep = (size_t)bbl_rng_below(rng, extra + 1);
+
+    if (!f->present_durable) {
+        f->present = false;
+        bbl_buf_clear(&f->written);
+        bbl_buf_clear(&f->durable);
+        return;
+    }
+    bbl_buf_put(&f->durable, f->written.ptr + f->durable.size, keep);
+    copy_buf(&f->written, &f->durable);
+    f->present = true;
+}
+
+void
+memdisk_crash(memdisk *m, bbl_rng *rng)
+{
+    m->locked = false;
+    for (int i = 0; i < MEMDISK_FILES; i++) {
+        crash_file(&m->files[i], rng);
+    }
+}
