Bound connections, learn the service baseline, coalesce rounds of the traffic thread

Cause: at 100 queries/s of 52 shards the stand-in counted 56 connections over the limit (fresh connections after a false silence were added to the pool) and 54 false cold turns (the baseline started from one sample); the daemons spent about 155 us a sub-request, most of it in wake-ups.

--- a/src/daemon/traffic.c
+++ b/src/daemon/traffic.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "daemon/metrics.h"
 #include "net/mesh.h"
@@ -10,7 +11,8 @@
 #include "util/alloc.h"
 #include "util/clock.h"
 
-#define BUSY_WAIT_US 1000u /* loop period with work */
+#define TICK_US 1000u    /* period of the ticks of the cores */
+#define COALESCE_US 200u /* least time between two rounds */
 #define IDLE_WAIT_US (10 * BBL_USEC_PER_MS)
 #define ACK_TIMEOUT_US (25 * BBL_USEC_PER_MS)
 #define POLL_EVERY_US (250 * BBL_USEC_PER_MS)
@@ -45,6 +47,8 @@
     bbl_vec local; /* local_message */
     bbl_map polls; /* searcher -> poll_row */
     bbl_usec now;
+    bbl_usec round_began;
+    bbl_usec next_tick;
     bbl_usec lease_until;
     bool closed;   /* queries are refused */
     bool draining; /* exchanges are not started */
@@ -533,11 +537,42 @@
            bbl_dispatch_running(t->dispatch) > 0;
 }
 
+/*
+ * Lets events gather for a moment, so that one round of system calls serves
+ * several of them.
+ */
+static void
+pace(bbl_traffic *t)
+{
+    bbl_usec since = bbl_clock_now() - t->round_began;
+    struct timespec pause = {0, 0};
+
+    if (since < COALESCE_US) {
+        pause.tv_nsec = (long)(COALESCE_US - since) * 1000;
+        nanosleep(&pause, NULL);
+    }
+}
+
+static void
+tick_cores(bbl_traffic *t)
+{
+    if (t->now < t->next_tick) {
+        return;
+    }
+    t->next_tick = t->now + TICK_US;
+    bbl_gather_tick(t->gather, t->now);
+    bbl_dispatch_tick(t->dispatch, t->now);
+    bbl_searcher_client_tick(t->searchers, t->now);
+    poll_searchers(t);
+}
+
 static void
 run_once(bbl_traffic *t)
 {
-    bbl_loop_run(t->loop, is_busy(t) ? BUSY_WAIT_US : IDLE_WAIT_US);
+    pace(t);
+    bbl_loop_run(t->loop, is_busy(t) ? TICK_US : IDLE_WAIT_US);
     t->now = bbl_clock_now();
+    t->round_began = t->now;
     /* The lease is read first: it is published after its view. */
     t->lease_until = ck_pr_load_64(&t->shared->lease_until);
     ck_pr_fence_load();
@@ -545,10 +580,7 @@
     bbl_dispatch_set_lease(t->dispatch, t->lease_until);
     take_notes(t);
     deliver_local(t);
-    bbl_gather_tick(t->gather, t->now);
-    bbl_dispatch_tick(t->dispatch, t->now);
-    bbl_searcher_client_tick(t->searchers, t->now);
-    poll_searchers(t);
+    tick_cores(t);
     bbl_http_tick(t->http);
     deliver_local(t);
     bbl_mesh_tick(t->mesh, t->now);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -12,6 +12,7 @@
 #include "util/vec.h"
 
 #define POOL_MAX 4096L /* connections kept open */
+#define HOST_POOL_MAX 16L      /* connections to one address */
 #define CONNECT_MS 250L
 #define SPARE_HANDLES_MAX 512 /* unused handles kept */
 
@@ -305,6 +306,8 @@
     curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
     curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
     curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS, POOL_MAX);
+    curl_multi_setopt(http->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      HOST_POOL_MAX);
     *out = http;
     return 0;
 }
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -13,6 +13,7 @@
 #define SLOW_IN_A_ROW 4        /* slow answers that show a cold turn */
 #define SERVICE_SHIFT 4        /* weight of a new service time, 1/16 */
 #define BASE_SHIFT 8           /* the same for the slow baseline */
+#define BASE_SAMPLES 64        /* answers before the baseline is trusted */
 #define LOW_CLASS_TURN 8       /* every so many picks the last class goes */
 #define LEAVING_RECHECK_US (10 * BBL_USEC_PER_SEC) /* lag of info pages */
 #define SHARE_UNIT 1000000ull /* parts per million in a full share */
@@ -79,7 +80,8 @@
     uint32_t slow;
     uint64_t boot;
     uint64_t service; /* smoothed service time, microseconds */
-    uint64_t base;    /* the same over a long time */
+    uint64_t base;    /* the same over a long time, while warm */
+    int64_t samples;  /* behind the baseline, at most BASE_SAMPLES */
     uint64_t virtual_now;
     bool listed_leaving;
     bool owned;
@@ -318,25 +320,42 @@
     report(d, row);
 }
 
+/* Follows the usual service time, quickly at first. */
+static void
+observe_base(searcher_row *row, uint64_t us)
+{
+    int64_t diff = (int64_t)us - (int64_t)row->base;
+
+    if (row->samples < BASE_SAMPLES) {
+        row->samples++;
+        row->base = (uint64_t)((int64_t)row->base + diff / row->samples);
+        return;
+    }
+    row->base = (uint64_t)((int64_t)row->base + diff / (1 << BASE_SHIFT));
+}
+
 /* Follows the service time; a sudden lasting rise is a cold turn. */
 static void
 observe_service(bbl_dispatch *d, searcher_row *row, uint64_t us)
 {
+    bool slow = row->phase == BBLX_WARM && row->samples == BASE_SAMPLES &&
+                us > SLOW_FACTOR * row->base;
+
     if (row->service == 0) {
         row->service = us;
-        row->base = us;
     }
-    if (us > SLOW_FACTOR * row->base && row->phase == BBLX_WARM) {
-        row->slow++;
-        if (row->slow >= SLOW_IN_A_ROW) {
-            turn_cold(d, row);
+    row->service += (us >> SERVICE_SHIFT) - (row->service >> SERVICE_SHIFT);
+    if (!slow) {
+        row->slow = 0;
+        if (row->phase == BBLX_WARM) {
+            observe_base(row, us);
         }
+        return;
     }
-    else {
-        row->slow = 0;
-        row->base += (us >> BASE_SHIFT) - (row->base >> BASE_SHIFT);
+    row->slow++;
+    if (row->slow >= SLOW_IN_A_ROW) {
+        turn_cold(d, row);
     }
-    row->service += (us >> SERVICE_SHIFT) - (row->service >> SERVICE_SHIFT);
 }
 
 static void
--- a/tools/standin.c
+++ b/tools/standin.c
@@ -238,21 +238,22 @@
     pthread_mutex_unlock(&s->lock);
 }
 
-/* Cancels a running search: its slot is free at once. */
-static void
+/* Cancels a running search, its slot is free at once; false if none runs. */
+static bool
 cancel_search(standin *s, const char *id)
 {
     request *r = bbl_map_get(&s->running, id_key(id));
     bbl_usec now = bbl_clock_now();
 
     if (r == NULL || r->step != STEP_RUN || r->cancelled) {
-        return;
+        return false;
     }
     r->cancelled = true;
     s->w.counts.cancelled++;
     finish_run(r, now, STATUS_CANCELLED, "cancelled");
     r->step = STEP_REPLY;
     arm(r, now + travel_us(r));
+    return true;
 }
 
 /* ---- HTTP of a searcher ---- */
@@ -347,7 +348,9 @@
         world_info(r->searcher, &out);
     }
     else if (strcmp(url, "/cancel") == 0) {
-        cancel_search(s, argument(r->connection, "id"));
+        bool found = cancel_search(s, argument(r->connection, "id"));
+
+        status = found ? 200 : 404;
     }
     else if (strcmp(url, "/health") == 0) {
         bbl_buf_puts(&out, "{\"healthy\":true,\"load\":0}"); /* it lies */
