Hedge what runs slowly, and give the slow run's slot back when its hedge begins

Cause: with 1 in 100 sub-requests straggling by 200 ms the budget of hedges went to sub-requests that only queued, and stragglers held one of two slots for 200 ms. Change: the owner tells which runs are slow (97.2% of run times, cancelled ones counted as censored); those are hedged first; when a hedge starts the slow run is cancelled; results carry the loads of all searchers of the owner.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -375,6 +375,7 @@
 	u_int shard;
 	u_int searcher;
 	bool_t hedge;
+	bool_t moved;
 };
 typedef struct bblx_sub bblx_sub;
 
@@ -400,26 +401,39 @@
 	BBLX_SUB_FAILED = 3,
 	BBLX_SUB_CANCELLED = 4,
 	BBLX_SUB_TRUNCATED = 5,
+	BBLX_SUB_BUSY = 6,
+	BBLX_SUB_SLOW = 7,
+	BBLX_SUB_STARTED = 8,
 };
 typedef enum bblx_sub_status bblx_sub_status;
 
 struct bblx_sub_result {
+	u_quad_t seq;
 	u_int sub;
 	u_int searcher;
 	bblx_sub_status status;
 	u_quad_t index_version;
 	u_int service_us;
-	u_int backlog;
 	bblx_text body;
 };
 typedef struct bblx_sub_result bblx_sub_result;
 
+struct bblx_load {
+	u_int searcher;
+	u_int backlog;
+};
+typedef struct bblx_load bblx_load;
+
 struct bblx_sub_results {
-	bblx_query_id query;
+	u_quad_t incarnation;
 	struct {
 		u_int results_len;
 		bblx_sub_result *results_val;
 	} results;
+	struct {
+		u_int loads_len;
+		bblx_load *loads_val;
+	} loads;
 };
 typedef struct bblx_sub_results bblx_sub_results;
 
@@ -518,6 +532,7 @@
 extern  bool_t xdr_bblx_sub_request (XDR *, bblx_sub_request*);
 extern  bool_t xdr_bblx_sub_status (XDR *, bblx_sub_status*);
 extern  bool_t xdr_bblx_sub_result (XDR *, bblx_sub_result*);
+extern  bool_t xdr_bblx_load (XDR *, bblx_load*);
 extern  bool_t xdr_bblx_sub_results (XDR *, bblx_sub_results*);
 extern  bool_t xdr_bblx_sub_cancel (XDR *, bblx_sub_cancel*);
 extern  bool_t xdr_bblx_kind (XDR *, bblx_kind*);
@@ -563,6 +578,7 @@
 extern bool_t xdr_bblx_sub_request ();
 extern bool_t xdr_bblx_sub_status ();
 extern bool_t xdr_bblx_sub_result ();
+extern bool_t xdr_bblx_load ();
 extern bool_t xdr_bblx_sub_results ();
 extern bool_t xdr_bblx_sub_cancel ();
 extern bool_t xdr_bblx_kind ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -722,7 +722,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->sub))
 				 return FALSE;
@@ -732,15 +732,18 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->hedge))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->moved))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->sub);
 			IXDR_PUT_U_LONG(buf, objp->shard);
 			IXDR_PUT_U_LONG(buf, objp->searcher);
 			IXDR_PUT_BOOL(buf, objp->hedge);
+			IXDR_PUT_BOOL(buf, objp->moved);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->sub))
 				 return FALSE;
@@ -750,11 +753,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->hedge))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->moved))
+				 return FALSE;
 		} else {
 			objp->sub = IXDR_GET_U_LONG(buf);
 			objp->shard = IXDR_GET_U_LONG(buf);
 			objp->searcher = IXDR_GET_U_LONG(buf);
 			objp->hedge = IXDR_GET_BOOL(buf);
+			objp->moved = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -767,6 +773,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->hedge))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->moved))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -867,6 +875,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sub))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->searcher))
@@ -877,23 +887,36 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->service_us))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->backlog))
-		 return FALSE;
 	 if (!xdr_bblx_text (xdrs, &objp->body))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_load (XDR *xdrs, bblx_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->searcher))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->backlog))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_sub_results (XDR *xdrs, bblx_sub_results *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bblx_query_id (xdrs, &objp->query))
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, 65536,
 		sizeof (bblx_sub_result), (xdrproc_t) xdr_bblx_sub_result))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 4096,
+		sizeof (bblx_load), (xdrproc_t) xdr_bblx_load))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -288,7 +288,8 @@
     unsigned int sub;         /* number within the query */
     unsigned int shard;
     unsigned int searcher;
-    bool hedge;
+    bool hedge;               /* goes ahead in the queue */
+    bool moved;               /* not to be sent back for a long queue */
 };
 
 struct bblx_sub_request {
@@ -308,22 +309,32 @@
     BBLX_SUB_VERSION_GONE = 2, /* the searcher lacks the index version */
     BBLX_SUB_FAILED = 3,       /* ran or may have run; no usable answer */
     BBLX_SUB_CANCELLED = 4,
-    BBLX_SUB_TRUNCATED = 5     /* the answer was cut or too large */
+    BBLX_SUB_TRUNCATED = 5,    /* the answer was cut or too large */
+    BBLX_SUB_BUSY = 6,         /* sent back unrun: the queue is long */
+    BBLX_SUB_SLOW = 7,         /* still runs, for longer than most */
+    BBLX_SUB_STARTED = 8       /* a hedge has begun to run */
 };
 
 struct bblx_sub_result {
+    unsigned hyper seq;       /* of the query */
     unsigned int sub;
     unsigned int searcher;
     bblx_sub_status status;
     unsigned hyper index_version;
     unsigned int service_us;  /* time at the searcher */
-    unsigned int backlog;     /* queued and running there, of all hosts */
     bblx_text body;
 };
 
+/* Queued and running requests at one searcher, of all hosts. */
+struct bblx_load {
+    unsigned int searcher;
+    unsigned int backlog;
+};
+
 struct bblx_sub_results {
-    bblx_query_id query;
+    unsigned hyper incarnation; /* of the host that asked */
     bblx_sub_result results<65536>;
+    bblx_load loads<4096>;      /* of all searchers of the owner */
 };
 
 struct bblx_sub_cancel {
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -60,8 +60,10 @@
     put_counter(out, "first_sends_total", g->first_sends);
     put_counter(out, "hedges_total", g->hedges);
     put_counter(out, "hedge_wins_total", g->hedge_wins);
+    put_counter(out, "replaced_total", g->replaced);
     put_counter(out, "hedges_denied_total", g->hedges_denied);
     put_counter(out, "retries_total", g->retries);
+    put_counter(out, "moves_total", g->moves);
     put_counter(out, "restarts_total", g->restarts);
     put_counter(out, "late_results_total", g->late_results);
     put_counter(out, "foreign_results_total", g->foreign_results);
@@ -77,6 +79,8 @@
     put_counter(out, "exchanges_answered_total", d->answered);
     put_counter(out, "dropped_late_total", d->dropped_late);
     put_counter(out, "dropped_full_total", d->dropped_full);
+    put_counter(out, "sent_back_total", d->sent_back);
+    put_counter(out, "slow_runs_total", d->slow);
     put_counter(out, "not_owner_total", d->not_owner);
     put_counter(out, "withdrawn_total", d->withdrawn);
     put_counter(out, "searcher_refusals_total", d->refused);
--- a/src/daemon/traffic.c
+++ b/src/daemon/traffic.c
@@ -14,7 +14,7 @@
 #define TICK_US 1000u    /* period of the ticks of the cores */
 #define COALESCE_US 200u /* least time between two rounds */
 #define IDLE_WAIT_US (10 * BBL_USEC_PER_MS)
-#define ACK_TIMEOUT_US (25 * BBL_USEC_PER_MS)
+#define ACK_TIMEOUT_US (60 * BBL_USEC_PER_MS)
 #define POLL_EVERY_US (250 * BBL_USEC_PER_MS)
 #define POLL_URGENT_US (40 * BBL_USEC_PER_MS)
 #define NOTES_AT_ONCE 256
@@ -99,6 +99,8 @@
         body->bblx_text_val =
             copy_bytes(body->bblx_text_val, body->bblx_text_len);
     }
+    r->loads.loads_val = (bblx_load *)copy_bytes(
+        r->loads.loads_val, r->loads.loads_len * sizeof(bblx_load));
 }
 
 static void
@@ -582,7 +584,9 @@
     deliver_local(t);
     tick_cores(t);
     bbl_http_tick(t->http);
+    bbl_dispatch_flush(t->dispatch);
     deliver_local(t);
+    bbl_dispatch_flush(t->dispatch);
     bbl_mesh_tick(t->mesh, t->now);
     tell_idle(t);
 }
@@ -620,6 +624,8 @@
     d.host = t->options.host;
     d.incarnation = t->incarnation;
     d.limit = baseline ? &bbl_limit_static : &bbl_limit_owner;
+    d.slow_ppm = baseline ? 0 : d.slow_ppm;
+    d.busy_factor = baseline ? 0 : d.busy_factor;
     d.exchange_max = t->options.exchange_max_ms * BBL_USEC_PER_MS;
     d.port.start = dispatch_start;
     d.port.cancel = dispatch_cancel;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -11,8 +11,8 @@
 #include "util/alloc.h"
 #include "util/vec.h"
 
-#define POOL_MAX 4096L /* connections kept open */
-#define HOST_POOL_MAX 16L      /* connections to one address */
+#define POOL_MAX 4096L    /* connections kept open */
+#define HOST_POOL_MAX 16L /* connections to one address */
 #define CONNECT_MS 250L
 #define SPARE_HANDLES_MAX 512 /* unused handles kept */
 
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -7,6 +7,7 @@
 #include "control/fault.h"
 #include "util/alloc.h"
 #include "util/buf.h"
+#include "util/histogram.h"
 
 #define COMPLETIONS_PER_STEP 2 /* successes at a limit before it grows */
 #define SLOW_FACTOR 4          /* times the usual service time */
@@ -17,6 +18,8 @@
 #define LOW_CLASS_TURN 8       /* every so many picks the last class goes */
 #define LEAVING_RECHECK_US (10 * BBL_USEC_PER_SEC) /* lag of info pages */
 #define SHARE_UNIT 1000000ull /* parts per million in a full share */
+#define RUNS_KEPT 20000u      /* run times before older ones fade */
+#define SLOW_EVERY 256u       /* run times between two looks at slow */
 #define UNLISTED_SHARE 1000u  /* share of a plan no longer listed */
 
 typedef struct sub_item sub_item;
@@ -45,6 +48,7 @@
     bool repeatable;
     bool hedge;
     bool cancelled;
+    bool told_slow;
     shared_text *text;
 };
 
@@ -93,6 +97,13 @@
     uint64_t reported; /* hash of the last report */
 } searcher_row;
 
+/* Results that wait for the flush. */
+typedef struct {
+    uint32_t host;
+    uint64_t incarnation;
+    bbl_vec results; /* bblx_sub_result, bodies owned */
+} result_batch;
+
 /* A slot that a broken exchange may still use. */
 typedef struct {
     uint32_t searcher;
@@ -104,11 +115,16 @@
     const bbl_view *view;
     bbl_usec lease_until;
     bool draining;
-    bbl_vec rows;       /* searcher_row */
-    bbl_map by_id;      /* searcher -> place + 1 */
-    bbl_map items;      /* hash of query and sub -> sub_item */
-    bbl_map exchanges;  /* exchange -> sub_item */
-    bbl_vec lost_slots; /* lost_slot */
+    bbl_vec rows;        /* searcher_row */
+    bbl_map by_id;       /* searcher -> place + 1 */
+    bbl_map items;       /* hash of query and sub -> sub_item */
+    bbl_map exchanges;   /* exchange -> sub_item */
+    bbl_vec lost_slots;  /* lost_slot */
+    bbl_vec batches;     /* result_batch */
+    bbl_vec loads;       /* bblx_load, scratch */
+    bbl_histogram runs;  /* run times, microseconds */
+    bbl_usec slow_after; /* a longer run is slow; 0: not known yet */
+    unsigned fresh_runs;
     uint64_t next_exchange;
     bbl_dispatch_counters counters;
 };
@@ -204,23 +220,44 @@
 
 /* ---- replies and reports ---- */
 
+static result_batch *
+batch_for(bbl_dispatch *d, uint32_t host, uint64_t incarnation)
+{
+    result_batch *b;
+
+    for (size_t i = 0; i < d->batches.size; i++) {
+        b = bbl_vec_at(&d->batches, i);
+        if (b->host == host && b->incarnation == incarnation) {
+            return b;
+        }
+    }
+    b = bbl_vec_add(&d->batches);
+    b->host = host;
+    b->incarnation = incarnation;
+    b->results = (bbl_vec)BBL_VEC_INIT(bblx_sub_result);
+    return b;
+}
+
+/* Adds a result, with a copy of its body, to the next flush. */
 static void
 reply_one(bbl_dispatch *d, uint32_t host, const bblx_query_id *query,
-          bblx_sub_result *result)
+          const bblx_sub_result *result)
 {
-    bblx_sub_results out;
+    result_batch *b = batch_for(d, host, query->incarnation);
+    bblx_sub_result *to = bbl_vec_add(&b->results);
 
-    out.query = *query;
-    out.results.results_len = 1;
-    out.results.results_val = result;
-    d->options.port.reply(d->options.port.ctx, host, &out);
+    *to = *result;
+    to->seq = query->seq;
+    to->body.bblx_text_val = NULL;
+    if (result->body.bblx_text_len > 0) {
+        bbl_text_copy(&to->body, bbl_text_str(&result->body));
+    }
 }
 
 static void
 reply_item(bbl_dispatch *d, const sub_item *item, bblx_sub_status status,
            uint64_t version, uint32_t service_us, bbl_str body)
 {
-    const searcher_row *row = row_of(d, item->searcher);
     bblx_sub_result r;
 
     memset(&r, 0, sizeof(r));
@@ -229,11 +266,55 @@
     r.status = status;
     r.index_version = version;
     r.service_us = service_us;
-    r.backlog = row ? row->running + row->queued : 0;
     r.body = bbl_text_borrow(body);
     reply_one(d, item->host, &item->query, &r);
 }
 
+static void
+free_results(result_batch *b)
+{
+    for (size_t i = 0; i < b->results.size; i++) {
+        BBL_RELEASE(bblx_sub_result, bbl_vec_at(&b->results, i));
+    }
+    bbl_vec_free(&b->results);
+}
+
+static void
+collect_loads(bbl_dispatch *d)
+{
+    d->loads.size = 0;
+    for (size_t i = 0; i < d->rows.size; i++) {
+        const searcher_row *row = bbl_vec_at(&d->rows, i);
+        bblx_load load = {row->searcher, row->running + row->queued};
+
+        if (row->owned) {
+            bbl_vec_push(&d->loads, &load);
+        }
+    }
+}
+
+void
+bbl_dispatch_flush(bbl_dispatch *d)
+{
+    if (d->batches.size == 0) {
+        return;
+    }
+    collect_loads(d);
+    for (size_t i = 0; i < d->batches.size; i++) {
+        result_batch *b = bbl_vec_at(&d->batches, i);
+        bblx_sub_results out;
+
+        out.incarnation = b->incarnation;
+        out.results.results_len = (u_int)b->results.size;
+        out.results.results_val = b->results.ptr;
+        out.loads.loads_len = (u_int)d->loads.size;
+        out.loads.loads_val = d->loads.ptr;
+        d->options.port.reply(d->options.port.ctx, b->host, &out);
+        free_results(b);
+    }
+    d->batches.size = 0;
+}
+
 static uint64_t
 report_hash(const searcher_row *row)
 {
@@ -551,6 +632,9 @@
     e.sub = item->sub;
     e.text = (bbl_str){item->text->ptr, item->text->size};
     d->options.port.start(d->options.port.ctx, &e);
+    if (item->hedge) {
+        reply_item(d, item, BBLX_SUB_STARTED, 0, 0, (bbl_str){NULL, 0});
+    }
 }
 
 static void
@@ -696,17 +780,23 @@
 refuse_sub(bbl_dispatch *d, uint32_t host, const bblx_sub_request *request,
            const bblx_sub *sub, bblx_sub_status status)
 {
-    const searcher_row *row = row_of(d, sub->searcher);
     bblx_sub_result r;
 
     memset(&r, 0, sizeof(r));
     r.sub = sub->sub;
     r.searcher = sub->searcher;
     r.status = status;
-    r.backlog = row ? row->running + row->queued : 0;
     reply_one(d, host, &request->query, &r);
 }
 
+/* Whether another replica may well be quicker: the queue here is long. */
+static bool
+send_back(const bbl_dispatch *d, const searcher_row *row, const bblx_sub *sub)
+{
+    return d->options.busy_factor > 0 && !sub->moved &&
+           row->queued >= d->options.busy_factor * row->limit;
+}
+
 static void
 accept_sub(bbl_dispatch *d, bbl_usec now, uint32_t host,
            const bblx_sub_request *request, const bblx_sub *sub,
@@ -729,6 +819,11 @@
         refuse_sub(d, host, request, sub, BBLX_SUB_VERSION_GONE);
         return;
     }
+    if (send_back(d, row, sub)) {
+        d->counters.sent_back++;
+        refuse_sub(d, host, request, sub, BBLX_SUB_BUSY);
+        return;
+    }
     if (row->queued >= d->options.queue_max) {
         d->counters.dropped_full++;
         refuse_sub(d, host, request, sub, BBLX_SUB_NOT_RUN);
@@ -818,6 +913,26 @@
     }
 }
 
+/* Follows the run times of all searchers, for what is called slow. */
+static void
+observe_run(bbl_dispatch *d, bbl_usec us)
+{
+    double keep = 1.0 - (double)d->options.slow_ppm / 1e6;
+
+    bbl_histogram_add(&d->runs, us > UINT32_MAX ? UINT32_MAX : (uint32_t)us);
+    if (d->runs.total >= RUNS_KEPT) {
+        bbl_histogram_decay(&d->runs);
+    }
+    if (++d->fresh_runs < SLOW_EVERY || d->options.slow_ppm == 0) {
+        return;
+    }
+    d->fresh_runs = 0;
+    d->slow_after = bbl_histogram_quantile(&d->runs, keep);
+    if (d->slow_after < d->options.slow_min) {
+        d->slow_after = d->options.slow_min;
+    }
+}
+
 /* Learns from how an exchange ended. */
 static void
 observe_end(bbl_dispatch *d, searcher_row *row, const sub_item *item,
@@ -826,6 +941,7 @@
     switch (result->end) {
     case BBL_EXCHANGE_OK:
         see_boot(d, row, result->boot);
+        observe_run(d, now - item->started);
         observe_service(d, row, now - item->started);
         grow(d, row);
         break;
@@ -844,6 +960,12 @@
         d->counters.silent++;
         turn_cold(d, row);
         break;
+    case BBL_EXCHANGE_CANCELLED:
+        if (item->told_slow) {
+            /* It ran for this long at least. */
+            observe_run(d, now - item->started);
+        }
+        break;
     default:
         see_boot(d, row, result->boot);
         break;
@@ -1028,10 +1150,31 @@
     }
 }
 
+/* Tells the entry hosts which runs are slow, so that they may hedge. */
+static void
+tell_slow(bbl_dispatch *d, bbl_usec now)
+{
+    sub_item *item;
+    size_t pos = 0;
+
+    if (d->slow_after == 0) {
+        return;
+    }
+    while ((item = bbl_map_next(&d->exchanges, &pos)) != NULL) {
+        if (!item->told_slow && !item->cancelled &&
+            now >= item->started + d->slow_after) {
+            item->told_slow = true;
+            d->counters.slow++;
+            reply_item(d, item, BBLX_SUB_SLOW, 0, 0, (bbl_str){NULL, 0});
+        }
+    }
+}
+
 void
 bbl_dispatch_tick(bbl_dispatch *d, bbl_usec now)
 {
     free_lost_slots(d, now);
+    tell_slow(d, now);
     for (size_t i = 0; i < d->rows.size; i++) {
         searcher_row *row = bbl_vec_at(&d->rows, i);
 
@@ -1110,6 +1253,8 @@
     d->options = *options;
     d->rows = (bbl_vec)BBL_VEC_INIT(searcher_row);
     d->lost_slots = (bbl_vec)BBL_VEC_INIT(lost_slot);
+    d->batches = (bbl_vec)BBL_VEC_INIT(result_batch);
+    d->loads = (bbl_vec)BBL_VEC_INIT(bblx_load);
     *out = d;
 }
 
@@ -1134,6 +1279,11 @@
     }
     bbl_vec_free(&d->rows);
     bbl_vec_free(&d->lost_slots);
+    for (size_t i = 0; i < d->batches.size; i++) {
+        free_results(bbl_vec_at(&d->batches, i));
+    }
+    bbl_vec_free(&d->batches);
+    bbl_vec_free(&d->loads);
     bbl_map_free(&d->by_id);
     bbl_map_free(&d->items);
     bbl_map_free(&d->exchanges);
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -63,7 +63,7 @@
     void (*start)(void *ctx, const bbl_exchange *exchange);
     /* Asks the searcher to stop one; the end still comes back. */
     void (*cancel)(void *ctx, uint64_t exchange, uint32_t searcher);
-    /* Sends results to the host that asked. */
+    /* Sends results to the host that asked; called by the flush. */
     void (*reply)(void *ctx, uint32_t host, const bblx_sub_results *results);
     /* Reports a searcher's state to the members. */
     void (*report)(void *ctx, const bblx_report *report);
@@ -85,6 +85,9 @@
     uint64_t incarnation;
     const bbl_limit_policy *limit;
     uint32_t queue_max;    /* queued sub-requests a searcher */
+    uint32_t busy_factor;  /* queued over the limit that sends back; 0: no */
+    uint32_t slow_ppm;     /* runs that are called slow; 0: none */
+    bbl_usec slow_min;     /* least run that is called slow */
     bbl_usec silent_grace; /* after a deadline, before a slot is freed */
     bbl_usec exchange_max; /* cap on one exchange */
     bbl_dispatch_port port;
@@ -93,7 +96,9 @@
 #define BBL_DISPATCH_OPTIONS_INIT                                             \
     {                                                                         \
         .version = BBL_DISPATCH_OPTIONS_VERSION, .limit = &bbl_limit_owner,   \
-        .queue_max = 256, .silent_grace = 20 * BBL_USEC_PER_MS,               \
+        .queue_max = 256, .busy_factor = 0, .slow_ppm = 28000,                \
+        .slow_min = 2 * BBL_USEC_PER_MS,                                      \
+        .silent_grace = 20 * BBL_USEC_PER_MS,                                 \
         .exchange_max = 1000 * BBL_USEC_PER_MS                                \
     }
 
@@ -105,6 +110,8 @@
     uint64_t answered;
     uint64_t dropped_late; /* deadline could not be met */
     uint64_t dropped_full;
+    uint64_t sent_back; /* unrun, for a long queue */
+    uint64_t slow;      /* runs told to be slow */
     uint64_t not_owner;
     uint64_t withdrawn;
     uint64_t refused; /* by searchers */
@@ -156,6 +163,9 @@
 /* Drops what is late and starts what may start; call each millisecond. */
 void bbl_dispatch_tick(bbl_dispatch *dispatch, bbl_usec now);
 
+/* Sends the results gathered since the last flush. */
+void bbl_dispatch_flush(bbl_dispatch *dispatch);
+
 /* Starts nothing any more; queued work is returned unrun. */
 void bbl_dispatch_drain(bbl_dispatch *dispatch, bbl_usec now);
 
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -25,6 +25,7 @@
     bbl_usec sent;
     bool active;
     bool hedge;
+    bool slow; /* its owner says so */
 } attempt;
 
 /* One shard of a query. */
@@ -70,8 +71,8 @@
 
 /* What this daemon has seen of one searcher. */
 typedef struct {
-    uint32_t mine;   /* own active attempts */
-    uint32_t others; /* backlog told, without the own part */
+    uint32_t backlog;    /* as last told by the owner */
+    uint32_t sent_since; /* by this host after that */
     bbl_usec told;
     uint32_t service_us;
 } load_row;
@@ -87,6 +88,7 @@
     query *q;
     part *p;
     bbl_usec sent;
+    bool slow;
 } laggard;
 
 struct bbl_gather {
@@ -173,17 +175,17 @@
     return row;
 }
 
-/* Returns the requests expected ahead of a new one. */
+/*
+ * Returns the requests expected ahead of a new one: what was told, less what
+ * the searcher has worked off since, and what this host has added.
+ */
 static double
-expected_backlog(const load_row *row, bbl_usec now)
+expected_backlog(const load_row *row, double limit, double service,
+                 bbl_usec now)
 {
-    bbl_usec age = now - row->told;
+    double left = row->backlog - (double)(now - row->told) * limit / service;
 
-    if (age >= BACKLOG_FADE_US) {
-        return row->mine;
-    }
-    return row->mine +
-           row->others * (1.0 - (double)age / (double)BACKLOG_FADE_US);
+    return (left > 0 ? left : 0) + row->sent_since;
 }
 
 /* Returns the expected time to an answer, microseconds. */
@@ -194,15 +196,16 @@
     double limit = s->limit ? s->limit : 1;
     double service = row->service_us ? row->service_us : 1000;
 
-    return (expected_backlog(row, now) + 1) / limit * service;
+    return (expected_backlog(row, limit, service, now) + 1) / limit * service;
 }
 
 static void
-note_backlog(bbl_gather *g, uint32_t searcher, uint32_t backlog, bbl_usec now)
+note_load(bbl_gather *g, const bblx_load *load, bbl_usec now)
 {
-    load_row *row = load_of(g, searcher);
+    load_row *row = load_of(g, load->searcher);
 
-    row->others = backlog > row->mine ? backlog - row->mine : 0;
+    row->backlog = load->backlog;
+    row->sent_since = 0;
     row->told = now;
 }
 
@@ -224,7 +227,7 @@
 static void
 note_latency(bbl_gather *g, bbl_usec us)
 {
-    double keep = 1.0 - (double)g->options.hedge_ppm / PPM;
+    double keep = 1.0 - (double)g->options.lag_ppm / PPM;
 
     bbl_histogram_add(&g->sub_latency,
                       us > UINT32_MAX ? UINT32_MAX : (uint32_t)us);
@@ -295,12 +298,11 @@
 }
 
 static void
-end_attempt(bbl_gather *g, part *p, attempt *a)
+end_attempt(part *p, attempt *a)
 {
     if (a->active) {
         a->active = false;
         p->active--;
-        load_of(g, a->searcher)->mine--;
     }
 }
 
@@ -388,18 +390,24 @@
     return (uint32_t)(i * ATTEMPTS_MAX + attempt_place);
 }
 
+/* Ends one active attempt and queues its cancellation. */
+static void
+cancel_attempt(bbl_gather *g, query *q, part *p, attempt *a)
+{
+    unsigned place = (unsigned)(a - p->attempts);
+    outgoing o = {a->owner, {.sub = sub_number(q, p, place)}};
+
+    end_attempt(p, a);
+    bbl_vec_push(&g->out, &o);
+}
+
 /* Ends all active attempts of a part and queues their cancellation. */
 static void
 cancel_part(bbl_gather *g, query *q, part *p)
 {
     for (unsigned i = 0; i < p->attempt_count; i++) {
-        attempt *a = &p->attempts[i];
-        outgoing o = {a->owner,
-                      {sub_number(q, p, i), p->shard, a->searcher, a->hedge}};
-
-        if (a->active) {
-            end_attempt(g, p, a);
-            bbl_vec_push(&g->out, &o);
+        if (p->attempts[i].active) {
+            cancel_attempt(g, q, p, &p->attempts[i]);
         }
     }
 }
@@ -504,9 +512,9 @@
             bool hedge, bbl_usec now)
 {
     attempt *a = &p->attempts[p->attempt_count];
-    outgoing o = {
-        s->owner,
-        {sub_number(q, p, p->attempt_count), p->shard, s->searcher, hedge}};
+    outgoing o = {s->owner,
+                  {sub_number(q, p, p->attempt_count), p->shard, s->searcher,
+                   hedge, p->attempt_count > 0}};
 
     a->searcher = s->searcher;
     a->owner = s->owner;
@@ -518,7 +526,7 @@
     p->active++;
     p->retry_at = 0;
     q->sent++;
-    load_of(g, s->searcher)->mine++;
+    load_of(g, s->searcher)->sent_since++;
     bbl_vec_push(&g->out, &o);
 }
 
@@ -945,6 +953,15 @@
     }
 }
 
+/* A part whose attempt was sent back unrun, for a long queue. */
+static void
+part_moved(part *p, bbl_usec now)
+{
+    if (p->active == 0) {
+        p->retry_at = now;
+    }
+}
+
 static void
 on_answer(bbl_gather *g, query *q, part *p, const attempt *a,
           const bblx_sub_result *r, bbl_usec now)
@@ -960,7 +977,7 @@
 on_result(bbl_gather *g, query *q, part *p, attempt *a,
           const bblx_sub_result *r, bbl_usec now)
 {
-    end_attempt(g, p, a);
+    end_attempt(p, a);
     switch (r->status) {
     case BBLX_SUB_OK:
         q->may_have_run = true;
@@ -973,6 +990,14 @@
         }
         on_answer(g, q, p, a, r, now);
         return;
+    case BBLX_SUB_SLOW:
+    case BBLX_SUB_STARTED:
+        return; /* no ends; taken in before */
+    case BBLX_SUB_BUSY:
+        p->missing = BBL_MISSING_REFUSED;
+        g->counters.moves++;
+        part_moved(p, now);
+        return;
     case BBLX_SUB_NOT_RUN:
         p->missing = BBL_MISSING_REFUSED;
         part_failed(g, q, p, now, true);
@@ -1021,50 +1046,98 @@
     return true;
 }
 
-void
-bbl_gather_results(bbl_gather *g, bbl_usec now, uint32_t owner,
-                   const bblx_sub_results *results)
+/* Returns the attempt that a result is for, or NULL when it is for none. */
+static attempt *
+attempt_of(bbl_gather *g, query *q, uint32_t owner, const bblx_sub_result *r,
+           part **out)
 {
-    query *q = bbl_map_get(&g->queries, results->query.seq);
-    bool ours = results->query.host == g->options.host &&
-                results->query.incarnation == g->options.incarnation;
-
-    for (u_int i = 0; i < results->results.results_len; i++) {
-        const bblx_sub_result *r = &results->results.results_val[i];
+    size_t place = r->sub / ATTEMPTS_MAX;
+    part *p;
+    attempt *a;
 
-        note_backlog(g, r->searcher, r->backlog, now);
+    if (place >= q->parts.size) {
+        g->counters.foreign_results++;
+        return NULL;
     }
-    if (!ours || q == NULL || q->state != QUERY_RUNNING) {
-        g->counters.late_results += results->results.results_len;
-        return;
+    p = bbl_vec_at(&q->parts, place);
+    a = &p->attempts[r->sub % ATTEMPTS_MAX];
+    if (r->sub % ATTEMPTS_MAX >= p->attempt_count ||
+        a->searcher != r->searcher || a->owner != owner) {
+        g->counters.foreign_results++;
+        return NULL;
     }
-    for (u_int i = 0; i < results->results.results_len; i++) {
-        const bblx_sub_result *r = &results->results.results_val[i];
-        size_t place = r->sub / ATTEMPTS_MAX;
-        part *p;
-        attempt *a;
+    if (!a->active || p->done) {
+        g->counters.late_results++;
+        return NULL;
+    }
+    *out = p;
+    return a;
+}
 
-        if (place >= q->parts.size) {
-            g->counters.foreign_results++;
-            continue;
-        }
-        p = bbl_vec_at(&q->parts, place);
-        a = &p->attempts[r->sub % ATTEMPTS_MAX];
-        if (r->sub % ATTEMPTS_MAX >= p->attempt_count ||
-            a->searcher != r->searcher || a->owner != owner) {
-            g->counters.foreign_results++;
-            continue;
-        }
-        if (!a->active || p->done) {
-            g->counters.late_results++;
-            continue;
+/*
+ * A hedge has begun to run: the slow run that it stands in for gives its
+ * slot back. Should the hedge fail, the part is tried again.
+ */
+static void
+replace_slow(bbl_gather *g, query *q, part *p, const attempt *hedge)
+{
+    for (unsigned i = 0; i < p->attempt_count; i++) {
+        attempt *a = &p->attempts[i];
+
+        if (a->active && a->slow && a != hedge) {
+            g->counters.replaced++;
+            q->may_have_run = true;
+            cancel_attempt(g, q, p, a);
         }
-        on_result(g, q, p, a, r, now);
     }
+}
+
+static void
+take_result(bbl_gather *g, uint32_t owner, const bblx_sub_result *r,
+            bbl_usec now)
+{
+    query *q = bbl_map_get(&g->queries, r->seq);
+    part *p = NULL;
+    attempt *a;
+
+    if (q == NULL || q->state != QUERY_RUNNING) {
+        g->counters.late_results++;
+        return;
+    }
+    a = attempt_of(g, q, owner, r, &p);
+    if (a == NULL) {
+        return;
+    }
+    if (r->status == BBLX_SUB_SLOW) {
+        a->slow = true;
+        return;
+    }
+    if (r->status == BBLX_SUB_STARTED) {
+        replace_slow(g, q, p, a);
+        group_by_owner(g, q, now, cancel_group);
+        return;
+    }
+    on_result(g, q, p, a, r, now);
     group_by_owner(g, q, now, cancel_group);
     advance(g, q, now);
 }
 
+void
+bbl_gather_results(bbl_gather *g, bbl_usec now, uint32_t owner,
+                   const bblx_sub_results *results)
+{
+    if (results->incarnation != g->options.incarnation) {
+        g->counters.late_results += results->results.results_len;
+        return;
+    }
+    for (u_int i = 0; i < results->loads.loads_len; i++) {
+        note_load(g, &results->loads.loads_val[i], now);
+    }
+    for (u_int i = 0; i < results->results.results_len; i++) {
+        take_result(g, owner, &results->results.results_val[i], now);
+    }
+}
+
 /* ---- ticks ---- */
 
 static void
@@ -1085,12 +1158,16 @@
     finish(g, q, now);
 }
 
+/* Slow runs first, since a copy helps them most; then by age. */
 static int
 compare_laggards(const void *a, const void *b)
 {
     const laggard *x = a;
     const laggard *y = b;
 
+    if (x->slow != y->slow) {
+        return x->slow ? -1 : 1;
+    }
     return x->sent < y->sent ? -1 : x->sent > y->sent;
 }
 
@@ -1102,13 +1179,15 @@
     }
     for (size_t i = 0; i < q->parts.size; i++) {
         part *p = bbl_vec_at(&q->parts, i);
-        attempt *a =
-            p->attempt_count > 0 ? &p->attempts[p->attempt_count - 1] : NULL;
-        laggard l = {q, p, a ? a->sent : 0};
+        attempt *a;
+        laggard l;
 
-        if (!p->done && p->active == 1 && a->active &&
-            p->attempt_count < ATTEMPTS_MAX &&
-            now >= a->sent + g->hedge_delay) {
+        if (p->done || p->active != 1 || p->attempt_count == ATTEMPTS_MAX) {
+            continue;
+        }
+        a = &p->attempts[p->attempt_count - 1];
+        l = (laggard){q, p, a->sent, a->slow};
+        if (a->active && (a->slow || now >= a->sent + g->hedge_delay)) {
             bbl_vec_push(&g->lagging, &l);
         }
     }
@@ -1131,7 +1210,7 @@
         no_choice why;
         const bbl_view_searcher *s = choose(g, l->q, l->p, now, &why);
 
-        if (s == NULL || tried(l->p, s->searcher, false)) {
+        if (s == NULL) {
             continue;
         }
         if (!spend(&g->hedge_budget)) {
@@ -1183,7 +1262,7 @@
             attempt *a = &p->attempts[k];
 
             if (a->active && owner_lost(g, a)) {
-                end_attempt(g, p, a);
+                end_attempt(p, a);
                 q->may_have_run = true;
                 p->missing = BBL_MISSING_FAILED;
                 part_failed(g, q, p, now, false);
--- a/src/policy/gather.h
+++ b/src/policy/gather.h
@@ -120,6 +120,7 @@
     uint64_t seed;
     const bbl_replica_policy *replica;
     uint32_t hedge_ppm;     /* hedges over first requests; 0: none */
+    uint32_t lag_ppm;       /* answers that lag so that they are hedged */
     uint32_t retry_ppm;     /* retries after failures over first requests */
     bbl_usec hedge_min;     /* least delay before a hedge */
     bbl_usec answer_margin; /* kept free before the caller's deadline */
@@ -130,7 +131,7 @@
 #define BBL_GATHER_OPTIONS_INIT                                               \
     {                                                                         \
         .version = BBL_GATHER_OPTIONS_VERSION, .seed = 1,                     \
-        .replica = &bbl_replica_least, .hedge_ppm = 40000,                    \
+        .replica = &bbl_replica_least, .hedge_ppm = 40000, .lag_ppm = 5000,   \
         .retry_ppm = 10000, .hedge_min = 4 * BBL_USEC_PER_MS,                 \
         .answer_margin = 2 * BBL_USEC_PER_MS, .queries_max = 20000            \
     }
@@ -144,8 +145,10 @@
     uint64_t first_sends;
     uint64_t hedges;
     uint64_t hedge_wins;
+    uint64_t replaced;      /* slow runs cancelled when their hedge began */
     uint64_t hedges_denied; /* by the budget */
     uint64_t retries;
+    uint64_t moves;           /* parts sent back for a long queue */
     uint64_t restarts;        /* on a newer snapshot */
     uint64_t late_results;    /* for queries that have ended */
     uint64_t foreign_results; /* not from the searcher asked */
