Keep frames until they are acknowledged; suspect silent owners; survive stalls

Change: a frame stays until it is acknowledged and goes out again on the next connection, the receiver drops duplicates by id; a tick that was itself late judges nothing silent; an owner that was asked and is silent for 100 ms is avoided and its sub-requests are hedged without budget, unless a third of all are.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -487,6 +487,7 @@
 	u_int from;
 	u_int to;
 	u_quad_t incarnation;
+	u_quad_t id;
 	bblx_message body;
 };
 typedef struct bblx_frame bblx_frame;
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1020,6 +1020,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
 	 if (!xdr_bblx_message (xdrs, &objp->body))
 		 return FALSE;
 	return TRUE;
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -390,5 +390,6 @@
     unsigned int from;        /* host id */
     unsigned int to;
     unsigned hyper incarnation;
+    unsigned hyper id;        /* grows by one a frame; tells duplicates */
     bblx_message body;
 };
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -25,6 +25,7 @@
 
 #define CONTROL_WAIT_US (5 * BBL_USEC_PER_MS)
 #define CONTROL_ACK_TIMEOUT_US (150 * BBL_USEC_PER_MS)
+#define CONTROL_KEEP_US (300 * BBL_USEC_PER_MS)
 #define PLATFORM_EVERY_US (500 * BBL_USEC_PER_MS)
 #define PUBLISH_EVERY_US (5 * BBL_USEC_PER_MS) /* least time between views */
 #define NOTES_AT_ONCE 256
@@ -684,6 +685,7 @@
     memcpy(m.key, d->options->key, sizeof(m.key));
     m.listen = d->options->control;
     m.ack_timeout = CONTROL_ACK_TIMEOUT_US;
+    m.keep = CONTROL_KEEP_US;
     m.receive = on_mesh;
     m.ctx = d;
     return bbl_mesh_open(&d->mesh, d->loop, &m);
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -65,6 +65,7 @@
     put_counter(out, "retries_total", g->retries);
     put_counter(out, "moves_total", g->moves);
     put_counter(out, "restarts_total", g->restarts);
+    put_counter(out, "suspicions_total", g->suspicions);
     put_counter(out, "late_results_total", g->late_results);
     put_counter(out, "foreign_results_total", g->foreign_results);
     put_latency(out, &g->latency_us);
--- a/src/daemon/traffic.c
+++ b/src/daemon/traffic.c
@@ -14,6 +14,7 @@
 #define TICK_US 1000u    /* period of the ticks of the cores */
 #define COALESCE_US 200u /* least time between two rounds */
 #define IDLE_WAIT_US (10 * BBL_USEC_PER_MS)
+#define KEEP_FRAMES_US (150 * BBL_USEC_PER_MS)
 #define ACK_TIMEOUT_US (60 * BBL_USEC_PER_MS)
 #define POLL_EVERY_US (250 * BBL_USEC_PER_MS)
 #define POLL_URGENT_US (40 * BBL_USEC_PER_MS)
@@ -650,6 +651,7 @@
     memcpy(m.key, t->options.key, sizeof(m.key));
     m.listen = t->options.traffic;
     m.ack_timeout = ACK_TIMEOUT_US;
+    m.keep = KEEP_FRAMES_US;
     m.receive = on_mesh;
     m.ctx = t;
     error = bbl_mesh_open(&t->mesh, t->loop, &m);
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -28,7 +28,13 @@
 #define READ_CHUNK 65536
 #define CONNECT_TIMEOUT_US (250 * BBL_USEC_PER_MS)
 #define RECONNECT_PAUSE_US (50 * BBL_USEC_PER_MS)
-#define SEND_TIMES 1024 /* frames whose send time is kept */
+#define STALL_US (25 * BBL_USEC_PER_MS) /* a later tick was itself held up */
+
+/* A frame that the peer has not acknowledged. */
+typedef struct {
+    bbl_usec queued;
+    bbl_buf bytes;
+} sent_frame;
 
 /* A connection to a peer, used for sending only. */
 typedef struct {
@@ -37,19 +43,27 @@
     bblx_address address;
     int fd;    /* -1: closed */
     bool open; /* the challenge has come */
-    bool writable;
     uint8_t challenge[CHALLENGE_BYTES];
     bbl_buf in;
     bbl_buf out;
-    bbl_buf waiting; /* encoded frames without marks, before it is open */
-    uint64_t seq;
-    uint64_t acked;
-    bbl_usec times[SEND_TIMES]; /* of frame seq % SEND_TIMES */
+    bbl_vec unacked; /* sent_frame, oldest first */
+    size_t unacked_bytes;
+    size_t written; /* of the unacked ones, handed to this connection */
+    uint64_t seq;   /* frames on this connection */
+    uint64_t acked; /* of them */
+    uint64_t next_id;
+    bbl_usec progress; /* last acknowledgement or first open frame */
     bbl_usec began;
     bbl_usec not_before;
     bbl_usec now;
 } link_out;
 
+/* The last frame taken in from a host. */
+typedef struct {
+    uint64_t incarnation;
+    uint64_t id;
+} seen_frame;
+
 /* A connection from a peer, used for receiving only. */
 typedef struct {
     bbl_mesh *mesh;
@@ -64,8 +78,11 @@
     bbl_loop *loop;
     bbl_mesh_options options;
     int listener;
-    bbl_map out; /* host -> link_out */
-    bbl_vec in;  /* link_in * */
+    bbl_map out;  /* host -> link_out */
+    bbl_vec in;   /* link_in * */
+    bbl_map seen; /* host -> seen_frame */
+    bbl_usec ticked;
+    bbl_usec trusted_from; /* silence is not judged before */
     bbl_mesh_counters counters;
 };
 
@@ -105,30 +122,42 @@
 
 /* ---- sending ---- */
 
+/* Closes the connection; frames not acknowledged are kept. */
 static void
 link_close(link_out *l, bbl_usec now)
 {
-    uint64_t lost = l->seq - l->acked;
-
     if (l->fd >= 0) {
         bbl_loop_forget(l->mesh->loop, l->fd);
         close(l->fd);
     }
-    l->mesh->counters.dropped += lost;
     l->fd = -1;
     l->open = false;
-    l->writable = false;
+    l->written = 0;
     l->seq = 0;
     l->acked = 0;
     l->not_before = now + RECONNECT_PAUSE_US;
     bbl_buf_clear(&l->in);
     bbl_buf_clear(&l->out);
-    bbl_buf_clear(&l->waiting);
+}
+
+static void
+drop_oldest(link_out *l, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        sent_frame *f = bbl_vec_at(&l->unacked, i);
+
+        l->unacked_bytes -= f->bytes.size;
+        bbl_buf_free(&f->bytes);
+    }
+    l->unacked.size -= count;
+    memmove(l->unacked.ptr, (char *)l->unacked.ptr + count * l->unacked.item,
+            l->unacked.size * l->unacked.item);
+    l->written -= count < l->written ? count : l->written;
 }
 
 /* Appends a frame with its mark and keyed hash to the output. */
 static void
-queue_frame(link_out *l, bbl_str frame, bbl_usec now)
+write_frame(link_out *l, bbl_str frame)
 {
     uint8_t mac[MAC_BYTES];
     uint32_t mark = htonl(LAST_FRAGMENT | (uint32_t)(frame.size + MAC_BYTES));
@@ -137,11 +166,25 @@
     bbl_buf_put(&l->out, &mark, MARK_BYTES);
     bbl_buf_put(&l->out, mac, MAC_BYTES);
     bbl_buf_put(&l->out, frame.ptr, frame.size);
-    l->times[l->seq % SEND_TIMES] = now;
+    if (l->seq == l->acked) {
+        l->progress = l->now;
+    }
     l->seq++;
     l->mesh->counters.frames_sent++;
 }
 
+/* Hands the frames to the connection that it has not had yet. */
+static void
+write_frames(link_out *l)
+{
+    while (l->open && l->written < l->unacked.size) {
+        sent_frame *f = bbl_vec_at(&l->unacked, l->written);
+
+        write_frame(l, bbl_buf_str(&f->bytes));
+        l->written++;
+    }
+}
+
 static void
 link_flush(link_out *l)
 {
@@ -161,26 +204,13 @@
     }
 }
 
-/* Sends the frames that waited for the challenge. */
 static void
 link_opened(link_out *l)
 {
-    bbl_buf waiting = l->waiting;
-    size_t at = 0;
-
-    memset(&l->waiting, 0, sizeof(l->waiting));
     memcpy(l->challenge, l->in.ptr, CHALLENGE_BYTES);
     bbl_buf_consume(&l->in, CHALLENGE_BYTES);
     l->open = true;
-    while (at < waiting.size) {
-        uint32_t size;
-
-        memcpy(&size, waiting.ptr + at, sizeof(size));
-        at += sizeof(size);
-        queue_frame(l, (bbl_str){waiting.ptr + at, size}, l->now);
-        at += size;
-    }
-    bbl_buf_free(&waiting);
+    write_frames(l);
 }
 
 static void
@@ -192,7 +222,9 @@
         memcpy(&acked, l->in.ptr, ACK_BYTES);
         bbl_buf_consume(&l->in, ACK_BYTES);
         if (acked > l->acked && acked <= l->seq) {
+            drop_oldest(l, (size_t)(acked - l->acked));
             l->acked = acked;
+            l->progress = l->now;
         }
     }
 }
@@ -265,6 +297,7 @@
         l->host = host;
         l->fd = -1;
         l->address = to;
+        l->unacked = (bbl_vec)BBL_VEC_INIT(sent_frame);
         bbl_map_set(&mesh->out, host, l);
     }
     l->now = now;
@@ -281,9 +314,8 @@
               const bblx_message *message)
 {
     link_out *l = link_to(mesh, host, to, now);
+    sent_frame f = {now, BBL_BUF_INIT};
     bblx_frame frame;
-    bbl_buf bytes = BBL_BUF_INIT;
-    uint32_t size;
 
     memset(&frame, 0, sizeof(frame));
     frame.wire_version = BBLX_WIRE_VERSION;
@@ -291,39 +323,50 @@
     frame.from = mesh->options.host;
     frame.to = host;
     frame.incarnation = mesh->options.incarnation;
+    frame.id = ++l->next_id;
     frame.body = *message;
-    if (BBL_ENCODE(&bytes, bblx_frame, &frame) != 0 ||
-        bytes.size > FRAME_MAX ||
-        l->out.size + l->waiting.size + bytes.size > QUEUE_MAX) {
+    if (BBL_ENCODE(&f.bytes, bblx_frame, &frame) != 0 ||
+        f.bytes.size > FRAME_MAX ||
+        l->unacked_bytes + f.bytes.size > QUEUE_MAX) {
         mesh->counters.dropped++;
-        bbl_buf_free(&bytes);
+        bbl_buf_free(&f.bytes);
         return;
     }
+    bbl_vec_push(&l->unacked, &f);
+    l->unacked_bytes += f.bytes.size;
     if (l->fd < 0) {
         link_connect(l);
     }
+    write_frames(l);
+}
+
+/* Gives up frames that are too old to be of use. */
+static void
+drop_stale(link_out *l, bbl_usec now)
+{
+    size_t stale = 0;
+
     if (l->open) {
-        queue_frame(l, bbl_buf_str(&bytes), now);
-    }
-    else if (l->fd >= 0) {
-        size = (uint32_t)bytes.size;
-        bbl_buf_put(&l->waiting, &size, sizeof(size));
-        bbl_buf_put(&l->waiting, bytes.ptr, bytes.size);
+        return; /* what is on its way must keep its place */
     }
-    else {
-        mesh->counters.dropped++;
+    while (stale < l->unacked.size &&
+           now > BBL_VEC_AT(sent_frame, &l->unacked, stale)->queued +
+                     l->mesh->options.keep) {
+        stale++;
     }
-    bbl_buf_free(&bytes);
+    l->mesh->counters.dropped += stale;
+    drop_oldest(l, stale);
 }
 
 /* Replaces a connection whose frames are not acknowledged. */
 static void
 check_silence(link_out *l, bbl_usec now)
 {
-    bbl_usec timeout = l->mesh->options.ack_timeout;
-    uint64_t oldest = l->acked;
-
     if (l->fd < 0) {
+        drop_stale(l, now);
+        if (l->unacked.size > 0) {
+            link_connect(l);
+        }
         return;
     }
     if (!l->open) {
@@ -332,18 +375,15 @@
         }
         return;
     }
-    if (l->seq == l->acked) {
-        return;
-    }
-    if (l->seq - oldest > SEND_TIMES) {
-        oldest = l->seq - SEND_TIMES;
-    }
-    if (now > l->times[oldest % SEND_TIMES] + timeout) {
+    if (l->seq > l->acked && now >= l->mesh->trusted_from &&
+        now > l->progress + l->mesh->options.ack_timeout) {
         bbl_log(BBL_EV_PEER_SILENT, "peer=%u frames=%llu", l->host,
                 (unsigned long long)(l->seq - l->acked));
         l->mesh->counters.silent++;
         link_close(l, now);
         l->not_before = 0;
+        drop_stale(l, now);
+        link_connect(l);
     }
 }
 
@@ -379,6 +419,25 @@
     bbl_log(BBL_EV_PEER_REFUSED, "reason=\"%s\"", why);
 }
 
+/* Frames come again over a new connection when an old one went silent. */
+static bool
+is_duplicate(bbl_mesh *mesh, const bblx_frame *frame)
+{
+    seen_frame *seen = bbl_map_get(&mesh->seen, frame->from);
+
+    if (seen == NULL) {
+        seen = bbl_calloc(1, sizeof(*seen));
+        bbl_map_set(&mesh->seen, frame->from, seen);
+    }
+    if (frame->incarnation < seen->incarnation ||
+        (frame->incarnation == seen->incarnation && frame->id <= seen->id)) {
+        return true;
+    }
+    seen->incarnation = frame->incarnation;
+    seen->id = frame->id;
+    return false;
+}
+
 static void
 take_frame(link_in *l, bbl_str bytes)
 {
@@ -398,6 +457,10 @@
         return;
     }
     mesh->counters.frames_received++;
+    if (is_duplicate(mesh, &frame)) {
+        BBL_RELEASE(bblx_frame, &frame);
+        return;
+    }
     mesh->options.receive(mesh->options.ctx, frame.from, frame.incarnation,
                           &frame.body);
     BBL_RELEASE(bblx_frame, &frame);
@@ -543,6 +606,7 @@
 bbl_mesh_free(bbl_mesh *mesh)
 {
     link_out *l;
+    seen_frame *seen;
     size_t pos = 0;
 
     if (mesh == NULL) {
@@ -552,10 +616,16 @@
         link_close(l, 0);
         bbl_buf_free(&l->in);
         bbl_buf_free(&l->out);
-        bbl_buf_free(&l->waiting);
+        drop_oldest(l, l->unacked.size);
+        bbl_vec_free(&l->unacked);
         free(l);
     }
     bbl_map_free(&mesh->out);
+    pos = 0;
+    while ((seen = bbl_map_next(&mesh->seen, &pos)) != NULL) {
+        free(seen);
+    }
+    bbl_map_free(&mesh->seen);
     for (size_t i = 0; i < mesh->in.size; i++) {
         free_in(*BBL_VEC_AT(link_in *, &mesh->in, i));
     }
@@ -573,6 +643,11 @@
     link_out *l;
     size_t pos = 0;
 
+    if (mesh->ticked != 0 && now > mesh->ticked + STALL_US) {
+        /* This thread was held up: acknowledgements may just be unread. */
+        mesh->trusted_from = now + mesh->options.ack_timeout;
+    }
+    mesh->ticked = now;
     while ((l = bbl_map_next(&mesh->out, &pos)) != NULL) {
         l->now = now;
         link_flush(l);
--- a/src/net/mesh.h
+++ b/src/net/mesh.h
@@ -3,9 +3,10 @@
  *
  * Frames are XDR with ONC RPC record marking, each with a keyed hash over a
  * challenge of the receiver, a sequence number and the frame. Sending never
- * blocks; a message may be lost when a connection breaks. The receiver
- * acknowledges counts of frames, so that a connection that has gone silent
- * is noticed and replaced.
+ * blocks. The receiver acknowledges counts of frames, so that a connection
+ * that has gone silent is noticed and replaced; frames not acknowledged then
+ * go out again on the new one, and the receiver drops duplicates. A message
+ * is lost when its peer cannot be reached for `keep`.
  */
 #ifndef BBL_MESH_H
 #define BBL_MESH_H
@@ -22,6 +23,7 @@
     uint8_t key[BBL_MESH_KEY_BYTES];
     bblx_address listen;
     bbl_usec ack_timeout; /* silence of a connection with frames under way */
+    bbl_usec keep;        /* how long a frame waits for a new connection */
     /* Takes in one message; `message` is released after the call. */
     void (*receive)(void *ctx, uint32_t from, uint64_t incarnation,
                     const bblx_message *message);
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -14,8 +14,9 @@
 #define INFO_TIMEOUT_US (500 * BBL_USEC_PER_MS)
 #define INFO_MAX_BYTES (1u << 20)
 #define CANCEL_TIMEOUT_US (200 * BBL_USEC_PER_MS)
-#define CONFIRM_WAIT_US (10 * BBL_USEC_PER_MS) /* answer after a cancel */
-#define DISTRUST_REQUESTS 32 /* kept off the pool after a silence */
+#define CONFIRM_WAIT_US (30 * BBL_USEC_PER_MS) /* answer after a cancel */
+#define STALL_US (25 * BBL_USEC_PER_MS) /* a later tick was itself held up */
+#define DISTRUST_REQUESTS 32            /* kept off the pool after a silence */
 #define STATUS_CANCELLED 499
 #define URL_MAX 192
 
@@ -53,6 +54,7 @@
     bbl_map calls;     /* exchange -> call */
     bbl_map contacts;  /* searcher -> contact */
     bbl_vec confirmed; /* uint64_t exchanges */
+    bbl_usec ticked;
     bbl_searcher_counters counters;
 };
 
@@ -264,11 +266,17 @@
 void
 bbl_searcher_client_tick(bbl_searcher_client *c, bbl_usec now)
 {
+    bool stalled = c->ticked != 0 && now > c->ticked + STALL_US;
+
+    c->ticked = now;
     for (size_t i = c->confirmed.size; i > 0; i--) {
         uint64_t exchange = *BBL_VEC_AT(uint64_t, &c->confirmed, i - 1);
         call *k = bbl_map_get(&c->calls, exchange);
         bbl_exchange_result unsent = {.end = BBL_EXCHANGE_UNSENT};
 
+        if (k != NULL && k->handle != NULL && stalled) {
+            k->confirmed = now; /* the answer may just be unread */
+        }
         if (k != NULL && now < k->confirmed + CONFIRM_WAIT_US) {
             continue;
         }
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -14,6 +14,9 @@
 #define SAMPLES_KEPT 20000u    /* latencies before older ones fade */
 #define DELAY_EVERY 256u       /* latencies between two hedge delays */
 #define BACKLOG_FADE_US 20000u /* how long a told backlog counts */
+#define HELD_UP_US 25000u      /* a later tick was itself held up */
+#define SUSPECT_PART 3         /* suspects that count, one in so many */
+#define SUSPECT_PENALTY_US 1e6 /* makes a suspect the last choice */
 #define RETRY_PAUSE_US 2000u   /* before a refused part is tried again */
 #define SERVICE_SHIFT 3        /* weight of a new service time, 1/8 */
 #define RETRY_AFTER_MS 20u     /* told on overload */
@@ -77,6 +80,13 @@
     uint32_t service_us;
 } load_row;
 
+/* What this daemon has heard of one owner. */
+typedef struct {
+    uint32_t host;
+    bbl_usec asked; /* first request since it was heard; 0: none */
+    bool suspect;   /* asked, and silent for too long */
+} owner_row;
+
 /* A sub-request about to be sent. */
 typedef struct {
     uint32_t owner;
@@ -89,6 +99,7 @@
     part *p;
     bbl_usec sent;
     bool slow;
+    bool lost; /* its owner is silent; needs no budget */
 } laggard;
 
 struct bbl_gather {
@@ -99,6 +110,9 @@
     bbl_map queries; /* seq -> query */
     bbl_vec order;   /* query *, for ticks */
     bbl_map loads;   /* searcher -> load_row */
+    bbl_map owners;  /* host -> owner_row */
+    size_t suspects;
+    bbl_usec ticked;
     uint64_t next_seq;
     uint64_t hedge_budget; /* parts per million of one hedge */
     uint64_t retry_budget;
@@ -222,6 +236,65 @@
                    ((int64_t)us - row->service_us) / (1 << SERVICE_SHIFT));
 }
 
+/* ---- owners ---- */
+
+static owner_row *
+owner_of(bbl_gather *g, uint32_t host)
+{
+    owner_row *row = bbl_map_get(&g->owners, host);
+
+    if (row == NULL) {
+        row = bbl_calloc(1, sizeof(*row));
+        row->host = host;
+        bbl_map_set(&g->owners, host, row);
+    }
+    return row;
+}
+
+static void
+hear_owner(bbl_gather *g, uint32_t host)
+{
+    owner_row *row = owner_of(g, host);
+
+    row->asked = 0;
+    if (row->suspect) {
+        row->suspect = false;
+        g->suspects--;
+    }
+}
+
+/* Whether an owner is avoided; many silent ones mean the fault lies here. */
+static bool
+is_suspect(bbl_gather *g, uint32_t host)
+{
+    return owner_of(g, host)->suspect &&
+           g->suspects * SUSPECT_PART <= g->owners.size;
+}
+
+/* Suspects the owners that have been silent since they were asked. */
+static void
+watch_owners(bbl_gather *g, bbl_usec now)
+{
+    bool held_up = g->ticked != 0 && now > g->ticked + HELD_UP_US;
+    owner_row *row;
+    size_t pos = 0;
+
+    g->ticked = now;
+    while ((row = bbl_map_next(&g->owners, &pos)) != NULL) {
+        if (row->asked == 0 || row->suspect) {
+            continue;
+        }
+        if (held_up) {
+            row->asked = now; /* its answer may just be unread */
+        }
+        else if (now > row->asked + g->options.suspect_after) {
+            row->suspect = true;
+            g->suspects++;
+            g->counters.suspicions++;
+        }
+    }
+}
+
 /* ---- hedge delay ---- */
 
 static void
@@ -362,6 +435,9 @@
     r.text = bbl_text_borrow(bbl_buf_str(&q->text));
     r.subs.subs_len = (u_int)g->subs.size;
     r.subs.subs_val = g->subs.ptr;
+    if (owner_of(g, owner)->asked == 0) {
+        owner_of(g, owner)->asked = now;
+    }
     g->options.port.send(g->options.port.ctx, owner, &r);
 }
 
@@ -502,6 +578,9 @@
     }
     for (size_t i = 0; i < count; i++) {
         scores[i] = expected_wait(g, pool[i], now);
+        if (is_suspect(g, pool[i]->owner)) {
+            scores[i] += SUSPECT_PENALTY_US;
+        }
     }
     return pool[g->options.replica->choose(scores, count,
                                            bbl_rng_next(&g->rng))];
@@ -1130,6 +1209,7 @@
         g->counters.late_results += results->results.results_len;
         return;
     }
+    hear_owner(g, owner);
     for (u_int i = 0; i < results->loads.loads_len; i++) {
         note_load(g, &results->loads.loads_val[i], now);
     }
@@ -1186,8 +1266,10 @@
             continue;
         }
         a = &p->attempts[p->attempt_count - 1];
-        l = (laggard){q, p, a->sent, a->slow};
-        if (a->active && (a->slow || now >= a->sent + g->hedge_delay)) {
+        l = (laggard){q, p, a->sent, a->slow, false};
+        l.lost = a->active && is_suspect(g, a->owner);
+        if (a->active &&
+            (l.lost || a->slow || now >= a->sent + g->hedge_delay)) {
             bbl_vec_push(&g->lagging, &l);
         }
     }
@@ -1213,7 +1295,7 @@
         if (s == NULL) {
             continue;
         }
-        if (!spend(&g->hedge_budget)) {
+        if (!l->lost && !spend(&g->hedge_budget)) {
             g->counters.hedges_denied++;
             continue;
         }
@@ -1236,6 +1318,7 @@
             advance(g, q, now);
         }
     }
+    watch_owners(g, now);
     if (g->options.hedge_ppm > 0 && g->view != NULL) {
         hedge(g, now);
     }
@@ -1325,6 +1408,7 @@
 bbl_gather_free(bbl_gather *g)
 {
     load_row *row;
+    owner_row *owner;
     size_t pos = 0;
 
     if (g == NULL) {
@@ -1336,7 +1420,12 @@
     while ((row = bbl_map_next(&g->loads, &pos)) != NULL) {
         free(row);
     }
+    pos = 0;
+    while ((owner = bbl_map_next(&g->owners, &pos)) != NULL) {
+        free(owner);
+    }
     bbl_map_free(&g->loads);
+    bbl_map_free(&g->owners);
     bbl_map_free(&g->queries);
     bbl_admission_free(&g->admission);
     bbl_vec_free(&g->order);
--- a/src/policy/gather.h
+++ b/src/policy/gather.h
@@ -123,6 +123,7 @@
     uint32_t lag_ppm;       /* answers that lag so that they are hedged */
     uint32_t retry_ppm;     /* retries after failures over first requests */
     bbl_usec hedge_min;     /* least delay before a hedge */
+    bbl_usec suspect_after; /* silence of an owner that was asked */
     bbl_usec answer_margin; /* kept free before the caller's deadline */
     size_t queries_max;     /* queries at once */
     bbl_gather_port port;
@@ -133,6 +134,7 @@
         .version = BBL_GATHER_OPTIONS_VERSION, .seed = 1,                     \
         .replica = &bbl_replica_least, .hedge_ppm = 40000, .lag_ppm = 5000,   \
         .retry_ppm = 10000, .hedge_min = 4 * BBL_USEC_PER_MS,                 \
+        .suspect_after = 100 * BBL_USEC_PER_MS,                               \
         .answer_margin = 2 * BBL_USEC_PER_MS, .queries_max = 20000            \
     }
 
@@ -150,6 +152,7 @@
     uint64_t retries;
     uint64_t moves;           /* parts sent back for a long queue */
     uint64_t restarts;        /* on a newer snapshot */
+    uint64_t suspicions;      /* owners found silent */
     uint64_t late_results;    /* for queries that have ended */
     uint64_t foreign_results; /* not from the searcher asked */
     bbl_histogram latency_us;
