--- a/src/control/registry.c
+++ b/src/control/registry.c
@@ -6,6 +6,8 @@
 #include "control/fault.h"
 #include "util/alloc.h"
 
+#define OTHER_ZONE_COST 8  /* searchers more that an owner nearby may have */
+#define SIBLING_COST 1000  /* for an owner of another replica */
 #define REBALANCE_SLACK 3 /* searchers above the mean before one moves */
 
 /* Owners that already serve a replica of each service. */
@@ -278,10 +280,10 @@
 
     bbl_name_from_wire(&zone, &place->zone);
     if (!bbl_name_equal(&zone, &m->zone)) {
-        cost += 4;
+        cost += OTHER_ZONE_COST;
     }
     if (owns_sibling(p, place, m->host)) {
-        cost += 1000;
+        cost += SIBLING_COST;
     }
     return cost;
 }
--- a/src/daemon/traffic.c
+++ b/src/daemon/traffic.c
@@ -12,7 +12,7 @@
 #include "util/clock.h"
 
 #define TICK_US 1000u    /* period of the ticks of the cores */
-#define COALESCE_US 200u /* least time between two rounds */
+#define COALESCE_US 100u /* least time between two rounds */
 #define IDLE_WAIT_US (10 * BBL_USEC_PER_MS)
 #define KEEP_FRAMES_US (150 * BBL_USEC_PER_MS)
 #define ACK_TIMEOUT_US (60 * BBL_USEC_PER_MS)
