--- a/src/control/control.c
+++ b/src/control/control.c
@@ -61,7 +61,8 @@
     uint64_t wall_ms;
 
     bbl_quorum *quorum;
-    bbl_state *state;
+    bbl_state *full;  /* what the quorum applied; NULL without a quorum */
+    bbl_state *state; /* what members follow: no claims */
     bbl_rows rows;
     bbl_registry registry;
     uint64_t led_term; /* term that the registry belongs to */
@@ -221,16 +222,24 @@
     c->beat_now = true;
 }
 
+/*
+ * Applies a committed entry to the followed state. The quorum and the feed
+ * may both bring it; the second time it is skipped.
+ */
 static void
-apply_public(bbl_control *c, uint64_t index, bbl_str data,
-             bbl_state_result *result)
+follow_entry(bbl_control *c, uint64_t index, bbl_str data)
 {
     uint64_t version = bbl_state_lists_version(c->state);
+    bbl_state_result result;
 
-    bbl_state_apply(c->state, index, data, result);
+    if (index <= bbl_state_applied(c->state)) {
+        return;
+    }
     if (!bbl_state_is_public(data)) {
+        bbl_state_skip_to(c->state, index);
         return;
     }
+    bbl_state_apply(c->state, index, data, &result);
     keep_entry(c, index, data);
     c->public_index = index;
     if (bbl_state_lists_version(c->state) != version) {
@@ -436,7 +445,8 @@
     bbl_control *c = ctx;
     bbl_state_result result;
 
-    apply_public(c, index, data, &result);
+    bbl_state_apply(c->full, index, data, &result);
+    follow_entry(c, index, data);
     answer_waiting(c, index, term, &result);
 }
 
@@ -445,15 +455,22 @@
 {
     bbl_control *c = ctx;
 
-    bbl_state_save(c->state, true, out);
+    bbl_state_save(c->full, true, out);
 }
 
 static int
 port_load(void *ctx, uint64_t index, bbl_str data)
 {
     bbl_control *c = ctx;
-    int error = bbl_state_load(c->state, data);
+    bbl_buf followed = BBL_BUF_INIT;
+    int error = bbl_state_load(c->full, data);
 
+    if (error != 0 || index <= bbl_state_applied(c->state)) {
+        return error;
+    }
+    bbl_state_save(c->full, false, &followed);
+    error = bbl_state_load(c->state, bbl_buf_str(&followed));
+    bbl_buf_free(&followed);
     if (error == 0) {
         bbl_state_skip_to(c->state, index);
         restart_log(c);
@@ -740,11 +757,8 @@
 {
     for (u_int i = 0; i < f->entries.entries_len; i++) {
         const bblx_entry *e = &f->entries.entries_val[i];
-        bbl_state_result result;
 
-        if (e->index > bbl_state_applied(c->state)) {
-            apply_public(c, e->index, bbl_text_str(&e->data), &result);
-        }
+        follow_entry(c, e->index, bbl_text_str(&e->data));
     }
     if (f->applied > bbl_state_applied(c->state)) {
         bbl_state_skip_to(c->state, f->applied);
@@ -756,14 +770,6 @@
 static void
 follow_log(bbl_control *c, const bblx_feed *f)
 {
-    if (c->quorum != NULL) {
-        bbl_quorum_status s;
-
-        bbl_quorum_get_status(c->quorum, &s);
-        if (s.voter || s.last > 0) {
-            return; /* the quorum itself brings the log */
-        }
-    }
     if (f->snapshot_set) {
         follow_snapshot(c, f);
     }
@@ -1099,6 +1105,7 @@
     c->assigns = (bbl_vec)BBL_VEC_INIT(bblx_assign);
     c->feed_boot = options->incarnation;
     if (disk != NULL) {
+        c->full = bbl_state_new();
         error = open_quorum(c, disk, now);
     }
     if (error != 0) {
@@ -1121,6 +1128,7 @@
     for (size_t i = 0; i < c->pendings.size; i++) {
         bbl_buf_free(&BBL_VEC_AT(pending, &c->pendings, i)->data);
     }
+    bbl_state_free(c->full);
     bbl_state_free(c->state);
     bbl_rows_free(&c->rows);
     bbl_registry_free(&c->registry);
@@ -1299,7 +1307,7 @@
     out->lists_version = bbl_state_lists_version(c->state);
     out->lease_until = c->lease_until;
     out->ready = bbl_control_ready(c, now);
-    out->claims = bbl_state_claim_count(c->state);
+    out->claims = c->full ? bbl_state_claim_count(c->full) : 0;
     out->beats_sent = c->beats_sent;
     out->beats_relayed = c->beats_relayed;
     out->feeds_sent = c->feeds_sent;
--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -13,7 +13,10 @@
 #define BATCH_BYTES (1u << 20)    /* bytes in one append, about */
 #define COMPACT_BYTES (16u << 20) /* journal size that asks for a snapshot */
 #define KEEP_ENTRIES 256          /* entries kept behind a snapshot */
-#define SNAPSHOT_RESEND_MS 1000   /* between two snapshots to one peer */
+#define SOUND_BEATS                                                           \
+    4 /* heartbeats that a sound voter may leave unanswered                   \
+       */
+#define SNAPSHOT_RESEND_MS 1000      /* between two snapshots to one peer */
 #define RANDOM_HOST_BIT (1ull << 63) /* marks random identities */
 
 typedef struct {
@@ -942,6 +945,42 @@
 
 /* ---- voter changes ---- */
 
+/* Whether a host answers now and holds the journal it should. */
+static bool
+is_sound(const bbl_quorum *q, const bblx_voter *v)
+{
+    if (v->host == q->options.host) {
+        return v->disk == q->disk;
+    }
+    for (size_t i = 0; i < q->peers.size; i++) {
+        const peer *p = bbl_vec_at(&q->peers, i);
+
+        if (p->host == v->host) {
+            return p->disk == v->disk &&
+                   p->acked + SOUND_BEATS * q->options.heartbeat >= q->now;
+        }
+    }
+    return false;
+}
+
+/* Whether a majority of the voters would answer, so that work can go on. */
+static bool
+has_sound_majority(const bbl_quorum *q, const bblx_voters *voters)
+{
+    size_t all = 0;
+    size_t sound = 0;
+
+    for (u_int i = 0; i < voters->list.list_len; i++) {
+        const bblx_voter *v = &voters->list.list_val[i];
+
+        if (v->role == BBLX_VOTER) {
+            all++;
+            sound += is_sound(q, v);
+        }
+    }
+    return sound > all / 2;
+}
+
 static int
 propose_voters(bbl_quorum *q, const bblx_voters *voters)
 {
@@ -958,6 +997,10 @@
     if (q->commit < q->led_index) {
         return bbl_error_set(BBL_ELEADER, "the new leader is not ready");
     }
+    if (!has_sound_majority(q, voters)) {
+        return bbl_error_set(BBL_ECONFLICT,
+                             "too few of these voters answer now");
+    }
     memset(&command, 0, sizeof(command));
     command.kind = BBLX_VOTERS;
     command.bblx_command_u.voters = *voters;
@@ -1019,8 +1062,8 @@
         changed.list.list_len = n;
         v = &changed.list.list_val[n - 1];
     }
-    else if (host == q->options.host) {
-        error = bbl_error_set(BBL_EINVAL, "the leader is a voter already");
+    else if (v->role == BBLX_VOTER && is_sound(q, v)) {
+        error = bbl_error_set(BBL_EEXISTS, "host %u is a voter already", host);
     }
     memset(v, 0, sizeof(*v));
     v->host = host;
--- a/src/control/registry.c
+++ b/src/control/registry.c
@@ -6,8 +6,8 @@
 #include "control/fault.h"
 #include "util/alloc.h"
 
-#define OTHER_ZONE_COST 8  /* searchers more that an owner nearby may have */
-#define SIBLING_COST 1000  /* for an owner of another replica */
+#define OTHER_ZONE_COST 8 /* searchers more that an owner nearby may have */
+#define SIBLING_COST 1000 /* for an owner of another replica */
 #define REBALANCE_SLACK 3 /* searchers above the mean before one moves */
 
 /* Owners that already serve a replica of each service. */
