--- a/src/control/fault.h
+++ b/src/control/fault.h
@@ -15,7 +15,12 @@
     BBL_FAULT_FORGET_CHANGES = 1 << 6,  /* snapshot drops the change ids */
     BBL_FAULT_CLAIM_TWICE = 1 << 7,     /* a second claim is granted */
     BBL_FAULT_ANY_DISK = 1 << 8,        /* an emptied disk still counts */
-    BBL_FAULT_NO_HOLD = 1 << 9          /* new owner starts at full limit */
+    BBL_FAULT_NO_HOLD = 1 << 9,         /* a new owner starts at once, full */
+    BBL_FAULT_FREE_EARLY = 1 << 10,     /* a broken exchange frees its slot */
+    BBL_FAULT_RETRY_ONCE = 1 << 11,     /* retry what may not be repeated */
+    BBL_FAULT_OLD_RESULTS = 1 << 12,    /* merge results of an old snapshot */
+    BBL_FAULT_ALWAYS_NOT_RUN = 1 << 13, /* call any failure "not run" */
+    BBL_FAULT_IGNORE_ZONE = 1 << 14     /* use withdrawn data centres */
 } bbl_fault;
 
 #ifdef BBL_TEST_FAULTS
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -601,7 +601,8 @@
         *counter = &d->counters.dropped_late;
         return true;
     }
-    if (lists != NULL && bbl_lists_zone_out_for(lists, plan, &row->zone)) {
+    if (lists != NULL && !BBL_FAULT(BBL_FAULT_IGNORE_ZONE) &&
+        bbl_lists_zone_out_for(lists, plan, &row->zone)) {
         *counter = &d->counters.withdrawn;
         return true;
     }
@@ -983,7 +984,7 @@
     bool broken = end == BBL_EXCHANGE_FAILED || end == BBL_EXCHANGE_SILENT;
     lost_slot lost = {row->searcher, item->deadline};
 
-    if (broken && now < item->deadline) {
+    if (broken && now < item->deadline && !BBL_FAULT(BBL_FAULT_FREE_EARLY)) {
         bbl_vec_push(&d->lost_slots, &lost);
         return;
     }
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/fault.h"
 #include "util/alloc.h"
 #include "util/rng.h"
 
@@ -517,7 +518,8 @@
     const bbl_plan *plan =
         lists ? bbl_lists_plan_named(lists, &q->plan) : NULL;
 
-    if (lists != NULL && bbl_lists_zone_out_for(lists, plan, &s->zone)) {
+    if (lists != NULL && !BBL_FAULT(BBL_FAULT_IGNORE_ZONE) &&
+        bbl_lists_zone_out_for(lists, plan, &s->zone)) {
         why->reason = BBL_MISSING_WITHDRAWN;
         return false;
     }
@@ -632,7 +634,7 @@
         a->kind = BBL_ANSWER_OK;
         a->reason = "";
     }
-    else if (!q->may_have_run) {
+    else if (!q->may_have_run || BBL_FAULT(BBL_FAULT_ALWAYS_NOT_RUN)) {
         a->kind = BBL_ANSWER_NOT_RUN;
         a->reason = "no searcher could take it in time";
         a->retry_after_ms = RETRY_AFTER_MS;
@@ -795,7 +797,9 @@
     }
     group_by_owner(g, q, now, cancel_group);
     bbl_map_remove(&g->queries, q->seq);
-    q->seq = ++g->next_seq; /* results of the old snapshot find no query */
+    if (!BBL_FAULT(BBL_FAULT_OLD_RESULTS)) {
+        q->seq = ++g->next_seq; /* results of the old snapshot find none */
+    }
     bbl_map_set(&g->queries, q->seq, q);
     q->restarts++;
     g->counters.restarts++;
@@ -1017,7 +1021,8 @@
     if (p->active > 0) {
         return; /* another attempt may still answer */
     }
-    if (!unrun && (!q->repeatable || !spend(&g->retry_budget))) {
+    if (!unrun && !BBL_FAULT(BBL_FAULT_RETRY_ONCE) &&
+        (!q->repeatable || !spend(&g->retry_budget))) {
         close_part(q, p, p->missing);
         return;
     }
@@ -1061,7 +1066,8 @@
     case BBLX_SUB_OK:
         q->may_have_run = true;
         note_service(g, a->searcher, r->service_us);
-        if (r->index_version != q->version) {
+        if (r->index_version != q->version &&
+            !BBL_FAULT(BBL_FAULT_OLD_RESULTS)) {
             g->counters.foreign_results++;
             p->missing = BBL_MISSING_VERSION_GONE;
             part_failed(g, q, p, now, false);
--- a/tests/property/control_property.cc
+++ b/tests/property/control_property.cc
@@ -20,12 +20,23 @@
 {
     // Time passes most often; changes and claims come before faults.
     auto kind = rc::gen::weightedElement<control_kind>({
-        {12, CONTROL_RUN},   {2, CONTROL_CRASH},   {4, CONTROL_RESTART},
-        {2, CONTROL_PAUSE},  {2, CONTROL_CUT},     {2, CONTROL_ISOLATE},
-        {4, CONTROL_HEAL},   {6, CONTROL_CHANGE},  {2, CONTROL_RESEND},
-        {2, CONTROL_RACE},   {3, CONTROL_CLAIM},   {1, CONTROL_WIPE},
-        {2, CONTROL_ADD},    {1, CONTROL_REMOVE},  {1, CONTROL_DISK},
-        {1, CONTROL_DRAIN},  {1, CONTROL_LEAVE},
+        {12, CONTROL_RUN},
+        {2, CONTROL_CRASH},
+        {4, CONTROL_RESTART},
+        {2, CONTROL_PAUSE},
+        {2, CONTROL_CUT},
+        {2, CONTROL_ISOLATE},
+        {4, CONTROL_HEAL},
+        {6, CONTROL_CHANGE},
+        {2, CONTROL_RESEND},
+        {2, CONTROL_RACE},
+        {3, CONTROL_CLAIM},
+        {1, CONTROL_WIPE},
+        {2, CONTROL_ADD},
+        {1, CONTROL_REMOVE},
+        {1, CONTROL_DISK},
+        {1, CONTROL_DRAIN},
+        {1, CONTROL_LEAVE},
     });
 
     return rc::gen::build<control_op>(
--- a/tests/support/control_world.c
+++ b/tests/support/control_world.c
@@ -10,15 +10,15 @@
 #include "memdisk.h"
 #include "util/alloc.h"
 
-#define STEP_US 5000u            /* between two ticks */
-#define CLOCK_PPM 1000           /* bound told to the cores */
+#define STEP_US 5000u  /* between two ticks */
+#define CLOCK_PPM 1000 /* bound told to the cores */
 #define DELAY_MAX_US 4000u
 #define LOSS_PERCENT 2
 #define REPEAT_PERCENT 2
 #define SEARCHERS 4
 #define REQUESTS 4
 #define VERSIONS_MAX 4096
-#define SETTLE_STEPS 3000        /* 15 s, for the end of a schedule */
+#define SETTLE_STEPS 3000 /* 15 s, for the end of a schedule */
 
 typedef struct {
     bbl_usec at;
@@ -33,7 +33,7 @@
     memdisk disk;
     bool has_disk;
     uint64_t journal; /* identity of its journal */
-    bool released; /* has stopped using its searchers */
+    bool released;    /* has stopped using its searchers */
     bbl_usec paused_until;
     int64_t rate_ppm;
     bbl_usec offset;
@@ -60,15 +60,15 @@
     bbl_usec now;
     host hosts[CONTROL_HOSTS + 1];
     bool cut[CONTROL_HOSTS + 1][CONTROL_HOSTS + 1];
-    bool quiet;        /* no loss: the end of the schedule */
-    bbl_vec packets;   /* packet */
+    bool quiet;      /* no loss: the end of the schedule */
+    bbl_vec packets; /* packet */
     uint64_t order;
-    uint64_t leaders[4096]; /* term -> host */
-    uint64_t committed[65536]; /* index -> hash */
+    uint64_t leaders[4096];       /* term -> host */
+    uint64_t committed[65536];    /* index -> hash */
     char texts[VERSIONS_MAX][64]; /* version -> plans text accepted */
-    uint64_t in_force; /* greatest version said to be in force */
-    uint64_t accepted; /* greatest version acknowledged */
-    bbl_vec changes;   /* change */
+    uint64_t in_force;            /* greatest version said to be in force */
+    uint64_t accepted;            /* greatest version acknowledged */
+    bbl_vec changes;              /* change */
     unsigned fresh[REQUESTS];
     uint64_t claim_numbers[CONTROL_HOSTS + 1][64];
     unsigned claim_requests[CONTROL_HOSTS + 1][64];
@@ -98,9 +98,9 @@
 control_kind_name(control_kind kind)
 {
     static const char *const names[CONTROL_OPS] = {
-        "run",   "crash", "restart", "pause", "cut",    "isolate",
-        "heal",  "change", "resend", "race",  "claim",  "wipe",
-        "add",   "remove", "disk",   "drain", "leave",
+        "run",  "crash",  "restart", "pause", "cut",   "isolate",
+        "heal", "change", "resend",  "race",  "claim", "wipe",
+        "add",  "remove", "disk",    "drain", "leave",
     };
 
     return names[kind];
@@ -452,9 +452,8 @@
         bbl_state_assign(bbl_control_state(x->control), searcher + 1);
     bbl_usec now = local_time(w, h);
 
-    if (row == NULL || row->owner != h ||
-        row->incarnation != x->incarnation || x->released ||
-        bbl_control_lease_until(x->control) <= now) {
+    if (row == NULL || row->owner != h || row->incarnation != x->incarnation ||
+        x->released || bbl_control_lease_until(x->control) <= now) {
         return false;
     }
     if (row->epoch != x->epoch_seen[searcher]) {
@@ -851,8 +850,8 @@
 
             if (leader != 0) {
                 new_change(w, leader,
-                           bbl_state_lists_version(bbl_control_state(
-                               w->hosts[leader].control)));
+                           bbl_state_lists_version(
+                               bbl_control_state(w->hosts[leader].control)));
             }
         }
         step(w);
@@ -880,8 +879,8 @@
 
         memdisk_init(&x->disk);
         x->has_disk = h <= CONTROL_VOTERS + 1; /* one spare disk */
-        x->rate_ppm = (int64_t)bbl_rng_below(&w->rng, 2 * CLOCK_PPM + 1) -
-                      CLOCK_PPM;
+        x->rate_ppm =
+            (int64_t)bbl_rng_below(&w->rng, 2 * CLOCK_PPM + 1) - CLOCK_PPM;
         x->offset = bbl_rng_below(&w->rng, 1000) * BBL_USEC_PER_SEC;
         if (h <= CONTROL_VOTERS &&
             bbl_quorum_found(memdisk_open(&x->disk), h) != 0) {
--- a/tools/load.c
+++ b/tools/load.c
@@ -23,6 +23,8 @@
 #include "util/vec.h"
 
 #define TARGETS_MAX 64
+#define PROBE_EVERY_US (200 * BBL_USEC_PER_MS)
+#define PROBE_TIMEOUT_US (300 * BBL_USEC_PER_MS)
 #define CLIENT_GRACE_MS                                                       \
     500 /* beyond the deadline before a query is given up */
 #define ANSWER_MAX_BYTES (8u << 20)
@@ -65,11 +67,19 @@
     bbl_histogram latency; /* microseconds, every query */
 } figures;
 
+/* One daemon as the load tool's balancer sees it. */
+typedef struct {
+    char address[40];
+    bool ready;
+    bool asking;
+    bbl_usec asked;
+} target;
+
 typedef struct {
     const flags *f;
     bbl_loop *loop;
     bbl_http *http;
-    char urls[TARGETS_MAX][64];
+    target targets[TARGETS_MAX];
     size_t target_count;
     bbl_rng rng;
     bbl_usec began;
@@ -219,6 +229,72 @@
     free(q);
 }
 
+/* ---- the balancer: only daemons that say they are ready get queries ---- */
+
+typedef struct {
+    load *owner;
+    target *target;
+} probe;
+
+static void
+on_ready(void *ctx, const bbl_http_response *r)
+{
+    probe *p = ctx;
+
+    p->target->ready = r->end == BBL_HTTP_DONE && r->status == 200;
+    p->target->asking = false;
+    free(p);
+}
+
+static void
+probe_targets(load *l)
+{
+    bbl_usec now = bbl_clock_now();
+
+    for (size_t i = 0; i < l->target_count; i++) {
+        target *t = &l->targets[i];
+        probe *p;
+        bbl_http_request r;
+        void *handle;
+        char url[80];
+
+        if (t->asking || now < t->asked + PROBE_EVERY_US) {
+            continue;
+        }
+        t->asked = now;
+        p = bbl_calloc(1, sizeof(*p));
+        p->owner = l;
+        p->target = t;
+        snprintf(url, sizeof(url), "http://%s/v1/ready", t->address);
+        memset(&r, 0, sizeof(r));
+        r.url = url;
+        r.timeout = PROBE_TIMEOUT_US;
+        r.response_max = 4096;
+        r.done = on_ready;
+        r.ctx = p;
+        t->asking = bbl_http_start(&handle, l->http, &r) == 0;
+        if (!t->asking) {
+            free(p);
+        }
+    }
+}
+
+/* Returns a ready daemon at random; any one when none is ready. */
+static const target *
+pick_target(load *l)
+{
+    size_t start = (size_t)bbl_rng_below(&l->rng, l->target_count);
+
+    for (size_t i = 0; i < l->target_count; i++) {
+        const target *t = &l->targets[(start + i) % l->target_count];
+
+        if (t->ready) {
+            return t;
+        }
+    }
+    return &l->targets[start];
+}
+
 /* ---- sending ---- */
 
 static void
@@ -246,6 +322,7 @@
     query *q = bbl_calloc(1, sizeof(*q));
     bbl_buf body = BBL_BUF_INIT;
     bbl_http_request r;
+    char url[80];
     void *handle;
     bbl_usec measured_from =
         l->began + (bbl_usec)l->f->warmup * BBL_USEC_PER_SEC;
@@ -271,7 +348,8 @@
     }
     bbl_buf_puts(&body, "}");
     memset(&r, 0, sizeof(r));
-    r.url = l->urls[bbl_rng_below(&l->rng, l->target_count)];
+    snprintf(url, sizeof(url), "http://%s/v1/query", pick_target(l)->address);
+    r.url = url;
     r.post = true;
     r.body = bbl_buf_str(&body);
     r.timeout =
@@ -307,6 +385,7 @@
         if ((bbl_usec)due > now && (bbl_usec)due < now + wait) {
             wait = (bbl_usec)due - now;
         }
+        probe_targets(l);
         bbl_http_tick(l->http);
         bbl_loop_run(l->loop, wait);
     }
@@ -388,8 +467,10 @@
     for (char *part = strtok_r(l->f->targets, ",", &save);
          part != NULL && l->target_count < TARGETS_MAX;
          part = strtok_r(NULL, ",", &save)) {
-        snprintf(l->urls[l->target_count++], sizeof(l->urls[0]),
-                 "http://%.32s/v1/query", part);
+        target *t = &l->targets[l->target_count++];
+
+        snprintf(t->address, sizeof(t->address), "%.32s", part);
+        t->ready = true;
     }
 }
 
