--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -66,6 +66,12 @@
     CLUSTER_PIDS="$CLUSTER_PIDS $!"
 }
 
+# Kills a daemon at once, without the shell's own message.
+daemon_kill() {
+    kill -9 "$(daemon_pid "$1")"
+    wait "$(daemon_pid "$1")" 2>/dev/null
+}
+
 daemon_pid() { eval "echo \$DAEMON_PID_$1"; }
 
 # wait_for COMMAND...: until it succeeds, 15 s at most.
@@ -98,6 +104,6 @@
 cluster_kill() {
     local pid
     for pid in $CLUSTER_PIDS; do kill -9 "$pid" 2>/dev/null; done
-    wait 2>/dev/null
+    wait $CLUSTER_PIDS 2>/dev/null
     CLUSTER_PIDS=""
 }
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -533,16 +533,17 @@
 
 /*
  * Chooses a replica for a part: one not tried yet if there is one, else one
- * without an active attempt.
+ * without an active attempt; with `same`, failing both, the one that runs it.
  */
 static const bbl_view_searcher *
-choose(bbl_gather *g, const query *q, const part *p, bbl_usec now,
+choose(bbl_gather *g, const query *q, const part *p, bool same, bbl_usec now,
        no_choice *why)
 {
     const bbl_view_index *x = bbl_view_index_of(g->view, q->version);
     const bbl_view_searcher *fresh[CANDIDATES_MAX];
     const bbl_view_searcher *again[CANDIDATES_MAX];
     const bbl_view_searcher **pool = fresh;
+    const bbl_view_searcher *running = NULL;
     double scores[CANDIDATES_MAX];
     size_t fresh_count = 0;
     size_t again_count = 0;
@@ -560,7 +561,11 @@
     for (uint32_t i = x->first[p->shard]; i < x->first[p->shard + 1]; i++) {
         const bbl_view_searcher *s = bbl_view_searcher_at(g->view, x->rows[i]);
 
-        if (!candidate(g, q, s, why) || tried(p, s->searcher, true)) {
+        if (!candidate(g, q, s, why)) {
+            continue;
+        }
+        if (tried(p, s->searcher, true)) {
+            running = s;
             continue;
         }
         if (!tried(p, s->searcher, false) && fresh_count < CANDIDATES_MAX) {
@@ -576,7 +581,7 @@
         count = again_count;
     }
     if (count == 0) {
-        return NULL;
+        return same ? running : NULL;
     }
     for (size_t i = 0; i < count; i++) {
         scores[i] = expected_wait(g, pool[i], now);
@@ -752,7 +757,7 @@
         close_part(q, p, p->missing);
         return;
     }
-    s = choose(g, q, p, now, &why);
+    s = choose(g, q, p, false, now, &why);
     if (s != NULL) {
         add_attempt(g, q, p, s, false, now);
         return;
@@ -1281,6 +1286,24 @@
     }
 }
 
+/*
+ * Sends a hedge. With a single replica left it goes to the searcher of the
+ * slow run itself, once, and that run gives its slot back at once.
+ */
+static void
+hedge_part(bbl_gather *g, query *q, part *p, const bbl_view_searcher *s,
+           bbl_usec now)
+{
+    if (tried(p, s->searcher, true)) {
+        q->may_have_run = true;
+        g->counters.replaced++;
+        cancel_part(g, q, p);
+        group_by_owner(g, q, now, cancel_group);
+    }
+    add_attempt(g, q, p, s, true, now);
+    group_by_owner(g, q, now, send_group);
+}
+
 /* Hedges the parts furthest behind, as far as the budget goes. */
 static void
 hedge(bbl_gather *g, bbl_usec now)
@@ -1296,7 +1319,8 @@
     for (size_t i = 0; i < g->lagging.size; i++) {
         laggard *l = bbl_vec_at(&g->lagging, i);
         no_choice why;
-        const bbl_view_searcher *s = choose(g, l->q, l->p, now, &why);
+        bool same = l->slow && l->p->attempt_count == 1;
+        const bbl_view_searcher *s = choose(g, l->q, l->p, same, now, &why);
 
         if (s == NULL) {
             continue;
@@ -1306,8 +1330,7 @@
             continue;
         }
         g->counters.hedges++;
-        add_attempt(g, l->q, l->p, s, true, now);
-        group_by_owner(g, l->q, now, send_group);
+        hedge_part(g, l->q, l->p, s, now);
     }
 }
 
--- a/tests/property/traffic_property.cc
+++ b/tests/property/traffic_property.cc
@@ -12,12 +12,23 @@
 {
     // Queries and time come before faults.
     auto kind = rc::gen::weightedElement<traffic_kind>({
-        {10, TRAFFIC_RUN},    {12, TRAFFIC_QUERY},   {4, TRAFFIC_BURST},
-        {1, TRAFFIC_KILL},    {1, TRAFFIC_PAUSE},    {1, TRAFFIC_MOVE},
-        {1, TRAFFIC_COLD},    {1, TRAFFIC_RESTART},  {1, TRAFFIC_LEAVE},
-        {1, TRAFFIC_SILENT},  {1, TRAFFIC_BREAK},    {2, TRAFFIC_STRAGGLE},
-        {1, TRAFFIC_ROLL},    {1, TRAFFIC_SPLIT},    {2, TRAFFIC_DROP},
-        {1, TRAFFIC_ZONE},    {1, TRAFFIC_LOSS},
+        {10, TRAFFIC_RUN},
+        {12, TRAFFIC_QUERY},
+        {4, TRAFFIC_BURST},
+        {1, TRAFFIC_KILL},
+        {1, TRAFFIC_PAUSE},
+        {1, TRAFFIC_MOVE},
+        {1, TRAFFIC_COLD},
+        {1, TRAFFIC_RESTART},
+        {1, TRAFFIC_LEAVE},
+        {1, TRAFFIC_SILENT},
+        {1, TRAFFIC_BREAK},
+        {2, TRAFFIC_STRAGGLE},
+        {1, TRAFFIC_ROLL},
+        {1, TRAFFIC_SPLIT},
+        {2, TRAFFIC_DROP},
+        {1, TRAFFIC_ZONE},
+        {1, TRAFFIC_LOSS},
     });
 
     return rc::gen::build<traffic_op>(
--- a/tests/support/traffic_world.c
+++ b/tests/support/traffic_world.c
@@ -18,11 +18,11 @@
 #define SLOTS 2
 #define ZONES 2
 #define STEP_US 500u
-#define VIEW_DELAY_US 20000u    /* before a host sees a new view, at most */
+#define VIEW_DELAY_US 20000u /* before a host sees a new view, at most */
 #define LEASE_US 60000u
 #define EXCHANGE_MAX_US 100000u
 #define GRACE_US 5000u
-#define COLD_STEP 2             /* answers for each further run at once */
+#define COLD_STEP 2 /* answers for each further run at once */
 #define COLD_DONE 12
 #define VERSIONS_HELD 3
 #define QUERIES_MAX 4096
@@ -62,14 +62,14 @@
     bool arrived;
     bool running;
     bool cancelled;
-    bool told;       /* the owner has had its end */
+    bool told; /* the owner has had its end */
     bbl_usec started;
-    bbl_usec next;   /* when it arrives, or when its run ends */
+    bbl_usec next;    /* when it arrives, or when its run ends */
     bbl_usec tell_at; /* a broken or silent one; 0: by its run */
     bbl_usec deadline;
     unsigned shard;
     uint64_t version;
-    uint64_t token;  /* query number */
+    uint64_t token; /* query number */
     bool repeatable;
     bbl_exchange_end end;
     uint64_t boot;
@@ -148,9 +148,9 @@
 traffic_kind_name(traffic_kind kind)
 {
     static const char *const names[TRAFFIC_OPS] = {
-        "run",   "query", "burst",  "kill",  "pause",    "move",
-        "cold",  "restart", "leave", "silent", "break",  "straggle",
-        "roll",  "split", "drop",   "zone",  "loss",
+        "run",  "query",   "burst", "kill",   "pause", "move",
+        "cold", "restart", "leave", "silent", "break", "straggle",
+        "roll", "split",   "drop",  "zone",   "loss",
     };
 
     return names[kind];
@@ -231,8 +231,7 @@
                              &m.bblx_message_u.sub_request);
         break;
     case BBLX_SUB_CANCEL:
-        bbl_dispatch_cancel(h->dispatch, w->now,
-                            &m.bblx_message_u.sub_cancel);
+        bbl_dispatch_cancel(h->dispatch, w->now, &m.bblx_message_u.sub_cancel);
         break;
     default:
         bbl_gather_results(h->gather, w->now, k->from,
@@ -392,8 +391,8 @@
     x->token = query_number(e->text);
     x->repeatable = e->repeatable;
     if (w->zone_out[w->searchers[s].zone] &&
-        w->now > w->zone_out_at[w->searchers[s].zone] + VIEW_DELAY_US +
-                     LEASE_US) {
+        w->now >
+            w->zone_out_at[w->searchers[s].zone] + VIEW_DELAY_US + LEASE_US) {
         violate(w, "work went to withdrawn data centre %u",
                 w->searchers[s].zone);
     }
@@ -469,9 +468,9 @@
         x->next = w->now;
         return;
     }
-    if (s->running >= SLOTS || (s->running >= cold_limit(s) &&
-                                s->known_at[x->host] != 0 &&
-                                x->started > s->known_at[x->host])) {
+    if (s->running >= SLOTS ||
+        (s->running >= cold_limit(s) && s->known_at[x->host] != 0 &&
+         x->started > s->known_at[x->host])) {
         violate(w, "searcher %u got %u at once, %s", x->searcher + 1,
                 s->running + 1, s->cold ? "cold" : "warm");
     }
@@ -488,7 +487,8 @@
     x->next = w->now + service < x->deadline ? w->now + service : x->deadline;
     q->runs++;
     if (q->said_not_run) {
-        violate(w, "query %u ran after it was said not to", (unsigned)x->token);
+        violate(w, "query %u ran after it was said not to",
+                (unsigned)x->token);
     }
     if (++q->shard_runs[x->shard % (SHARDS * 4)] > 1 && !q->repeatable) {
         violate(w, "query %u ran twice on shard %u", (unsigned)x->token,
@@ -511,8 +511,8 @@
     if (x->end == BBL_EXCHANGE_SILENT || x->end == BBL_EXCHANGE_FAILED) {
         return;
     }
-    x->end = x->cancelled             ? BBL_EXCHANGE_CANCELLED
-             : x->boot != s->boot     ? BBL_EXCHANGE_FAILED
+    x->end = x->cancelled            ? BBL_EXCHANGE_CANCELLED
+             : x->boot != s->boot    ? BBL_EXCHANGE_FAILED
              : w->now >= x->deadline ? BBL_EXCHANGE_LATE
                                      : BBL_EXCHANGE_OK;
     if (x->end == BBL_EXCHANGE_OK && s->cold) {
@@ -539,7 +539,7 @@
         r.body = (bbl_str){body, strlen(body)};
     }
     if (s->known_at[x->host] == 0 && (x->end == BBL_EXCHANGE_REFUSED ||
-                             (s->restarted && x->boot == s->boot))) {
+                                      (s->restarted && x->boot == s->boot))) {
         s->known_at[x->host] = w->now;
     }
     bbl_dispatch_ended(h->dispatch, w->now, x->exchange, &r);
@@ -559,8 +559,7 @@
     if (x->told || owner_waits) {
         return;
     }
-    if (x->tell_at != 0 ? w->now >= x->tell_at
-                        : x->arrived && !x->running) {
+    if (x->tell_at != 0 ? w->now >= x->tell_at : x->arrived && !x->running) {
         exchange copy = *x;
 
         x->told = true;
@@ -893,9 +892,10 @@
     unsigned total = w->searchers[0].held[0].total;
 
     for (unsigned s = 0; s < SEARCHERS; s++) {
-        total = w->searchers[s].held_count
-                    ? w->searchers[s].held[w->searchers[s].held_count - 1].total
-                    : total;
+        total =
+            w->searchers[s].held_count
+                ? w->searchers[s].held[w->searchers[s].held_count - 1].total
+                : total;
     }
     total = total * split > SHARDS * 4 ? SHARDS : total * split;
     w->newest++;
@@ -957,8 +957,7 @@
         kill_host(w, n);
         break;
     case TRAFFIC_PAUSE:
-        w->hosts[n].paused_until =
-            w->now + op->b % 150 * BBL_USEC_PER_MS;
+        w->hosts[n].paused_until = w->now + op->b % 150 * BBL_USEC_PER_MS;
         break;
     case TRAFFIC_MOVE:
         give_searcher(w, op->a % SEARCHERS, x->owner % HOSTS + 1,
