A leader that shuts down hands its leadership on

Cause: in a rolling restart 5 of 1,200 requests that may not be repeated ended unknown while the voters waited out an election. Change: it steps down and asks the voter with the whole log to campaign at once; a host that does not lead says who does, and the proposal goes there at once.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -187,9 +187,15 @@
 	u_quad_t last_index;
 	u_quad_t last_term;
 	bool_t pre;
+	bool_t transfer;
 };
 typedef struct bblx_vote_request bblx_vote_request;
 
+struct bblx_transfer {
+	u_quad_t term;
+};
+typedef struct bblx_transfer bblx_transfer;
+
 struct bblx_vote_reply {
 	u_quad_t term;
 	bool_t granted;
@@ -461,6 +467,7 @@
 	BBLX_SUB_REQUEST = 10,
 	BBLX_SUB_RESULTS = 11,
 	BBLX_SUB_CANCEL = 12,
+	BBLX_TRANSFER = 13,
 };
 typedef enum bblx_kind bblx_kind;
 
@@ -479,6 +486,7 @@
 		bblx_sub_request sub_request;
 		bblx_sub_results sub_results;
 		bblx_sub_cancel sub_cancel;
+		bblx_transfer transfer;
 	} bblx_message_u;
 };
 typedef struct bblx_message bblx_message;
@@ -516,6 +524,7 @@
 extern  bool_t xdr_bblx_claim_record (XDR *, bblx_claim_record*);
 extern  bool_t xdr_bblx_state (XDR *, bblx_state*);
 extern  bool_t xdr_bblx_vote_request (XDR *, bblx_vote_request*);
+extern  bool_t xdr_bblx_transfer (XDR *, bblx_transfer*);
 extern  bool_t xdr_bblx_vote_reply (XDR *, bblx_vote_reply*);
 extern  bool_t xdr_bblx_append (XDR *, bblx_append*);
 extern  bool_t xdr_bblx_append_reply (XDR *, bblx_append_reply*);
@@ -562,6 +571,7 @@
 extern bool_t xdr_bblx_claim_record ();
 extern bool_t xdr_bblx_state ();
 extern bool_t xdr_bblx_vote_request ();
+extern bool_t xdr_bblx_transfer ();
 extern bool_t xdr_bblx_vote_reply ();
 extern bool_t xdr_bblx_append ();
 extern bool_t xdr_bblx_append_reply ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -311,6 +311,18 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->pre))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->transfer))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_transfer (XDR *xdrs, bblx_transfer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1001,6 +1013,10 @@
 		 if (!xdr_bblx_sub_cancel (xdrs, &objp->bblx_message_u.sub_cancel))
 			 return FALSE;
 		break;
+	case BBLX_TRANSFER:
+		 if (!xdr_bblx_transfer (xdrs, &objp->bblx_message_u.transfer))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -143,6 +143,12 @@
     unsigned hyper last_index;
     unsigned hyper last_term;
     bool pre;
+    bool transfer;            /* the leader of the last term asked for it */
+};
+
+/* The leader has stepped down and asks the receiver to campaign at once. */
+struct bblx_transfer {
+    unsigned hyper term;
 };
 
 struct bblx_vote_reply {
@@ -356,7 +362,8 @@
     BBLX_PROPOSE_REPLY = 9,
     BBLX_SUB_REQUEST = 10,
     BBLX_SUB_RESULTS = 11,
-    BBLX_SUB_CANCEL = 12
+    BBLX_SUB_CANCEL = 12,
+    BBLX_TRANSFER = 13
 };
 
 union bblx_message switch (bblx_kind kind) {
@@ -384,6 +391,8 @@
     bblx_sub_results sub_results;
 case BBLX_SUB_CANCEL:
     bblx_sub_cancel sub_cancel;
+case BBLX_TRANSFER:
+    bblx_transfer transfer;
 };
 
 struct bblx_frame {
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1182,6 +1182,27 @@
     settle(c);
 }
 
+/* A host that does not lead may know who does. */
+static void
+on_propose_reply(bbl_control *c, uint32_t from, const bblx_propose_reply *r)
+{
+    if (r->status != BBL_ELEADER) {
+        finish_pending(c, r);
+        return;
+    }
+    if (r->leader == 0 || r->leader == from) {
+        return;
+    }
+    c->leader = r->leader;
+    for (size_t i = 0; i < c->pendings.size; i++) {
+        pending *p = bbl_vec_at(&c->pendings, i);
+
+        if (p->number == r->number) {
+            p->next_try = c->now;
+        }
+    }
+}
+
 void
 bbl_control_step(bbl_control *c, bbl_usec now, uint32_t from,
                  const bblx_message *m)
@@ -1203,9 +1224,7 @@
         }
         break;
     case BBLX_PROPOSE_REPLY:
-        if (m->bblx_message_u.propose_reply.status != BBL_ELEADER) {
-            finish_pending(c, &m->bblx_message_u.propose_reply);
-        }
+        on_propose_reply(c, from, &m->bblx_message_u.propose_reply);
         break;
     default:
         if (c->quorum != NULL) {
--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -642,7 +642,7 @@
 static void count_vote(bbl_quorum *q, uint32_t host, uint64_t disk);
 
 static void
-campaign(bbl_quorum *q, bool pre)
+campaign(bbl_quorum *q, bool pre, bool transfer)
 {
     bblx_message m;
     bblx_vote_request *r = &m.bblx_message_u.vote_request;
@@ -663,6 +663,7 @@
     r->last_index = last_index(q);
     r->last_term = term_at(q, last_index(q));
     r->pre = pre;
+    r->transfer = transfer;
     for (u_int i = 0; i < q->voters.list.list_len; i++) {
         const bblx_voter *v = &q->voters.list.list_val[i];
 
@@ -691,7 +692,7 @@
         return;
     }
     if (q->pre) {
-        campaign(q, false);
+        campaign(q, false, false);
     }
     else {
         become_leader(q);
@@ -728,7 +729,9 @@
 {
     bblx_message m;
     bblx_vote_reply *reply = &m.bblx_message_u.vote_reply;
-    bool grant = r->term >= q->term && !promised(q) && log_is_current(q, r);
+    /* With a transfer the leader has given up what it was promised. */
+    bool free_to_vote = r->transfer || !promised(q);
+    bool grant = r->term >= q->term && free_to_vote && log_is_current(q, r);
 
     if (grant && !r->pre) {
         if (r->term > q->term) {
@@ -775,6 +778,14 @@
     }
 }
 
+static void
+on_transfer(bbl_quorum *q, const bblx_transfer *t)
+{
+    if (t->term == q->term && q->role != BBL_ROLE_LEADER && self_counts(q)) {
+        campaign(q, false, true);
+    }
+}
+
 /* ---- replication, follower ---- */
 
 static void
@@ -1278,7 +1289,7 @@
     }
     else if (now >= q->election) {
         if (self_counts(q) && !promised(q)) {
-            campaign(q, true);
+            campaign(q, true, false);
         }
         else {
             step_down(q, q->now < q->heard + q->options.election_min
@@ -1310,6 +1321,9 @@
     case BBLX_APPEND_REPLY:
         on_append_reply(q, from, &m->bblx_message_u.append_reply);
         break;
+    case BBLX_TRANSFER:
+        on_transfer(q, &m->bblx_message_u.transfer);
+        break;
     case BBLX_SNAPSHOT:
         on_snapshot(q, from, &m->bblx_message_u.snapshot);
         break;
@@ -1346,6 +1360,36 @@
     }
 }
 
+int
+bbl_quorum_transfer(bbl_quorum *q, bbl_usec now)
+{
+    const peer *best = NULL;
+    bblx_message m;
+
+    q->now = now;
+    if (q->role != BBL_ROLE_LEADER) {
+        return bbl_error_set(BBL_ELEADER, "this host is not the leader");
+    }
+    for (size_t i = 0; i < q->peers.size; i++) {
+        const peer *p = bbl_vec_at(&q->peers, i);
+
+        if (counts(q, p->host, p->disk) && p->match == last_index(q) &&
+            (best == NULL || p->acked > best->acked)) {
+            best = p;
+        }
+    }
+    if (best == NULL) {
+        return bbl_error_set(BBL_ENOTFOUND, "no voter holds the whole log");
+    }
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_TRANSFER;
+    m.bblx_message_u.transfer.term = q->term;
+    /* Its lease ends here, before another can lead. */
+    step_down(q, best->host);
+    send_message(q, best->host, &m);
+    return 0;
+}
+
 bool
 bbl_quorum_leads(const bbl_quorum *q, bbl_usec now)
 {
--- a/src/control/quorum.h
+++ b/src/control/quorum.h
@@ -113,6 +113,13 @@
 /* Removes a voter or learner. */
 int bbl_quorum_remove(bbl_quorum *quorum, uint32_t host);
 
+/*
+ * Steps down in favour of the voter that holds the most of the log.
+ *
+ * @return 0, or BBL_ELEADER when this host does not lead, or BBL_ENOTFOUND
+ */
+int bbl_quorum_transfer(bbl_quorum *quorum, bbl_usec now);
+
 /*
  * Returns whether this host leads, has committed in its term, and no other
  * can have been elected until `now`.
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -30,7 +30,8 @@
 #define PUBLISH_EVERY_US (5 * BBL_USEC_PER_MS) /* least time between views */
 #define NOTES_AT_ONCE 256
 #define RELEASE_WAIT_US (1500 * BBL_USEC_PER_MS) /* for owners to change */
-#define FINISH_WAIT_US (65 * BBL_USEC_PER_SEC)   /* for accepted queries */
+#define LINGER_US (250 * BBL_USEC_PER_MS)      /* for others to learn of it */
+#define FINISH_WAIT_US (65 * BBL_USEC_PER_SEC) /* for accepted queries */
 
 typedef enum {
     PHASE_SERVING,
@@ -38,6 +39,7 @@
     PHASE_FINISHING, /* accepted queries end */
     PHASE_DRAINING,  /* exchanges end */
     PHASE_RELEASING, /* other daemons take the searchers over */
+    PHASE_LEAVING,   /* others learn of it; the leadership goes on */
     PHASE_DONE
 } shutdown_phase;
 
@@ -511,6 +513,11 @@
     case PHASE_RELEASING:
         bbl_control_release(d->control, d->now);
         break;
+    case PHASE_LEAVING:
+        if (bbl_control_quorum(d->control) != NULL) {
+            bbl_quorum_transfer(bbl_control_quorum(d->control), d->now);
+        }
+        break;
     default:
         break;
     }
@@ -545,6 +552,9 @@
     }
     if (d->phase == PHASE_RELEASING &&
         (!owns_any(d) || spent >= RELEASE_WAIT_US)) {
+        enter_phase(d, PHASE_LEAVING);
+    }
+    if (d->phase == PHASE_LEAVING && spent >= LINGER_US) {
         enter_phase(d, PHASE_DONE);
     }
 }
--- a/tests/property/control_property.cc
+++ b/tests/property/control_property.cc
@@ -37,6 +37,7 @@
         {1, CONTROL_DISK},
         {1, CONTROL_DRAIN},
         {1, CONTROL_LEAVE},
+        {2, CONTROL_TRANSFER},
     });
 
     return rc::gen::build<control_op>(
--- a/tests/support/control_world.c
+++ b/tests/support/control_world.c
@@ -101,7 +101,7 @@
     static const char *const names[CONTROL_OPS] = {
         "run",  "crash",  "restart", "pause", "cut",   "isolate",
         "heal", "change", "resend",  "race",  "claim", "wipe",
-        "add",  "remove", "disk",    "drain", "leave",
+        "add",  "remove", "disk",    "drain", "leave", "transfer",
     };
 
     return names[kind];
@@ -835,6 +835,14 @@
             bbl_control_release(w->hosts[a].control, local_time(w, a));
         }
         break;
+    case CONTROL_TRANSFER:
+        if (leader_of(w) != 0) {
+            uint32_t h = leader_of(w);
+
+            bbl_quorum_transfer(bbl_control_quorum(w->hosts[h].control),
+                                local_time(w, h));
+        }
+        break;
     case CONTROL_LEAVE:
         w->leaving[op->b % SEARCHERS] = !w->leaving[op->b % SEARCHERS];
         break;
--- a/tests/support/control_world.h
+++ b/tests/support/control_world.h
@@ -17,23 +17,24 @@
 #define CONTROL_VOTERS 3
 
 typedef enum {
-    CONTROL_RUN,     /* let time pass: a tens of ms */
-    CONTROL_CRASH,   /* host a loses what it has not synced */
-    CONTROL_RESTART, /* host a comes back */
-    CONTROL_PAUSE,   /* host a does nothing for b tens of ms */
-    CONTROL_CUT,     /* messages from a to b are lost */
-    CONTROL_ISOLATE, /* all messages from and to a are lost */
-    CONTROL_HEAL,    /* all cuts end */
-    CONTROL_CHANGE,  /* an operator changes the lists through host a */
-    CONTROL_RESEND,  /* the operator sends the last change again, at a */
-    CONTROL_RACE,    /* two operators with equal numbers, at a and b */
-    CONTROL_CLAIM,   /* host a claims request number b */
-    CONTROL_WIPE,    /* host a crashes and loses its disk */
-    CONTROL_ADD,     /* the leader adds host a to the voters */
-    CONTROL_REMOVE,  /* the leader removes host a from the voters */
-    CONTROL_DISK,    /* the b-th next disk call of host a fails */
-    CONTROL_DRAIN,   /* host a drains and releases what it owns */
-    CONTROL_LEAVE,   /* the platform marks searcher b as leaving or not */
+    CONTROL_RUN,      /* let time pass: a tens of ms */
+    CONTROL_CRASH,    /* host a loses what it has not synced */
+    CONTROL_RESTART,  /* host a comes back */
+    CONTROL_PAUSE,    /* host a does nothing for b tens of ms */
+    CONTROL_CUT,      /* messages from a to b are lost */
+    CONTROL_ISOLATE,  /* all messages from and to a are lost */
+    CONTROL_HEAL,     /* all cuts end */
+    CONTROL_CHANGE,   /* an operator changes the lists through host a */
+    CONTROL_RESEND,   /* the operator sends the last change again, at a */
+    CONTROL_RACE,     /* two operators with equal numbers, at a and b */
+    CONTROL_CLAIM,    /* host a claims request number b */
+    CONTROL_WIPE,     /* host a crashes and loses its disk */
+    CONTROL_ADD,      /* the leader adds host a to the voters */
+    CONTROL_REMOVE,   /* the leader removes host a from the voters */
+    CONTROL_DISK,     /* the b-th next disk call of host a fails */
+    CONTROL_DRAIN,    /* host a drains and releases what it owns */
+    CONTROL_LEAVE,    /* the platform marks searcher b as leaving or not */
+    CONTROL_TRANSFER, /* the leader hands its leadership on */
     CONTROL_OPS
 } control_kind;
 
