Find dead connections by asking over fresh ones; back off when all refuse

Change: a run three times as long as a slow one, at a searcher that has answered nothing since, is cancelled over a fresh connection; when the searcher says it does not run it, the slot is free and the part goes again without budget. A refused part waits 2, 4, 8 ... ms.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -412,6 +412,7 @@
 	BBLX_SUB_BUSY = 6,
 	BBLX_SUB_SLOW = 7,
 	BBLX_SUB_STARTED = 8,
+	BBLX_SUB_LOST = 9,
 };
 typedef enum bblx_sub_status bblx_sub_status;
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -320,7 +320,8 @@
     BBLX_SUB_TRUNCATED = 5,    /* the answer was cut or too large */
     BBLX_SUB_BUSY = 6,         /* sent back unrun: the queue is long */
     BBLX_SUB_SLOW = 7,         /* still runs, for longer than most */
-    BBLX_SUB_STARTED = 8       /* a hedge has begun to run */
+    BBLX_SUB_STARTED = 8,      /* a hedge has begun to run */
+    BBLX_SUB_LOST = 9          /* runs no more; its answer never came */
 };
 
 struct bblx_sub_result {
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -86,6 +86,7 @@
     put_counter(out, "withdrawn_total", d->withdrawn);
     put_counter(out, "searcher_refusals_total", d->refused);
     put_counter(out, "searcher_silences_total", d->silent);
+    put_counter(out, "searcher_probes_total", d->probed);
     put_counter(out, "cold_turns_total", d->cold_turns);
     put_counter(out, "stale_exchange_results_total", d->stale_results);
     put_counter(out, "slot_busy_us_total", d->busy_us);
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -16,7 +16,8 @@
 #define CANCEL_TIMEOUT_US (200 * BBL_USEC_PER_MS)
 #define CONFIRM_WAIT_US (30 * BBL_USEC_PER_MS) /* answer after a cancel */
 #define STALL_US (25 * BBL_USEC_PER_MS) /* a later tick was itself held up */
-#define DISTRUST_REQUESTS 32            /* kept off the pool after a silence */
+#define ARRIVED_AFTER_US (50 * BBL_USEC_PER_MS) /* a request has arrived */
+#define DISTRUST_REQUESTS 32 /* kept off the pool after a silence */
 #define STATUS_CANCELLED 499
 #define URL_MAX 192
 
@@ -25,6 +26,7 @@
     uint32_t searcher;
     unsigned distrust; /* next exchanges that take fresh connections */
     bool polling;
+    bbl_usec heard; /* last whole response to an exchange */
 } contact;
 
 /* One exchange under way. */
@@ -36,7 +38,9 @@
     char id[40];
     bbl_usec deadline;
     bbl_usec confirmed; /* the cancel was answered, 0: not */
-    bool cancelled;
+    bool absent;        /* by that answer, the searcher does not run it */
+    bbl_usec started;
+    bbl_usec cancelled; /* when the last cancel was sent, 0: none was */
     void *handle;
 } call;
 
@@ -125,7 +129,9 @@
     case BBL_HTTP_CUT:
         return BBL_EXCHANGE_TRUNCATED;
     case BBL_HTTP_ABORTED:
-        return k->confirmed ? BBL_EXCHANGE_CANCELLED : BBL_EXCHANGE_FAILED;
+        return k->absent      ? BBL_EXCHANGE_LOST
+               : k->confirmed ? BBL_EXCHANGE_CANCELLED
+                              : BBL_EXCHANGE_FAILED;
     default:
         return BBL_EXCHANGE_FAILED;
     }
@@ -146,6 +152,9 @@
     if (r->end == BBL_HTTP_TIMED_OUT || r->end == BBL_HTTP_ABORTED) {
         distrust(c, k);
     }
+    if (r->end == BBL_HTTP_DONE) {
+        contact_of(c, k->searcher)->heard = bbl_clock_now();
+    }
     bbl_map_remove(&c->calls, k->exchange);
     c->port.ended(c->port.ctx, k->exchange, &result);
     free(k);
@@ -174,6 +183,7 @@
     k->searcher = e->searcher;
     k->address = e->address;
     k->deadline = e->deadline;
+    k->started = now;
     snprintf(k->id, sizeof(k->id), "%x-%llx-%llx-%x", e->query.host,
              (unsigned long long)e->query.incarnation & 0xffffffffull,
              (unsigned long long)e->query.seq, e->sub);
@@ -205,6 +215,20 @@
 
 /* ---- cancellation ---- */
 
+/*
+ * Whether the answer to a cancel shows that the exchange runs no more. That
+ * the searcher does not know it proves so only when it must have arrived.
+ */
+static bool
+is_confirmation(const call *k, const bbl_http_response *r)
+{
+    if (k->confirmed != 0) {
+        return false;
+    }
+    return r->status == 200 ||
+           (r->status == 404 && k->cancelled >= k->started + ARRIVED_AFTER_US);
+}
+
 static void
 cancel_done(void *ctx, const bbl_http_response *r)
 {
@@ -212,7 +236,8 @@
     bbl_searcher_client *c = s->client;
     call *k = bbl_map_get(&c->calls, s->exchange);
 
-    if (k != NULL && r->end == BBL_HTTP_DONE && r->status == 200) {
+    if (k != NULL && r->end == BBL_HTTP_DONE && is_confirmation(k, r)) {
+        k->absent = r->status == 404;
         k->confirmed = bbl_clock_now();
         bbl_vec_push(&c->confirmed, &k->exchange);
     }
@@ -247,10 +272,10 @@
     char path[64];
     char url[URL_MAX];
 
-    if (k == NULL || k->cancelled || now >= k->deadline) {
+    if (k == NULL || k->confirmed != 0 || now >= k->deadline) {
         return;
     }
-    k->cancelled = true;
+    k->cancelled = now;
     c->counters.cancels++;
     snprintf(path, sizeof(path), "cancel?id=%s", k->id);
     put_base(url, sizeof(url), k->address, path);
@@ -260,6 +285,8 @@
     r.timeout = CANCEL_TIMEOUT_US;
     r.response_max = 4096;
     r.done = cancel_done;
+    /* With no word since the start, the pool may be dead as a whole. */
+    r.fresh = contact_of(c, k->searcher)->heard < k->started;
     start_side(c, exchange, k->searcher, &r);
 }
 
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -19,6 +19,7 @@
 #define LEAVING_RECHECK_US (10 * BBL_USEC_PER_SEC) /* lag of info pages */
 #define SHARE_UNIT 1000000ull /* parts per million in a full share */
 #define RUNS_KEPT 20000u      /* run times before older ones fade */
+#define SILENT_FACTOR 3       /* slow runs without any answer: look into it */
 #define SLOW_EVERY 256u       /* run times between two looks at slow */
 #define UNLISTED_SHARE 1000u  /* share of a plan no longer listed */
 
@@ -49,6 +50,7 @@
     bool hedge;
     bool cancelled;
     bool told_slow;
+    bool probed; /* cancelled because the searcher fell silent */
     shared_text *text;
 };
 
@@ -82,6 +84,7 @@
     uint32_t running;
     uint32_t queued;
     uint32_t slow;
+    bbl_usec heard; /* last end of an exchange that came from it */
     uint64_t boot;
     uint64_t service; /* smoothed service time, microseconds */
     uint64_t base;    /* the same over a long time, while warm */
@@ -983,6 +986,8 @@
         return BBLX_SUB_VERSION_GONE;
     case BBL_EXCHANGE_CANCELLED:
         return BBLX_SUB_CANCELLED;
+    case BBL_EXCHANGE_LOST:
+        return BBLX_SUB_LOST;
     case BBL_EXCHANGE_TRUNCATED:
         return BBLX_SUB_TRUNCATED;
     default:
@@ -1082,6 +1087,9 @@
         return;
     }
     row = row_of(d, item->searcher);
+    if (result->boot != 0) {
+        row->heard = now;
+    }
     release_slot(d, row, item, now, result->end);
     d->counters.busy_us += now - item->started;
     observe_end(d, row, item, now, result);
@@ -1093,6 +1101,9 @@
         result->end == BBL_EXCHANGE_OK) {
         status = BBLX_SUB_FAILED; /* it ran, on another version */
     }
+    if (status == BBLX_SUB_CANCELLED && item->probed) {
+        status = BBLX_SUB_LOST; /* nobody asked for the cancellation */
+    }
     if (status == BBLX_SUB_OK) {
         d->counters.answered++;
         body = result->body;
@@ -1206,11 +1217,37 @@
     }
 }
 
+/*
+ * Cancels runs whose searcher has not answered anything since they began:
+ * their connections may be dead, and only an answer to the cancellation,
+ * on another connection, can free their slots before the deadline.
+ */
+static void
+probe_silent(bbl_dispatch *d, bbl_usec now)
+{
+    bbl_usec wait = SILENT_FACTOR * d->slow_after;
+    sub_item *item;
+    size_t pos = 0;
+
+    wait = wait < d->options.silent_min ? d->options.silent_min : wait;
+    while ((item = bbl_map_next(&d->exchanges, &pos)) != NULL) {
+        if (item->probed || now < item->started + wait ||
+            row_of(d, item->searcher)->heard >= item->started) {
+            continue;
+        }
+        item->probed = true;
+        d->counters.probed++;
+        d->options.port.cancel(d->options.port.ctx, item->exchange,
+                               item->searcher);
+    }
+}
+
 void
 bbl_dispatch_tick(bbl_dispatch *d, bbl_usec now)
 {
     free_lost_slots(d, now);
     tell_slow(d, now);
+    probe_silent(d, now);
     for (size_t i = 0; i < d->rows.size; i++) {
         searcher_row *row = bbl_vec_at(&d->rows, i);
 
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -24,7 +24,8 @@
     BBL_EXCHANGE_TRUNCATED,
     BBL_EXCHANGE_UNSENT, /* failed before a byte left */
     BBL_EXCHANGE_SILENT, /* no progress; it may still run */
-    BBL_EXCHANGE_FAILED  /* broken off; it may have run */
+    BBL_EXCHANGE_FAILED, /* broken off; it may have run */
+    BBL_EXCHANGE_LOST    /* runs no more; its answer never came */
 } bbl_exchange_end;
 
 /* One exchange to start. */
@@ -88,6 +89,7 @@
     uint32_t busy_factor;  /* queued over the limit that sends back; 0: no */
     uint32_t slow_ppm;     /* runs that are called slow; 0: none */
     bbl_usec slow_min;     /* least run that is called slow */
+    bbl_usec silent_min;   /* least silence that is looked into */
     bbl_usec silent_grace; /* after a deadline, before a slot is freed */
     bbl_usec exchange_max; /* cap on one exchange */
     bbl_dispatch_port port;
@@ -97,7 +99,7 @@
     {                                                                         \
         .version = BBL_DISPATCH_OPTIONS_VERSION, .limit = &bbl_limit_owner,   \
         .queue_max = 256, .busy_factor = 0, .slow_ppm = 28000,                \
-        .slow_min = 2 * BBL_USEC_PER_MS,                                      \
+        .slow_min = 2 * BBL_USEC_PER_MS, .silent_min = 50 * BBL_USEC_PER_MS,  \
         .silent_grace = 20 * BBL_USEC_PER_MS,                                 \
         .exchange_max = 1000 * BBL_USEC_PER_MS                                \
     }
@@ -116,6 +118,7 @@
     uint64_t withdrawn;
     uint64_t refused; /* by searchers */
     uint64_t silent;
+    uint64_t probed; /* runs cancelled because the searcher fell silent */
     uint64_t cold_turns;
     uint64_t stale_results; /* of another version or unknown */
     uint64_t busy_us;       /* slot time used */
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -7,7 +7,7 @@
 #include "util/alloc.h"
 #include "util/rng.h"
 
-#define ATTEMPTS_MAX 6    /* sub-requests for one shard of a query */
+#define ATTEMPTS_MAX 8    /* sub-requests for one shard of a query */
 #define RESTARTS_MAX 2    /* moves of a query to a newer snapshot */
 #define CANDIDATES_MAX 16 /* replicas weighed for one shard */
 #define PPM 1000000u
@@ -18,7 +18,7 @@
 #define HELD_UP_US 25000u      /* a later tick was itself held up */
 #define SUSPECT_PART 3         /* suspects that count, one in so many */
 #define SUSPECT_PENALTY_US 1e6 /* makes a suspect the last choice */
-#define RETRY_PAUSE_US 2000u   /* before a refused part is tried again */
+#define RETRY_PAUSE_US 2000u   /* before a refused part goes again, doubled */
 #define SERVICE_SHIFT 3        /* weight of a new service time, 1/8 */
 #define RETRY_AFTER_MS 20u     /* told on overload */
 
@@ -1038,7 +1038,7 @@
     g->counters.retries++;
     p->retry_at = now;
     if (p->attempt_count >= 2) {
-        p->retry_at = now + RETRY_PAUSE_US;
+        p->retry_at = now + (RETRY_PAUSE_US << (p->attempt_count - 2));
     }
 }
 
@@ -1097,6 +1097,12 @@
         p->missing = BBL_MISSING_VERSION_GONE;
         part_failed(g, q, p, now, true);
         return;
+    case BBLX_SUB_LOST:
+        q->may_have_run = true;
+        p->missing = BBL_MISSING_FAILED;
+        /* What was lost loads nobody: it needs no budget to go again. */
+        part_failed(g, q, p, now, q->repeatable);
+        return;
     case BBLX_SUB_TRUNCATED:
         q->may_have_run = true;
         p->missing = BBL_MISSING_TRUNCATED;
