--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -323,6 +323,68 @@
     finish
 }
 
+e2e() { # whole processes under faults, singly and in pairs; no time is judged
+    local line n v
+    begin demo 5 --service-us 3000
+    load e2e 40 14 --warmup 0 --once-ppm 200000 --deadline-ms 2000 >"$OUT/e2e.txt" &
+    local loader=$!
+    sleep 1
+    standin_fault "cold 1"; standin_fault "restart 4"
+    sleep 1
+    standin_fault "silence 0"; daemon_kill 4
+    sleep 1
+    standin_fault "leave 3"; start_daemon 4
+    sleep 1
+    n=$(find_role leader)
+    daemon_kill "${n:-1}"; standin_fault "roll 0 2"
+    operator lists apply --no-wait --expected 1 --change e1 \
+        "$root/examples/plans.conf" "$root/examples/allowances.conf" >>"$OUT/apply.txt" 2>&1
+    sleep 1
+    start_daemon "${n:-1}"; standin_fault "drop 0 1"; standin_fault "return 3"
+    sleep 1
+    kill -STOP "$(daemon_pid 5)"; standin_fault "repartition 0 3"
+    sleep 2
+    kill -CONT "$(daemon_pid 5)"; standin_fault "drop 0 2"; standin_fault "cold 0"
+    wait $loader
+    line=$(cat "$OUT/e2e.txt")
+    truth "e2e" "$line"
+    # A change that was resent gets its first outcome; a racing one loses.
+    v=$(operator lists show | head -1 | grep -oE '[0-9]+')
+    figure "e2e version after the leader's death" "$v" == 2
+    operator lists apply --no-wait --expected 1 --change e1 \
+        "$root/examples/plans.conf" "$root/examples/allowances.conf" | grep -q 'accepted version 2'
+    figure "e2e resend gets its first outcome" $? == 0
+    operator lists apply --no-wait --expected 1 --change e2 \
+        "$root/examples/plans.conf" "$root/examples/allowances.conf" >"$OUT/race.txt" 2>&1
+    grep -q 'present version is 2' "$OUT/race.txt"
+    figure "e2e racing change is told the version" $? == 0
+    wait_for whole_answer
+    figure "e2e whole answers afterwards" $? == 0
+    for n in 5 4 3 2 1; do
+        kill -TERM "$(daemon_pid $n)"
+        wait "$(daemon_pid $n)"
+        figure "e2e exit code of daemon $n" $? == 0
+    done
+    finish
+}
+
+voter_replacement() { # a voter loses its disk; another is lost after the repair
+    local v
+    begin demo 4 --service-us 3000
+    daemon_kill 3
+    rm -rf "$CLUSTER_DIR/data3"
+    CLUSTER_NO_INIT=1 start_daemon 3
+    operator voter replace 3 3 "$(daemon_ip 3):$((CLUSTER_PORT + 3))" >"$OUT/voter.txt" 2>&1
+    figure "voter replaced after a lost disk" $? == 0
+    daemon_kill 2
+    operator lists apply --expected 1 --change after \
+        "$root/examples/plans.conf" "$root/examples/allowances.conf" >>"$OUT/apply.txt" 2>&1
+    figure "change accepted after a second loss" $? == 0
+    v=$(operator lists show | head -1 | grep -oE '[0-9]+')
+    figure "version after a second loss" "$v" == 2
+    finish
+}
+
 control_cost() { # steady cost of control at 8 daemons, without queries
     local n c0 c1 b0 b1 rss=0 r
     begin association 8 --service-us 5000
@@ -379,6 +441,7 @@
     rolling 8 40
     crash
     faults
+    voter_replacement
     changes 60 10
     many_changes 1000
     control_cost
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -103,7 +103,7 @@
 
 cluster_kill() {
     local pid
-    for pid in $CLUSTER_PIDS; do kill -9 "$pid" 2>/dev/null; done
-    wait $CLUSTER_PIDS 2>/dev/null
+    for pid in $CLUSTER_PIDS; do kill -9 "$pid" 2>/dev/null || true; done
+    wait $CLUSTER_PIDS 2>/dev/null || true
     CLUSTER_PIDS=""
 }
--- /dev/null
+++ b/scripts/install-test.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# install-test.sh BUILD: installs to a staging folder and tries what is there.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+stage=$(mktemp -d)
+trap 'rm -rf "$stage"' EXIT
+DESTDIR=$stage cmake --install "$1" --prefix /usr >/dev/null
+"$stage/usr/bin/baobablatch" --version | grep -q '^baobablatch '
+"$stage/usr/bin/baobablatch" --help | grep -q 'lists'
+for c in serve init lists status dump drain voter query; do
+    # Every subcommand has its own --help and --version.
+    "$stage/usr/bin/baobablatch" "$c" --version | grep -q '^baobablatch '
+    [ "$c" = lists ] || "$stage/usr/bin/baobablatch" "$c" --help >/dev/null
+done
+"$stage/usr/bin/baobablatch" lists check examples/plans.conf examples/allowances.conf
+# A wrong setting stops the start with its name and exit code 2.
+rc=0
+message=$("$stage/usr/bin/baobablatch" serve --host-id nine 2>&1) || rc=$?
+[ "$rc" -eq 2 ] && grep -q 'host-id' <<<"$message"
+test -s "$stage/usr/share/man/man1/baobablatch.1"
+test -s "$stage/usr/lib/systemd/system/baobablatch.service"
+test -s "$stage/usr/share/bash-completion/completions/baobablatch"
--- a/src/cli/operate.c
+++ b/src/cli/operate.c
@@ -10,7 +10,8 @@
 #include "cli/cli.h"
 #include "util/clock.h"
 
-#define VOTER_WAIT_US 30000000 /* for a new voter to catch up */
+#define VOTER_WAIT_US 30000000  /* for a new voter to catch up */
+#define VOTER_INSIST_US 5000000 /* while a change is refused */
 #define VOTER_POLL_US 100000
 
 static int
@@ -87,20 +88,50 @@
 
 /* ---- voters ---- */
 
+/* Sends one voter change; returns the exit code and fills the reply. */
 static int
 send_voter(const bbl_target *target, const char *op, const char *host,
-           const char *address)
+           const char *address, bbl_buf *reply)
 {
     bbl_buf post = BBL_BUF_INIT;
-    int code;
+    long status = 0;
+    int code = BBL_EXIT_FAILED;
 
     bbl_buf_printf(&post, "{\"op\":\"%s\",\"host\":%d,\"address\":\"%s\"}", op,
                    atoi(host), address);
-    code = ask(target, "/v1/admin/voters", &post);
+    bbl_buf_clear(reply);
+    if (bbl_cli_request(target, "/v1/admin/voters", &post, &status, reply) !=
+        0) {
+        bbl_buf_printf(reply, "baobablatch: %s\n", bbl_error_last());
+    }
+    else if (status == 200) {
+        code = BBL_EXIT_OK;
+    }
     bbl_buf_free(&post);
     return code;
 }
 
+/*
+ * Repeats a voter change that is refused for a while: the leader may not
+ * have noticed yet that a host is gone or back.
+ */
+static int
+insist_voter(const bbl_target *target, const char *op, const char *host,
+             const char *address)
+{
+    bbl_usec until = bbl_clock_now() + VOTER_INSIST_US;
+    bbl_buf reply = BBL_BUF_INIT;
+    int code = send_voter(target, op, host, address, &reply);
+
+    while (code != BBL_EXIT_OK && bbl_clock_now() < until) {
+        usleep(VOTER_POLL_US);
+        code = send_voter(target, op, host, address, &reply);
+    }
+    fputs(reply.ptr ? reply.ptr : "", stdout);
+    bbl_buf_free(&reply);
+    return code;
+}
+
 /* Returns whether the status shows a host as a full voter. */
 static bool
 is_voter(const bbl_target *target, int host)
@@ -148,7 +179,7 @@
 static int
 add_voter(const bbl_target *target, const char *host, const char *address)
 {
-    int code = send_voter(target, "add", host, address);
+    int code = insist_voter(target, "add", host, address);
 
     /* The learner shows in the status a moment after it was accepted. */
     usleep(VOTER_POLL_US);
@@ -170,13 +201,13 @@
         return add_voter(&target, argv[2], argv[3]);
     }
     if (argc == 3 && strcmp(argv[1], "remove") == 0) {
-        return send_voter(&target, "remove", argv[2], "");
+        return insist_voter(&target, "remove", argv[2], "");
     }
     if (argc == 5 && strcmp(argv[1], "replace") == 0) {
         /* The old voter leaves only after the new one holds everything. */
         code = add_voter(&target, argv[3], argv[4]);
         if (code == BBL_EXIT_OK && strcmp(argv[2], argv[3]) != 0) {
-            code = send_voter(&target, "remove", argv[2], "");
+            code = insist_voter(&target, "remove", argv[2], "");
         }
         return code;
     }
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -110,6 +110,7 @@
                     bool pending)
 {
     bbl_report_row *row = bbl_map_get(&rows->reports, report->searcher);
+    bblx_report copy;
 
     if (row != NULL && !is_newer(report, &row->report)) {
         return false;
@@ -118,9 +119,10 @@
         row = bbl_calloc(1, sizeof(*row));
         bbl_map_set(&rows->reports, report->searcher, row);
     }
+    memset(&copy, 0, sizeof(copy));
+    deep_copy(&copy, report, (xdrproc_t)xdr_bblx_report);
     BBL_RELEASE(bblx_report, &row->report);
-    memset(&row->report, 0, sizeof(row->report));
-    deep_copy(&row->report, report, (xdrproc_t)xdr_bblx_report);
+    row->report = copy;
     row->below = below;
     row->pending = pending;
     row->revision = note_change(rows, report->searcher, false);
@@ -143,6 +145,7 @@
 bbl_rows_put_member(bbl_rows *rows, const bblx_member_row *member)
 {
     bbl_member_row *row = bbl_map_get(&rows->members, member->host);
+    bblx_member_row copy;
 
     if (row != NULL && same_member(&row->member, member)) {
         return false;
@@ -151,9 +154,11 @@
         row = bbl_calloc(1, sizeof(*row));
         bbl_map_set(&rows->members, member->host, row);
     }
+    /* `member` may borrow from the present row. */
+    memset(&copy, 0, sizeof(copy));
+    deep_copy(&copy, member, (xdrproc_t)xdr_bblx_member_row);
     BBL_RELEASE(bblx_member_row, &row->member);
-    memset(&row->member, 0, sizeof(row->member));
-    deep_copy(&row->member, member, (xdrproc_t)xdr_bblx_member_row);
+    row->member = copy;
     row->revision = note_change(rows, member->host, true);
     return true;
 }
--- a/src/daemon/shared.c
+++ b/src/daemon/shared.c
@@ -6,6 +6,20 @@
 #include "bbl/errors.h"
 #include "util/alloc.h"
 
+/*
+ * ThreadSanitizer does not see the ordering that Concurrency Kit gives; these
+ * tell it. They do nothing in other builds.
+ */
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *address);
+void __tsan_release(void *address);
+#define HANDED_OVER(address) __tsan_release(address)
+#define TAKEN_OVER(address) __tsan_acquire(address)
+#else
+#define HANDED_OVER(address) ((void)(address))
+#define TAKEN_OVER(address) ((void)(address))
+#endif
+
 bbl_note *
 bbl_note_new(bbl_note_kind kind)
 {
@@ -50,6 +64,7 @@
 bool
 bbl_mailbox_put(bbl_mailbox *box, bbl_note *note)
 {
+    HANDED_OVER(box);
     if (!ck_ring_enqueue_mpsc(&box->ring, box->slots, note)) {
         return false;
     }
@@ -62,7 +77,11 @@
 {
     void *note;
 
-    return ck_ring_dequeue_mpsc(&box->ring, box->slots, &note) ? note : NULL;
+    if (!ck_ring_dequeue_mpsc(&box->ring, box->slots, &note)) {
+        return NULL;
+    }
+    TAKEN_OVER(box);
+    return note;
 }
 
 bbl_shared_lists *
@@ -96,6 +115,7 @@
 reclaim(ck_epoch_entry_t *entry)
 {
     /* The entry is the first member. */
+    TAKEN_OVER(entry);
     free_published((bbl_published *)entry);
 }
 
@@ -132,6 +152,7 @@
     if (lists != NULL) {
         lists->uses++;
     }
+    HANDED_OVER(s);
     ck_pr_fence_store();
     ck_pr_store_ptr(&s->published, p);
     if (old != NULL) {
@@ -144,3 +165,18 @@
 {
     ck_epoch_poll(&s->control_record);
 }
+
+const bbl_published *
+bbl_shared_view(bbl_shared *s)
+{
+    const bbl_published *p = ck_pr_load_ptr(&s->published);
+
+    TAKEN_OVER(s);
+    return p;
+}
+
+void
+bbl_shared_view_done(const bbl_published *view)
+{
+    HANDED_OVER((void *)view);
+}
--- a/src/daemon/shared.h
+++ b/src/daemon/shared.h
@@ -92,6 +92,12 @@
 void bbl_shared_publish(bbl_shared *shared, bbl_view *view,
                         bbl_shared_lists *lists);
 
+/* Returns the published view; read it within an epoch section. */
+const bbl_published *bbl_shared_view(bbl_shared *shared);
+
+/* Says that the calling thread has left a view, before its section ends. */
+void bbl_shared_view_done(const bbl_published *view);
+
 /* Frees views that no thread reads any more; called by the control thread. */
 void bbl_shared_reclaim(bbl_shared *shared);
 
--- a/src/daemon/traffic.c
+++ b/src/daemon/traffic.c
@@ -517,19 +517,21 @@
 static void
 follow_view(bbl_traffic *t)
 {
-    const bbl_published *newest = ck_pr_load_ptr(&t->shared->published);
+    const bbl_published *left = t->published;
     ck_epoch_section_t old = t->section;
 
-    if (newest == t->published) {
+    if (ck_pr_load_ptr(&t->shared->published) == left) {
         return;
     }
     ck_epoch_begin(&t->record, &t->section);
-    newest = ck_pr_load_ptr(&t->shared->published);
-    t->published = newest;
-    bbl_gather_set_view(t->gather, t->now, newest->view);
-    bbl_dispatch_set_view(t->dispatch, t->now, newest->view);
+    t->published = bbl_shared_view(t->shared);
+    bbl_gather_set_view(t->gather, t->now, t->published->view);
+    bbl_dispatch_set_view(t->dispatch, t->now, t->published->view);
+    if (left != NULL) {
+        bbl_shared_view_done(left);
+    }
     ck_epoch_end(&t->record, &old);
-    ck_pr_store_64(&t->shared->adopted, bbl_view_revision(newest->view));
+    ck_pr_store_64(&t->shared->adopted, bbl_view_revision(t->published->view));
     bbl_loop_wake(t->shared->to_control.loop);
 }
 
--- /dev/null
+++ b/tests/fuzz/fuzz_decoders.c
@@ -0,0 +1,118 @@
+/*
+ * fuzz_decoders.c - libFuzzer entry for every decoder that takes bytes from
+ * outside; the first byte picks the decoder.
+ */
+#include <string.h>
+
+#include "bbl/lists.h"
+#include "control/journal.h"
+#include "control/state.h"
+#include "net/mesh.h"
+#include "net/platform_client.h"
+#include "net/query_json.h"
+#include "net/searcher_client.h"
+#include "support/memdisk.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+fuzz_frame(bbl_str bytes)
+{
+    bbl_mesh_options options;
+    bblx_frame frame;
+
+    memset(&options, 0, sizeof(options));
+    options.host = 1;
+    bbl_name_set(&options.cluster, "c", 1);
+    if (bbl_mesh_decode(&options, bytes, &frame) == 0) {
+        BBL_RELEASE(bblx_frame, &frame);
+    }
+}
+
+static void
+fuzz_journal(bbl_str bytes)
+{
+    memdisk m;
+    memdisk_file *f;
+    bbl_journal *journal;
+    bbl_journal_image image;
+
+    memdisk_init(&m);
+    f = memdisk_file_of(&m, "journal");
+    f->present = true;
+    bbl_buf_put(&f->written, bytes.ptr, bytes.size);
+    if (bbl_journal_open(&journal, &image, memdisk_open(&m)) == 0) {
+        bbl_journal_image_free(&image);
+        bbl_journal_free(journal);
+    }
+    memdisk_free(&m);
+}
+
+static void
+fuzz_command(bbl_str bytes)
+{
+    bbl_state *state = bbl_state_new();
+    bbl_state_result result;
+
+    bbl_state_apply(state, 1, bytes, &result);
+    bbl_state_load(state, bytes);
+    bbl_state_free(state);
+}
+
+static void
+fuzz_lists(bbl_str bytes)
+{
+    bbl_lists *lists;
+    size_t half = bytes.size / 2;
+
+    if (bbl_lists_parse(&lists, (bbl_str){bytes.ptr, half},
+                        (bbl_str){bytes.ptr + half, bytes.size - half}) ==
+        0) {
+        bbl_lists_free(lists);
+    }
+}
+
+static void
+fuzz_query(bbl_str bytes)
+{
+    bbl_query_request request;
+
+    bbl_query_request_parse(&request, bytes);
+    bbl_query_request_free(&request);
+}
+
+static void
+fuzz_info(bbl_str bytes)
+{
+    bbl_vec indexes = BBL_VEC_INIT(bblx_index);
+    bbl_searcher_info info;
+
+    bbl_searcher_info_parse(&info, &indexes, bytes);
+    bbl_searcher_info_clear(&indexes);
+    bbl_vec_free(&indexes);
+}
+
+static void
+fuzz_places(bbl_str bytes)
+{
+    bbl_vec places = BBL_VEC_INIT(bblx_place);
+
+    bbl_places_parse(&places, bytes);
+    bbl_places_clear(&places);
+    bbl_vec_free(&places);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    static void (*const decoders[])(bbl_str) = {
+        fuzz_frame, fuzz_journal, fuzz_command, fuzz_lists,
+        fuzz_query, fuzz_info,    fuzz_places,
+    };
+    size_t count = sizeof(decoders) / sizeof(decoders[0]);
+
+    if (size > 0) {
+        decoders[data[0] % count]((bbl_str){(const char *)data + 1, size - 1});
+    }
+    return 0;
+}
--- a/tests/test_gather.c
+++ b/tests/test_gather.c
@@ -79,10 +79,10 @@
         "[allowance p]\nshare = 50%\nconcurrency = 1\n";
     bbl_lists *lists;
 
-    ck_assert_int_eq(bbl_lists_parse(&lists, (bbl_str){plans, strlen(plans)},
-                                     (bbl_str){allowances,
-                                               strlen(allowances)}),
-                     0);
+    ck_assert_int_eq(
+        bbl_lists_parse(&lists, (bbl_str){plans, strlen(plans)},
+                        (bbl_str){allowances, strlen(allowances)}),
+        0);
     return lists;
 }
 
--- /dev/null
+++ b/tests/test_options.c
@@ -0,0 +1,122 @@
+/* Settings: each one's range, and what is said when it is wrong. */
+#include <string.h>
+#include <unistd.h>
+
+#include "bbl/errors.h"
+#include "daemon/options.h"
+#include "support/run.h"
+
+#define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+/* A flag that differs from the good ones. */
+typedef struct {
+    const char *flag;
+    const char *text;
+} change;
+
+static char key_path[] = "/tmp/bbl-key-XXXXXX";
+
+static const change good[] = {
+    {"host-id", "3"},
+    {"cluster", "c"},
+    {"key-file", key_path},
+    {"data-centre", "dc1"},
+    {"control-address", "127.0.0.1:1"},
+    {"traffic-address", "127.0.0.1:2"},
+    {"http-address", "127.0.0.1:3"},
+    {"admin-address", "127.0.0.1:4"},
+    {"voters", "1=127.0.0.1:1,2=127.0.0.2:1"},
+};
+
+static const char *
+value(void *ctx, const char *flag)
+{
+    const change *c = ctx;
+
+    if (c != NULL && strcmp(c->flag, flag) == 0) {
+        return c->text;
+    }
+    for (size_t i = 0; i < sizeof(good) / sizeof(good[0]); i++) {
+        if (strcmp(good[i].flag, flag) == 0) {
+            return good[i].text;
+        }
+    }
+    return NULL;
+}
+
+START_TEST(good_settings_are_read)
+{
+    bbl_daemon_options o;
+    change ms = {"beat-ms", "100"};
+
+    ck_assert_msg(bbl_daemon_options_read(&o, value, &ms) == 0, "%s",
+                  bbl_error_last());
+    ck_assert_uint_eq(o.host, 3);
+    ck_assert_uint_eq(o.beat_ms, 100);
+    ck_assert_uint_eq(o.lease_ms, 1500);
+    ck_assert_uint_eq(o.key[1], 0x11);
+    ck_assert_uint_eq(o.voters.list.list_len, 2);
+    ck_assert_uint_eq(o.voters.list.list_val[1].control.ip, 0x7f000002);
+    ck_assert_ptr_null(o.data_dir);
+    bbl_daemon_options_free(&o);
+}
+END_TEST
+
+static const change bad[] = {
+    {"host-id", "0"},
+    {"host-id", "3x"},
+    {"host-id", ""},
+    {"host-id", "99999999999"},
+    {"cluster", ""},
+    {"cluster", "a-name-that-is-longer-than-31-bytes"},
+    {"key-file", "/nonexistent"},
+    {"key-file", "/dev/null"},
+    {"control-address", "localhost:80"},
+    {"control-address", "127.0.0.1"},
+    {"control-address", "127.0.0.1:0"},
+    {"control-address", "127.0.0.1:65536"},
+    {"voters", "1"},
+    {"voters", "x=127.0.0.1:1"},
+    {"voters", ""},
+    {"platform-url", "ftp://x"},
+    {"policy", "best"},
+    {"beat-ms", "9"},
+    {"beat-ms", "1001"},
+    {"lease-ms", "600"},
+    {"hedge-ppm", "-1"},
+    {"log-level", "loud"},
+    {"http-threads", "1"},
+};
+
+START_TEST(bad_settings_are_named)
+{
+    bbl_daemon_options o;
+    change c = bad[_i];
+
+    ck_assert_int_eq(bbl_daemon_options_read(&o, value, &c), BBL_EINVAL);
+    ck_assert_msg(strstr(bbl_error_last(), c.flag) != NULL, "%s: \"%s\"",
+                  c.flag, bbl_error_last());
+    bbl_daemon_options_free(&o);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("options");
+    TCase *tc = tcase_create("options");
+    int fd = mkstemp(key_path);
+    int code;
+
+    if (fd < 0 || write(fd, KEY, strlen(KEY)) != (ssize_t)strlen(KEY)) {
+        return EXIT_FAILURE;
+    }
+    close(fd);
+    tcase_add_test(tc, good_settings_are_read);
+    tcase_add_loop_test(tc, bad_settings_are_named, 0,
+                        sizeof(bad) / sizeof(bad[0]));
+    suite_add_tcase(suite, tc);
+    code = run_suite(suite);
+    unlink(key_path);
+    return code;
+}
