--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -69,6 +69,8 @@
     unsigned restarts;
     bbl_vec parts; /* part */
     size_t open;
+    int waiting; /* parts that wait to be tried again */
+    bool gone;   /* a part was given up since its version is gone */
     size_t answered;
     uint32_t sent;
 } query;
@@ -339,6 +341,14 @@
 
 /* ---- queries ---- */
 
+/* Lets a part wait until `at`, or, with 0, wait no more. */
+static void
+set_wait(query *q, part *p, bbl_usec at)
+{
+    q->waiting += (at != 0) - (p->retry_at != 0);
+    p->retry_at = at;
+}
+
 static void
 free_parts(query *q)
 {
@@ -610,7 +620,7 @@
     a->hedge = hedge;
     p->attempt_count++;
     p->active++;
-    p->retry_at = 0;
+    set_wait(q, p, 0);
     q->sent++;
     load_of(g, s->searcher)->sent_since++;
     bbl_vec_push(&g->out, &o);
@@ -703,7 +713,8 @@
 {
     p->done = true;
     p->missing = missing;
-    p->retry_at = 0;
+    set_wait(q, p, 0);
+    q->gone = q->gone || missing == BBL_MISSING_VERSION_GONE;
     q->open--;
     q->answered += missing == BBL_MISSING_NONE;
 }
@@ -742,6 +753,8 @@
         p->missing = BBL_MISSING_DEADLINE;
     }
     q->open = count;
+    q->waiting = 0;
+    q->gone = false;
     q->answered = 0;
     return count > 0;
 }
@@ -767,7 +780,7 @@
         return;
     }
     p->missing = why.reason;
-    p->retry_at = now + RETRY_PAUSE_US;
+    set_wait(q, p, now + RETRY_PAUSE_US);
 }
 
 static void
@@ -1036,18 +1049,18 @@
         return;
     }
     g->counters.retries++;
-    p->retry_at = now;
+    set_wait(q, p, now);
     if (p->attempt_count >= 2) {
-        p->retry_at = now + (RETRY_PAUSE_US << (p->attempt_count - 2));
+        set_wait(q, p, now + (RETRY_PAUSE_US << (p->attempt_count - 2)));
     }
 }
 
 /* A part whose attempt was sent back unrun, for a long queue. */
 static void
-part_moved(part *p, bbl_usec now)
+part_moved(query *q, part *p, bbl_usec now)
 {
     if (p->active == 0) {
-        p->retry_at = now;
+        set_wait(q, p, now);
     }
 }
 
@@ -1086,7 +1099,7 @@
     case BBLX_SUB_BUSY:
         p->missing = BBL_MISSING_REFUSED;
         g->counters.moves++;
-        part_moved(p, now);
+        part_moved(q, p, now);
         return;
     case BBLX_SUB_NOT_RUN:
         p->missing = BBL_MISSING_REFUSED;
@@ -1121,18 +1134,15 @@
 static bool
 advance(bbl_gather *g, query *q, bbl_usec now)
 {
-    bool gone = false;
-
-    for (size_t i = 0; i < q->parts.size; i++) {
+    for (size_t i = 0; q->waiting > 0 && i < q->parts.size; i++) {
         part *p = bbl_vec_at(&q->parts, i);
 
         if (!p->done && p->retry_at != 0 && now >= p->retry_at) {
             launch_part(g, q, p, now);
         }
-        gone = gone || (p->done && p->missing == BBL_MISSING_VERSION_GONE);
     }
     group_by_owner(g, q, now, send_group);
-    if (gone && restart(g, q, now)) {
+    if (q->gone && restart(g, q, now)) {
         return false;
     }
     if (q->open == 0) {
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -66,8 +66,7 @@
     size_t half = bytes.size / 2;
 
     if (bbl_lists_parse(&lists, (bbl_str){bytes.ptr, half},
-                        (bbl_str){bytes.ptr + half, bytes.size - half}) ==
-        0) {
+                        (bbl_str){bytes.ptr + half, bytes.size - half}) == 0) {
         bbl_lists_free(lists);
     }
 }
