--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "bbl/errors.h"
 #include "control/fault.h"
+#include "policy/fair_queue.h"
 #include "util/alloc.h"
 #include "util/buf.h"
 #include "util/histogram.h"
@@ -15,13 +16,11 @@
 #define SERVICE_SHIFT 4        /* weight of a new service time, 1/16 */
 #define BASE_SHIFT 8           /* the same for the slow baseline */
 #define BASE_SAMPLES 64        /* answers before the baseline is trusted */
-#define LOW_CLASS_TURN 8       /* every so many picks the last class goes */
 #define LEAVING_RECHECK_US (10 * BBL_USEC_PER_SEC) /* lag of info pages */
-#define SHARE_UNIT 1000000ull /* parts per million in a full share */
-#define RUNS_KEPT 20000u      /* run times before older ones fade */
-#define SILENT_FACTOR 3       /* slow runs without any answer: look into it */
-#define SLOW_EVERY 256u       /* run times between two looks at slow */
-#define UNLISTED_SHARE 1000u  /* share of a plan no longer listed */
+#define RUNS_KEPT 20000u     /* run times before older ones fade */
+#define SILENT_FACTOR 3      /* slow runs without any answer: look into it */
+#define SLOW_EVERY 256u      /* run times between two looks at slow */
+#define UNLISTED_SHARE 1000u /* share of a plan no longer listed */
 
 typedef struct sub_item sub_item;
 
@@ -32,9 +31,9 @@
     size_t size;
 } shared_text;
 
+/* One sub-request, queued or running. */
 struct sub_item {
-    sub_item *next;
-    sub_item *prev;
+    bbl_fair_item fair; /* first: the queue's link; its plan, its urgency */
     bblx_query_id query;
     uint32_t host;
     uint32_t sub;
@@ -44,30 +43,13 @@
     uint64_t exchange; /* 0 while queued */
     bbl_usec deadline;
     bbl_usec started;
-    bbl_urgency urgency;
-    bbl_name plan;
     bool repeatable;
-    bool hedge;
     bool cancelled;
     bool told_slow;
     bool probed; /* cancelled because the searcher fell silent */
     shared_text *text;
 };
 
-typedef struct {
-    sub_item *first;
-    sub_item *last;
-} item_list;
-
-/* The queues of one plan at one searcher. */
-typedef struct {
-    bbl_name plan;
-    uint64_t served; /* virtual time: work done over share */
-    uint32_t queued;
-    uint32_t picks;
-    item_list classes[BBL_URGENCY_COUNT];
-} plan_queue;
-
 /* One owned searcher. */
 typedef struct {
     uint32_t searcher;
@@ -82,19 +64,16 @@
     uint32_t limit;
     uint32_t steps; /* successes since the limit grew */
     uint32_t running;
-    uint32_t queued;
     uint32_t slow;
     bbl_usec heard; /* last end of an exchange that came from it */
     uint64_t boot;
     uint64_t service; /* smoothed service time, microseconds */
     uint64_t base;    /* the same over a long time, while warm */
     int64_t samples;  /* behind the baseline, at most BASE_SAMPLES */
-    uint64_t virtual_now;
     bool listed_leaving;
     bool handing; /* to be handed over once nothing runs */
     bool owned;
-    bbl_vec plans; /* plan_queue */
-    item_list hedges;
+    bbl_fair_queue queue;
     bblx_index *indexes;
     size_t index_count;
     uint64_t indexes_hash;
@@ -151,39 +130,6 @@
 const bbl_limit_policy bbl_limit_owner = {"owner", limit_all};
 const bbl_limit_policy bbl_limit_static = {"static-share", limit_share};
 
-/* ---- lists of items ---- */
-
-static void
-list_add(item_list *list, sub_item *item)
-{
-    item->next = NULL;
-    item->prev = list->last;
-    if (list->last != NULL) {
-        list->last->next = item;
-    }
-    else {
-        list->first = item;
-    }
-    list->last = item;
-}
-
-static void
-list_remove(item_list *list, sub_item *item)
-{
-    if (item->prev != NULL) {
-        item->prev->next = item->next;
-    }
-    else {
-        list->first = item->next;
-    }
-    if (item->next != NULL) {
-        item->next->prev = item->prev;
-    }
-    else {
-        list->last = item->prev;
-    }
-}
-
 /* ---- items ---- */
 
 static uint64_t
@@ -289,7 +235,7 @@
     d->loads.size = 0;
     for (size_t i = 0; i < d->rows.size; i++) {
         const searcher_row *row = bbl_vec_at(&d->rows, i);
-        bblx_load load = {row->searcher, row->running + row->queued};
+        bblx_load load = {row->searcher, row->running + row->queue.size};
 
         if (row->owned) {
             bbl_vec_push(&d->loads, &load);
@@ -463,132 +409,22 @@
 
 /* ---- queues ---- */
 
-static plan_queue *
-plan_queue_of(searcher_row *row, const bbl_name *plan)
-{
-    plan_queue *q;
-
-    for (size_t i = 0; i < row->plans.size; i++) {
-        q = bbl_vec_at(&row->plans, i);
-        if (bbl_name_equal(&q->plan, plan)) {
-            return q;
-        }
-    }
-    q = bbl_vec_add(&row->plans);
-    q->plan = *plan;
-    q->served = row->virtual_now;
-    return q;
-}
-
-static void
-enqueue(searcher_row *row, sub_item *item)
-{
-    plan_queue *q = plan_queue_of(row, &item->plan);
-
-    if (item->hedge) {
-        list_add(&row->hedges, item);
-    }
-    else {
-        if (q->queued == 0 && q->served < row->virtual_now) {
-            q->served = row->virtual_now; /* idle time earns no credit */
-        }
-        list_add(&q->classes[item->urgency], item);
-        q->queued++;
-    }
-    row->queued++;
-}
-
-static void
-dequeue(searcher_row *row, sub_item *item)
-{
-    plan_queue *q = plan_queue_of(row, &item->plan);
-
-    if (item->hedge) {
-        list_remove(&row->hedges, item);
-    }
-    else {
-        list_remove(&q->classes[item->urgency], item);
-        q->queued--;
-    }
-    row->queued--;
-}
-
-/* Returns the plan that has had the least of its share. */
-static plan_queue *
-next_plan(searcher_row *row)
-{
-    plan_queue *best = NULL;
-
-    for (size_t i = 0; i < row->plans.size; i++) {
-        plan_queue *q = bbl_vec_at(&row->plans, i);
-
-        if (q->queued > 0 && (best == NULL || q->served < best->served)) {
-            best = q;
-        }
-    }
-    return best;
-}
-
-/*
- * Returns the most urgent item of a plan; every LOW_CLASS_TURN picks the
- * least urgent one, so that none starves within its own plan.
- */
-static sub_item *
-next_in_plan(plan_queue *q)
-{
-    bool low = q->picks % LOW_CLASS_TURN == LOW_CLASS_TURN - 1;
-
-    for (int i = 0; i < BBL_URGENCY_COUNT; i++) {
-        int c = low ? BBL_URGENCY_COUNT - 1 - i : i;
-
-        if (q->classes[c].first != NULL) {
-            return q->classes[c].first;
-        }
-    }
-    return NULL;
-}
-
 static uint32_t
-share_of(const bbl_dispatch *d, const bbl_name *plan)
+share_of(void *ctx, const bbl_name *plan)
 {
+    const bbl_dispatch *d = ctx;
     const bbl_lists *lists = bbl_view_lists(d->view);
     const bbl_plan *p = lists ? bbl_lists_plan_named(lists, plan) : NULL;
 
     return p ? p->share_ppm : UNLISTED_SHARE;
 }
 
-static void
-charge(const bbl_dispatch *d, searcher_row *row, plan_queue *q)
-{
-    q->picks++;
-    q->served += SHARE_UNIT * SHARE_UNIT / share_of(d, &q->plan) /
-                 (row->slots ? row->slots : 1);
-    if (q->served > row->virtual_now) {
-        plan_queue *least = next_plan(row);
-
-        row->virtual_now = least ? least->served : q->served;
-    }
-}
-
-/* Takes the next item off the queues, or returns NULL. */
+/* Takes the next item off the queue, or returns NULL. */
 static sub_item *
 next_item(bbl_dispatch *d, searcher_row *row)
 {
-    sub_item *item = row->hedges.first;
-    plan_queue *q = NULL;
-
-    if (item == NULL) {
-        q = next_plan(row);
-        item = q ? next_in_plan(q) : NULL;
-    }
-    if (item == NULL) {
-        return NULL;
-    }
-    dequeue(row, item);
-    if (q != NULL) {
-        charge(d, row, q);
-    }
-    return item;
+    /* The link is the first member. */
+    return (sub_item *)bbl_fair_queue_take(&row->queue, share_of, d);
 }
 
 /* ---- starting exchanges ---- */
@@ -600,7 +436,7 @@
 {
     const bbl_lists *lists = bbl_view_lists(d->view);
     const bbl_plan *plan =
-        lists ? bbl_lists_plan_named(lists, &item->plan) : NULL;
+        lists ? bbl_lists_plan_named(lists, &item->fair.plan) : NULL;
 
     if (now + row->service / 2 >= item->deadline) {
         *counter = &d->counters.dropped_late;
@@ -624,7 +460,7 @@
     bbl_map_set(&d->exchanges, item->exchange, item);
     row->running++;
     d->counters.started++;
-    d->counters.hedges += item->hedge;
+    d->counters.hedges += item->fair.ahead;
     memset(&e, 0, sizeof(e));
     e.exchange = item->exchange;
     e.searcher = row->searcher;
@@ -638,7 +474,7 @@
     e.sub = item->sub;
     e.text = (bbl_str){item->text->ptr, item->text->size};
     d->options.port.start(d->options.port.ctx, &e);
-    if (item->hedge) {
+    if (item->fair.ahead) {
         reply_item(d, item, BBLX_SUB_STARTED, 0, 0, (bbl_str){NULL, 0});
     }
 }
@@ -673,7 +509,7 @@
 static void
 pump(bbl_dispatch *d, searcher_row *row, bbl_usec now)
 {
-    if (row->queued > 0 && !may_start(d, row, now)) {
+    if (row->queue.size > 0 && !may_start(d, row, now)) {
         refuse_queued(d, row);
         return;
     }
@@ -781,7 +617,7 @@
     if (row == NULL) {
         row = bbl_vec_add(&d->rows);
         row->searcher = s->searcher;
-        row->plans = (bbl_vec)BBL_VEC_INIT(plan_queue);
+        bbl_fair_queue_init(&row->queue);
         bbl_map_set(&d->by_id, s->searcher, (void *)(uintptr_t)d->rows.size);
     }
     if (row->epoch != s->epoch || !row->owned) {
@@ -874,7 +710,7 @@
 send_back(const bbl_dispatch *d, const searcher_row *row, const bblx_sub *sub)
 {
     return d->options.busy_factor > 0 && !sub->moved &&
-           row->queued >= d->options.busy_factor * row->limit;
+           row->queue.size >= d->options.busy_factor * row->limit;
 }
 
 static void
@@ -904,7 +740,7 @@
         refuse_sub(d, host, request, sub, BBLX_SUB_BUSY);
         return;
     }
-    if (row->queued >= d->options.queue_max) {
+    if (row->queue.size >= d->options.queue_max) {
         d->counters.dropped_full++;
         refuse_sub(d, host, request, sub, BBLX_SUB_NOT_RUN);
         return;
@@ -918,16 +754,16 @@
     item->version = request->index_version;
     left = left < d->options.exchange_max ? left : d->options.exchange_max;
     item->deadline = now + left;
-    item->urgency = request->urgency < BBL_URGENCY_COUNT
-                        ? (bbl_urgency)request->urgency
-                        : BBL_URGENCY_BATCH;
-    bbl_name_from_wire(&item->plan, &request->plan);
+    item->fair.urgency = request->urgency < BBL_URGENCY_COUNT
+                             ? (bbl_urgency)request->urgency
+                             : BBL_URGENCY_BATCH;
+    bbl_name_from_wire(&item->fair.plan, &request->plan);
     item->repeatable = request->repeatable;
-    item->hedge = sub->hedge;
+    item->fair.ahead = sub->hedge;
     item->text = text;
     text->uses++;
     bbl_map_set(&d->items, key, item);
-    enqueue(row, item);
+    bbl_fair_queue_put(&row->queue, &item->fair);
     pump(d, row, now);
 }
 
@@ -964,7 +800,7 @@
                                    item->searcher);
             continue;
         }
-        dequeue(row_of(d, item->searcher), item);
+        bbl_fair_queue_remove(&row_of(d, item->searcher)->queue, &item->fair);
         free_item(d, item);
     }
     (void)now;
@@ -1151,36 +987,33 @@
 
 /* ---- ticks ---- */
 
+/* What expire_item needs. */
+typedef struct {
+    bbl_dispatch *dispatch;
+    searcher_row *row;
+    bbl_usec now;
+} expiry;
+
 static void
-expire_queue(bbl_dispatch *d, searcher_row *row, item_list *list, bbl_usec now)
+expire_item(void *ctx, bbl_fair_item *fair)
 {
-    sub_item *item = list->first;
+    expiry *e = ctx;
+    sub_item *item = (sub_item *)fair;
 
-    while (item != NULL) {
-        sub_item *next = item->next;
-
-        if (now + row->service / 2 >= item->deadline) {
-            d->counters.dropped_late++;
-            dequeue(row, item);
-            refuse_item(d, item);
-        }
-        item = next;
+    if (e->now + e->row->service / 2 >= item->deadline) {
+        e->dispatch->counters.dropped_late++;
+        bbl_fair_queue_remove(&e->row->queue, fair);
+        refuse_item(e->dispatch, item);
     }
 }
 
 static void
 expire_row(bbl_dispatch *d, searcher_row *row, bbl_usec now)
 {
-    if (row->queued == 0) {
-        return;
-    }
-    expire_queue(d, row, &row->hedges, now);
-    for (size_t i = 0; i < row->plans.size; i++) {
-        for (int c = 0; c < BBL_URGENCY_COUNT; c++) {
-            plan_queue *q = bbl_vec_at(&row->plans, i);
+    expiry e = {d, row, now};
 
-            expire_queue(d, row, &q->classes[c], now);
-        }
+    if (row->queue.size > 0) {
+        bbl_fair_queue_each(&row->queue, expire_item, &e);
     }
 }
 
@@ -1300,7 +1133,7 @@
     out->phase = row->owned ? row->phase : BBLX_DOWN;
     out->limit = row->owned ? row->limit : 0;
     out->running = row->running;
-    out->queued = row->queued;
+    out->queued = row->queue.size;
     out->boot = row->boot;
     out->service_us = (uint32_t)row->service;
     return true;
@@ -1354,7 +1187,7 @@
         searcher_row *row = bbl_vec_at(&d->rows, i);
 
         free_indexes(row);
-        bbl_vec_free(&row->plans);
+        bbl_fair_queue_free(&row->queue);
     }
     bbl_vec_free(&d->rows);
     bbl_vec_free(&d->lost_slots);
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -339,6 +339,21 @@
     return true;
 }
 
+/*
+ * Pays for a hedge. What only lags may use the upper half of the savings
+ * alone, so that a burst of queueing leaves enough for slow runs.
+ */
+static bool
+spend_hedge(bbl_gather *g, bool slow)
+{
+    uint64_t reserve = (uint64_t)BUDGET_BURST * PPM / 2;
+
+    if (!slow && g->hedge_budget < reserve) {
+        return false;
+    }
+    return spend(&g->hedge_budget);
+}
+
 /* ---- queries ---- */
 
 /* Lets a part wait until `at`, or, with 0, wait no more. */
@@ -1341,7 +1356,7 @@
         if (s == NULL) {
             continue;
         }
-        if (!l->lost && !spend(&g->hedge_budget)) {
+        if (!l->lost && !spend_hedge(g, l->slow)) {
             g->counters.hedges_denied++;
             continue;
         }
@@ -1441,6 +1456,8 @@
     g->options = *options;
     g->rng.state = options->seed;
     g->hedge_delay = 4 * options->hedge_min;
+    g->hedge_budget = (uint64_t)BUDGET_BURST * PPM / 2;
+    g->retry_budget = g->hedge_budget;
     bbl_admission_init(&g->admission);
     g->order = (bbl_vec)BBL_VEC_INIT(query *);
     g->out = (bbl_vec)BBL_VEC_INIT(outgoing);
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -207,7 +207,8 @@
         o.port.proposed = on_proposed;
         o.port.ctx = &t->nodes[h];
         if (bbl_control_open(&t->nodes[h].control, &o,
-                             h <= VOTERS ? founded_disk(h) : NULL, t->now) != 0) {
+                             h <= VOTERS ? founded_disk(h) : NULL,
+                             t->now) != 0) {
             abort();
         }
     }
@@ -243,8 +244,7 @@
 {
     printf("control members=%u role=%s cpu_percent=%.3f kb_per_s=%.2f "
            "messages_per_s=%.1f\n",
-           members, role,
-           (double)n->cpu / (MEASURED_SECONDS * 1e6) * 100,
+           members, role, (double)n->cpu / (MEASURED_SECONDS * 1e6) * 100,
            (double)n->bytes / MEASURED_SECONDS / 1000,
            (double)n->messages / MEASURED_SECONDS);
 }
