--- a/src/policy/fair_queue.c
+++ b/src/policy/fair_queue.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define LOW_CLASS_TURN 8      /* every so many turns the last class goes */
+#define LOW_CLASS_TURN 8        /* every so many turns the last class goes */
 #define TURN_WORK 1000000000ull /* virtual work of one turn at full share */
 
 /* The items of one plan. */
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -25,9 +25,9 @@
 } bbl_fair_list;
 
 typedef struct {
-    bbl_vec plans;         /* of the module */
+    bbl_vec plans; /* of the module */
     bbl_fair_list ahead;
-    uint64_t virtual_now;  /* work done over share, of the least served plan */
+    uint64_t virtual_now; /* work done over share, of the least served plan */
     uint32_t size;
 } bbl_fair_queue;
 
@@ -45,8 +45,8 @@
 void bbl_fair_queue_remove(bbl_fair_queue *queue, bbl_fair_item *item);
 
 /* Takes the next item out, or returns NULL. */
-bbl_fair_item *bbl_fair_queue_take(bbl_fair_queue *queue,
-                                   bbl_fair_share share, void *ctx);
+bbl_fair_item *bbl_fair_queue_take(bbl_fair_queue *queue, bbl_fair_share share,
+                                   void *ctx);
 
 /* Calls `each` for every item; it may remove the item it is given. */
 void bbl_fair_queue_each(bbl_fair_queue *queue,
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -11,7 +11,8 @@
 #define RESTARTS_MAX 2    /* moves of a query to a newer snapshot */
 #define CANDIDATES_MAX 16 /* replicas weighed for one shard */
 #define PPM 1000000u
-#define BUDGET_BURST 100u      /* hedges or retries saved up at most */
+#define BUDGET_RESERVE 100u    /* hedges kept for slow runs; also the start */
+#define BUDGET_BURST 400u      /* hedges or retries saved up at most */
 #define SAMPLES_KEPT 20000u    /* latencies before older ones fade */
 #define DELAY_EVERY 256u       /* latencies between two hedge delays */
 #define BACKLOG_FADE_US 20000u /* how long a told backlog counts */
@@ -340,13 +341,13 @@
 }
 
 /*
- * Pays for a hedge. What only lags may use the upper half of the savings
- * alone, so that a burst of queueing leaves enough for slow runs.
+ * Pays for a hedge. What only lags leaves a reserve, so that a burst of
+ * queueing does not use up what slow runs need.
  */
 static bool
 spend_hedge(bbl_gather *g, bool slow)
 {
-    uint64_t reserve = (uint64_t)BUDGET_BURST * PPM / 2;
+    uint64_t reserve = (uint64_t)BUDGET_RESERVE * PPM;
 
     if (!slow && g->hedge_budget < reserve) {
         return false;
@@ -1456,7 +1457,7 @@
     g->options = *options;
     g->rng.state = options->seed;
     g->hedge_delay = 4 * options->hedge_min;
-    g->hedge_budget = (uint64_t)BUDGET_BURST * PPM / 2;
+    g->hedge_budget = (uint64_t)BUDGET_RESERVE * PPM;
     g->retry_budget = g->hedge_budget;
     bbl_admission_init(&g->admission);
     g->order = (bbl_vec)BBL_VEC_INIT(query *);
--- a/tests/test_fair_queue.c
+++ b/tests/test_fair_queue.c
@@ -12,7 +12,9 @@
 share(void *ctx, const bbl_name *plan)
 {
     (void)ctx;
-    return plan->ptr[0] == 'a' ? 600000 : plan->ptr[0] == 'b' ? 300000 : 100000;
+    return plan->ptr[0] == 'a'   ? 600000
+           : plan->ptr[0] == 'b' ? 300000
+                                 : 100000;
 }
 
 static void
