A searcher that only fails gets no work for a while

Change: three failures in a row make it down for 200 ms, doubling to 5 s; one request then decides; the entry hosts are told.

--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -17,7 +17,10 @@
 #define BASE_SHIFT 8           /* the same for the slow baseline */
 #define BASE_SAMPLES 64        /* answers before the baseline is trusted */
 #define LEAVING_RECHECK_US (10 * BBL_USEC_PER_SEC) /* lag of info pages */
-#define RUNS_KEPT 20000u     /* run times before older ones fade */
+#define RUNS_KEPT 20000u /* run times before older ones fade */
+#define DOWN_FAILURES 3  /* failures in a row that show it is down */
+#define DOWN_FIRST_US (200 * BBL_USEC_PER_MS)
+#define DOWN_LONGEST_US (5 * BBL_USEC_PER_SEC)
 #define SILENT_FACTOR 3      /* slow runs without any answer: look into it */
 #define SLOW_EVERY 256u      /* run times between two looks at slow */
 #define UNLISTED_SHARE 1000u /* share of a plan no longer listed */
@@ -65,7 +68,10 @@
     uint32_t steps; /* successes since the limit grew */
     uint32_t running;
     uint32_t slow;
-    bbl_usec heard; /* last end of an exchange that came from it */
+    bbl_usec heard;    /* last end of an exchange that came from it */
+    uint32_t failures; /* exchanges in a row without any use */
+    bbl_usec down_for; /* pause before it is tried again, doubled */
+    bbl_usec down_until;
     uint64_t boot;
     uint64_t service; /* smoothed service time, microseconds */
     uint64_t base;    /* the same over a long time, while warm */
@@ -312,7 +318,7 @@
         row->phase == BBLX_RELEASED) {
         return;
     }
-    if (row->phase != BBLX_COLD) {
+    if (row->phase == BBLX_WARM) {
         d->counters.cold_turns++;
     }
     row->phase = BBLX_COLD;
@@ -400,9 +406,7 @@
     if (row->phase == BBLX_LEAVING && !row->listed_leaving) {
         row->phase = BBLX_COLD; /* a new process: the drain is over */
     }
-    if (row->phase == BBLX_DOWN) {
-        row->phase = BBLX_COLD;
-    }
+    row->failures = 0;
     turn_cold(d, row);
     report(d, row);
 }
@@ -851,6 +855,37 @@
     }
 }
 
+/*
+ * Counts failures in a row. A searcher that only fails gets no work for a
+ * pause that doubles; the first request afterwards decides again.
+ */
+static void
+observe_failure(bbl_dispatch *d, searcher_row *row, bbl_usec now)
+{
+    row->failures++;
+    if (row->failures < DOWN_FAILURES || row->phase == BBLX_DOWN ||
+        row->phase == BBLX_LEAVING || row->phase == BBLX_RELEASED) {
+        return;
+    }
+    row->down_for = row->down_for ? row->down_for * 2 : DOWN_FIRST_US;
+    row->down_for =
+        row->down_for < DOWN_LONGEST_US ? row->down_for : DOWN_LONGEST_US;
+    row->down_until = now + row->down_for;
+    row->phase = BBLX_DOWN;
+    report(d, row);
+}
+
+/* Lets a searcher that was down be tried, one request at a time. */
+static void
+try_again(bbl_dispatch *d, searcher_row *row, bbl_usec now)
+{
+    if (row->phase != BBLX_DOWN || now < row->down_until) {
+        return;
+    }
+    row->failures = DOWN_FAILURES - 1;
+    turn_cold(d, row);
+}
+
 /* Learns from how an exchange ended. */
 static void
 observe_end(bbl_dispatch *d, searcher_row *row, const sub_item *item,
@@ -858,6 +893,8 @@
 {
     switch (result->end) {
     case BBL_EXCHANGE_OK:
+        row->failures = 0;
+        row->down_for = 0;
         see_boot(d, row, result->boot);
         observe_run(d, now - item->started);
         observe_service(d, row, now - item->started);
@@ -876,7 +913,13 @@
     case BBL_EXCHANGE_SILENT:
     case BBL_EXCHANGE_FAILED:
         d->counters.silent++;
-        turn_cold(d, row);
+        if (row->phase != BBLX_DOWN) {
+            turn_cold(d, row);
+        }
+        observe_failure(d, row, now);
+        break;
+    case BBL_EXCHANGE_UNSENT:
+        observe_failure(d, row, now);
         break;
     case BBL_EXCHANGE_CANCELLED:
         see_boot(d, row, result->boot);
@@ -1088,6 +1131,7 @@
             row->phase = BBLX_COLD;
             report(d, row);
         }
+        try_again(d, row, now);
         /* A hold must pass first: the owner before may still use it. */
         if (row->owned && row->handing && row->running == 0 &&
             row->phase != BBLX_HELD && row->phase != BBLX_RELEASED) {
