The command line goes on to the next address after 1.2 s

Cause: with the leader frozen the first address accepted and never answered, twice 6 s: in force after 12 s (bound 3 s). The tier itself took under 2 s. A refused part is tried up to 12 times, 32 ms apart at most.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -61,7 +61,8 @@
 
 /*
  * Sends a request to the target's addresses in turn until one that can
- * answer does (one that is not the leader says so).
+ * answer does (one that is not the leader says so), for 8 s at most. Every
+ * request of the subcommands may be sent twice.
  */
 int bbl_cli_request(const bbl_target *target, const char *path,
                     const bbl_buf *post, long *status, bbl_buf *reply);
--- a/src/cli/common.c
+++ b/src/cli/common.c
@@ -3,14 +3,19 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 
 #include "bbl/errors.h"
 #include "cli/cli.h"
 #include "util/alloc.h"
+#include "util/clock.h"
 
-#define REQUEST_TIMEOUT_MS 6000L
+#define ADDRESS_TIMEOUT_MS 1200L /* for one address to answer */
+#define REQUEST_US 8000000       /* for any address to answer */
+#define PAUSE_US 100000          /* between two rounds of addresses */
+#define ADDRESSES_MAX 64
 #define STATUS_MISDIRECTED 421
 #define URL_MAX 256
 
@@ -68,7 +73,7 @@
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, REQUEST_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ADDRESS_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, reply);
     if (token != NULL) {
@@ -92,6 +97,46 @@
     return 0;
 }
 
+/* Splits "a,b,c" in place; returns the number of parts. */
+static size_t
+split_addresses(char *list, char **out)
+{
+    char *save = NULL;
+    size_t n = 0;
+
+    for (char *part = strtok_r(list, ",", &save);
+         part != NULL && n < ADDRESSES_MAX;
+         part = strtok_r(NULL, ",", &save)) {
+        out[n++] = part;
+    }
+    return n;
+}
+
+/* Asks each address once, the one that answered last time first. */
+static int
+ask_round(char **addresses, size_t count, const char *path, const char *token,
+          const bbl_buf *post, long *status, bbl_buf *reply)
+{
+    static size_t good;
+    int error = BBL_ENET;
+
+    for (size_t i = 0; i < count; i++) {
+        size_t place = (good + i) % count;
+
+        bbl_buf_clear(reply);
+        *status = 0;
+        error =
+            bbl_cli_http(addresses[place], path, token, post, status, reply);
+        if (error == 0 && *status != STATUS_MISDIRECTED) {
+            good = place;
+            return 0;
+        }
+    }
+    return error != 0
+               ? error
+               : bbl_error_set(BBL_ELEADER, "no address given is the leader");
+}
+
 int
 bbl_cli_request(const bbl_target *target, const char *path,
                 const bbl_buf *post, long *status, bbl_buf *reply)
@@ -100,27 +145,23 @@
         target->admin ? target->admin : getenv("BAOBABLATCH_ADMIN");
     const char *token =
         target->token ? target->token : getenv("BAOBABLATCH_OPERATOR_TOKEN");
+    bbl_usec until = bbl_clock_now() + REQUEST_US;
+    char *addresses[ADDRESSES_MAX];
     char *copy;
-    char *save = NULL;
-    int error = BBL_ENET;
+    size_t count;
+    int error;
 
     if (list == NULL) {
         return bbl_error_set(BBL_EINVAL,
                              "give --admin or set BAOBABLATCH_ADMIN");
     }
     copy = bbl_memdup(list, strlen(list));
-    for (char *part = strtok_r(copy, ",", &save); part != NULL;
-         part = strtok_r(NULL, ",", &save)) {
-        bbl_buf_clear(reply);
-        *status = 0;
-        error = bbl_cli_http(part, path, token, post, status, reply);
-        if (error == 0 && *status != STATUS_MISDIRECTED) {
-            break;
-        }
+    count = split_addresses(copy, addresses);
+    error = ask_round(addresses, count, path, token, post, status, reply);
+    while (error != 0 && bbl_clock_now() < until) {
+        usleep(PAUSE_US);
+        error = ask_round(addresses, count, path, token, post, status, reply);
     }
     free(copy);
-    if (error == 0 && *status == STATUS_MISDIRECTED) {
-        error = bbl_error_set(BBL_ELEADER, "no address given is the leader");
-    }
     return error;
 }
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -7,7 +7,7 @@
 #include "util/alloc.h"
 #include "util/rng.h"
 
-#define ATTEMPTS_MAX 8    /* sub-requests for one shard of a query */
+#define ATTEMPTS_MAX 12   /* sub-requests for one shard of a query */
 #define RESTARTS_MAX 2    /* moves of a query to a newer snapshot */
 #define CANDIDATES_MAX 16 /* replicas weighed for one shard */
 #define PPM 1000000u
@@ -20,6 +20,7 @@
 #define SUSPECT_PART 3         /* suspects that count, one in so many */
 #define SUSPECT_PENALTY_US 1e6 /* makes a suspect the last choice */
 #define RETRY_PAUSE_US 2000u   /* before a refused part goes again, doubled */
+#define RETRY_DOUBLINGS_MAX 4  /* of that pause */
 #define SERVICE_SHIFT 3        /* weight of a new service time, 1/8 */
 #define RETRY_AFTER_MS 20u     /* told on overload */
 
@@ -1067,7 +1068,12 @@
     g->counters.retries++;
     set_wait(q, p, now);
     if (p->attempt_count >= 2) {
-        set_wait(q, p, now + (RETRY_PAUSE_US << (p->attempt_count - 2)));
+        unsigned doublings = (unsigned)p->attempt_count - 2;
+
+        if (doublings > RETRY_DOUBLINGS_MAX) {
+            doublings = RETRY_DOUBLINGS_MAX;
+        }
+        set_wait(q, p, now + (RETRY_PAUSE_US << doublings));
     }
 }
 
