--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "control/fault.h"
+#include "policy/budget.h"
+#include "policy/observer.h"
 #include "util/alloc.h"
 #include "util/rng.h"
 
@@ -11,17 +13,12 @@
 #define RESTARTS_MAX 2    /* moves of a query to a newer snapshot */
 #define CANDIDATES_MAX 16 /* replicas weighed for one shard */
 #define PPM 1000000u
-#define BUDGET_RESERVE 100u    /* hedges kept for slow runs; also the start */
-#define BUDGET_BURST 400u      /* hedges or retries saved up at most */
 #define SAMPLES_KEPT 20000u    /* latencies before older ones fade */
 #define DELAY_EVERY 256u       /* latencies between two hedge delays */
 #define BACKLOG_FADE_US 20000u /* how long a told backlog counts */
-#define HELD_UP_US 25000u      /* a later tick was itself held up */
-#define SUSPECT_PART 3         /* suspects that count, one in so many */
 #define SUSPECT_PENALTY_US 1e6 /* makes a suspect the last choice */
 #define RETRY_PAUSE_US 2000u   /* before a refused part goes again, doubled */
 #define RETRY_DOUBLINGS_MAX 4  /* of that pause */
-#define SERVICE_SHIFT 3        /* weight of a new service time, 1/8 */
 #define RETRY_AFTER_MS 20u     /* told on overload */
 
 typedef struct {
@@ -77,21 +74,6 @@
     uint32_t sent;
 } query;
 
-/* What this daemon has seen of one searcher. */
-typedef struct {
-    uint32_t backlog;    /* as last told by the owner */
-    uint32_t sent_since; /* by this host after that */
-    bbl_usec told;
-    uint32_t service_us;
-} load_row;
-
-/* What this daemon has heard of one owner. */
-typedef struct {
-    uint32_t host;
-    bbl_usec asked; /* first request since it was heard; 0: none */
-    bool suspect;   /* asked, and silent for too long */
-} owner_row;
-
 /* A sub-request about to be sent. */
 typedef struct {
     uint32_t owner;
@@ -114,13 +96,10 @@
     bbl_rng rng;
     bbl_map queries; /* seq -> query */
     bbl_vec order;   /* query *, for ticks */
-    bbl_map loads;   /* searcher -> load_row */
-    bbl_map owners;  /* host -> owner_row */
-    size_t suspects;
-    bbl_usec ticked;
+    bbl_observer observer;
     uint64_t next_seq;
-    uint64_t hedge_budget; /* parts per million of one hedge */
-    uint64_t retry_budget;
+    bbl_budget hedges;
+    bbl_budget retries;
     bbl_histogram sub_latency;
     unsigned fresh_samples;
     bbl_usec hedge_delay;
@@ -180,126 +159,6 @@
 const bbl_replica_policy bbl_replica_least = {"least-wait", choose_least};
 const bbl_replica_policy bbl_replica_random = {"random", choose_random};
 
-/* ---- loads ---- */
-
-static load_row *
-load_of(bbl_gather *g, uint32_t searcher)
-{
-    load_row *row = bbl_map_get(&g->loads, searcher);
-
-    if (row == NULL) {
-        row = bbl_calloc(1, sizeof(*row));
-        bbl_map_set(&g->loads, searcher, row);
-    }
-    return row;
-}
-
-/*
- * Returns the requests expected ahead of a new one: what was told, less what
- * the searcher has worked off since, and what this host has added.
- */
-static double
-expected_backlog(const load_row *row, double limit, double service,
-                 bbl_usec now)
-{
-    double left = row->backlog - (double)(now - row->told) * limit / service;
-
-    return (left > 0 ? left : 0) + row->sent_since;
-}
-
-/* Returns the expected time to an answer, microseconds. */
-static double
-expected_wait(bbl_gather *g, const bbl_view_searcher *s, bbl_usec now)
-{
-    const load_row *row = load_of(g, s->searcher);
-    double limit = s->limit ? s->limit : 1;
-    double service = row->service_us ? row->service_us : 1000;
-
-    return (expected_backlog(row, limit, service, now) + 1) / limit * service;
-}
-
-static void
-note_load(bbl_gather *g, const bblx_load *load, bbl_usec now)
-{
-    load_row *row = load_of(g, load->searcher);
-
-    row->backlog = load->backlog;
-    row->sent_since = 0;
-    row->told = now;
-}
-
-static void
-note_service(bbl_gather *g, uint32_t searcher, uint32_t us)
-{
-    load_row *row = load_of(g, searcher);
-
-    if (row->service_us == 0) {
-        row->service_us = us;
-    }
-    row->service_us =
-        (uint32_t)(row->service_us +
-                   ((int64_t)us - row->service_us) / (1 << SERVICE_SHIFT));
-}
-
-/* ---- owners ---- */
-
-static owner_row *
-owner_of(bbl_gather *g, uint32_t host)
-{
-    owner_row *row = bbl_map_get(&g->owners, host);
-
-    if (row == NULL) {
-        row = bbl_calloc(1, sizeof(*row));
-        row->host = host;
-        bbl_map_set(&g->owners, host, row);
-    }
-    return row;
-}
-
-static void
-hear_owner(bbl_gather *g, uint32_t host)
-{
-    owner_row *row = owner_of(g, host);
-
-    row->asked = 0;
-    if (row->suspect) {
-        row->suspect = false;
-        g->suspects--;
-    }
-}
-
-/* Whether an owner is avoided; many silent ones mean the fault lies here. */
-static bool
-is_suspect(bbl_gather *g, uint32_t host)
-{
-    return owner_of(g, host)->suspect &&
-           g->suspects * SUSPECT_PART <= g->owners.size;
-}
-
-/* Suspects the owners that have been silent since they were asked. */
-static void
-watch_owners(bbl_gather *g, bbl_usec now)
-{
-    bool held_up = g->ticked != 0 && now > g->ticked + HELD_UP_US;
-    owner_row *row;
-    size_t pos = 0;
-
-    g->ticked = now;
-    while ((row = bbl_map_next(&g->owners, &pos)) != NULL) {
-        if (row->asked == 0 || row->suspect) {
-            continue;
-        }
-        if (held_up) {
-            row->asked = now; /* its answer may just be unread */
-        }
-        else if (now > row->asked + g->options.suspect_after) {
-            row->suspect = true;
-            g->suspects++;
-            g->counters.suspicions++;
-        }
-    }
-}
-
 /* ---- hedge delay ---- */
 
 static void
@@ -322,40 +181,6 @@
     }
 }
 
-static void
-earn(uint64_t *budget, uint32_t ppm)
-{
-    *budget += ppm;
-    if (*budget > (uint64_t)BUDGET_BURST * PPM) {
-        *budget = (uint64_t)BUDGET_BURST * PPM;
-    }
-}
-
-static bool
-spend(uint64_t *budget)
-{
-    if (*budget < PPM) {
-        return false;
-    }
-    *budget -= PPM;
-    return true;
-}
-
-/*
- * Pays for a hedge. What only lags leaves a reserve, so that a burst of
- * queueing does not use up what slow runs need.
- */
-static bool
-spend_hedge(bbl_gather *g, bool slow)
-{
-    uint64_t reserve = (uint64_t)BUDGET_RESERVE * PPM;
-
-    if (!slow && g->hedge_budget < reserve) {
-        return false;
-    }
-    return spend(&g->hedge_budget);
-}
-
 /* ---- queries ---- */
 
 /* Lets a part wait until `at`, or, with 0, wait no more. */
@@ -463,9 +288,7 @@
     r.text = bbl_text_borrow(bbl_buf_str(&q->text));
     r.subs.subs_len = (u_int)g->subs.size;
     r.subs.subs_val = g->subs.ptr;
-    if (owner_of(g, owner)->asked == 0) {
-        owner_of(g, owner)->asked = now;
-    }
+    bbl_observer_asked(&g->observer, now, owner);
     g->options.port.send(g->options.port.ctx, owner, &r);
 }
 
@@ -611,8 +434,8 @@
         return same ? running : NULL;
     }
     for (size_t i = 0; i < count; i++) {
-        scores[i] = expected_wait(g, pool[i], now);
-        if (is_suspect(g, pool[i]->owner)) {
+        scores[i] = bbl_observer_wait(&g->observer, now, pool[i]);
+        if (bbl_observer_is_suspect(&g->observer, pool[i]->owner)) {
             scores[i] += SUSPECT_PENALTY_US;
         }
     }
@@ -639,7 +462,7 @@
     p->active++;
     set_wait(q, p, 0);
     q->sent++;
-    load_of(g, s->searcher)->sent_since++;
+    bbl_observer_sent(&g->observer, s->searcher);
     bbl_vec_push(&g->out, &o);
 }
 
@@ -807,8 +630,8 @@
     for (size_t i = 0; i < q->parts.size; i++) {
         launch_part(g, q, bbl_vec_at(&q->parts, i), now);
         g->counters.first_sends++;
-        earn(&g->hedge_budget, g->options.hedge_ppm);
-        earn(&g->retry_budget, g->options.retry_ppm);
+        bbl_budget_earn(&g->hedges, g->options.hedge_ppm);
+        bbl_budget_earn(&g->retries, g->options.retry_ppm);
     }
     group_by_owner(g, q, now, send_group);
     if (q->open == 0) {
@@ -912,8 +735,8 @@
         }
         for (uint32_t k = x->first[p->shard]; k < x->first[p->shard + 1];
              k++) {
-            double wait = expected_wait(
-                g, bbl_view_searcher_at(g->view, x->rows[k]), now);
+            double wait = bbl_observer_wait(
+                &g->observer, now, bbl_view_searcher_at(g->view, x->rows[k]));
 
             least = least == 0 || wait < least ? wait : least;
         }
@@ -1057,7 +880,7 @@
         return; /* another attempt may still answer */
     }
     if (!unrun && !BBL_FAULT(BBL_FAULT_RETRY_ONCE) &&
-        (!q->repeatable || !spend(&g->retry_budget))) {
+        (!q->repeatable || !bbl_budget_spend(&g->retries, true))) {
         close_part(q, p, p->missing);
         return;
     }
@@ -1105,7 +928,7 @@
     switch (r->status) {
     case BBLX_SUB_OK:
         q->may_have_run = true;
-        note_service(g, a->searcher, r->service_us);
+        bbl_observer_service(&g->observer, a->searcher, r->service_us);
         if (r->index_version != q->version &&
             !BBL_FAULT(BBL_FAULT_OLD_RESULTS)) {
             g->counters.foreign_results++;
@@ -1258,9 +1081,9 @@
         g->counters.late_results += results->results.results_len;
         return;
     }
-    hear_owner(g, owner);
+    bbl_observer_heard(&g->observer, owner);
     for (u_int i = 0; i < results->loads.loads_len; i++) {
-        note_load(g, &results->loads.loads_val[i], now);
+        bbl_observer_load(&g->observer, now, &results->loads.loads_val[i]);
     }
     for (u_int i = 0; i < results->results.results_len; i++) {
         take_result(g, owner, &results->results.results_val[i], now);
@@ -1316,7 +1139,7 @@
         }
         a = &p->attempts[p->attempt_count - 1];
         l = (laggard){q, p, a->sent, a->slow, false};
-        l.lost = a->active && is_suspect(g, a->owner);
+        l.lost = a->active && bbl_observer_is_suspect(&g->observer, a->owner);
         if (a->active &&
             (l.lost || a->slow || now >= a->sent + g->hedge_delay)) {
             bbl_vec_push(&g->lagging, &l);
@@ -1363,7 +1186,7 @@
         if (s == NULL) {
             continue;
         }
-        if (!l->lost && !spend_hedge(g, l->slow)) {
+        if (!l->lost && !bbl_budget_spend(&g->hedges, l->slow)) {
             g->counters.hedges_denied++;
             continue;
         }
@@ -1385,7 +1208,8 @@
             advance(g, q, now);
         }
     }
-    watch_owners(g, now);
+    g->counters.suspicions +=
+        bbl_observer_watch(&g->observer, now, g->options.suspect_after);
     if (g->options.hedge_ppm > 0 && g->view != NULL) {
         hedge(g, now);
     }
@@ -1463,8 +1287,9 @@
     g->options = *options;
     g->rng.state = options->seed;
     g->hedge_delay = 4 * options->hedge_min;
-    g->hedge_budget = (uint64_t)BUDGET_RESERVE * PPM;
-    g->retry_budget = g->hedge_budget;
+    bbl_budget_init(&g->hedges);
+    bbl_budget_init(&g->retries);
+    bbl_observer_init(&g->observer);
     bbl_admission_init(&g->admission);
     g->order = (bbl_vec)BBL_VEC_INIT(query *);
     g->out = (bbl_vec)BBL_VEC_INIT(outgoing);
@@ -1476,25 +1301,13 @@
 void
 bbl_gather_free(bbl_gather *g)
 {
-    load_row *row;
-    owner_row *owner;
-    size_t pos = 0;
-
     if (g == NULL) {
         return;
     }
     for (size_t i = 0; i < g->order.size; i++) {
         free_query(*BBL_VEC_AT(query *, &g->order, i));
     }
-    while ((row = bbl_map_next(&g->loads, &pos)) != NULL) {
-        free(row);
-    }
-    pos = 0;
-    while ((owner = bbl_map_next(&g->owners, &pos)) != NULL) {
-        free(owner);
-    }
-    bbl_map_free(&g->loads);
-    bbl_map_free(&g->owners);
+    bbl_observer_free(&g->observer);
     bbl_map_free(&g->queries);
     bbl_admission_free(&g->admission);
     bbl_vec_free(&g->order);
