--- a/src/policy/observer.c
+++ b/src/policy/observer.c
@@ -5,10 +5,10 @@
 
 #include "util/alloc.h"
 
-#define SERVICE_SHIFT 3        /* weight of a new service time, 1/8 */
+#define SERVICE_SHIFT 3         /* weight of a new service time, 1/8 */
 #define SERVICE_UNKNOWN_US 1000 /* until a searcher has answered */
-#define HELD_UP_US 25000u      /* a later watch was itself held up */
-#define SUSPECT_PART 3         /* suspects that count, one in so many */
+#define HELD_UP_US 25000u       /* a later watch was itself held up */
+#define SUSPECT_PART 3          /* suspects that count, one in so many */
 
 typedef struct {
     uint32_t backlog;    /* as last told by the owner */
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -274,8 +274,10 @@
         most = most == NULL || n->bytes > most->bytes ? n : most;
         least = least == NULL || n->bytes < least->bytes ? n : least;
     }
-    print_role("relay", t->count, most);
-    print_role("member", t->count, least);
+    if (most != NULL && least != NULL) {
+        print_role("relay", t->count, most);
+        print_role("member", t->count, least);
+    }
 }
 
 static void
