--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -4,6 +4,8 @@
 #ifndef BBL_CLI_H
 #define BBL_CLI_H
 
+#include <glib.h>
+
 #include "util/buf.h"
 
 /* Exit codes of every subcommand. */
@@ -67,6 +69,15 @@
 int bbl_cli_request(const bbl_target *target, const char *path,
                     const bbl_buf *post, long *status, bbl_buf *reply);
 
+/*
+ * Parses the options of a subcommand; prints what is wrong.
+ *
+ * @param usage what follows the options in the usage line
+ * @return 0 or BBL_EINVAL
+ */
+int bbl_cli_parse(int *argc, char ***argv, const GOptionEntry *entries,
+                  const char *usage);
+
 /* Reads a whole file. */
 int bbl_cli_read_file(bbl_buf *out, const char *path);
 
--- a/src/cli/common.c
+++ b/src/cli/common.c
@@ -32,6 +32,25 @@
     return code;
 }
 
+int
+bbl_cli_parse(int *argc, char ***argv, const GOptionEntry *entries,
+              const char *usage)
+{
+    GOptionContext *context = g_option_context_new(usage);
+    GError *error = NULL;
+    bool ok;
+
+    g_option_context_add_main_entries(context, entries, NULL);
+    ok = g_option_context_parse(context, argc, argv, &error);
+    g_option_context_free(context);
+    if (!ok) {
+        bbl_cli_fail(BBL_EXIT_USAGE, "%s", error->message);
+        g_error_free(error);
+        return BBL_EINVAL;
+    }
+    return 0;
+}
+
 int
 bbl_cli_read_file(bbl_buf *out, const char *path)
 {
--- a/src/cli/lists.c
+++ b/src/cli/lists.c
@@ -35,20 +35,9 @@
          "do not wait until the change is in force", NULL},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new(usage);
-    GError *error = NULL;
-    bool ok;
 
     f->expected = -1;
-    g_option_context_add_main_entries(context, entries, NULL);
-    ok = g_option_context_parse(context, argc, argv, &error);
-    g_option_context_free(context);
-    if (!ok) {
-        bbl_cli_fail(BBL_EXIT_USAGE, "%s", error->message);
-        g_error_free(error);
-        return BBL_EINVAL;
-    }
-    return 0;
+    return bbl_cli_parse(argc, argv, entries, usage);
 }
 
 static int
--- a/src/cli/operate.c
+++ b/src/cli/operate.c
@@ -18,19 +18,8 @@
 parse(int *argc, char ***argv, bbl_target *target, const char *usage)
 {
     GOptionEntry entries[] = {BBL_TARGET_OPTIONS(target), {NULL}};
-    GOptionContext *context = g_option_context_new(usage);
-    GError *error = NULL;
-    bool ok;
 
-    g_option_context_add_main_entries(context, entries, NULL);
-    ok = g_option_context_parse(context, argc, argv, &error);
-    g_option_context_free(context);
-    if (!ok) {
-        bbl_cli_fail(BBL_EXIT_USAGE, "%s", error->message);
-        g_error_free(error);
-        return BBL_EINVAL;
-    }
-    return 0;
+    return bbl_cli_parse(argc, argv, entries, usage);
 }
 
 /* Sends a request and prints the reply. */
@@ -226,21 +215,18 @@
          "caller address of a daemon", "ADDRESS"},
         {NULL},
     };
-    GOptionContext *context =
-        g_option_context_new("JSON - send one query body");
-    GError *error = NULL;
     bbl_buf post = BBL_BUF_INIT;
     bbl_buf reply = BBL_BUF_INIT;
     long status = 0;
     int code = BBL_EXIT_FAILED;
 
-    g_option_context_add_main_entries(context, entries, NULL);
-    g_option_context_set_help_enabled(context, TRUE);
-    if (!g_option_context_parse(context, &argc, &argv, &error) || argc != 2 ||
-        address == NULL) {
+    if (bbl_cli_parse(&argc, &argv, entries, "JSON - send one query body") !=
+        0) {
+        return BBL_EXIT_USAGE;
+    }
+    if (argc != 2 || address == NULL) {
         return bbl_cli_fail(BBL_EXIT_USAGE, "query --http ADDRESS JSON");
     }
-    g_option_context_free(context);
     bbl_buf_puts(&post, argv[1]);
     if (bbl_cli_http(address, "/v1/query", NULL, &post, &status, &reply) !=
         0) {
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -119,17 +119,13 @@
          "N"},
         {NULL},
     };
-    GOptionContext *context =
-        g_option_context_new("- make the journal of a founding voter");
-    GError *parse_error = NULL;
     bbl_disk *disk;
     int error;
 
-    g_option_context_add_main_entries(context, entries, NULL);
-    if (!g_option_context_parse(context, &argc, &argv, &parse_error)) {
-        return bbl_cli_fail(BBL_EXIT_USAGE, "%s", parse_error->message);
+    if (bbl_cli_parse(&argc, &argv, entries,
+                      "- make the journal of a founding voter") != 0) {
+        return BBL_EXIT_USAGE;
     }
-    g_option_context_free(context);
     if (folder == NULL || host <= 0) {
         return bbl_cli_fail(BBL_EXIT_USAGE, "give --data-dir and --host-id");
     }
