--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define BBLX_WIRE_VERSION 1
+#define BBLX_WIRE_VERSION 2
 #define BBLX_TEXT_MAX 16777216
 #define BBLX_ROWS_MAX 262144
 
@@ -22,6 +22,11 @@
 	char *bblx_name_val;
 } bblx_name;
 
+typedef struct {
+	u_int bblx_label_len;
+	char *bblx_label_val;
+} bblx_label;
+
 typedef struct {
 	u_int bblx_text_len;
 	char *bblx_text_val;
@@ -62,6 +67,8 @@
 	BBLX_CLAIM = 3,
 	BBLX_OUTCOME = 4,
 	BBLX_VOTERS = 5,
+	BBLX_ROUTING = 6,
+	BBLX_EVACUATE = 7,
 };
 typedef enum bblx_command_kind bblx_command_kind;
 
@@ -127,6 +134,19 @@
 };
 typedef struct bblx_outcome bblx_outcome;
 
+struct bblx_routing {
+	u_quad_t number;
+	u_int size;
+	bblx_text document;
+};
+typedef struct bblx_routing bblx_routing;
+
+struct bblx_evacuate {
+	bblx_name zone;
+	bool_t out;
+};
+typedef struct bblx_evacuate bblx_evacuate;
+
 struct bblx_command {
 	bblx_command_kind kind;
 	union {
@@ -135,6 +155,8 @@
 		bblx_claim claim;
 		bblx_outcome outcome;
 		bblx_voters voters;
+		bblx_routing routing;
+		bblx_evacuate evacuate;
 	} bblx_command_u;
 };
 typedef struct bblx_command bblx_command;
@@ -179,6 +201,11 @@
 		bblx_claim_record *claims_val;
 	} claims;
 	bblx_voters voters;
+	bblx_routing routing;
+	struct {
+		u_int evacuated_len;
+		bblx_name *evacuated_val;
+	} evacuated;
 };
 typedef struct bblx_state bblx_state;
 
@@ -282,6 +309,7 @@
 	u_quad_t applied;
 	bool_t draining;
 	bool_t released;
+	u_quad_t disk;
 	bblx_name zone;
 	bblx_address control;
 	bblx_address traffic;
@@ -318,6 +346,7 @@
 	u_quad_t incarnation;
 	bool_t live;
 	bool_t draining;
+	bool_t entry;
 	bblx_name zone;
 	bblx_address control;
 	bblx_address traffic;
@@ -325,6 +354,19 @@
 };
 typedef struct bblx_member_row bblx_member_row;
 
+struct bblx_backend {
+	bblx_label id;
+	bblx_label service;
+	bblx_name zone;
+	bblx_address address;
+	u_quad_t born;
+	u_int slots;
+	u_int cold_ms;
+	bool_t leaving;
+	bool_t gone;
+};
+typedef struct bblx_backend bblx_backend;
+
 struct bblx_feed {
 	u_int leader;
 	u_quad_t applied_after;
@@ -350,6 +392,11 @@
 		u_int members_len;
 		bblx_member_row *members_val;
 	} members;
+	struct {
+		u_int backends_len;
+		bblx_backend *backends_val;
+	} backends;
+	u_int catalog_age_ms;
 };
 typedef struct bblx_feed bblx_feed;
 
@@ -507,6 +554,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_bblx_name (XDR *, bblx_name*);
+extern  bool_t xdr_bblx_label (XDR *, bblx_label*);
 extern  bool_t xdr_bblx_text (XDR *, bblx_text*);
 extern  bool_t xdr_bblx_address (XDR *, bblx_address*);
 extern  bool_t xdr_bblx_voter_role (XDR *, bblx_voter_role*);
@@ -519,6 +567,8 @@
 extern  bool_t xdr_bblx_assigns (XDR *, bblx_assigns*);
 extern  bool_t xdr_bblx_claim (XDR *, bblx_claim*);
 extern  bool_t xdr_bblx_outcome (XDR *, bblx_outcome*);
+extern  bool_t xdr_bblx_routing (XDR *, bblx_routing*);
+extern  bool_t xdr_bblx_evacuate (XDR *, bblx_evacuate*);
 extern  bool_t xdr_bblx_command (XDR *, bblx_command*);
 extern  bool_t xdr_bblx_entry (XDR *, bblx_entry*);
 extern  bool_t xdr_bblx_change_record (XDR *, bblx_change_record*);
@@ -537,6 +587,7 @@
 extern  bool_t xdr_bblx_heartbeat (XDR *, bblx_heartbeat*);
 extern  bool_t xdr_bblx_grant (XDR *, bblx_grant*);
 extern  bool_t xdr_bblx_member_row (XDR *, bblx_member_row*);
+extern  bool_t xdr_bblx_backend (XDR *, bblx_backend*);
 extern  bool_t xdr_bblx_feed (XDR *, bblx_feed*);
 extern  bool_t xdr_bblx_propose (XDR *, bblx_propose*);
 extern  bool_t xdr_bblx_propose_reply (XDR *, bblx_propose_reply*);
@@ -554,6 +605,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_bblx_name ();
+extern bool_t xdr_bblx_label ();
 extern bool_t xdr_bblx_text ();
 extern bool_t xdr_bblx_address ();
 extern bool_t xdr_bblx_voter_role ();
@@ -566,6 +618,8 @@
 extern bool_t xdr_bblx_assigns ();
 extern bool_t xdr_bblx_claim ();
 extern bool_t xdr_bblx_outcome ();
+extern bool_t xdr_bblx_routing ();
+extern bool_t xdr_bblx_evacuate ();
 extern bool_t xdr_bblx_command ();
 extern bool_t xdr_bblx_entry ();
 extern bool_t xdr_bblx_change_record ();
@@ -584,6 +638,7 @@
 extern bool_t xdr_bblx_heartbeat ();
 extern bool_t xdr_bblx_grant ();
 extern bool_t xdr_bblx_member_row ();
+extern bool_t xdr_bblx_backend ();
 extern bool_t xdr_bblx_feed ();
 extern bool_t xdr_bblx_propose ();
 extern bool_t xdr_bblx_propose_reply ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -15,6 +15,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_label (XDR *xdrs, bblx_label *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->bblx_label_val, (u_int *) &objp->bblx_label_len, 127))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_text (XDR *xdrs, bblx_text *objp)
 {
@@ -191,6 +201,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_routing (XDR *xdrs, bblx_routing *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_bblx_text (xdrs, &objp->document))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_evacuate (XDR *xdrs, bblx_evacuate *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bblx_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->out))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_command (XDR *xdrs, bblx_command *objp)
 {
@@ -221,6 +257,14 @@
 		 if (!xdr_bblx_voters (xdrs, &objp->bblx_command_u.voters))
 			 return FALSE;
 		break;
+	case BBLX_ROUTING:
+		 if (!xdr_bblx_routing (xdrs, &objp->bblx_command_u.routing))
+			 return FALSE;
+		break;
+	case BBLX_EVACUATE:
+		 if (!xdr_bblx_evacuate (xdrs, &objp->bblx_command_u.evacuate))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -295,6 +339,11 @@
 		 return FALSE;
 	 if (!xdr_bblx_voters (xdrs, &objp->voters))
 		 return FALSE;
+	 if (!xdr_bblx_routing (xdrs, &objp->routing))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, 64,
+		sizeof (bblx_name), (xdrproc_t) xdr_bblx_name))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -515,6 +564,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->released))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->disk))
+		 return FALSE;
 	 if (!xdr_bblx_name (xdrs, &objp->zone))
 		 return FALSE;
 	 if (!xdr_bblx_address (xdrs, &objp->control))
@@ -569,6 +620,65 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->host))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->live))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->entry))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->live);
+		IXDR_PUT_BOOL(buf, objp->draining);
+		IXDR_PUT_BOOL(buf, objp->entry);
+		}
+		 if (!xdr_bblx_name (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_bblx_address (xdrs, &objp->control))
+			 return FALSE;
+		 if (!xdr_bblx_address (xdrs, &objp->traffic))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->applied))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->host))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->live))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->entry))
+				 return FALSE;
+
+		} else {
+		objp->live = IXDR_GET_BOOL(buf);
+		objp->draining = IXDR_GET_BOOL(buf);
+		objp->entry = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_bblx_name (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_bblx_address (xdrs, &objp->control))
+			 return FALSE;
+		 if (!xdr_bblx_address (xdrs, &objp->traffic))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->applied))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->host))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -577,6 +687,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->entry))
+		 return FALSE;
 	 if (!xdr_bblx_name (xdrs, &objp->zone))
 		 return FALSE;
 	 if (!xdr_bblx_address (xdrs, &objp->control))
@@ -588,6 +700,91 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_backend (XDR *xdrs, bblx_backend *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_bblx_label (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_bblx_label (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_bblx_name (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_bblx_address (xdrs, &objp->address))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->gone))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->slots);
+			IXDR_PUT_U_LONG(buf, objp->cold_ms);
+			IXDR_PUT_BOOL(buf, objp->leaving);
+			IXDR_PUT_BOOL(buf, objp->gone);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_bblx_label (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_bblx_label (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_bblx_name (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_bblx_address (xdrs, &objp->address))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->gone))
+				 return FALSE;
+		} else {
+			objp->slots = IXDR_GET_U_LONG(buf);
+			objp->cold_ms = IXDR_GET_U_LONG(buf);
+			objp->leaving = IXDR_GET_BOOL(buf);
+			objp->gone = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_bblx_label (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_bblx_label (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_bblx_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_bblx_address (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_feed (XDR *xdrs, bblx_feed *objp)
 {
@@ -621,6 +818,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 8192,
 		sizeof (bblx_member_row), (xdrproc_t) xdr_bblx_member_row))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->backends.backends_val, (u_int *) &objp->backends.backends_len, BBLX_ROWS_MAX,
+		sizeof (bblx_backend), (xdrproc_t) xdr_bblx_backend))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->catalog_age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -4,11 +4,12 @@
  * clocks are not shared.
  */
 
-const BBLX_WIRE_VERSION = 1;
+const BBLX_WIRE_VERSION = 2;
 const BBLX_TEXT_MAX = 16777216;
 const BBLX_ROWS_MAX = 262144;
 
 typedef opaque bblx_name<31>;
+typedef opaque bblx_label<127>;
 typedef opaque bblx_text<BBLX_TEXT_MAX>;
 
 struct bblx_address {
@@ -40,7 +41,9 @@
     BBLX_ASSIGN = 2,
     BBLX_CLAIM = 3,
     BBLX_OUTCOME = 4,
-    BBLX_VOTERS = 5
+    BBLX_VOTERS = 5,
+    BBLX_ROUTING = 6,
+    BBLX_EVACUATE = 7
 };
 
 struct bblx_lists {
@@ -90,6 +93,19 @@
     bblx_text answer;
 };
 
+/* A routing document; the greatest version is in force. */
+struct bblx_routing {
+    unsigned hyper number;   /* version of the document */
+    unsigned int size;        /* bytes of the document, inflated */
+    bblx_text document;       /* as the operator sent it, deflated */
+};
+
+/* Takes a data centre out of service, or back into it. */
+struct bblx_evacuate {
+    bblx_name zone;
+    bool out;
+};
+
 union bblx_command switch (bblx_command_kind kind) {
 case BBLX_NOOP:
     void;
@@ -103,6 +119,10 @@
     bblx_outcome outcome;
 case BBLX_VOTERS:
     bblx_voters voters;
+case BBLX_ROUTING:
+    bblx_routing routing;
+case BBLX_EVACUATE:
+    bblx_evacuate evacuate;
 };
 
 struct bblx_entry {
@@ -134,6 +154,8 @@
     bblx_assign assigns<BBLX_ROWS_MAX>;
     bblx_claim_record claims<4194304>;
     bblx_voters voters;
+    bblx_routing routing;     /* number 0: none yet */
+    bblx_name evacuated<64>;
 };
 
 /* ---- quorum messages ---- */
@@ -220,6 +242,7 @@
     unsigned hyper applied;
     bool draining;
     bool released;            /* owns nothing any more */
+    unsigned hyper disk;      /* identity of its journal; 0: no disk */
     bblx_name zone;
     bblx_address control;
     bblx_address traffic;
@@ -247,12 +270,26 @@
     unsigned hyper incarnation;
     bool live;
     bool draining;
+    bool entry;               /* takes callers; has no disk */
     bblx_name zone;
     bblx_address control;
     bblx_address traffic;
     unsigned hyper applied;
 };
 
+/* One backend server as the platform lists it. */
+struct bblx_backend {
+    bblx_label id;            /* of one incarnation */
+    bblx_label service;
+    bblx_name zone;
+    bblx_address address;
+    unsigned hyper born;      /* start of this incarnation; 0: not told */
+    unsigned int slots;
+    unsigned int cold_ms;     /* left of the cold start when sent */
+    bool leaving;
+    bool gone;                /* no longer listed */
+};
+
 struct bblx_feed {
     unsigned int leader;          /* host id; 0: not known */
     unsigned hyper applied_after; /* the entries continue from this index */
@@ -266,6 +303,8 @@
     bblx_entry entries<4096>;
     bblx_report reports<BBLX_ROWS_MAX>;
     bblx_member_row members<8192>;
+    bblx_backend backends<BBLX_ROWS_MAX>;
+    unsigned int catalog_age_ms;  /* of the backends; UINT32_MAX: unknown */
 };
 
 struct bblx_propose {
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
 packages="build-essential cmake ninja-build pkg-config clang clang-format
 clang-tidy cppcheck libck-dev libtirpc-dev libmicrohttpd-dev
 libcurl4-openssl-dev libglib2.0-dev libjansson-dev libxxhash-dev
-libsodium-dev check librapidcheck-dev libclang-rt-14-dev gnuplot-nox curl
+libsodium-dev libhttp-parser-dev zlib1g-dev check librapidcheck-dev libclang-rt-14-dev gnuplot-nox curl
 mandoc procps"
 missing=""
 for p in $packages; do
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "daemon/settings.h"
 #include "util/buf.h"
 
 /* Exit codes of every subcommand. */
@@ -24,6 +25,7 @@
 } bbl_command;
 
 int bbl_cli_serve(int argc, char **argv);
+int bbl_cli_forward(int argc, char **argv);
 int bbl_cli_init(int argc, char **argv);
 int bbl_cli_lists(int argc, char **argv);
 int bbl_cli_status(int argc, char **argv);
@@ -85,4 +87,7 @@
 int bbl_cli_fail(int code, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
+/* Returns the help text of a setting; free it with g_free. */
+char *bbl_cli_describe(const bbl_setting *setting);
+
 #endif
--- a/src/cli/common.c
+++ b/src/cli/common.c
@@ -184,3 +184,14 @@
     free(copy);
     return error;
 }
+
+char *
+bbl_cli_describe(const bbl_setting *s)
+{
+    return g_strdup_printf("%s; %s%s%s; default %s; %s", s->help, s->range,
+                           s->unit[0] ? " " : "", s->unit,
+                           s->value == NULL      ? "none, required"
+                           : s->value[0] == '\0' ? "unset"
+                                                 : s->value,
+                           s->variable);
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -12,6 +12,7 @@
 
 static const bbl_command commands[] = {
     {"serve", "run a daemon", bbl_cli_serve},
+    {"forward", "run a daemon that forwards requests", bbl_cli_forward},
     {"init", "make the journal of a founding voter", bbl_cli_init},
     {"lists", "check, show, diff or apply the two lists", bbl_cli_lists},
     {"status", "show the status of a daemon", bbl_cli_status},
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -31,17 +31,6 @@
     return NULL;
 }
 
-static char *
-describe(const bbl_setting *s)
-{
-    return g_strdup_printf("%s; %s%s%s; default %s; %s", s->help, s->range,
-                           s->unit[0] ? " " : "", s->unit,
-                           s->value == NULL      ? "none, required"
-                           : s->value[0] == '\0' ? "unset"
-                                                 : s->value,
-                           s->variable);
-}
-
 static int
 parse_flags(int argc, char **argv, flag_values *values)
 {
@@ -55,7 +44,7 @@
         entries[n].long_name = bbl_setting_at(n)->flag;
         entries[n].arg = G_OPTION_ARG_STRING;
         entries[n].arg_data = &values->values[n];
-        entries[n].description = describe(bbl_setting_at(n));
+        entries[n].description = bbl_cli_describe(bbl_setting_at(n));
         entries[n].arg_description = "VALUE";
     }
     g_option_context_add_main_entries(context, entries, NULL);
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -5,6 +5,7 @@
 
 #include "bbl/errors.h"
 #include "control/fault.h"
+#include "control/voter_plan.h"
 #include "util/alloc.h"
 
 #define ENTRIES_KEPT 1024 /* public entries kept for followers */
@@ -15,6 +16,10 @@
 #define CHILD_SILENT_US (2 * BBL_USEC_PER_SEC)
 #define RETRY_US (150 * BBL_USEC_PER_MS) /* resend of a proposal */
 #define PARENT_SILENT_BEATS 2 /* beats without a grant before a change */
+#define VOTERS_EVERY_US (100 * BBL_USEC_PER_MS)
+#define VOTER_LOST_US (1500 * BBL_USEC_PER_MS) /* then it is replaced */
+#define CANDIDATE_SILENT_US (1000 * BBL_USEC_PER_MS)
+#define CATALOG_UNKNOWN UINT32_MAX
 #define ASSIGN_EVERY_US (100 * BBL_USEC_PER_MS)
 #define PUBLISH_EVERY_US (50 * BBL_USEC_PER_MS)
 
@@ -104,9 +109,13 @@
     uint64_t public_index; /* last index that matters to members */
     bbl_usec next_assign;
     bbl_usec next_publish;
-    bbl_vec reports; /* scratch */
-    bbl_vec members; /* scratch */
-    bbl_vec assigns; /* scratch */
+    bbl_usec next_voters;
+    uint64_t voter_changes;
+    bbl_usec catalog_at; /* when the list was read; 0: never */
+    bbl_vec backends;    /* scratch */
+    bbl_vec reports;     /* scratch */
+    bbl_vec members;     /* scratch */
+    bbl_vec assigns;     /* scratch */
 
     uint64_t beats_sent;
     uint64_t beats_relayed;
@@ -303,7 +312,8 @@
     else if (command.kind == BBLX_OUTCOME) {
         command.bblx_command_u.outcome.time_ms = c->wall_ms;
     }
-    else if (command.kind != BBLX_LISTS) {
+    else if (command.kind != BBLX_LISTS && command.kind != BBLX_ROUTING &&
+             command.kind != BBLX_EVACUATE) {
         error = bbl_error_set(BBL_EINVAL, "only the leader proposes this");
     }
     if (error == 0) {
@@ -549,9 +559,16 @@
     f->applied = fill_entries(c, f, k->applied, space, &snapshot);
     c->reports.size = 0;
     c->members.size = 0;
+    c->backends.size = 0;
     f->rows_after = k->revision;
-    f->revision = bbl_rows_since(&c->rows, k->revision, FEED_ROWS, &c->reports,
-                                 &c->members);
+    f->revision = bbl_rows_since(&c->rows, k->revision, FEED_ROWS, c->now,
+                                 &c->reports, &c->members, &c->backends);
+    f->backends.backends_len = (u_int)c->backends.size;
+    f->backends.backends_val = c->backends.ptr;
+    f->catalog_age_ms =
+        c->catalog_at == 0
+            ? CATALOG_UNKNOWN
+            : (u_int)((c->now - c->catalog_at) / BBL_USEC_PER_MS);
     f->reports.reports_len = (u_int)c->reports.size;
     f->reports.reports_val = c->reports.ptr;
     f->members.members_len = (u_int)c->members.size;
@@ -797,6 +814,24 @@
             c->push = true;
         }
     }
+    for (u_int i = 0; i < f->backends.backends_len; i++) {
+        if (bbl_rows_put_backend(&c->rows, &f->backends.backends_val[i],
+                                 c->now)) {
+            c->push = true;
+        }
+    }
+}
+
+/* Takes over how old the parent's list of backend servers is. */
+static void
+follow_catalog_age(bbl_control *c, const bblx_feed *f)
+{
+    bbl_usec age = f->catalog_age_ms * BBL_USEC_PER_MS;
+
+    if (f->catalog_age_ms != CATALOG_UNKNOWN && age < c->now &&
+        c->now - age > c->catalog_at) {
+        c->catalog_at = c->now - age;
+    }
 }
 
 static void
@@ -816,6 +851,7 @@
     follow_log(c, f);
     if (f->rows_after <= c->parent_revision) {
         follow_rows(c, f);
+        follow_catalog_age(c, f);
         c->parent_revision = f->revision;
     }
     else {
@@ -918,6 +954,19 @@
 
 /* ---- own heartbeat ---- */
 
+/* Returns the identity of this host's journal, 0 without a sound one. */
+static uint64_t
+own_disk(const bbl_control *c)
+{
+    bbl_quorum_status s;
+
+    if (c->quorum == NULL) {
+        return 0;
+    }
+    bbl_quorum_get_status(c->quorum, &s);
+    return s.failed ? 0 : s.disk;
+}
+
 static void
 fill_beat(bbl_control *c, bblx_beat *b)
 {
@@ -930,6 +979,7 @@
     b->applied = c->confirmed;
     b->draining = c->draining;
     b->released = c->released;
+    b->disk = own_disk(c);
     b->zone = bbl_name_to_wire(&c->options.zone);
     b->control = c->options.control;
     b->traffic = c->options.traffic;
@@ -1034,6 +1084,66 @@
     bbl_buf_free(&data);
 }
 
+/* Fills what the plan of voters needs to know. */
+static void
+describe_voters(bbl_control *c, bbl_voter_plan_input *in)
+{
+    const bblx_voters *voters = bbl_quorum_get_voters(c->quorum);
+    const bbl_quorum_peer *peers;
+    size_t n = bbl_quorum_get_peers(c->quorum, c->now, &peers);
+    const bbl_member *m;
+    size_t pos = 0;
+
+    for (u_int i = 0; i < voters->list.list_len; i++) {
+        bbl_voter_seen *v = &in->voters[in->voter_count++];
+        const bblx_voter *known = &voters->list.list_val[i];
+
+        v->host = known->host;
+        v->disk = known->disk;
+        v->learner = known->role == BBLX_LEARNER;
+        v->silent = known->host == c->options.host ? 0 : UINT64_MAX;
+        for (size_t p = 0; p < n; p++) {
+            if (peers[p].host == known->host) {
+                v->silent = peers[p].silent;
+            }
+        }
+    }
+    while ((m = bbl_map_next(&c->registry.members, &pos)) != NULL &&
+           in->candidate_count < BBL_VOTER_CANDIDATES_MAX) {
+        if (m->disk != 0 && !m->draining &&
+            m->last_beat + CANDIDATE_SILENT_US > c->now) {
+            in->candidates[in->candidate_count].host = m->host;
+            in->candidates[in->candidate_count++].disk = m->disk;
+        }
+    }
+}
+
+/* Adds hosts with a disk to the voters, and replaces lost ones. */
+static void
+balance_voters(bbl_control *c)
+{
+    bbl_voter_plan_input in;
+    bbl_voter_step step;
+    const bbl_member *m;
+
+    if (c->options.voters_wanted == 0 || c->now < c->next_voters) {
+        return;
+    }
+    c->next_voters = c->now + VOTERS_EVERY_US;
+    memset(&in, 0, sizeof(in));
+    in.wanted = c->options.voters_wanted;
+    in.lost_after = VOTER_LOST_US;
+    describe_voters(c, &in);
+    if (!bbl_voter_plan(&in, &step)) {
+        return;
+    }
+    m = bbl_registry_member(&c->registry, step.add);
+    if (m != NULL && bbl_quorum_replace(c->quorum, step.remove, step.add,
+                                        m->control) == 0) {
+        c->voter_changes++;
+    }
+}
+
 static void
 tick_leader(bbl_control *c)
 {
@@ -1051,6 +1161,7 @@
         c->beat_now = true;
     }
     c->leader = c->options.host;
+    balance_voters(c);
     if (c->now >= c->next_publish) {
         c->next_publish = c->now + PUBLISH_EVERY_US;
         bbl_registry_publish(&c->registry, c->now, &c->rows);
@@ -1073,6 +1184,7 @@
     options.founders = c->options.seeds;
     options.clock_ppm = c->options.clock_ppm;
     options.compact_entries = c->options.compact_entries;
+    options.copies = c->options.copies;
     options.port.send = port_send;
     options.port.apply = port_apply;
     options.port.save = port_save;
@@ -1103,6 +1215,7 @@
     c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
     c->members = (bbl_vec)BBL_VEC_INIT(bblx_member_row);
     c->assigns = (bbl_vec)BBL_VEC_INIT(bblx_assign);
+    c->backends = (bbl_vec)BBL_VEC_INIT(bblx_backend);
     c->feed_boot = options->incarnation;
     if (disk != NULL) {
         c->full = bbl_state_new();
@@ -1140,6 +1253,7 @@
     bbl_vec_free(&c->reports);
     bbl_vec_free(&c->members);
     bbl_vec_free(&c->assigns);
+    bbl_vec_free(&c->backends);
     free(c);
 }
 
@@ -1253,6 +1367,36 @@
     bbl_registry_set_places(&c->registry, places, count);
 }
 
+void
+bbl_control_take_catalog(bbl_control *c, bbl_usec now,
+                         const bblx_backend *backends, size_t count)
+{
+    c->now = now;
+    c->catalog_at = now;
+    if (bbl_rows_take_catalog(&c->rows, backends, count, now)) {
+        c->push = true;
+    }
+    settle(c);
+}
+
+bbl_usec
+bbl_control_catalog_age(const bbl_control *c, bbl_usec now)
+{
+    return c->catalog_at == 0 ? UINT64_MAX : now - c->catalog_at;
+}
+
+bool
+bbl_control_leads(const bbl_control *c, bbl_usec now)
+{
+    return c->quorum != NULL && bbl_quorum_leads(c->quorum, now);
+}
+
+void
+bbl_control_set_seeds(bbl_control *c, bblx_voters seeds)
+{
+    c->options.seeds = seeds;
+}
+
 void
 bbl_control_confirm(bbl_control *c, uint64_t applied)
 {
@@ -1331,6 +1475,8 @@
     out->beats_relayed = c->beats_relayed;
     out->feeds_sent = c->feeds_sent;
     out->snapshots_sent = c->snapshots_sent;
+    out->answered_at = c->answered_at;
+    out->voter_changes = c->voter_changes;
 }
 
 uint64_t
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -40,6 +40,9 @@
     uint32_t clock_ppm;
     uint32_t relay_members; /* members from which relays are used */
     uint32_t compact_entries;
+    /* Voters to keep by adding and replacing them; 0: operators do so. */
+    uint32_t voters_wanted;
+    uint32_t copies; /* disks that hold a command before it counts */
     bbl_usec proposal_timeout;
     bbl_control_port port;
 } bbl_control_options;
@@ -81,6 +84,8 @@
     uint64_t beats_relayed;
     uint64_t feeds_sent;
     uint64_t snapshots_sent;
+    uint64_t voter_changes; /* proposed by this leader */
+    bbl_usec answered_at;   /* last grant, or the change of parent */
 } bbl_control_status;
 
 typedef struct bbl_control bbl_control;
@@ -115,6 +120,19 @@
 void bbl_control_set_places(bbl_control *control, const bblx_place *places,
                             size_t count);
 
+/* Hands in a whole list of backend servers, as read at `now`. */
+void bbl_control_take_catalog(bbl_control *control, bbl_usec now,
+                              const bblx_backend *backends, size_t count);
+
+/* Returns the age of the list that this host follows; UINT64_MAX: none. */
+bbl_usec bbl_control_catalog_age(const bbl_control *control, bbl_usec now);
+
+/* Returns whether this host leads and may answer for the newest state. */
+bool bbl_control_leads(const bbl_control *control, bbl_usec now);
+
+/* Replaces where this host looks for a leader; `seeds` is borrowed. */
+void bbl_control_set_seeds(bbl_control *control, bblx_voters seeds);
+
 /*
  * Says up to which index the traffic threads of this daemon follow the
  * state; that is what the leader is told as applied.
--- a/src/control/fault.h
+++ b/src/control/fault.h
@@ -20,7 +20,8 @@
     BBL_FAULT_RETRY_ONCE = 1 << 11,     /* retry what may not be repeated */
     BBL_FAULT_OLD_RESULTS = 1 << 12,    /* merge results of an old snapshot */
     BBL_FAULT_ALWAYS_NOT_RUN = 1 << 13, /* call any failure "not run" */
-    BBL_FAULT_IGNORE_ZONE = 1 << 14     /* use withdrawn data centres */
+    BBL_FAULT_IGNORE_ZONE = 1 << 14,    /* use withdrawn data centres */
+    BBL_FAULT_BARE_MAJORITY = 1 << 15   /* ignore the copies asked for */
 } bbl_fault;
 
 #ifdef BBL_TEST_FAULTS
--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -428,14 +428,13 @@
     return x < y ? 1 : x > y ? -1 : 0;
 }
 
-/* Returns the value that a majority of voters has reached. */
+/* Returns the value that `need` voters have reached. */
 static uint64_t
-majority_value(const bbl_quorum *q, uint64_t own,
-               uint64_t (*value)(const peer *p))
+value_of(const bbl_quorum *q, size_t need, uint64_t own,
+         uint64_t (*value)(const peer *p))
 {
     uint64_t values[64];
     size_t n = 0;
-    size_t need = majority(q);
 
     if (self_counts(q)) {
         values[n++] = own;
@@ -454,6 +453,25 @@
     return values[need - 1];
 }
 
+/*
+ * Returns how many disks must hold an entry before it is committed: a
+ * majority, and as many as were asked for while there are so many voters.
+ */
+static size_t
+commit_copies(const bbl_quorum *q)
+{
+    size_t need = majority(q);
+    size_t voters = 0;
+
+    for (u_int i = 0; i < q->voters.list.list_len; i++) {
+        voters += q->voters.list.list_val[i].role == BBLX_VOTER;
+    }
+    if (BBL_FAULT(BBL_FAULT_BARE_MAJORITY) || q->options.copies <= need) {
+        return need;
+    }
+    return q->options.copies < voters ? q->options.copies : voters;
+}
+
 static uint64_t
 peer_match(const peer *p)
 {
@@ -469,7 +487,7 @@
 static void
 leader_commit(bbl_quorum *q)
 {
-    uint64_t index = majority_value(q, q->synced, peer_match);
+    uint64_t index = value_of(q, commit_copies(q), q->synced, peer_match);
 
     if (index <= q->commit) {
         return;
@@ -489,7 +507,7 @@
 static bbl_usec
 lease_end(const bbl_quorum *q)
 {
-    bbl_usec acked = majority_value(q, q->now, peer_acked);
+    bbl_usec acked = value_of(q, majority(q), q->now, peer_acked);
     bbl_usec length = q->options.election_min;
 
     length -= length * q->options.clock_ppm * 2 / 1000000;
@@ -607,6 +625,7 @@
         p = bbl_vec_add(&q->peers);
         p->host = host;
         p->next = last_index(q) + 1;
+        p->heard = q->now;
     }
 }
 
@@ -1050,8 +1069,22 @@
     }
 }
 
+static void
+drop_voter(bblx_voters *voters, bblx_voter *v)
+{
+    *v = voters->list.list_val[voters->list.list_len - 1];
+    voters->list.list_len--;
+}
+
 int
 bbl_quorum_add(bbl_quorum *q, uint32_t host, bblx_address control)
+{
+    return bbl_quorum_replace(q, 0, host, control);
+}
+
+int
+bbl_quorum_replace(bbl_quorum *q, uint32_t lost, uint32_t host,
+                   bblx_address control)
 {
     bblx_voters changed = {{0, NULL}};
     bblx_voter *v;
@@ -1064,6 +1097,10 @@
         return bbl_error_set(BBL_EINVAL, "host 0, or 31 voters already");
     }
     voters_copy(&changed, &q->voters);
+    v = voter_of(&changed, lost);
+    if (v != NULL && lost != host) {
+        drop_voter(&changed, v);
+    }
     v = voter_of(&changed, host);
     if (v == NULL) {
         u_int n = changed.list.list_len + 1;
@@ -1106,8 +1143,7 @@
         error = bbl_error_set(BBL_EINVAL, "host %u is the last voter", host);
     }
     else {
-        *v = changed.list.list_val[changed.list.list_len - 1];
-        changed.list.list_len--;
+        drop_voter(&changed, v);
         error = propose_voters(q, &changed);
     }
     free(changed.list.list_val);
--- a/src/control/quorum.h
+++ b/src/control/quorum.h
@@ -36,13 +36,15 @@
     bbl_usec election_min;    /* least silence before an election */
     uint32_t clock_ppm;       /* bound on clock rate error */
     uint32_t compact_entries; /* entries kept before a snapshot */
+    uint32_t copies; /* disks that hold an entry before it is committed,
+                        where there are so many voters; 0: a majority */
     bbl_quorum_port port;
 } bbl_quorum_options;
 
 #define BBL_QUORUM_OPTIONS_INIT                                               \
     {                                                                         \
         BBL_QUORUM_OPTIONS_VERSION, 0, 1, {{0, NULL}}, 50 * BBL_USEC_PER_MS,  \
-            300 * BBL_USEC_PER_MS, 1000, 1024,                                \
+            300 * BBL_USEC_PER_MS, 1000, 1024, 0,                             \
         {                                                                     \
             0                                                                 \
         }                                                                     \
@@ -110,6 +112,13 @@
 /* Adds a learner, or turns a known host with an emptied disk into one. */
 int bbl_quorum_add(bbl_quorum *quorum, uint32_t host, bblx_address control);
 
+/*
+ * Adds a learner as bbl_quorum_add does, and removes a voter in the same
+ * change when `lost` is not 0.
+ */
+int bbl_quorum_replace(bbl_quorum *quorum, uint32_t lost, uint32_t host,
+                       bblx_address control);
+
 /* Removes a voter or learner. */
 int bbl_quorum_remove(bbl_quorum *quorum, uint32_t host);
 
--- a/src/control/registry.c
+++ b/src/control/registry.c
@@ -118,6 +118,7 @@
     m->applied = beat->applied > m->applied ? beat->applied : m->applied;
     m->draining = beat->draining;
     m->released = beat->released;
+    m->disk = beat->disk;
     bbl_name_from_wire(&m->zone, &beat->zone);
     m->control = beat->control;
     m->traffic = beat->traffic;
@@ -193,6 +194,7 @@
         row.incarnation = m->incarnation;
         row.live = is_live(m, now);
         row.draining = m->draining;
+        row.entry = m->disk == 0;
         row.zone = bbl_name_to_wire(&m->zone);
         row.control = m->control;
         row.traffic = m->traffic;
--- a/src/control/registry.h
+++ b/src/control/registry.h
@@ -22,6 +22,7 @@
     uint64_t applied;
     bool draining;
     bool released;
+    uint64_t disk; /* identity of its journal; 0: no disk */
     bbl_name zone;
     bblx_address control;
     bblx_address traffic;
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -6,12 +6,16 @@
 #include "util/alloc.h"
 
 #define CHANGES_SLACK 64 /* stale change references kept at least */
+#define COLD_SLACK_US (250 * BBL_USEC_PER_MS) /* rounding of the platform */
+#define GONE_MAX 4096 /* rows of servers that are gone, before they go */
+
+typedef enum { ROW_REPORT, ROW_MEMBER, ROW_BACKEND } row_kind;
 
 /* One change; stale when the row has a later revision. */
 typedef struct {
     uint64_t revision;
-    uint32_t key;
-    bool member;
+    uint64_t key;
+    row_kind kind;
 } change_ref;
 
 void
@@ -26,6 +30,7 @@
 {
     bbl_report_row *report;
     bbl_member_row *member;
+    bbl_backend_row *backend;
     size_t pos = 0;
 
     while ((report = bbl_map_next(&rows->reports, &pos)) != NULL) {
@@ -37,6 +42,12 @@
         BBL_RELEASE(bblx_member_row, &member->member);
         free(member);
     }
+    pos = 0;
+    while ((backend = bbl_map_next(&rows->backends, &pos)) != NULL) {
+        BBL_RELEASE(bblx_backend, &backend->backend);
+        free(backend);
+    }
+    bbl_map_free(&rows->backends);
     bbl_map_free(&rows->reports);
     bbl_map_free(&rows->members);
     bbl_vec_free(&rows->changes);
@@ -45,11 +56,16 @@
 static uint64_t
 current_revision(const bbl_rows *rows, const change_ref *ref)
 {
-    if (ref->member) {
+    if (ref->kind == ROW_MEMBER) {
         bbl_member_row *row = bbl_map_get(&rows->members, ref->key);
 
         return row ? row->revision : 0;
     }
+    if (ref->kind == ROW_BACKEND) {
+        bbl_backend_row *row = bbl_map_get(&rows->backends, ref->key);
+
+        return row ? row->revision : 0;
+    }
     bbl_report_row *row = bbl_map_get(&rows->reports, ref->key);
 
     return row ? row->revision : 0;
@@ -59,7 +75,8 @@
 prune_changes(bbl_rows *rows)
 {
     size_t kept = 0;
-    size_t live = rows->reports.size + rows->members.size;
+    size_t live =
+        rows->reports.size + rows->members.size + rows->backends.size;
 
     if (rows->changes.size < 2 * live + CHANGES_SLACK) {
         return;
@@ -76,9 +93,9 @@
 }
 
 static uint64_t
-note_change(bbl_rows *rows, uint32_t key, bool member)
+note_change(bbl_rows *rows, uint64_t key, row_kind kind)
 {
-    change_ref ref = {++rows->revision, key, member};
+    change_ref ref = {++rows->revision, key, kind};
 
     prune_changes(rows);
     bbl_vec_push(&rows->changes, &ref);
@@ -125,7 +142,7 @@
     row->report = copy;
     row->below = below;
     row->pending = pending;
-    row->revision = note_change(rows, report->searcher, false);
+    row->revision = note_change(rows, report->searcher, ROW_REPORT);
     return true;
 }
 
@@ -133,7 +150,7 @@
 same_member(const bblx_member_row *a, const bblx_member_row *b)
 {
     return a->incarnation == b->incarnation && a->live == b->live &&
-           a->draining == b->draining &&
+           a->draining == b->draining && a->entry == b->entry &&
            a->zone.bblx_name_len == b->zone.bblx_name_len &&
            memcmp(a->zone.bblx_name_val, b->zone.bblx_name_val,
                   a->zone.bblx_name_len) == 0 &&
@@ -159,10 +176,144 @@
     deep_copy(&copy, member, (xdrproc_t)xdr_bblx_member_row);
     BBL_RELEASE(bblx_member_row, &row->member);
     row->member = copy;
-    row->revision = note_change(rows, member->host, true);
+    row->revision = note_change(rows, member->host, ROW_MEMBER);
+    return true;
+}
+
+static bool
+same_label(const bblx_label *a, const bblx_label *b)
+{
+    return a->bblx_label_len == b->bblx_label_len &&
+           memcmp(a->bblx_label_val, b->bblx_label_val, a->bblx_label_len) ==
+               0;
+}
+
+static bool
+same_backend(const bblx_backend *a, const bblx_backend *b)
+{
+    return a->leaving == b->leaving && a->gone == b->gone &&
+           a->born == b->born && a->slots == b->slots &&
+           a->address.ip == b->address.ip &&
+           a->address.port == b->address.port &&
+           same_label(&a->service, &b->service) &&
+           a->zone.bblx_name_len == b->zone.bblx_name_len &&
+           memcmp(a->zone.bblx_name_val, b->zone.bblx_name_val,
+                  a->zone.bblx_name_len) == 0;
+}
+
+static bool
+same_cold(bbl_usec a, bbl_usec b, bbl_usec now)
+{
+    if (a <= now && b <= now) {
+        return true;
+    }
+    return a > b ? a - b <= COLD_SLACK_US : b - a <= COLD_SLACK_US;
+}
+
+static uint64_t
+backend_key(const bblx_label *id)
+{
+    return bbl_hash(id->bblx_label_val, id->bblx_label_len, 11);
+}
+
+bool
+bbl_rows_put_backend(bbl_rows *rows, const bblx_backend *backend, bbl_usec now)
+{
+    uint64_t key = backend_key(&backend->id);
+    bbl_backend_row *row = bbl_map_get(&rows->backends, key);
+    bbl_usec cold_until = now + backend->cold_ms * BBL_USEC_PER_MS;
+    bblx_backend copy;
+
+    if (row != NULL && same_backend(&row->backend, backend) &&
+        same_cold(row->cold_until, cold_until, now)) {
+        return false;
+    }
+    if (row == NULL) {
+        if (backend->gone) {
+            return false;
+        }
+        row = bbl_calloc(1, sizeof(*row));
+        bbl_map_set(&rows->backends, key, row);
+    }
+    memset(&copy, 0, sizeof(copy));
+    deep_copy(&copy, backend, (xdrproc_t)xdr_bblx_backend);
+    BBL_RELEASE(bblx_backend, &row->backend);
+    row->backend = copy;
+    row->cold_until = backend->cold_ms > 0 ? cold_until : 0;
+    row->revision = note_change(rows, key, ROW_BACKEND);
     return true;
 }
 
+/* Forgets servers that are gone once there are many; followers keep theirs,
+ * which name no server to use. */
+static void
+prune_gone(bbl_rows *rows)
+{
+    bbl_vec keys = BBL_VEC_INIT(uint64_t);
+    bbl_backend_row *row;
+    size_t pos = 0;
+
+    while ((row = bbl_map_next(&rows->backends, &pos)) != NULL) {
+        if (row->backend.gone) {
+            uint64_t key = backend_key(&row->backend.id);
+
+            bbl_vec_push(&keys, &key);
+        }
+    }
+    for (size_t i = 0; keys.size > GONE_MAX && i < keys.size; i++) {
+        row = bbl_map_remove(&rows->backends, *BBL_VEC_AT(uint64_t, &keys, i));
+        BBL_RELEASE(bblx_backend, &row->backend);
+        free(row);
+    }
+    bbl_vec_free(&keys);
+}
+
+bool
+bbl_rows_take_catalog(bbl_rows *rows, const bblx_backend *backends,
+                      size_t count, bbl_usec now)
+{
+    bbl_map listed = BBL_MAP_INIT;
+    bool changed = false;
+    bbl_backend_row *row;
+    size_t pos = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        bbl_map_set(&listed, backend_key(&backends[i].id),
+                    (void *)&backends[i]);
+        changed = bbl_rows_put_backend(rows, &backends[i], now) || changed;
+    }
+    while ((row = bbl_map_next(&rows->backends, &pos)) != NULL) {
+        uint64_t key = backend_key(&row->backend.id);
+
+        if (!row->backend.gone && bbl_map_get(&listed, key) == NULL) {
+            row->backend.gone = TRUE;
+            row->revision = note_change(rows, key, ROW_BACKEND);
+            changed = true;
+        }
+    }
+    bbl_map_free(&listed);
+    prune_gone(rows);
+    return changed;
+}
+
+void
+bbl_backend_copy(bblx_backend *to, const bblx_backend *from)
+{
+    *to = *from;
+    to->id.bblx_label_val =
+        bbl_memdup(from->id.bblx_label_val, from->id.bblx_label_len);
+    to->service.bblx_label_val =
+        bbl_memdup(from->service.bblx_label_val, from->service.bblx_label_len);
+    to->zone.bblx_name_val =
+        bbl_memdup(from->zone.bblx_name_val, from->zone.bblx_name_len);
+}
+
+const bbl_backend_row *
+bbl_rows_next_backend(const bbl_rows *rows, size_t *pos)
+{
+    return bbl_map_next(&rows->backends, pos);
+}
+
 void
 bbl_rows_confirm(bbl_rows *rows, const bblx_report *seen)
 {
@@ -219,9 +370,21 @@
     return low;
 }
 
+static void
+add_backend(const bbl_rows *rows, uint64_t key, bbl_usec now, bbl_vec *out)
+{
+    const bbl_backend_row *row = bbl_map_get(&rows->backends, key);
+    bblx_backend *copy = bbl_vec_add(out);
+
+    *copy = row->backend;
+    copy->cold_ms = row->cold_until > now
+                        ? (u_int)((row->cold_until - now) / BBL_USEC_PER_MS)
+                        : 0;
+}
+
 uint64_t
-bbl_rows_since(const bbl_rows *rows, uint64_t since, size_t max,
-               bbl_vec *reports, bbl_vec *members)
+bbl_rows_since(const bbl_rows *rows, uint64_t since, size_t max, bbl_usec now,
+               bbl_vec *reports, bbl_vec *members, bbl_vec *backends)
 {
     size_t i = first_after(rows, since);
 
@@ -231,14 +394,17 @@
         if (current_revision(rows, ref) != ref->revision) {
             continue;
         }
-        if (reports->size + members->size >= max) {
+        if (reports->size + members->size + backends->size >= max) {
             return ref->revision - 1;
         }
-        if (ref->member) {
-            bbl_vec_push(members, bbl_rows_member(rows, ref->key));
+        if (ref->kind == ROW_BACKEND) {
+            add_backend(rows, ref->key, now, backends);
+        }
+        else if (ref->kind == ROW_MEMBER) {
+            bbl_vec_push(members, bbl_rows_member(rows, (uint32_t)ref->key));
         }
         else {
-            bbl_vec_push(reports, bbl_rows_report(rows, ref->key));
+            bbl_vec_push(reports, bbl_rows_report(rows, (uint32_t)ref->key));
         }
     }
     return rows->revision;
--- a/src/control/rows.h
+++ b/src/control/rows.h
@@ -1,7 +1,8 @@
 /*
  * rows.h - soft rows that travel through the relay tree: what owners report
- * of their searchers, and which members live. Not replicated and not
- * durable; every row is sent again by its source after a loss.
+ * of their searchers, which members live, and which backend servers the
+ * platform lists. Not replicated and not durable; every row is sent again by
+ * its source after a loss.
  *
  * Each table numbers its changes, so that a follower that names the last
  * number it has seen gets only what is new.
@@ -25,10 +26,17 @@
     uint64_t revision;
 } bbl_member_row;
 
+typedef struct {
+    bblx_backend backend; /* owned */
+    bbl_usec cold_until;  /* local time; 0: warm */
+    uint64_t revision;
+} bbl_backend_row;
+
 typedef struct {
     uint64_t revision; /* number of the last change */
     bbl_map reports;   /* searcher -> bbl_report_row */
     bbl_map members;   /* host -> bbl_member_row */
+    bbl_map backends;  /* hash of the id -> bbl_backend_row */
     bbl_vec changes;   /* change_ref, by revision */
 } bbl_rows;
 
@@ -48,6 +56,29 @@
 /* Takes a member row in; returns whether it changed. */
 bool bbl_rows_put_member(bbl_rows *rows, const bblx_member_row *member);
 
+/*
+ * Takes in what the platform lists of one backend server; `cold_ms` counts
+ * from `now`. Returns whether the row changed; a cold start that ends within
+ * 250 ms of what was known is no change.
+ */
+bool bbl_rows_put_backend(bbl_rows *rows, const bblx_backend *backend,
+                          bbl_usec now);
+
+/*
+ * Takes in a whole list: what is missing from it is marked as gone.
+ *
+ * @return whether any row changed
+ */
+bool bbl_rows_take_catalog(bbl_rows *rows, const bblx_backend *backends,
+                           size_t count, bbl_usec now);
+
+/* Makes an owned copy of a backend server's row. */
+void bbl_backend_copy(bblx_backend *to, const bblx_backend *from);
+
+/* Steps through the backend servers as bbl_map_next does. */
+const bbl_backend_row *bbl_rows_next_backend(const bbl_rows *rows,
+                                             size_t *pos);
+
 /* Marks a report as known to the parent when it is as new as `seen`. */
 void bbl_rows_confirm(bbl_rows *rows, const bblx_report *seen);
 
@@ -62,10 +93,12 @@
  *
  * @param reports vector of bblx_report
  * @param members vector of bblx_member_row
+ * @param backends vector of bblx_backend, `cold_ms` counted from `now`
  * @return the revision that the follower has then reached
  */
 uint64_t bbl_rows_since(const bbl_rows *rows, uint64_t since, size_t max,
-                        bbl_vec *reports, bbl_vec *members);
+                        bbl_usec now, bbl_vec *reports, bbl_vec *members,
+                        bbl_vec *backends);
 
 /* Returns the report of a searcher, or NULL. */
 const bblx_report *bbl_rows_report(const bbl_rows *rows, uint32_t searcher);
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -34,6 +34,8 @@
     size_t claim_count; /* places in use, stale ones included */
     uint64_t claim_order;
     bblx_voters voters;
+    bblx_routing routing; /* owned */
+    bbl_vec evacuated;    /* bblx_name, owned */
 };
 
 bbl_state *
@@ -42,6 +44,7 @@
     bbl_state *s = bbl_calloc(1, sizeof(*s));
 
     s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
+    s->evacuated = (bbl_vec)BBL_VEC_INIT(bblx_name);
     return s;
 }
 
@@ -84,6 +87,11 @@
     bbl_map_free(&s->claims);
     free(s->claim_ring);
     BBL_RELEASE(bblx_voters, &s->voters);
+    BBL_RELEASE(bblx_routing, &s->routing);
+    for (size_t i = 0; i < s->evacuated.size; i++) {
+        BBL_RELEASE(bblx_name, bbl_vec_at(&s->evacuated, i));
+    }
+    bbl_vec_free(&s->evacuated);
 }
 
 void
@@ -329,6 +337,55 @@
     }
 }
 
+/* ---- routing and evacuations ---- */
+
+static void
+apply_routing(bbl_state *s, const bblx_routing *c, bbl_state_result *result)
+{
+    /* The greatest version wins; an older one is a resend and changes
+     * nothing, whatever it holds. */
+    if (c->number > s->routing.number) {
+        s->routing.number = c->number;
+        s->routing.size = c->size;
+        bbl_text_copy(&s->routing.document, bbl_text_str(&c->document));
+    }
+    result->version = s->routing.number;
+}
+
+/* Returns the place of a data centre among the evacuated ones, or -1. */
+static long
+find_evacuated(const bbl_state *s, const bblx_name *zone)
+{
+    for (size_t i = 0; i < s->evacuated.size; i++) {
+        const bblx_name *e = bbl_vec_at(&s->evacuated, i);
+
+        if (e->bblx_name_len == zone->bblx_name_len &&
+            memcmp(e->bblx_name_val, zone->bblx_name_val,
+                   zone->bblx_name_len) == 0) {
+            return (long)i;
+        }
+    }
+    return -1;
+}
+
+static void
+apply_evacuate(bbl_state *s, const bblx_evacuate *c, bbl_state_result *result)
+{
+    long at = find_evacuated(s, &c->zone);
+
+    if (c->out && at < 0) {
+        if (s->evacuated.size >= BBL_EVACUATED_MAX) {
+            result->status = BBL_EFULL;
+            return;
+        }
+        copy_name(bbl_vec_add(&s->evacuated), &c->zone);
+    }
+    if (!c->out && at >= 0) {
+        BBL_RELEASE(bblx_name, bbl_vec_at(&s->evacuated, (size_t)at));
+        bbl_vec_remove(&s->evacuated, (size_t)at);
+    }
+}
+
 /* ---- all commands ---- */
 
 static void
@@ -377,6 +434,12 @@
     case BBLX_VOTERS:
         apply_voters(s, &c.bblx_command_u.voters);
         break;
+    case BBLX_ROUTING:
+        apply_routing(s, &c.bblx_command_u.routing, result);
+        break;
+    case BBLX_EVACUATE:
+        apply_evacuate(s, &c.bblx_command_u.evacuate, result);
+        break;
     }
     BBL_RELEASE(bblx_command, &c);
 }
@@ -398,6 +461,9 @@
     w.plans = s->plans;
     w.allowances = s->allowances;
     w.voters = s->voters;
+    w.routing = s->routing;
+    w.evacuated.evacuated_len = (u_int)s->evacuated.size;
+    w.evacuated.evacuated_val = s->evacuated.ptr;
     if (claims && !BBL_FAULT(BBL_FAULT_FORGET_CHANGES)) {
         w.changes.changes_len = (u_int)s->changes.size;
         w.changes.changes_val = s->changes.ptr;
@@ -447,6 +513,11 @@
     }
     free(w->claims.claims_val);
     s->voters = w->voters;
+    s->routing = w->routing;
+    for (u_int i = 0; i < w->evacuated.evacuated_len; i++) {
+        bbl_vec_push(&s->evacuated, &w->evacuated.evacuated_val[i]);
+    }
+    free(w->evacuated.evacuated_val);
 }
 
 int
@@ -473,6 +544,7 @@
     clear(s);
     memset(s, 0, sizeof(*s));
     s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
+    s->evacuated = (bbl_vec)BBL_VEC_INIT(bblx_name);
     s->assign_revision = revision + 1;
     s->applied = w.applied;
     s->lists_version = w.lists_version;
@@ -539,6 +611,18 @@
     return &s->voters;
 }
 
+const bblx_routing *
+bbl_state_routing(const bbl_state *s)
+{
+    return &s->routing;
+}
+
+const bblx_name *
+bbl_state_evacuated(const bbl_state *s, size_t i)
+{
+    return i < s->evacuated.size ? bbl_vec_at(&s->evacuated, i) : NULL;
+}
+
 size_t
 bbl_state_claim_count(const bbl_state *s)
 {
@@ -550,5 +634,6 @@
 {
     char kind = data.size >= 4 ? data.ptr[3] : 0;
 
-    return kind == BBLX_LISTS || kind == BBLX_ASSIGN || kind == BBLX_VOTERS;
+    return kind == BBLX_LISTS || kind == BBLX_ASSIGN || kind == BBLX_VOTERS ||
+           kind == BBLX_ROUTING || kind == BBLX_EVACUATE;
 }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -12,6 +12,7 @@
 #include "util/vec.h"
 
 #define BBL_CHANGES_KEPT 4096  /* change ids remembered */
+#define BBL_EVACUATED_MAX 64   /* data centres out of service at once */
 #define BBL_CLAIMS_MAX 1000000 /* claims remembered */
 #define BBL_CLAIM_RETENTION_MS (24ull * 3600 * 1000)
 #define BBL_CLAIM_ANSWER_MAX 65536 /* bytes of a recorded outcome */
@@ -68,6 +69,15 @@
 /* Returns the voters last committed. */
 const bblx_voters *bbl_state_voters(const bbl_state *state);
 
+/*
+ * Returns the routing document in force, deflated, valid until the next
+ * command; its number is 0 before the first.
+ */
+const bblx_routing *bbl_state_routing(const bbl_state *state);
+
+/* Returns evacuated data centre `i`, or NULL past the last. */
+const bblx_name *bbl_state_evacuated(const bbl_state *state, size_t i);
+
 /* Returns how many claims are remembered. */
 size_t bbl_state_claim_count(const bbl_state *state);
 
--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "bbl/errors.h"
+#include "net/address.h"
 #include "daemon/metrics.h"
 #include "daemon/options.h"
 
--- /dev/null
+++ b/src/daemon/forward_metrics.c
@@ -0,0 +1,123 @@
+#include "daemon/forward_metrics.h"
+
+#include "util/clock.h"
+#include "util/log.h"
+
+#define PREFIX "baobablatch_"
+
+static void
+put_counter(bbl_buf *out, const char *name, const char *help, uint64_t value)
+{
+    bbl_buf_printf(out,
+                   "# HELP " PREFIX "%s %s\n# TYPE " PREFIX
+                   "%s counter\n" PREFIX "%s %llu\n",
+                   name, help, name, name, (unsigned long long)value);
+}
+
+static void
+put_gauge(bbl_buf *out, const char *name, const char *help, double value)
+{
+    bbl_buf_printf(out,
+                   "# HELP " PREFIX "%s %s\n# TYPE " PREFIX "%s gauge\n" PREFIX
+                   "%s %.6g\n",
+                   name, help, name, name, value);
+}
+
+static void
+put_latency(bbl_buf *out, const bbl_histogram *h)
+{
+    static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+
+    bbl_buf_puts(out, "# HELP " PREFIX
+                      "request_seconds latency of answered requests\n"
+                      "# TYPE " PREFIX "request_seconds summary\n");
+    for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
+        bbl_buf_printf(out, PREFIX "request_seconds{quantile=\"%g\"} %.6f\n",
+                       quantiles[i],
+                       bbl_histogram_quantile(h, quantiles[i]) / 1e6);
+    }
+    bbl_buf_printf(out,
+                   PREFIX "request_seconds_sum %.6f\n" PREFIX
+                          "request_seconds_count %llu\n",
+                   (double)h->sum / 1e6, (unsigned long long)h->total);
+}
+
+void
+bbl_forward_metrics_render(bbl_buf *out, const bbl_forwarder *f,
+                           const bbl_edge_counters *callers,
+                           const bbl_backend_counters *b)
+{
+    const bbl_forward_counters *c = bbl_forwarder_get_counters(f);
+
+    bbl_buf_puts(out, "# HELP " PREFIX
+                      "requests_total requests by outcome\n# TYPE " PREFIX
+                      "requests_total counter\n");
+    for (int i = 0; i < BBL_FORWARD_REASONS; i++) {
+        bbl_buf_printf(out, PREFIX "requests_total{outcome=\"%s\"} %llu\n",
+                       bbl_forward_reason_name((bbl_forward_reason)i),
+                       (unsigned long long)c->outcomes[i]);
+    }
+    put_latency(out, &c->latency);
+    put_gauge(out, "requests_open", "requests not answered yet",
+              (double)bbl_forwarder_open(f));
+    put_gauge(out, "routing_version", "version of the routing in force",
+              (double)bbl_forwarder_version(f));
+    put_counter(out, "attempts_total", "attempts sent to backend servers",
+                c->attempts);
+    put_counter(out, "hedges_total", "attempts beside a slow one", c->hedges);
+    put_counter(out, "hedge_wins_total", "hedges that answered first",
+                c->hedge_wins);
+    put_counter(out, "retries_total", "attempts after a failed one",
+                c->retries);
+    put_counter(out, "shed_total", "attempts that servers refused unrun",
+                c->shed);
+    put_counter(out, "no_budget_total", "extra attempts that were not allowed",
+                c->no_budget);
+    put_counter(out, "abandoned_total", "attempts ended by their connection",
+                c->abandoned);
+    put_counter(out, "caller_connections_total", "connections of callers",
+                callers->accepted);
+    put_counter(out, "callers_left_total", "callers that left unanswered",
+                callers->left);
+    put_counter(out, "malformed_total", "requests malformed or over a limit",
+                callers->refused);
+    put_counter(out, "server_connections_total",
+                "connections to backend servers", b->connects);
+    put_counter(out, "server_connection_failures_total",
+                "connections that could not be opened", b->connect_failures);
+    put_counter(out, "stray_responses_total",
+                "responses that belonged to no request", b->stray);
+    put_counter(out, "log_lines_lost_total", "log lines dropped",
+                bbl_log_lost());
+    put_counter(out, "cpu_microseconds_total", "processor time used",
+                bbl_clock_cpu());
+}
+
+void
+bbl_control_metrics_render(bbl_buf *out, const bbl_control_status *s,
+                           bbl_usec catalog_age, uint64_t catalog_calls,
+                           uint64_t orders)
+{
+    put_gauge(out, "quorum_term", "term of the quorum",
+              (double)s->quorum.term);
+    put_gauge(out, "quorum_commit", "last committed entry",
+              (double)s->quorum.commit);
+    put_gauge(out, "quorum_leads", "1 on the leader",
+              s->quorum.role == BBL_ROLE_LEADER);
+    put_gauge(out, "quorum_votes", "1 on a voter", s->quorum.voter);
+    put_gauge(out, "journal_failed", "1 while the disk fails",
+              s->quorum.failed);
+    put_gauge(out, "state_applied", "last entry applied", (double)s->applied);
+    put_gauge(out, "catalog_age_seconds", "age of the list; -1: none",
+              catalog_age == UINT64_MAX ? -1 : (double)catalog_age / 1e6);
+    put_counter(out, "catalog_calls_total", "calls to the platform",
+                catalog_calls);
+    put_counter(out, "orders_total", "orders of operators", orders);
+    put_counter(out, "feeds_sent_total", "feeds to followers", s->feeds_sent);
+    put_counter(out, "snapshots_sent_total", "whole states to followers",
+                s->snapshots_sent);
+    put_counter(out, "log_lines_lost_total", "log lines dropped",
+                bbl_log_lost());
+    put_counter(out, "cpu_microseconds_total", "processor time used",
+                bbl_clock_cpu());
+}
--- /dev/null
+++ b/src/daemon/gateway.c
@@ -0,0 +1,583 @@
+#include "daemon/gateway.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "bbl/errors.h"
+#include "daemon/forward_metrics.h"
+#include "net/backend_link.h"
+#include "net/edge.h"
+#include "net/mailbox.h"
+#include "util/alloc.h"
+#include "util/clock.h"
+
+#define MAILBOX_SLOTS 1024
+#define SERVICE_US (50 * BBL_USEC_PER_MS) /* between looks at connections */
+#define CONNECT_TIMEOUT_US (250 * BBL_USEC_PER_MS)
+#define SILENCE_TIMEOUT_US (700 * BBL_USEC_PER_MS) /* over two lost packets   \
+                                                    */
+#define RESPONSE_MAX (16u << 20) /* bytes of a response's body */
+#define FRESH_US                                                              \
+    (1000 * BBL_USEC_PER_MS) /* a connection for a request that               \
+                      must not be repeated was used so lately */
+#define LAG_US                                                                \
+    (2500 * BBL_USEC_PER_MS) /* for the balancer to notice: two of            \
+                                its questions, one a second */
+#define EXIT_MARGIN_US (600 * BBL_USEC_PER_MS) /* before the end of grace */
+
+typedef enum {
+    GATEWAY_SERVING,
+    GATEWAY_DRAINING,
+    GATEWAY_DRAINED
+} gateway_phase;
+
+struct bbl_gateway {
+    const bbl_node_options *options;
+    const bbl_dialect *dialect;
+    bbl_loop *loop;
+    bbl_mailbox updates; /* bbl_forward_update * */
+    bbl_edge *callers;
+    bbl_edge *ready;
+    bbl_edge *metrics;
+    bbl_backend_client *client;
+    bbl_forwarder *forwarder;
+    bbl_buf head; /* scratch */
+    bbl_buf fields;
+    bbl_usec next_service;
+    bbl_usec drain_since;
+    pthread_t thread;
+    bool running;
+    uint32_t stop;     /* by ck_pr */
+    uint32_t phase;    /* gateway_phase, by ck_pr */
+    uint64_t grace_us; /* by ck_pr; 0: serve */
+};
+
+/* ---- attempts ---- */
+
+static void
+on_exchange(void *ctx, const bbl_exchange_result *r)
+{
+    bbl_attempt *attempt = ctx;
+    bbl_gateway *g;
+    bbl_attempt_result result;
+
+    memset(&result, 0, sizeof(result));
+    g = bbl_attempt_get_ctx(attempt);
+    result.end = r->end == BBL_EXCHANGE_RESPONSE ? BBL_ATTEMPT_RESPONSE
+                 : r->end == BBL_EXCHANGE_UNSENT ? BBL_ATTEMPT_UNSENT
+                                                 : BBL_ATTEMPT_BROKEN;
+    result.reason = r->reason;
+    if (r->message != NULL) {
+        result.status = bbl_http_message_status(r->message);
+        result.headers = r->message->headers.ptr;
+        result.header_count = r->message->headers.size;
+        result.body = bbl_buf_str(&r->message->body);
+        result.message = r->message;
+    }
+    bbl_forwarder_ended(g->forwarder, bbl_clock_now(), attempt, &result);
+}
+
+static void
+put_field(bbl_buf *out, const bbl_header *h)
+{
+    bbl_buf_put(out, h->name.ptr, h->name.size);
+    bbl_buf_puts(out, ": ");
+    bbl_buf_put(out, h->value.ptr, h->value.size);
+    bbl_buf_puts(out, "\r\n");
+}
+
+/* Writes the request line and the fields that every attempt passes on. */
+static void
+put_head(bbl_gateway *g, bbl_buf *out, const bbl_edge_call *call)
+{
+    const bbl_http_message *m = call->message;
+
+    bbl_buf_clear(out);
+    bbl_buf_put(out, call->method.ptr, call->method.size);
+    bbl_buf_puts(out, " ");
+    bbl_buf_put(out, call->target.ptr, call->target.size);
+    bbl_buf_puts(out, " HTTP/1.1\r\n");
+    for (size_t i = 0; i < m->headers.size; i++) {
+        const bbl_header *h = bbl_vec_at(&m->headers, i);
+
+        if (!bbl_http_is_hop_field(m, h->name) &&
+            !g->dialect->is_own_field(h->name)) {
+            put_field(out, h);
+        }
+    }
+    if (m->body.size > 0 || bbl_http_message_count(m, "Content-Length") > 0) {
+        bbl_buf_printf(out, "Content-Length: %zu\r\n", m->body.size);
+    }
+}
+
+static int
+on_send(void *ctx, bbl_attempt *attempt, bbl_backend *backend,
+        const bbl_attempt_request *request)
+{
+    bbl_gateway *g = ctx;
+    bbl_edge_call *call = request->call;
+    bbl_exchange_request r;
+    bbl_caller_head caller;
+    bbl_exchange *exchange;
+    bbl_str id = {backend->listed.id.bblx_label_val,
+                  backend->listed.id.bblx_label_len};
+    int error;
+
+    g->dialect->read_caller(&caller, call->message->headers.ptr,
+                            call->message->headers.size);
+    put_head(g, &g->head, call);
+    bbl_buf_clear(&g->fields);
+    g->dialect->put_attempt(&g->fields, request->time_left_ms, id);
+    memset(&r, 0, sizeof(r));
+    r.head = bbl_buf_str(&g->head);
+    r.fields = bbl_buf_str(&g->fields);
+    r.body = bbl_buf_str(&call->message->body);
+    r.request_id = caller.request_id;
+    r.fresh_within = request->idempotent ? 0 : FRESH_US;
+    r.no_body = call->message->parser.method == (unsigned)HTTP_HEAD;
+    r.done = on_exchange;
+    r.ctx = attempt;
+    error = bbl_exchange_start(&exchange, backend->link, bbl_clock_now(), &r);
+    if (error == 0) {
+        bbl_attempt_set_handle(attempt, exchange);
+    }
+    return error;
+}
+
+static void
+on_abandon(void *ctx, bbl_attempt *attempt)
+{
+    (void)ctx;
+    bbl_exchange_abandon(bbl_attempt_get_handle(attempt));
+}
+
+static bool
+on_has_room(void *ctx, const bbl_backend *backend)
+{
+    (void)ctx;
+    return bbl_backend_link_has_room(backend->link);
+}
+
+/* ---- answers ---- */
+
+static void
+on_answer(void *ctx, void *call, const bbl_forward_answer *answer)
+{
+    bbl_gateway *g = ctx;
+    bbl_edge_reply r;
+    const bbl_http_message *m;
+
+    memset(&r, 0, sizeof(r));
+    r.status = answer->status;
+    r.fields = answer->fields;
+    r.body = answer->body;
+    if (answer->relay != NULL) {
+        m = answer->relay->message;
+        bbl_buf_clear(&g->fields);
+        for (size_t i = 0; i < m->headers.size; i++) {
+            const bbl_header *h = bbl_vec_at(&m->headers, i);
+
+            if (!bbl_http_is_hop_field(m, h->name)) {
+                put_field(&g->fields, h);
+            }
+        }
+        r.fields = bbl_buf_str(&g->fields);
+    }
+    bbl_edge_answer(call, &r);
+}
+
+static void
+on_record(void *ctx, const bbl_forward_record *r)
+{
+    bool good = r->reason == BBL_FORWARD_OK;
+    const char *detail = r->detail != NULL ? r->detail : "";
+
+    (void)ctx;
+    bbl_log(
+        good ? BBL_EV_REQUEST : BBL_EV_REQUEST_FAILED,
+        "id=%.*s outcome=%s status=%u route=%.*s routing=%llu "
+        "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
+        "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
+        "usable=%u server=%s detail=\"%s\"",
+        (int)r->request_id.size, r->request_id.ptr,
+        bbl_forward_reason_name(r->reason), r->status,
+        r->route ? (int)r->route->name.size : 0,
+        r->route ? r->route->name.ptr : "",
+        (unsigned long long)r->routing_version,
+        r->list_age == UINT64_MAX ? -1LL
+                                  : (long long)(r->list_age / BBL_USEC_PER_MS),
+        (double)r->elapsed / 1000.0, r->shards, r->answered, r->sent,
+        r->hedges, r->retries, r->retry_after_ms, (int)r->service.size,
+        r->service.ptr ? r->service.ptr : "", r->servers, r->usable,
+        r->service.size > 0 ? bbl_backend_state_name(r->server) : "", detail);
+}
+
+/* ---- backend servers ---- */
+
+static void
+size_link(void *ctx, bbl_backend *b)
+{
+    bbl_gateway *g = ctx;
+
+    /* No connection is opened any more to a server that leaves. */
+    bbl_backend_link_set_limit(
+        b->link,
+        b->listed.leaving ? 0 : bbl_forwarder_connections(g->forwarder, b));
+}
+
+static void
+on_added(void *ctx, bbl_backend *b)
+{
+    bbl_gateway *g = ctx;
+
+    b->link = bbl_backend_link_new(g->client, b->listed.address, b);
+    size_link(g, b);
+}
+
+static void
+on_removed(void *ctx, bbl_backend *b)
+{
+    (void)ctx;
+    bbl_backend_link_free(b->link);
+    b->link = NULL;
+}
+
+static void
+on_changed(void *ctx, bbl_backend *b, bbl_backend_state before)
+{
+    bbl_backend_state state = bbl_backend_get_state(b, bbl_clock_now());
+
+    (void)ctx;
+    bbl_log(BBL_EV_BACKEND, "id=%.*s service=%.*s from=%s to=%s in_flight=%u",
+            (int)b->listed.id.bblx_label_len, b->listed.id.bblx_label_val,
+            (int)b->listed.service.bblx_label_len,
+            b->listed.service.bblx_label_val, bbl_backend_state_name(before),
+            bbl_backend_state_name(state), b->in_flight);
+    if (state == BBL_BACKEND_DOWN && b->link != NULL) {
+        bbl_backend_link_distrust(b->link);
+        bbl_backend_link_open(b->link, bbl_clock_now());
+    }
+}
+
+static void
+on_opened(void *ctx, void *owner, bool ok)
+{
+    bbl_gateway *g = ctx;
+
+    bbl_forwarder_connected(g->forwarder, bbl_clock_now(), owner, ok);
+}
+
+/* ---- calls ---- */
+
+static void
+take_request(void *ctx, bbl_edge_call *call)
+{
+    bbl_gateway *g = ctx;
+    bbl_forward_request r;
+    bbl_caller_head head;
+
+    g->dialect->read_caller(&head, call->message->headers.ptr,
+                            call->message->headers.size);
+    memset(&r, 0, sizeof(r));
+    r.call = call;
+    r.hostname = call->hostname;
+    r.path = call->path;
+    r.request_id = head.request_id;
+    r.first = call->first;
+    r.has_time_left = head.has_time_left;
+    r.time_left_ms = head.time_left_ms;
+    r.arrived = call->arrived;
+    bbl_forwarder_take(g->forwarder, call->arrived, &r);
+}
+
+static void
+caller_left(void *ctx, bbl_edge_call *call)
+{
+    bbl_gateway *g = ctx;
+
+    bbl_forwarder_left(g->forwarder, bbl_clock_now(), call);
+}
+
+static void
+take_ready(void *ctx, bbl_edge_call *call)
+{
+    bbl_gateway *g = ctx;
+    bbl_order order;
+
+    g->dialect->read_order(&order, call->method, call->path);
+    if (order.kind != BBL_ORDER_READY) {
+        bbl_edge_answer_text(call, 404, "", "no such path\n");
+    }
+    else if (ck_pr_load_32(&g->phase) != GATEWAY_SERVING) {
+        bbl_edge_answer_text(call, 503, "", "draining\n");
+    }
+    else if (bbl_forwarder_version(g->forwarder) == 0) {
+        bbl_edge_answer_text(call, 503, "", "no routing yet\n");
+    }
+    else {
+        bbl_edge_answer_text(call, 200, "", "ready\n");
+    }
+}
+
+static void
+take_metrics(void *ctx, bbl_edge_call *call)
+{
+    bbl_gateway *g = ctx;
+    bbl_edge_reply r = {200, {"", 0}, {"", 0}, false};
+    bbl_buf text = BBL_BUF_INIT;
+
+    bbl_forward_metrics_render(&text, g->forwarder,
+                               bbl_edge_get_counters(g->callers),
+                               bbl_backend_client_get_counters(g->client));
+    r.body = bbl_buf_str(&text);
+    bbl_edge_answer(call, &r);
+    bbl_buf_free(&text);
+}
+
+static void
+nobody_left(void *ctx, bbl_edge_call *call)
+{
+    (void)ctx;
+    (void)call;
+}
+
+/* ---- the thread ---- */
+
+static void
+take_updates(bbl_gateway *g)
+{
+    bbl_forward_update *u;
+
+    while ((u = bbl_mailbox_take(&g->updates)) != NULL) {
+        bbl_forwarder_update(g->forwarder, bbl_clock_now(), u);
+        if (bbl_forwarder_limits(g->forwarder) != NULL) {
+            bbl_edge_set_limits(g->callers,
+                                bbl_forwarder_limits(g->forwarder));
+        }
+        bbl_forwarder_each_backend(g->forwarder, g, size_link);
+    }
+}
+
+static void
+tick_drain(bbl_gateway *g, bbl_usec now)
+{
+    bbl_usec grace = ck_pr_load_64(&g->grace_us);
+    bbl_usec spent;
+
+    if (grace == 0) {
+        return;
+    }
+    if (g->drain_since == 0) {
+        g->drain_since = now;
+        ck_pr_store_32(&g->phase, GATEWAY_DRAINING);
+        bbl_edge_drain(g->callers);
+    }
+    spent = now - g->drain_since;
+    if (spent >= LAG_US) {
+        bbl_edge_close_idle(g->callers, 0, now);
+    }
+    if ((spent >= LAG_US && bbl_edge_connections(g->callers) == 0) ||
+        spent + EXIT_MARGIN_US >= grace) {
+        ck_pr_store_32(&g->phase, GATEWAY_DRAINED);
+    }
+}
+
+static void
+service_connections(bbl_gateway *g, bbl_usec now)
+{
+    if (now < g->next_service) {
+        return;
+    }
+    g->next_service = now + SERVICE_US;
+    bbl_edge_tick(g->callers, now);
+    if (g->ready != NULL) {
+        bbl_edge_tick(g->ready, now);
+    }
+    if (g->metrics != NULL) {
+        bbl_edge_tick(g->metrics, now);
+    }
+    bbl_backend_client_tick(g->client, now);
+    tick_drain(g, now);
+}
+
+static void *
+gateway_main(void *ctx)
+{
+    bbl_gateway *g = ctx;
+
+    while (!ck_pr_load_32(&g->stop)) {
+        bbl_usec now = bbl_clock_now();
+        bbl_usec next = bbl_forwarder_tick(g->forwarder, now);
+
+        service_connections(g, now);
+        next = g->next_service < next ? g->next_service : next;
+        bbl_log_flush();
+        bbl_loop_run(g->loop, next > now ? next - now : 0);
+        take_updates(g);
+    }
+    return NULL;
+}
+
+/* ---- start and end ---- */
+
+static int
+open_forwarder(bbl_gateway *g, uint64_t seed)
+{
+    const bbl_node_options *o = g->options;
+    bbl_forwarder_options f = BBL_FORWARDER_OPTIONS_INIT;
+
+    f.zone = o->zone;
+    f.seed = seed;
+    f.caller_distance = o->caller_distance_ms * BBL_USEC_PER_MS;
+    f.list_lag = o->catalog_lag_ms * BBL_USEC_PER_MS;
+    f.extra.window = o->extra_window_ms * BBL_USEC_PER_MS;
+    f.extra.ratio = o->extra_ratio;
+    f.extra.constant = o->extra_constant;
+    f.dialect = g->dialect;
+    f.port.send = on_send;
+    f.port.abandon = on_abandon;
+    f.port.has_room = on_has_room;
+    f.port.answer = on_answer;
+    f.port.record = on_record;
+    f.port.server_added = on_added;
+    f.port.server_removed = on_removed;
+    f.port.server_changed = on_changed;
+    f.port.ctx = g;
+    return bbl_forwarder_new(&g->forwarder, &f);
+}
+
+static int
+open_client(bbl_gateway *g)
+{
+    bbl_backend_client_options o = {
+        .from = g->options->control,
+        .dialect = g->dialect,
+        .connect_timeout = CONNECT_TIMEOUT_US,
+        .silence_timeout = SILENCE_TIMEOUT_US,
+        .response_max = RESPONSE_MAX,
+        .opened = on_opened,
+        .ctx = g,
+    };
+
+    return bbl_backend_client_open(&g->client, g->loop, &o);
+}
+
+static int
+open_edges(bbl_gateway *g)
+{
+    bbl_edge_handler callers = {take_request, caller_left, g};
+    bbl_edge_handler ready = {take_ready, nobody_left, g};
+    bbl_edge_handler metrics = {take_metrics, nobody_left, g};
+    int error =
+        bbl_edge_open(&g->callers, g->loop, g->options->callers, &callers);
+
+    if (error == 0 && g->options->ready.port != 0) {
+        error = bbl_edge_open(&g->ready, g->loop, g->options->ready, &ready);
+    }
+    if (error == 0 && g->options->metrics.port != 0) {
+        error =
+            bbl_edge_open(&g->metrics, g->loop, g->options->metrics, &metrics);
+    }
+    return error;
+}
+
+int
+bbl_gateway_open(bbl_gateway **out, const bbl_node_options *options,
+                 const bbl_dialect *dialect, uint64_t seed)
+{
+    bbl_gateway *g = bbl_calloc(1, sizeof(*g));
+    int error;
+
+    *out = NULL;
+    g->options = options;
+    g->dialect = dialect;
+    error = bbl_loop_open(&g->loop);
+    if (error == 0) {
+        error = bbl_mailbox_init(&g->updates, g->loop, MAILBOX_SLOTS);
+    }
+    if (error == 0) {
+        error = open_forwarder(g, seed);
+    }
+    if (error == 0) {
+        error = open_client(g);
+    }
+    if (error == 0) {
+        error = open_edges(g);
+    }
+    if (error != 0) {
+        bbl_gateway_free(g);
+        return error;
+    }
+    *out = g;
+    return 0;
+}
+
+int
+bbl_gateway_start(bbl_gateway *g)
+{
+    if (pthread_create(&g->thread, NULL, gateway_main, g) != 0) {
+        return bbl_error_set(BBL_EIO, "pthread_create");
+    }
+    g->running = true;
+    return 0;
+}
+
+void
+bbl_gateway_update(bbl_gateway *g, bbl_forward_update *update)
+{
+    if (!bbl_mailbox_put(&g->updates, update)) {
+        bbl_forward_update_free(update);
+    }
+}
+
+void
+bbl_gateway_drain(bbl_gateway *g, bbl_usec grace)
+{
+    ck_pr_store_64(&g->grace_us, grace);
+    bbl_loop_wake(g->loop);
+}
+
+bool
+bbl_gateway_drained(bbl_gateway *g)
+{
+    return ck_pr_load_32(&g->phase) == GATEWAY_DRAINED;
+}
+
+void
+bbl_gateway_stop(bbl_gateway *g)
+{
+    if (g->running) {
+        ck_pr_store_32(&g->stop, 1);
+        bbl_loop_wake(g->loop);
+        pthread_join(g->thread, NULL);
+        g->running = false;
+    }
+}
+
+static void
+free_update(void *update)
+{
+    bbl_forward_update_free(update);
+}
+
+void
+bbl_gateway_free(bbl_gateway *g)
+{
+    if (g == NULL) {
+        return;
+    }
+    bbl_gateway_stop(g);
+    bbl_edge_free(g->ready);
+    bbl_edge_free(g->metrics);
+    bbl_edge_free(g->callers);
+    bbl_forwarder_free(g->forwarder);
+    bbl_backend_client_free(g->client);
+    bbl_mailbox_free(&g->updates, free_update);
+    bbl_loop_free(g->loop);
+    bbl_buf_free(&g->head);
+    bbl_buf_free(&g->fields);
+    free(g);
+}
--- /dev/null
+++ b/src/daemon/node.c
@@ -0,0 +1,728 @@
+#include "daemon/node.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "bbl/errors.h"
+#include "control/control.h"
+#include "daemon/forward_metrics.h"
+#include "daemon/gateway.h"
+#include "daemon/orders.h"
+#include "net/catalog_client.h"
+#include "net/mesh.h"
+#include "util/alloc.h"
+#include "util/clock.h"
+
+#define VOTER_WAIT_US (10 * BBL_USEC_PER_MS) /* a leader's beat is 50 ms */
+#define MEMBER_WAIT_US (50 * BBL_USEC_PER_MS)
+#define ACK_TIMEOUT_US (150 * BBL_USEC_PER_MS)
+#define KEEP_US (300 * BBL_USEC_PER_MS)
+#define SERVICE_US (50 * BBL_USEC_PER_MS)
+#define CATALOG_EVERY_US (600 * BBL_USEC_PER_MS) /* of the leader */
+#define CATALOG_RATE_SHARE 0.5 /* of the platform's calls a second */
+#define CATALOG_STALE_US                                                      \
+    (1500 * BBL_USEC_PER_MS) /* then an entry host reads                      \
+                                the list itself */
+#define CATALOG_CONFIRM_US (250 * BBL_USEC_PER_MS)
+#define CONTROL_SILENT_US (1500 * BBL_USEC_PER_MS)
+#define REREAD_EVERY_US (3 * BBL_USEC_PER_SEC) /* while no leader answers */
+#define ENTRY_MEMORY_US                                                       \
+    (30 * BBL_USEC_PER_SEC)                    /* entry hosts that are silent \
+                                      may still serve, and count so long */
+#define EXIT_WAIT_US (1500 * BBL_USEC_PER_MS)  /* for orders under way */
+#define EXIT_LINGER_US (250 * BBL_USEC_PER_MS) /* for the leadership to go */
+
+typedef struct {
+    const bbl_node_options *options;
+    const bbl_dialect *dialect;
+    int (*reread)(bbl_node_options *out, void *ctx);
+    void *reread_ctx;
+    bbl_node_options reread_options; /* owns the seeds in use */
+    bool has_reread;
+    uint64_t incarnation;
+    bbl_usec now;
+    bbl_loop *loop;
+    bbl_mesh *mesh;
+    bbl_control *control;
+    bbl_gateway *gateway;
+    bbl_catalog_client *catalog;
+    bbl_edge *orders_edge;
+    bbl_edge *metrics_edge;
+    bbl_orders orders;
+    int signals;
+    bbl_usec next_service;
+    bbl_usec next_catalog;
+    bool catalog_failing;
+    size_t catalog_skipped;
+    bbl_usec next_reread;
+    uint64_t published; /* control revision */
+    bbl_usec published_list;
+    uint64_t routing_version;
+    unsigned entry_hosts;
+    bbl_usec entry_hosts_at;
+    size_t evacuated;
+    uint32_t leader;
+    bool control_lost;
+    bool journal_failed;
+    uint64_t voters_seen; /* hash of the voters last logged */
+    bbl_usec stopping;    /* since SIGTERM; 0: not */
+    bool transferred;
+    bool done;
+} node;
+
+/* ---- the published update ---- */
+
+/* Counts the entry hosts, with those that fell silent a short while ago. */
+static unsigned
+count_entry_hosts(node *n)
+{
+    const bblx_member_row *m;
+    unsigned count = 0;
+    size_t pos = 0;
+
+    while ((m = bbl_rows_next_member(bbl_control_rows(n->control), &pos)) !=
+           NULL) {
+        count += m->entry && m->live;
+    }
+    if (count >= n->entry_hosts ||
+        n->now > n->entry_hosts_at + ENTRY_MEMORY_US) {
+        n->entry_hosts = count;
+        n->entry_hosts_at = n->now;
+    }
+    return n->entry_hosts;
+}
+
+static void
+fill_backends(node *n, bbl_forward_update *u)
+{
+    const bbl_rows *rows = bbl_control_rows(n->control);
+    const bbl_backend_row *row;
+    size_t pos = 0;
+    size_t count = 0;
+
+    while (bbl_rows_next_backend(rows, &pos) != NULL) {
+        count++;
+    }
+    u->backends = bbl_calloc(count, sizeof(*u->backends));
+    u->cold_until = bbl_calloc(count, sizeof(*u->cold_until));
+    pos = 0;
+    while ((row = bbl_rows_next_backend(rows, &pos)) != NULL) {
+        bblx_backend *b = &u->backends[u->backend_count];
+
+        bbl_backend_copy(b, &row->backend);
+        u->cold_until[u->backend_count++] = row->cold_until;
+    }
+}
+
+static void
+fill_evacuated(node *n, bbl_forward_update *u)
+{
+    const bbl_state *state = bbl_control_state(n->control);
+    size_t count = 0;
+
+    while (bbl_state_evacuated(state, count) != NULL) {
+        count++;
+    }
+    u->evacuated = bbl_calloc(count, sizeof(*u->evacuated));
+    for (size_t i = 0; i < count; i++) {
+        bbl_name_from_wire(&u->evacuated[i], bbl_state_evacuated(state, i));
+    }
+    u->evacuated_count = count;
+    if (count != n->evacuated) {
+        bbl_log(BBL_EV_EVACUATION, "data_centres=%zu applied=%llu", count,
+                (unsigned long long)bbl_state_applied(state));
+        n->evacuated = count;
+    }
+}
+
+/* Decodes a new version of the routing, which the orders have checked. */
+static void
+fill_routing(node *n, bbl_forward_update *u)
+{
+    const bbl_state *state = bbl_control_state(n->control);
+    uint64_t version = bbl_state_routing(state)->number;
+    bbl_buf document = BBL_BUF_INIT;
+
+    if (version == n->routing_version) {
+        return;
+    }
+    if (bbl_orders_document(&document, state) != 0 ||
+        n->dialect->read_routing(&u->routing, bbl_buf_str(&document)) != 0 ||
+        bbl_routing_check(u->routing) != 0) {
+        bbl_log(BBL_EV_ROUTING_REFUSED, "version=%llu reason=\"%s\"",
+                (unsigned long long)version, bbl_error_last());
+        bbl_routing_free(u->routing);
+        u->routing = NULL;
+    }
+    else {
+        bbl_log(BBL_EV_ROUTING,
+                "version=%llu before=%llu bytes=%zu "
+                "applied=%llu",
+                (unsigned long long)version,
+                (unsigned long long)n->routing_version, document.size,
+                (unsigned long long)bbl_state_applied(state));
+    }
+    n->routing_version = version;
+    bbl_buf_free(&document);
+}
+
+static void
+publish(node *n)
+{
+    uint64_t revision = bbl_control_revision(n->control);
+    bbl_usec age = bbl_control_catalog_age(n->control, n->now);
+    bbl_usec list_read = age == UINT64_MAX ? 0 : n->now - age;
+    bbl_forward_update *u;
+
+    if (n->gateway == NULL ||
+        (revision == n->published &&
+         list_read < n->published_list + CATALOG_CONFIRM_US)) {
+        return;
+    }
+    u = bbl_calloc(1, sizeof(*u));
+    if (revision != n->published) {
+        fill_routing(n, u);
+        fill_backends(n, u);
+    }
+    n->published = revision;
+    n->published_list = list_read;
+    u->list_read = list_read;
+    u->entry_hosts = count_entry_hosts(n);
+    fill_evacuated(n, u);
+    bbl_gateway_update(n->gateway, u);
+}
+
+/* ---- the list of backend servers ---- */
+
+static void
+on_list(void *ctx, const bblx_backend *backends, size_t count, size_t skipped)
+{
+    node *n = ctx;
+
+    if (n->catalog_failing || skipped != n->catalog_skipped) {
+        bbl_log(BBL_EV_CATALOG, "servers=%zu skipped=%zu", count, skipped);
+    }
+    n->catalog_failing = false;
+    n->catalog_skipped = skipped;
+    bbl_control_take_catalog(n->control, bbl_clock_now(), backends, count);
+}
+
+static void
+on_list_failed(void *ctx, const char *reason)
+{
+    node *n = ctx;
+
+    if (!n->catalog_failing) {
+        bbl_log(BBL_EV_CATALOG_FAILED, "reason=\"%s\" age_ms=%lld", reason,
+                (long long)(bbl_control_catalog_age(n->control, n->now) /
+                            BBL_USEC_PER_MS));
+    }
+    n->catalog_failing = true;
+}
+
+/*
+ * Returns how long to wait between two readings. The leader reads for all;
+ * an entry host that hears nothing reads for itself, so slowly that all of
+ * them together stay within the platform's rate.
+ */
+static bbl_usec
+catalog_interval(const node *n, bool leads)
+{
+    double pages = bbl_catalog_client_pages(n->catalog);
+    double readers = leads || n->entry_hosts == 0 ? 1 : n->entry_hosts;
+    double least = pages * readers * 1e6 /
+                   (n->options->catalog_per_s * CATALOG_RATE_SHARE);
+
+    return least > (double)CATALOG_EVERY_US ? (bbl_usec)least
+                                            : CATALOG_EVERY_US;
+}
+
+static void
+tick_catalog(node *n)
+{
+    bool leads = bbl_control_leads(n->control, n->now);
+    bbl_usec age = bbl_control_catalog_age(n->control, n->now);
+
+    if (n->catalog == NULL) {
+        return;
+    }
+    bbl_catalog_client_tick(n->catalog, n->now);
+    if (n->now < n->next_catalog ||
+        !(leads || (n->gateway != NULL && age > CATALOG_STALE_US))) {
+        return;
+    }
+    if (bbl_catalog_client_read(n->catalog, n->now)) {
+        n->next_catalog = n->now + catalog_interval(n, leads);
+    }
+}
+
+/* ---- the control core's port ---- */
+
+static void
+on_mesh(void *ctx, uint32_t from, uint64_t incarnation, const bblx_message *m)
+{
+    node *n = ctx;
+
+    (void)incarnation;
+    bbl_control_step(n->control, bbl_clock_now(), from, m);
+}
+
+static void
+control_send(void *ctx, uint32_t host, bblx_address to, const bblx_message *m)
+{
+    node *n = ctx;
+
+    bbl_mesh_send(n->mesh, bbl_clock_now(), host, to, m);
+}
+
+static void
+on_proposed(void *ctx, uint64_t number, const bblx_propose_reply *reply)
+{
+    node *n = ctx;
+
+    bbl_orders_proposed(&n->orders, number, reply);
+}
+
+/* ---- calls ---- */
+
+static void
+take_order(void *ctx, bbl_edge_call *call)
+{
+    node *n = ctx;
+
+    bbl_orders_take(&n->orders, bbl_clock_now(), call);
+}
+
+static void
+order_left(void *ctx, bbl_edge_call *call)
+{
+    node *n = ctx;
+
+    bbl_orders_left(&n->orders, call);
+}
+
+static void
+take_metrics(void *ctx, bbl_edge_call *call)
+{
+    node *n = ctx;
+    bbl_edge_reply r = {200, {"", 0}, {"", 0}, false};
+    bbl_buf text = BBL_BUF_INIT;
+    bbl_control_status s;
+
+    bbl_control_get_status(n->control, n->now, &s);
+    bbl_control_metrics_render(
+        &text, &s, bbl_control_catalog_age(n->control, n->now),
+        n->catalog ? bbl_catalog_client_calls(n->catalog) : 0,
+        n->orders.taken);
+    r.body = bbl_buf_str(&text);
+    bbl_edge_answer(call, &r);
+    bbl_buf_free(&text);
+}
+
+static void
+metrics_left(void *ctx, bbl_edge_call *call)
+{
+    (void)ctx;
+    (void)call;
+}
+
+/* ---- what changed ---- */
+
+static void
+log_voters(node *n)
+{
+    const bblx_voters *v = bbl_state_voters(bbl_control_state(n->control));
+    bbl_buf text = BBL_BUF_INIT;
+    uint64_t hash;
+
+    for (u_int i = 0; i < v->list.list_len; i++) {
+        bbl_buf_printf(
+            &text, "%s%u%s", i > 0 ? "," : "", v->list.list_val[i].host,
+            v->list.list_val[i].role == BBLX_LEARNER ? "(learner)" : "");
+    }
+    hash = bbl_hash(text.ptr, text.size, 51);
+    if (hash != n->voters_seen && text.size > 0) {
+        bbl_log(BBL_EV_VOTERS, "voters=%s applied=%llu", text.ptr,
+                (unsigned long long)bbl_state_applied(
+                    bbl_control_state(n->control)));
+        n->voters_seen = hash;
+    }
+    bbl_buf_free(&text);
+}
+
+static void
+log_changes(node *n)
+{
+    bbl_control_status s;
+    bool lost;
+
+    bbl_control_get_status(n->control, n->now, &s);
+    if (s.leader != n->leader) {
+        bbl_log(BBL_EV_LEADER, "leader=%u term=%llu", s.leader,
+                (unsigned long long)s.quorum.term);
+        n->leader = s.leader;
+    }
+    lost = s.lease_until + CONTROL_SILENT_US < n->now;
+    if (lost != n->control_lost) {
+        bbl_log(lost ? BBL_EV_CONTROL_LOST : BBL_EV_CONTROL_FOUND,
+                "leader=%u applied=%llu routing=%llu", s.leader,
+                (unsigned long long)s.applied,
+                (unsigned long long)n->routing_version);
+        n->control_lost = lost;
+    }
+    if (s.quorum.failed != n->journal_failed) {
+        bbl_log(s.quorum.failed ? BBL_EV_JOURNAL_FAILED
+                                : BBL_EV_JOURNAL_REOPENED,
+                "reason=\"%s\"", bbl_error_last());
+        n->journal_failed = s.quorum.failed;
+    }
+    log_voters(n);
+}
+
+/* ---- settings and signals ---- */
+
+static void
+reread_settings(node *n, const char *why)
+{
+    bbl_node_options fresh;
+
+    if (n->reread(&fresh, n->reread_ctx) != 0) {
+        bbl_log(BBL_EV_RELOAD_FAILED, "why=%s reason=\"%s\"", why,
+                bbl_error_last());
+        return;
+    }
+    bbl_control_set_seeds(n->control, fresh.seeds);
+    if (n->has_reread) {
+        bbl_node_options_free(&n->reread_options);
+    }
+    n->reread_options = fresh;
+    n->has_reread = true;
+    bbl_log(BBL_EV_RELOAD, "why=%s seeds=%u", why, fresh.seeds.list.list_len);
+}
+
+static void
+start_stop(node *n)
+{
+    if (n->stopping != 0) {
+        return;
+    }
+    bbl_log(BBL_EV_DRAIN, "grace_ms=%u", n->options->grace_ms);
+    n->stopping = n->now;
+    bbl_control_drain(n->control, n->now);
+    if (n->gateway != NULL) {
+        bbl_gateway_drain(n->gateway, n->options->grace_ms * BBL_USEC_PER_MS);
+    }
+}
+
+static void
+on_signal(void *ctx, int fd, uint32_t events)
+{
+    node *n = ctx;
+    struct signalfd_siginfo info;
+
+    (void)events;
+    while (read(fd, &info, sizeof(info)) == sizeof(info)) {
+        if (info.ssi_signo == SIGHUP) {
+            reread_settings(n, "signal");
+        }
+        else {
+            start_stop(n);
+        }
+    }
+}
+
+/* While nobody answers, the settings may name hosts that do. */
+static void
+tick_seeds(node *n)
+{
+    if (!n->control_lost || n->now < n->next_reread) {
+        return;
+    }
+    if (n->next_reread != 0) {
+        reread_settings(n, "no-leader");
+    }
+    n->next_reread = n->now + REREAD_EVERY_US;
+}
+
+static void
+tick_stop(node *n)
+{
+    bbl_usec spent = n->now - n->stopping;
+
+    if (n->stopping == 0) {
+        return;
+    }
+    if (n->gateway != NULL) {
+        n->done = bbl_gateway_drained(n->gateway);
+        return;
+    }
+    if (!n->transferred && bbl_control_quorum(n->control) != NULL) {
+        n->transferred = true;
+        bbl_quorum_transfer(bbl_control_quorum(n->control), n->now);
+    }
+    n->done = spent > EXIT_WAIT_US ||
+              (spent > EXIT_LINGER_US && bbl_edge_calls(n->orders_edge) == 0);
+}
+
+/* ---- the thread ---- */
+
+static void
+service_connections(node *n)
+{
+    if (n->now < n->next_service) {
+        return;
+    }
+    n->next_service = n->now + SERVICE_US;
+    if (n->orders_edge != NULL) {
+        bbl_edge_tick(n->orders_edge, n->now);
+    }
+    if (n->metrics_edge != NULL) {
+        bbl_edge_tick(n->metrics_edge, n->now);
+    }
+    tick_catalog(n);
+    tick_seeds(n);
+    log_changes(n);
+    tick_stop(n);
+}
+
+static void
+run_once(node *n)
+{
+    bbl_loop_run(n->loop, bbl_control_quorum(n->control) != NULL
+                              ? VOTER_WAIT_US
+                              : MEMBER_WAIT_US);
+    n->now = bbl_clock_now();
+    bbl_control_tick(n->control, n->now, bbl_clock_wall_ms());
+    bbl_mesh_tick(n->mesh, n->now);
+    publish(n);
+    /* The traffic thread adopts an update within one turn of its loop. */
+    bbl_control_confirm(n->control,
+                        bbl_state_applied(bbl_control_state(n->control)));
+    service_connections(n);
+    bbl_log_flush();
+}
+
+/* ---- start and end ---- */
+
+static int
+open_signals(node *n)
+{
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    n->signals = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
+    if (n->signals < 0) {
+        return bbl_error_set(BBL_EIO, "signalfd: %s", strerror(errno));
+    }
+    return bbl_loop_watch(n->loop, n->signals, EPOLLIN, on_signal, n);
+}
+
+/* Makes the founding journal of a seed when the cluster starts first. */
+static int
+found_quorum(const bbl_node_options *o)
+{
+    bbl_disk *disk;
+    int error;
+
+    for (u_int i = 0; i < o->seeds.list.list_len; i++) {
+        if (o->seeds.list.list_val[i].host != o->control.ip) {
+            continue;
+        }
+        error = bbl_disk_open(&disk, o->data_dir);
+        if (error == 0) {
+            error = bbl_quorum_found(disk, o->control.ip);
+        }
+        return error == BBL_EEXISTS ? 0 : error;
+    }
+    return 0;
+}
+
+static int
+open_control(node *n)
+{
+    const bbl_node_options *o = n->options;
+    bbl_control_options c = BBL_CONTROL_OPTIONS_INIT;
+    bbl_disk *disk = NULL;
+    int error = 0;
+
+    c.host = o->control.ip;
+    c.incarnation = n->incarnation;
+    c.seed = n->incarnation ^ c.host;
+    c.zone = o->zone;
+    c.control = o->control;
+    c.http = o->callers;
+    c.seeds = o->seeds;
+    c.beat = o->beat_ms * BBL_USEC_PER_MS;
+    c.copies = o->lost_disks + 1;
+    c.voters_wanted = 2 * o->lost_disks + 1;
+    c.port.send = control_send;
+    c.port.proposed = on_proposed;
+    c.port.ctx = n;
+    if (o->data_dir != NULL && o->found) {
+        error = found_quorum(o);
+    }
+    if (error == 0 && o->data_dir != NULL) {
+        error = bbl_disk_open(&disk, o->data_dir);
+    }
+    return error ? error : bbl_control_open(&n->control, &c, disk, n->now);
+}
+
+static int
+open_mesh(node *n)
+{
+    bbl_mesh_options m;
+    const bbl_name *cluster = &n->options->cluster;
+
+    memset(&m, 0, sizeof(m));
+    m.host = n->options->control.ip;
+    m.incarnation = n->incarnation;
+    m.cluster = *cluster;
+    /* The platform gives no secret: this keeps other clusters apart only. */
+    crypto_generichash(m.key, sizeof(m.key), (const uint8_t *)cluster->ptr,
+                       cluster->size, NULL, 0);
+    m.listen = n->options->control;
+    m.ack_timeout = ACK_TIMEOUT_US;
+    m.keep = KEEP_US;
+    m.receive = on_mesh;
+    m.ctx = n;
+    return bbl_mesh_open(&n->mesh, n->loop, &m);
+}
+
+static int
+open_catalog(node *n)
+{
+    bbl_catalog_options c = {
+        .loop = n->loop,
+        .from = n->options->control,
+        .platform = n->options->catalog,
+        .dialect = n->dialect,
+        .list = on_list,
+        .failed = on_list_failed,
+        .ctx = n,
+    };
+
+    if (n->options->catalog.port == 0) {
+        return 0;
+    }
+    return bbl_catalog_client_open(&n->catalog, &c);
+}
+
+static int
+open_orders(node *n)
+{
+    bbl_edge_handler orders = {take_order, order_left, n};
+    bbl_edge_handler metrics = {take_metrics, metrics_left, n};
+    int error = 0;
+
+    bbl_orders_init(&n->orders, n->control, n->dialect, n->options->orders);
+    if (n->options->orders.port != 0) {
+        error = bbl_edge_open(&n->orders_edge, n->loop, n->options->orders,
+                              &orders);
+    }
+    if (error == 0 && n->options->metrics.port != 0 && n->gateway == NULL) {
+        error = bbl_edge_open(&n->metrics_edge, n->loop, n->options->metrics,
+                              &metrics);
+    }
+    return error;
+}
+
+static int
+start(node *n)
+{
+    int error = bbl_loop_open(&n->loop);
+
+    if (error == 0) {
+        error = open_signals(n);
+    }
+    if (error == 0) {
+        error = open_control(n);
+    }
+    if (error == 0) {
+        error = open_mesh(n);
+    }
+    if (error == 0) {
+        error = open_catalog(n);
+    }
+    if (error == 0 && n->options->callers.port != 0) {
+        error = bbl_gateway_open(&n->gateway, n->options, n->dialect,
+                                 n->incarnation ^ n->options->control.ip);
+    }
+    if (error == 0) {
+        error = open_orders(n);
+    }
+    if (error == 0 && n->gateway != NULL) {
+        error = bbl_gateway_start(n->gateway);
+    }
+    return error;
+}
+
+static void
+stop(node *n)
+{
+    bbl_gateway_free(n->gateway);
+    bbl_edge_free(n->orders_edge);
+    bbl_edge_free(n->metrics_edge);
+    bbl_orders_free(&n->orders);
+    bbl_catalog_client_free(n->catalog);
+    bbl_mesh_free(n->mesh);
+    bbl_control_free(n->control);
+    if (n->signals >= 0) {
+        close(n->signals);
+    }
+    bbl_loop_free(n->loop);
+    if (n->has_reread) {
+        bbl_node_options_free(&n->reread_options);
+    }
+}
+
+int
+bbl_node_run(const bbl_node_options *options, const bbl_dialect *dialect,
+             int (*reread)(bbl_node_options *out, void *ctx), void *ctx)
+{
+    node n;
+    int error;
+
+    memset(&n, 0, sizeof(n));
+    n.options = options;
+    n.dialect = dialect;
+    n.reread = reread;
+    n.reread_ctx = ctx;
+    n.incarnation = bbl_clock_wall_ms() * 1000;
+    n.now = bbl_clock_now();
+    n.signals = -1;
+    bbl_log_setup(options->log_level, options->control.ip);
+    bbl_log_defer(options->log_lines);
+    if (sodium_init() < 0) {
+        return bbl_error_set(BBL_EAUTH, "sodium_init");
+    }
+    error = start(&n);
+    if (error == 0) {
+        bbl_log(
+            BBL_EV_START, "cluster=%.*s data_centre=%.*s voter=%s callers=%s",
+            options->cluster.size, options->cluster.ptr, options->zone.size,
+            options->zone.ptr, options->data_dir ? "yes" : "no",
+            options->callers.port != 0 ? "yes" : "no");
+        while (!n.done) {
+            run_once(&n);
+        }
+        bbl_log(
+            BBL_EV_STOP, "uptime_ms=%llu",
+            (unsigned long long)((bbl_clock_wall_ms() * 1000 - n.incarnation) /
+                                 1000));
+    }
+    stop(&n);
+    bbl_log_flush();
+    return error;
+}
--- /dev/null
+++ b/src/daemon/node_options.c
@@ -0,0 +1,298 @@
+#include "daemon/node_options.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "net/address.h"
+#include "util/alloc.h"
+
+#define SEEDS_MAX 31
+
+static int
+read_name(bbl_name *out, const char *text)
+{
+    return bbl_name_set(out, text, strlen(text));
+}
+
+static int
+read_cluster(void *out, const char *text)
+{
+    return read_name(&((bbl_node_options *)out)->cluster, text);
+}
+
+static int
+read_zone(void *out, const char *text)
+{
+    return read_name(&((bbl_node_options *)out)->zone, text);
+}
+
+/* An empty text leaves the address out. */
+static int
+read_address(bblx_address *out, const char *text)
+{
+    return text[0] == '\0' ? 0 : bbl_address_parse(out, text);
+}
+
+static int
+read_control(void *out, const char *text)
+{
+    return bbl_address_parse(&((bbl_node_options *)out)->control, text);
+}
+
+static int
+read_callers(void *out, const char *text)
+{
+    return read_address(&((bbl_node_options *)out)->callers, text);
+}
+
+static int
+read_ready(void *out, const char *text)
+{
+    return read_address(&((bbl_node_options *)out)->ready, text);
+}
+
+static int
+read_orders(void *out, const char *text)
+{
+    return read_address(&((bbl_node_options *)out)->orders, text);
+}
+
+static int
+read_metrics(void *out, const char *text)
+{
+    return read_address(&((bbl_node_options *)out)->metrics, text);
+}
+
+static int
+read_catalog(void *out, const char *text)
+{
+    return read_address(&((bbl_node_options *)out)->catalog, text);
+}
+
+static int
+add_seed(bbl_node_options *o, const char *text)
+{
+    u_int n = o->seeds.list.list_len;
+    bblx_voter *v = &o->seeds.list.list_val[n];
+
+    if (n == SEEDS_MAX || bbl_address_parse(&v->control, text) != 0) {
+        return bbl_error_set(BBL_EINVAL, "up to %d addresses a.b.c.d:port,...",
+                             SEEDS_MAX);
+    }
+    /* A host is named by its address; all use the same control port. */
+    v->role = BBLX_VOTER;
+    v->host = v->control.ip;
+    v->disk = v->host;
+    v->control.port = o->control.port;
+    o->seeds.list.list_len++;
+    return 0;
+}
+
+static int
+read_seeds(void *out, const char *text)
+{
+    bbl_node_options *o = out;
+    char *copy = bbl_memdup(text, strlen(text));
+    char *save = NULL;
+    int error = 0;
+
+    free(o->seeds.list.list_val);
+    o->seeds.list.list_val = bbl_calloc(SEEDS_MAX, sizeof(bblx_voter));
+    o->seeds.list.list_len = 0;
+    for (char *part = strtok_r(copy, ",", &save); part != NULL && error == 0;
+         part = strtok_r(NULL, ",", &save)) {
+        error = add_seed(o, part);
+    }
+    free(copy);
+    if (error == 0 && o->seeds.list.list_len == 0) {
+        error = bbl_error_set(BBL_EINVAL, "at least one address");
+    }
+    return error;
+}
+
+static int
+read_data_dir(void *out, const char *text)
+{
+    bbl_node_options *o = out;
+
+    o->data_dir = text[0] != '\0' ? bbl_memdup(text, strlen(text)) : NULL;
+    return 0;
+}
+
+static int
+read_found(void *out, const char *text)
+{
+    bool yes = strcmp(text, "true") == 0;
+
+    if (!yes && strcmp(text, "false") != 0) {
+        return bbl_error_set(BBL_EINVAL, "true or false");
+    }
+    ((bbl_node_options *)out)->found = yes;
+    return 0;
+}
+
+static int
+read_lost_disks(void *out, const char *text)
+{
+    return bbl_setting_number(&((bbl_node_options *)out)->lost_disks, text, 0,
+                              7);
+}
+
+static int
+read_catalog_per_s(void *out, const char *text)
+{
+    return bbl_setting_fraction(&((bbl_node_options *)out)->catalog_per_s,
+                                text, 0.1, 1e6);
+}
+
+static int
+read_catalog_lag(void *out, const char *text)
+{
+    return bbl_setting_number(&((bbl_node_options *)out)->catalog_lag_ms, text,
+                              0, 60000);
+}
+
+static int
+read_distance(void *out, const char *text)
+{
+    return bbl_setting_number(&((bbl_node_options *)out)->caller_distance_ms,
+                              text, 0, 1000);
+}
+
+/* Given in seconds, fractions allowed. */
+static int
+read_seconds(uint32_t *out, const char *text, double least, double most)
+{
+    double s;
+    int error = bbl_setting_fraction(&s, text, least, most);
+
+    *out = (uint32_t)(s * 1000);
+    return error;
+}
+
+static int
+read_grace(void *out, const char *text)
+{
+    return read_seconds(&((bbl_node_options *)out)->grace_ms, text, 1, 3600);
+}
+
+static int
+read_extra_ratio(void *out, const char *text)
+{
+    return bbl_setting_fraction(&((bbl_node_options *)out)->extra_ratio, text,
+                                0, 10);
+}
+
+static int
+read_extra_window(void *out, const char *text)
+{
+    return read_seconds(&((bbl_node_options *)out)->extra_window_ms, text, 1,
+                        3600);
+}
+
+static int
+read_extra_constant(void *out, const char *text)
+{
+    return bbl_setting_fraction(&((bbl_node_options *)out)->extra_constant,
+                                text, 0, 1e6);
+}
+
+static int
+read_beat(void *out, const char *text)
+{
+    return bbl_setting_number(&((bbl_node_options *)out)->beat_ms, text, 10,
+                              375);
+}
+
+static int
+read_log_lines(void *out, const char *text)
+{
+    return bbl_setting_number(&((bbl_node_options *)out)->log_lines, text, 2,
+                              100000);
+}
+
+static int
+read_log_level(void *out, const char *text)
+{
+    return bbl_log_level_parse(&((bbl_node_options *)out)->log_level, text);
+}
+
+#define ENV(name) "BAOBABLATCH_" name
+
+const bbl_setting bbl_node_settings[] = {
+    {"cluster", ENV("CLUSTER"), "baobablatch", "", "1 to 31 bytes",
+     "name of the cluster", read_cluster},
+    {"data-centre", ENV("DATA_CENTRE"), NULL, "", "1 to 31 bytes",
+     "data centre of this host", read_zone},
+    {"control-address", ENV("CONTROL_ADDRESS"), NULL, "", "a.b.c.d:port",
+     "where other daemons reach this one; names the host", read_control},
+    {"caller-address", ENV("CALLER_ADDRESS"), "", "", "a.b.c.d:port",
+     "where callers send requests", read_callers},
+    {"ready-address", ENV("READY_ADDRESS"), "", "", "a.b.c.d:port",
+     "where the balancer asks whether to send callers", read_ready},
+    {"order-address", ENV("ORDER_ADDRESS"), "", "", "a.b.c.d:port",
+     "where operators send orders", read_orders},
+    {"metrics-address", ENV("METRICS_ADDRESS"), "", "", "a.b.c.d:port",
+     "where counters are served", read_metrics},
+    {"catalog-address", ENV("CATALOG_ADDRESS"), "", "", "a.b.c.d:port",
+     "the platform's list of backend servers", read_catalog},
+    {"seeds", ENV("SEEDS"), NULL, "", "a.b.c.d:port,...",
+     "hosts with a disk to ask first; the port is not used", read_seeds},
+    {"data-dir", ENV("DATA_DIR"), "", "", "a folder",
+     "data folder; a host that has one can vote", read_data_dir},
+    {"found", ENV("FOUND"), "false", "", "true or false",
+     "found the quorum if this host is a seed without a journal", read_found},
+    {"lost-disks", ENV("LOST_DISKS"), "1", "hosts", "0 to 7",
+     "disks that may be lost at once", read_lost_disks},
+    {"catalog-calls-per-s", ENV("CATALOG_CALLS_PER_S"), "40", "calls/s",
+     "0.1 to 1000000", "calls that the platform takes from all hosts",
+     read_catalog_per_s},
+    {"catalog-lag-ms", ENV("CATALOG_LAG_MS"), "800", "ms", "0 to 60000",
+     "age of what the platform's list says", read_catalog_lag},
+    {"caller-distance-ms", ENV("CALLER_DISTANCE_MS"), "3", "ms", "0 to 1000",
+     "one way between callers and this host", read_distance},
+    {"grace-s", ENV("GRACE_S"), "6", "s", "1 to 3600",
+     "time from SIGTERM to SIGKILL", read_grace},
+    {"extra-ratio", ENV("EXTRA_RATIO"), "0.2", "", "0 to 10",
+     "retries and hedges over first requests to a service", read_extra_ratio},
+    {"extra-window-s", ENV("EXTRA_WINDOW_S"), "10", "s", "1 to 3600",
+     "window in which they are counted", read_extra_window},
+    {"extra-constant", ENV("EXTRA_CONSTANT"), "50", "requests", "0 to 1000000",
+     "allowed besides in a window, of all hosts", read_extra_constant},
+    {"beat-ms", ENV("BEAT_MS"), "200", "ms", "10 to 375",
+     "time between heartbeats", read_beat},
+    {"log-lines-per-s", ENV("LOG_LINES_PER_S"), "400", "lines/s",
+     "2 to 100000", "budget of the log; half is kept for failures",
+     read_log_lines},
+    {"log-level", ENV("LOG_LEVEL"), "info", "", "error, warn, info or debug",
+     "least level that is logged", read_log_level},
+    {NULL, NULL, NULL, NULL, NULL, NULL, NULL},
+};
+
+int
+bbl_node_options_read(bbl_node_options *out,
+                      const char *(*value)(void *ctx, const char *flag),
+                      void *ctx, const char *file)
+{
+    int error;
+
+    memset(out, 0, sizeof(*out));
+    error = bbl_settings_read(out, bbl_node_settings, value, ctx, file);
+    if (error == 0 && out->callers.port == 0 && out->data_dir == NULL) {
+        error = bbl_error_set(BBL_EINVAL, "a host without --data-dir needs "
+                                          "--caller-address");
+    }
+    if (error != 0) {
+        bbl_node_options_free(out);
+    }
+    return error;
+}
+
+void
+bbl_node_options_free(bbl_node_options *o)
+{
+    free(o->seeds.list.list_val);
+    free(o->data_dir);
+    memset(o, 0, sizeof(*o));
+}
--- a/src/daemon/options.c
+++ b/src/daemon/options.c
@@ -1,6 +1,5 @@
 #include "daemon/options.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,35 +8,12 @@
 #include <sodium.h>
 
 #include "bbl/errors.h"
+#include "net/address.h"
 #include "util/alloc.h"
 
 #define KEY_BYTES 32
 #define VOTERS_MAX 31
 
-int
-bbl_address_parse(bblx_address *out, const char *text)
-{
-    const char *colon = strrchr(text, ':');
-    char ip[INET_ADDRSTRLEN];
-    struct in_addr in;
-    char *end;
-    unsigned long port;
-
-    if (colon == NULL || (size_t)(colon - text) >= sizeof(ip)) {
-        return bbl_error_set(BBL_EINVAL, "an address is a.b.c.d:port");
-    }
-    memcpy(ip, text, (size_t)(colon - text));
-    ip[colon - text] = '\0';
-    port = strtoul(colon + 1, &end, 10);
-    if (inet_pton(AF_INET, ip, &in) != 1 || *end != '\0' || end == colon + 1 ||
-        port == 0 || port > 65535) {
-        return bbl_error_set(BBL_EINVAL, "an address is a.b.c.d:port");
-    }
-    out->ip = ntohl(in.s_addr);
-    out->port = (u_int)port;
-    return 0;
-}
-
 int
 bbl_key_read(uint8_t *key, const char *path)
 {
@@ -59,67 +35,58 @@
 }
 
 static int
-read_number(uint32_t *out, const char *text, uint32_t least, uint32_t most)
-{
-    char *end;
-    unsigned long n;
-
-    errno = 0;
-    n = strtoul(text, &end, 10);
-    if (text[0] < '0' || text[0] > '9' || *end != '\0' || errno != 0 ||
-        n < least || n > most) {
-        return bbl_error_set(BBL_EINVAL, "a whole number from %u to %u", least,
-                             most);
-    }
-    *out = (uint32_t)n;
-    return 0;
-}
-
-static int
-read_host(bbl_daemon_options *o, const char *text)
+read_host(void *out, const char *text)
 {
-    return read_number(&o->host, text, 1, 0x7fffffff);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->host, text, 1, 0x7fffffff);
 }
 
 static int
-read_cluster(bbl_daemon_options *o, const char *text)
+read_cluster(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_name_set(&o->cluster, text, strlen(text));
 }
 
 static int
-read_key_file(bbl_daemon_options *o, const char *text)
+read_key_file(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_key_read(o->key, text);
 }
 
 static int
-read_zone(bbl_daemon_options *o, const char *text)
+read_zone(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_name_set(&o->zone, text, strlen(text));
 }
 
 static int
-read_control(bbl_daemon_options *o, const char *text)
+read_control(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_address_parse(&o->control, text);
 }
 
 static int
-read_traffic(bbl_daemon_options *o, const char *text)
+read_traffic(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_address_parse(&o->traffic, text);
 }
 
 static int
-read_http(bbl_daemon_options *o, const char *text)
+read_http(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_address_parse(&o->http, text);
 }
 
 static int
-read_admin(bbl_daemon_options *o, const char *text)
+read_admin(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_address_parse(&o->admin, text);
 }
 
@@ -138,7 +105,7 @@
     memcpy(number, text, (size_t)(equals - text));
     number[equals - text] = '\0';
     v->role = BBLX_VOTER;
-    if (read_number(&v->host, number, 1, 0x7fffffff) != 0 ||
+    if (bbl_setting_number(&v->host, number, 1, 0x7fffffff) != 0 ||
         bbl_address_parse(&v->control, equals + 1) != 0) {
         return bbl_error_set(BBL_EINVAL, "voters are HOST=a.b.c.d:port,...");
     }
@@ -148,8 +115,9 @@
 }
 
 static int
-read_voters(bbl_daemon_options *o, const char *text)
+read_voters(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     char *copy = bbl_memdup(text, strlen(text));
     char *save = NULL;
     int error = 0;
@@ -174,14 +142,16 @@
 }
 
 static int
-read_data_dir(bbl_daemon_options *o, const char *text)
+read_data_dir(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return copy_text(&o->data_dir, text);
 }
 
 static int
-read_platform(bbl_daemon_options *o, const char *text)
+read_platform(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     if (text[0] != '\0' && strncmp(text, "http://", 7) != 0) {
         return bbl_error_set(BBL_EINVAL, "a URL that starts with http://");
     }
@@ -189,14 +159,16 @@
 }
 
 static int
-read_token(bbl_daemon_options *o, const char *text)
+read_token(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return copy_text(&o->operator_token, text);
 }
 
 static int
-read_policy(bbl_daemon_options *o, const char *text)
+read_policy(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     if (strcmp(text, "owner") != 0 && strcmp(text, "baseline") != 0) {
         return bbl_error_set(BBL_EINVAL, "owner or baseline");
     }
@@ -204,62 +176,72 @@
 }
 
 static int
-read_hedge(bbl_daemon_options *o, const char *text)
+read_hedge(void *out, const char *text)
 {
-    return read_number(&o->hedge_ppm, text, 0, 500000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->hedge_ppm, text, 0, 500000);
 }
 
 static int
-read_beat(bbl_daemon_options *o, const char *text)
+read_beat(void *out, const char *text)
 {
-    return read_number(&o->beat_ms, text, 10, 1000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->beat_ms, text, 10, 1000);
 }
 
 static int
-read_lease(bbl_daemon_options *o, const char *text)
+read_lease(void *out, const char *text)
 {
-    return read_number(&o->lease_ms, text, 500, 10000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->lease_ms, text, 500, 10000);
 }
 
 static int
-read_exchange_max(bbl_daemon_options *o, const char *text)
+read_exchange_max(void *out, const char *text)
 {
-    return read_number(&o->exchange_max_ms, text, 10, 60000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->exchange_max_ms, text, 10, 60000);
 }
 
 static int
-read_clock(bbl_daemon_options *o, const char *text)
+read_clock(void *out, const char *text)
 {
-    return read_number(&o->clock_ppm, text, 0, 50000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->clock_ppm, text, 0, 50000);
 }
 
 static int
-read_relay(bbl_daemon_options *o, const char *text)
+read_relay(void *out, const char *text)
 {
-    return read_number(&o->relay_members, text, 2, 1000000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->relay_members, text, 2, 1000000);
 }
 
 static int
-read_drain_lag(bbl_daemon_options *o, const char *text)
+read_drain_lag(void *out, const char *text)
 {
-    return read_number(&o->drain_lag_ms, text, 0, 60000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->drain_lag_ms, text, 0, 60000);
 }
 
 static int
-read_threads(bbl_daemon_options *o, const char *text)
+read_threads(void *out, const char *text)
 {
-    return read_number(&o->http_threads, text, 2, 64);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->http_threads, text, 2, 64);
 }
 
 static int
-read_compact(bbl_daemon_options *o, const char *text)
+read_compact(void *out, const char *text)
 {
-    return read_number(&o->compact_entries, text, 16, 1000000);
+    bbl_daemon_options *o = out;
+    return bbl_setting_number(&o->compact_entries, text, 16, 1000000);
 }
 
 static int
-read_log_level(bbl_daemon_options *o, const char *text)
+read_log_level(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     return bbl_log_level_parse(&o->log_level, text);
 }
 
@@ -312,35 +294,14 @@
      "16 to 1000000", "log entries before a snapshot", read_compact},
     {"log-level", ENV("LOG_LEVEL"), "info", "", "error, warn, info or debug",
      "least level that is logged", read_log_level},
+    {NULL, NULL, NULL, NULL, NULL, NULL, NULL},
 };
 
 const bbl_setting *
 bbl_setting_at(size_t i)
 {
-    return i < sizeof(settings) / sizeof(settings[0]) ? &settings[i] : NULL;
-}
-
-static int
-read_setting(bbl_daemon_options *out, const bbl_setting *s, const char *text)
-{
-    char reason[256];
-
-    if (text == NULL) {
-        text = getenv(s->variable);
-    }
-    if (text == NULL) {
-        text = s->value;
-    }
-    if (text == NULL) {
-        return bbl_error_set(BBL_EINVAL, "--%s (or %s) is missing", s->flag,
-                             s->variable);
-    }
-    if (s->read(out, text) == 0) {
-        return 0;
-    }
-    snprintf(reason, sizeof(reason), "%s", bbl_error_last());
-    return bbl_error_set(BBL_EINVAL, "--%s (or %s): %s", s->flag, s->variable,
-                         reason);
+    return i + 1 < sizeof(settings) / sizeof(settings[0]) ? &settings[i]
+                                                          : NULL;
 }
 
 int
@@ -348,14 +309,10 @@
                         const char *(*value)(void *ctx, const char *flag),
                         void *ctx)
 {
-    int error = 0;
+    int error;
 
     memset(out, 0, sizeof(*out));
-    for (size_t i = 0; error == 0 && bbl_setting_at(i) != NULL; i++) {
-        const bbl_setting *s = bbl_setting_at(i);
-
-        error = read_setting(out, s, value(ctx, s->flag));
-    }
+    error = bbl_settings_read(out, settings, value, ctx, NULL);
     if (error == 0 && out->lease_ms < 4 * out->beat_ms) {
         error = bbl_error_set(BBL_EINVAL,
                               "--lease-ms must be 4 times --beat-ms at least");
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -6,6 +6,7 @@
 #define BBL_DAEMON_OPTIONS_H
 
 #include "model/codec.h"
+#include "daemon/settings.h"
 #include "util/log.h"
 
 typedef struct {
@@ -34,17 +35,6 @@
     bbl_log_level log_level;
 } bbl_daemon_options;
 
-/* One setting, for the help text and the manual. */
-typedef struct {
-    const char *flag;
-    const char *variable;
-    const char *value; /* its default; NULL: required */
-    const char *unit;
-    const char *range;
-    const char *help;
-    int (*read)(bbl_daemon_options *options, const char *text);
-} bbl_setting;
-
 /* Returns setting `i`, or NULL past the last. */
 const bbl_setting *bbl_setting_at(size_t i);
 
@@ -59,9 +49,6 @@
                             void *ctx);
 void bbl_daemon_options_free(bbl_daemon_options *options);
 
-/* Parses "a.b.c.d:port"; returns 0 or BBL_EINVAL. */
-int bbl_address_parse(bblx_address *out, const char *text);
-
 /* Reads a key file: 64 hexadecimal digits. */
 int bbl_key_read(uint8_t *key, const char *path);
 
--- a/src/daemon/shared.c
+++ b/src/daemon/shared.c
@@ -5,20 +5,7 @@
 
 #include "bbl/errors.h"
 #include "util/alloc.h"
-
-/*
- * ThreadSanitizer does not see the ordering that Concurrency Kit gives; these
- * tell it. They do nothing in other builds.
- */
-#ifdef __SANITIZE_THREAD__
-void __tsan_acquire(void *address);
-void __tsan_release(void *address);
-#define HANDED_OVER(address) __tsan_release(address)
-#define TAKEN_OVER(address) __tsan_acquire(address)
-#else
-#define HANDED_OVER(address) ((void)(address))
-#define TAKEN_OVER(address) ((void)(address))
-#endif
+#include "util/handover.h"
 
 bbl_note *
 bbl_note_new(bbl_note_kind kind)
@@ -38,50 +25,10 @@
     free(note);
 }
 
-int
-bbl_mailbox_init(bbl_mailbox *box, bbl_loop *loop)
-{
-    box->slots = bbl_calloc(BBL_RING_SLOTS, sizeof(*box->slots));
-    box->loop = loop;
-    ck_ring_init(&box->ring, BBL_RING_SLOTS);
-    return 0;
-}
-
-void
-bbl_mailbox_free(bbl_mailbox *box)
-{
-    bbl_note *note;
-
-    if (box->slots == NULL) {
-        return;
-    }
-    while ((note = bbl_mailbox_take(box)) != NULL) {
-        bbl_note_free(note);
-    }
-    free(box->slots);
-}
-
-bool
-bbl_mailbox_put(bbl_mailbox *box, bbl_note *note)
-{
-    HANDED_OVER(box);
-    if (!ck_ring_enqueue_mpsc(&box->ring, box->slots, note)) {
-        return false;
-    }
-    bbl_loop_wake(box->loop);
-    return true;
-}
-
-bbl_note *
-bbl_mailbox_take(bbl_mailbox *box)
+static void
+free_note(void *note)
 {
-    void *note;
-
-    if (!ck_ring_dequeue_mpsc(&box->ring, box->slots, &note)) {
-        return NULL;
-    }
-    TAKEN_OVER(box);
-    return note;
+    bbl_note_free(note);
 }
 
 bbl_shared_lists *
@@ -115,7 +62,7 @@
 reclaim(ck_epoch_entry_t *entry)
 {
     /* The entry is the first member. */
-    TAKEN_OVER(entry);
+    BBL_TAKEN_OVER(entry);
     free_published((bbl_published *)entry);
 }
 
@@ -125,16 +72,16 @@
     memset(s, 0, sizeof(*s));
     ck_epoch_init(&s->epoch);
     ck_epoch_register(&s->epoch, &s->control_record, NULL);
-    bbl_mailbox_init(&s->to_control, control);
-    bbl_mailbox_init(&s->to_traffic, traffic);
+    bbl_mailbox_init(&s->to_control, control, BBL_MAILBOX_SLOTS);
+    bbl_mailbox_init(&s->to_traffic, traffic, BBL_MAILBOX_SLOTS);
     return 0;
 }
 
 void
 bbl_shared_free(bbl_shared *s)
 {
-    bbl_mailbox_free(&s->to_control);
-    bbl_mailbox_free(&s->to_traffic);
+    bbl_mailbox_free(&s->to_control, free_note);
+    bbl_mailbox_free(&s->to_traffic, free_note);
     ck_epoch_barrier(&s->control_record);
     if (s->published != NULL) {
         free_published(s->published);
@@ -152,7 +99,7 @@
     if (lists != NULL) {
         lists->uses++;
     }
-    HANDED_OVER(s);
+    BBL_HANDED_OVER(s);
     ck_pr_fence_store();
     ck_pr_store_ptr(&s->published, p);
     if (old != NULL) {
@@ -171,12 +118,12 @@
 {
     const bbl_published *p = ck_pr_load_ptr(&s->published);
 
-    TAKEN_OVER(s);
+    BBL_TAKEN_OVER(s);
     return p;
 }
 
 void
 bbl_shared_view_done(const bbl_published *view)
 {
-    HANDED_OVER((void *)view);
+    BBL_HANDED_OVER((void *)view);
 }
--- a/src/daemon/shared.h
+++ b/src/daemon/shared.h
@@ -7,14 +7,12 @@
 #define BBL_SHARED_H
 
 #include <ck_epoch.h>
-#include <ck_ring.h>
 
 #include "net/http_server.h"
 #include "net/loop.h"
+#include "net/mailbox.h"
 #include "policy/gather.h"
 
-#define BBL_RING_SLOTS 16384 /* a power of two */
-
 typedef enum {
     BBL_NOTE_QUERY,   /* caller -> traffic: `call` holds a query request */
     BBL_NOTE_ADMIN,   /* operator -> control: `call` */
@@ -45,22 +43,6 @@
 bbl_note *bbl_note_new(bbl_note_kind kind);
 void bbl_note_free(bbl_note *note);
 
-/* A bounded queue towards one thread; many threads may put. */
-typedef struct {
-    ck_ring_t ring;
-    ck_ring_buffer_t *slots;
-    bbl_loop *loop; /* of the receiver */
-} bbl_mailbox;
-
-int bbl_mailbox_init(bbl_mailbox *box, bbl_loop *loop);
-void bbl_mailbox_free(bbl_mailbox *box);
-
-/* Puts a note and wakes the receiver; false when the queue is full. */
-bool bbl_mailbox_put(bbl_mailbox *box, bbl_note *note);
-
-/* Takes the next note, or returns NULL. */
-bbl_note *bbl_mailbox_take(bbl_mailbox *box);
-
 /* The lists behind a view, shared by several views. */
 typedef struct {
     bbl_lists *lists;
--- /dev/null
+++ b/src/forward/backend.c
@@ -0,0 +1,98 @@
+#include "forward/backend.h"
+
+#include <math.h>
+
+#define FADE_US                                                               \
+    (2 * BBL_USEC_PER_SEC)   /* half-life of a rating: servers turn           \
+                                slow for seconds, so an older rating          \
+                                says little */
+#define SLOWNESS_WEIGHT 0.25 /* of one response */
+#define FAILURE_WEIGHT 0.2
+#define SLOWNESS_MAX 20.0
+
+bbl_backend_state
+bbl_backend_get_state(const bbl_backend *b, bbl_usec now)
+{
+    if (b->listed.gone) {
+        return BBL_BACKEND_GONE;
+    }
+    if (b->listed.leaving) {
+        return BBL_BACKEND_LEAVING;
+    }
+    if (b->evacuated) {
+        return BBL_BACKEND_EVACUATED;
+    }
+    if (b->replaced) {
+        return BBL_BACKEND_REPLACED;
+    }
+    if (b->cold_until > now) {
+        return BBL_BACKEND_COLD;
+    }
+    if (b->down) {
+        return BBL_BACKEND_DOWN;
+    }
+    return b->unsure_at != 0 ? BBL_BACKEND_UNSURE : BBL_BACKEND_USABLE;
+}
+
+const char *
+bbl_backend_state_name(bbl_backend_state state)
+{
+    static const char *const names[] = {
+        "usable", "gone", "leaving", "evacuated",
+        "cold",   "down", "unsure",  "replaced",
+    };
+
+    return names[state];
+}
+
+static double
+fade(const bbl_backend *b, bbl_usec now)
+{
+    return now > b->rated ? exp2(-(double)(now - b->rated) / FADE_US) : 1;
+}
+
+double
+bbl_backend_slowness(const bbl_backend *b, bbl_usec now)
+{
+    return b->slowness == 0 ? 1 : 1 + (b->slowness - 1) * fade(b, now);
+}
+
+double
+bbl_backend_failures(const bbl_backend *b, bbl_usec now)
+{
+    return b->failures * fade(b, now);
+}
+
+void
+bbl_backend_rate(bbl_backend *b, bbl_usec now, double slowness, bool failed)
+{
+    double slow = bbl_backend_slowness(b, now);
+    double failures = bbl_backend_failures(b, now);
+
+    if (slowness > 0) {
+        slowness = slowness < SLOWNESS_MAX ? slowness : SLOWNESS_MAX;
+        slow += (slowness - slow) * SLOWNESS_WEIGHT;
+    }
+    b->slowness = slow;
+    b->failures = failures + ((failed ? 1 : 0) - failures) * FAILURE_WEIGHT;
+    b->rated = now;
+}
+
+bool
+bbl_backend_stalls(const bbl_backend *b, bbl_usec now, bbl_usec patience)
+{
+    bbl_usec since = b->oldest > b->answered ? b->oldest : b->answered;
+
+    return b->in_flight > 0 && now > since + patience;
+}
+
+void
+bbl_backend_confirm(bbl_backend *b, bbl_usec list_read, bbl_usec lag)
+{
+    if (b->unsure_at != 0 && list_read > b->unsure_at + lag) {
+        b->unsure_at = 0;
+    }
+    if (b->replaced && list_read > b->replaced_at + 2 * lag) {
+        b->replaced = false; /* the list still names this server there */
+    }
+}
--- /dev/null
+++ b/src/forward/backend.h
@@ -0,0 +1,76 @@
+/*
+ * backend.h - what an entry host knows of one backend server: whether it may
+ * be used, how busy this host keeps it, and how it has answered lately.
+ */
+#ifndef BBL_FORWARD_BACKEND_H
+#define BBL_FORWARD_BACKEND_H
+
+#include "bbl/types.h"
+#include "model/codec.h"
+
+/* Whether a server may get work. */
+typedef enum {
+    BBL_BACKEND_USABLE,
+    BBL_BACKEND_GONE,      /* no longer listed */
+    BBL_BACKEND_LEAVING,   /* listed as leaving */
+    BBL_BACKEND_EVACUATED, /* its data centre is out of service */
+    BBL_BACKEND_COLD,      /* in its cold start */
+    BBL_BACKEND_DOWN,      /* it cannot be connected to */
+    BBL_BACKEND_UNSURE,    /* connected again; it may be cold */
+    BBL_BACKEND_REPLACED   /* another incarnation has its address */
+} bbl_backend_state;
+
+typedef struct bbl_backend {
+    bblx_backend listed; /* owned; as the platform lists it */
+    bbl_usec cold_until;
+    bool evacuated;
+    bool same_zone; /* as this host */
+    bool replaced;  /* until the list says something new */
+    bbl_usec replaced_at;
+    bool down;          /* the last connection could not be opened */
+    bbl_usec unsure_at; /* connected again then; 0: sure */
+
+    unsigned in_flight;  /* requests of this host, hedges included */
+    bbl_usec oldest;     /* when the oldest of them was sent */
+    bbl_usec answered;   /* last response of any kind */
+    bbl_usec full_until; /* it has just refused work */
+    double slowness;     /* service time over that of its route; 1: usual */
+    double failures;     /* share of requests that failed, recent first */
+    bbl_usec rated;      /* when the two were last brought up to date */
+
+    void *link;   /* of the driver */
+    void *flying; /* of the forwarder: the attempts under way */
+} bbl_backend;
+
+/* Returns whether and why not a server may get work. */
+bbl_backend_state bbl_backend_get_state(const bbl_backend *backend,
+                                        bbl_usec now);
+const char *bbl_backend_state_name(bbl_backend_state state);
+
+/*
+ * Records a response or a failure.
+ *
+ * @param slowness its service time over the mean of its route; 0: unknown
+ */
+void bbl_backend_rate(bbl_backend *backend, bbl_usec now, double slowness,
+                      bool failed);
+
+/* Returns the ratings, which fade to those of a sound server. */
+double bbl_backend_slowness(const bbl_backend *backend, bbl_usec now);
+double bbl_backend_failures(const bbl_backend *backend, bbl_usec now);
+
+/*
+ * Returns whether the server seems to stand still: something was sent to it,
+ * and nothing came back for `patience`.
+ */
+bool bbl_backend_stalls(const bbl_backend *backend, bbl_usec now,
+                        bbl_usec patience);
+
+/*
+ * Takes over how old the platform's list is: a server that was connected to
+ * again is sure once the list was read `lag` later.
+ */
+void bbl_backend_confirm(bbl_backend *backend, bbl_usec list_read,
+                         bbl_usec lag);
+
+#endif
--- /dev/null
+++ b/src/forward/hedge.c
@@ -0,0 +1,40 @@
+#include "forward/hedge.h"
+
+#define EARLY 2.0     /* service times waited while the budget is full */
+#define LATE 4.0      /* and when little is left */
+#define STALLED 1.4   /* when the server answers nobody */
+#define LITTLE 0.3    /* share of the budget that counts as little */
+#define LEAST_US 4000 /* below it the network explains any delay */
+#define LAST_CALL                                                             \
+    1.3 /* service times before the target that a hedge                       \
+           must start to be of use */
+
+bbl_usec
+bbl_hedge_wait(const bbl_hedge_input *in)
+{
+    double service = (double)in->service_time;
+    double units = in->stalled                ? STALLED
+                   : in->budget_left < LITTLE ? LATE
+                                              : EARLY;
+    double wait = units * service;
+
+    if (in->budget_left <= 0) {
+        return UINT64_MAX;
+    }
+    /* Where the target leaves less time than that, hedge while it helps. */
+    if (in->target_left > 0 &&
+        wait > (double)in->waited + (double)in->target_left -
+                   LAST_CALL * service &&
+        in->target_left > LAST_CALL * service) {
+        wait =
+            (double)in->waited + (double)in->target_left - LAST_CALL * service;
+        if (wait < service) {
+            wait = service;
+        }
+    }
+    if (wait < LEAST_US) {
+        wait = LEAST_US;
+    }
+    return (double)in->waited >= wait ? 0
+                                      : (bbl_usec)(wait - (double)in->waited);
+}
--- /dev/null
+++ b/src/forward/placement.c
@@ -0,0 +1,72 @@
+#include "forward/placement.h"
+
+#define OTHER_ZONE_US                                                         \
+    2500.0               /* there and back between data centres, about,       \
+                            and the price of the bytes */
+#define FAILURE_COST 6.0 /* service times that a failed request costs */
+#define STALL_COST 8.0   /* service times that a pause lasts, about */
+#define FULL_COST 8.0    /* of a server that has just refused work */
+#define TIE_SPREAD 0.1   /* of the cost: spreads equal servers */
+
+static bool
+was_tried(const bbl_placement_input *in, const bbl_backend *b)
+{
+    for (size_t i = 0; i < in->tried_count; i++) {
+        if (in->tried[i] == b) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the time that a request is expected to take, in microseconds. */
+static double
+expected_time(const bbl_placement_input *in, const bbl_backend *b,
+              bbl_usec now)
+{
+    double slots = b->listed.slots > 0 ? b->listed.slots : 1;
+    double units = bbl_backend_slowness(b, now) * (1 + b->in_flight / slots);
+
+    units += FAILURE_COST * bbl_backend_failures(b, now);
+    if (bbl_backend_stalls(b, now, in->patience)) {
+        units += STALL_COST;
+    }
+    if (b->full_until > now) {
+        units += FULL_COST;
+    }
+    return units * (double)in->service_time +
+           (b->same_zone ? 0 : OTHER_ZONE_US);
+}
+
+bbl_backend *
+bbl_placement_choose(const bbl_placement_input *in,
+                     bbl_backend *const *backends, size_t count, bbl_usec now,
+                     bbl_placement_room room, void *room_ctx, bbl_rng *rng,
+                     size_t *usable)
+{
+    bbl_backend *best = NULL;
+    double best_cost = 0;
+
+    *usable = 0;
+    for (size_t i = 0; i < count; i++) {
+        bbl_backend *b = backends[i];
+        double cost;
+
+        if (bbl_backend_get_state(b, now) != BBL_BACKEND_USABLE ||
+            was_tried(in, b)) {
+            continue;
+        }
+        (*usable)++;
+        if (!room(room_ctx, b) ||
+            (in->second && bbl_backend_stalls(b, now, in->patience))) {
+            continue;
+        }
+        cost =
+            expected_time(in, b, now) * (1 + TIE_SPREAD * bbl_rng_unit(rng));
+        if (best == NULL || cost < best_cost) {
+            best = b;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/forward/placement.h
@@ -0,0 +1,39 @@
+/*
+ * placement.h - the choice of the backend server for one attempt.
+ *
+ * Load pattern: servers of a service differ, pause for a moment, turn slow
+ * for seconds or fail a part of their requests, while the others have room.
+ * The server with the least expected time is chosen, in the data centre of
+ * the caller's host where that costs nothing.
+ */
+#ifndef BBL_PLACEMENT_H
+#define BBL_PLACEMENT_H
+
+#include "forward/backend.h"
+#include "util/rng.h"
+
+/* What the choice is for. */
+typedef struct {
+    bbl_usec service_time; /* mean of the route */
+    bbl_usec patience;     /* silence after which a server seems to stall */
+    const bbl_backend *const *tried; /* not to be chosen again */
+    size_t tried_count;
+    bool second; /* a hedge: a server that stalls is no help */
+} bbl_placement_input;
+
+/* Whether the driver could send to a server now. */
+typedef bool (*bbl_placement_room)(void *ctx, const bbl_backend *backend);
+
+/*
+ * Returns the server to use, or NULL.
+ *
+ * @param backends of the service
+ * @param usable   set to how many may get work, those without room included
+ */
+bbl_backend *bbl_placement_choose(const bbl_placement_input *in,
+                                  bbl_backend *const *backends, size_t count,
+                                  bbl_usec now, bbl_placement_room room,
+                                  void *room_ctx, bbl_rng *rng,
+                                  size_t *usable);
+
+#endif
--- /dev/null
+++ b/src/forward/pools.c
@@ -0,0 +1,217 @@
+#include "forward/pools.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/alloc.h"
+
+static uint64_t
+label_key(const char *ptr, size_t size)
+{
+    return bbl_hash(ptr, size, 31);
+}
+
+static bbl_str
+label_str(const bblx_label *l)
+{
+    return (bbl_str){l->bblx_label_val, l->bblx_label_len};
+}
+
+bbl_pool *
+bbl_pools_get(bbl_pools *p, bbl_str service)
+{
+    uint64_t key = label_key(service.ptr, service.size);
+    bbl_pool *pool = bbl_map_get(&p->pools, key);
+
+    if (pool == NULL) {
+        pool = bbl_calloc(1, sizeof(*pool));
+        bbl_buf_put(&pool->name, service.ptr, service.size);
+        pool->backends = (bbl_vec)BBL_VEC_INIT(bbl_backend *);
+        bbl_map_set(&p->pools, key, pool);
+    }
+    return pool;
+}
+
+static void
+unlist(bbl_pools *p, bbl_backend *b)
+{
+    bbl_pool *pool = bbl_pools_get(p, label_str(&b->listed.service));
+
+    for (size_t i = 0; i < pool->backends.size; i++) {
+        if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
+            bbl_vec_swap_remove(&pool->backends, i);
+            return;
+        }
+    }
+}
+
+static bool
+is_out(const bblx_name *zone, const bbl_name *evacuated, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (evacuated[i].size == zone->bblx_name_len &&
+            memcmp(evacuated[i].ptr, zone->bblx_name_val,
+                   zone->bblx_name_len) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+same_service(const bblx_backend *a, const bblx_backend *b)
+{
+    return a->service.bblx_label_len == b->service.bblx_label_len &&
+           memcmp(a->service.bblx_label_val, b->service.bblx_label_val,
+                  a->service.bblx_label_len) == 0;
+}
+
+/* Whether the list speaks of another process than the one known so far. */
+static bool
+is_other_process(const bblx_backend *a, const bblx_backend *b)
+{
+    return a->address.ip != b->address.ip ||
+           a->address.port != b->address.port || a->born != b->born ||
+           !same_service(a, b);
+}
+
+static void
+retire(bbl_pools *p, bbl_backend *b)
+{
+    bbl_map_remove(&p->backends, label_key(b->listed.id.bblx_label_val,
+                                           b->listed.id.bblx_label_len));
+    unlist(p, b);
+    b->listed.gone = TRUE;
+    bbl_vec_push(&p->leavers, &b);
+    p->removed(p->ctx, b);
+}
+
+static bbl_backend *
+add(bbl_pools *p, bblx_backend *listed)
+{
+    bbl_backend *b = bbl_calloc(1, sizeof(*b));
+    bbl_pool *pool = bbl_pools_get(p, label_str(&listed->service));
+
+    b->listed = *listed;
+    b->same_zone =
+        b->listed.zone.bblx_name_len == p->zone.size &&
+        memcmp(b->listed.zone.bblx_name_val, p->zone.ptr, p->zone.size) == 0;
+    bbl_map_set(
+        &p->backends,
+        label_key(listed->id.bblx_label_val, listed->id.bblx_label_len), b);
+    bbl_vec_push(&pool->backends, &b);
+    p->added(p->ctx, b);
+    return b;
+}
+
+static void
+take_one(bbl_pools *p, bbl_usec now, bblx_backend *listed, bbl_usec cold_until,
+         const bbl_name *evacuated, size_t evacuated_count)
+{
+    bbl_backend *b =
+        bbl_map_get(&p->backends, label_key(listed->id.bblx_label_val,
+                                            listed->id.bblx_label_len));
+    bbl_backend_state before;
+    bool was_out;
+
+    if (b != NULL && (listed->gone || is_other_process(&b->listed, listed))) {
+        retire(p, b);
+        b = NULL;
+    }
+    if (listed->gone) {
+        BBL_RELEASE(bblx_backend, listed);
+        return;
+    }
+    if (b == NULL) {
+        b = add(p, listed);
+        before = BBL_BACKEND_GONE;
+    }
+    else {
+        before = bbl_backend_get_state(b, now);
+        b->listed.leaving = listed->leaving;
+        b->listed.slots = listed->slots;
+        BBL_RELEASE(bblx_backend, listed);
+    }
+    b->cold_until = cold_until;
+    was_out = b->evacuated;
+    b->evacuated = is_out(&b->listed.zone, evacuated, evacuated_count);
+    if (was_out && !b->evacuated) {
+        /* It may have become cold while it got no work. */
+        b->unsure_at = now;
+    }
+    if (bbl_backend_get_state(b, now) != before) {
+        p->changed(p->ctx, b, before);
+    }
+}
+
+void
+bbl_pools_update(bbl_pools *p, bbl_usec now, bblx_backend *backends,
+                 const bbl_usec *cold_until, size_t count,
+                 const bbl_name *evacuated, size_t evacuated_count)
+{
+    for (size_t i = 0; i < count; i++) {
+        take_one(p, now, &backends[i], cold_until[i], evacuated,
+                 evacuated_count);
+    }
+}
+
+void
+bbl_pools_confirm(bbl_pools *p, bbl_usec now, bbl_usec list_read, bbl_usec lag)
+{
+    bbl_backend *b;
+    size_t pos = 0;
+
+    while ((b = bbl_map_next(&p->backends, &pos)) != NULL) {
+        bbl_backend_state before = bbl_backend_get_state(b, now);
+
+        bbl_backend_confirm(b, list_read, lag);
+        if (bbl_backend_get_state(b, now) != before) {
+            p->changed(p->ctx, b, before);
+        }
+    }
+}
+
+static void
+backend_free(bbl_backend *b)
+{
+    BBL_RELEASE(bblx_backend, &b->listed);
+    free(b);
+}
+
+void
+bbl_pools_sweep(bbl_pools *p)
+{
+    for (size_t i = p->leavers.size; i > 0; i--) {
+        bbl_backend *b = *BBL_VEC_AT(bbl_backend *, &p->leavers, i - 1);
+
+        if (b->in_flight == 0) {
+            bbl_vec_swap_remove(&p->leavers, i - 1);
+            backend_free(b);
+        }
+    }
+}
+
+void
+bbl_pools_free(bbl_pools *p)
+{
+    bbl_backend *b;
+    bbl_pool *pool;
+    size_t pos = 0;
+
+    while ((b = bbl_map_next(&p->backends, &pos)) != NULL) {
+        p->removed(p->ctx, b);
+        backend_free(b);
+    }
+    for (size_t i = 0; i < p->leavers.size; i++) {
+        backend_free(*BBL_VEC_AT(bbl_backend *, &p->leavers, i));
+    }
+    pos = 0;
+    while ((pool = bbl_map_next(&p->pools, &pos)) != NULL) {
+        bbl_buf_free(&pool->name);
+        bbl_vec_free(&pool->backends);
+        free(pool);
+    }
+    bbl_map_free(&p->pools);
+    bbl_map_free(&p->backends);
+    bbl_vec_free(&p->leavers);
+}
--- /dev/null
+++ b/src/forward/query.c
@@ -0,0 +1,87 @@
+#include "forward/query.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Place of a signature in the text. */
+typedef struct {
+    size_t at;
+    size_t size;
+} signature_span;
+
+void
+bbl_query_free(bbl_query *q)
+{
+    free(q->shards);
+    bbl_vec_free(&q->attempts);
+    bbl_vec_free(&q->signatures);
+    bbl_buf_free(&q->text);
+    bbl_top_records_free(&q->top);
+    free(q);
+}
+
+void
+bbl_query_add_part(bbl_query *q, bbl_str signature, bbl_str body)
+{
+    signature_span s = {q->text.size, signature.size};
+
+    bbl_buf_put(&q->text, signature.ptr, signature.size);
+    bbl_vec_push(&q->signatures, &s);
+    bbl_top_records_add(&q->top, body);
+}
+
+void
+bbl_query_put_fields(bbl_query *q, const bbl_dialect *dialect, bbl_buf *out)
+{
+    bbl_vec list = BBL_VEC_INIT(bbl_str);
+
+    for (size_t i = 0; i < q->signatures.size; i++) {
+        const signature_span *s = bbl_vec_at(&q->signatures, i);
+        bbl_str text = {q->text.ptr + s->at, s->size};
+
+        bbl_vec_push(&list, &text);
+    }
+    dialect->put_merged(out, &list, q->shard_count - q->done);
+    bbl_vec_free(&list);
+}
+
+void
+bbl_attempt_link(bbl_attempt *a)
+{
+    bbl_backend *b = a->backend;
+    bbl_attempt *last = b->flying;
+
+    /* A ring whose head is the oldest, so that its end is the newest. */
+    if (last == NULL) {
+        a->next = a;
+        a->prev = a;
+        b->flying = a;
+    }
+    else {
+        a->next = last;
+        a->prev = last->prev;
+        last->prev->next = a;
+        last->prev = a;
+    }
+    b->in_flight++;
+    b->oldest = ((bbl_attempt *)b->flying)->sent;
+}
+
+void
+bbl_attempt_unlink(bbl_attempt *a)
+{
+    bbl_backend *b = a->backend;
+
+    if (a->next == a) {
+        b->flying = NULL;
+    }
+    else {
+        a->prev->next = a->next;
+        a->next->prev = a->prev;
+        if (b->flying == a) {
+            b->flying = a->next;
+        }
+    }
+    b->in_flight--;
+    b->oldest = b->flying != NULL ? ((bbl_attempt *)b->flying)->sent : 0;
+}
--- /dev/null
+++ b/src/forward/query.h
@@ -0,0 +1,99 @@
+/*
+ * query.h - one request of a caller while it is under way: its shards, the
+ * attempts at each, and the answer that they make. A request to one service
+ * is a query with one shard that is not merged.
+ */
+#ifndef BBL_FORWARD_QUERY_H
+#define BBL_FORWARD_QUERY_H
+
+#include "forward/forwarder.h"
+#include "forward/pools.h"
+#include "forward/split.h"
+#include "forward/top_records.h"
+
+#define BBL_ATTEMPTS_MAX 6 /* at one shard, those that were refused included  \
+                            */
+
+/* What is known of the requests on one route name. */
+typedef struct {
+    bbl_usec service_time; /* mean time of an attempt */
+    bool measured;
+} bbl_route_pace;
+
+/* One version of the routing with what hangs on it. */
+typedef struct {
+    bbl_routing *routing;
+    bbl_pool **pools;       /* by service index, borrowed */
+    bbl_split *splits;      /* by route index */
+    bbl_route_pace **paces; /* by route index, borrowed */
+    size_t route_count;
+    unsigned uses; /* queries, and one while it is in force */
+} bbl_route_table;
+
+typedef enum {
+    BBL_SHARD_OPEN,   /* wants an attempt */
+    BBL_SHARD_FLYING, /* an attempt is under way */
+    BBL_SHARD_DONE,
+    BBL_SHARD_LOST
+} bbl_shard_state;
+
+typedef struct {
+    bbl_pool *pool;
+    bbl_shard_state state;
+    bbl_usec sent; /* first attempt */
+    unsigned sends;
+    unsigned runs; /* attempts that may have run */
+    unsigned flying;
+    const bbl_backend *tried[BBL_ATTEMPTS_MAX]; /* compared only */
+    const char *detail; /* how the last attempt ended */
+} bbl_shard;
+
+typedef struct {
+    bbl_forward_request request;
+    bbl_route_table *table;
+    const bbl_route *route;
+    bbl_route_pace *pace;
+    bbl_usec target; /* when the answer should go out */
+    bbl_usec deadline;
+    bbl_usec next_due;
+    bbl_shard *shards;
+    unsigned shard_count;
+    unsigned needed; /* shards for a success */
+    unsigned done;
+    unsigned lost;
+    bool offered;       /* some attempt was sent */
+    bbl_vec attempts;   /* bbl_attempt *, under way */
+    bbl_vec signatures; /* of query.c: places in `text` */
+    bbl_buf text;       /* of the signatures */
+    bbl_top_records top;
+    bbl_forward_record record;
+} bbl_query;
+
+struct bbl_attempt {
+    bbl_query *query; /* NULL once that is answered */
+    bbl_shard *shard;
+    bbl_backend *backend;
+    bbl_route_pace *pace;
+    void *handle; /* of the driver */
+    void *ctx;    /* of the port */
+    bbl_usec sent;
+    bbl_usec drop_at; /* ended then, when nobody waits for it any more */
+    bool hedge;
+    struct bbl_attempt *prev; /* at the same server, by time */
+    struct bbl_attempt *next;
+};
+
+void bbl_query_free(bbl_query *query);
+
+/* Takes a usable part in. */
+void bbl_query_add_part(bbl_query *query, bbl_str signature, bbl_str body);
+
+/* Appends the fields of a merged answer. */
+void bbl_query_put_fields(bbl_query *query, const bbl_dialect *dialect,
+                          bbl_buf *out);
+
+/* Links an attempt to its server, or takes it off. */
+void bbl_attempt_link(bbl_attempt *attempt);
+void bbl_attempt_unlink(bbl_attempt *attempt);
+
+#endif
--- /dev/null
+++ b/src/net/edge.c
@@ -0,0 +1,601 @@
+#include "net/edge.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bbl/errors.h"
+#include "net/address.h"
+#include "util/alloc.h"
+#include "util/clock.h"
+
+#define READ_BYTES 16384
+#define PIPELINED_MAX 65536 /* bytes held of requests that wait */
+#define BACKLOG 1024
+#define ACCEPTS_AT_ONCE 64
+#define CLOSE_WAIT_US (1000 * BBL_USEC_PER_MS) /* for a caller to read */
+
+/* Limits until the first routing says otherwise. */
+static const bbl_caller_limits first_limits = {16384, 262144, 3000, 15000};
+
+typedef enum {
+    CONN_READING, /* a request is awaited or incomplete */
+    CONN_WAITING, /* a request is being handled */
+    CONN_WRITING, /* an answer is on its way */
+    CONN_CLOSING, /* the last answer is out; what comes is discarded */
+    CONN_DEAD
+} conn_state;
+
+typedef struct conn {
+    bbl_edge *edge;
+    int fd;
+    conn_state state;
+    uint32_t events; /* watched */
+    bbl_http_message message;
+    bbl_edge_call call;
+    bbl_buf in; /* bytes behind the present request */
+    bbl_buf out;
+    size_t sent;
+    bool close_after;
+    bool ended;      /* the caller sends no more */
+    bool continued;  /* "100 Continue" was sent */
+    bool first_done; /* a request was complete on this connection */
+    bbl_usec since;  /* of the state */
+    bbl_usec began;  /* first byte of the present request; 0: none */
+    struct conn *prev;
+    struct conn *next;
+} conn;
+
+struct bbl_edge {
+    bbl_loop *loop;
+    int listener;
+    bbl_edge_handler handler;
+    bbl_caller_limits limits;
+    bool draining;
+    conn *first;
+    conn *dead; /* freed by the next tick */
+    size_t connections;
+    size_t calls;
+    bbl_edge_counters counters;
+};
+
+static void conn_ready(void *ctx, int fd, uint32_t events);
+static void conn_parse(conn *c);
+
+static void
+watch(conn *c, uint32_t events)
+{
+    if (c->events != events) {
+        c->events = events;
+        bbl_loop_watch(c->edge->loop, c->fd, events, conn_ready, c);
+    }
+}
+
+static void
+enter(conn *c, conn_state state)
+{
+    c->state = state;
+    c->since = bbl_clock_now();
+}
+
+/* Closes a connection; its memory goes with the next tick. */
+static void
+conn_close(conn *c)
+{
+    bbl_edge *e = c->edge;
+    bool waiting = c->state == CONN_WAITING;
+
+    if (c->state == CONN_DEAD) {
+        return;
+    }
+    c->state = CONN_DEAD;
+    bbl_loop_forget(e->loop, c->fd);
+    close(c->fd);
+    e->connections--;
+    if (c->prev != NULL) {
+        c->prev->next = c->next;
+    }
+    else {
+        e->first = c->next;
+    }
+    if (c->next != NULL) {
+        c->next->prev = c->prev;
+    }
+    c->next = e->dead;
+    e->dead = c;
+    if (waiting) {
+        e->calls--;
+        e->counters.left++;
+        e->handler.left(e->handler.ctx, &c->call);
+    }
+}
+
+static void
+conn_free(conn *c)
+{
+    bbl_http_message_free(&c->message);
+    bbl_buf_free(&c->in);
+    bbl_buf_free(&c->out);
+    free(c);
+}
+
+/* ---- writing ---- */
+
+static void
+answered(conn *c)
+{
+    bbl_buf_clear(&c->out);
+    c->sent = 0;
+    if (c->close_after) {
+        /* The caller reads the answer before it sees the close. */
+        shutdown(c->fd, SHUT_WR);
+        enter(c, CONN_CLOSING);
+        watch(c, EPOLLIN | EPOLLRDHUP);
+        return;
+    }
+    bbl_http_message_reset(&c->message);
+    c->began = 0;
+    c->continued = false;
+    enter(c, CONN_READING);
+    watch(c, EPOLLIN | EPOLLRDHUP);
+    if (c->in.size > 0) {
+        conn_parse(c);
+    }
+    else if (c->ended) {
+        conn_close(c);
+    }
+}
+
+static void
+conn_write(conn *c)
+{
+    while (c->sent < c->out.size) {
+        ssize_t n = send(c->fd, c->out.ptr + c->sent, c->out.size - c->sent,
+                         MSG_NOSIGNAL | MSG_DONTWAIT);
+
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0 && errno == EAGAIN) {
+            watch(c, EPOLLOUT | EPOLLRDHUP);
+            return;
+        }
+        if (n < 0) {
+            conn_close(c);
+            return;
+        }
+        c->sent += (size_t)n;
+    }
+    answered(c);
+}
+
+static void
+start_reply(conn *c, const bbl_edge_reply *r)
+{
+    bool close = r->close || c->edge->draining || !c->message.keeps ||
+                 !c->message.done || c->ended;
+
+    c->close_after = close;
+    bbl_buf_clear(&c->out);
+    c->sent = 0;
+    bbl_buf_printf(&c->out, "HTTP/1.1 %u %s\r\n", r->status,
+                   bbl_http_reason(r->status));
+    bbl_buf_put(&c->out, r->fields.ptr, r->fields.size);
+    bbl_buf_printf(&c->out, "Content-Length: %zu\r\n%s\r\n", r->body.size,
+                   close ? "Connection: close\r\n" : "");
+    if (!c->message.done || c->message.parser.method != (unsigned)HTTP_HEAD) {
+        bbl_buf_put(&c->out, r->body.ptr, r->body.size);
+    }
+    enter(c, CONN_WRITING);
+    conn_write(c);
+}
+
+void
+bbl_edge_answer(bbl_edge_call *call, const bbl_edge_reply *reply)
+{
+    conn *c = (conn *)((char *)call - offsetof(conn, call));
+
+    c->edge->calls--;
+    start_reply(c, reply);
+}
+
+void
+bbl_edge_answer_text(bbl_edge_call *call, unsigned status, const char *fields,
+                     const char *text)
+{
+    bbl_edge_reply r = {
+        status, {fields, strlen(fields)}, {text, strlen(text)}, false};
+
+    bbl_edge_answer(call, &r);
+}
+
+/* Refuses a request that never became a call; the connection ends. */
+static void
+refuse(conn *c, unsigned status, const char *text)
+{
+    bbl_edge_reply r = {status, {"", 0}, {text, strlen(text)}, true};
+
+    c->edge->counters.refused++;
+    c->message.keeps = false;
+    start_reply(c, &r);
+}
+
+/* ---- reading ---- */
+
+static bbl_str
+strip_port(bbl_str host)
+{
+    for (size_t i = host.size; i > 0; i--) {
+        if (host.ptr[i - 1] == ':') {
+            return (bbl_str){host.ptr, i - 1};
+        }
+        if (host.ptr[i - 1] < '0' || host.ptr[i - 1] > '9') {
+            break;
+        }
+    }
+    return host;
+}
+
+static void
+take_call(conn *c)
+{
+    bbl_edge_call *call = &c->call;
+    const char *query;
+
+    memset(call, 0, sizeof(*call));
+    call->message = &c->message;
+    call->method = bbl_http_message_method(&c->message);
+    call->target = bbl_http_message_target(&c->message);
+    call->path = call->target;
+    query = memchr(call->target.ptr, '?', call->target.size);
+    if (query != NULL) {
+        call->path.size = (size_t)(query - call->target.ptr);
+    }
+    call->hostname = strip_port(bbl_http_message_field(&c->message, "Host"));
+    call->arrived = bbl_clock_now();
+    call->first = !c->first_done;
+    c->first_done = true;
+    c->edge->counters.requests++;
+    c->edge->calls++;
+    enter(c, CONN_WAITING);
+    c->edge->handler.take(c->edge->handler.ctx, call);
+}
+
+/* Checks a head that has just become complete; false when refused. */
+static bool
+check_head(conn *c)
+{
+    bbl_str target = bbl_http_message_target(&c->message);
+
+    if (bbl_http_message_count(&c->message, "Host") != 1 || target.size == 0 ||
+        target.ptr[0] != '/') {
+        refuse(c, 400, "one Host field and a path are needed\n");
+        return false;
+    }
+    if (c->message.parser.content_length != UINT64_MAX &&
+        c->message.parser.content_length > c->edge->limits.body_bytes) {
+        refuse(c, 413, "the body is over the limit\n");
+        return false;
+    }
+    if (!c->message.done && !c->continued &&
+        bbl_http_message_count(&c->message, "Expect") > 0) {
+        static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+        c->continued = true;
+        if (send(c->fd, go_on, sizeof(go_on) - 1, MSG_NOSIGNAL) < 0) {
+            conn_close(c);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Parses what `in` holds up to the end of one request. */
+static void
+conn_parse(conn *c)
+{
+    bool had_head = c->message.head_done;
+    size_t used;
+    int error;
+
+    if (c->began == 0) {
+        c->began = bbl_clock_now();
+        c->message.body_max = c->edge->limits.body_bytes;
+    }
+    error = bbl_http_message_feed(&c->message, bbl_buf_str(&c->in), &used);
+    if (error != 0) {
+        if (c->message.too_large) {
+            refuse(c, 413, "the body is over the limit\n");
+        }
+        else {
+            refuse(c, 400, "this is no HTTP/1.1 request\n");
+        }
+        return;
+    }
+    bbl_buf_consume(&c->in, used);
+    if ((!c->message.head_done || !had_head) &&
+        c->message.scanned > c->edge->limits.header_bytes) {
+        refuse(c, 431, "the head is over the limit\n");
+        return;
+    }
+    if (c->message.head_done && !had_head && !check_head(c)) {
+        return;
+    }
+    if (c->message.done) {
+        take_call(c);
+    }
+    else if (c->ended) {
+        conn_close(c);
+    }
+}
+
+/* Reads what has come; false when the connection has ended. */
+static bool
+conn_read(conn *c)
+{
+    char *end = bbl_buf_reserve(&c->in, READ_BYTES);
+    ssize_t n = recv(c->fd, end, READ_BYTES, MSG_DONTWAIT);
+
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return true;
+    }
+    if (n <= 0) {
+        return false;
+    }
+    c->in.size += (size_t)n;
+    return true;
+}
+
+static void
+read_request(conn *c)
+{
+    size_t before = c->in.size;
+
+    if (!conn_read(c)) {
+        conn_close(c);
+        return;
+    }
+    if (c->in.size > before) {
+        conn_parse(c);
+    }
+}
+
+/* While a request is handled only the end of the connection matters. */
+static void
+watch_caller(conn *c, uint32_t events)
+{
+    if ((events & EPOLLRDHUP) != 0) {
+        conn_close(c);
+        return;
+    }
+    if (!conn_read(c)) {
+        conn_close(c);
+    }
+    else if (c->in.size > PIPELINED_MAX) {
+        watch(c, EPOLLRDHUP);
+    }
+}
+
+static void
+discard(conn *c)
+{
+    char waste[4096];
+    ssize_t n = recv(c->fd, waste, sizeof(waste), MSG_DONTWAIT);
+
+    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
+        conn_close(c);
+    }
+}
+
+static void
+conn_ready(void *ctx, int fd, uint32_t events)
+{
+    conn *c = ctx;
+
+    (void)fd;
+    if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
+        conn_close(c);
+        return;
+    }
+    switch (c->state) {
+    case CONN_READING:
+        read_request(c);
+        break;
+    case CONN_WAITING:
+        watch_caller(c, events);
+        break;
+    case CONN_WRITING:
+        if ((events & EPOLLOUT) != 0) {
+            conn_write(c);
+        }
+        else if ((events & EPOLLRDHUP) != 0) {
+            c->ended = true;
+            c->close_after = true;
+            watch(c, EPOLLOUT);
+        }
+        break;
+    case CONN_CLOSING:
+        discard(c);
+        break;
+    case CONN_DEAD:
+        break;
+    }
+}
+
+static void
+listener_ready(void *ctx, int fd, uint32_t events)
+{
+    bbl_edge *e = ctx;
+    int one = 1;
+
+    (void)events;
+    for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
+        int peer = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        conn *c;
+
+        if (peer < 0) {
+            return;
+        }
+        setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+        c = bbl_calloc(1, sizeof(*c));
+        c->edge = e;
+        c->fd = peer;
+        bbl_http_message_init(&c->message, true, e->limits.body_bytes);
+        c->next = e->first;
+        if (e->first != NULL) {
+            e->first->prev = c;
+        }
+        e->first = c;
+        e->connections++;
+        e->counters.accepted++;
+        enter(c, CONN_READING);
+        watch(c, EPOLLIN | EPOLLRDHUP);
+    }
+}
+
+/* ---- public ---- */
+
+int
+bbl_edge_open(bbl_edge **out, bbl_loop *loop, bblx_address address,
+              const bbl_edge_handler *handler)
+{
+    bbl_edge *e = bbl_calloc(1, sizeof(*e));
+    struct sockaddr_in sa = bbl_address_socket(address);
+    int one = 1;
+
+    *out = NULL;
+    e->loop = loop;
+    e->handler = *handler;
+    e->limits = first_limits;
+    e->listener =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (e->listener >= 0) {
+        setsockopt(e->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    }
+    if (e->listener < 0 ||
+        bind(e->listener, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
+        listen(e->listener, BACKLOG) != 0 ||
+        bbl_loop_watch(loop, e->listener, EPOLLIN, listener_ready, e) != 0) {
+        bbl_error_set(BBL_ENET, "listen on port %u: %s", address.port,
+                      strerror(errno));
+        bbl_edge_free(e);
+        return BBL_ENET;
+    }
+    *out = e;
+    return 0;
+}
+
+static void
+free_dead(bbl_edge *e)
+{
+    while (e->dead != NULL) {
+        conn *c = e->dead;
+
+        e->dead = c->next;
+        conn_free(c);
+    }
+}
+
+void
+bbl_edge_free(bbl_edge *e)
+{
+    if (e == NULL) {
+        return;
+    }
+    while (e->first != NULL) {
+        conn_close(e->first);
+    }
+    free_dead(e);
+    if (e->listener >= 0) {
+        bbl_loop_forget(e->loop, e->listener);
+        close(e->listener);
+    }
+    free(e);
+}
+
+void
+bbl_edge_set_limits(bbl_edge *e, const bbl_caller_limits *limits)
+{
+    e->limits = *limits;
+}
+
+void
+bbl_edge_drain(bbl_edge *e)
+{
+    e->draining = true;
+}
+
+static bool
+is_idle(const conn *c)
+{
+    return c->state == CONN_READING && c->began == 0;
+}
+
+void
+bbl_edge_close_idle(bbl_edge *e, bbl_usec idle_for, bbl_usec now)
+{
+    conn *next;
+
+    for (conn *c = e->first; c != NULL; c = next) {
+        next = c->next;
+        if (is_idle(c) && now >= c->since + idle_for) {
+            conn_close(c);
+        }
+    }
+}
+
+static void
+check_times(conn *c, bbl_usec now)
+{
+    const bbl_caller_limits *l = &c->edge->limits;
+
+    if (is_idle(c) && now > c->since + l->idle_ms * BBL_USEC_PER_MS) {
+        conn_close(c);
+    }
+    else if (c->state == CONN_READING && c->began != 0 &&
+             !c->message.head_done &&
+             now > c->began + l->header_ms * BBL_USEC_PER_MS) {
+        refuse(c, 408, "the head took too long\n");
+    }
+    else if ((c->state == CONN_READING || c->state == CONN_WRITING) &&
+             c->began != 0 && now > c->since + l->idle_ms * BBL_USEC_PER_MS) {
+        conn_close(c);
+    }
+    else if (c->state == CONN_CLOSING && now > c->since + CLOSE_WAIT_US) {
+        conn_close(c);
+    }
+}
+
+void
+bbl_edge_tick(bbl_edge *e, bbl_usec now)
+{
+    conn *next;
+
+    for (conn *c = e->first; c != NULL; c = next) {
+        next = c->next;
+        check_times(c, now);
+    }
+    free_dead(e);
+}
+
+size_t
+bbl_edge_connections(const bbl_edge *e)
+{
+    return e->connections;
+}
+
+size_t
+bbl_edge_calls(const bbl_edge *e)
+{
+    return e->calls;
+}
+
+const bbl_edge_counters *
+bbl_edge_get_counters(const bbl_edge *e)
+{
+    return &e->counters;
+}
--- /dev/null
+++ b/src/net/http_message.c
@@ -0,0 +1,338 @@
+#include "net/http_message.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include "bbl/errors.h"
+
+#define HEAD_MAX (1u << 20) /* bytes; callers have smaller limits of theirs   \
+                             */
+
+/* Offsets of one field in the text. */
+typedef struct {
+    size_t name;
+    size_t name_size;
+    size_t value;
+    size_t value_size;
+    bool has_value;
+} span;
+
+static int
+on_target(http_parser *p, const char *at, size_t size)
+{
+    bbl_http_message *m = p->data;
+
+    bbl_buf_put(&m->text, at, size);
+    m->target_size += size;
+    return 0;
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t size)
+{
+    bbl_http_message *m = p->data;
+    span *s =
+        m->spans.size > 0 ? bbl_vec_at(&m->spans, m->spans.size - 1) : NULL;
+
+    if (s == NULL || s->has_value) {
+        s = bbl_vec_add(&m->spans);
+        s->name = m->text.size;
+    }
+    bbl_buf_put(&m->text, at, size);
+    s->name_size += size;
+    return m->text.size > HEAD_MAX;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t size)
+{
+    bbl_http_message *m = p->data;
+    span *s = bbl_vec_at(&m->spans, m->spans.size - 1);
+
+    if (!s->has_value) {
+        s->value = m->text.size;
+        s->has_value = true;
+    }
+    bbl_buf_put(&m->text, at, size);
+    s->value_size += size;
+    return m->text.size > HEAD_MAX;
+}
+
+static int
+on_head(http_parser *p)
+{
+    bbl_http_message *m = p->data;
+
+    m->head_done = true;
+    m->headers.size = 0;
+    for (size_t i = 0; i < m->spans.size; i++) {
+        const span *s = bbl_vec_at(&m->spans, i);
+        bbl_header *h = bbl_vec_add(&m->headers);
+
+        h->name = (bbl_str){m->text.ptr + s->name, s->name_size};
+        h->value = (bbl_str){m->text.ptr + s->value, s->value_size};
+    }
+    return m->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t size)
+{
+    bbl_http_message *m = p->data;
+
+    if (m->body.size + size > m->body_max) {
+        m->too_large = true;
+        return 1;
+    }
+    bbl_buf_put(&m->body, at, size);
+    return 0;
+}
+
+static int
+on_done(http_parser *p)
+{
+    bbl_http_message *m = p->data;
+
+    m->done = true;
+    m->keeps = http_should_keep_alive(p) != 0;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_url = on_target,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_done,
+};
+
+void
+bbl_http_message_init(bbl_http_message *m, bool request, size_t body_max)
+{
+    memset(m, 0, sizeof(*m));
+    http_parser_init(&m->parser, request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m->parser.data = m;
+    m->spans = (bbl_vec)BBL_VEC_INIT(span);
+    m->headers = (bbl_vec)BBL_VEC_INIT(bbl_header);
+    m->body_max = body_max;
+}
+
+void
+bbl_http_message_free(bbl_http_message *m)
+{
+    bbl_buf_free(&m->text);
+    bbl_buf_free(&m->body);
+    bbl_vec_free(&m->spans);
+    bbl_vec_free(&m->headers);
+}
+
+void
+bbl_http_message_reset(bbl_http_message *m)
+{
+    http_parser_init(&m->parser, (enum http_parser_type)m->parser.type);
+    m->parser.data = m;
+    bbl_buf_clear(&m->text);
+    bbl_buf_clear(&m->body);
+    m->spans.size = 0;
+    m->headers.size = 0;
+    m->target_size = 0;
+    m->scanned = 0;
+    m->last = 0;
+    m->line_size = 0;
+    m->lines = 0;
+    m->no_body = false;
+    m->head_done = false;
+    m->done = false;
+    m->keeps = false;
+    m->too_large = false;
+}
+
+/*
+ * Refuses heads with bare line ends or folded fields, which readers disagree
+ * about. Stops at the empty line that ends the head.
+ */
+static int
+scan_head(bbl_http_message *m, bbl_str bytes)
+{
+    for (size_t i = 0; i < bytes.size; i++) {
+        char c = bytes.ptr[i];
+
+        m->scanned++;
+        if ((c == '\n') != (m->last == '\r')) {
+            return bbl_error_set(BBL_EDAMAGED, "a line does not end in CRLF");
+        }
+        m->last = c;
+        if (c == '\n') {
+            if (m->line_size == 0 && m->lines > 0) {
+                return 0;
+            }
+            m->lines += m->line_size > 0;
+            m->line_size = 0;
+        }
+        else if (c != '\r') {
+            if (m->line_size == 0 && m->lines > 0 && (c == ' ' || c == '\t')) {
+                return bbl_error_set(BBL_EDAMAGED, "a folded header field");
+            }
+            m->line_size++;
+        }
+    }
+    return 0;
+}
+
+static int
+check_framing(const bbl_http_message *m)
+{
+    size_t lengths = bbl_http_message_count(m, "Content-Length");
+    size_t codings = bbl_http_message_count(m, "Transfer-Encoding");
+
+    if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0)) {
+        return bbl_error_set(BBL_EDAMAGED, "two lengths of the body");
+    }
+    return 0;
+}
+
+int
+bbl_http_message_feed(bbl_http_message *m, bbl_str bytes, size_t *used)
+{
+    enum http_errno error;
+    bool had_head = m->head_done;
+
+    *used = 0;
+    if (!had_head && scan_head(m, bytes) != 0) {
+        return BBL_EDAMAGED;
+    }
+    *used = http_parser_execute(&m->parser, &callbacks, bytes.ptr, bytes.size);
+    error = HTTP_PARSER_ERRNO(&m->parser);
+    if (error == HPE_PAUSED && m->done) {
+        http_parser_pause(&m->parser, 0);
+        error = HPE_OK;
+    }
+    if (error != HPE_OK) {
+        return bbl_error_set(BBL_EDAMAGED, "%s",
+                             http_errno_description(error));
+    }
+    if (m->parser.upgrade) {
+        return bbl_error_set(BBL_EDAMAGED, "the protocol cannot be changed");
+    }
+    return m->head_done && !had_head ? check_framing(m) : 0;
+}
+
+int
+bbl_http_message_end(bbl_http_message *m)
+{
+    if (!m->done) {
+        http_parser_execute(&m->parser, &callbacks, NULL, 0);
+    }
+    if (!m->done) {
+        return bbl_error_set(BBL_EDAMAGED, "the message was cut short");
+    }
+    return 0;
+}
+
+bbl_str
+bbl_http_message_method(const bbl_http_message *m)
+{
+    const char *name = http_method_str((enum http_method)m->parser.method);
+
+    return (bbl_str){name, strlen(name)};
+}
+
+unsigned
+bbl_http_message_status(const bbl_http_message *m)
+{
+    return m->parser.status_code;
+}
+
+bbl_str
+bbl_http_message_target(const bbl_http_message *m)
+{
+    return (bbl_str){m->text.ptr, m->target_size};
+}
+
+static bool
+is_field(bbl_str name, const char *field)
+{
+    return name.size == strlen(field) &&
+           strncasecmp(name.ptr, field, name.size) == 0;
+}
+
+bbl_str
+bbl_http_message_field(const bbl_http_message *m, const char *name)
+{
+    for (size_t i = 0; i < m->headers.size; i++) {
+        const bbl_header *h = bbl_vec_at(&m->headers, i);
+
+        if (is_field(h->name, name)) {
+            return h->value;
+        }
+    }
+    return (bbl_str){NULL, 0};
+}
+
+size_t
+bbl_http_message_count(const bbl_http_message *m, const char *name)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < m->headers.size; i++) {
+        const bbl_header *h = bbl_vec_at(&m->headers, i);
+
+        n += is_field(h->name, name);
+    }
+    return n;
+}
+
+/* Whether a comma-separated list holds a word. */
+static bool
+list_holds(bbl_str list, bbl_str word)
+{
+    size_t at = 0;
+
+    while (at < list.size) {
+        size_t end = at;
+
+        while (end < list.size && list.ptr[end] != ',') {
+            end++;
+        }
+        while (at < end && (list.ptr[at] == ' ' || list.ptr[at] == '\t')) {
+            at++;
+        }
+        size_t size = end - at;
+
+        while (size > 0 && (list.ptr[at + size - 1] == ' ' ||
+                            list.ptr[at + size - 1] == '\t')) {
+            size--;
+        }
+        if (size == word.size &&
+            strncasecmp(list.ptr + at, word.ptr, size) == 0) {
+            return true;
+        }
+        at = end + 1;
+    }
+    return false;
+}
+
+bool
+bbl_http_is_hop_field(const bbl_http_message *m, bbl_str name)
+{
+    static const char *const hop[] = {
+        "Connection", "Keep-Alive",        "Proxy-Connection",
+        "TE",         "Transfer-Encoding", "Trailer",
+        "Upgrade",    "Content-Length",    "Expect",
+    };
+
+    for (size_t i = 0; i < sizeof(hop) / sizeof(hop[0]); i++) {
+        if (is_field(name, hop[i])) {
+            return true;
+        }
+    }
+    return list_holds(bbl_http_message_field(m, "Connection"), name);
+}
+
+const char *
+bbl_http_reason(unsigned status)
+{
+    return http_status_str((enum http_status)status);
+}
--- /dev/null
+++ b/src/net/mailbox.c
@@ -0,0 +1,52 @@
+#include "net/mailbox.h"
+
+#include <stdlib.h>
+
+#include "util/alloc.h"
+#include "util/handover.h"
+
+int
+bbl_mailbox_init(bbl_mailbox *box, bbl_loop *loop, unsigned slots)
+{
+    box->slots = bbl_calloc(slots, sizeof(*box->slots));
+    box->loop = loop;
+    ck_ring_init(&box->ring, slots);
+    return 0;
+}
+
+void
+bbl_mailbox_free(bbl_mailbox *box, void (*free_item)(void *item))
+{
+    void *item;
+
+    if (box->slots == NULL) {
+        return;
+    }
+    while ((item = bbl_mailbox_take(box)) != NULL) {
+        free_item(item);
+    }
+    free(box->slots);
+}
+
+bool
+bbl_mailbox_put(bbl_mailbox *box, void *item)
+{
+    BBL_HANDED_OVER(box);
+    if (!ck_ring_enqueue_mpsc(&box->ring, box->slots, item)) {
+        return false;
+    }
+    bbl_loop_wake(box->loop);
+    return true;
+}
+
+void *
+bbl_mailbox_take(bbl_mailbox *box)
+{
+    void *item;
+
+    if (!ck_ring_dequeue_mpsc(&box->ring, box->slots, &item)) {
+        return NULL;
+    }
+    BBL_TAKEN_OVER(box);
+    return item;
+}
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -1,6 +1,5 @@
 #include "net/mesh.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +12,7 @@
 #include <sodium.h>
 
 #include "bbl/errors.h"
+#include "net/address.h"
 #include "util/alloc.h"
 #include "util/log.h"
 #include "util/map.h"
@@ -86,18 +86,6 @@
     bbl_mesh_counters counters;
 };
 
-static struct sockaddr_in
-socket_address(bblx_address a)
-{
-    struct sockaddr_in sa;
-
-    memset(&sa, 0, sizeof(sa));
-    sa.sin_family = AF_INET;
-    sa.sin_addr.s_addr = htonl(a.ip);
-    sa.sin_port = htons((uint16_t)a.port);
-    return sa;
-}
-
 static void
 set_nodelay(int fd)
 {
@@ -260,8 +248,8 @@
 static void
 link_connect(link_out *l)
 {
-    struct sockaddr_in to = socket_address(l->address);
-    struct sockaddr_in from = socket_address(l->mesh->options.listen);
+    struct sockaddr_in to = bbl_address_socket(l->address);
+    struct sockaddr_in from = bbl_address_socket(l->mesh->options.listen);
 
     if (l->now < l->not_before) {
         return;
@@ -563,7 +551,7 @@
 static int
 listen_on(bbl_mesh *mesh)
 {
-    struct sockaddr_in sa = socket_address(mesh->options.listen);
+    struct sockaddr_in sa = bbl_address_socket(mesh->options.listen);
     int one = 1;
 
     mesh->listener =
--- a/src/net/platform_client.c
+++ b/src/net/platform_client.c
@@ -8,8 +8,8 @@
 #include <jansson.h>
 
 #include "bbl/errors.h"
+#include "net/address.h"
 #include "bbl/types.h"
-#include "daemon/options.h"
 #include "util/alloc.h"
 #include "util/log.h"
 
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -15,7 +15,7 @@
 bbl_usec
 bbl_clock_now(void)
 {
-    return read_clock(CLOCK_MONOTONIC);
+    return read_clock(CLOCK_BOOTTIME);
 }
 
 uint64_t
--- /dev/null
+++ b/src/util/handover.h
@@ -0,0 +1,18 @@
+/*
+ * handover.h - ThreadSanitizer does not see the ordering that Concurrency Kit
+ * gives; these tell it. They do nothing in other builds.
+ */
+#ifndef BBL_HANDOVER_H
+#define BBL_HANDOVER_H
+
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *address);
+void __tsan_release(void *address);
+#define BBL_HANDED_OVER(address) __tsan_release(address)
+#define BBL_TAKEN_OVER(address) __tsan_acquire(address)
+#else
+#define BBL_HANDED_OVER(address) ((void)(address))
+#define BBL_TAKEN_OVER(address) ((void)(address))
+#endif
+
+#endif
