backend_link: a finished message leaves its connection before it is handed over

Cause: a list of two pages failed with 'all connections are in use', as the next page was asked for while the first still held the connection.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -61,8 +61,9 @@
 struct bbl_backend_client {
     bbl_loop *loop;
     bbl_backend_client_options options;
-    bbl_vec links; /* bbl_backend_link * */
-    line *dead;    /* freed by the next tick */
+    bbl_vec links;             /* bbl_backend_link * */
+    line *dead;                /* freed by the next tick */
+    bbl_http_message finished; /* handed over last */
     bbl_backend_counters counters;
 };
 
@@ -166,18 +167,28 @@
     return IDLE_DEFAULT_US;
 }
 
+/* Moves a finished message out, so that its connection can be used again. */
 static void
-line_idle(line *l, bbl_usec now)
+take_message(bbl_http_message *to, bbl_http_message *from)
 {
-    bbl_usec idle = idle_time(l);
+    bbl_http_message spare = *to;
+
+    *to = *from;
+    *from = spare;
+    to->parser.data = to;
+    from->parser.data = from;
+    bbl_http_message_reset(from);
+}
 
+static void
+line_idle(line *l, bbl_usec idle, bbl_usec now)
+{
     l->idle_until = now + (idle > IDLE_MARGIN_US ? idle - IDLE_MARGIN_US : 0);
     l->has_request = false;
     l->link->busy--;
     l->any_sent = false;
     l->state = LINE_IDLE;
     l->since = now;
-    bbl_http_message_reset(&l->message);
     watch(l, EPOLLIN | EPOLLRDHUP);
     unlist(l);
     bbl_vec_push(&l->link->lines, &l);
@@ -187,22 +198,25 @@
 static void
 line_done(line *l, bool extra)
 {
-    bbl_exchange_result r = {BBL_EXCHANGE_RESPONSE, NULL, &l->message};
+    bbl_backend_client *client = l->link->client;
+    bbl_exchange_result r = {BBL_EXCHANGE_RESPONSE, NULL, &client->finished};
     bbl_exchange_done done = l->done;
     void *ctx = l->ctx;
     bool keep = l->message.keeps && !extra && !l->link->freed;
+    bbl_usec idle = idle_time(l);
 
-    l->link->client->counters.stray += extra;
+    client->counters.stray += extra;
     l->done = NULL;
-    if (!keep) {
+    take_message(&client->finished, &l->message);
+    if (keep) {
+        line_idle(l, idle, bbl_clock_now());
+    }
+    else {
         line_close(l);
     }
     if (done != NULL) {
         done(ctx, &r);
     }
-    if (keep && l->state == LINE_BUSY) {
-        line_idle(l, bbl_clock_now());
-    }
 }
 
 /* Whether a response answers another request than the one sent. */
@@ -584,6 +598,7 @@
     c->loop = loop;
     c->options = *options;
     c->links = (bbl_vec)BBL_VEC_INIT(bbl_backend_link *);
+    bbl_http_message_init(&c->finished, false, options->response_max);
     *out = c;
     return 0;
 }
@@ -671,6 +686,7 @@
         free(link);
     }
     free_dead(c);
+    bbl_http_message_free(&c->finished);
     bbl_vec_free(&c->links);
     free(c);
 }
