--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -369,6 +369,7 @@
 
 struct bblx_feed {
 	u_int leader;
+	bblx_address leader_address;
 	u_quad_t applied_after;
 	u_quad_t applied;
 	u_quad_t boot;
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -792,6 +792,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->leader))
 		 return FALSE;
+	 if (!xdr_bblx_address (xdrs, &objp->leader_address))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->applied_after))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->applied))
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -292,6 +292,7 @@
 
 struct bblx_feed {
     unsigned int leader;          /* host id; 0: not known */
+    bblx_address leader_address;  /* ip 0: not known */
     unsigned hyper applied_after; /* the entries continue from this index */
     unsigned hyper applied;       /* index reached with these entries */
     unsigned hyper boot;          /* incarnation of the sender's feed */
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -84,7 +84,9 @@
     bblx_address parent_address;
     uint64_t parent_boot;
     uint64_t parent_revision;
-    uint32_t leader; /* as last told */
+    uint32_t leader;      /* as last told */
+    uint32_t told_leader; /* whose address was told with a feed */
+    bblx_address told_address;
     size_t seed_next;
     bbl_usec answered_at;  /* last grant, or the change of parent */
     bbl_usec relay_barred; /* no relay before this time */
@@ -187,8 +189,10 @@
     }
     if (member != NULL) {
         *out = member->control;
+        return true;
     }
-    return member != NULL;
+    *out = c->told_address;
+    return c->told_leader == host && host != 0;
 }
 
 /* ---- the log as followers see it ---- */
@@ -552,6 +556,9 @@
     memset(&m, 0, sizeof(m));
     m.kind = BBLX_FEED;
     f->leader = c->leader;
+    if (!find_address(c, c->leader, &f->leader_address)) {
+        memset(&f->leader_address, 0, sizeof(f->leader_address));
+    }
     f->boot = c->feed_boot;
     f->grants.grants_len = grant_count;
     f->grants.grants_val = grants;
@@ -842,6 +849,10 @@
     }
     if (f->leader != 0) {
         c->leader = f->leader;
+        if (f->leader_address.ip != 0) {
+            c->told_leader = f->leader;
+            c->told_address = f->leader_address;
+        }
     }
     if (f->boot != c->parent_boot) {
         c->parent_boot = f->boot;
@@ -934,7 +945,8 @@
         }
         c->answered_at = c->now;
         c->leader = c->parent == c->leader ? 0 : c->leader;
-        if (c->leader == 0) {
+        /* A leader that cannot be found is asked for at the next seed. */
+        if (c->leader == 0 || !find_address(c, c->leader, &address)) {
             next_seed(c);
             return;
         }
