--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -58,6 +58,17 @@
     return m->text.size > HEAD_MAX;
 }
 
+/* Leaves out the white space behind a value. */
+static bbl_str
+trim(bbl_str s)
+{
+    while (s.size > 0 &&
+           (s.ptr[s.size - 1] == ' ' || s.ptr[s.size - 1] == '\t')) {
+        s.size--;
+    }
+    return s;
+}
+
 static int
 on_head(http_parser *p)
 {
@@ -70,7 +81,7 @@
         bbl_header *h = bbl_vec_add(&m->headers);
 
         h->name = (bbl_str){m->text.ptr + s->name, s->name_size};
-        h->value = (bbl_str){m->text.ptr + s->value, s->value_size};
+        h->value = trim((bbl_str){m->text.ptr + s->value, s->value_size});
     }
     return m->no_body ? 1 : 0;
 }
@@ -190,6 +201,13 @@
     if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0)) {
         return bbl_error_set(BBL_EDAMAGED, "two lengths of the body");
     }
+    for (size_t i = 0; i < m->headers.size; i++) {
+        bbl_str name = ((const bbl_header *)bbl_vec_at(&m->headers, i))->name;
+
+        if (name.size == 0 || trim(name).size != name.size) {
+            return bbl_error_set(BBL_EDAMAGED, "a space before a colon");
+        }
+    }
     return 0;
 }
 
--- /dev/null
+++ b/tests/support/forward_world.c
@@ -0,0 +1,405 @@
+#include "support/forward_world.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/dialect.h"
+#include "util/alloc.h"
+
+#define STEP_US 500 /* between two looks at what is due */
+
+/* An attempt on its way through a server. */
+typedef struct {
+    bbl_attempt *attempt;
+    world_server *server;
+    bbl_usec ends;
+    unsigned call;
+} exchange;
+
+struct forward_world {
+    bbl_usec now;
+    bbl_forwarder *forwarder;
+    world_server servers[WORLD_SERVERS_MAX];
+    size_t server_count;
+    bbl_vec exchanges; /* exchange */
+    world_call calls[WORLD_CALLS_MAX];
+    unsigned call_count;
+    char ids[WORLD_CALLS_MAX][16];
+    unsigned entry_hosts;
+    bbl_usec list_read;
+};
+
+static world_server *
+server_of(forward_world *w, const bbl_backend *b)
+{
+    for (size_t i = 0; i < w->server_count; i++) {
+        world_server *s = &w->servers[i];
+
+        if (strlen(s->id) == b->listed.id.bblx_label_len &&
+            memcmp(s->id, b->listed.id.bblx_label_val, strlen(s->id)) == 0) {
+            return s;
+        }
+    }
+    ck_abort_msg("an unknown server is used");
+    return NULL;
+}
+
+/* ---- the port ---- */
+
+static int
+on_send(void *ctx, bbl_attempt *attempt, bbl_backend *backend,
+        const bbl_attempt_request *request)
+{
+    forward_world *w = ctx;
+    world_server *s = server_of(w, backend);
+    exchange *x;
+    bool runs = s->mode != SERVER_SHEDS && s->mode != SERVER_REFUSES &&
+                s->mode != SERVER_REPLACED;
+    unsigned call = (unsigned)(uintptr_t)request->call - 1;
+
+    if (s->connections != 0 && s->in_use >= s->connections) {
+        return -1;
+    }
+    ck_assert_msg(!s->gone && !s->leaving, "%s gets work while it leaves",
+                  s->id);
+    ck_assert_msg(s->cold_ms == 0, "%s gets work while it is cold", s->id);
+    ck_assert_uint_gt(request->time_left_ms, 0);
+    x = bbl_vec_add(&w->exchanges);
+    x->attempt = attempt;
+    x->server = s;
+    x->call = call;
+    x->ends = w->now + (runs ? s->work : 1000);
+    if (s->paused_until > w->now) {
+        x->ends += s->paused_until - w->now;
+    }
+    if (s->mode == SERVER_SILENT) {
+        x->ends = UINT64_MAX;
+    }
+    s->in_use++;
+    s->arrivals += s->mode != SERVER_REFUSES;
+    s->runs += runs;
+    w->calls[call].runs += runs;
+    bbl_attempt_set_handle(attempt, attempt);
+    return 0;
+}
+
+static void
+on_abandon(void *ctx, bbl_attempt *attempt)
+{
+    forward_world *w = ctx;
+
+    for (size_t i = 0; i < w->exchanges.size; i++) {
+        exchange *x = bbl_vec_at(&w->exchanges, i);
+
+        if (x->attempt == attempt) {
+            x->server->in_use--;
+            bbl_vec_swap_remove(&w->exchanges, i);
+            return;
+        }
+    }
+    ck_abort_msg("an attempt is abandoned that is not under way");
+}
+
+static bool
+on_has_room(void *ctx, const bbl_backend *backend)
+{
+    const world_server *s = server_of(ctx, backend);
+
+    return s->connections == 0 || s->in_use < s->connections;
+}
+
+/* Reads the fields that the tier adds to its answers. */
+static void
+read_fields(world_call *c, bbl_str fields)
+{
+    char text[4096];
+    const char *at;
+
+    ck_assert_uint_lt(fields.size, sizeof(text));
+    memcpy(text, fields.ptr ? fields.ptr : "", fields.size);
+    text[fields.size] = '\0';
+    at = strstr(text, "Missing-Parts: ");
+    c->missing = at ? (unsigned)atoi(at + 15) : 0;
+    at = strstr(text, "Part-Stamps: ");
+    for (; at != NULL && *at != '\r'; at++) {
+        c->parts += *at == ':' || *at == ',';
+    }
+    at = strstr(text, "Retry-After: ");
+    c->retry_after_ms = at ? (uint32_t)(atof(at + 13) * 1000) : 0;
+}
+
+static void
+on_answer(void *ctx, void *call, const bbl_forward_answer *answer)
+{
+    forward_world *w = ctx;
+    world_call *c = &w->calls[(uintptr_t)call - 1];
+
+    ck_assert_msg(!c->answered && !c->left,
+                  "answered twice, or after a leave");
+    c->answered = true;
+    c->status = answer->status;
+    c->at = w->now;
+    if (answer->relay == NULL) {
+        read_fields(c, answer->fields);
+    }
+    ck_assert_msg(c->status != 503 || c->runs == 0,
+                  "\"not run\" was said of a request that ran");
+}
+
+static void
+on_record(void *ctx, const bbl_forward_record *r)
+{
+    forward_world *w = ctx;
+
+    for (unsigned i = 0; i < w->call_count; i++) {
+        if (strlen(w->ids[i]) == r->request_id.size &&
+            memcmp(w->ids[i], r->request_id.ptr, r->request_id.size) == 0) {
+            w->calls[i].reason = r->reason;
+        }
+    }
+}
+
+static void
+on_server(void *ctx, bbl_backend *backend)
+{
+    (void)ctx;
+    (void)backend;
+}
+
+static void
+on_changed(void *ctx, bbl_backend *backend, bbl_backend_state before)
+{
+    (void)ctx;
+    (void)backend;
+    (void)before;
+}
+
+/* ---- servers ---- */
+
+static void
+end_exchange(forward_world *w, const exchange *x)
+{
+    static const char body[] = "0123456789abcdef";
+    bbl_header stamp = {{"Response-Stamp", 14},
+                        {x->server->id, strlen(x->server->id)}};
+    bbl_header not_run = {{"Not-Executed", 12}, {"1", 1}};
+    bbl_attempt_result r;
+
+    memset(&r, 0, sizeof(r));
+    r.end = BBL_ATTEMPT_RESPONSE;
+    r.status = 200;
+    r.headers = &stamp;
+    r.header_count = 1;
+    r.body = (bbl_str){body, sizeof(body) - 1};
+    r.reason = "as told";
+    switch (x->server->mode) {
+    case SERVER_SHEDS:
+        r.status = 503;
+        r.headers = &not_run;
+        break;
+    case SERVER_REPLACED:
+        r.status = 421;
+        r.header_count = 0;
+        break;
+    case SERVER_FAILS:
+        r.status = 500;
+        break;
+    case SERVER_BREAKS:
+        r.end = BBL_ATTEMPT_BROKEN;
+        break;
+    case SERVER_REFUSES:
+        r.end = BBL_ATTEMPT_UNSENT;
+        break;
+    case SERVER_UNSIGNED:
+        r.header_count = 0;
+        break;
+    default:
+        break;
+    }
+    x->server->in_use--;
+    bbl_forwarder_ended(w->forwarder, w->now, x->attempt, &r);
+}
+
+static void
+end_exchanges(forward_world *w)
+{
+    for (size_t i = 0; i < w->exchanges.size;) {
+        exchange x = *(exchange *)bbl_vec_at(&w->exchanges, i);
+
+        if (x.ends > w->now) {
+            i++;
+            continue;
+        }
+        bbl_vec_swap_remove(&w->exchanges, i);
+        end_exchange(w, &x);
+        i = 0;
+    }
+}
+
+/* ---- the world ---- */
+
+forward_world *
+forward_world_new(unsigned entry_hosts)
+{
+    forward_world *w = bbl_calloc(1, sizeof(*w));
+    bbl_forwarder_options o = BBL_FORWARDER_OPTIONS_INIT;
+
+    w->now = BBL_USEC_PER_SEC;
+    w->list_read = w->now;
+    w->entry_hosts = entry_hosts;
+    w->exchanges = (bbl_vec)BBL_VEC_INIT(exchange);
+    bbl_name_set(&o.zone, "z1", 2);
+    o.dialect = bbl_platform_dialect();
+    o.port.send = on_send;
+    o.port.abandon = on_abandon;
+    o.port.has_room = on_has_room;
+    o.port.answer = on_answer;
+    o.port.record = on_record;
+    o.port.server_added = on_server;
+    o.port.server_removed = on_server;
+    o.port.server_changed = on_changed;
+    o.port.ctx = w;
+    bbl_forwarder_new(&w->forwarder, &o);
+    return w;
+}
+
+void
+forward_world_free(forward_world *w)
+{
+    bbl_forwarder_free(w->forwarder);
+    bbl_vec_free(&w->exchanges);
+    free(w);
+}
+
+world_server *
+forward_world_add(forward_world *w, const char *id, const char *service,
+                  const char *zone)
+{
+    world_server *s = &w->servers[w->server_count++];
+
+    snprintf(s->id, sizeof(s->id), "%s", id);
+    snprintf(s->service, sizeof(s->service), "%s", service);
+    snprintf(s->zone, sizeof(s->zone), "%s", zone);
+    s->work = 10 * BBL_USEC_PER_MS;
+    return s;
+}
+
+static bbl_forward_update *
+make_update(forward_world *w)
+{
+    bbl_forward_update *u = bbl_calloc(1, sizeof(*u));
+
+    u->backends = bbl_calloc(w->server_count, sizeof(*u->backends));
+    u->cold_until = bbl_calloc(w->server_count, sizeof(*u->cold_until));
+    for (size_t i = 0; i < w->server_count; i++) {
+        const world_server *s = &w->servers[i];
+        bblx_backend *b = &u->backends[u->backend_count];
+
+        b->id.bblx_label_len = (u_int)strlen(s->id);
+        b->id.bblx_label_val = bbl_memdup(s->id, strlen(s->id));
+        b->service.bblx_label_len = (u_int)strlen(s->service);
+        b->service.bblx_label_val = bbl_memdup(s->service, strlen(s->service));
+        b->zone.bblx_name_len = (u_int)strlen(s->zone);
+        b->zone.bblx_name_val = bbl_memdup(s->zone, strlen(s->zone));
+        b->slots = 2;
+        b->leaving = s->leaving;
+        b->gone = s->gone;
+        u->cold_until[u->backend_count++] =
+            s->cold_ms > 0 ? w->now + s->cold_ms * BBL_USEC_PER_MS : 0;
+    }
+    w->list_read = w->now;
+    u->list_read = w->now;
+    u->entry_hosts = w->entry_hosts;
+    return u;
+}
+
+void
+forward_world_install(forward_world *w, const char *document)
+{
+    bbl_forward_update *u = make_update(w);
+    bbl_str text = {document, strlen(document)};
+
+    ck_assert_int_eq(bbl_platform_dialect()->read_routing(&u->routing, text),
+                     0);
+    ck_assert_int_eq(bbl_routing_check(u->routing), 0);
+    bbl_forwarder_update(w->forwarder, w->now, u);
+}
+
+void
+forward_world_list(forward_world *w, const char *evacuated)
+{
+    bbl_forward_update *u = make_update(w);
+
+    if (evacuated != NULL) {
+        u->evacuated = bbl_calloc(1, sizeof(*u->evacuated));
+        bbl_name_set(u->evacuated, evacuated, strlen(evacuated));
+        u->evacuated_count = 1;
+    }
+    bbl_forwarder_update(w->forwarder, w->now, u);
+}
+
+unsigned
+forward_world_send(forward_world *w, const char *path, uint32_t time_left_ms)
+{
+    unsigned n = w->call_count++;
+    bbl_forward_request r;
+
+    ck_assert_uint_lt(n, WORLD_CALLS_MAX);
+    snprintf(w->ids[n], sizeof(w->ids[n]), "q%u", n);
+    w->calls[n].used = true;
+    memset(&r, 0, sizeof(r));
+    r.call = (void *)(uintptr_t)(n + 1);
+    r.hostname = (bbl_str){"a.example", 9};
+    r.path = (bbl_str){path, strlen(path)};
+    r.request_id = (bbl_str){w->ids[n], strlen(w->ids[n])};
+    r.has_time_left = time_left_ms > 0;
+    r.time_left_ms = time_left_ms;
+    r.arrived = w->now;
+    bbl_forwarder_take(w->forwarder, w->now, &r);
+    return n;
+}
+
+void
+forward_world_leave(forward_world *w, unsigned call)
+{
+    w->calls[call].left = true;
+    bbl_forwarder_left(w->forwarder, w->now, (void *)(uintptr_t)(call + 1));
+}
+
+void
+forward_world_run(forward_world *w, bbl_usec time)
+{
+    bbl_usec until = w->now + time;
+
+    while (w->now < until) {
+        w->now += STEP_US;
+        end_exchanges(w);
+        bbl_forwarder_tick(w->forwarder, w->now);
+    }
+}
+
+const world_call *
+forward_world_call(const forward_world *w, unsigned call)
+{
+    return &w->calls[call];
+}
+
+bbl_usec
+forward_world_now(const forward_world *w)
+{
+    return w->now;
+}
+
+const bbl_forward_counters *
+forward_world_counters(const forward_world *w)
+{
+    return bbl_forwarder_get_counters(w->forwarder);
+}
+
+unsigned
+forward_world_in_flight(const forward_world *w)
+{
+    return (unsigned)w->exchanges.size;
+}
--- /dev/null
+++ b/tests/support/forward_world.h
@@ -0,0 +1,89 @@
+/*
+ * forward_world.h - one entry host's forwarder with backend servers that do
+ * as they are told, in simulated time. Every promise towards callers is
+ * checked after each answer.
+ */
+#ifndef BBL_TEST_FORWARD_WORLD_H
+#define BBL_TEST_FORWARD_WORLD_H
+
+#include "forward/forwarder.h"
+
+#define WORLD_SERVERS_MAX 64
+#define WORLD_CALLS_MAX 4096
+
+/* How a server treats what it gets. */
+typedef enum {
+    SERVER_OK,
+    SERVER_SILENT,   /* runs, and nothing ever comes back */
+    SERVER_SHEDS,    /* refuses it unrun */
+    SERVER_FAILS,    /* runs, and answers with a failure */
+    SERVER_BREAKS,   /* runs, and the connection breaks */
+    SERVER_REFUSES,  /* no connection */
+    SERVER_REPLACED, /* another incarnation has the address */
+    SERVER_UNSIGNED  /* answers without a signature */
+} server_mode;
+
+typedef struct {
+    char id[16];
+    char service[16];
+    char zone[16];
+    server_mode mode;
+    bbl_usec work;
+    bbl_usec paused_until; /* answers nothing before */
+    bool leaving;
+    bool gone;
+    uint32_t cold_ms;
+    unsigned arrivals;
+    unsigned runs;
+    unsigned connections; /* that may be in use at once; 0: any number */
+    unsigned in_use;
+} world_server;
+
+/* What a caller got. */
+typedef struct {
+    bool used;
+    bool answered;
+    bool left;
+    unsigned status;
+    unsigned parts; /* signatures in it */
+    unsigned missing;
+    uint32_t retry_after_ms;
+    bbl_usec at;   /* when it was answered */
+    unsigned runs; /* of this request, on all servers */
+    bbl_forward_reason reason;
+} world_call;
+
+typedef struct forward_world forward_world;
+
+/* Makes a world; `entry_hosts` share the budget of extra requests. */
+forward_world *forward_world_new(unsigned entry_hosts);
+void forward_world_free(forward_world *w);
+
+/* Adds a server; the pointer stays valid. */
+world_server *forward_world_add(forward_world *w, const char *id,
+                                const char *service, const char *zone);
+
+/* Installs a routing document of the platform and the servers' list. */
+void forward_world_install(forward_world *w, const char *document);
+
+/* Hands the servers' list in again, as the platform now shows it. */
+void forward_world_list(forward_world *w, const char *evacuated);
+
+/* Sends a request; returns its number. */
+unsigned forward_world_send(forward_world *w, const char *path,
+                            uint32_t time_left_ms);
+
+/* The caller of a request leaves. */
+void forward_world_leave(forward_world *w, unsigned call);
+
+/* Lets time pass. */
+void forward_world_run(forward_world *w, bbl_usec time);
+
+const world_call *forward_world_call(const forward_world *w, unsigned call);
+bbl_usec forward_world_now(const forward_world *w);
+const bbl_forward_counters *forward_world_counters(const forward_world *w);
+
+/* Returns the attempts still under way at servers. */
+unsigned forward_world_in_flight(const forward_world *w);
+
+#endif
--- /dev/null
+++ b/tests/test_forward_policy.c
@@ -0,0 +1,323 @@
+/*
+ * The decisions of an entry host, each with the load that it answers: extra
+ * requests, hedges, placement, weighted services and the greatest records.
+ */
+#include <string.h>
+
+#include "forward/extra_budget.h"
+#include "forward/hedge.h"
+#include "forward/placement.h"
+#include "forward/split.h"
+#include "forward/top_records.h"
+#include "support/run.h"
+
+#define MS BBL_USEC_PER_MS
+#define SEC BBL_USEC_PER_SEC
+
+/* ---- extra requests ---- */
+
+static const bbl_extra_limits limits = {10 * SEC, 0.2, 7};
+
+/* Spends whatever is allowed; returns how much. */
+static unsigned
+spend_all(bbl_extra_budget *b, bbl_usec now)
+{
+    unsigned spent = 0;
+
+    while (bbl_extra_budget_left(b, &limits, now) > 0) {
+        bbl_extra_budget_spend(b, &limits, now);
+        spent++;
+    }
+    return spent;
+}
+
+START_TEST(extra_requests_stay_under_their_share_in_every_window)
+{
+    bbl_extra_budget b;
+    unsigned first[60] = {0};
+    unsigned extra[60] = {0};
+
+    memset(&b, 0, sizeof(b));
+    for (unsigned half = 0; half < 60; half++) {
+        bbl_usec now = SEC + half * SEC / 2;
+
+        /* Bursts with pauses between them, and all servers failing. */
+        first[half] = half % 12 < 6 ? 10 : 0;
+        for (unsigned i = 0; i < first[half]; i++) {
+            bbl_extra_budget_first(&b, &limits, now);
+        }
+        extra[half] = spend_all(&b, now);
+    }
+    for (unsigned from = 0; from + 20 <= 60; from++) {
+        double allowed = limits.constant;
+        unsigned spent = 0;
+        unsigned before = 0;
+        unsigned within = 0;
+
+        for (unsigned i = from; i < from + 20; i++) {
+            spent += extra[i];
+            within += first[i];
+            before += i >= 20 ? first[i - 20] : 0;
+        }
+        allowed += limits.ratio * (within > before ? within : before);
+        ck_assert_msg(spent <= allowed + 1e-9, "window %u: %u of %.1f", from,
+                      spent, allowed);
+    }
+}
+END_TEST
+
+START_TEST(a_long_silence_empties_the_window)
+{
+    bbl_extra_budget b;
+
+    memset(&b, 0, sizeof(b));
+    ck_assert_uint_gt(spend_all(&b, SEC), 0);
+    ck_assert_uint_eq(spend_all(&b, 2 * SEC), 0);
+    ck_assert_uint_gt(spend_all(&b, 100 * SEC), 0);
+}
+END_TEST
+
+/* ---- hedges ---- */
+
+START_TEST(a_hedge_waits_longer_when_little_budget_is_left)
+{
+    bbl_hedge_input in = {15 * MS, 0, 100 * MS, false, 1.0};
+    bbl_usec full = bbl_hedge_wait(&in);
+
+    in.budget_left = 0.1;
+    ck_assert_uint_gt(bbl_hedge_wait(&in), full);
+    in.budget_left = 0;
+    ck_assert_uint_eq(bbl_hedge_wait(&in), UINT64_MAX);
+}
+END_TEST
+
+START_TEST(a_stalled_server_is_hedged_sooner)
+{
+    bbl_hedge_input in = {15 * MS, 0, 100 * MS, false, 1.0};
+    bbl_usec usual = bbl_hedge_wait(&in);
+
+    in.stalled = true;
+    ck_assert_uint_lt(bbl_hedge_wait(&in), usual);
+    in.waited = 100 * MS;
+    ck_assert_uint_eq(bbl_hedge_wait(&in), 0);
+}
+END_TEST
+
+START_TEST(a_hedge_starts_while_it_can_still_meet_the_target)
+{
+    /* Twice the service time would leave the second server too little. */
+    bbl_hedge_input in = {100 * MS, 0, 260 * MS, false, 1.0};
+
+    ck_assert_uint_le(bbl_hedge_wait(&in), 130 * MS);
+    ck_assert_uint_ge(bbl_hedge_wait(&in), 100 * MS);
+}
+END_TEST
+
+/* ---- placement ---- */
+
+static bool
+has_room(void *ctx, const bbl_backend *b)
+{
+    return ctx == NULL || b != ctx;
+}
+
+typedef struct {
+    bbl_backend servers[2];
+    bbl_backend *list[2];
+    bbl_rng rng;
+} pair;
+
+static void
+init_pair(pair *p)
+{
+    memset(p, 0, sizeof(*p));
+    for (int i = 0; i < 2; i++) {
+        p->servers[i].listed.slots = 2;
+        p->servers[i].same_zone = true;
+        p->list[i] = &p->servers[i];
+    }
+    p->rng.state = 5;
+}
+
+/* Returns how many of 100 choices fall on the first server. */
+static unsigned
+count_first(pair *p, bbl_usec now, bool second)
+{
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second};
+    unsigned n = 0;
+    size_t usable;
+
+    for (int i = 0; i < 100; i++) {
+        n += bbl_placement_choose(&in, p->list, 2, now, has_room, NULL,
+                                  &p->rng, &usable) == p->list[0];
+    }
+    return n;
+}
+
+START_TEST(equal_servers_share_the_work)
+{
+    pair p;
+    unsigned first;
+
+    init_pair(&p);
+    first = count_first(&p, SEC, false);
+    ck_assert_uint_gt(first, 25);
+    ck_assert_uint_lt(first, 75);
+}
+END_TEST
+
+START_TEST(a_server_that_pauses_gets_no_new_work)
+{
+    pair p;
+
+    init_pair(&p);
+    p.servers[0].in_flight = 1;
+    p.servers[0].oldest = SEC;
+    p.servers[0].answered = SEC - 50 * MS;
+    ck_assert_uint_eq(count_first(&p, SEC + 31 * MS, false), 0);
+    /* An answer shows that it works again. */
+    p.servers[0].answered = SEC + 31 * MS;
+    p.servers[1].in_flight = 2;
+    p.servers[1].answered = SEC + 31 * MS;
+    ck_assert_uint_eq(count_first(&p, SEC + 32 * MS, false), 100);
+}
+END_TEST
+
+START_TEST(slow_and_failing_servers_are_avoided_until_that_fades)
+{
+    pair p;
+
+    init_pair(&p);
+    for (int i = 0; i < 10; i++) {
+        bbl_backend_rate(&p.servers[0], SEC, 8, false);
+    }
+    ck_assert_uint_eq(count_first(&p, SEC, false), 0);
+    ck_assert_uint_gt(count_first(&p, 60 * SEC, false), 25);
+    init_pair(&p);
+    for (int i = 0; i < 5; i++) {
+        bbl_backend_rate(&p.servers[0], SEC, 0, true);
+    }
+    ck_assert_uint_eq(count_first(&p, SEC, false), 0);
+}
+END_TEST
+
+START_TEST(only_usable_servers_are_chosen)
+{
+    pair p;
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false};
+    size_t usable;
+
+    init_pair(&p);
+    p.servers[0].listed.leaving = TRUE;
+    p.servers[1].cold_until = 2 * SEC;
+    ck_assert_ptr_null(bbl_placement_choose(&in, p.list, 2, SEC, has_room,
+                                            NULL, &p.rng, &usable));
+    ck_assert_uint_eq(usable, 0);
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, 2 * SEC, has_room,
+                                          NULL, &p.rng, &usable),
+                     p.list[1]);
+    ck_assert_uint_eq(usable, 1);
+    /* Full is not unusable. */
+    ck_assert_ptr_null(bbl_placement_choose(&in, p.list, 2, 2 * SEC, has_room,
+                                            p.list[1], &p.rng, &usable));
+    ck_assert_uint_eq(usable, 1);
+}
+END_TEST
+
+START_TEST(a_server_that_came_back_waits_for_a_newer_list)
+{
+    bbl_backend b;
+
+    memset(&b, 0, sizeof(b));
+    b.unsure_at = 10 * SEC;
+    bbl_backend_confirm(&b, 10 * SEC + 800 * MS, 800 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, 11 * SEC), BBL_BACKEND_UNSURE);
+    bbl_backend_confirm(&b, 10 * SEC + 801 * MS, 800 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, 11 * SEC), BBL_BACKEND_USABLE);
+}
+END_TEST
+
+/* ---- weighted services ---- */
+
+START_TEST(weights_hold_over_few_requests)
+{
+    bbl_route_target targets[] = {{0, 7}, {1, 2}, {2, 1}, {3, 0}};
+    bbl_route route = {
+        .kind = BBL_ROUTE_SPLIT, .targets = targets, .target_count = 4};
+    bbl_split split;
+    unsigned counts[4] = {0};
+
+    bbl_split_init(&split, &route, (uint64_t)_i);
+    for (int i = 0; i < 20; i++) {
+        counts[bbl_split_next(&split, &route)]++;
+    }
+    ck_assert_uint_eq(counts[0], 14);
+    ck_assert_uint_eq(counts[1], 4);
+    ck_assert_uint_eq(counts[2], 2);
+    ck_assert_uint_eq(counts[3], 0);
+    bbl_split_free(&split);
+}
+END_TEST
+
+/* ---- the greatest records ---- */
+
+static int
+compare_falling(const void *a, const void *b)
+{
+    return memcmp(b, a, BBL_RECORD_BYTES);
+}
+
+START_TEST(the_greatest_records_of_all_parts_are_kept)
+{
+    bbl_rng rng = {(uint64_t)_i + 1};
+    char all[40 * BBL_RECORD_BYTES + 5];
+    bbl_top_records top;
+    size_t parts = 1 + bbl_rng_below(&rng, 5);
+    size_t most = bbl_rng_below(&rng, 50);
+    size_t kept;
+
+    for (size_t i = 0; i < sizeof(all); i++) {
+        all[i] = (char)bbl_rng_below(&rng, i % 16 < 14 ? 2 : 256);
+    }
+    bbl_top_records_init(&top, most);
+    for (size_t p = 0; p < parts; p++) {
+        size_t from = 40 * p / parts;
+        size_t to = 40 * (p + 1) / parts;
+        /* Bytes behind the last whole record are no record. */
+        size_t rest = to == 40 ? 5 : 0;
+
+        bbl_top_records_add(&top,
+                            (bbl_str){all + from * BBL_RECORD_BYTES,
+                                      (to - from) * BBL_RECORD_BYTES + rest});
+    }
+    qsort(all, 40, BBL_RECORD_BYTES, compare_falling);
+    kept = most < 40 ? most : 40;
+    ck_assert_uint_eq(bbl_top_records_get(&top).size, kept * BBL_RECORD_BYTES);
+    ck_assert(kept == 0 || memcmp(bbl_top_records_get(&top).ptr, all,
+                                  kept * BBL_RECORD_BYTES) == 0);
+    bbl_top_records_free(&top);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("forward_policy");
+    TCase *tc = tcase_create("forward_policy");
+
+    tcase_add_test(tc, extra_requests_stay_under_their_share_in_every_window);
+    tcase_add_test(tc, a_long_silence_empties_the_window);
+    tcase_add_test(tc, a_hedge_waits_longer_when_little_budget_is_left);
+    tcase_add_test(tc, a_stalled_server_is_hedged_sooner);
+    tcase_add_test(tc, a_hedge_starts_while_it_can_still_meet_the_target);
+    tcase_add_test(tc, equal_servers_share_the_work);
+    tcase_add_test(tc, a_server_that_pauses_gets_no_new_work);
+    tcase_add_test(tc, slow_and_failing_servers_are_avoided_until_that_fades);
+    tcase_add_test(tc, only_usable_servers_are_chosen);
+    tcase_add_test(tc, a_server_that_came_back_waits_for_a_newer_list);
+    tcase_add_loop_test(tc, weights_hold_over_few_requests, 0, 20);
+    tcase_add_loop_test(tc, the_greatest_records_of_all_parts_are_kept, 0,
+                        200);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
--- /dev/null
+++ b/tests/test_http_message.c
@@ -0,0 +1,198 @@
+/* HTTP messages: framing, and what two readers could see differently. */
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "net/http_message.h"
+#include "support/run.h"
+
+#define BODY_MAX 64
+
+static bbl_str
+str(const char *text)
+{
+    return (bbl_str){text, strlen(text)};
+}
+
+/* Feeds a text in pieces of `step` bytes; returns the first error. */
+static int
+feed(bbl_http_message *m, const char *text, size_t step, size_t *total)
+{
+    size_t at = 0;
+    size_t size = strlen(text);
+
+    while (at < size && !m->done) {
+        size_t n = size - at < step ? size - at : step;
+        size_t used;
+        int error = bbl_http_message_feed(m, (bbl_str){text + at, n}, &used);
+
+        if (error != 0) {
+            return error;
+        }
+        at += used;
+        if (!m->done && used != n) {
+            return BBL_EINVAL;
+        }
+    }
+    *total = at;
+    return 0;
+}
+
+#define GET "GET /x/y?q=1 HTTP/1.1\r\nHost: a.example\r\n"
+
+static const struct {
+    const char *text;
+    const char *body;
+    const char *rest;
+} good[] = {
+    {GET "\r\n", "", ""},
+    {"\r\n" GET "\r\n", "", ""},
+    {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET", "abc",
+     "GET"},
+    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\nGET",
+     "abc", "GET"},
+};
+
+START_TEST(requests_are_framed)
+{
+    static const size_t steps[] = {1, 2, 7, 1000};
+
+    for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+        bbl_http_message m;
+        size_t used = 0;
+
+        bbl_http_message_init(&m, true, BODY_MAX);
+        ck_assert_msg(feed(&m, good[_i].text, steps[i], &used) == 0, "%s",
+                      bbl_error_last());
+        ck_assert(m.done);
+        ck_assert_uint_eq(m.body.size, strlen(good[_i].body));
+        ck_assert_str_eq(good[_i].text + used, good[_i].rest);
+        ck_assert(m.keeps);
+        bbl_http_message_free(&m);
+    }
+}
+END_TEST
+
+START_TEST(the_parts_of_a_request_are_told)
+{
+    bbl_http_message m;
+    size_t used;
+
+    bbl_http_message_init(&m, true, BODY_MAX);
+    ck_assert_int_eq(feed(&m, GET "X-A:  one \r\nx-b:\r\n\r\n", 5, &used), 0);
+    ck_assert(memcmp(bbl_http_message_target(&m).ptr, "/x/y?q=1", 8) == 0);
+    ck_assert(memcmp(bbl_http_message_method(&m).ptr, "GET", 3) == 0);
+    ck_assert_uint_eq(m.headers.size, 3);
+    ck_assert_uint_eq(bbl_http_message_field(&m, "x-a").size, 3);
+    ck_assert_uint_eq(bbl_http_message_field(&m, "X-B").size, 0);
+    ck_assert_ptr_null(bbl_http_message_field(&m, "X-C").ptr);
+    bbl_http_message_reset(&m);
+    ck_assert_int_eq(feed(&m, GET "Connection: close\r\n\r\n", 9, &used), 0);
+    ck_assert(m.done && !m.keeps);
+    bbl_http_message_free(&m);
+}
+END_TEST
+
+/* What could smuggle a request, or is no request at all. */
+static const char *const bad[] = {
+    GET "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    GET "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+    GET "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    GET "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n",
+    GET "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "0\r\n\r\n",
+    GET "Transfer-Encoding: gzip\r\n\r\n",
+    GET "Content-Length: x\r\n\r\n",
+    GET "Content-Length: -1\r\n\r\n",
+    "GET / HTTP/1.1\nHost: a\n\n",
+    GET "X: y\nZ: w\r\n\r\n",
+    GET "X: y\rZ: w\r\n\r\n",
+    GET "X: y\r\n folded\r\n\r\n",
+    GET "X : y\r\n\r\n",
+    GET "Upgrade: h2c\r\nConnection: Upgrade\r\n\r\n",
+    "\x16\x03\x01\x02",
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n",
+};
+
+START_TEST(ambiguous_requests_are_refused)
+{
+    bbl_http_message m;
+    size_t used;
+
+    bbl_http_message_init(&m, true, BODY_MAX);
+    ck_assert_int_eq(feed(&m, bad[_i], 1000, &used), BBL_EDAMAGED);
+    bbl_http_message_free(&m);
+}
+END_TEST
+
+START_TEST(a_large_body_is_refused)
+{
+    bbl_http_message m;
+    bbl_buf text = BBL_BUF_INIT;
+    size_t used;
+
+    bbl_buf_printf(&text, GET "Content-Length: %d\r\n\r\n%0*d", BODY_MAX + 1,
+                   BODY_MAX + 1, 7);
+    bbl_http_message_init(&m, true, BODY_MAX);
+    ck_assert_int_eq(feed(&m, text.ptr, 1000, &used), BBL_EDAMAGED);
+    ck_assert(m.too_large);
+    bbl_http_message_free(&m);
+    bbl_buf_free(&text);
+}
+END_TEST
+
+START_TEST(a_body_without_length_ends_with_the_connection)
+{
+    bbl_http_message m;
+    size_t used;
+
+    bbl_http_message_init(&m, false, BODY_MAX);
+    ck_assert_int_eq(feed(&m, "HTTP/1.1 200 OK\r\n\r\nabc", 4, &used), 0);
+    ck_assert(!m.done);
+    ck_assert_int_eq(bbl_http_message_end(&m), 0);
+    ck_assert_uint_eq(m.body.size, 3);
+    bbl_http_message_reset(&m);
+    feed(&m, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", 4, &used);
+    ck_assert_int_eq(bbl_http_message_end(&m), BBL_EDAMAGED);
+    bbl_http_message_reset(&m);
+    feed(&m, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab", 4,
+         &used);
+    ck_assert_int_eq(bbl_http_message_end(&m), BBL_EDAMAGED);
+    bbl_http_message_free(&m);
+}
+END_TEST
+
+START_TEST(fields_of_one_connection_are_known)
+{
+    bbl_http_message m;
+    size_t used;
+
+    bbl_http_message_init(&m, true, BODY_MAX);
+    feed(&m, GET "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n\r\n", 1000,
+         &used);
+    ck_assert(bbl_http_is_hop_field(&m, str("x-hop")));
+    ck_assert(bbl_http_is_hop_field(&m, str("Keep-Alive")));
+    ck_assert(bbl_http_is_hop_field(&m, str("transfer-encoding")));
+    ck_assert(!bbl_http_is_hop_field(&m, str("X-Ho")));
+    ck_assert(!bbl_http_is_hop_field(&m, str("Host")));
+    bbl_http_message_free(&m);
+}
+END_TEST
+
+#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
+
+int
+main(void)
+{
+    Suite *suite = suite_create("http_message");
+    TCase *tc = tcase_create("http_message");
+
+    tcase_add_loop_test(tc, requests_are_framed, 0, COUNT(good));
+    tcase_add_test(tc, the_parts_of_a_request_are_told);
+    tcase_add_loop_test(tc, ambiguous_requests_are_refused, 0, COUNT(bad));
+    tcase_add_test(tc, a_large_body_is_refused);
+    tcase_add_test(tc, a_body_without_length_ends_with_the_connection);
+    tcase_add_test(tc, fields_of_one_connection_are_known);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,344 @@
+/* The platform's messages, written by hand, and malformed ones. */
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "platform/dialect.h"
+#include "support/run.h"
+
+static bbl_str
+str(const char *text)
+{
+    return (bbl_str){text, strlen(text)};
+}
+
+static bool
+is(bbl_str s, const char *text)
+{
+    return s.size == strlen(text) && memcmp(s.ptr, text, s.size) == 0;
+}
+
+#define SERVICES                                                              \
+    "\"services\":[{\"name\":\"s1\",\"health_path\":\"/healthz\","            \
+    "\"max_connections\":26,\"protocol\":\"h1\",\"tls\":false,"               \
+    "\"warmup_s\":3.0,\"warmup_per_s\":0.5},{\"name\":\"s2\"}]"
+#define LIMITS                                                                \
+    "\"limits\":{\"max_header_bytes\":1000,\"max_body_bytes\":2000,"          \
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}"
+#define ROUTE                                                                 \
+    "{\"name\":\"r1\",\"hostname\":\"a.example\",\"path_prefix\":\"/x/\","    \
+    "\"route_type\":\"unsafe\",\"timeout_ms\":3000,"                          \
+    "\"target_latency_ms\":500,\"priority\":2,\"service\":\"s1\","            \
+    "\"max_attempts\":2}"
+#define GATHER                                                                \
+    "{\"name\":\"r2\",\"hostname\":\"a.example\",\"path_prefix\":\"/y/\","    \
+    "\"route_type\":\"safe\",\"timeout_ms\":800,\"priority\":0,"              \
+    "\"gather\":[\"s1\",\"s2\"],\"max_attempts\":2,\"top_k\":20,"             \
+    "\"min_coverage\":0.89}"
+#define SPLIT                                                                 \
+    "{\"name\":\"r3\",\"hostname\":\"a.example\",\"path_prefix\":\"/z/\","    \
+    "\"route_type\":\"safe\",\"timeout_ms\":800,\"traffic_split\":["          \
+    "{\"service\":\"s1\",\"weight\":9},{\"service\":\"s2\",\"weight\":1}]}"
+
+START_TEST(a_routing_document_is_read)
+{
+    bbl_routing *r;
+    const bbl_route *route;
+
+    ck_assert_msg(
+        bbl_platform_dialect()->read_routing(
+            &r, str("{\"version\":7,\"later\":1,\"routes\":[" ROUTE "," GATHER
+                    "," SPLIT "]," SERVICES "," LIMITS "}")) == 0,
+        "%s", bbl_error_last());
+    ck_assert_int_eq(bbl_routing_check(r), 0);
+    ck_assert_uint_eq(bbl_routing_version(r), 7);
+    route = bbl_routing_route(r, 0);
+    ck_assert_int_eq(route->kind, BBL_ROUTE_FORWARD);
+    ck_assert(!route->idempotent);
+    ck_assert_uint_eq(route->target_ms, 500);
+    ck_assert_uint_eq(route->attempts, 2);
+    route = bbl_routing_route(r, 1);
+    ck_assert_int_eq(route->kind, BBL_ROUTE_GATHER);
+    ck_assert(route->idempotent);
+    ck_assert_uint_eq(route->target_count, 2);
+    ck_assert_uint_eq(route->top, 20);
+    ck_assert(route->least_share > 0.88 && route->least_share < 0.9);
+    route = bbl_routing_route(r, 2);
+    ck_assert_int_eq(route->kind, BBL_ROUTE_SPLIT);
+    ck_assert_uint_eq(route->targets[0].weight, 9);
+    ck_assert_uint_eq(bbl_routing_service(r, 0)->cold_ms, 3000);
+    ck_assert_uint_eq(bbl_routing_limits(r)->body_bytes, 2000);
+    bbl_routing_free(r);
+}
+END_TEST
+
+static const char *const bad_documents[] = {
+    "",
+    "{\"version\":7,\"routes\":[" ROUTE "]," SERVICES, /* cut short */
+    "[]",
+    "{\"routes\":[]," SERVICES "}",
+    "{\"version\":0,\"routes\":[]," SERVICES "}",
+    "{\"version\":\"7\",\"routes\":[]," SERVICES "}",
+    "{\"version\":7,\"routes\":{}," SERVICES "}",
+    "{\"version\":7,\"routes\":[]}",
+    "{\"version\":7,\"version\":8,\"routes\":[]," SERVICES "}",
+    "{\"version\":7,\"routes\":[3]," SERVICES "}",
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"timeout_ms\":-1}]," SERVICES
+    "}",
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"timeout_ms\":1,"
+    "\"service\":\"s9\"}]," SERVICES "}",
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"timeout_ms\":1,"
+    "\"gather\":[1]}]," SERVICES "}",
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"timeout_ms\":1,"
+    "\"traffic_split\":[{\"service\":\"s1\",\"weight\":\"x\"}]}]," SERVICES
+    "}",
+    "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"\"}]}",
+    "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"a\"},"
+    "{\"name\":\"a\"}]}",
+    "{\"version\":7,\"routes\":[]," SERVICES
+    ",\"limits\":{\"max_body_bytes\":true}}",
+};
+
+START_TEST(a_bad_document_is_refused)
+{
+    bbl_routing *r;
+
+    ck_assert_int_eq(
+        bbl_platform_dialect()->read_routing(&r, str(bad_documents[_i])),
+        BBL_EINVAL);
+    ck_assert_ptr_null(r);
+}
+END_TEST
+
+static void
+free_backends(bbl_vec *list)
+{
+    for (size_t i = 0; i < list->size; i++) {
+        BBL_RELEASE(bblx_backend, bbl_vec_at(list, i));
+    }
+    bbl_vec_free(list);
+}
+
+#define ENTRY(id, more)                                                       \
+    "{\"service\":\"s1\",\"address\":\"10.1.2.3:8080\",\"zone\":\"z1\","      \
+    "\"version\":\"v1\",\"slots\":2,\"id\":\"" id "\"" more "}"
+#define READY ",\"state\":\"ready\",\"warmup_left_ms\":250"
+
+START_TEST(a_page_of_servers_is_read)
+{
+    bbl_vec list = BBL_VEC_INIT(bblx_backend);
+    bbl_buf next = BBL_BUF_INIT;
+    size_t skipped = 0;
+    const bblx_backend *b;
+
+    ck_assert_int_eq(
+        bbl_platform_dialect()->read_catalog(
+            &list, &next, &skipped,
+            str("{\"instances\":[" ENTRY(
+                "i1", READY
+                ",\"born\":1700") "," ENTRY("i2",
+                                            ",\"state\":\"draining\",\"warmup_"
+                                            "left_ms\":0") "],"
+                                                           "\"next_page_"
+                                                           "token\":\"p-"
+                                                           "50\"}")),
+        0);
+    ck_assert_uint_eq(list.size, 2);
+    ck_assert_uint_eq(skipped, 0);
+    b = bbl_vec_at(&list, 0);
+    ck_assert_uint_eq(b->address.ip, 0x0a010203);
+    ck_assert_uint_eq(b->address.port, 8080);
+    ck_assert_uint_eq(b->cold_ms, 250);
+    ck_assert_uint_eq(b->born, 1700);
+    ck_assert(!b->leaving);
+    ck_assert(((const bblx_backend *)bbl_vec_at(&list, 1))->leaving);
+    ck_assert(is(bbl_buf_str(&next), "p-50"));
+    free_backends(&list);
+    bbl_buf_free(&next);
+}
+END_TEST
+
+static const char *const bad_entries[] = {
+    "3",
+    "{}",
+    ENTRY("i", ",\"state\":\"odd\",\"warmup_left_ms\":0"),
+    ENTRY("i", ",\"state\":\"ready\""),
+    ENTRY("i", ",\"state\":\"ready\",\"warmup_left_ms\":\"0\""),
+    ENTRY("i", ",\"state\":1,\"warmup_left_ms\":0"),
+    ENTRY("", READY),
+    ENTRY("a\\r\\nX: y", READY),
+    "{\"service\":\"s1\",\"address\":\"nowhere\",\"zone\":\"z1\",\"slots\":2,"
+    "\"id\":\"i\"" READY "}",
+    "{\"service\":7,\"address\":\"10.1.2.3:80\",\"zone\":\"z1\",\"slots\":2,"
+    "\"id\":\"i\"" READY "}",
+    "{\"service\":\"s1\",\"address\":\"10.1.2.3:80\",\"zone\":\"\","
+    "\"slots\":2,\"id\":\"i\"" READY "}",
+    "{\"service\":\"s1\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+    "\"slots\":-1,\"id\":\"i\"" READY "}",
+};
+
+START_TEST(a_bad_entry_is_skipped_and_counted)
+{
+    bbl_vec list = BBL_VEC_INIT(bblx_backend);
+    bbl_buf next = BBL_BUF_INIT;
+    bbl_buf page = BBL_BUF_INIT;
+    size_t skipped = 0;
+
+    bbl_buf_printf(&page,
+                   "{\"instances\":[%s," ENTRY("good", READY) "],"
+                                                              "\"next_page_"
+                                                              "token\":null}",
+                   bad_entries[_i]);
+    ck_assert_int_eq(bbl_platform_dialect()->read_catalog(
+                         &list, &next, &skipped, bbl_buf_str(&page)),
+                     0);
+    ck_assert_uint_eq(skipped, 1);
+    ck_assert_uint_eq(list.size, 1);
+    ck_assert_uint_eq(next.size, 0);
+    free_backends(&list);
+    bbl_buf_free(&next);
+    bbl_buf_free(&page);
+}
+END_TEST
+
+START_TEST(a_page_that_is_no_list_is_refused)
+{
+    static const char *const pages[] = {"", "{", "[]", "{\"instances\":3}",
+                                        "{\"instances\":[],"
+                                        "\"next_page_token\":3}"};
+    bbl_vec list = BBL_VEC_INIT(bblx_backend);
+    bbl_buf next = BBL_BUF_INIT;
+    size_t skipped = 0;
+
+    for (size_t i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
+        ck_assert_int_eq(bbl_platform_dialect()->read_catalog(
+                             &list, &next, &skipped, str(pages[i])),
+                         BBL_EDAMAGED);
+    }
+    ck_assert_uint_eq(list.size, 0);
+    bbl_vec_free(&list);
+    bbl_buf_free(&next);
+}
+END_TEST
+
+START_TEST(header_fields_are_read)
+{
+    bbl_header caller[] = {{str("request-ID"), str("9c41")},
+                           {str("Deadline-Ms"), str("1200")}};
+    bbl_header backend[] = {{str("Response-Stamp"), str("3e.1")},
+                            {str("Not-Executed"), str("1")},
+                            {str("Request-Id"), str("9c41")},
+                            {str("Instance-Id"), str("i-7")},
+                            {str("Warmup-Ms"), str("800")},
+                            {str("Content-Encoding"), str("gzip")}};
+    bbl_caller_head c;
+    bbl_backend_head b;
+
+    bbl_platform_dialect()->read_caller(&c, caller, 2);
+    ck_assert(is(c.request_id, "9c41"));
+    ck_assert(c.has_time_left && c.time_left_ms == 1200);
+    caller[1].value = str("12x");
+    bbl_platform_dialect()->read_caller(&c, caller, 2);
+    ck_assert(!c.has_time_left);
+    bbl_platform_dialect()->read_backend(&b, 503, backend, 6);
+    ck_assert(b.not_run && !b.other_server && b.encoded);
+    ck_assert(b.has_cold_ms && b.cold_ms == 800);
+    ck_assert(is(b.signature, "3e.1") && is(b.incarnation, "i-7"));
+    bbl_platform_dialect()->read_backend(&b, 421, NULL, 0);
+    ck_assert(b.not_run && b.other_server);
+    bbl_platform_dialect()->read_backend(&b, 503, NULL, 0);
+    ck_assert(!b.not_run);
+}
+END_TEST
+
+START_TEST(header_fields_are_written)
+{
+    bbl_buf out = BBL_BUF_INIT;
+    bbl_vec signatures = BBL_VEC_INIT(bbl_str);
+    bbl_str a = str("3e.1");
+    bbl_str b = str("77.2");
+
+    bbl_platform_dialect()->put_attempt(&out, 790, str("i-7"));
+    ck_assert_str_eq(out.ptr, "Deadline-Ms: 790\r\nExpect-Instance: i-7\r\n");
+    bbl_buf_clear(&out);
+    bbl_vec_push(&signatures, &a);
+    bbl_vec_push(&signatures, &b);
+    bbl_platform_dialect()->put_merged(&out, &signatures, 1);
+    ck_assert_str_eq(out.ptr,
+                     "Part-Stamps: 3e.1,77.2\r\nMissing-Parts: 1\r\n");
+    bbl_buf_clear(&out);
+    bbl_platform_dialect()->put_retry_after(&out, 1050);
+    ck_assert_str_eq(out.ptr, "Retry-After: 1.050\r\n");
+    ck_assert(bbl_platform_dialect()->is_own_field(str("deadline-ms")));
+    ck_assert(!bbl_platform_dialect()->is_own_field(str("Request-Id")));
+    bbl_buf_free(&out);
+    bbl_vec_free(&signatures);
+}
+END_TEST
+
+START_TEST(orders_are_read)
+{
+    static const struct {
+        const char *method;
+        const char *path;
+        bbl_order_kind kind;
+    } rows[] = {
+        {"GET", "/-/readyz", BBL_ORDER_READY},
+        {"PUT", "/-/config", BBL_ORDER_PUT_ROUTING},
+        {"GET", "/-/config", BBL_ORDER_GET_ROUTING},
+        {"DELETE", "/-/config", BBL_ORDER_UNKNOWN},
+        {"POST", "/-/evacuations/z1", BBL_ORDER_EVACUATE},
+        {"DELETE", "/-/evacuations/z1", BBL_ORDER_RESTORE},
+        {"GET", "/-/evacuations/z1", BBL_ORDER_UNKNOWN},
+        {"POST", "/-/evacuations/", BBL_ORDER_UNKNOWN},
+        {"POST", "/-/evacuations/a/b", BBL_ORDER_UNKNOWN},
+        {"GET", "/", BBL_ORDER_UNKNOWN},
+    };
+    bbl_order order;
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        bbl_platform_dialect()->read_order(&order, str(rows[i].method),
+                                           str(rows[i].path));
+        ck_assert_msg(order.kind == rows[i].kind, "%s %s", rows[i].method,
+                      rows[i].path);
+    }
+    bbl_platform_dialect()->read_order(&order, str("POST"),
+                                       str("/-/evacuations/z1"));
+    ck_assert(is(bbl_name_str(&order.zone), "z1"));
+}
+END_TEST
+
+START_TEST(pages_are_named)
+{
+    bbl_buf out = BBL_BUF_INIT;
+
+    bbl_platform_dialect()->put_catalog_path(&out, str(""));
+    ck_assert_str_eq(out.ptr, "/instances");
+    bbl_buf_clear(&out);
+    bbl_platform_dialect()->put_catalog_path(&out, str("p-50"));
+    ck_assert_str_eq(out.ptr, "/instances?page_token=p-50");
+    bbl_buf_free(&out);
+}
+END_TEST
+
+#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
+
+int
+main(void)
+{
+    Suite *suite = suite_create("platform");
+    TCase *tc = tcase_create("platform");
+
+    tcase_add_test(tc, a_routing_document_is_read);
+    tcase_add_loop_test(tc, a_bad_document_is_refused, 0,
+                        COUNT(bad_documents));
+    tcase_add_test(tc, a_page_of_servers_is_read);
+    tcase_add_loop_test(tc, a_bad_entry_is_skipped_and_counted, 0,
+                        COUNT(bad_entries));
+    tcase_add_test(tc, a_page_that_is_no_list_is_refused);
+    tcase_add_test(tc, header_fields_are_read);
+    tcase_add_test(tc, header_fields_are_written);
+    tcase_add_test(tc, orders_are_read);
+    tcase_add_test(tc, pages_are_named);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
