--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -17,8 +17,9 @@
 #define MAILBOX_SLOTS 1024
 #define SERVICE_US (50 * BBL_USEC_PER_MS) /* between looks at connections */
 #define CONNECT_TIMEOUT_US (250 * BBL_USEC_PER_MS)
-#define SILENCE_TIMEOUT_US (700 * BBL_USEC_PER_MS) /* over two lost packets   \
-                                                    */
+#define SILENCE_TIMEOUT_US                                                    \
+    (700 * BBL_USEC_PER_MS)      /* over two lost packets                     \
+                                  */
 #define RESPONSE_MAX (16u << 20) /* bytes of a response's body */
 #define FRESH_US                                                              \
     (1000 * BBL_USEC_PER_MS) /* a connection for a request that               \
@@ -46,6 +47,7 @@
     bbl_forwarder *forwarder;
     bbl_buf head; /* scratch */
     bbl_buf fields;
+    bool resize_links; /* the part of the servers in use may differ */
     bbl_usec next_service;
     bbl_usec drain_since;
     pthread_t thread;
@@ -222,10 +224,8 @@
 {
     bbl_gateway *g = ctx;
 
-    /* No connection is opened any more to a server that leaves. */
     bbl_backend_link_set_limit(
-        b->link,
-        b->listed.leaving ? 0 : bbl_forwarder_connections(g->forwarder, b));
+        b->link, bbl_forwarder_connections(g->forwarder, bbl_clock_now(), b));
 }
 
 static void
@@ -248,9 +248,9 @@
 static void
 on_changed(void *ctx, bbl_backend *b, bbl_backend_state before)
 {
+    bbl_gateway *g = ctx;
     bbl_backend_state state = bbl_backend_get_state(b, bbl_clock_now());
 
-    (void)ctx;
     bbl_log(BBL_EV_BACKEND, "id=%.*s service=%.*s from=%s to=%s in_flight=%u",
             (int)b->listed.id.bblx_label_len, b->listed.id.bblx_label_val,
             (int)b->listed.service.bblx_label_len,
@@ -260,6 +260,7 @@
         bbl_backend_link_distrust(b->link);
         bbl_backend_link_open(b->link, bbl_clock_now());
     }
+    g->resize_links = true; /* other servers may take its part */
 }
 
 static void
@@ -357,6 +358,10 @@
             bbl_edge_set_limits(g->callers,
                                 bbl_forwarder_limits(g->forwarder));
         }
+        g->resize_links = true;
+    }
+    if (g->resize_links) {
+        g->resize_links = false;
         bbl_forwarder_each_backend(g->forwarder, g, size_link);
     }
 }
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -7,6 +7,7 @@
 #include "forward/hedge.h"
 #include "forward/placement.h"
 #include "forward/query.h"
+#include "forward/subset.h"
 #include "util/alloc.h"
 
 #define STATUS_NOT_FOUND 404
@@ -19,11 +20,13 @@
 #define PACE_CLIP 3    /* means a single attempt counts for at most */
 #define PATIENCE 2     /* service times of silence that look like a stall */
 #define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
-#define STALL_DOWN_US (400 * BBL_USEC_PER_MS) /* silence longer than a pause  \
-                                               */
+#define STALL_DOWN_US                                                         \
+    (400 * BBL_USEC_PER_MS)              /* silence longer than a pause       \
+                                          */
 #define FULL_US (10 * BBL_USEC_PER_MS)   /* a refusal keeps a server aside */
 #define RECHECK_US (4 * BBL_USEC_PER_MS) /* of a hedge that cannot start */
-#define LEFT_GRACE_US (200 * BBL_USEC_PER_MS) /* work of a caller that left   \
+#define LEFT_GRACE_US                                                         \
+    (200 * BBL_USEC_PER_MS)                   /* work of a caller that left   \
                                                */
 #define LATE_GRACE_US (100 * BBL_USEC_PER_MS) /* past a deadline */
 #define LEAST_LEFT_US (3 * BBL_USEC_PER_MS)   /* no attempt gets less time */
@@ -211,17 +214,27 @@
 }
 
 unsigned
-bbl_forwarder_connections(const bbl_forwarder *f, const bbl_backend *b)
+bbl_forwarder_connections(bbl_forwarder *f, bbl_usec now, const bbl_backend *b)
 {
     const bblx_label *service = &b->listed.service;
-    bbl_pool *pool = bbl_pools_get(
-        (bbl_pools *)&f->pools,
-        (bbl_str){service->bblx_label_val, service->bblx_label_len});
+    bbl_pool *pool =
+        bbl_pools_get(&f->pools, (bbl_str){service->bblx_label_val,
+                                           service->bblx_label_len});
     uint32_t all =
         pool->connections > 0 ? pool->connections : DEFAULT_CONNECTIONS;
-    double share = CONNECTION_SHARE * all / f->entry_hosts;
+    bbl_subset_input in = {f->options.seed,
+                           CONNECTION_SHARE * all / f->entry_hosts};
 
-    return share < 1 ? 1 : (unsigned)share;
+    if (b->listed.leaving || b->listed.gone) {
+        return 0;
+    }
+    for (size_t i = 0; i < pool->backends.size; i++) {
+        if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
+            return bbl_subset_connections(&in, pool->backends.ptr,
+                                          pool->backends.size, i, now);
+        }
+    }
+    return 0;
 }
 
 /* ---- attempts ---- */
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -126,8 +126,8 @@
 
 typedef struct {
     int version;
-    bbl_name zone; /* of this host */
-    uint64_t seed;
+    bbl_name zone;            /* of this host */
+    uint64_t seed;            /* differs between hosts */
     bbl_usec caller_distance; /* one way between callers and this host */
     bbl_usec answer_guard;    /* kept back before a target */
     bbl_usec list_lag;        /* of the platform's list */
@@ -213,7 +213,7 @@
 uint64_t bbl_forwarder_version(const bbl_forwarder *forwarder);
 
 /* Returns how many connections this host may hold to a server. */
-unsigned bbl_forwarder_connections(const bbl_forwarder *forwarder,
+unsigned bbl_forwarder_connections(bbl_forwarder *forwarder, bbl_usec now,
                                    const bbl_backend *backend);
 
 const bbl_forward_counters *
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -11,8 +11,9 @@
 #include "forward/split.h"
 #include "forward/top_records.h"
 
-#define BBL_ATTEMPTS_MAX 6 /* at one shard, those that were refused included  \
-                            */
+#define BBL_ATTEMPTS_MAX                                                      \
+    6 /* at one shard, those that were refused included                       \
+       */
 
 /* What is known of the requests on one route name. */
 typedef struct {
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -556,6 +556,8 @@
 bbl_backend_link_set_limit(bbl_backend_link *link, unsigned limit)
 {
     link->limit = limit;
+    while (link->lines.size > limit && drop_idle(link)) {
+    }
 }
 
 bool
