Faster recovery after all hosts were lost; full servers are not down

Cause: after a loss of power the first leader came 430 ms after the third voter, since a voter's promise lasted as long as an election timeout; servers still held the dead hosts' connections, and the reset of a new one was taken for a server that is down (out of use for 1.5 s). Change: the promise of voters and the lease of a leader have a length of their own (160 ms); a reset in place of a connection means 'full'; idle connections beyond the first end after 2 s; a host without routing asks to come back when it will have one.

--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -508,7 +508,7 @@
 lease_end(const bbl_quorum *q)
 {
     bbl_usec acked = value_of(q, majority(q), q->now, peer_acked);
-    bbl_usec length = q->options.election_min;
+    bbl_usec length = q->options.promise;
 
     length -= length * q->options.clock_ppm * 2 / 1000000;
     return acked == 0 ? 0 : acked + length;
@@ -722,7 +722,7 @@
 static bool
 promised(const bbl_quorum *q)
 {
-    bbl_usec wait = q->options.election_min;
+    bbl_usec wait = q->options.promise;
 
     if (q->now < q->started + wait && !(q->founding && q->term == 0)) {
         return true;
@@ -1276,6 +1276,9 @@
         return error;
     }
     step_down(q, 0);
+    /* Nobody may vote before its promise is over; then soon. */
+    q->election = now + options->promise +
+                  bbl_rng_below(&q->rng, options->election_min / 2);
     *out = q;
     return 0;
 }
--- a/src/control/quorum.h
+++ b/src/control/quorum.h
@@ -34,6 +34,9 @@
     bblx_voters founders;     /* borrowed; used until the log holds voters */
     bbl_usec heartbeat;       /* between appends of the leader */
     bbl_usec election_min;    /* least silence before an election */
+    bbl_usec promise;         /* a voter that has heard a leader, or has just
+                                 started, elects no other so long; the lease
+                                 of a leader */
     uint32_t clock_ppm;       /* bound on clock rate error */
     uint32_t compact_entries; /* entries kept before a snapshot */
     uint32_t copies; /* disks that hold an entry before it is committed,
@@ -44,7 +47,7 @@
 #define BBL_QUORUM_OPTIONS_INIT                                               \
     {                                                                         \
         BBL_QUORUM_OPTIONS_VERSION, 0, 1, {{0, NULL}}, 50 * BBL_USEC_PER_MS,  \
-            300 * BBL_USEC_PER_MS, 1000, 1024, 0,                             \
+            300 * BBL_USEC_PER_MS, 160 * BBL_USEC_PER_MS, 1000, 1024, 0,      \
         {                                                                     \
             0                                                                 \
         }                                                                     \
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -68,9 +68,10 @@
 
     memset(&result, 0, sizeof(result));
     g = bbl_attempt_get_ctx(attempt);
-    result.end = r->end == BBL_EXCHANGE_RESPONSE ? BBL_ATTEMPT_RESPONSE
-                 : r->end == BBL_EXCHANGE_UNSENT ? BBL_ATTEMPT_UNSENT
-                                                 : BBL_ATTEMPT_BROKEN;
+    result.end = r->end == BBL_EXCHANGE_RESPONSE      ? BBL_ATTEMPT_RESPONSE
+                 : r->end == BBL_EXCHANGE_UNSENT      ? BBL_ATTEMPT_UNSENT
+                 : r->end == BBL_EXCHANGE_TURNED_AWAY ? BBL_ATTEMPT_TURNED_AWAY
+                                                      : BBL_ATTEMPT_BROKEN;
     result.reason = r->reason;
     if (r->message != NULL) {
         result.status = bbl_http_message_status(r->message);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -32,6 +32,9 @@
 #define LEAST_LEFT_US (3 * BBL_USEC_PER_MS)   /* no attempt gets less time */
 #define HOLD_SHARE 5 /* an unsent request waits for its target over this */
 #define RETRY_AFTER_MS 250 /* when nothing better is known */
+#define NO_ROUTING_RETRY_MS                                                   \
+    600 /* a host that has started learns the routing                         \
+           within about that time */
 #define RETRY_AFTER_LEAST_MS 30
 #define CONNECTION_SHARE 0.9  /* of a server's limit that all hosts use */
 #define DEFAULT_CONNECTIONS 8 /* of all hosts, when the routing names none */
@@ -375,6 +378,36 @@
     q->attempts.size = 0;
 }
 
+static bool
+has_usable(const bbl_shard *s, bbl_usec now)
+{
+    const bbl_vec *list = &s->pool->backends;
+
+    for (size_t k = 0; k < list->size; k++) {
+        if (bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k), now) ==
+            BBL_BACKEND_USABLE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A shard without a usable server, or any where all have one. */
+static bool
+is_culprit(const bbl_query *q, const bbl_shard *s, bbl_usec now)
+{
+    if (!has_usable(s, now)) {
+        return true;
+    }
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        if (q->shards[i].state != BBL_SHARD_DONE &&
+            !has_usable(&q->shards[i], now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Names the shard that decided against a query. */
 static void
 blame(bbl_usec now, bbl_query *q)
@@ -383,7 +416,7 @@
         const bbl_shard *s = &q->shards[i];
         bbl_forward_record *r = &q->record;
 
-        if (s->state == BBL_SHARD_DONE) {
+        if (s->state == BBL_SHARD_DONE || !(is_culprit(q, s, now))) {
             continue;
         }
         r->service = bbl_buf_str(&s->pool->name);
@@ -445,17 +478,9 @@
 {
     uint32_t ms = RETRY_AFTER_MS;
 
-    for (unsigned i = 0; i < q->shard_count; i++) {
-        const bbl_vec *list = &q->shards[i].pool->backends;
-
-        for (size_t k = 0; k < list->size; k++) {
-            const bbl_backend *b = *BBL_VEC_AT(bbl_backend *, list, k);
-
-            if (bbl_backend_get_state(b, now) == BBL_BACKEND_USABLE &&
-                q->route->kind != BBL_ROUTE_GATHER) {
-                ms = (uint32_t)(q->pace->service_time / BBL_USEC_PER_MS);
-            }
-        }
+    if (q->route->kind != BBL_ROUTE_GATHER && has_usable(&q->shards[0], now)) {
+        /* Servers work, but have no room: one is free after a request. */
+        ms = (uint32_t)(q->pace->service_time / BBL_USEC_PER_MS);
     }
     ms = ms < RETRY_AFTER_LEAST_MS ? RETRY_AFTER_LEAST_MS : ms;
     return ms + (uint32_t)bbl_rng_below(&f->rng, ms);
@@ -707,8 +732,10 @@
     r.elapsed = now - request->arrived;
     a.status = status;
     if (status == STATUS_UNAVAILABLE) {
-        r.retry_after_ms = RETRY_AFTER_MS;
-        f->options.dialect->put_retry_after(&fields, RETRY_AFTER_MS);
+        r.retry_after_ms =
+            NO_ROUTING_RETRY_MS +
+            (uint32_t)bbl_rng_below(&f->rng, NO_ROUTING_RETRY_MS / 2);
+        f->options.dialect->put_retry_after(&fields, r.retry_after_ms);
     }
     a.fields = bbl_buf_str(&fields);
     a.body = (bbl_str){bbl_forward_reason_name(reason),
@@ -770,15 +797,7 @@
     unsigned n = 0;
 
     for (unsigned i = 0; i < q->shard_count; i++) {
-        const bbl_vec *list = &q->shards[i].pool->backends;
-
-        for (size_t k = 0; k < list->size; k++) {
-            if (bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k),
-                                      now) == BBL_BACKEND_USABLE) {
-                n++;
-                break;
-            }
-        }
+        n += has_usable(&q->shards[i], now);
     }
     return n;
 }
@@ -868,7 +887,7 @@
           bbl_backend_head *head)
 {
     memset(head, 0, sizeof(*head));
-    if (r->end == BBL_ATTEMPT_UNSENT) {
+    if (r->end == BBL_ATTEMPT_UNSENT || r->end == BBL_ATTEMPT_TURNED_AWAY) {
         return MEANS_NOT_RUN;
     }
     if (r->end == BBL_ATTEMPT_BROKEN) {
@@ -913,10 +932,10 @@
     else if (r->end == BBL_ATTEMPT_UNSENT) {
         b->down = true;
     }
-    else if (m != MEANS_FINAL) {
+    else if (m != MEANS_FINAL && r->end != BBL_ATTEMPT_TURNED_AWAY) {
         bbl_backend_rate(b, now, 0, true);
     }
-    if (m == MEANS_NOT_RUN && r->end == BBL_ATTEMPT_RESPONSE) {
+    if (m == MEANS_NOT_RUN && r->end != BBL_ATTEMPT_UNSENT) {
         f->counters.shed++;
         b->full_until = now + FULL_US;
     }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -45,8 +45,9 @@
 /* How an attempt ended. */
 typedef enum {
     BBL_ATTEMPT_RESPONSE,
-    BBL_ATTEMPT_UNSENT, /* it cannot have run */
-    BBL_ATTEMPT_BROKEN  /* it may have run */
+    BBL_ATTEMPT_UNSENT,      /* it cannot have run */
+    BBL_ATTEMPT_TURNED_AWAY, /* the same; the server has no connection left */
+    BBL_ATTEMPT_BROKEN       /* it may have run */
 } bbl_attempt_end;
 
 typedef struct {
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -18,7 +18,10 @@
 #define READ_BYTES 16384
 #define IDLE_DEFAULT_US (9 * BBL_USEC_PER_SEC) /* without a Keep-Alive */
 #define IDLE_MARGIN_US                                                        \
-    (200 * BBL_USEC_PER_MS)               /* closed before the peer does */
+    (200 * BBL_USEC_PER_MS) /* closed before the peer does */
+#define SURPLUS_US                                                            \
+    (2 * BBL_USEC_PER_SEC)                /* idle time of a connection        \
+                            beyond the first: bursts are shorter */
 #define REOPEN_US (300 * BBL_USEC_PER_MS) /* between connections ahead */
 #define STATUS_CONTINUE_LAST 199
 
@@ -114,14 +117,13 @@
 
 /* Ends a connection that failed, and tells who waits for it. */
 static void
-line_fail(line *l, const char *reason)
+line_end(line *l, bbl_exchange_end end, const char *reason)
 {
     bbl_backend_client *client = l->link->client;
     bool connecting = l->state == LINE_CONNECTING;
     bool had_request = l->has_request;
     bbl_exchange_done done = l->done;
-    bbl_exchange_result r = {
-        l->any_sent ? BBL_EXCHANGE_BROKEN : BBL_EXCHANGE_UNSENT, reason, NULL};
+    bbl_exchange_result r = {end, reason, NULL};
     void *ctx = l->ctx;
     void *owner = l->link->owner;
     bool freed = l->link->freed;
@@ -134,7 +136,7 @@
     if (had_request) {
         client->counters.broken += r.end == BBL_EXCHANGE_BROKEN;
     }
-    if (connecting && !freed) {
+    if (connecting && !freed && end != BBL_EXCHANGE_TURNED_AWAY) {
         client->options.opened(client->options.ctx, owner, false);
     }
     if (done != NULL) {
@@ -142,6 +144,13 @@
     }
 }
 
+static void
+line_fail(line *l, const char *reason)
+{
+    line_end(l, l->any_sent ? BBL_EXCHANGE_BROKEN : BBL_EXCHANGE_UNSENT,
+             reason);
+}
+
 /* ---- the end of an exchange ---- */
 
 /* Returns how long the peer keeps an idle connection. */
@@ -345,7 +354,12 @@
 
     if (getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
         error != 0) {
-        line_fail(l, "the connection was refused");
+        /* A reset in place of a refusal: the server is there, but full. */
+        line_end(l,
+                 error == ECONNRESET ? BBL_EXCHANGE_TURNED_AWAY
+                                     : BBL_EXCHANGE_UNSENT,
+                 error == ECONNRESET ? "the server takes no more connections"
+                                     : "the connection was refused");
         return;
     }
     if (l->has_request) {
@@ -636,7 +650,9 @@
     else if (l->state == LINE_CONNECTING && now > l->since + timeout) {
         line_fail(l, "no connection within the timeout");
     }
-    else if (l->state == LINE_IDLE && now >= l->idle_until) {
+    else if (l->state == LINE_IDLE &&
+             (now >= l->idle_until ||
+              (l->link->lines.size > 1 && now >= l->since + SURPLUS_US))) {
         line_close(l);
     }
 }
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -15,9 +15,11 @@
 
 /* How an exchange ended. */
 typedef enum {
-    BBL_EXCHANGE_RESPONSE, /* a whole response */
-    BBL_EXCHANGE_UNSENT,   /* no connection; nothing was sent */
-    BBL_EXCHANGE_BROKEN    /* sent, and no whole response came */
+    BBL_EXCHANGE_RESPONSE,    /* a whole response */
+    BBL_EXCHANGE_UNSENT,      /* no connection; nothing was sent */
+    BBL_EXCHANGE_TURNED_AWAY, /* the server takes no more connections;
+                                 nothing was sent */
+    BBL_EXCHANGE_BROKEN       /* sent, and no whole response came */
 } bbl_exchange_end;
 
 typedef struct {
