forward: a limit on the work taken on in a burst

Cause of the collapse: queues in front of every server fill, nearly all answers come late, refused parts use up the budget of extra requests. Kept: a part of the capacity that was seen, only over twice the usual load.

--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -15,10 +15,11 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 
-#define FIRST_GUESS 6  /* of a route's service time: its target over this */
-#define PACE_WEIGHT 32 /* the mean follows one attempt by this part of it */
-#define PACE_CLIP 3    /* means a single attempt counts for at most */
-#define PATIENCE 2     /* service times of silence that look like a stall */
+#define FIRST_GUESS 6    /* of a route's service time: its target over this */
+#define PACE_WEIGHT 32   /* the mean follows one attempt by this part of it */
+#define USUAL_WEIGHT 256 /* the usual time follows by this part */
+#define PACE_CLIP 3      /* means a single attempt counts for at most */
+#define PATIENCE 2       /* service times of silence that look like a stall */
 #define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
 #define STALL_DOWN_US                                                         \
     (400 * BBL_USEC_PER_MS)              /* silence longer than a pause       \
@@ -60,8 +61,8 @@
 bbl_forward_reason_name(bbl_forward_reason reason)
 {
     static const char *const names[BBL_FORWARD_REASONS] = {
-        "ok",          "partial", "failed", "no-routing", "no-route",
-        "unavailable", "busy",    "broken", "timeout",    "left",
+        "ok",   "partial", "failed",  "no-routing", "no-route", "unavailable",
+        "busy", "broken",  "timeout", "left",       "overload",
     };
 
     return names[reason];
@@ -96,6 +97,7 @@
     if (p == NULL) {
         p = bbl_calloc(1, sizeof(*p));
         p->service_time = route->target_ms * BBL_USEC_PER_MS / FIRST_GUESS + 1;
+        p->usual_time = p->service_time;
         bbl_map_set(&f->paces, key, p);
     }
     return p;
@@ -157,9 +159,12 @@
         t->pools[i] = bbl_pools_get(&f->pools, s->name);
         t->pools[i]->connections = s->connections;
     }
+    t->most_urgent = UINT32_MAX;
     for (size_t i = 0; i < t->route_count; i++) {
         const bbl_route *r = bbl_routing_route(routing, i);
 
+        t->most_urgent =
+            r->priority < t->most_urgent ? r->priority : t->most_urgent;
         bbl_split_init(&t->splits[i], r, bbl_rng_next(&f->rng));
         t->paces[i] = pace_of(f, r);
         for (size_t k = 0; k < r->target_count; k++) {
@@ -251,18 +256,23 @@
 }
 
 static void
-learn_pace(bbl_route_pace *p, bbl_usec took)
+learn_pace(bbl_route_pace *p, bbl_usec took, bool congested)
 {
     bbl_usec most = PACE_CLIP * p->service_time;
 
     if (!p->measured) {
         p->measured = true;
         p->service_time = took + 1;
+        p->usual_time = took + 1;
         return;
     }
     took = took < most ? took : most;
     p->service_time =
         (p->service_time * (PACE_WEIGHT - 1) + took) / PACE_WEIGHT + 1;
+    if (!congested) {
+        p->usual_time =
+            (p->usual_time * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT + 1;
+    }
 }
 
 static void
@@ -309,6 +319,9 @@
     a->shard = s;
     a->backend = b;
     a->pace = q->pace;
+    a->limit = q->limit;
+    a->work = (double)q->pace->usual_time;
+    a->part = 1.0 / q->shard_count;
     a->ctx = f->options.port.ctx;
     a->sent = now;
     a->hedge = hedge;
@@ -477,11 +490,14 @@
 retry_after(bbl_forwarder *f, bbl_usec now, const bbl_query *q)
 {
     uint32_t ms = RETRY_AFTER_MS;
+    bbl_usec wait;
 
     if (q->route->kind != BBL_ROUTE_GATHER && has_usable(&q->shards[0], now)) {
         /* Servers work, but have no room: one is free after a request. */
         ms = (uint32_t)(q->pace->service_time / BBL_USEC_PER_MS);
     }
+    wait = bbl_load_limit_wait(q->limit) / BBL_USEC_PER_MS;
+    ms = wait > ms ? (uint32_t)wait : ms;
     ms = ms < RETRY_AFTER_LEAST_MS ? RETRY_AFTER_LEAST_MS : ms;
     return ms + (uint32_t)bbl_rng_below(&f->rng, ms);
 }
@@ -703,7 +719,8 @@
 
         q->next_due = due < q->next_due ? due : q->next_due;
     }
-    if (q->route->idempotent) {
+    /* While queues grow a hedge would only lengthen them. */
+    if (q->route->idempotent && !q->limit->congested) {
         bbl_usec due = hedge_shards(f, now, q);
 
         q->next_due = due < q->next_due ? due : q->next_due;
@@ -788,6 +805,7 @@
         q->shards[i].pool = q->table->pools[route->targets[target].service];
         bbl_extra_budget_first(&q->shards[i].pool->budget, &f->extra, now);
     }
+    q->limit = &q->shards[0].pool->limit;
 }
 
 /* Returns how many shards have a server that may get work. */
@@ -856,6 +874,11 @@
         finish_without(f, now, q, BBL_FORWARD_UNAVAILABLE, STATUS_UNAVAILABLE);
         return;
     }
+    if (!bbl_load_limit_admit(q->limit, now, q->pace->usual_time,
+                              route->priority <= q->table->most_urgent)) {
+        finish_without(f, now, q, BBL_FORWARD_OVERLOAD, STATUS_UNAVAILABLE);
+        return;
+    }
     tend(f, now, q);
 }
 
@@ -923,7 +946,14 @@
     if (m == MEANS_PART) {
         bbl_backend_rate(b, now, (double)took / (double)a->pace->service_time,
                          false);
-        learn_pace(a->pace, took);
+        if (!a->hedge) {
+            bbl_load_limit_sample(
+                a->limit, now,
+                a->pace->measured ? (double)took / (double)a->pace->usual_time
+                                  : 1,
+                a->work, a->part);
+        }
+        learn_pace(a->pace, took, a->limit->congested);
     }
     else if (head->other_server) {
         b->replaced = true;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -71,7 +71,8 @@
     BBL_FORWARD_BUSY,        /* the servers have no room in time */
     BBL_FORWARD_BROKEN,      /* sent, and no usable response came */
     BBL_FORWARD_TIMEOUT,
-    BBL_FORWARD_LEFT, /* the caller went before */
+    BBL_FORWARD_LEFT,     /* the caller went before */
+    BBL_FORWARD_OVERLOAD, /* more than the servers can do */
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
--- a/src/forward/pools.h
+++ b/src/forward/pools.h
@@ -8,6 +8,7 @@
 
 #include "forward/backend.h"
 #include "forward/extra_budget.h"
+#include "forward/load_limit.h"
 #include "util/map.h"
 #include "util/vec.h"
 
@@ -16,6 +17,7 @@
     bbl_buf name;
     bbl_vec backends; /* bbl_backend * */
     bbl_extra_budget budget;
+    bbl_load_limit limit; /* of the routes whose first service this is */
     uint32_t connections; /* that one server takes, of all hosts; 0: unknown */
     bool routed;          /* some route of the present routing names it */
 } bbl_pool;
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -17,7 +17,8 @@
 
 /* What is known of the requests on one route name. */
 typedef struct {
-    bbl_usec service_time; /* mean time of an attempt */
+    bbl_usec service_time; /* mean time of an attempt, queues included */
+    bbl_usec usual_time;   /* the same while there are no queues */
     bool measured;
 } bbl_route_pace;
 
@@ -28,7 +29,8 @@
     bbl_split *splits;      /* by route index */
     bbl_route_pace **paces; /* by route index, borrowed */
     size_t route_count;
-    unsigned uses; /* queries, and one while it is in force */
+    uint32_t most_urgent; /* least priority number of any route */
+    unsigned uses;        /* queries, and one while it is in force */
 } bbl_route_table;
 
 typedef enum {
@@ -54,7 +56,8 @@
     bbl_route_table *table;
     const bbl_route *route;
     bbl_route_pace *pace;
-    bbl_usec target; /* when the answer should go out */
+    bbl_load_limit *limit; /* of its servers, borrowed */
+    bbl_usec target;       /* when the answer should go out */
     bbl_usec deadline;
     bbl_usec next_due;
     bbl_shard *shards;
@@ -75,9 +78,12 @@
     bbl_shard *shard;
     bbl_backend *backend;
     bbl_route_pace *pace;
+    bbl_load_limit *limit;
     void *handle; /* of the driver */
     void *ctx;    /* of the port */
     bbl_usec sent;
+    double work;      /* of its request, microseconds */
+    double part;      /* of its request */
     bbl_usec drop_at; /* ended then, when nobody waits for it any more */
     bool hedge;
     struct bbl_attempt *prev; /* at the same server, by time */
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -2,10 +2,13 @@
  * The decisions of an entry host, each with the load that it answers: extra
  * requests, hedges, placement, weighted services and the greatest records.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "forward/extra_budget.h"
 #include "forward/hedge.h"
+#include "forward/load_limit.h"
+#include "forward/subset.h"
 #include "forward/placement.h"
 #include "forward/split.h"
 #include "forward/top_records.h"
@@ -237,6 +240,176 @@
 }
 END_TEST
 
+/* ---- the limit on work taken on ---- */
+
+#define SLOTS 4
+#define QUEUE_MAX 48
+#define WORK_MS 12
+#define TARGET_MS 60
+
+/* Servers with a queue, as one, and what became of their requests. */
+typedef struct {
+    bbl_load_limit limit;
+    bool limited;
+    uint64_t free_at[SLOTS]; /* ms */
+    unsigned queued;
+    unsigned in_time;
+    unsigned refused;
+} queue_model;
+
+/* A request arrives; its end is known at once, and sampled then. */
+static void
+arrive(queue_model *m, uint64_t ms, uint64_t *ends)
+{
+    unsigned slot = 0;
+    uint64_t begin;
+
+    if (!bbl_load_limit_admit(&m->limit, ms * MS, WORK_MS * MS, true) &&
+        m->limited) {
+        m->refused++;
+        return;
+    }
+    for (unsigned i = 1; i < SLOTS; i++) {
+        slot = m->free_at[i] < m->free_at[slot] ? i : slot;
+    }
+    begin = m->free_at[slot] > ms ? m->free_at[slot] : ms;
+    if (begin - ms > QUEUE_MAX / SLOTS * WORK_MS) {
+        m->refused++;
+        return;
+    }
+    m->free_at[slot] = begin + WORK_MS;
+    *ends = m->free_at[slot];
+}
+
+/* Eight calm seconds, then four with three times what can be done. */
+static void
+play_burst(queue_model *m, bool limited)
+{
+    static uint64_t ends[16384];
+    static uint64_t starts[16384];
+    bbl_rng rng = {3};
+    unsigned count = 0;
+    unsigned told = 0;
+
+    memset(m, 0, sizeof(*m));
+    m->limited = limited;
+    for (uint64_t ms = 1000; ms < 13000; ms++) {
+        bool burst = ms >= 9000;
+        /* The servers do one request in 3 ms. */
+        double rate = burst ? 1.0 : 0.12;
+
+        for (int i = 0; i < 4; i++) {
+            if (bbl_rng_unit(&rng) < rate / 4 && count < 16384) {
+                ends[count] = 0;
+                starts[count] = ms;
+                arrive(m, ms, &ends[count]);
+                count += ends[count] != 0;
+            }
+        }
+        for (; told < count && ends[told] <= ms; told++) {
+            uint64_t took = ends[told] - starts[told];
+
+            bbl_load_limit_sample(&m->limit, ms * MS, (double)took / WORK_MS,
+                                  WORK_MS * MS, 1);
+            m->in_time += starts[told] >= 9000 && took <= TARGET_MS;
+        }
+    }
+}
+
+START_TEST(a_burst_is_served_in_time_as_far_as_the_servers_go)
+{
+    queue_model with;
+    queue_model without;
+    unsigned capacity = 4000 / 3;
+
+    play_burst(&with, true);
+    play_burst(&without, false);
+    ck_assert_msg(with.in_time > capacity * 6 / 10, "%u of %u", with.in_time,
+                  capacity);
+    ck_assert_msg(without.in_time < capacity / 4, "%u of %u", without.in_time,
+                  capacity);
+}
+END_TEST
+
+START_TEST(a_calm_load_and_slow_servers_are_not_limited)
+{
+    bbl_load_limit limit;
+
+    memset(&limit, 0, sizeof(limit));
+    for (uint64_t ms = 1000; ms < 30000; ms += 10) {
+        /* From 15 s on all servers are three times as slow. */
+        ck_assert(bbl_load_limit_admit(&limit, ms * MS, WORK_MS * MS, false));
+        bbl_load_limit_sample(&limit, ms * MS, ms < 15000 ? 1 : 3,
+                              WORK_MS * MS, 1);
+    }
+}
+END_TEST
+
+/* ---- parts of the servers ---- */
+
+#define HOSTS 64
+#define SUBSET_SERVERS 3
+
+START_TEST(no_server_gets_more_hosts_than_it_takes)
+{
+    bbl_backend servers[SUBSET_SERVERS];
+    bbl_backend *list[SUBSET_SERVERS];
+    char ids[SUBSET_SERVERS][16];
+    unsigned hosts[SUBSET_SERVERS] = {0};
+
+    memset(servers, 0, sizeof(servers));
+    for (int i = 0; i < SUBSET_SERVERS; i++) {
+        snprintf(ids[i], sizeof(ids[i]), "i-%d-%d", _i, i);
+        servers[i].listed.id.bblx_label_val = ids[i];
+        servers[i].listed.id.bblx_label_len = (u_int)strlen(ids[i]);
+        list[i] = &servers[i];
+    }
+    for (unsigned h = 0; h < HOSTS; h++) {
+        bbl_subset_input in = {h * 977 + 13, 54 * 0.9 / HOSTS};
+        unsigned used = 0;
+
+        for (int i = 0; i < SUBSET_SERVERS; i++) {
+            servers[i].same_zone = (unsigned)i == h % SUBSET_SERVERS;
+        }
+        for (int i = 0; i < SUBSET_SERVERS; i++) {
+            unsigned n = bbl_subset_connections(&in, list, SUBSET_SERVERS,
+                                                (size_t)i, SEC);
+
+            hosts[i] += n;
+            used += n;
+            ck_assert(!servers[i].same_zone || n == 1);
+        }
+        ck_assert_uint_eq(used, 2);
+    }
+    for (int i = 0; i < SUBSET_SERVERS; i++) {
+        ck_assert_uint_le(hosts[i], 54);
+    }
+}
+END_TEST
+
+START_TEST(a_host_replaces_a_server_out_of_use)
+{
+    bbl_backend servers[SUBSET_SERVERS];
+    bbl_backend *list[SUBSET_SERVERS];
+    bbl_subset_input in = {5, 0.7};
+
+    memset(servers, 0, sizeof(servers));
+    for (int i = 0; i < SUBSET_SERVERS; i++) {
+        list[i] = &servers[i];
+        servers[i].listed.id.bblx_label_val = (char *)"abc" + i;
+        servers[i].listed.id.bblx_label_len = 1;
+    }
+    servers[0].same_zone = true;
+    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 0, SEC), 1);
+    servers[0].down = true;
+    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 0, SEC), 0);
+    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 1, SEC), 1);
+    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 2, SEC), 1);
+    in.share = 3.3;
+    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 1, SEC), 3);
+}
+END_TEST
+
 /* ---- weighted services ---- */
 
 START_TEST(weights_hold_over_few_requests)
@@ -315,6 +488,10 @@
     tcase_add_test(tc, slow_and_failing_servers_are_avoided_until_that_fades);
     tcase_add_test(tc, only_usable_servers_are_chosen);
     tcase_add_test(tc, a_server_that_came_back_waits_for_a_newer_list);
+    tcase_add_test(tc, a_burst_is_served_in_time_as_far_as_the_servers_go);
+    tcase_add_test(tc, a_calm_load_and_slow_servers_are_not_limited);
+    tcase_add_loop_test(tc, no_server_gets_more_hosts_than_it_takes, 0, 10);
+    tcase_add_test(tc, a_host_replaces_a_server_out_of_use);
     tcase_add_loop_test(tc, weights_hold_over_few_requests, 0, 20);
     tcase_add_loop_test(tc, the_greatest_records_of_all_parts_are_kept, 0,
                         200);
