--- a/src/control/control.c
+++ b/src/control/control.c
@@ -20,6 +20,7 @@
 #define VOTER_LOST_US (1500 * BBL_USEC_PER_MS) /* then it is replaced */
 #define CANDIDATE_SILENT_US (1000 * BBL_USEC_PER_MS)
 #define CATALOG_UNKNOWN UINT32_MAX
+#define REOPEN_EVERY_US (500 * BBL_USEC_PER_MS) /* of a disk that failed */
 #define ASSIGN_EVERY_US (100 * BBL_USEC_PER_MS)
 #define PUBLISH_EVERY_US (50 * BBL_USEC_PER_MS)
 
@@ -112,6 +113,8 @@
     bbl_usec next_assign;
     bbl_usec next_publish;
     bbl_usec next_voters;
+    bbl_usec next_reopen;
+    bool reopening; /* there is no quorum until the disk works again */
     uint64_t voter_changes;
     bbl_usec catalog_at; /* when the list was read; 0: never */
     bbl_vec backends;    /* scratch */
@@ -1269,6 +1272,48 @@
     free(c);
 }
 
+/*
+ * Opens the journal again after the disk failed. The kernel may have dropped
+ * pages that it failed to write and still call the file clean, so the whole
+ * journal is written anew before it counts.
+ */
+static void
+reopen_quorum(bbl_control *c)
+{
+    bbl_disk *disk;
+
+    c->next_reopen = c->now + REOPEN_EVERY_US;
+    c->reopening = true;
+    c->waitings.size = 0; /* their proposers send them again */
+    bbl_quorum_free(c->quorum);
+    c->quorum = NULL;
+    bbl_state_free(c->full);
+    c->full = bbl_state_new();
+    c->led_term = 0;
+    if (c->options.port.reopen_disk(c->options.port.ctx, &disk) != 0 ||
+        open_quorum(c, disk, c->now) != 0) {
+        return;
+    }
+    c->reopening = bbl_quorum_rewrite(c->quorum) != 0;
+}
+
+static void
+tick_disk(bbl_control *c)
+{
+    bbl_quorum_status s;
+
+    if (c->options.port.reopen_disk == NULL || c->now < c->next_reopen) {
+        return;
+    }
+    if (c->quorum != NULL) {
+        bbl_quorum_get_status(c->quorum, &s);
+        c->reopening = c->reopening || s.failed;
+    }
+    if (c->reopening) {
+        reopen_quorum(c);
+    }
+}
+
 /* Sends what the last calls left to be sent. */
 static void
 settle(bbl_control *c)
@@ -1293,6 +1338,7 @@
 {
     c->now = now;
     c->wall_ms = wall_ms;
+    tick_disk(c);
     if (c->quorum != NULL) {
         bbl_quorum_status s;
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -21,6 +21,9 @@
     /* Gives the outcome of a proposal; BBL_ETIMEOUT: it is not known. */
     void (*proposed)(void *ctx, uint64_t number,
                      const bblx_propose_reply *reply);
+    /* Opens the disk again after it failed; NULL: this host then only
+     * watches until it is started again. */
+    int (*reopen_disk)(void *ctx, bbl_disk **out);
     void *ctx;
 } bbl_control_port;
 
--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -389,6 +389,13 @@
     }
 }
 
+int
+bbl_quorum_rewrite(bbl_quorum *q)
+{
+    compact(q);
+    return q->failed ? BBL_EIO : 0;
+}
+
 /* Compacts when the journal has outgrown its snapshot. */
 static void
 maybe_compact(bbl_quorum *q)
--- a/src/control/quorum.h
+++ b/src/control/quorum.h
@@ -93,6 +93,14 @@
 /* Makes the founding journal of a voter; refuses if there is one. */
 int bbl_quorum_found(bbl_disk *disk, uint32_t host);
 
+/*
+ * Writes the whole journal anew, so that all of it is durable whatever the
+ * disk did before.
+ *
+ * @return 0, or BBL_EIO; the quorum then only watches
+ */
+int bbl_quorum_rewrite(bbl_quorum *quorum);
+
 /* Passes time; call at least every 10 ms. */
 void bbl_quorum_tick(bbl_quorum *quorum, bbl_usec now);
 
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -290,6 +290,14 @@
     bbl_orders_proposed(&n->orders, number, reply);
 }
 
+static int
+reopen_disk(void *ctx, bbl_disk **out)
+{
+    node *n = ctx;
+
+    return bbl_disk_open(out, n->options->data_dir);
+}
+
 /* ---- calls ---- */
 
 static void
@@ -569,6 +577,7 @@
     c.voters_wanted = 2 * o->lost_disks + 1;
     c.port.send = control_send;
     c.port.proposed = on_proposed;
+    c.port.reopen_disk = reopen_disk;
     c.port.ctx = n;
     if (o->data_dir != NULL && o->found) {
         error = found_quorum(o);
--- a/tests/support/control_world.c
+++ b/tests/support/control_world.c
@@ -312,6 +312,16 @@
 
 /* ---- hosts ---- */
 
+/* The disk has failed once; it works again now. */
+static int
+on_reopen(void *ctx, bbl_disk **out)
+{
+    port_ctx *p = ctx;
+
+    *out = memdisk_open(&p->w->hosts[p->host].disk);
+    return 0;
+}
+
 static void
 start_host(world *w, uint32_t h)
 {
@@ -338,6 +348,7 @@
     o.compact_entries = 12;
     o.port.send = on_send;
     o.port.proposed = on_proposed;
+    o.port.reopen_disk = on_reopen;
     o.port.ctx = &contexts[h];
     x->incarnation = o.incarnation;
     x->checked = 0;
