A server that is only silent is tried by a connection; lines and a command that explain requests

Change: silence alone takes a server out only until a connection opens. Added: a line for each second attempt, 'explain ID' over logs.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -33,6 +33,7 @@
 int bbl_cli_drain(int argc, char **argv);
 int bbl_cli_voter(int argc, char **argv);
 int bbl_cli_query(int argc, char **argv);
+int bbl_cli_explain(int argc, char **argv);
 
 /* Where operators' commands go, from flags and environment. */
 typedef struct {
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -20,6 +20,7 @@
     {"drain", "shut a daemon down gracefully", bbl_cli_drain},
     {"voter", "add, remove or replace a voter", bbl_cli_voter},
     {"query", "send one query", bbl_cli_query},
+    {"explain", "tell from logs why a request ended so", bbl_cli_explain},
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -218,6 +218,19 @@
         r->service.size > 0 ? bbl_backend_state_name(r->server) : "", detail);
 }
 
+static void
+on_second(void *ctx, const bbl_forward_second *r)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_SECOND,
+            "id=%.*s service=%.*s server=%.*s kind=%s waited_ms=%.1f "
+            "usual_ms=%.1f stalled=%d budget_left=%.2f detail=\"%s\"",
+            (int)r->request_id.size, r->request_id.ptr, (int)r->service.size,
+            r->service.ptr, (int)r->server.size, r->server.ptr,
+            r->hedge ? "hedge" : "retry", (double)r->waited / 1000.0,
+            (double)r->usual / 1000.0, r->stalled, r->budget_left, r->detail);
+}
+
 /* ---- backend servers ---- */
 
 static void
@@ -448,6 +461,7 @@
     f.port.has_room = on_has_room;
     f.port.answer = on_answer;
     f.port.record = on_record;
+    f.port.second = on_second;
     f.port.server_added = on_added;
     f.port.server_removed = on_removed;
     f.port.server_changed = on_changed;
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -83,6 +83,8 @@
 {
     bbl_usec since = b->oldest > b->answered ? b->oldest : b->answered;
 
+    since = since > b->reached ? since : b->reached;
+
     return b->in_flight > 0 && now > since + patience;
 }
 
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -27,7 +27,10 @@
     bool same_zone; /* as this host */
     bool replaced;  /* until the list says something new */
     bbl_usec replaced_at;
-    bool down;          /* the last connection could not be opened */
+    bool down;   /* the last connection could not be opened */
+    bool silent; /* down only since nothing comes back; a connection is being
+                    tried */
+    bbl_usec reached;   /* last connection that was opened */
     bbl_usec unsure_at; /* connected again then; 0: sure */
 
     unsigned in_flight;  /* requests of this host, hedges included */
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -22,8 +22,9 @@
 #define PATIENCE 2       /* service times of silence that look like a stall */
 #define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
 #define STALL_DOWN_US                                                         \
-    (400 * BBL_USEC_PER_MS)              /* silence longer than a pause       \
-                                          */
+    (400 * BBL_USEC_PER_MS) /* silence longer than a pause                    \
+                             */
+#define SILENT_TIMES 6 /* service times: the slowest work takes that long */
 #define FULL_US (10 * BBL_USEC_PER_MS)   /* a refusal keeps a server aside */
 #define RECHECK_US (4 * BBL_USEC_PER_MS) /* of a hedge that cannot start */
 #define LEFT_GRACE_US                                                         \
@@ -285,11 +286,12 @@
 }
 
 static void
-set_down(bbl_forwarder *f, bbl_usec now, bbl_backend *b)
+set_silent(bbl_forwarder *f, bbl_usec now, bbl_backend *b)
 {
     bbl_backend_state before = bbl_backend_get_state(b, now);
 
     b->down = true;
+    b->silent = true;
     set_changed(f, now, b, before);
 }
 
@@ -363,6 +365,28 @@
     return true;
 }
 
+/* Tells of a second attempt. */
+static void
+tell_second(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+            const bbl_shard *s, const bbl_backend *b, bool hedge, bool stalled)
+{
+    bbl_forward_second r;
+
+    memset(&r, 0, sizeof(r));
+    r.request_id = q->request.request_id;
+    r.service = bbl_buf_str(&s->pool->name);
+    r.server =
+        (bbl_str){b->listed.id.bblx_label_val, b->listed.id.bblx_label_len};
+    r.hedge = hedge;
+    r.stalled = stalled;
+    r.waited = now - s->sent;
+    r.usual = q->pace->service_time;
+    r.budget_left = bbl_extra_budget_left((bbl_extra_budget *)&s->pool->budget,
+                                          &f->extra, now);
+    r.detail = s->detail != NULL ? s->detail : "";
+    f->options.port.second(f->options.port.ctx, &r);
+}
+
 /* ---- answers ---- */
 
 static void
@@ -613,8 +637,11 @@
     }
     b = choose(f, now, q, s, false, &usable);
     if (b != NULL && send_attempt(f, now, q, s, b, false)) {
-        q->record.retries += s->sends > 1;
-        f->counters.retries += s->sends > 1;
+        if (s->sends > 1) {
+            q->record.retries++;
+            f->counters.retries++;
+            tell_second(f, now, q, s, b, false, false);
+        }
         return;
     }
     if (usable == 0 && s->sends > s->runs && s->tried[0] != NULL) {
@@ -665,6 +692,7 @@
             if (b != NULL && send_attempt(f, now, q, s, b, true)) {
                 q->record.hedges++;
                 f->counters.hedges++;
+                tell_second(f, now, q, s, b, true, in.stalled);
                 continue;
             }
             wait = RECHECK_US;
@@ -961,6 +989,7 @@
     }
     else if (r->end == BBL_ATTEMPT_UNSENT) {
         b->down = true;
+        b->silent = false;
     }
     else if (m != MEANS_FINAL && r->end != BBL_ATTEMPT_TURNED_AWAY) {
         bbl_backend_rate(b, now, 0, true);
@@ -1103,13 +1132,17 @@
 {
     bbl_backend_state before = bbl_backend_get_state(b, now);
 
-    if (ok && b->down) {
+    if (ok) {
+        /* A server that was only silent stands still, or the connections
+         * do; one that could not be reached may have started again, cold. */
+        b->unsure_at = b->down && !b->silent ? now : b->unsure_at;
         b->down = false;
-        b->unsure_at = now;
+        b->reached = now;
     }
-    else if (!ok) {
+    else {
         b->down = true;
     }
+    b->silent = false;
     set_changed(f, now, b, before);
 }
 
@@ -1126,6 +1159,9 @@
             bbl_vec_swap_remove(&f->orphans, i - 1);
             f->options.port.abandon(f->options.port.ctx, a);
             f->counters.abandoned++;
+            if (a->backend->answered < a->sent) {
+                bbl_backend_rate(a->backend, now, 0, true);
+            }
             bbl_attempt_unlink(a);
             free(a);
         }
@@ -1143,11 +1179,11 @@
         const bbl_attempt *a = b->flying;
         bbl_usec limit = STALL_DOWN_US;
 
-        if (a != NULL && 4 * a->pace->service_time > limit) {
-            limit = 4 * a->pace->service_time;
+        if (a != NULL && SILENT_TIMES * a->pace->service_time > limit) {
+            limit = SILENT_TIMES * a->pace->service_time;
         }
         if (a != NULL && !b->down && bbl_backend_stalls(b, now, limit)) {
-            set_down(f, now, b);
+            set_silent(f, now, b);
         }
     }
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -108,6 +108,19 @@
     const char *detail;       /* static; how the last attempt there ended */
 } bbl_forward_record;
 
+/* A second attempt at a shard, and what decided it. */
+typedef struct {
+    bbl_str request_id;
+    bbl_str service;
+    bbl_str server;
+    bool hedge;         /* beside the first; else after it failed */
+    bool stalled;       /* the first server answered nobody */
+    bbl_usec waited;    /* since the first attempt */
+    bbl_usec usual;     /* time of an attempt on this route */
+    double budget_left; /* of the service's extra requests, 0 to 1 */
+    const char *detail; /* static; how the attempt before ended */
+} bbl_forward_second;
+
 typedef struct {
     /* Starts an attempt; returns 0, or BBL_EFULL without a connection. */
     int (*send)(void *ctx, bbl_attempt *attempt, bbl_backend *backend,
@@ -118,6 +131,7 @@
     bool (*has_room)(void *ctx, const bbl_backend *backend);
     void (*answer)(void *ctx, void *call, const bbl_forward_answer *answer);
     void (*record)(void *ctx, const bbl_forward_record *record);
+    void (*second)(void *ctx, const bbl_forward_second *second);
     /* A server is new, may be used again, or goes for good. */
     void (*server_added)(void *ctx, bbl_backend *backend);
     void (*server_removed)(void *ctx, bbl_backend *backend);
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -67,7 +67,8 @@
     X(BACKEND, 4003, INFO, "backend", "a backend server changed its state")   \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
-      "a request was refused, failed or answered in part")
+      "a request was refused, failed or answered in part")                    \
+    X(SECOND, 5003, INFO, "second", "a shard was asked a second time")
 
 typedef enum {
 #define BBL_LOG_ENUM(symbol, number, level, name, meaning)                    \
--- a/tests/support/forward_world.c
+++ b/tests/support/forward_world.c
@@ -162,10 +162,23 @@
 }
 
 static void
-on_server(void *ctx, bbl_backend *backend)
+on_second(void *ctx, const bbl_forward_second *r)
 {
     (void)ctx;
-    (void)backend;
+    ck_assert_uint_gt(r->request_id.size, 0);
+    ck_assert(r->budget_left >= 0 && r->budget_left <= 1);
+}
+
+static void
+on_added(void *ctx, bbl_backend *backend)
+{
+    server_of(ctx, backend)->backend = backend;
+}
+
+static void
+on_removed(void *ctx, bbl_backend *backend)
+{
+    server_of(ctx, backend)->backend = NULL;
 }
 
 static void
@@ -257,8 +270,9 @@
     o.port.has_room = on_has_room;
     o.port.answer = on_answer;
     o.port.record = on_record;
-    o.port.server_added = on_server;
-    o.port.server_removed = on_server;
+    o.port.second = on_second;
+    o.port.server_added = on_added;
+    o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
     o.port.ctx = w;
     bbl_forwarder_new(&w->forwarder, &o);
@@ -368,6 +382,12 @@
     bbl_forwarder_left(w->forwarder, w->now, (void *)(uintptr_t)(call + 1));
 }
 
+void
+forward_world_connect(forward_world *w, world_server *server, bool ok)
+{
+    bbl_forwarder_connected(w->forwarder, w->now, server->backend, ok);
+}
+
 void
 forward_world_run(forward_world *w, bbl_usec time)
 {
--- a/tests/support/forward_world.h
+++ b/tests/support/forward_world.h
@@ -37,6 +37,7 @@
     unsigned runs;
     unsigned connections; /* that may be in use at once; 0: any number */
     unsigned in_use;
+    bbl_backend *backend; /* of the forwarder */
 } world_server;
 
 /* What a caller got. */
@@ -76,6 +77,9 @@
 /* The caller of a request leaves. */
 void forward_world_leave(forward_world *w, unsigned call);
 
+/* A connection to a server was opened, or could not be. */
+void forward_world_connect(forward_world *w, world_server *server, bool ok);
+
 /* Lets time pass. */
 void forward_world_run(forward_world *w, bbl_usec time);
 
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -326,6 +326,53 @@
 }
 END_TEST
 
+START_TEST(a_slow_server_that_can_be_reached_stays_in_use)
+{
+    fixture f;
+    unsigned before;
+
+    open_fixture(&f);
+    /* Both take so long that they look dead. */
+    f.one[0]->work = 700 * MS;
+    f.one[1]->work = 700 * MS;
+    forward_world_send(f.w, "/once/1", 1000);
+    forward_world_send(f.w, "/once/1", 1000);
+    forward_world_run(f.w, 500 * MS);
+    forward_world_connect(f.w, f.one[0], true);
+    forward_world_connect(f.w, f.one[1], true);
+    before = f.one[0]->arrivals + f.one[1]->arrivals;
+    ck_assert_uint_eq(ask(&f, "/once/1")->status, 200);
+    ck_assert_uint_eq(f.one[0]->arrivals + f.one[1]->arrivals, before + 1);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_server_that_could_not_be_reached_may_be_cold)
+{
+    fixture f;
+    unsigned before;
+
+    open_fixture(&f);
+    forward_world_connect(f.w, f.one[0], false);
+    forward_world_connect(f.w, f.one[0], true);
+    before = f.one[0]->arrivals;
+    for (int i = 0; i < 5; i++) {
+        forward_world_send(f.w, "/one/1", 500);
+        forward_world_run(f.w, 100 * MS);
+    }
+    ck_assert_uint_eq(f.one[0]->arrivals, before);
+    /* A list that was read its lag later shows that it is warm. */
+    forward_world_run(f.w, 900 * MS);
+    forward_world_list(f.w, NULL);
+    for (int i = 0; i < 5; i++) {
+        forward_world_send(f.w, "/one/1", 500);
+        forward_world_run(f.w, 100 * MS);
+    }
+    ck_assert_uint_gt(f.one[0]->arrivals, before);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(second_attempts_stay_within_the_budget)
 {
     fixture f;
@@ -415,6 +462,8 @@
     tcase_add_test(tc, an_evacuated_data_centre_gets_nothing);
     tcase_add_test(tc,
                    a_silent_server_is_out_of_use_until_it_is_reached_again);
+    tcase_add_test(tc, a_slow_server_that_can_be_reached_stays_in_use);
+    tcase_add_test(tc, a_server_that_could_not_be_reached_may_be_cold);
     tcase_add_test(tc, second_attempts_stay_within_the_budget);
     tcase_add_test(tc, without_room_a_request_is_refused_within_its_target);
     tcase_add_test(tc, a_route_timeout_ends_a_request);
