A new set of shards is used once its servers are warm

Change: a routing waits up to half of the time in which it must be in force while its shards cannot be served and those of the present one can.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -27,6 +27,7 @@
 #define LAG_US                                                                \
     (2500 * BBL_USEC_PER_MS) /* for the balancer to notice: two of            \
                                 its questions, one a second */
+#define HOLD_DIVISOR 2 /* of the time in which a routing must be in force */
 #define EXIT_MARGIN_US (600 * BBL_USEC_PER_MS) /* before the end of grace */
 
 typedef enum {
@@ -231,6 +232,18 @@
             (double)r->usual / 1000.0, r->stalled, r->budget_left, r->detail);
 }
 
+static void
+on_adopted(void *ctx, uint64_t version, bbl_usec held)
+{
+    bbl_gateway *g = ctx;
+
+    bbl_log(BBL_EV_ROUTING_IN_USE, "version=%llu held_ms=%llu",
+            (unsigned long long)version,
+            (unsigned long long)(held / BBL_USEC_PER_MS));
+    bbl_edge_set_limits(g->callers, bbl_forwarder_limits(g->forwarder));
+    g->resize_links = true;
+}
+
 /* ---- backend servers ---- */
 
 static void
@@ -368,10 +381,6 @@
 
     while ((u = bbl_mailbox_take(&g->updates)) != NULL) {
         bbl_forwarder_update(g->forwarder, bbl_clock_now(), u);
-        if (bbl_forwarder_limits(g->forwarder) != NULL) {
-            bbl_edge_set_limits(g->callers,
-                                bbl_forwarder_limits(g->forwarder));
-        }
         g->resize_links = true;
     }
     if (g->resize_links) {
@@ -452,6 +461,7 @@
     f.seed = seed;
     f.caller_distance = o->caller_distance_ms * BBL_USEC_PER_MS;
     f.list_lag = o->catalog_lag_ms * BBL_USEC_PER_MS;
+    f.routing_hold = o->apply_ms * BBL_USEC_PER_MS / HOLD_DIVISOR;
     f.extra.window = o->extra_window_ms * BBL_USEC_PER_MS;
     f.extra.ratio = o->extra_ratio;
     f.extra.constant = o->extra_constant;
@@ -462,6 +472,7 @@
     f.port.answer = on_answer;
     f.port.record = on_record;
     f.port.second = on_second;
+    f.port.adopted = on_adopted;
     f.port.server_added = on_added;
     f.port.server_removed = on_removed;
     f.port.server_changed = on_changed;
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -160,6 +160,13 @@
                               text, 0, 1000);
 }
 
+static int
+read_apply(void *out, const char *text)
+{
+    return bbl_setting_number(&((bbl_node_options *)out)->apply_ms, text, 100,
+                              600000);
+}
+
 /* Given in seconds, fractions allowed. */
 static int
 read_seconds(uint32_t *out, const char *text, double least, double most)
@@ -252,6 +259,8 @@
      "age of what the platform's list says", read_catalog_lag},
     {"caller-distance-ms", ENV("CALLER_DISTANCE_MS"), "3", "ms", "0 to 1000",
      "one way between callers and this host", read_distance},
+    {"apply-ms", ENV("APPLY_MS"), "3000", "ms", "100 to 600000",
+     "time in which a routing must be in force everywhere", read_apply},
     {"grace-s", ENV("GRACE_S"), "6", "s", "1 to 3600",
      "time from SIGTERM to SIGKILL", read_grace},
     {"extra-ratio", ENV("EXTRA_RATIO"), "0.2", "", "0 to 10",
--- a/src/daemon/node_options.h
+++ b/src/daemon/node_options.h
@@ -25,6 +25,7 @@
     double catalog_per_s; /* calls, of all hosts together */
     uint32_t catalog_lag_ms;
     uint32_t caller_distance_ms;
+    uint32_t apply_ms; /* in which a routing must be in force everywhere */
     uint32_t grace_ms; /* from SIGTERM to SIGKILL */
     double extra_ratio;
     uint32_t extra_window_ms;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -50,6 +50,8 @@
     bbl_pools pools;
     bbl_map paces; /* hash of the route name -> bbl_route_pace */
     bbl_route_table *table;
+    bbl_routing *next_routing; /* waits for the servers of its shards */
+    bbl_usec next_since;
     bbl_usec list_read;
     unsigned entry_hosts;
     bbl_vec queries; /* bbl_query *, by priority, then by arrival */
@@ -202,6 +204,72 @@
     free(u);
 }
 
+/* Whether each shard of a gather has a server that may get work. */
+static bool
+is_servable(bbl_forwarder *f, bbl_usec now, const bbl_routing *routing,
+            const bbl_route *route)
+{
+    for (size_t i = 0; i < route->target_count; i++) {
+        const bbl_service *s =
+            bbl_routing_service(routing, route->targets[i].service);
+        const bbl_vec *list = &bbl_pools_get(&f->pools, s->name)->backends;
+        bool usable = false;
+
+        for (size_t k = 0; k < list->size && !usable; k++) {
+            usable = bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k),
+                                           now) == BBL_BACKEND_USABLE;
+        }
+        if (!usable) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Whether a new routing should wait: it names shards that cannot be served
+ * yet, on a route that the present one serves.
+ */
+static bool
+should_hold(bbl_forwarder *f, bbl_usec now, const bbl_routing *routing)
+{
+    const bbl_route *route;
+
+    for (size_t i = 0; (route = bbl_routing_route(routing, i)) != NULL; i++) {
+        const bbl_route *old =
+            route->kind == BBL_ROUTE_GATHER
+                ? bbl_routing_match(f->table->routing, route->hostname,
+                                    route->path_prefix)
+                : NULL;
+
+        if (old != NULL && old->kind == BBL_ROUTE_GATHER &&
+            !is_servable(f, now, routing, route) &&
+            is_servable(f, now, f->table->routing, old)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Puts the waiting routing into use, unless it should wait longer. */
+static void
+adopt_routing(bbl_forwarder *f, bbl_usec now)
+{
+    bbl_usec held = now - f->next_since;
+
+    if (f->next_routing == NULL ||
+        (f->table != NULL && held < f->options.routing_hold &&
+         should_hold(f, now, f->next_routing))) {
+        return;
+    }
+    table_release(f->table);
+    clear_routed(f);
+    f->table = table_new(f, f->next_routing);
+    f->next_routing = NULL;
+    f->options.port.adopted(f->options.port.ctx,
+                            bbl_routing_version(f->table->routing), held);
+}
+
 void
 bbl_forwarder_update(bbl_forwarder *f, bbl_usec now, bbl_forward_update *u)
 {
@@ -210,15 +278,17 @@
     f->extra = f->options.extra;
     f->extra.constant /= f->entry_hosts;
     if (u->routing != NULL) {
-        table_release(f->table);
-        clear_routed(f);
-        f->table = table_new(f, u->routing);
+        /* A newer version does not wait longer than the first one did. */
+        f->next_since = f->next_routing != NULL ? f->next_since : now;
+        bbl_routing_free(f->next_routing);
+        f->next_routing = u->routing;
         u->routing = NULL;
     }
     bbl_pools_update(&f->pools, now, u->backends, u->cold_until,
                      u->backend_count, u->evacuated, u->evacuated_count);
     u->backend_count = 0;
     bbl_pools_confirm(&f->pools, now, f->list_read, f->options.list_lag);
+    adopt_routing(f, now);
     bbl_forward_update_free(u);
 }
 
@@ -1203,6 +1273,7 @@
     }
     if (now >= f->next_sweep) {
         f->next_sweep = now + SWEEP_US / 4;
+        adopt_routing(f, now);
         drop_orphans(f, now);
         check_silence(f, now);
         bbl_pools_sweep(&f->pools);
@@ -1252,6 +1323,7 @@
     }
     drop_orphans(f, FOREVER);
     table_release(f->table);
+    bbl_routing_free(f->next_routing);
     bbl_pools_free(&f->pools);
     while ((pace = bbl_map_next(&f->paces, &pos)) != NULL) {
         free(pace);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -132,6 +132,9 @@
     void (*answer)(void *ctx, void *call, const bbl_forward_answer *answer);
     void (*record)(void *ctx, const bbl_forward_record *record);
     void (*second)(void *ctx, const bbl_forward_second *second);
+    /* A version of the routing is used from now on; it waited `held` for
+     * the servers of its shards. */
+    void (*adopted)(void *ctx, uint64_t version, bbl_usec held);
     /* A server is new, may be used again, or goes for good. */
     void (*server_added)(void *ctx, bbl_backend *backend);
     void (*server_removed)(void *ctx, bbl_backend *backend);
@@ -147,6 +150,7 @@
     bbl_usec caller_distance; /* one way between callers and this host */
     bbl_usec answer_guard;    /* kept back before a target */
     bbl_usec list_lag;        /* of the platform's list */
+    bbl_usec routing_hold;    /* a routing waits so long for its shards */
     bbl_extra_limits extra;   /* `constant` of all hosts together */
     const bbl_dialect *dialect;
     bbl_forward_port port;
@@ -157,7 +161,8 @@
         .version = BBL_FORWARDER_OPTIONS_VERSION, .seed = 1,                  \
         .caller_distance = 3 * BBL_USEC_PER_MS,                               \
         .answer_guard = 6 * BBL_USEC_PER_MS,                                  \
-        .list_lag = 800 * BBL_USEC_PER_MS, .extra = {                         \
+        .list_lag = 800 * BBL_USEC_PER_MS,                                    \
+        .routing_hold = 1500 * BBL_USEC_PER_MS, .extra = {                    \
             10 * BBL_USEC_PER_SEC,                                            \
             0.2,                                                              \
             50                                                                \
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -52,6 +52,8 @@
     X(CONTROL_LOST, 2012, WARN, "control-lost",                               \
       "no leader answers; the last known state is served")                    \
     X(CONTROL_FOUND, 2013, INFO, "control-found", "a leader answers again")   \
+    X(ROUTING_IN_USE, 2014, INFO, "routing-in-use",                           \
+      "requests follow a version of the routing from now on")                 \
     X(PEER_REFUSED, 3001, WARN, "peer-refused",                               \
       "a connection with a wrong key, cluster or version was closed")         \
     X(PEER_SILENT, 3002, WARN, "peer-silent",                                 \
--- a/tests/support/forward_world.c
+++ b/tests/support/forward_world.c
@@ -29,6 +29,7 @@
     char ids[WORLD_CALLS_MAX][16];
     unsigned entry_hosts;
     bbl_usec list_read;
+    uint64_t version; /* in use */
 };
 
 static world_server *
@@ -169,6 +170,16 @@
     ck_assert(r->budget_left >= 0 && r->budget_left <= 1);
 }
 
+static void
+on_adopted(void *ctx, uint64_t version, bbl_usec held)
+{
+    forward_world *w = ctx;
+
+    ck_assert_uint_gt(version, w->version);
+    ck_assert_uint_le(held, 1600 * BBL_USEC_PER_MS);
+    w->version = version;
+}
+
 static void
 on_added(void *ctx, bbl_backend *backend)
 {
@@ -271,6 +282,7 @@
     o.port.answer = on_answer;
     o.port.record = on_record;
     o.port.second = on_second;
+    o.port.adopted = on_adopted;
     o.port.server_added = on_added;
     o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
@@ -400,6 +412,12 @@
     }
 }
 
+uint64_t
+forward_world_version(const forward_world *w)
+{
+    return w->version;
+}
+
 const world_call *
 forward_world_call(const forward_world *w, unsigned call)
 {
--- a/tests/support/forward_world.h
+++ b/tests/support/forward_world.h
@@ -87,6 +87,9 @@
 bbl_usec forward_world_now(const forward_world *w);
 const bbl_forward_counters *forward_world_counters(const forward_world *w);
 
+/* Returns the version of the routing in use. */
+uint64_t forward_world_version(const forward_world *w);
+
 /* Returns the attempts still under way at servers. */
 unsigned forward_world_in_flight(const forward_world *w);
 
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -373,6 +373,65 @@
 }
 END_TEST
 
+/* The same routes over the shards t1 to t4, as version 2. */
+#define NEXT_SHARDS "[\"t1\",\"t2\",\"t3\",\"t4\"]"
+static const char next_document[] =
+    "{\"version\":2,\"routes\":[{\"name\":\"g\",\"hostname\":\"a.example\","
+    "\"path_prefix\":\"/g/\",\"route_type\":\"safe\",\"timeout_ms\":800,"
+    "\"target_latency_ms\":120,\"gather\":" NEXT_SHARDS
+    ",\"max_attempts\":2,\"top_k\":5,\"min_coverage\":0.75}],"
+    "\"services\":[{\"name\":\"t1\"},{\"name\":\"t2\"},{\"name\":\"t3\"},"
+    "{\"name\":\"t4\"}]}";
+
+START_TEST(a_new_set_of_shards_is_used_once_it_is_warm)
+{
+    fixture f;
+    world_server *next[4];
+    char id[16];
+    char service[16];
+
+    open_fixture(&f);
+    for (int s = 0; s < 4; s++) {
+        snprintf(id, sizeof(id), "j%d", s + 1);
+        snprintf(service, sizeof(service), "t%d", s + 1);
+        next[s] = forward_world_add(f.w, id, service, "z1");
+        next[s]->cold_ms = 600;
+    }
+    forward_world_install(f.w, next_document);
+    for (int i = 0; i < 10; i++) {
+        unsigned n = forward_world_send(f.w, "/g/1", 800);
+
+        forward_world_run(f.w, 50 * MS);
+        ck_assert_uint_eq(forward_world_call(f.w, n)->parts, 4);
+    }
+    ck_assert_uint_eq(forward_world_version(f.w), 1);
+    for (int s = 0; s < 4; s++) {
+        next[s]->cold_ms = 0;
+    }
+    forward_world_run(f.w, 200 * MS);
+    ck_assert_uint_eq(forward_world_version(f.w), 2);
+    ck_assert_uint_eq(ask(&f, "/g/1")->parts, 4);
+    ck_assert_uint_gt(next[0]->runs, 0);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_new_set_of_shards_waits_no_longer_than_allowed)
+{
+    fixture f;
+
+    open_fixture(&f);
+    /* Nobody serves its shards, and nobody will. */
+    forward_world_install(f.w, next_document);
+    forward_world_run(f.w, 1400 * MS);
+    ck_assert_uint_eq(forward_world_version(f.w), 1);
+    forward_world_run(f.w, 300 * MS);
+    ck_assert_uint_eq(forward_world_version(f.w), 2);
+    ck_assert_uint_eq(ask(&f, "/g/1")->status, 503);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(second_attempts_stay_within_the_budget)
 {
     fixture f;
@@ -464,6 +523,8 @@
                    a_silent_server_is_out_of_use_until_it_is_reached_again);
     tcase_add_test(tc, a_slow_server_that_can_be_reached_stays_in_use);
     tcase_add_test(tc, a_server_that_could_not_be_reached_may_be_cold);
+    tcase_add_test(tc, a_new_set_of_shards_is_used_once_it_is_warm);
+    tcase_add_test(tc, a_new_set_of_shards_waits_no_longer_than_allowed);
     tcase_add_test(tc, second_attempts_stay_within_the_budget);
     tcase_add_test(tc, without_room_a_request_is_refused_within_its_target);
     tcase_add_test(tc, a_route_timeout_ends_a_request);
