A host that has drained takes no request any more before it ends; tests over sockets; operations

Change: the listener closes at the moment of the decision. Test: test_edge a_drain_ends_connections_with_their_answers.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -28,6 +28,9 @@
     (2500 * BBL_USEC_PER_MS) /* for the balancer to notice: two of            \
                                 its questions, one a second */
 #define HOLD_DIVISOR 2 /* of the time in which a routing must be in force */
+#define IDLE_US                                                               \
+    (150 * BBL_USEC_PER_MS) /* a connection that was just opened              \
+                               carries a request soon */
 #define EXIT_MARGIN_US (600 * BBL_USEC_PER_MS) /* before the end of grace */
 
 typedef enum {
@@ -405,10 +408,12 @@
     }
     spent = now - g->drain_since;
     if (spent >= LAG_US) {
-        bbl_edge_close_idle(g->callers, 0, now);
+        bbl_edge_close_idle(g->callers, IDLE_US, now);
     }
     if ((spent >= LAG_US && bbl_edge_connections(g->callers) == 0) ||
         spent + EXIT_MARGIN_US >= grace) {
+        /* From here on no request is read that would get no answer. */
+        bbl_edge_stop_listening(g->callers);
         ck_pr_store_32(&g->phase, GATEWAY_DRAINED);
     }
 }
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -510,10 +510,7 @@
         conn_close(e->first);
     }
     free_dead(e);
-    if (e->listener >= 0) {
-        bbl_loop_forget(e->loop, e->listener);
-        close(e->listener);
-    }
+    bbl_edge_stop_listening(e);
     free(e);
 }
 
@@ -529,6 +526,16 @@
     e->draining = true;
 }
 
+void
+bbl_edge_stop_listening(bbl_edge *e)
+{
+    if (e->listener >= 0) {
+        bbl_loop_forget(e->loop, e->listener);
+        close(e->listener);
+        e->listener = -1;
+    }
+}
+
 static bool
 is_idle(const conn *c)
 {
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -66,6 +66,9 @@
 /* From now on each answer asks the caller to close its connection. */
 void bbl_edge_drain(bbl_edge *edge);
 
+/* Takes no connection any more; those that are open go on. */
+void bbl_edge_stop_listening(bbl_edge *edge);
+
 /* Closes the connections that carry no request. */
 void bbl_edge_close_idle(bbl_edge *edge, bbl_usec idle_for, bbl_usec now);
 
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -5,8 +5,9 @@
 
 #include "bbl/errors.h"
 
-#define HEAD_MAX (1u << 20) /* bytes; callers have smaller limits of theirs   \
-                             */
+#define HEAD_MAX                                                              \
+    (1u << 20) /* bytes; callers have smaller limits of theirs                \
+                */
 
 /* Offsets of one field in the text. */
 typedef struct {
--- /dev/null
+++ b/tests/test_backend_link.c
@@ -0,0 +1,333 @@
+/* Connections to a backend server that does as the test says. */
+#include <string.h>
+
+#include "net/backend_link.h"
+#include "platform/dialect.h"
+#include "support/run.h"
+#include "support/wire.h"
+#include "util/clock.h"
+
+typedef struct {
+    bbl_loop *loop;
+    bbl_backend_client *client;
+    bbl_backend_link *link;
+    bblx_address address;
+    int listener;
+    unsigned opened;
+    unsigned failed;
+} fixture;
+
+/* What became of an exchange. */
+typedef struct {
+    unsigned calls;
+    bbl_exchange_end end;
+    unsigned status;
+    char body[256];
+} outcome;
+
+static void
+on_opened(void *ctx, void *owner, bool ok)
+{
+    fixture *f = ctx;
+
+    ck_assert_ptr_eq(owner, f);
+    f->opened += ok;
+    f->failed += !ok;
+}
+
+static void
+on_done(void *ctx, const bbl_exchange_result *r)
+{
+    outcome *o = ctx;
+
+    o->calls++;
+    o->end = r->end;
+    if (r->message != NULL) {
+        o->status = bbl_http_message_status(r->message);
+        snprintf(o->body, sizeof(o->body), "%.*s", (int)r->message->body.size,
+                 r->message->body.ptr ? r->message->body.ptr : "");
+    }
+}
+
+static void
+open_fixture(fixture *f)
+{
+    bbl_backend_client_options o = {
+        .dialect = bbl_platform_dialect(),
+        .connect_timeout = 200 * BBL_USEC_PER_MS,
+        .silence_timeout = 500 * BBL_USEC_PER_MS,
+        .response_max = 200,
+        .opened = on_opened,
+        .ctx = f,
+    };
+
+    memset(f, 0, sizeof(*f));
+    f->listener = wire_listen(&f->address);
+    ck_assert_int_eq(bbl_loop_open(&f->loop), 0);
+    ck_assert_int_eq(bbl_backend_client_open(&f->client, f->loop, &o), 0);
+    f->link = bbl_backend_link_new(f->client, f->address, f);
+    bbl_backend_link_set_limit(f->link, 2);
+}
+
+static void
+close_fixture(fixture *f)
+{
+    bbl_backend_client_free(f->client);
+    bbl_loop_free(f->loop);
+    close(f->listener);
+}
+
+static bbl_exchange *
+start(fixture *f, outcome *o)
+{
+    bbl_exchange_request r = {
+        .head = {"GET /x HTTP/1.1\r\nHost: a\r\nRequest-Id: q1\r\n", 43},
+        .request_id = {"q1", 2},
+        .done = on_done,
+        .ctx = o,
+    };
+    bbl_exchange *x;
+
+    memset(o, 0, sizeof(*o));
+    ck_assert_int_eq(bbl_exchange_start(&x, f->link, bbl_clock_now(), &r), 0);
+    ck_assert_uint_eq(o->calls, 0);
+    return x;
+}
+
+/* Takes the server's side of the next connection. */
+static int
+accept_one(fixture *f)
+{
+    for (int i = 0; i < 300; i++) {
+        int fd = accept(f->listener, NULL, NULL);
+
+        if (fd >= 0) {
+            return fd;
+        }
+        bbl_loop_run(f->loop, 1000);
+    }
+    ck_abort_msg("no connection came");
+    return -1;
+}
+
+#define OK(id, body, size)                                                    \
+    "HTTP/1.1 200 OK\r\nRequest-Id: " id "\r\nContent-Length: " size          \
+    "\r\n\r\n" body
+
+START_TEST(a_connection_serves_one_request_after_another)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture(&f);
+    start(&f, &o);
+    fd = accept_one(&f);
+    for (int i = 0; i < 3; i++) {
+        if (i > 0) {
+            start(&f, &o);
+        }
+        ck_assert_ptr_nonnull(strstr(wire_read(f.loop, fd), "Request-Id: q1"));
+        wire_send(fd, OK("q1", "abc", "3"));
+        wire_run(f.loop, 10);
+        ck_assert_uint_eq(o.calls, 1);
+        ck_assert_int_eq(o.end, BBL_EXCHANGE_RESPONSE);
+        ck_assert_str_eq(o.body, "abc");
+    }
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->connects, 1);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_response_to_another_request_is_skipped)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture(&f);
+    start(&f, &o);
+    fd = accept_one(&f);
+    wire_read(f.loop, fd);
+    wire_send(fd, OK("q0", "old", "3"));
+    wire_run(f.loop, 10);
+    ck_assert_uint_eq(o.calls, 0);
+    wire_send(fd, OK("q1", "new", "3"));
+    wire_run(f.loop, 10);
+    ck_assert_str_eq(o.body, "new");
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(bytes_behind_a_response_end_the_connection)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture(&f);
+    start(&f, &o);
+    fd = accept_one(&f);
+    wire_read(f.loop, fd);
+    wire_send(fd, OK("q1", "abc", "3") "more");
+    wire_run(f.loop, 10);
+    ck_assert_str_eq(o.body, "abc");
+    ck_assert_str_eq(wire_read(f.loop, fd), "");
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->stray, 1);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* Responses that end with their connection, and what each is. */
+static const struct {
+    const char *text;
+    bbl_exchange_end end;
+} ended[] = {
+    {"HTTP/1.1 200 OK\r\n\r\nwhole", BBL_EXCHANGE_RESPONSE},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", BBL_EXCHANGE_BROKEN},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+     BBL_EXCHANGE_BROKEN},
+    {"HTTP/1.1 200", BBL_EXCHANGE_BROKEN},
+    {"", BBL_EXCHANGE_BROKEN},
+    {"noise that is no response\r\n\r\n", BBL_EXCHANGE_BROKEN},
+};
+
+START_TEST(a_response_counts_only_as_a_whole)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture(&f);
+    start(&f, &o);
+    fd = accept_one(&f);
+    wire_read(f.loop, fd);
+    wire_send(fd, ended[_i].text);
+    close(fd);
+    wire_run(f.loop, 30);
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, ended[_i].end);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_body_without_length_that_is_reset_is_broken)
+{
+    fixture f;
+    outcome o;
+    int fd;
+    struct linger hard = {1, 0};
+
+    open_fixture(&f);
+    start(&f, &o);
+    fd = accept_one(&f);
+    wire_read(f.loop, fd);
+    wire_send(fd, "HTTP/1.1 200 OK\r\n\r\npart");
+    wire_run(f.loop, 10);
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    close(fd);
+    wire_run(f.loop, 30);
+    ck_assert_int_eq(o.end, BBL_EXCHANGE_BROKEN);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_refused_connection_sent_nothing)
+{
+    fixture f;
+    outcome o;
+
+    open_fixture(&f);
+    close(f.listener);
+    start(&f, &o);
+    wire_run(f.loop, 20);
+    bbl_backend_client_tick(f.client, bbl_clock_now());
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, BBL_EXCHANGE_UNSENT);
+    ck_assert_uint_eq(f.failed, 1);
+    f.listener = wire_listen(&f.address);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(connections_are_limited)
+{
+    fixture f;
+    outcome o[3];
+    bbl_exchange_request r = {.done = on_done};
+    bbl_exchange *x;
+
+    open_fixture(&f);
+    start(&f, &o[0]);
+    start(&f, &o[1]);
+    ck_assert(!bbl_backend_link_has_room(f.link));
+    ck_assert_int_ne(bbl_exchange_start(&x, f.link, bbl_clock_now(), &r), 0);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(an_abandoned_exchange_closes_its_connection)
+{
+    fixture f;
+    outcome o;
+    bbl_exchange *x;
+    int fd;
+
+    open_fixture(&f);
+    x = start(&f, &o);
+    fd = accept_one(&f);
+    wire_read(f.loop, fd);
+    bbl_exchange_abandon(x);
+    ck_assert_str_eq(wire_read(f.loop, fd), "");
+    ck_assert_uint_eq(o.calls, 0);
+    ck_assert(bbl_backend_link_has_room(f.link));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(the_end_of_the_last_connection_is_looked_into)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture(&f);
+    start(&f, &o);
+    fd = accept_one(&f);
+    wire_read(f.loop, fd);
+    wire_send(fd, OK("q1", "abc", "3"));
+    wire_run(f.loop, 10);
+    close(fd);
+    fd = accept_one(&f);
+    wire_run(f.loop, 10);
+    ck_assert_uint_eq(f.opened, 2);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
+
+int
+main(void)
+{
+    Suite *suite = suite_create("backend_link");
+    TCase *tc = tcase_create("backend_link");
+
+    tcase_add_test(tc, a_connection_serves_one_request_after_another);
+    tcase_add_test(tc, a_response_to_another_request_is_skipped);
+    tcase_add_test(tc, bytes_behind_a_response_end_the_connection);
+    tcase_add_loop_test(tc, a_response_counts_only_as_a_whole, 0,
+                        COUNT(ended));
+    tcase_add_test(tc, a_body_without_length_that_is_reset_is_broken);
+    tcase_add_test(tc, a_refused_connection_sent_nothing);
+    tcase_add_test(tc, connections_are_limited);
+    tcase_add_test(tc, an_abandoned_exchange_closes_its_connection);
+    tcase_add_test(tc, the_end_of_the_last_connection_is_looked_into);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
--- /dev/null
+++ b/tests/test_edge.c
@@ -0,0 +1,276 @@
+/* The side towards callers, over real sockets on loopback. */
+#include <string.h>
+
+#include "net/edge.h"
+#include "support/run.h"
+#include "support/wire.h"
+#include "util/clock.h"
+
+typedef struct {
+    bbl_loop *loop;
+    bbl_edge *edge;
+    bblx_address address;
+    bbl_edge_call *call; /* waits for its answer */
+    unsigned taken;
+    unsigned left;
+    bool hold; /* answer later */
+} fixture;
+
+static void
+take(void *ctx, bbl_edge_call *call)
+{
+    fixture *f = ctx;
+
+    f->taken++;
+    if (f->hold) {
+        f->call = call;
+        return;
+    }
+    bbl_edge_answer_text(call, 200, "X-Path: yes\r\n", "fine");
+}
+
+static void
+left(void *ctx, bbl_edge_call *call)
+{
+    fixture *f = ctx;
+
+    ck_assert_ptr_eq(f->call, call);
+    f->call = NULL;
+    f->left++;
+}
+
+static void
+open_fixture(fixture *f)
+{
+    bbl_edge_handler handler = {take, left, f};
+    bbl_caller_limits limits = {1000, 100, 100, 300};
+
+    memset(f, 0, sizeof(*f));
+    f->address = wire_free_address();
+    ck_assert_int_eq(bbl_loop_open(&f->loop), 0);
+    ck_assert_int_eq(bbl_edge_open(&f->edge, f->loop, f->address, &handler),
+                     0);
+    bbl_edge_set_limits(f->edge, &limits);
+}
+
+static void
+close_fixture(fixture *f)
+{
+    bbl_edge_free(f->edge);
+    bbl_loop_free(f->loop);
+}
+
+#define GET "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+
+START_TEST(a_connection_is_kept)
+{
+    fixture f;
+    int fd;
+
+    open_fixture(&f);
+    fd = wire_connect(f.address);
+    for (int i = 0; i < 3; i++) {
+        const char *text;
+
+        wire_send(fd, GET);
+        text = wire_read(f.loop, fd);
+        ck_assert_ptr_nonnull(strstr(text, "HTTP/1.1 200 OK\r\n"));
+        ck_assert_ptr_nonnull(strstr(text, "Content-Length: 4\r\n"));
+        ck_assert_ptr_null(strstr(text, "Connection: close"));
+        ck_assert_ptr_nonnull(strstr(text, "\r\n\r\nfine"));
+    }
+    ck_assert_uint_eq(bbl_edge_connections(f.edge), 1);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(pipelined_requests_are_answered_in_order)
+{
+    fixture f;
+    int fd;
+    const char *text;
+
+    open_fixture(&f);
+    f.hold = true;
+    fd = wire_connect(f.address);
+    wire_send(fd, GET GET);
+    wire_run(f.loop, 20);
+    ck_assert_uint_eq(f.taken, 1);
+    bbl_edge_answer_text(f.call, 200, "", "first");
+    wire_run(f.loop, 5);
+    ck_assert_uint_eq(f.taken, 2);
+    bbl_edge_answer_text(f.call, 200, "", "second");
+    text = wire_read(f.loop, fd);
+    ck_assert_ptr_nonnull(strstr(text, "first"));
+    ck_assert(strstr(text, "second") > strstr(text, "first"));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_is_noticed_while_it_waits)
+{
+    fixture f;
+    int fd;
+    bbl_usec from;
+
+    open_fixture(&f);
+    f.hold = true;
+    fd = wire_connect(f.address);
+    wire_send(fd, GET);
+    wire_run(f.loop, 20);
+    ck_assert_uint_eq(f.taken, 1);
+    close(fd);
+    from = bbl_clock_now();
+    while (f.left == 0 && bbl_clock_now() < from + BBL_USEC_PER_SEC) {
+        bbl_loop_run(f.loop, 1000);
+    }
+    ck_assert_uint_eq(f.left, 1);
+    ck_assert_uint_lt(bbl_clock_now() - from, 100 * BBL_USEC_PER_MS);
+    close_fixture(&f);
+}
+END_TEST
+
+/* What is refused, and how; the connection ends after it. */
+static const struct {
+    const char *text;
+    const char *status;
+} refused[] = {
+    {"GET /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     " 400 "},
+    {"GET /x HTTP/1.1\nHost: a\n\n", " 400 "},
+    {"GET /x HTTP/1.1\r\n\r\n", " 400 "},
+    {"GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", " 400 "},
+    {"GET http://a/x HTTP/1.1\r\nHost: a\r\n\r\n", " 400 "},
+    {"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", " 413 "},
+    {"nonsense\r\n\r\n", " 400 "},
+};
+
+START_TEST(a_bad_request_is_refused_and_its_connection_ends)
+{
+    fixture f;
+    int fd;
+    const char *text;
+
+    open_fixture(&f);
+    fd = wire_connect(f.address);
+    wire_send(fd, refused[_i].text);
+    text = wire_read(f.loop, fd);
+    ck_assert_ptr_nonnull(strstr(text, refused[_i].status));
+    ck_assert_ptr_nonnull(strstr(text, "Connection: close"));
+    ck_assert_str_eq(wire_read(f.loop, fd), "");
+    ck_assert_uint_eq(f.taken, 0);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_long_head_is_refused)
+{
+    fixture f;
+    char text[1200];
+    int fd;
+
+    open_fixture(&f);
+    memset(text, 'x', sizeof(text));
+    memcpy(text, "GET /x HTTP/1.1\r\nX: ", 20);
+    text[sizeof(text) - 1] = '\0';
+    fd = wire_connect(f.address);
+    wire_send(fd, text);
+    ck_assert_ptr_nonnull(strstr(wire_read(f.loop, fd), " 431 "));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(slow_heads_and_idle_connections_end)
+{
+    fixture f;
+    int slow;
+    int idle;
+
+    open_fixture(&f);
+    slow = wire_connect(f.address);
+    idle = wire_connect(f.address);
+    wire_send(slow, "GET /x HTTP/1.1\r\n");
+    wire_run(f.loop, 150);
+    bbl_edge_tick(f.edge, bbl_clock_now());
+    ck_assert_ptr_nonnull(strstr(wire_read(f.loop, slow), " 408 "));
+    ck_assert_uint_eq(bbl_edge_connections(f.edge), 2);
+    wire_run(f.loop, 350);
+    bbl_edge_tick(f.edge, bbl_clock_now());
+    ck_assert_str_eq(wire_read(f.loop, idle), "");
+    close(slow);
+    close(idle);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_drain_ends_connections_with_their_answers)
+{
+    fixture f;
+    int busy;
+    int idle;
+    const char *text;
+
+    open_fixture(&f);
+    f.hold = true;
+    busy = wire_connect(f.address);
+    idle = wire_connect(f.address);
+    wire_send(busy, GET);
+    wire_run(f.loop, 20);
+    bbl_edge_drain(f.edge);
+    bbl_edge_close_idle(f.edge, 0, bbl_clock_now());
+    ck_assert_str_eq(wire_read(f.loop, idle), "");
+    /* After that nothing new is taken in that would get no answer. */
+    bbl_edge_stop_listening(f.edge);
+    ck_assert_int_eq(wire_connect(f.address), -1);
+    bbl_edge_answer_text(f.call, 200, "", "last");
+    text = wire_read(f.loop, busy);
+    ck_assert_ptr_nonnull(strstr(text, "last"));
+    ck_assert_ptr_nonnull(strstr(text, "Connection: close"));
+    close(busy);
+    close(idle);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(a_body_may_be_announced_first)
+{
+    fixture f;
+    int fd;
+
+    open_fixture(&f);
+    fd = wire_connect(f.address);
+    wire_send(fd, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                  "Expect: 100-continue\r\n\r\n");
+    ck_assert_ptr_nonnull(strstr(wire_read(f.loop, fd), " 100 Continue"));
+    wire_send(fd, "abc");
+    ck_assert_ptr_nonnull(strstr(wire_read(f.loop, fd), " 200 "));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
+
+int
+main(void)
+{
+    Suite *suite = suite_create("edge");
+    TCase *tc = tcase_create("edge");
+
+    tcase_add_test(tc, a_connection_is_kept);
+    tcase_add_test(tc, pipelined_requests_are_answered_in_order);
+    tcase_add_test(tc, a_caller_that_leaves_is_noticed_while_it_waits);
+    tcase_add_loop_test(tc, a_bad_request_is_refused_and_its_connection_ends,
+                        0, COUNT(refused));
+    tcase_add_test(tc, a_long_head_is_refused);
+    tcase_add_test(tc, slow_heads_and_idle_connections_end);
+    tcase_add_test(tc, a_drain_ends_connections_with_their_answers);
+    tcase_add_test(tc, a_body_may_be_announced_first);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
