--- a/src/control/control.c
+++ b/src/control/control.c
@@ -641,10 +641,34 @@
     c->beats_relayed++;
 }
 
+/*
+ * Returns the index that a lease granted now must name: the last public entry
+ * of the log, committed or not. An assignment that is proposed but not yet
+ * committed would otherwise come into force under leases that do not know it.
+ */
+static uint64_t
+required_index(const bbl_control *c)
+{
+    bbl_quorum_status s;
+
+    bbl_quorum_get_status(c->quorum, &s);
+    for (uint64_t i = s.last; i > s.commit; i--) {
+        uint64_t term;
+        bbl_str data;
+
+        if (bbl_quorum_entry(c->quorum, i, &term, &data) == 0 &&
+            bbl_state_is_public(data)) {
+            return i;
+        }
+    }
+    return c->public_index;
+}
+
 /* Answers beats as the leader: one grant each. */
 static u_int
 grant_beats(bbl_control *c, const bblx_heartbeat *h, bblx_grant *grants)
 {
+    uint64_t required = required_index(c);
     u_int n = 0;
 
     for (u_int i = 0; i < h->beats.beats_len; i++) {
@@ -659,7 +683,7 @@
         grants[n].host = b->host;
         grants[n].incarnation = b->incarnation;
         grants[n].seq = b->seq;
-        grants[n].required = c->public_index;
+        grants[n].required = required;
         grants[n].lease_us = (u_int)c->options.lease;
         n++;
     }
@@ -1014,7 +1038,7 @@
     grant.host = c->options.host;
     grant.incarnation = c->options.incarnation;
     grant.seq = beat.seq;
-    grant.required = c->public_index;
+    grant.required = required_index(c);
     grant.lease_us = (u_int)c->options.lease;
     take_grant(c, &grant);
 }
