--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -254,8 +254,11 @@
 {
     bbl_gateway *g = ctx;
 
-    bbl_backend_link_set_limit(
-        b->link, bbl_forwarder_connections(g->forwarder, bbl_clock_now(), b));
+    bool keep;
+    unsigned limit =
+        bbl_forwarder_connections(&keep, g->forwarder, bbl_clock_now(), b);
+
+    bbl_backend_link_set_limit(b->link, limit, keep);
 }
 
 static void
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -26,7 +26,9 @@
 #define KEEP_US (300 * BBL_USEC_PER_MS)
 #define SERVICE_US (50 * BBL_USEC_PER_MS)
 #define CATALOG_EVERY_US (600 * BBL_USEC_PER_MS) /* of the leader */
-#define CATALOG_RATE_SHARE 0.5 /* of the platform's calls a second */
+#define CATALOG_LEADER_SHARE 0.2 /* of the platform's calls a second */
+#define CATALOG_OTHERS_SHARE 0.2 /* of all entry hosts that read themselves   \
+                                  */
 #define CATALOG_STALE_US                                                      \
     (1500 * BBL_USEC_PER_MS) /* then an entry host reads                      \
                                 the list itself */
@@ -238,7 +240,8 @@
     double pages = bbl_catalog_client_pages(n->catalog);
     double readers = leads || n->entry_hosts == 0 ? 1 : n->entry_hosts;
     double least = pages * readers * 1e6 /
-                   (n->options->catalog_per_s * CATALOG_RATE_SHARE);
+                   (n->options->catalog_per_s *
+                    (leads ? CATALOG_LEADER_SHARE : CATALOG_OTHERS_SHARE));
 
     return least > (double)CATALOG_EVERY_US ? (bbl_usec)least
                                             : CATALOG_EVERY_US;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -25,7 +25,10 @@
     (400 * BBL_USEC_PER_MS) /* silence longer than a pause                    \
                              */
 #define SILENT_TIMES 6 /* service times: the slowest work takes that long */
-#define FULL_US (10 * BBL_USEC_PER_MS)   /* a refusal keeps a server aside */
+#define FULL_US (10 * BBL_USEC_PER_MS) /* a refusal keeps a server aside */
+#define TURNED_AWAY_US                                                        \
+    (200 * BBL_USEC_PER_MS)              /* the same, without any             \
+                                  connection left at the server */
 #define RECHECK_US (4 * BBL_USEC_PER_MS) /* of a hedge that cannot start */
 #define LEFT_GRACE_US                                                         \
     (200 * BBL_USEC_PER_MS)                   /* work of a caller that left   \
@@ -293,7 +296,8 @@
 }
 
 unsigned
-bbl_forwarder_connections(bbl_forwarder *f, bbl_usec now, const bbl_backend *b)
+bbl_forwarder_connections(bool *keep, bbl_forwarder *f, bbl_usec now,
+                          const bbl_backend *b)
 {
     const bblx_label *service = &b->listed.service;
     bbl_pool *pool =
@@ -304,12 +308,13 @@
     bbl_subset_input in = {f->options.seed,
                            CONNECTION_SHARE * all / f->entry_hosts};
 
+    *keep = false;
     if (b->listed.leaving || b->listed.gone) {
         return 0;
     }
     for (size_t i = 0; i < pool->backends.size; i++) {
         if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
-            return bbl_subset_connections(&in, pool->backends.ptr,
+            return bbl_subset_connections(keep, &in, pool->backends.ptr,
                                           pool->backends.size, i, now);
         }
     }
@@ -1066,7 +1071,9 @@
     }
     if (m == MEANS_NOT_RUN && r->end != BBL_ATTEMPT_UNSENT) {
         f->counters.shed++;
-        b->full_until = now + FULL_US;
+        b->full_until =
+            now +
+            (r->end == BBL_ATTEMPT_TURNED_AWAY ? TURNED_AWAY_US : FULL_US);
     }
     set_changed(f, now, b, before);
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -233,9 +233,13 @@
 /* Returns the version of the routing in force, 0 without one. */
 uint64_t bbl_forwarder_version(const bbl_forwarder *forwarder);
 
-/* Returns how many connections this host may hold to a server. */
-unsigned bbl_forwarder_connections(bbl_forwarder *forwarder, bbl_usec now,
-                                   const bbl_backend *backend);
+/*
+ * Returns how many connections this host may hold to a server.
+ *
+ * @param keep set to whether one should stay open without need
+ */
+unsigned bbl_forwarder_connections(bool *keep, bbl_forwarder *forwarder,
+                                   bbl_usec now, const bbl_backend *backend);
 
 const bbl_forward_counters *
 bbl_forwarder_get_counters(const bbl_forwarder *forwarder);
--- a/src/forward/subset.c
+++ b/src/forward/subset.c
@@ -30,12 +30,14 @@
 }
 
 unsigned
-bbl_subset_connections(const bbl_subset_input *in, bbl_backend *const *servers,
-                       size_t count, size_t index, bbl_usec now)
+bbl_subset_connections(bool *keep, const bbl_subset_input *in,
+                       bbl_backend *const *servers, size_t count, size_t index,
+                       bbl_usec now)
 {
     size_t most;
     size_t before = 0;
 
+    *keep = true;
     if (in->share >= 1) {
         return (unsigned)in->share;
     }
@@ -45,5 +47,6 @@
         before +=
             i != index && goes_before(in, servers[i], servers[index], now);
     }
+    *keep = before == 0;
     return before < most ? 1 : 0;
 }
--- a/src/forward/subset.h
+++ b/src/forward/subset.h
@@ -20,8 +20,12 @@
 /*
  * Returns how many connections the host may hold to servers[index]; 0: it
  * leaves that one to others.
+ *
+ * @param keep set to whether one of them should stay open without need;
+ *             where connections are few only one server's does, so that a
+ *             server has room for all hosts again after they lost theirs
  */
-unsigned bbl_subset_connections(const bbl_subset_input *in,
+unsigned bbl_subset_connections(bool *keep, const bbl_subset_input *in,
                                 bbl_backend *const *servers, size_t count,
                                 size_t index, bbl_usec now);
 
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -23,6 +23,11 @@
     (2 * BBL_USEC_PER_SEC)                /* idle time of a connection        \
                             beyond the first: bursts are shorter */
 #define REOPEN_US (300 * BBL_USEC_PER_MS) /* between connections ahead */
+#define TURNED_AWAY_US                                                        \
+    (1000 * BBL_USEC_PER_MS) /* the same, of a full server */
+#define SHORT_LIFE_US                                                         \
+    (50 * BBL_USEC_PER_MS) /* a connection that ends so soon                  \
+                             was one too many */
 #define STATUS_CONTINUE_LAST 199
 
 typedef enum { LINE_CONNECTING, LINE_IDLE, LINE_BUSY, LINE_DEAD } line_state;
@@ -40,6 +45,7 @@
     bbl_usec idle_until;
     bool has_request;
     bool any_sent;
+    bool used; /* it has carried a whole exchange */
     bool no_body;
     bbl_buf request_id;
     bbl_exchange_done done; /* NULL: nobody waits */
@@ -57,6 +63,9 @@
     unsigned limit;
     unsigned busy;
     bbl_usec opened_ahead; /* last connection opened without a request */
+    bbl_usec pause;        /* until the next such one */
+    bool keep;             /* one connection stays open */
+    bool unreachable;      /* the last connection could not be opened */
     bool freed;
     bbl_vec lines; /* line *, the one used last at the end */
 };
@@ -129,6 +138,12 @@
     bool freed = l->link->freed;
 
     l->done = NULL;
+    if (connecting) {
+        l->link->unreachable = end == BBL_EXCHANGE_UNSENT;
+        l->link->opened_ahead = bbl_clock_now();
+        l->link->pause =
+            end == BBL_EXCHANGE_TURNED_AWAY ? TURNED_AWAY_US : REOPEN_US;
+    }
     line_close(l);
     if (connecting) {
         client->counters.connect_failures++;
@@ -194,6 +209,7 @@
 {
     l->idle_until = now + (idle > IDLE_MARGIN_US ? idle - IDLE_MARGIN_US : 0);
     l->has_request = false;
+    l->used = true;
     l->link->busy--;
     l->any_sent = false;
     l->state = LINE_IDLE;
@@ -338,8 +354,12 @@
     bool strays = recv(l->fd, &byte, 1, MSG_DONTWAIT) > 0;
 
     client->counters.stray += strays;
+    if (!l->used && bbl_clock_now() < l->since + SHORT_LIFE_US) {
+        link->opened_ahead = l->since;
+        link->pause = TURNED_AWAY_US;
+    }
     line_close(l);
-    if (link->lines.size == 0 && !link->freed) {
+    if (link->lines.size == 0 && link->keep && !link->freed) {
         /* The last one: find out whether the server is still there. */
         bbl_backend_link_open(link, bbl_clock_now());
     }
@@ -373,6 +393,7 @@
         l->idle_until = l->since + IDLE_DEFAULT_US;
         watch(l, EPOLLIN | EPOLLRDHUP);
     }
+    l->link->unreachable = false;
     if (l->state != LINE_DEAD && !l->link->freed) {
         client->options.opened(client->options.ctx, l->link->owner, true);
     }
@@ -567,9 +588,10 @@
 }
 
 void
-bbl_backend_link_set_limit(bbl_backend_link *link, unsigned limit)
+bbl_backend_link_set_limit(bbl_backend_link *link, unsigned limit, bool keep)
 {
     link->limit = limit;
+    link->keep = keep;
     while (link->lines.size > limit && drop_idle(link)) {
     }
 }
@@ -590,8 +612,9 @@
 bbl_backend_link_open(bbl_backend_link *link, bbl_usec now)
 {
     if (link->lines.size < link->limit &&
-        (link->opened_ahead == 0 || now >= link->opened_ahead + REOPEN_US)) {
+        (link->opened_ahead == 0 || now >= link->opened_ahead + link->pause)) {
         link->opened_ahead = now;
+        link->pause = REOPEN_US;
         line_new(link, now);
     }
 }
@@ -652,7 +675,8 @@
     }
     else if (l->state == LINE_IDLE &&
              (now >= l->idle_until ||
-              (l->link->lines.size > 1 && now >= l->since + SURPLUS_US))) {
+              (l->link->lines.size > (l->link->keep ? 1u : 0u) &&
+               now >= l->since + SURPLUS_US))) {
         line_close(l);
     }
 }
@@ -666,7 +690,8 @@
         }
     }
     /* One connection stays open, so that the end of the server is noticed. */
-    if (link->lines.size == 0 && !link->freed) {
+    if (link->lines.size == 0 && !link->freed &&
+        (link->keep || link->unreachable)) {
         bbl_backend_link_open(link, now);
     }
 }
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -89,8 +89,12 @@
  */
 void bbl_backend_link_free(bbl_backend_link *link);
 
-/* Sets how many connections may be open at once. */
-void bbl_backend_link_set_limit(bbl_backend_link *link, unsigned limit);
+/*
+ * Sets how many connections may be open at once, and whether one stays open
+ * without need, so that the end of the server is noticed.
+ */
+void bbl_backend_link_set_limit(bbl_backend_link *link, unsigned limit,
+                                bool keep);
 
 /* Returns whether an exchange could start now. */
 bool bbl_backend_link_has_room(const bbl_backend_link *link);
--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -153,6 +153,7 @@
     }
     if (c->link == NULL) {
         c->link = bbl_backend_link_new(c->client, c->options.platform, c);
+        bbl_backend_link_set_limit(c->link, 1, false);
     }
     c->started = now;
     clear_backends(c);
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -66,7 +66,7 @@
     ck_assert_int_eq(bbl_loop_open(&f->loop), 0);
     ck_assert_int_eq(bbl_backend_client_open(&f->client, f->loop, &o), 0);
     f->link = bbl_backend_link_new(f->client, f->address, f);
-    bbl_backend_link_set_limit(f->link, 2);
+    bbl_backend_link_set_limit(f->link, 2, true);
 }
 
 static void
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -367,17 +367,19 @@
     for (unsigned h = 0; h < HOSTS; h++) {
         bbl_subset_input in = {h * 977 + 13, 54 * 0.9 / HOSTS};
         unsigned used = 0;
+        bool keep;
 
         for (int i = 0; i < SUBSET_SERVERS; i++) {
             servers[i].same_zone = (unsigned)i == h % SUBSET_SERVERS;
         }
         for (int i = 0; i < SUBSET_SERVERS; i++) {
-            unsigned n = bbl_subset_connections(&in, list, SUBSET_SERVERS,
-                                                (size_t)i, SEC);
+            unsigned n = bbl_subset_connections(
+                &keep, &in, list, SUBSET_SERVERS, (size_t)i, SEC);
 
             hosts[i] += n;
             used += n;
             ck_assert(!servers[i].same_zone || n == 1);
+            ck_assert(keep == servers[i].same_zone);
         }
         ck_assert_uint_eq(used, 2);
     }
@@ -392,6 +394,7 @@
     bbl_backend servers[SUBSET_SERVERS];
     bbl_backend *list[SUBSET_SERVERS];
     bbl_subset_input in = {5, 0.7};
+    bool keep;
 
     memset(servers, 0, sizeof(servers));
     for (int i = 0; i < SUBSET_SERVERS; i++) {
@@ -400,13 +403,13 @@
         servers[i].listed.id.bblx_label_len = 1;
     }
     servers[0].same_zone = true;
-    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 0, SEC), 1);
+    ck_assert_uint_eq(bbl_subset_connections(&keep, &in, list, 3, 0, SEC), 1);
     servers[0].down = true;
-    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 0, SEC), 0);
-    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 1, SEC), 1);
-    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 2, SEC), 1);
+    ck_assert_uint_eq(bbl_subset_connections(&keep, &in, list, 3, 0, SEC), 0);
+    ck_assert_uint_eq(bbl_subset_connections(&keep, &in, list, 3, 1, SEC), 1);
+    ck_assert_uint_eq(bbl_subset_connections(&keep, &in, list, 3, 2, SEC), 1);
     in.share = 3.3;
-    ck_assert_uint_eq(bbl_subset_connections(&in, list, 3, 1, SEC), 3);
+    ck_assert_uint_eq(bbl_subset_connections(&keep, &in, list, 3, 1, SEC), 3);
 }
 END_TEST
 
