--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -26,12 +26,15 @@
 #define KEEP_US (300 * BBL_USEC_PER_MS)
 #define SERVICE_US (50 * BBL_USEC_PER_MS)
 #define CATALOG_EVERY_US (600 * BBL_USEC_PER_MS) /* of the leader */
-#define CATALOG_LEADER_SHARE 0.2 /* of the platform's calls a second */
-#define CATALOG_OTHERS_SHARE 0.2 /* of all entry hosts that read themselves   \
-                                  */
+#define CATALOG_SPARING_SHARE                                                 \
+    0.2 /* of the platform's calls a second, usually */
+#define CATALOG_MOST_SHARE 0.5
+#define CATALOG_LONGEST_US                                                    \
+    (1200 * BBL_USEC_PER_MS) /* of the leader, while                          \
+                      half of the rate allows it */
 #define CATALOG_STALE_US                                                      \
-    (1500 * BBL_USEC_PER_MS) /* then an entry host reads                      \
-                                the list itself */
+    (3000 * BBL_USEC_PER_MS) /* of two readings that fail;                    \
+        then an entry host reads the list itself */
 #define CATALOG_CONFIRM_US (250 * BBL_USEC_PER_MS)
 #define CONTROL_SILENT_US (1500 * BBL_USEC_PER_MS)
 #define REREAD_EVERY_US (3 * BBL_USEC_PER_SEC) /* while no leader answers */
@@ -239,12 +242,14 @@
 {
     double pages = bbl_catalog_client_pages(n->catalog);
     double readers = leads || n->entry_hosts == 0 ? 1 : n->entry_hosts;
-    double least = pages * readers * 1e6 /
-                   (n->options->catalog_per_s *
-                    (leads ? CATALOG_LEADER_SHARE : CATALOG_OTHERS_SHARE));
+    double calls = pages * readers * 1e6 / n->options->catalog_per_s;
+    bbl_usec sparing = (bbl_usec)(calls / CATALOG_SPARING_SHARE);
+    bbl_usec least = (bbl_usec)(calls / CATALOG_MOST_SHARE);
 
-    return least > (double)CATALOG_EVERY_US ? (bbl_usec)least
-                                            : CATALOG_EVERY_US;
+    if (leads && sparing > CATALOG_LONGEST_US) {
+        return least > CATALOG_LONGEST_US ? least : CATALOG_LONGEST_US;
+    }
+    return sparing > CATALOG_EVERY_US ? sparing : CATALOG_EVERY_US;
 }
 
 static void
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -15,11 +15,12 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 
-#define FIRST_GUESS 6    /* of a route's service time: its target over this */
-#define PACE_WEIGHT 32   /* the mean follows one attempt by this part of it */
-#define USUAL_WEIGHT 256 /* the usual time follows by this part */
-#define PACE_CLIP 3      /* means a single attempt counts for at most */
-#define PATIENCE 2       /* service times of silence that look like a stall */
+#define FIRST_GUESS 6     /* of a route's service time: its target over this */
+#define PACE_QUANTILE 0.6 /* of the times of attempts, that counts as usual   \
+                           */
+#define PACE_STEPS 48.0   /* one attempt moves the estimate by that part */
+#define USUAL_WEIGHT 256  /* the usual time follows by this part */
+#define PATIENCE 2        /* service times of silence that look like a stall */
 #define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
 #define STALL_DOWN_US                                                         \
     (400 * BBL_USEC_PER_MS) /* silence longer than a pause                    \
@@ -331,10 +332,14 @@
     return p < PATIENCE_LEAST_US ? PATIENCE_LEAST_US : p;
 }
 
+/*
+ * Follows the time that most attempts take. A mean would follow the few that
+ * meet a pause or a slow server, and hedges would wait for those.
+ */
 static void
 learn_pace(bbl_route_pace *p, bbl_usec took, bool congested)
 {
-    bbl_usec most = PACE_CLIP * p->service_time;
+    double step = (double)p->service_time / PACE_STEPS;
 
     if (!p->measured) {
         p->measured = true;
@@ -342,9 +347,12 @@
         p->usual_time = took + 1;
         return;
     }
-    took = took < most ? took : most;
-    p->service_time =
-        (p->service_time * (PACE_WEIGHT - 1) + took) / PACE_WEIGHT + 1;
+    if (took > p->service_time) {
+        p->service_time += (bbl_usec)(step * PACE_QUANTILE) + 1;
+    }
+    else {
+        p->service_time -= (bbl_usec)(step * (1 - PACE_QUANTILE));
+    }
     if (!congested) {
         p->usual_time =
             (p->usual_time * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT + 1;
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -17,7 +17,7 @@
 
 /* What is known of the requests on one route name. */
 typedef struct {
-    bbl_usec service_time; /* mean time of an attempt, queues included */
+    bbl_usec service_time; /* usual time of an attempt, queues included */
     bbl_usec usual_time;   /* the same while there are no queues */
     bool measured;
 } bbl_route_pace;
