--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -35,6 +35,10 @@
 #define CATALOG_STALE_US                                                      \
     (3000 * BBL_USEC_PER_MS) /* of two readings that fail;                    \
         then an entry host reads the list itself */
+#define CATALOG_WAIT_US                                                       \
+    (1500 * BBL_USEC_PER_MS) /* for an election and the feed */
+#define PAGES_AT_START 3     /* of 50 servers each, on the platforms known */
+#define PAGES_MAX 10000
 #define CATALOG_CONFIRM_US (250 * BBL_USEC_PER_MS)
 #define CONTROL_SILENT_US (1500 * BBL_USEC_PER_MS)
 #define REREAD_EVERY_US (3 * BBL_USEC_PER_SEC) /* while no leader answers */
@@ -53,6 +57,7 @@
     bool has_reread;
     uint64_t incarnation;
     bbl_usec now;
+    bbl_usec started;
     bbl_loop *loop;
     bbl_mesh *mesh;
     bbl_control *control;
@@ -252,22 +257,40 @@
     return sparing > CATALOG_EVERY_US ? sparing : CATALOG_EVERY_US;
 }
 
+/*
+ * Whether this host reads the list, and how much of it. One that has just
+ * started gets the leader's list with its feed, but a short one is sooner
+ * read than an election is over.
+ */
+static unsigned
+pages_to_read(const node *n, bool leads)
+{
+    bbl_usec age = bbl_control_catalog_age(n->control, n->now);
+
+    if (leads) {
+        return PAGES_MAX;
+    }
+    if (n->gateway == NULL || age <= CATALOG_STALE_US) {
+        return 0;
+    }
+    return n->now > n->started + CATALOG_WAIT_US ? PAGES_MAX : PAGES_AT_START;
+}
+
 static void
 tick_catalog(node *n)
 {
     bool leads = bbl_control_leads(n->control, n->now);
-    bbl_usec age = bbl_control_catalog_age(n->control, n->now);
+    unsigned pages;
 
     if (n->catalog == NULL) {
         return;
     }
     bbl_catalog_client_tick(n->catalog, n->now);
-    if (n->now < n->next_catalog ||
-        !(leads || (n->gateway != NULL && age > CATALOG_STALE_US))) {
-        return;
-    }
-    if (bbl_catalog_client_read(n->catalog, n->now)) {
-        n->next_catalog = n->now + catalog_interval(n, leads);
+    pages = n->now < n->next_catalog ? 0 : pages_to_read(n, leads);
+    if (pages > 0 && bbl_catalog_client_read(n->catalog, n->now, pages)) {
+        n->next_catalog = pages == PAGES_AT_START
+                              ? n->started + CATALOG_WAIT_US
+                              : n->now + catalog_interval(n, leads);
     }
 }
 
@@ -718,6 +741,7 @@
     n.reread_ctx = ctx;
     n.incarnation = bbl_clock_wall_ms() * 1000;
     n.now = bbl_clock_now();
+    n.started = n.now;
     n.signals = -1;
     bbl_log_setup(options->log_level, options->control.ip);
     bbl_log_defer(options->log_lines);
--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -10,7 +10,6 @@
 #define READ_TIMEOUT_US (1000 * BBL_USEC_PER_MS) /* of a whole list */
 #define CONNECT_TIMEOUT_US (400 * BBL_USEC_PER_MS)
 #define PAGE_MAX_BYTES (4u << 20)
-#define PAGES_MAX 10000
 
 struct bbl_catalog_client {
     bbl_catalog_options options;
@@ -22,6 +21,7 @@
     bbl_buf next;     /* page to read */
     size_t skipped;
     unsigned pages;
+    unsigned most_pages;
     unsigned last_pages;
     uint64_t calls;
 };
@@ -82,11 +82,15 @@
     }
     if (c->options.dialect->read_catalog(&c->backends, &c->next, &c->skipped,
                                          bbl_buf_str(&r->message->body)) !=
-            0 ||
-        ++c->pages > PAGES_MAX) {
+        0) {
         fail(c, bbl_error_last());
         return;
     }
+    c->pages++;
+    if (c->next.size > 0 && c->pages >= c->most_pages) {
+        fail(c, "the list is longer than is read now");
+        return;
+    }
     if (c->next.size > 0) {
         read_page(c, bbl_clock_now());
         return;
@@ -146,7 +150,7 @@
 }
 
 bool
-bbl_catalog_client_read(bbl_catalog_client *c, bbl_usec now)
+bbl_catalog_client_read(bbl_catalog_client *c, bbl_usec now, unsigned most)
 {
     if (c->exchange != NULL) {
         return false;
@@ -156,6 +160,7 @@
         bbl_backend_link_set_limit(c->link, 1, false);
     }
     c->started = now;
+    c->most_pages = most;
     clear_backends(c);
     read_page(c, now);
     return true;
--- a/src/net/catalog_client.h
+++ b/src/net/catalog_client.h
@@ -26,8 +26,13 @@
                             const bbl_catalog_options *options);
 void bbl_catalog_client_free(bbl_catalog_client *client);
 
-/* Starts a reading unless one is under way; returns whether it did. */
-bool bbl_catalog_client_read(bbl_catalog_client *client, bbl_usec now);
+/*
+ * Starts a reading unless one is under way; returns whether it did.
+ *
+ * @param most pages; a longer list is given up
+ */
+bool bbl_catalog_client_read(bbl_catalog_client *client, bbl_usec now,
+                             unsigned most);
 
 /* Passes time. */
 void bbl_catalog_client_tick(bbl_catalog_client *client, bbl_usec now);
