--- a/scripts/install-test.sh
+++ b/scripts/install-test.sh
@@ -7,7 +7,7 @@
 DESTDIR=$stage cmake --install "$1" --prefix /usr >/dev/null
 "$stage/usr/bin/baobablatch" --version | grep -q '^baobablatch '
 "$stage/usr/bin/baobablatch" --help | grep -q 'lists'
-for c in serve init lists status dump drain voter query; do
+for c in serve forward explain init lists status dump drain voter query; do
     # Every subcommand has its own --help and --version.
     "$stage/usr/bin/baobablatch" "$c" --version | grep -q '^baobablatch '
     [ "$c" = lists ] || "$stage/usr/bin/baobablatch" "$c" --help >/dev/null
