--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -229,10 +229,11 @@
 {
     node *n = ctx;
 
+    bbl_usec age = bbl_control_catalog_age(n->control, n->now);
+
     if (!n->catalog_failing) {
         bbl_log(BBL_EV_CATALOG_FAILED, "reason=\"%s\" age_ms=%lld", reason,
-                (long long)(bbl_control_catalog_age(n->control, n->now) /
-                            BBL_USEC_PER_MS));
+                age == UINT64_MAX ? -1LL : (long long)(age / BBL_USEC_PER_MS));
     }
     n->catalog_failing = true;
 }
