Sanitizers and fuzzing reach the forwarding decoders and processes

Cause: the address and thread sanitizers ran none of the tests of forwarding, and the fuzzer none of its three decoders (routing document, page of backend servers, HTTP message). Found by it: a comparison of two empty wire names handed NULL to memcmp (undefined; test control_join shows it under the sanitizer). Also: the constants of the forwarder are laid out so that the formatter agrees.

--- a/include/bbl/types.h
+++ b/include/bbl/types.h
@@ -28,6 +28,9 @@
     size_t size;
 } bbl_str;
 
+/* Returns whether two strings are equal; an empty one may have no `ptr`. */
+bool bbl_str_equal(bbl_str a, bbl_str b);
+
 /* Fills `out` from bytes; returns 0, or BBL_EINVAL when empty or too long. */
 int bbl_name_set(bbl_name *out, const char *ptr, size_t size);
 
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -20,7 +20,8 @@
 bad=0
 if [ "$kind" = address ]; then
     export UBSAN_OPTIONS=halt_on_error=1
-    for t in util lists journal gather; do
+    for t in util lists journal gather routing platform http_message \
+        forward_policy forwarder edge backend_link voter_plan control_join; do
         "$build/tests/test_$t" >>"$log" 2>&1 || bad=1
     done
     RC_PARAMS="seed=1 max_success=60" "$build/tests/property_control" >>"$log" 2>&1 || bad=1
@@ -30,6 +31,7 @@
 export ASAN_OPTIONS="log_path=$PWD/out/asan"
 rm -f out/tsan.* out/asan.*
 CLUSTER_BIN=$PWD/$build CLUSTER_PORT=24000 scripts/demo.sh >>"$log" 2>&1 || bad=1
+scripts/forward-test.sh "$build" >>"$log" 2>&1 || bad=1
 for f in out/tsan.* out/asan.*; do
     [ -e "$f" ] && { cat "$f" >>"$log"; bad=1; }
 done
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -151,9 +151,7 @@
 {
     return a->incarnation == b->incarnation && a->live == b->live &&
            a->draining == b->draining && a->entry == b->entry &&
-           a->zone.bblx_name_len == b->zone.bblx_name_len &&
-           memcmp(a->zone.bblx_name_val, b->zone.bblx_name_val,
-                  a->zone.bblx_name_len) == 0 &&
+           bbl_str_equal(bbl_name_view(&a->zone), bbl_name_view(&b->zone)) &&
            memcmp(&a->control, &b->control, sizeof(a->control)) == 0 &&
            memcmp(&a->traffic, &b->traffic, sizeof(a->traffic)) == 0;
 }
@@ -180,14 +178,6 @@
     return true;
 }
 
-static bool
-same_label(const bblx_label *a, const bblx_label *b)
-{
-    return a->bblx_label_len == b->bblx_label_len &&
-           memcmp(a->bblx_label_val, b->bblx_label_val, a->bblx_label_len) ==
-               0;
-}
-
 static bool
 same_backend(const bblx_backend *a, const bblx_backend *b)
 {
@@ -195,10 +185,9 @@
            a->born == b->born && a->slots == b->slots &&
            a->address.ip == b->address.ip &&
            a->address.port == b->address.port &&
-           same_label(&a->service, &b->service) &&
-           a->zone.bblx_name_len == b->zone.bblx_name_len &&
-           memcmp(a->zone.bblx_name_val, b->zone.bblx_name_val,
-                  a->zone.bblx_name_len) == 0;
+           bbl_str_equal(bbl_label_view(&a->service),
+                         bbl_label_view(&b->service)) &&
+           bbl_str_equal(bbl_name_view(&a->zone), bbl_name_view(&b->zone));
 }
 
 static bool
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -121,9 +121,7 @@
     for (size_t i = s->changes.size; i > 0; i--) {
         bblx_change_record *r = bbl_vec_at(&s->changes, i - 1);
 
-        if (r->change.bblx_name_len == change->bblx_name_len &&
-            memcmp(r->change.bblx_name_val, change->bblx_name_val,
-                   change->bblx_name_len) == 0) {
+        if (bbl_str_equal(bbl_name_view(&r->change), bbl_name_view(change))) {
             return r;
         }
     }
@@ -359,9 +357,7 @@
     for (size_t i = 0; i < s->evacuated.size; i++) {
         const bblx_name *e = bbl_vec_at(&s->evacuated, i);
 
-        if (e->bblx_name_len == zone->bblx_name_len &&
-            memcmp(e->bblx_name_val, zone->bblx_name_val,
-                   zone->bblx_name_len) == 0) {
+        if (bbl_str_equal(bbl_name_view(e), bbl_name_view(zone))) {
             return (long)i;
         }
     }
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -15,28 +15,32 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 
-#define FIRST_GUESS 6     /* of a route's service time: its target over this */
-#define PACE_QUANTILE 0.6 /* of the times of attempts, that counts as usual   \
-                           */
-#define PACE_STEPS 48.0   /* one attempt moves the estimate by that part */
-#define USUAL_WEIGHT 256  /* the usual time follows by this part */
-#define PATIENCE 2        /* service times of silence that look like a stall */
+/* The first guess of a route's service time is its target over this. */
+#define FIRST_GUESS 6
+/* The usual time of an attempt is this quantile of the recent ones. */
+#define PACE_QUANTILE 0.6
+#define PACE_STEPS 48.0  /* one attempt moves the estimate by that part */
+#define USUAL_WEIGHT 256 /* the usual time follows by this part */
+/* Service times of silence after which a server looks stalled. */
+#define PATIENCE 2
 #define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
-#define STALL_DOWN_US                                                         \
-    (400 * BBL_USEC_PER_MS) /* silence longer than a pause                    \
-                             */
-#define SILENT_TIMES 6 /* service times: the slowest work takes that long */
-#define FULL_US (10 * BBL_USEC_PER_MS) /* a refusal keeps a server aside */
-#define TURNED_AWAY_US                                                        \
-    (200 * BBL_USEC_PER_MS)              /* the same, without any             \
-                                  connection left at the server */
-#define RECHECK_US (4 * BBL_USEC_PER_MS) /* of a hedge that cannot start */
-#define LEFT_GRACE_US                                                         \
-    (200 * BBL_USEC_PER_MS)                   /* work of a caller that left   \
-                                               */
-#define LATE_GRACE_US (100 * BBL_USEC_PER_MS) /* past a deadline */
-#define LEAST_LEFT_US (3 * BBL_USEC_PER_MS)   /* no attempt gets less time */
-#define HOLD_SHARE 5 /* an unsent request waits for its target over this */
+/* Silence of that length is no pause: the server counts as down. */
+#define STALL_DOWN_US (400 * BBL_USEC_PER_MS)
+/* The slowest work takes that many service times. */
+#define SILENT_TIMES 6
+/* A server that refused for load is passed over that long, and longer when
+ * no connection to it is left. */
+#define FULL_US (10 * BBL_USEC_PER_MS)
+#define TURNED_AWAY_US (200 * BBL_USEC_PER_MS)
+/* A hedge that found no place is tried again after that time. */
+#define RECHECK_US (4 * BBL_USEC_PER_MS)
+/* Work goes on that long for a caller that left, or past a deadline. */
+#define LEFT_GRACE_US (200 * BBL_USEC_PER_MS)
+#define LATE_GRACE_US (100 * BBL_USEC_PER_MS)
+/* No attempt starts with less time left. */
+#define LEAST_LEFT_US (3 * BBL_USEC_PER_MS)
+/* An unsent request waits for its route's target over this. */
+#define HOLD_SHARE 5
 #define RETRY_AFTER_MS 250 /* when nothing better is known */
 #define NO_ROUTING_RETRY_MS                                                   \
     600 /* a host that has started learns the routing                         \
--- a/src/forward/pools.c
+++ b/src/forward/pools.c
@@ -11,12 +11,6 @@
     return bbl_hash(ptr, size, 31);
 }
 
-static bbl_str
-label_str(const bblx_label *l)
-{
-    return (bbl_str){l->bblx_label_val, l->bblx_label_len};
-}
-
 bbl_pool *
 bbl_pools_get(bbl_pools *p, bbl_str service)
 {
@@ -35,7 +29,7 @@
 static void
 unlist(bbl_pools *p, bbl_backend *b)
 {
-    bbl_pool *pool = bbl_pools_get(p, label_str(&b->listed.service));
+    bbl_pool *pool = bbl_pools_get(p, bbl_label_view(&b->listed.service));
 
     for (size_t i = 0; i < pool->backends.size; i++) {
         if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
@@ -49,9 +43,7 @@
 is_out(const bblx_name *zone, const bbl_name *evacuated, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        if (evacuated[i].size == zone->bblx_name_len &&
-            memcmp(evacuated[i].ptr, zone->bblx_name_val,
-                   zone->bblx_name_len) == 0) {
+        if (bbl_str_equal(bbl_name_str(&evacuated[i]), bbl_name_view(zone))) {
             return true;
         }
     }
@@ -61,9 +53,8 @@
 static bool
 same_service(const bblx_backend *a, const bblx_backend *b)
 {
-    return a->service.bblx_label_len == b->service.bblx_label_len &&
-           memcmp(a->service.bblx_label_val, b->service.bblx_label_val,
-                  a->service.bblx_label_len) == 0;
+    return bbl_str_equal(bbl_label_view(&a->service),
+                         bbl_label_view(&b->service));
 }
 
 /* Whether the list speaks of another process than the one known so far. */
@@ -90,12 +81,11 @@
 add(bbl_pools *p, bblx_backend *listed)
 {
     bbl_backend *b = bbl_calloc(1, sizeof(*b));
-    bbl_pool *pool = bbl_pools_get(p, label_str(&listed->service));
+    bbl_pool *pool = bbl_pools_get(p, bbl_label_view(&listed->service));
 
     b->listed = *listed;
     b->same_zone =
-        b->listed.zone.bblx_name_len == p->zone.size &&
-        memcmp(b->listed.zone.bblx_name_val, p->zone.ptr, p->zone.size) == 0;
+        bbl_str_equal(bbl_name_view(&b->listed.zone), bbl_name_str(&p->zone));
     bbl_map_set(
         &p->backends,
         label_key(listed->id.bblx_label_val, listed->id.bblx_label_len), b);
--- a/src/model/codec.h
+++ b/src/model/codec.h
@@ -51,6 +51,19 @@
     return (bbl_str){text->bblx_text_val, text->bblx_text_len};
 }
 
+/* Return borrowed views of a wire name and of a wire label. */
+static inline bbl_str
+bbl_name_view(const bblx_name *name)
+{
+    return (bbl_str){name->bblx_name_val, name->bblx_name_len};
+}
+
+static inline bbl_str
+bbl_label_view(const bblx_label *label)
+{
+    return (bbl_str){label->bblx_label_val, label->bblx_label_len};
+}
+
 /* Returns a wire text that borrows `str`. */
 static inline bblx_text
 bbl_text_borrow(bbl_str str)
--- a/src/model/routing.c
+++ b/src/model/routing.c
@@ -32,13 +32,6 @@
     return (bbl_str){copy, s.size};
 }
 
-static bool
-equal(bbl_str a, bbl_str b)
-{
-    return a.size == b.size &&
-           (a.size == 0 || memcmp(a.ptr, b.ptr, a.size) == 0);
-}
-
 static uint64_t
 name_key(bbl_str name)
 {
@@ -99,7 +92,8 @@
     size_t at = (size_t)bbl_map_get(&r->service_index, name_key(name));
 
     if (at == 0 ||
-        !equal(BBL_VEC_AT(bbl_service, &r->services, at - 1)->name, name)) {
+        !bbl_str_equal(BBL_VEC_AT(bbl_service, &r->services, at - 1)->name,
+                       name)) {
         return -1;
     }
     return (long)at - 1;
@@ -255,7 +249,7 @@
     }
     route = bbl_vec_at(&r->routes, at - 1);
     return same_hostname(route->hostname, hostname) &&
-                   equal(route->path_prefix, prefix)
+                   bbl_str_equal(route->path_prefix, prefix)
                ? route
                : NULL;
 }
--- a/src/util/types.c
+++ b/src/util/types.c
@@ -23,6 +23,13 @@
     return a->size == b->size && memcmp(a->ptr, b->ptr, a->size) == 0;
 }
 
+bool
+bbl_str_equal(bbl_str a, bbl_str b)
+{
+    return a.size == b.size &&
+           (a.size == 0 || memcmp(a.ptr, b.ptr, a.size) == 0);
+}
+
 bbl_str
 bbl_name_str(const bbl_name *name)
 {
@@ -44,8 +51,7 @@
     for (int i = 0; i < BBL_URGENCY_COUNT; i++) {
         const char *name = urgency_names[i];
 
-        if (strlen(name) == text.size &&
-            memcmp(name, text.ptr, text.size) == 0) {
+        if (bbl_str_equal((bbl_str){name, strlen(name)}, text)) {
             *out = (bbl_urgency)i;
             return 0;
         }
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -5,8 +5,12 @@
 #include <string.h>
 
 #include "bbl/lists.h"
+#include "bbl/routing.h"
 #include "control/journal.h"
 #include "control/state.h"
+#include "dialect.h"
+#include "forward/dialect.h"
+#include "net/http_message.h"
 #include "net/mesh.h"
 #include "net/platform_client.h"
 #include "net/query_json.h"
@@ -101,12 +105,65 @@
     bbl_vec_free(&places);
 }
 
+static void
+fuzz_routing(bbl_str bytes)
+{
+    bbl_routing *routing;
+
+    if (bbl_platform_dialect()->read_routing(&routing, bytes) == 0) {
+        bbl_routing_check(routing);
+        bbl_routing_free(routing);
+    }
+}
+
+static void
+fuzz_catalog(bbl_str bytes)
+{
+    bbl_vec backends = BBL_VEC_INIT(bblx_backend);
+    bbl_buf next = {0};
+    size_t skipped;
+
+    bbl_platform_dialect()->read_catalog(&backends, &next, &skipped, bytes);
+    for (size_t i = 0; i < backends.size; i++) {
+        BBL_RELEASE(bblx_backend, bbl_vec_at(&backends, i));
+    }
+    bbl_vec_free(&backends);
+    bbl_buf_free(&next);
+}
+
+/* The first byte says which side speaks and where the bytes are cut. */
+static void
+fuzz_message(bbl_str bytes)
+{
+    bbl_http_message message;
+    uint8_t first = bytes.size > 0 ? (uint8_t)bytes.ptr[0] : 0;
+    size_t step = 1 + first / 2;
+    size_t used = 1;
+    size_t at = 1;
+
+    bbl_http_message_init(&message, first % 2 == 1, 512);
+    while (at < bytes.size && used > 0) {
+        size_t size = bytes.size - at < step ? bytes.size - at : step;
+
+        if (bbl_http_message_feed(&message, (bbl_str){bytes.ptr + at, size},
+                                  &used) < 0) {
+            break;
+        }
+        at += used;
+        if (message.done) {
+            bbl_http_message_reset(&message);
+        }
+    }
+    bbl_http_message_end(&message);
+    bbl_http_message_free(&message);
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     static void (*const decoders[])(bbl_str) = {
-        fuzz_frame, fuzz_journal, fuzz_command, fuzz_lists,
-        fuzz_query, fuzz_info,    fuzz_places,
+        fuzz_frame, fuzz_journal, fuzz_command, fuzz_lists,   fuzz_query,
+        fuzz_info,  fuzz_places,  fuzz_routing, fuzz_catalog, fuzz_message,
     };
     size_t count = sizeof(decoders) / sizeof(decoders[0]);
 
