A host whose limit is on takes requests on again once the burst is over

Cause: found by the new property test of the forwarder. The part of the capacity rose by 0.02 a window; a window lasts 100 ms with ten answers and 2 s without. After a burst nearly all requests were refused, so windows were long, and a host refused single requests for more than 4 s while its servers had nothing to do. Change: the part rises by time (0.2 a second, as before with short windows), and a host with nothing under way takes one request on in any case.

--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -591,6 +591,9 @@
         drop_at = q->deadline + LATE_GRACE_US;
     }
     orphan_attempts(f, q, drop_at);
+    if (q->admitted) {
+        bbl_load_limit_finish(q->limit);
+    }
     remove_query(f, q);
     table_release(q->table);
     bbl_query_free(q);
@@ -994,6 +997,7 @@
         finish_without(f, now, q, BBL_FORWARD_OVERLOAD, STATUS_UNAVAILABLE);
         return;
     }
+    q->admitted = true;
     tend(f, now, q);
 }
 
--- a/src/forward/load_limit.c
+++ b/src/forward/load_limit.c
@@ -16,7 +16,7 @@
 #define LONG_QUEUES_RATIO 2.0
 #define PART_QUEUES 0.8      /* of the capacity taken on, with queues */
 #define PART_LONG_QUEUES 0.6 /* and while long ones drain */
-#define PART_RISE 0.02       /* of the capacity, for each window without */
+#define PART_RISE 0.2        /* of the capacity, for each second without */
 #define USUAL_FLOOR 1.3      /* of the usual load is always taken on */
 #define CAPACITY_FADE 0.98   /* of the capacity seen, for each window */
 #define FREE_FACTOR 1.5      /* over what callers bring: no limit any more */
@@ -76,13 +76,13 @@
 }
 
 static void
-speed_up(bbl_load_limit *l, double offered, double least)
+speed_up(bbl_load_limit *l, double offered, double seconds, double least)
 {
     l->congested = false;
     if (l->rate == 0) {
         return;
     }
-    limit_to(l, l->part + PART_RISE, least);
+    limit_to(l, l->part + PART_RISE * seconds, least);
     if (l->rate > FREE_FACTOR * offered) {
         l->rate = 0;
     }
@@ -127,7 +127,7 @@
         slow_down(l, ratio, least);
     }
     else {
-        speed_up(l, offered, least);
+        speed_up(l, offered, seconds, least);
     }
     if (l->rate == 0) {
         learn_usual(l, offered, seconds);
@@ -165,13 +165,24 @@
     fill(l, now);
     l->offered += (double)work;
     if (l->rate > 0 && l->tokens <= reserve) {
-        return false;
+        if (l->under_way > 0) {
+            return false;
+        }
+    }
+    else {
+        /* A large request is taken on credit: sizes do not matter. */
+        l->tokens -= (double)work;
     }
-    /* A large request is taken on credit, so that sizes do not matter. */
-    l->tokens -= (double)work;
+    l->under_way++;
     return true;
 }
 
+void
+bbl_load_limit_finish(bbl_load_limit *l)
+{
+    l->under_way--;
+}
+
 void
 bbl_load_limit_sample(bbl_load_limit *l, bbl_usec now, double ratio,
                       double work, double part)
