The load limit knows the servers' slots, and rises by time only when idle

Ruled out: the rise by time alone (a host that was never busy has seen next to no capacity, and then refuses after the first short burst; property_forward finds that within 20,000 schedules). Change: full windows rise as before, those with few answers by time; the limit is at least half of this host's share of the servers' slots.

--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -278,6 +278,24 @@
                             bbl_routing_version(f->table->routing), held);
 }
 
+/* Tells the limits this host's part of what the servers can do. */
+static void
+share_slots(bbl_forwarder *f)
+{
+    bbl_pool *pool;
+    size_t pos = 0;
+
+    while ((pool = bbl_map_next(&f->pools.pools, &pos)) != NULL) {
+        double slots = 0;
+
+        for (size_t i = 0; i < pool->backends.size; i++) {
+            slots +=
+                (*BBL_VEC_AT(bbl_backend *, &pool->backends, i))->listed.slots;
+        }
+        pool->limit.share = slots * BBL_USEC_PER_SEC / f->entry_hosts;
+    }
+}
+
 void
 bbl_forwarder_update(bbl_forwarder *f, bbl_usec now, bbl_forward_update *u)
 {
@@ -294,6 +312,7 @@
     }
     bbl_pools_update(&f->pools, now, u->backends, u->cold_until,
                      u->backend_count, u->evacuated, u->evacuated_count);
+    share_slots(f);
     u->backend_count = 0;
     bbl_pools_confirm(&f->pools, now, f->list_read, f->options.list_lag);
     adopt_routing(f, now);
@@ -591,9 +610,7 @@
         drop_at = q->deadline + LATE_GRACE_US;
     }
     orphan_attempts(f, q, drop_at);
-    if (q->admitted) {
-        bbl_load_limit_finish(q->limit);
-    }
+
     remove_query(f, q);
     table_release(q->table);
     bbl_query_free(q);
@@ -997,7 +1014,7 @@
         finish_without(f, now, q, BBL_FORWARD_OVERLOAD, STATUS_UNAVAILABLE);
         return;
     }
-    q->admitted = true;
+
     tend(f, now, q);
 }
 
--- a/src/forward/load_limit.c
+++ b/src/forward/load_limit.c
@@ -1,5 +1,6 @@
 #include "forward/load_limit.h"
 
+#include <math.h>
 #include <string.h>
 
 #define WINDOW_US (100 * BBL_USEC_PER_MS) /* several service times */
@@ -16,8 +17,10 @@
 #define LONG_QUEUES_RATIO 2.0
 #define PART_QUEUES 0.8      /* of the capacity taken on, with queues */
 #define PART_LONG_QUEUES 0.6 /* and while long ones drain */
-#define PART_RISE 0.2        /* of the capacity, for each second without */
+#define PART_RISE 0.02       /* of the capacity, for each window without */
+#define PART_RISE_IDLE 0.2   /* the same for each second with few answers */
 #define USUAL_FLOOR 1.3      /* of the usual load is always taken on */
+#define SHARE_FLOOR 0.5      /* and of this host's share of the slots */
 #define CAPACITY_FADE 0.98   /* of the capacity seen, for each window */
 #define FREE_FACTOR 1.5      /* over what callers bring: no limit any more */
 #define LEARN_SECONDS                                                         \
@@ -76,13 +79,13 @@
 }
 
 static void
-speed_up(bbl_load_limit *l, double offered, double seconds, double least)
+speed_up(bbl_load_limit *l, double offered, double rise, double least)
 {
     l->congested = false;
     if (l->rate == 0) {
         return;
     }
-    limit_to(l, l->part + PART_RISE * seconds, least);
+    limit_to(l, l->part + rise, least);
     if (l->rate > FREE_FACTOR * offered) {
         l->rate = 0;
     }
@@ -118,16 +121,20 @@
 {
     double seconds = (double)(now - l->window_start) / BBL_USEC_PER_SEC;
     double offered = l->offered / seconds;
-    double ratio = l->requests >= LEAST_REQUESTS ? median(l) : 0;
+    bool full = l->requests >= LEAST_REQUESTS;
+    double ratio = full ? median(l) : 0;
     double least = USUAL_FLOOR * l->usual + 1;
 
+    least = fmax(least, SHARE_FLOOR * l->share);
+
     measure_capacity(l, l->done / seconds);
     if (l->learnt >= LEARN_SECONDS && ratio > QUEUES_RATIO &&
         offered > BURST_FACTOR * l->usual) {
         slow_down(l, ratio, least);
     }
     else {
-        speed_up(l, offered, seconds, least);
+        speed_up(l, offered, full ? PART_RISE : PART_RISE_IDLE * seconds,
+                 least);
     }
     if (l->rate == 0) {
         learn_usual(l, offered, seconds);
@@ -165,24 +172,13 @@
     fill(l, now);
     l->offered += (double)work;
     if (l->rate > 0 && l->tokens <= reserve) {
-        if (l->under_way > 0) {
-            return false;
-        }
-    }
-    else {
-        /* A large request is taken on credit: sizes do not matter. */
-        l->tokens -= (double)work;
+        return false;
     }
-    l->under_way++;
+    /* A large request is taken on credit, so that sizes do not matter. */
+    l->tokens -= (double)work;
     return true;
 }
 
-void
-bbl_load_limit_finish(bbl_load_limit *l)
-{
-    l->under_way--;
-}
-
 void
 bbl_load_limit_sample(bbl_load_limit *l, bbl_usec now, double ratio,
                       double work, double part)
--- a/src/forward/load_limit.h
+++ b/src/forward/load_limit.h
@@ -9,8 +9,8 @@
  * queues, it takes on a part of what the servers were seen to get done, and
  * refuses the rest at once, before any server has worked for it. The part
  * rises slowly once the queues are short; without signs of overload there is
- * no limit. A host that has nothing under way takes one request on in any
- * case: nothing of its own can be queueing then.
+ * no limit. A host that was never busy has seen too little of what the
+ * servers can do, so it always takes on half of its share of their slots.
  */
 #ifndef BBL_LOAD_LIMIT_H
 #define BBL_LOAD_LIMIT_H
@@ -27,6 +27,7 @@
     double offered;  /* work that callers brought in this window */
     double done;     /* work that servers did in this window */
     double capacity; /* most that they did lately, microseconds a second */
+    double share;    /* of this host, of all that the servers' slots can do */
     double part;     /* of the capacity that is taken on */
     double usual;    /* work of calm times, microseconds a second */
     double learnt;   /* seconds that the usual load was followed for */
@@ -34,12 +35,11 @@
     double tokens;   /* microseconds of work */
     bbl_usec filled; /* when the tokens were last brought up to date */
     bool congested;
-    uint32_t under_way; /* requests taken on and not finished */
+
 } bbl_load_limit;
 
 /*
- * Decides whether to take a request on; one that is taken on is reported
- * with bbl_load_limit_finish at its end.
+ * Decides whether to take a request on.
  *
  * @param work   time that a server works for one part of it
  * @param urgent whether nothing more urgent shares the servers
@@ -47,9 +47,6 @@
 bool bbl_load_limit_admit(bbl_load_limit *limit, bbl_usec now, bbl_usec work,
                           bool urgent);
 
-/* Records the end of a request that was taken on. */
-void bbl_load_limit_finish(bbl_load_limit *limit);
-
 /*
  * Records an attempt that was answered.
  *
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -65,7 +65,7 @@
     unsigned needed; /* shards for a success */
     unsigned done;
     unsigned lost;
-    bool admitted;      /* by the limit */
+
     bool offered;       /* some attempt was sent */
     bbl_vec attempts;   /* bbl_attempt *, under way */
     bbl_vec signatures; /* of query.c: places in `text` */
