lists check names the file that is wrong; a header names the page that exists

Cause: the parser names the two documents, not the files that the operator gave. The command line puts the file's own path in front; install-test.sh holds a case.

--- a/scripts/install-test.sh
+++ b/scripts/install-test.sh
@@ -13,6 +13,12 @@
     [ "$c" = lists ] || "$stage/usr/bin/baobablatch" "$c" --help >/dev/null
 done
 "$stage/usr/bin/baobablatch" lists check examples/plans.conf examples/allowances.conf
+# What is wrong in a list is told with the name of its file.
+printf '[allowance g]\nshare = 10\n' >"$stage/bad.conf"
+rc=0
+message=$("$stage/usr/bin/baobablatch" lists check examples/plans.conf \
+    "$stage/bad.conf" 2>&1) || rc=$?
+[ "$rc" -ne 0 ] && grep -q "$stage/bad.conf:2: " <<<"$message"
 # A wrong setting stops the start with its name and exit code 2.
 rc=0
 message=$("$stage/usr/bin/baobablatch" serve --host-id nine 2>&1) || rc=$?
--- a/src/cli/lists.c
+++ b/src/cli/lists.c
@@ -48,12 +48,33 @@
     return error ? error : bbl_cli_read_file(allowances, argv[1]);
 }
 
+/* Returns the file that a message of bbl_lists_parse names as a document;
+ * `rest` is the message without that name. */
+static const char *
+blamed_file(const char **rest, const char *message, char **argv)
+{
+    static const char *const documents[] = {"plans:", "allowances:"};
+
+    for (int i = 0; i < 2; i++) {
+        size_t size = strlen(documents[i]);
+
+        if (strncmp(message, documents[i], size) == 0) {
+            *rest = message + size - 1;
+            return argv[i];
+        }
+    }
+    *rest = message;
+    return "";
+}
+
 static int
 check(int argc, char **argv)
 {
     bbl_buf plans = BBL_BUF_INIT;
     bbl_buf allowances = BBL_BUF_INIT;
     bbl_lists *lists = NULL;
+    const char *rest;
+    const char *file;
     int code = BBL_EXIT_OK;
 
     if (argc != 3) {
@@ -63,7 +84,8 @@
     if (read_pair(argv + 1, &plans, &allowances) != 0 ||
         bbl_lists_parse(&lists, bbl_buf_str(&plans),
                         bbl_buf_str(&allowances)) != 0) {
-        code = bbl_cli_fail(BBL_EXIT_FAILED, "%s", bbl_error_last());
+        file = blamed_file(&rest, bbl_error_last(), argv + 1);
+        code = bbl_cli_fail(BBL_EXIT_FAILED, "%s%s", file, rest);
     }
     else {
         printf("good: %zu plans\n", bbl_lists_plan_count(lists));
--- a/src/net/platform_client.h
+++ b/src/net/platform_client.h
@@ -1,5 +1,5 @@
 /*
- * platform_client.h - the platform's list of searchers (docs/PLATFORM-API.md).
+ * platform_client.h - the platform's list of searchers (docs/SEARCHER-API.md).
  */
 #ifndef BBL_PLATFORM_CLIENT_H
 #define BBL_PLATFORM_CLIENT_H
