forwarder.c is split by noun: route_table, attempt, answer

What they call of each other is in forwarder_core.h.

Change: the part rises by its whole each second while what callers bring fits into the capacity or into this host's share of the slots; else as before. The schedule's port reconnects more than once, as the real one does: an attempt on its way may find its server down after the first time.

--- /dev/null
+++ b/src/forward/answer.c
@@ -0,0 +1,242 @@
+#include "forward/forwarder_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/alloc.h"
+
+/* Work goes on that long for a caller that left, or past a deadline. */
+#define LEFT_GRACE_US (200 * BBL_USEC_PER_MS)
+#define LATE_GRACE_US (100 * BBL_USEC_PER_MS)
+#define RETRY_AFTER_MS 250 /* when nothing better is known */
+#define RETRY_AFTER_LEAST_MS 30
+
+void
+bbl_query_remove(bbl_forwarder *f, bbl_query *q)
+{
+    for (size_t i = 0; i < f->queries.size; i++) {
+        if (*BBL_VEC_AT(bbl_query *, &f->queries, i) == q) {
+            bbl_vec_remove(&f->queries, i);
+            return;
+        }
+    }
+}
+
+void
+bbl_query_orphan_attempts(bbl_forwarder *f, bbl_query *q, bbl_usec drop_at)
+{
+    for (size_t i = 0; i < q->attempts.size; i++) {
+        bbl_attempt *a = *BBL_VEC_AT(bbl_attempt *, &q->attempts, i);
+
+        a->query = NULL;
+        a->shard = NULL;
+        a->drop_at = drop_at;
+        bbl_vec_push(&f->orphans, &a);
+    }
+    q->attempts.size = 0;
+}
+
+bool
+bbl_shard_has_usable(const bbl_shard *s, bbl_usec now)
+{
+    const bbl_vec *list = &s->pool->backends;
+
+    for (size_t k = 0; k < list->size; k++) {
+        if (bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k), now) ==
+            BBL_BACKEND_USABLE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A shard without a usable server, or any where all have one. */
+static bool
+is_culprit(const bbl_query *q, const bbl_shard *s, bbl_usec now)
+{
+    if (!bbl_shard_has_usable(s, now)) {
+        return true;
+    }
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        if (q->shards[i].state != BBL_SHARD_DONE &&
+            !bbl_shard_has_usable(&q->shards[i], now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Names the shard that decided against a query. */
+static void
+blame(bbl_usec now, bbl_query *q)
+{
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        const bbl_shard *s = &q->shards[i];
+        bbl_forward_record *r = &q->record;
+
+        if (s->state == BBL_SHARD_DONE || !(is_culprit(q, s, now))) {
+            continue;
+        }
+        r->service = bbl_buf_str(&s->pool->name);
+        r->servers = (unsigned)s->pool->backends.size;
+        r->detail = s->detail;
+        for (size_t k = 0; k < s->pool->backends.size; k++) {
+            bbl_backend_state state = bbl_backend_get_state(
+                *BBL_VEC_AT(bbl_backend *, &s->pool->backends, k), now);
+
+            r->usable += state == BBL_BACKEND_USABLE;
+            if (state != BBL_BACKEND_USABLE &&
+                r->server == BBL_BACKEND_USABLE) {
+                r->server = state;
+            }
+        }
+        return;
+    }
+}
+
+void
+bbl_query_finish(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                 bbl_forward_reason reason, const bbl_forward_answer *answer)
+{
+    bbl_usec drop_at = reason == BBL_FORWARD_LEFT
+                           ? now + LEFT_GRACE_US
+                           : q->deadline + LATE_GRACE_US;
+    bbl_forward_record *r = &q->record;
+
+    if (reason != BBL_FORWARD_OK) {
+        blame(now, q);
+    }
+    r->reason = reason;
+    r->status = answer != NULL ? answer->status : 0;
+    r->elapsed = now - q->request.arrived;
+    r->answered = q->done;
+    r->shards = q->shard_count;
+    r->list_age = f->list_read != 0 ? now - f->list_read : BBL_FOREVER;
+    f->counters.outcomes[reason]++;
+    if (reason == BBL_FORWARD_OK || reason == BBL_FORWARD_PARTIAL) {
+        bbl_histogram_add(&f->counters.latency, (uint32_t)r->elapsed);
+    }
+    f->options.port.record(f->options.port.ctx, r);
+    if (answer != NULL) {
+        f->options.port.answer(f->options.port.ctx, q->request.call, answer);
+    }
+    /* What may not be repeated is left to end when its caller has gone. */
+    if (reason == BBL_FORWARD_LEFT && !q->route->idempotent) {
+        drop_at = q->deadline + LATE_GRACE_US;
+    }
+    bbl_query_orphan_attempts(f, q, drop_at);
+
+    bbl_query_remove(f, q);
+    bbl_route_table_release(q->table);
+    bbl_query_free(q);
+}
+
+/* Spreads the returns of callers that were refused together. */
+static uint32_t
+retry_after(bbl_forwarder *f, bbl_usec now, const bbl_query *q)
+{
+    uint32_t ms = RETRY_AFTER_MS;
+    bbl_usec wait;
+
+    if (q->route->kind != BBL_ROUTE_GATHER &&
+        bbl_shard_has_usable(&q->shards[0], now)) {
+        /* Servers work, but have no room: one is free after a request. */
+        ms = (uint32_t)(q->pace->service_time / BBL_USEC_PER_MS);
+    }
+    wait = bbl_load_limit_wait(q->limit) / BBL_USEC_PER_MS;
+    ms = wait > ms ? (uint32_t)wait : ms;
+    ms = ms < RETRY_AFTER_LEAST_MS ? RETRY_AFTER_LEAST_MS : ms;
+    return ms + (uint32_t)bbl_rng_below(&f->rng, ms);
+}
+
+void
+bbl_query_refuse(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                 bbl_forward_reason reason, unsigned status)
+{
+    bbl_buf fields = BBL_BUF_INIT;
+    bbl_forward_answer a;
+
+    memset(&a, 0, sizeof(a));
+    a.status = status;
+    if (status == BBL_STATUS_UNAVAILABLE) {
+        q->record.retry_after_ms = retry_after(f, now, q);
+        f->options.dialect->put_retry_after(&fields, q->record.retry_after_ms);
+    }
+    a.fields = bbl_buf_str(&fields);
+    a.body = (bbl_str){bbl_forward_reason_name(reason),
+                       strlen(bbl_forward_reason_name(reason))};
+    bbl_query_finish(f, now, q, reason, &a);
+    bbl_buf_free(&fields);
+}
+
+void
+bbl_query_finish_merged(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bbl_buf fields = BBL_BUF_INIT;
+    bbl_forward_answer a;
+
+    memset(&a, 0, sizeof(a));
+    a.status = 200;
+    bbl_query_put_fields(q, f->options.dialect, &fields);
+    a.fields = bbl_buf_str(&fields);
+    a.body = bbl_top_records_get(&q->top);
+    bbl_query_finish(
+        f, now, q,
+        q->done == q->shard_count ? BBL_FORWARD_OK : BBL_FORWARD_PARTIAL, &a);
+    bbl_buf_free(&fields);
+}
+
+/* Whether a server may have worked, or may yet, on some part of a query. */
+bool
+bbl_query_may_have_run(const bbl_query *q)
+{
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        if (q->shards[i].runs > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Gives up: nothing more can help. */
+static void
+finish_failed(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (!bbl_query_may_have_run(q)) {
+        bbl_query_refuse(
+            f, now, q, q->offered ? BBL_FORWARD_BUSY : BBL_FORWARD_UNAVAILABLE,
+            BBL_STATUS_UNAVAILABLE);
+    }
+    else {
+        bbl_query_refuse(f, now, q, BBL_FORWARD_BROKEN,
+                         BBL_STATUS_BAD_GATEWAY);
+    }
+}
+
+/*
+ * Answers a gather when it is complete, cannot succeed any more, or has met
+ * its target with enough shards. Returns whether it was answered.
+ */
+bool
+bbl_query_settle(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    unsigned open = q->shard_count - q->done - q->lost;
+
+    if (q->route->kind != BBL_ROUTE_GATHER) {
+        if (q->lost > 0) {
+            finish_failed(f, now, q);
+            return true;
+        }
+        return false;
+    }
+    if (q->done >= q->needed && q->done > 0 &&
+        (open == 0 || now >= q->target)) {
+        bbl_query_finish_merged(f, now, q);
+        return true;
+    }
+    if (q->done + open < q->needed || open == 0) {
+        finish_failed(f, now, q);
+        return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/src/forward/attempt.c
@@ -0,0 +1,410 @@
+#include "forward/forwarder_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward/placement.h"
+#include "util/alloc.h"
+
+/* The usual time of an attempt is this quantile of the recent ones. */
+#define PACE_QUANTILE 0.6
+#define PACE_STEPS 48.0  /* one attempt moves the estimate by that part */
+#define USUAL_WEIGHT 256 /* the usual time follows by this part */
+/* Service times of silence after which a server looks stalled. */
+#define PATIENCE 2
+#define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
+/* A server that refused for load is passed over that long, and longer when
+ * no connection to it is left. */
+#define FULL_US (10 * BBL_USEC_PER_MS)
+#define TURNED_AWAY_US (200 * BBL_USEC_PER_MS)
+/* No attempt starts with less time left. */
+#define LEAST_LEFT_US (3 * BBL_USEC_PER_MS)
+
+void
+bbl_attempt_set_handle(bbl_attempt *a, void *handle)
+{
+    a->handle = handle;
+}
+
+void *
+bbl_attempt_get_handle(const bbl_attempt *a)
+{
+    return a->handle;
+}
+
+void *
+bbl_attempt_get_ctx(const bbl_attempt *a)
+{
+    return a->ctx;
+}
+
+bbl_usec
+bbl_pace_patience(const bbl_route_pace *pace)
+{
+    bbl_usec p = PATIENCE * pace->service_time;
+
+    return p < PATIENCE_LEAST_US ? PATIENCE_LEAST_US : p;
+}
+
+/*
+ * Follows the time that most attempts take. A mean would follow the few that
+ * meet a pause or a slow server, and hedges would wait for those.
+ */
+static void
+learn_pace(bbl_route_pace *p, bbl_usec took, bool congested)
+{
+    double step = (double)p->service_time / PACE_STEPS;
+
+    if (!p->measured) {
+        p->measured = true;
+        p->service_time = took + 1;
+        p->usual_time = took + 1;
+        return;
+    }
+    if (took > p->service_time) {
+        p->service_time += (bbl_usec)(step * PACE_QUANTILE) + 1;
+    }
+    else {
+        p->service_time -= (bbl_usec)(step * (1 - PACE_QUANTILE));
+    }
+    if (!congested) {
+        p->usual_time =
+            (p->usual_time * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT + 1;
+    }
+}
+
+static void
+set_changed(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
+            bbl_backend_state before)
+{
+    if (bbl_backend_get_state(b, now) != before) {
+        f->options.port.server_changed(f->options.port.ctx, b, before);
+    }
+}
+
+void
+bbl_backend_set_silent(bbl_forwarder *f, bbl_usec now, bbl_backend *b)
+{
+    bbl_backend_state before = bbl_backend_get_state(b, now);
+
+    b->down = true;
+    b->silent = true;
+    set_changed(f, now, b, before);
+}
+
+bbl_backend *
+bbl_attempt_choose(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+                   const bbl_shard *s, bool second, size_t *usable)
+{
+    bbl_placement_input in = {q->pace->service_time,
+                              bbl_pace_patience(q->pace), s->tried, s->sends,
+                              second};
+
+    return bbl_placement_choose(
+        &in, s->pool->backends.ptr, s->pool->backends.size, now,
+        f->options.port.has_room, f->options.port.ctx, &f->rng, usable);
+}
+
+bool
+bbl_attempt_send(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_shard *s,
+                 bbl_backend *b, bool hedge)
+{
+    bbl_attempt *a = bbl_calloc(1, sizeof(*a));
+    bbl_attempt_request r = {q->request.call,
+                             (uint32_t)((q->deadline - now) / BBL_USEC_PER_MS),
+                             q->route->idempotent};
+
+    a->query = q;
+    a->shard = s;
+    a->backend = b;
+    a->pace = q->pace;
+    a->limit = q->limit;
+    a->work = (double)q->pace->usual_time;
+    a->part = 1.0 / q->shard_count;
+    a->ctx = f->options.port.ctx;
+    a->sent = now;
+    a->hedge = hedge;
+    if (f->options.port.send(f->options.port.ctx, a, b, &r) != 0) {
+        free(a);
+        return false;
+    }
+    bbl_attempt_link(a);
+    bbl_vec_push(&q->attempts, &a);
+    if (s->sends == 0) {
+        s->sent = now;
+    }
+    else {
+        bbl_extra_budget_spend(&s->pool->budget, &f->extra, now);
+    }
+    s->tried[s->sends++] = b;
+    s->runs++;
+    s->flying++;
+    s->state = BBL_SHARD_FLYING;
+    q->offered = true;
+    q->record.sent++;
+    f->counters.attempts++;
+    return true;
+}
+
+bool
+bbl_attempt_may_send(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+                     bbl_shard *s)
+{
+    if (s->sends >= BBL_ATTEMPTS_MAX || s->runs >= q->route->attempts ||
+        q->deadline < now + LEAST_LEFT_US) {
+        return false;
+    }
+    if (s->sends > 0 &&
+        bbl_extra_budget_left(&s->pool->budget, &f->extra, now) <= 0) {
+        f->counters.no_budget++;
+        return false;
+    }
+    return true;
+}
+
+void
+bbl_attempt_tell_second(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+                        const bbl_shard *s, const bbl_backend *b, bool hedge,
+                        bool stalled)
+{
+    bbl_forward_second r;
+
+    memset(&r, 0, sizeof(r));
+    r.request_id = q->request.request_id;
+    r.service = bbl_buf_str(&s->pool->name);
+    r.server =
+        (bbl_str){b->listed.id.bblx_label_val, b->listed.id.bblx_label_len};
+    r.hedge = hedge;
+    r.stalled = stalled;
+    r.waited = now - s->sent;
+    r.usual = q->pace->service_time;
+    r.budget_left = bbl_extra_budget_left((bbl_extra_budget *)&s->pool->budget,
+                                          &f->extra, now);
+    r.detail = s->detail != NULL ? s->detail : "";
+    f->options.port.second(f->options.port.ctx, &r);
+}
+
+/* ---- the ends of attempts ---- */
+
+/* What an ended attempt means for its server and its shard. */
+typedef enum {
+    MEANS_PART,    /* a usable response */
+    MEANS_NOT_RUN, /* another server may be asked */
+    MEANS_FAILURE, /* it ran, or may have, and failed */
+    MEANS_FINAL    /* a response to pass on as it is */
+} meaning;
+
+static meaning
+interpret(const bbl_forwarder *f, const bbl_attempt_result *r,
+          bbl_backend_head *head)
+{
+    memset(head, 0, sizeof(*head));
+    if (r->end == BBL_ATTEMPT_UNSENT || r->end == BBL_ATTEMPT_TURNED_AWAY) {
+        return MEANS_NOT_RUN;
+    }
+    if (r->end == BBL_ATTEMPT_BROKEN) {
+        return MEANS_FAILURE;
+    }
+    f->options.dialect->read_backend(head, r->status, r->headers,
+                                     r->header_count);
+    if (head->not_run) {
+        return MEANS_NOT_RUN;
+    }
+    if (r->status >= 500 || head->encoded) {
+        return MEANS_FAILURE;
+    }
+    if (r->status >= 200 && r->status < 300) {
+        return head->signature.size > 0 ? MEANS_PART : MEANS_FAILURE;
+    }
+    return MEANS_FINAL;
+}
+
+/* Brings what is known of the server up to date. */
+static void
+rate_server(bbl_forwarder *f, bbl_usec now, bbl_attempt *a,
+            const bbl_attempt_result *r, const bbl_backend_head *head,
+            meaning m)
+{
+    bbl_backend *b = a->backend;
+    bbl_backend_state before = bbl_backend_get_state(b, now);
+    bbl_usec took = now - a->sent;
+
+    if (r->end == BBL_ATTEMPT_RESPONSE) {
+        b->answered = now;
+    }
+    if (m == MEANS_PART) {
+        bbl_backend_rate(b, now, (double)took / (double)a->pace->service_time,
+                         false);
+        if (!a->hedge) {
+            bbl_load_limit_sample(
+                a->limit, now,
+                a->pace->measured ? (double)took / (double)a->pace->usual_time
+                                  : 1,
+                a->work, a->part);
+        }
+        learn_pace(a->pace, took, a->limit->congested);
+    }
+    else if (head->other_server) {
+        b->replaced = true;
+        b->replaced_at = now;
+    }
+    else if (r->end == BBL_ATTEMPT_UNSENT) {
+        b->down = true;
+        b->silent = false;
+    }
+    else if (m != MEANS_FINAL && r->end != BBL_ATTEMPT_TURNED_AWAY) {
+        bbl_backend_rate(b, now, 0, true);
+    }
+    if (m == MEANS_NOT_RUN && r->end != BBL_ATTEMPT_UNSENT) {
+        f->counters.shed++;
+        b->full_until =
+            now +
+            (r->end == BBL_ATTEMPT_TURNED_AWAY ? TURNED_AWAY_US : FULL_US);
+    }
+    set_changed(f, now, b, before);
+}
+
+static void
+forget_attempt(bbl_vec *list, const bbl_attempt *a)
+{
+    for (size_t i = 0; i < list->size; i++) {
+        if (*BBL_VEC_AT(bbl_attempt *, list, i) == a) {
+            bbl_vec_swap_remove(list, i);
+            return;
+        }
+    }
+}
+
+static const char *
+describe_end(const bbl_attempt_result *r, const bbl_backend_head *head)
+{
+    if (r->end != BBL_ATTEMPT_RESPONSE) {
+        return r->reason;
+    }
+    if (head->other_server) {
+        return "another server has the address";
+    }
+    if (head->not_run) {
+        return "the server refused it";
+    }
+    return head->encoded ? "the response is encoded"
+                         : "the server answered with a failure";
+}
+
+/* Passes a server's own response on. */
+static void
+relay(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+      const bbl_attempt_result *r, bbl_forward_reason reason)
+{
+    bbl_forward_answer a;
+
+    memset(&a, 0, sizeof(a));
+    a.status = r->status;
+    a.body = r->body;
+    a.relay = r;
+    bbl_query_finish(f, now, q, reason, &a);
+}
+
+/* A usable response has come. */
+static void
+take_part(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_attempt *a,
+          const bbl_attempt_result *r, const bbl_backend_head *head)
+{
+    bbl_shard *s = a->shard;
+
+    if (s->state == BBL_SHARD_DONE) {
+        return;
+    }
+    if (s->state == BBL_SHARD_LOST) {
+        q->lost--;
+    }
+    s->state = BBL_SHARD_DONE;
+    q->done++;
+    f->counters.hedge_wins += a->hedge;
+    if (q->route->kind != BBL_ROUTE_GATHER) {
+        relay(f, now, q, r, BBL_FORWARD_OK);
+        return;
+    }
+    bbl_query_add_part(q, head->signature, r->body);
+    bbl_query_settle(f, now, q);
+}
+
+/* An attempt has failed; the shard may get another. */
+static void
+take_failure(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_attempt *a,
+             const bbl_attempt_result *r, const bbl_backend_head *head,
+             meaning m)
+{
+    bbl_shard *s = a->shard;
+    bool single = q->route->kind != BBL_ROUTE_GATHER;
+
+    s->detail = describe_end(r, head);
+    if (m == MEANS_NOT_RUN) {
+        s->runs--;
+    }
+    if (s->state == BBL_SHARD_DONE || s->flying > 0) {
+        return; /* the other attempt decides */
+    }
+    if (single && r->end == BBL_ATTEMPT_RESPONSE && m != MEANS_NOT_RUN &&
+        !head->encoded &&
+        (m == MEANS_FINAL || !q->route->idempotent ||
+         s->runs >= q->route->attempts ||
+         bbl_extra_budget_left(&s->pool->budget, &f->extra, now) <= 0)) {
+        relay(f, now, q, r, BBL_FORWARD_FAILED);
+        return;
+    }
+    if (m == MEANS_FAILURE && !q->route->idempotent) {
+        s->state = BBL_SHARD_LOST;
+        q->lost++;
+    }
+    else {
+        s->state = BBL_SHARD_OPEN;
+    }
+    bbl_query_tend(f, now, q);
+}
+
+void
+bbl_forwarder_ended(bbl_forwarder *f, bbl_usec now, bbl_attempt *a,
+                    const bbl_attempt_result *r)
+{
+    bbl_query *q = a->query;
+    bbl_backend_head head;
+    meaning m = interpret(f, r, &head);
+
+    bbl_attempt_unlink(a);
+    rate_server(f, now, a, r, &head, m);
+    if (q == NULL) {
+        forget_attempt(&f->orphans, a);
+        free(a);
+        return;
+    }
+    forget_attempt(&q->attempts, a);
+    a->shard->flying--;
+    if (m == MEANS_PART) {
+        take_part(f, now, q, a, r, &head);
+    }
+    else {
+        take_failure(f, now, q, a, r, &head, m);
+    }
+    free(a);
+}
+
+void
+bbl_forwarder_connected(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
+                        bool ok)
+{
+    bbl_backend_state before = bbl_backend_get_state(b, now);
+
+    if (ok) {
+        /* A server that was only silent stands still, or the connections
+         * do; one that could not be reached may have started again, cold. */
+        b->unsure_at = b->down && !b->silent ? now : b->unsure_at;
+        b->down = false;
+        b->reached = now;
+    }
+    else {
+        b->down = true;
+    }
+    b->silent = false;
+    set_changed(f, now, b, before);
+}
--- a/src/forward/load_limit.c
+++ b/src/forward/load_limit.c
@@ -3,29 +3,29 @@
 #include <math.h>
 #include <string.h>
 
-#define WINDOW_US (100 * BBL_USEC_PER_MS) /* several service times */
-#define LEAST_REQUESTS                                                        \
-    10 /* for a median worth acting on: the parts of one                      \
-          request are alike */
+/* A window is several service times. */
+#define WINDOW_US (100 * BBL_USEC_PER_MS)
+/* Requests for a median worth acting on: the parts of one are alike. */
+#define LEAST_REQUESTS 10
 #define LONG_WINDOW_US (2000 * BBL_USEC_PER_MS) /* ends also without them */
 #define CELLS_PER_UNIT 10.0
-#define BURST_FACTOR                                                          \
-    2.0                  /* over the usual load: with less, queues come       \
-                            from servers that are slow or lost, and work      \
-                            refused would win nothing */
+/* Over the usual load. With less, queues come from servers that are slow or
+ * lost, and work that is refused would win nothing. */
+#define BURST_FACTOR 2.0
 #define QUEUES_RATIO 1.4 /* of a median that only queues explain */
 #define LONG_QUEUES_RATIO 2.0
 #define PART_QUEUES 0.8      /* of the capacity taken on, with queues */
 #define PART_LONG_QUEUES 0.6 /* and while long ones drain */
 #define PART_RISE 0.02       /* of the capacity, for each window without */
-#define PART_RISE_IDLE 0.2   /* the same for each second with few answers */
-#define USUAL_FLOOR 1.3      /* of the usual load is always taken on */
-#define SHARE_FLOOR 0.5      /* and of this host's share of the slots */
-#define CAPACITY_FADE 0.98   /* of the capacity seen, for each window */
-#define FREE_FACTOR 1.5      /* over what callers bring: no limit any more */
-#define LEARN_SECONDS                                                         \
-    3.0 /* before that the usual load is not known: callers                   \
-           come back one by one to a host that has started */
+/* The same for each second in which all that callers bring fits. */
+#define PART_RISE_FITTING 1.0
+#define USUAL_FLOOR 1.3    /* of the usual load is always taken on */
+#define SHARE_FLOOR 0.5    /* and of this host's share of the slots */
+#define CAPACITY_FADE 0.98 /* of the capacity seen, for each window */
+#define FREE_FACTOR 1.5    /* over what callers bring: no limit any more */
+/* Before that the usual load is not known: callers come back one by one to a
+ * host that has started. */
+#define LEARN_SECONDS 3.0
 #define USUAL_SECONDS 30.0 /* over which the usual load is a mean */
 #define BURST_US (40 * BBL_USEC_PER_MS) /* of the rate, saved up at most */
 #define RESERVE_SHARE 0.25 /* of that, kept for what is most urgent */
@@ -79,13 +79,16 @@
 }
 
 static void
-speed_up(bbl_load_limit *l, double offered, double rise, double least)
+speed_up(bbl_load_limit *l, double offered, double seconds, double least)
 {
+    bool fits = offered <= fmax(l->capacity, l->share);
+
     l->congested = false;
     if (l->rate == 0) {
         return;
     }
-    limit_to(l, l->part + rise, least);
+    limit_to(l, l->part + (fits ? PART_RISE_FITTING * seconds : PART_RISE),
+             least);
     if (l->rate > FREE_FACTOR * offered) {
         l->rate = 0;
     }
@@ -121,8 +124,7 @@
 {
     double seconds = (double)(now - l->window_start) / BBL_USEC_PER_SEC;
     double offered = l->offered / seconds;
-    bool full = l->requests >= LEAST_REQUESTS;
-    double ratio = full ? median(l) : 0;
+    double ratio = l->requests >= LEAST_REQUESTS ? median(l) : 0;
     double least = USUAL_FLOOR * l->usual + 1;
 
     least = fmax(least, SHARE_FLOOR * l->share);
@@ -133,8 +135,7 @@
         slow_down(l, ratio, least);
     }
     else {
-        speed_up(l, offered, full ? PART_RISE : PART_RISE_IDLE * seconds,
-                 least);
+        speed_up(l, offered, seconds, least);
     }
     if (l->rate == 0) {
         learn_usual(l, offered, seconds);
--- /dev/null
+++ b/src/forward/route_table.c
@@ -0,0 +1,258 @@
+#include "forward/forwarder_core.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "forward/subset.h"
+#include "util/alloc.h"
+
+/* The first guess of a route's service time is its target over this. */
+#define FIRST_GUESS 6
+#define CONNECTION_SHARE 0.9  /* of a server's limit that all hosts use */
+#define DEFAULT_CONNECTIONS 8 /* of all hosts, when the routing names none */
+
+static bbl_route_pace *
+pace_of(bbl_forwarder *f, const bbl_route *route)
+{
+    uint64_t key = bbl_hash(route->name.ptr, route->name.size, 41);
+    bbl_route_pace *p = bbl_map_get(&f->paces, key);
+
+    if (p == NULL) {
+        p = bbl_calloc(1, sizeof(*p));
+        p->service_time = route->target_ms * BBL_USEC_PER_MS / FIRST_GUESS + 1;
+        p->usual_time = p->service_time;
+        bbl_map_set(&f->paces, key, p);
+    }
+    return p;
+}
+
+void
+bbl_route_table_release(bbl_route_table *t)
+{
+    if (t == NULL || --t->uses > 0) {
+        return;
+    }
+    for (size_t i = 0; i < t->route_count; i++) {
+        bbl_split_free(&t->splits[i]);
+    }
+    free(t->splits);
+    free(t->paces);
+    free(t->pools);
+    bbl_routing_free(t->routing);
+    free(t);
+}
+
+static size_t
+count_routes(const bbl_routing *r)
+{
+    size_t n = 0;
+
+    while (bbl_routing_route(r, n) != NULL) {
+        n++;
+    }
+    return n;
+}
+
+static size_t
+count_services(const bbl_routing *r)
+{
+    size_t n = 0;
+
+    while (bbl_routing_service(r, n) != NULL) {
+        n++;
+    }
+    return n;
+}
+
+static bbl_route_table *
+table_new(bbl_forwarder *f, bbl_routing *routing)
+{
+    bbl_route_table *t = bbl_calloc(1, sizeof(*t));
+    size_t services = count_services(routing);
+
+    t->routing = routing;
+    t->uses = 1;
+    t->route_count = count_routes(routing);
+    t->pools = bbl_calloc(services, sizeof(bbl_pool *));
+    t->splits = bbl_calloc(t->route_count, sizeof(bbl_split));
+    t->paces = bbl_calloc(t->route_count, sizeof(bbl_route_pace *));
+    for (size_t i = 0; i < services; i++) {
+        const bbl_service *s = bbl_routing_service(routing, i);
+
+        t->pools[i] = bbl_pools_get(&f->pools, s->name);
+        t->pools[i]->connections = s->connections;
+    }
+    t->most_urgent = UINT32_MAX;
+    for (size_t i = 0; i < t->route_count; i++) {
+        const bbl_route *r = bbl_routing_route(routing, i);
+
+        t->most_urgent =
+            r->priority < t->most_urgent ? r->priority : t->most_urgent;
+        bbl_split_init(&t->splits[i], r, bbl_rng_next(&f->rng));
+        t->paces[i] = pace_of(f, r);
+        for (size_t k = 0; k < r->target_count; k++) {
+            t->pools[r->targets[k].service]->routed = true;
+        }
+    }
+    return t;
+}
+
+static void
+clear_routed(bbl_forwarder *f)
+{
+    bbl_pool *pool;
+    size_t pos = 0;
+
+    while ((pool = bbl_map_next(&f->pools.pools, &pos)) != NULL) {
+        pool->routed = false;
+    }
+}
+
+void
+bbl_forward_update_free(bbl_forward_update *u)
+{
+    if (u == NULL) {
+        return;
+    }
+    bbl_routing_free(u->routing);
+    for (size_t i = 0; i < u->backend_count; i++) {
+        BBL_RELEASE(bblx_backend, &u->backends[i]);
+    }
+    free(u->backends);
+    free(u->cold_until);
+    free(u->evacuated);
+    free(u);
+}
+
+/* Whether each shard of a gather has a server that may get work. */
+static bool
+is_servable(bbl_forwarder *f, bbl_usec now, const bbl_routing *routing,
+            const bbl_route *route)
+{
+    for (size_t i = 0; i < route->target_count; i++) {
+        const bbl_service *s =
+            bbl_routing_service(routing, route->targets[i].service);
+        const bbl_vec *list = &bbl_pools_get(&f->pools, s->name)->backends;
+        bool usable = false;
+
+        for (size_t k = 0; k < list->size && !usable; k++) {
+            usable = bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k),
+                                           now) == BBL_BACKEND_USABLE;
+        }
+        if (!usable) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Whether a new routing should wait: it names shards that cannot be served
+ * yet, on a route that the present one serves.
+ */
+static bool
+should_hold(bbl_forwarder *f, bbl_usec now, const bbl_routing *routing)
+{
+    const bbl_route *route;
+
+    for (size_t i = 0; (route = bbl_routing_route(routing, i)) != NULL; i++) {
+        const bbl_route *old =
+            route->kind == BBL_ROUTE_GATHER
+                ? bbl_routing_match(f->table->routing, route->hostname,
+                                    route->path_prefix)
+                : NULL;
+
+        if (old != NULL && old->kind == BBL_ROUTE_GATHER &&
+            !is_servable(f, now, routing, route) &&
+            is_servable(f, now, f->table->routing, old)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Puts the waiting routing into use, unless it should wait longer. */
+void
+bbl_forwarder_adopt(bbl_forwarder *f, bbl_usec now)
+{
+    bbl_usec held = now - f->next_since;
+
+    if (f->next_routing == NULL ||
+        (f->table != NULL && held < f->options.routing_hold &&
+         should_hold(f, now, f->next_routing))) {
+        return;
+    }
+    bbl_route_table_release(f->table);
+    clear_routed(f);
+    f->table = table_new(f, f->next_routing);
+    f->next_routing = NULL;
+    f->options.port.adopted(f->options.port.ctx,
+                            bbl_routing_version(f->table->routing), held);
+}
+
+/* Tells the limits this host's part of what the servers can do. */
+static void
+share_slots(bbl_forwarder *f)
+{
+    bbl_pool *pool;
+    size_t pos = 0;
+
+    while ((pool = bbl_map_next(&f->pools.pools, &pos)) != NULL) {
+        double slots = 0;
+
+        for (size_t i = 0; i < pool->backends.size; i++) {
+            slots +=
+                (*BBL_VEC_AT(bbl_backend *, &pool->backends, i))->listed.slots;
+        }
+        pool->limit.share = slots * BBL_USEC_PER_SEC / f->entry_hosts;
+    }
+}
+
+void
+bbl_forwarder_update(bbl_forwarder *f, bbl_usec now, bbl_forward_update *u)
+{
+    f->list_read = u->list_read;
+    f->entry_hosts = u->entry_hosts > 0 ? u->entry_hosts : 1;
+    f->extra = f->options.extra;
+    f->extra.constant /= f->entry_hosts;
+    if (u->routing != NULL) {
+        /* A newer version does not wait longer than the first one did. */
+        f->next_since = f->next_routing != NULL ? f->next_since : now;
+        bbl_routing_free(f->next_routing);
+        f->next_routing = u->routing;
+        u->routing = NULL;
+    }
+    bbl_pools_update(&f->pools, now, u->backends, u->cold_until,
+                     u->backend_count, u->evacuated, u->evacuated_count);
+    share_slots(f);
+    u->backend_count = 0;
+    bbl_pools_confirm(&f->pools, now, f->list_read, f->options.list_lag);
+    bbl_forwarder_adopt(f, now);
+    bbl_forward_update_free(u);
+}
+
+unsigned
+bbl_forwarder_connections(bool *keep, bbl_forwarder *f, bbl_usec now,
+                          const bbl_backend *b)
+{
+    const bblx_label *service = &b->listed.service;
+    bbl_pool *pool =
+        bbl_pools_get(&f->pools, (bbl_str){service->bblx_label_val,
+                                           service->bblx_label_len});
+    uint32_t all =
+        pool->connections > 0 ? pool->connections : DEFAULT_CONNECTIONS;
+    bbl_subset_input in = {f->options.seed,
+                           CONNECTION_SHARE * all / f->entry_hosts};
+
+    *keep = false;
+    if (b->listed.leaving || b->listed.gone) {
+        return 0;
+    }
+    for (size_t i = 0; i < pool->backends.size; i++) {
+        if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
+            return bbl_subset_connections(keep, &in, pool->backends.ptr,
+                                          pool->backends.size, i, now);
+        }
+    }
+    return 0;
+}
--- a/tests/support/forward_schedule.c
+++ b/tests/support/forward_schedule.c
@@ -229,6 +229,17 @@
     return bad;
 }
 
+/* The port goes on trying to connect to servers that refused. */
+static void
+reconnect(schedule *s)
+{
+    for (int i = 0; i < SERVERS; i++) {
+        if (s->servers[i]->backend != NULL) {
+            forward_world_connect(s->w, s->servers[i], true);
+        }
+    }
+}
+
 /* Ends all faults; after a while every request must be served whole. */
 static const char *
 heal(schedule *s)
@@ -248,16 +259,11 @@
     }
     s->evacuated = false;
     list(s);
-    /* The port goes on trying to connect to a server that refused. */
-    for (int i = 0; i < SERVERS; i++) {
-        if (s->servers[i]->backend != NULL) {
-            forward_world_connect(s->w, s->servers[i], true);
-        }
-    }
     for (unsigned i = 0; i < HEAL_MS / 50; i++) {
         send_call(s, i % KINDS, TIMEOUT_MS);
         forward_world_run(s->w, 50 * MS);
         if (i % 10 == 0) {
+            reconnect(s);
             list(s); /* a server that was down may be cold until then */
         }
     }
