--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -13,9 +13,8 @@
 #define BATCH_BYTES (1u << 20)    /* bytes in one append, about */
 #define COMPACT_BYTES (16u << 20) /* journal size that asks for a snapshot */
 #define KEEP_ENTRIES 256          /* entries kept behind a snapshot */
-#define SOUND_BEATS                                                           \
-    4 /* heartbeats that a sound voter may leave unanswered                   \
-       */
+/* Heartbeats that a sound voter may leave unanswered */
+#define SOUND_BEATS 4
 #define SNAPSHOT_RESEND_MS 1000      /* between two snapshots to one peer */
 #define RANDOM_HOST_BIT (1ull << 63) /* marks random identities */
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -17,20 +17,16 @@
 #define MAILBOX_SLOTS 1024
 #define SERVICE_US (50 * BBL_USEC_PER_MS) /* between looks at connections */
 #define CONNECT_TIMEOUT_US (250 * BBL_USEC_PER_MS)
-#define SILENCE_TIMEOUT_US                                                    \
-    (700 * BBL_USEC_PER_MS)      /* over two lost packets                     \
-                                  */
+/* Over two lost packets */
+#define SILENCE_TIMEOUT_US (700 * BBL_USEC_PER_MS)
 #define RESPONSE_MAX (16u << 20) /* bytes of a response's body */
-#define FRESH_US                                                              \
-    (1000 * BBL_USEC_PER_MS) /* a connection for a request that               \
-                      must not be repeated was used so lately */
-#define LAG_US                                                                \
-    (2500 * BBL_USEC_PER_MS) /* for the balancer to notice: two of            \
-                                its questions, one a second */
+/* A connection for a request that must not be repeated was used so lately. */
+#define FRESH_US (1000 * BBL_USEC_PER_MS)
+/* For the balancer to notice: two of its questions, one a second. */
+#define LAG_US (2500 * BBL_USEC_PER_MS)
 #define HOLD_DIVISOR 2 /* of the time in which a routing must be in force */
-#define IDLE_US                                                               \
-    (150 * BBL_USEC_PER_MS) /* a connection that was just opened              \
-                               carries a request soon */
+/* A connection that was just opened carries a request soon */
+#define IDLE_US (150 * BBL_USEC_PER_MS)
 #define EXIT_MARGIN_US (600 * BBL_USEC_PER_MS) /* before the end of grace */
 
 typedef enum {
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -26,25 +26,23 @@
 #define KEEP_US (300 * BBL_USEC_PER_MS)
 #define SERVICE_US (50 * BBL_USEC_PER_MS)
 #define CATALOG_EVERY_US (600 * BBL_USEC_PER_MS) /* of the leader */
-#define CATALOG_SPARING_SHARE                                                 \
-    0.2 /* of the platform's calls a second, usually */
+/* Share of the platform's calls a second that readings take, usually, and at
+ * the most. */
+#define CATALOG_SPARING_SHARE 0.2
 #define CATALOG_MOST_SHARE 0.5
-#define CATALOG_LONGEST_US                                                    \
-    (1200 * BBL_USEC_PER_MS) /* of the leader, while                          \
-                      half of the rate allows it */
-#define CATALOG_STALE_US                                                      \
-    (3000 * BBL_USEC_PER_MS) /* of two readings that fail;                    \
-        then an entry host reads the list itself */
-#define CATALOG_WAIT_US                                                       \
-    (1500 * BBL_USEC_PER_MS) /* for an election and the feed */
-#define PAGES_AT_START 3     /* of 50 servers each, on the platforms known */
+/* Between two readings of the leader, while the rate allows it. */
+#define CATALOG_LONGEST_US (1200 * BBL_USEC_PER_MS)
+/* Age after which an entry host reads the list itself: two readings failed. */
+#define CATALOG_STALE_US (3000 * BBL_USEC_PER_MS)
+/* A host that has started waits that long for an election and the feed. */
+#define CATALOG_WAIT_US (1500 * BBL_USEC_PER_MS)
+#define PAGES_AT_START 3 /* of 50 servers each, on the platforms known */
 #define PAGES_MAX 10000
 #define CATALOG_CONFIRM_US (250 * BBL_USEC_PER_MS)
 #define CONTROL_SILENT_US (1500 * BBL_USEC_PER_MS)
 #define REREAD_EVERY_US (3 * BBL_USEC_PER_SEC) /* while no leader answers */
-#define ENTRY_MEMORY_US                                                       \
-    (30 * BBL_USEC_PER_SEC)                    /* entry hosts that are silent \
-                                      may still serve, and count so long */
+/* Entry hosts that are silent may still serve, and count so long. */
+#define ENTRY_MEMORY_US (30 * BBL_USEC_PER_SEC)
 #define EXIT_WAIT_US (1500 * BBL_USEC_PER_MS)  /* for orders under way */
 #define EXIT_LINGER_US (250 * BBL_USEC_PER_MS) /* for the leadership to go */
 
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -138,8 +138,8 @@
     }
     s->tried[s->sends++] = b;
     s->runs++;
-    s->flying++;
-    s->state = BBL_SHARD_FLYING;
+    s->in_flight++;
+    s->state = BBL_SHARD_SENT;
     q->offered = true;
     q->record.sent++;
     f->counters.attempts++;
@@ -342,7 +342,7 @@
     if (m == MEANS_NOT_RUN) {
         s->runs--;
     }
-    if (s->state == BBL_SHARD_DONE || s->flying > 0) {
+    if (s->state == BBL_SHARD_DONE || s->in_flight > 0) {
         return; /* the other attempt decides */
     }
     if (single && r->end == BBL_ATTEMPT_RESPONSE && m != MEANS_NOT_RUN &&
@@ -379,7 +379,7 @@
         return;
     }
     forget_attempt(&q->attempts, a);
-    a->shard->flying--;
+    a->shard->in_flight--;
     if (m == MEANS_PART) {
         take_part(f, now, q, a, r, &head);
     }
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -2,10 +2,9 @@
 
 #include <math.h>
 
-#define FADE_US                                                               \
-    (2 * BBL_USEC_PER_SEC)   /* half-life of a rating: servers turn           \
-                                slow for seconds, so an older rating          \
-                                says little */
+/* Half-life of a rating: servers turn slow for seconds, so an older rating
+ * says little. */
+#define FADE_US (2 * BBL_USEC_PER_SEC)
 #define SLOWNESS_WEIGHT 0.25 /* of one response */
 #define FAILURE_WEIGHT 0.2
 #define SLOWNESS_MAX 20.0
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -41,8 +41,8 @@
     double failures;     /* share of requests that failed, recent first */
     bbl_usec rated;      /* when the two were last brought up to date */
 
-    void *link;   /* of the driver */
-    void *flying; /* of the forwarder: the attempts under way */
+    void *link;     /* of the driver */
+    void *attempts; /* of the forwarder: the attempts under way */
 } bbl_backend;
 
 /* Returns whether and why not a server may get work. */
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -15,9 +15,8 @@
 #define RECHECK_US (4 * BBL_USEC_PER_MS)
 /* An unsent request waits for its route's target over this. */
 #define HOLD_SHARE 5
-#define NO_ROUTING_RETRY_MS                                                   \
-    600 /* a host that has started learns the routing                         \
-           within about that time */
+/* A host that has started learns the routing within about that time. */
+#define NO_ROUTING_RETRY_MS 600
 #define SWEEP_US (200 * BBL_USEC_PER_MS)
 
 const char *
@@ -81,7 +80,7 @@
         size_t usable;
         bbl_backend *b;
 
-        if (s->state != BBL_SHARD_FLYING || s->flying > 1 ||
+        if (s->state != BBL_SHARD_SENT || s->in_flight > 1 ||
             s->runs >= q->route->attempts || s->pool->backends.size < 2) {
             continue;
         }
@@ -370,7 +369,7 @@
     size_t pos = 0;
 
     while ((b = bbl_map_next(&f->pools.backends, &pos)) != NULL) {
-        const bbl_attempt *a = b->flying;
+        const bbl_attempt *a = b->attempts;
         bbl_usec limit = STALL_DOWN_US;
 
         if (a != NULL && SILENT_TIMES * a->pace->service_time > limit) {
--- a/src/forward/hedge.c
+++ b/src/forward/hedge.c
@@ -5,9 +5,8 @@
 #define STALLED 1.4   /* when the server answers nobody */
 #define LITTLE 0.3    /* share of the budget that counts as little */
 #define LEAST_US 4000 /* below it the network explains any delay */
-#define LAST_CALL                                                             \
-    1.3 /* service times before the target that a hedge                       \
-           must start to be of use */
+/* Service times before the target that a hedge must start to be of use. */
+#define LAST_CALL 1.3
 
 bbl_usec
 bbl_hedge_wait(const bbl_hedge_input *in)
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -1,8 +1,7 @@
 #include "forward/placement.h"
 
-#define OTHER_ZONE_US                                                         \
-    2500.0               /* there and back between data centres, about,       \
-                            and the price of the bytes */
+/* There and back between data centres, about, and the price of the bytes. */
+#define OTHER_ZONE_US 2500.0
 #define FAILURE_COST 6.0 /* service times that a failed request costs */
 #define STALL_COST 8.0   /* service times that a pause lasts, about */
 #define FULL_COST 8.0    /* of a server that has just refused work */
--- a/src/forward/query.c
+++ b/src/forward/query.c
@@ -49,13 +49,13 @@
 bbl_attempt_link(bbl_attempt *a)
 {
     bbl_backend *b = a->backend;
-    bbl_attempt *last = b->flying;
+    bbl_attempt *last = b->attempts;
 
     /* A ring whose head is the oldest, so that its end is the newest. */
     if (last == NULL) {
         a->next = a;
         a->prev = a;
-        b->flying = a;
+        b->attempts = a;
     }
     else {
         a->next = last;
@@ -64,7 +64,7 @@
         last->prev = a;
     }
     b->in_flight++;
-    b->oldest = ((bbl_attempt *)b->flying)->sent;
+    b->oldest = ((bbl_attempt *)b->attempts)->sent;
 }
 
 void
@@ -73,15 +73,15 @@
     bbl_backend *b = a->backend;
 
     if (a->next == a) {
-        b->flying = NULL;
+        b->attempts = NULL;
     }
     else {
         a->prev->next = a->next;
         a->next->prev = a->prev;
-        if (b->flying == a) {
-            b->flying = a->next;
+        if (b->attempts == a) {
+            b->attempts = a->next;
         }
     }
     b->in_flight--;
-    b->oldest = b->flying != NULL ? ((bbl_attempt *)b->flying)->sent : 0;
+    b->oldest = b->attempts != NULL ? ((bbl_attempt *)b->attempts)->sent : 0;
 }
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -11,9 +11,8 @@
 #include "forward/split.h"
 #include "forward/top_records.h"
 
-#define BBL_ATTEMPTS_MAX                                                      \
-    6 /* at one shard, those that were refused included                       \
-       */
+/* At one shard, those that were refused included */
+#define BBL_ATTEMPTS_MAX 6
 
 /* What is known of the requests on one route name. */
 typedef struct {
@@ -34,8 +33,8 @@
 } bbl_route_table;
 
 typedef enum {
-    BBL_SHARD_OPEN,   /* wants an attempt */
-    BBL_SHARD_FLYING, /* an attempt is under way */
+    BBL_SHARD_OPEN, /* wants an attempt */
+    BBL_SHARD_SENT, /* an attempt is under way */
     BBL_SHARD_DONE,
     BBL_SHARD_LOST
 } bbl_shard_state;
@@ -46,7 +45,7 @@
     bbl_usec sent; /* first attempt */
     unsigned sends;
     unsigned runs; /* attempts that may have run */
-    unsigned flying;
+    unsigned in_flight;
     const bbl_backend *tried[BBL_ATTEMPTS_MAX]; /* compared only */
     const char *detail; /* how the last attempt ended */
 } bbl_shard;
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -17,17 +17,15 @@
 
 #define READ_BYTES 16384
 #define IDLE_DEFAULT_US (9 * BBL_USEC_PER_SEC) /* without a Keep-Alive */
-#define IDLE_MARGIN_US                                                        \
-    (200 * BBL_USEC_PER_MS) /* closed before the peer does */
-#define SURPLUS_US                                                            \
-    (2 * BBL_USEC_PER_SEC)                /* idle time of a connection        \
-                            beyond the first: bursts are shorter */
+/* Closed before the peer does */
+#define IDLE_MARGIN_US (200 * BBL_USEC_PER_MS)
+/* Idle time of a connection beyond the first: bursts are shorter. */
+#define SURPLUS_US (2 * BBL_USEC_PER_SEC)
 #define REOPEN_US (300 * BBL_USEC_PER_MS) /* between connections ahead */
-#define TURNED_AWAY_US                                                        \
-    (1000 * BBL_USEC_PER_MS) /* the same, of a full server */
-#define SHORT_LIFE_US                                                         \
-    (50 * BBL_USEC_PER_MS) /* a connection that ends so soon                  \
-                             was one too many */
+/* The same, of a full server */
+#define TURNED_AWAY_US (1000 * BBL_USEC_PER_MS)
+/* A connection that ends so soon was one too many */
+#define SHORT_LIFE_US (50 * BBL_USEC_PER_MS)
 #define STATUS_CONTINUE_LAST 199
 
 typedef enum { LINE_CONNECTING, LINE_IDLE, LINE_BUSY, LINE_DEAD } line_state;
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -5,9 +5,8 @@
 
 #include "bbl/errors.h"
 
-#define HEAD_MAX                                                              \
-    (1u << 20) /* bytes; callers have smaller limits of theirs                \
-                */
+/* Bytes; callers have smaller limits of theirs */
+#define HEAD_MAX (1u << 20)
 
 /* Offsets of one field in the text. */
 typedef struct {
