--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -8,13 +8,13 @@
 #include "bbl/routing.h"
 #include "control/journal.h"
 #include "control/state.h"
-#include "dialect.h"
 #include "forward/dialect.h"
 #include "net/http_message.h"
 #include "net/mesh.h"
 #include "net/platform_client.h"
 #include "net/query_json.h"
 #include "net/searcher_client.h"
+#include "platform/dialect.h"
 #include "support/memdisk.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
