--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -422,14 +422,3 @@
 
     return row ? &row->member : NULL;
 }
-
-void
-bbl_rows_drop_report(bbl_rows *rows, uint32_t searcher)
-{
-    bbl_report_row *row = bbl_map_remove(&rows->reports, searcher);
-
-    if (row != NULL) {
-        BBL_RELEASE(bblx_report, &row->report);
-        free(row);
-    }
-}
--- a/src/control/rows.h
+++ b/src/control/rows.h
@@ -109,7 +109,4 @@
 /* Steps through the members as bbl_map_next does. */
 const bblx_member_row *bbl_rows_next_member(const bbl_rows *rows, size_t *pos);
 
-/* Drops the report of a searcher that is gone. */
-void bbl_rows_drop_report(bbl_rows *rows, uint32_t searcher);
-
 #endif
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -27,8 +27,7 @@
     bbl_lists *lists;
     bbl_vec changes; /* bblx_change_record, names owned, oldest first */
     bbl_map assigns; /* searcher -> bblx_assign, owned */
-    uint64_t assign_revision;
-    bbl_map claims;          /* key -> claim_row, owned */
+    bbl_map claims;  /* key -> claim_row, owned */
     claim_place *claim_ring; /* in the order of arrival */
     size_t claim_first;
     size_t claim_count; /* places in use, stale ones included */
@@ -190,7 +189,6 @@
     bblx_assign *old = bbl_map_remove(&s->assigns, searcher);
     bblx_assign *row;
 
-    s->assign_revision++;
     if (old != NULL) {
         free_assign(old);
     }
@@ -519,7 +517,6 @@
 int
 bbl_state_load(bbl_state *s, bbl_str data)
 {
-    uint64_t revision = s->assign_revision;
     bbl_lists *lists = NULL;
     bblx_state w;
     int error;
@@ -541,7 +538,6 @@
     memset(s, 0, sizeof(*s));
     s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
     s->evacuated = (bbl_vec)BBL_VEC_INIT(bblx_name);
-    s->assign_revision = revision + 1;
     s->applied = w.applied;
     s->lists_version = w.lists_version;
     s->clock_ms = w.clock_ms;
@@ -595,12 +591,6 @@
     return bbl_map_get(&s->assigns, searcher);
 }
 
-uint64_t
-bbl_state_assign_revision(const bbl_state *s)
-{
-    return s->assign_revision;
-}
-
 const bblx_voters *
 bbl_state_voters(const bbl_state *s)
 {
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -63,9 +63,6 @@
 /* Returns the assignment of a searcher, or NULL. */
 const bblx_assign *bbl_state_assign(const bbl_state *state, uint32_t searcher);
 
-/* Returns a number that grows whenever assignments change. */
-uint64_t bbl_state_assign_revision(const bbl_state *state);
-
 /* Returns the voters last committed. */
 const bblx_voters *bbl_state_voters(const bbl_state *state);
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -414,8 +414,7 @@
     d->published_at = d->now;
     refresh_lists(d);
     view = bbl_view_new(revision);
-    bbl_view_set_lists(view, d->lists ? d->lists->lists : NULL,
-                       d->lists_version);
+    bbl_view_set_lists(view, d->lists ? d->lists->lists : NULL);
     while ((assign = bbl_state_next_assign(state, &pos)) != NULL) {
         add_searcher(d, view, assign);
     }
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -45,8 +45,12 @@
     bbl_edge *metrics;
     bbl_backend_client *client;
     bbl_forwarder *forwarder;
-    bbl_buf head; /* scratch */
-    bbl_buf fields;
+    /* What all attempts of one call say: the call that `head` and
+     * `request_id` are of, or NULL. */
+    const bbl_edge_call *head_of;
+    bbl_buf head;
+    bbl_str request_id;
+    bbl_buf fields;    /* scratch */
     bool resize_links; /* the part of the servers in use may differ */
     bbl_usec next_service;
     bbl_usec drain_since;
@@ -60,7 +64,7 @@
 /* ---- attempts ---- */
 
 static void
-on_exchange(void *ctx, const bbl_exchange_result *r)
+on_exchange(void *ctx, const bbl_link_exchange_result *r)
 {
     bbl_attempt *attempt = ctx;
     bbl_gateway *g;
@@ -68,10 +72,10 @@
 
     memset(&result, 0, sizeof(result));
     g = bbl_attempt_get_ctx(attempt);
-    result.end = r->end == BBL_EXCHANGE_RESPONSE      ? BBL_ATTEMPT_RESPONSE
-                 : r->end == BBL_EXCHANGE_UNSENT      ? BBL_ATTEMPT_UNSENT
-                 : r->end == BBL_EXCHANGE_TURNED_AWAY ? BBL_ATTEMPT_TURNED_AWAY
-                                                      : BBL_ATTEMPT_BROKEN;
+    result.end = r->end == BBL_LINK_RESPONSE      ? BBL_ATTEMPT_RESPONSE
+                 : r->end == BBL_LINK_UNSENT      ? BBL_ATTEMPT_UNSENT
+                 : r->end == BBL_LINK_TURNED_AWAY ? BBL_ATTEMPT_TURNED_AWAY
+                                                  : BBL_ATTEMPT_BROKEN;
     result.reason = r->reason;
     if (r->message != NULL) {
         result.status = bbl_http_message_status(r->message);
@@ -92,12 +96,21 @@
     bbl_buf_puts(out, "\r\n");
 }
 
-/* Writes the request line and the fields that every attempt passes on. */
+/* Writes the request line and the fields that every attempt passes on,
+ * unless they are those written last: a gather sends them to every shard. */
 static void
-put_head(bbl_gateway *g, bbl_buf *out, const bbl_edge_call *call)
+prepare_head(bbl_gateway *g, const bbl_edge_call *call)
 {
     const bbl_http_message *m = call->message;
+    bbl_buf *out = &g->head;
+    bbl_caller_head caller;
 
+    if (g->head_of == call) {
+        return;
+    }
+    g->head_of = call;
+    g->dialect->read_caller(&caller, m->headers.ptr, m->headers.size);
+    g->request_id = caller.request_id;
     bbl_buf_clear(out);
     bbl_buf_put(out, call->method.ptr, call->method.size);
     bbl_buf_puts(out, " ");
@@ -122,28 +135,25 @@
 {
     bbl_gateway *g = ctx;
     bbl_edge_call *call = request->call;
-    bbl_exchange_request r;
-    bbl_caller_head caller;
-    bbl_exchange *exchange;
-    bbl_str id = {backend->listed.id.bblx_label_val,
-                  backend->listed.id.bblx_label_len};
+    bbl_link_exchange_request r;
+    bbl_link_exchange *exchange;
     int error;
 
-    g->dialect->read_caller(&caller, call->message->headers.ptr,
-                            call->message->headers.size);
-    put_head(g, &g->head, call);
+    prepare_head(g, call);
     bbl_buf_clear(&g->fields);
-    g->dialect->put_attempt(&g->fields, request->time_left_ms, id);
+    g->dialect->put_attempt(&g->fields, request->time_left_ms,
+                            bbl_label_view(&backend->listed.id));
     memset(&r, 0, sizeof(r));
     r.head = bbl_buf_str(&g->head);
     r.fields = bbl_buf_str(&g->fields);
     r.body = bbl_buf_str(&call->message->body);
-    r.request_id = caller.request_id;
+    r.request_id = g->request_id;
     r.fresh_within = request->idempotent ? 0 : FRESH_US;
     r.no_body = call->message->parser.method == (unsigned)HTTP_HEAD;
     r.done = on_exchange;
     r.ctx = attempt;
-    error = bbl_exchange_start(&exchange, backend->link, bbl_clock_now(), &r);
+    error =
+        bbl_link_exchange_start(&exchange, backend->link, bbl_clock_now(), &r);
     if (error == 0) {
         bbl_attempt_set_handle(attempt, exchange);
     }
@@ -154,7 +164,7 @@
 on_abandon(void *ctx, bbl_attempt *attempt)
 {
     (void)ctx;
-    bbl_exchange_abandon(bbl_attempt_get_handle(attempt));
+    bbl_link_exchange_abandon(bbl_attempt_get_handle(attempt));
 }
 
 static bool
@@ -249,7 +259,6 @@
 size_link(void *ctx, bbl_backend *b)
 {
     bbl_gateway *g = ctx;
-
     bool keep;
     unsigned limit =
         bbl_forwarder_connections(&keep, g->forwarder, bbl_clock_now(), b);
@@ -309,6 +318,7 @@
     bbl_forward_request r;
     bbl_caller_head head;
 
+    g->head_of = NULL; /* an earlier call may have had this place */
     g->dialect->read_caller(&head, call->message->headers.ptr,
                             call->message->headers.size);
     memset(&r, 0, sizeof(r));
@@ -367,13 +377,6 @@
     bbl_buf_free(&text);
 }
 
-static void
-nobody_left(void *ctx, bbl_edge_call *call)
-{
-    (void)ctx;
-    (void)call;
-}
-
 /* ---- the thread ---- */
 
 static void
@@ -488,7 +491,7 @@
 open_client(bbl_gateway *g)
 {
     bbl_backend_client_options o = {
-        .from = g->options->control,
+
         .dialect = g->dialect,
         .connect_timeout = CONNECT_TIMEOUT_US,
         .silence_timeout = SILENCE_TIMEOUT_US,
@@ -504,8 +507,8 @@
 open_edges(bbl_gateway *g)
 {
     bbl_edge_handler callers = {take_request, caller_left, g};
-    bbl_edge_handler ready = {take_ready, nobody_left, g};
-    bbl_edge_handler metrics = {take_metrics, nobody_left, g};
+    bbl_edge_handler ready = {take_ready, NULL, g};
+    bbl_edge_handler metrics = {take_metrics, NULL, g};
     int error =
         bbl_edge_open(&g->callers, g->loop, g->options->callers, &callers);
 
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -8,13 +8,23 @@
 
 /* ---- metrics ---- */
 
-static void
-put_counter(bbl_buf *out, const char *name, uint64_t value)
+void
+bbl_metric_counter(bbl_buf *out, const char *name, const char *help,
+                   uint64_t value)
 {
+    if (help != NULL) {
+        bbl_buf_printf(out, "# HELP baobablatch_%s %s\n", name, help);
+    }
     bbl_buf_printf(out, "# TYPE baobablatch_%s counter\nbaobablatch_%s %llu\n",
                    name, name, (unsigned long long)value);
 }
 
+static void
+put_counter(bbl_buf *out, const char *name, uint64_t value)
+{
+    bbl_metric_counter(out, name, NULL, value);
+}
+
 static void
 put_gauge(bbl_buf *out, const char *name, uint64_t value)
 {
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -23,6 +23,10 @@
     bbl_usec thread_cpu;
 } bbl_traffic_figures;
 
+/* Appends a counter in the text form; `help` may be NULL. */
+void bbl_metric_counter(bbl_buf *out, const char *name, const char *help,
+                        uint64_t value);
+
 /* Appends the counters in the text exposition format. */
 void bbl_metrics_render(bbl_buf *out, uint32_t host,
                         const bbl_traffic_figures *figures);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -364,13 +364,6 @@
     bbl_buf_free(&text);
 }
 
-static void
-metrics_left(void *ctx, bbl_edge_call *call)
-{
-    (void)ctx;
-    (void)call;
-}
-
 /* ---- what changed ---- */
 
 static void
@@ -644,7 +637,7 @@
 {
     bbl_catalog_options c = {
         .loop = n->loop,
-        .from = n->options->control,
+
         .platform = n->options->catalog,
         .dialect = n->dialect,
         .list = on_list,
@@ -662,7 +655,7 @@
 open_orders(node *n)
 {
     bbl_edge_handler orders = {take_order, order_left, n};
-    bbl_edge_handler metrics = {take_metrics, metrics_left, n};
+    bbl_edge_handler metrics = {take_metrics, NULL, n};
     int error = 0;
 
     bbl_orders_init(&n->orders, n->control, n->dialect, n->options->orders);
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -71,8 +71,9 @@
 }
 
 static int
-add_seed(bbl_node_options *o, const char *text)
+add_seed(void *out, const char *text)
 {
+    bbl_node_options *o = out;
     u_int n = o->seeds.list.list_len;
     bblx_voter *v = &o->seeds.list.list_val[n];
 
@@ -93,31 +94,17 @@
 read_seeds(void *out, const char *text)
 {
     bbl_node_options *o = out;
-    char *copy = bbl_memdup(text, strlen(text));
-    char *save = NULL;
-    int error = 0;
 
     free(o->seeds.list.list_val);
     o->seeds.list.list_val = bbl_calloc(SEEDS_MAX, sizeof(bblx_voter));
     o->seeds.list.list_len = 0;
-    for (char *part = strtok_r(copy, ",", &save); part != NULL && error == 0;
-         part = strtok_r(NULL, ",", &save)) {
-        error = add_seed(o, part);
-    }
-    free(copy);
-    if (error == 0 && o->seeds.list.list_len == 0) {
-        error = bbl_error_set(BBL_EINVAL, "at least one address");
-    }
-    return error;
+    return bbl_setting_list(o, text, add_seed);
 }
 
 static int
 read_data_dir(void *out, const char *text)
 {
-    bbl_node_options *o = out;
-
-    o->data_dir = text[0] != '\0' ? bbl_memdup(text, strlen(text)) : NULL;
-    return 0;
+    return bbl_setting_text(&((bbl_node_options *)out)->data_dir, text);
 }
 
 static int
--- a/src/daemon/options.c
+++ b/src/daemon/options.c
@@ -91,8 +91,9 @@
 }
 
 static int
-add_voter(bbl_daemon_options *o, const char *text)
+add_voter(void *out, const char *text)
 {
+    bbl_daemon_options *o = out;
     u_int n = o->voters.list.list_len;
     bblx_voter *v = &o->voters.list.list_val[n];
     const char *equals = strchr(text, '=');
@@ -118,34 +119,16 @@
 read_voters(void *out, const char *text)
 {
     bbl_daemon_options *o = out;
-    char *copy = bbl_memdup(text, strlen(text));
-    char *save = NULL;
-    int error = 0;
 
     o->voters.list.list_val = bbl_calloc(VOTERS_MAX, sizeof(bblx_voter));
-    for (char *part = strtok_r(copy, ",", &save); part != NULL && error == 0;
-         part = strtok_r(NULL, ",", &save)) {
-        error = add_voter(o, part);
-    }
-    free(copy);
-    if (error == 0 && o->voters.list.list_len == 0) {
-        error = bbl_error_set(BBL_EINVAL, "at least one voter");
-    }
-    return error;
-}
-
-static int
-copy_text(char **out, const char *text)
-{
-    *out = text[0] != '\0' ? bbl_memdup(text, strlen(text)) : NULL;
-    return 0;
+    return bbl_setting_list(o, text, add_voter);
 }
 
 static int
 read_data_dir(void *out, const char *text)
 {
     bbl_daemon_options *o = out;
-    return copy_text(&o->data_dir, text);
+    return bbl_setting_text(&o->data_dir, text);
 }
 
 static int
@@ -155,14 +138,14 @@
     if (text[0] != '\0' && strncmp(text, "http://", 7) != 0) {
         return bbl_error_set(BBL_EINVAL, "a URL that starts with http://");
     }
-    return copy_text(&o->platform_url, text);
+    return bbl_setting_text(&o->platform_url, text);
 }
 
 static int
 read_token(void *out, const char *text)
 {
     bbl_daemon_options *o = out;
-    return copy_text(&o->operator_token, text);
+    return bbl_setting_text(&o->operator_token, text);
 }
 
 static int
@@ -172,7 +155,7 @@
     if (strcmp(text, "owner") != 0 && strcmp(text, "baseline") != 0) {
         return bbl_error_set(BBL_EINVAL, "owner or baseline");
     }
-    return copy_text(&o->policy, text);
+    return bbl_setting_text(&o->policy, text);
 }
 
 static int
--- a/src/daemon/orders.c
+++ b/src/daemon/orders.c
@@ -15,6 +15,8 @@
     uint64_t version;
 } order_wait;
 
+static const bbl_str json_field = {"Content-Type: application/json\r\n", 32};
+
 static const char *
 kind_name(bbl_order_kind kind)
 {
@@ -50,7 +52,7 @@
     bbl_edge_reply r = {status, {"", 0}, {"", 0}, false};
 
     bbl_buf_printf(&body, "{\"outcome\":\"%s\"}\n", reason);
-    r.fields = (bbl_str){"Content-Type: application/json\r\n", 32};
+    r.fields = json_field;
     r.body = bbl_buf_str(&body);
     bbl_edge_answer(call, &r);
     bbl_buf_free(&body);
@@ -193,7 +195,7 @@
         answer(call, 503, "no routing");
     }
     else {
-        r.fields = (bbl_str){"Content-Type: application/json\r\n", 32};
+        r.fields = json_field;
         r.body = bbl_buf_str(&document);
         bbl_edge_answer(call, &r);
     }
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -4,10 +4,12 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 
 #include "bbl/errors.h"
+#include "util/alloc.h"
 
 #define GROUP "settings" /* of the settings file */
 
@@ -110,6 +112,33 @@
     return 0;
 }
 
+int
+bbl_setting_text(char **out, const char *text)
+{
+    *out = text[0] != '\0' ? bbl_memdup(text, strlen(text)) : NULL;
+    return 0;
+}
+
+int
+bbl_setting_list(void *out, const char *text,
+                 int (*add)(void *out, const char *part))
+{
+    char *copy = bbl_memdup(text, strlen(text));
+    char *save = NULL;
+    unsigned count = 0;
+    int error = 0;
+
+    for (char *part = strtok_r(copy, ",", &save); part != NULL && error == 0;
+         part = strtok_r(NULL, ",", &save)) {
+        error = add(out, part);
+        count++;
+    }
+    free(copy);
+    return error == 0 && count == 0
+               ? bbl_error_set(BBL_EINVAL, "at least one is needed")
+               : error;
+}
+
 int
 bbl_setting_fraction(double *out, const char *text, double least, double most)
 {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -37,6 +37,18 @@
 int bbl_setting_number(uint32_t *out, const char *text, uint32_t least,
                        uint32_t most);
 
+/* Copies a text, owned by `*out`; an empty one becomes NULL. Returns 0. */
+int bbl_setting_text(char **out, const char *text);
+
+/*
+ * Reads a list whose parts are separated by commas.
+ *
+ * @param add takes one part; returns 0 or a negative error
+ * @return 0, what `add` returned, or BBL_EINVAL when there is no part
+ */
+int bbl_setting_list(void *out, const char *text,
+                     int (*add)(void *out, const char *part));
+
 /* Reads a decimal fraction within bounds; returns 0 or BBL_EINVAL. */
 int bbl_setting_fraction(double *out, const char *text, double least,
                          double most);
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -10,16 +10,13 @@
 #define LATE_GRACE_US (100 * BBL_USEC_PER_MS)
 #define RETRY_AFTER_MS 250 /* when nothing better is known */
 #define RETRY_AFTER_LEAST_MS 30
+/* A host that has started learns the routing within about that time. */
+#define NO_ROUTING_RETRY_MS 600
 
 void
 bbl_query_remove(bbl_forwarder *f, bbl_query *q)
 {
-    for (size_t i = 0; i < f->queries.size; i++) {
-        if (*BBL_VEC_AT(bbl_query *, &f->queries, i) == q) {
-            bbl_vec_remove(&f->queries, i);
-            return;
-        }
-    }
+    bbl_vec_remove(&f->queries, bbl_vec_find(&f->queries, q));
 }
 
 void
@@ -36,30 +33,16 @@
     q->attempts.size = 0;
 }
 
-bool
-bbl_shard_has_usable(const bbl_shard *s, bbl_usec now)
-{
-    const bbl_vec *list = &s->pool->backends;
-
-    for (size_t k = 0; k < list->size; k++) {
-        if (bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k), now) ==
-            BBL_BACKEND_USABLE) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* A shard without a usable server, or any where all have one. */
 static bool
 is_culprit(const bbl_query *q, const bbl_shard *s, bbl_usec now)
 {
-    if (!bbl_shard_has_usable(s, now)) {
+    if (!bbl_pool_has_usable(s->pool, now)) {
         return true;
     }
     for (unsigned i = 0; i < q->shard_count; i++) {
         if (q->shards[i].state != BBL_SHARD_DONE &&
-            !bbl_shard_has_usable(&q->shards[i], now)) {
+            !bbl_pool_has_usable(q->shards[i].pool, now)) {
             return false;
         }
     }
@@ -74,7 +57,7 @@
         const bbl_shard *s = &q->shards[i];
         bbl_forward_record *r = &q->record;
 
-        if (s->state == BBL_SHARD_DONE || !(is_culprit(q, s, now))) {
+        if (s->state == BBL_SHARD_DONE || !is_culprit(q, s, now)) {
             continue;
         }
         r->service = bbl_buf_str(&s->pool->name);
@@ -94,11 +77,65 @@
     }
 }
 
+/* Tells of the end of a request, and answers it unless its caller has left. */
+static void
+close_request(bbl_forwarder *f, bbl_usec now, void *call,
+              bbl_forward_record *r, const bbl_forward_answer *answer)
+{
+    r->list_age = f->list_read != 0 ? now - f->list_read : BBL_FOREVER;
+    f->counters.outcomes[r->reason]++;
+    f->options.port.record(f->options.port.ctx, r);
+    if (answer != NULL) {
+        f->options.port.answer(f->options.port.ctx, call, answer);
+    }
+}
+
+/* Fills in an answer of the tier's own; `fields` is freed after its use. */
+static void
+own_answer(bbl_forwarder *f, bbl_forward_answer *a, bbl_buf *fields,
+           bbl_forward_reason reason, unsigned status, uint32_t retry_after_ms)
+{
+    memset(a, 0, sizeof(*a));
+    a->status = status;
+    if (status == BBL_STATUS_UNAVAILABLE) {
+        f->options.dialect->put_retry_after(fields, retry_after_ms);
+    }
+    a->fields = bbl_buf_str(fields);
+    a->body = (bbl_str){bbl_forward_reason_name(reason),
+                        strlen(bbl_forward_reason_name(reason))};
+}
+
+void
+bbl_forwarder_refuse(bbl_forwarder *f, bbl_usec now,
+                     const bbl_forward_request *request,
+                     bbl_forward_reason reason, unsigned status)
+{
+    bbl_buf fields = BBL_BUF_INIT;
+    bbl_forward_answer a;
+    bbl_forward_record r;
+
+    memset(&r, 0, sizeof(r));
+    r.request_id = request->request_id;
+    r.reason = reason;
+    r.status = status;
+    r.routing_version = bbl_forwarder_version(f);
+    r.elapsed = now - request->arrived;
+    if (status == BBL_STATUS_UNAVAILABLE) {
+        r.retry_after_ms =
+            NO_ROUTING_RETRY_MS +
+            (uint32_t)bbl_rng_below(&f->rng, NO_ROUTING_RETRY_MS / 2);
+    }
+    own_answer(f, &a, &fields, reason, status, r.retry_after_ms);
+    close_request(f, now, request->call, &r, &a);
+    bbl_buf_free(&fields);
+}
+
 void
 bbl_query_finish(bbl_forwarder *f, bbl_usec now, bbl_query *q,
                  bbl_forward_reason reason, const bbl_forward_answer *answer)
 {
-    bbl_usec drop_at = reason == BBL_FORWARD_LEFT
+    /* What may not be repeated is left to end when its caller has gone. */
+    bbl_usec drop_at = reason == BBL_FORWARD_LEFT && q->route->idempotent
                            ? now + LEFT_GRACE_US
                            : q->deadline + LATE_GRACE_US;
     bbl_forward_record *r = &q->record;
@@ -111,21 +148,11 @@
     r->elapsed = now - q->request.arrived;
     r->answered = q->done;
     r->shards = q->shard_count;
-    r->list_age = f->list_read != 0 ? now - f->list_read : BBL_FOREVER;
-    f->counters.outcomes[reason]++;
     if (reason == BBL_FORWARD_OK || reason == BBL_FORWARD_PARTIAL) {
         bbl_histogram_add(&f->counters.latency, (uint32_t)r->elapsed);
     }
-    f->options.port.record(f->options.port.ctx, r);
-    if (answer != NULL) {
-        f->options.port.answer(f->options.port.ctx, q->request.call, answer);
-    }
-    /* What may not be repeated is left to end when its caller has gone. */
-    if (reason == BBL_FORWARD_LEFT && !q->route->idempotent) {
-        drop_at = q->deadline + LATE_GRACE_US;
-    }
+    close_request(f, now, q->request.call, r, answer);
     bbl_query_orphan_attempts(f, q, drop_at);
-
     bbl_query_remove(f, q);
     bbl_route_table_release(q->table);
     bbl_query_free(q);
@@ -139,7 +166,7 @@
     bbl_usec wait;
 
     if (q->route->kind != BBL_ROUTE_GATHER &&
-        bbl_shard_has_usable(&q->shards[0], now)) {
+        bbl_pool_has_usable(q->shards[0].pool, now)) {
         /* Servers work, but have no room: one is free after a request. */
         ms = (uint32_t)(q->pace->service_time / BBL_USEC_PER_MS);
     }
@@ -156,15 +183,10 @@
     bbl_buf fields = BBL_BUF_INIT;
     bbl_forward_answer a;
 
-    memset(&a, 0, sizeof(a));
-    a.status = status;
     if (status == BBL_STATUS_UNAVAILABLE) {
         q->record.retry_after_ms = retry_after(f, now, q);
-        f->options.dialect->put_retry_after(&fields, q->record.retry_after_ms);
     }
-    a.fields = bbl_buf_str(&fields);
-    a.body = (bbl_str){bbl_forward_reason_name(reason),
-                       strlen(bbl_forward_reason_name(reason))};
+    own_answer(f, &a, &fields, reason, status, q->record.retry_after_ms);
     bbl_query_finish(f, now, q, reason, &a);
     bbl_buf_free(&fields);
 }
@@ -186,7 +208,6 @@
     bbl_buf_free(&fields);
 }
 
-/* Whether a server may have worked, or may yet, on some part of a query. */
 bool
 bbl_query_may_have_run(const bbl_query *q)
 {
@@ -213,10 +234,6 @@
     }
 }
 
-/*
- * Answers a gather when it is complete, cannot succeed any more, or has met
- * its target with enough shards. Returns whether it was answered.
- */
 bool
 bbl_query_settle(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -172,14 +172,12 @@
     memset(&r, 0, sizeof(r));
     r.request_id = q->request.request_id;
     r.service = bbl_buf_str(&s->pool->name);
-    r.server =
-        (bbl_str){b->listed.id.bblx_label_val, b->listed.id.bblx_label_len};
+    r.server = bbl_label_view(&b->listed.id);
     r.hedge = hedge;
     r.stalled = stalled;
     r.waited = now - s->sent;
     r.usual = q->pace->service_time;
-    r.budget_left = bbl_extra_budget_left((bbl_extra_budget *)&s->pool->budget,
-                                          &f->extra, now);
+    r.budget_left = bbl_extra_budget_left(&s->pool->budget, &f->extra, now);
     r.detail = s->detail != NULL ? s->detail : "";
     f->options.port.second(f->options.port.ctx, &r);
 }
@@ -264,17 +262,6 @@
     set_changed(f, now, b, before);
 }
 
-static void
-forget_attempt(bbl_vec *list, const bbl_attempt *a)
-{
-    for (size_t i = 0; i < list->size; i++) {
-        if (*BBL_VEC_AT(bbl_attempt *, list, i) == a) {
-            bbl_vec_swap_remove(list, i);
-            return;
-        }
-    }
-}
-
 static const char *
 describe_end(const bbl_attempt_result *r, const bbl_backend_head *head)
 {
@@ -374,11 +361,11 @@
     bbl_attempt_unlink(a);
     rate_server(f, now, a, r, &head, m);
     if (q == NULL) {
-        forget_attempt(&f->orphans, a);
+        bbl_vec_swap_remove(&f->orphans, bbl_vec_find(&f->orphans, a));
         free(a);
         return;
     }
-    forget_attempt(&q->attempts, a);
+    bbl_vec_swap_remove(&q->attempts, bbl_vec_find(&q->attempts, a));
     a->shard->in_flight--;
     if (m == MEANS_PART) {
         take_part(f, now, q, a, r, &head);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -15,8 +15,6 @@
 #define RECHECK_US (4 * BBL_USEC_PER_MS)
 /* An unsent request waits for its route's target over this. */
 #define HOLD_SHARE 5
-/* A host that has started learns the routing within about that time. */
-#define NO_ROUTING_RETRY_MS 600
 #define SWEEP_US (200 * BBL_USEC_PER_MS)
 
 const char *
@@ -118,7 +116,6 @@
     return next;
 }
 
-/* Does what is due for one query; false when it was answered. */
 bool
 bbl_query_tend(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
@@ -158,7 +155,6 @@
         if (!bbl_query_may_have_run(q) && hold < due) {
             due = hold;
         }
-
         q->next_due = due < q->next_due ? due : q->next_due;
     }
     /* While queues grow a hedge would only lengthen them. */
@@ -172,39 +168,6 @@
 
 /* ---- requests ---- */
 
-static void
-answer_at_once(bbl_forwarder *f, bbl_usec now,
-               const bbl_forward_request *request, bbl_forward_reason reason,
-               unsigned status)
-{
-    bbl_buf fields = BBL_BUF_INIT;
-    bbl_forward_answer a;
-    bbl_forward_record r;
-
-    memset(&a, 0, sizeof(a));
-    memset(&r, 0, sizeof(r));
-    r.request_id = request->request_id;
-    r.reason = reason;
-    r.status = status;
-    r.routing_version = bbl_forwarder_version(f);
-    r.list_age = f->list_read != 0 ? now - f->list_read : BBL_FOREVER;
-    r.elapsed = now - request->arrived;
-    a.status = status;
-    if (status == BBL_STATUS_UNAVAILABLE) {
-        r.retry_after_ms =
-            NO_ROUTING_RETRY_MS +
-            (uint32_t)bbl_rng_below(&f->rng, NO_ROUTING_RETRY_MS / 2);
-        f->options.dialect->put_retry_after(&fields, r.retry_after_ms);
-    }
-    a.fields = bbl_buf_str(&fields);
-    a.body = (bbl_str){bbl_forward_reason_name(reason),
-                       strlen(bbl_forward_reason_name(reason))};
-    f->counters.outcomes[reason]++;
-    f->options.port.record(f->options.port.ctx, &r);
-    f->options.port.answer(f->options.port.ctx, request->call, &a);
-    bbl_buf_free(&fields);
-}
-
 static void
 set_times(bbl_forwarder *f, bbl_query *q)
 {
@@ -257,7 +220,7 @@
     unsigned n = 0;
 
     for (unsigned i = 0; i < q->shard_count; i++) {
-        n += bbl_shard_has_usable(&q->shards[i], now);
+        n += bbl_pool_has_usable(q->shards[i].pool, now);
     }
     return n;
 }
@@ -287,15 +250,15 @@
 
     f->counters.requests++;
     if (f->table == NULL) {
-        answer_at_once(f, now, request, BBL_FORWARD_NO_ROUTING,
-                       BBL_STATUS_UNAVAILABLE);
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTING,
+                             BBL_STATUS_UNAVAILABLE);
         return;
     }
     route =
         bbl_routing_match(f->table->routing, request->hostname, request->path);
     if (route == NULL) {
-        answer_at_once(f, now, request, BBL_FORWARD_NO_ROUTE,
-                       BBL_STATUS_NOT_FOUND);
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTE,
+                             BBL_STATUS_NOT_FOUND);
         return;
     }
     q = bbl_calloc(1, sizeof(*q));
@@ -323,7 +286,6 @@
                          BBL_STATUS_UNAVAILABLE);
         return;
     }
-
     bbl_query_tend(f, now, q);
 }
 
@@ -339,6 +301,7 @@
         }
     }
 }
+
 /* ---- time ---- */
 
 /* Ends attempts that nobody waits for when their time is over. */
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -39,7 +39,7 @@
 /* Gives up one use of a table, and frees it after the last. */
 void bbl_route_table_release(bbl_route_table *t);
 
-/* Puts the next routing into use once its shards can be served. */
+/* Puts the next routing into use, unless it should wait for its shards. */
 void bbl_forwarder_adopt(bbl_forwarder *f, bbl_usec now);
 
 /* ---- attempt.c ---- */
@@ -75,9 +75,6 @@
 
 /* ---- answer.c ---- */
 
-/* Returns whether a shard has a server that may get work. */
-bool bbl_shard_has_usable(const bbl_shard *s, bbl_usec now);
-
 /* Takes a query off the list; it is not freed. */
 void bbl_query_remove(bbl_forwarder *f, bbl_query *q);
 
@@ -85,9 +82,14 @@
 void bbl_query_orphan_attempts(bbl_forwarder *f, bbl_query *q,
                                bbl_usec drop_at);
 
-/* Returns whether any server may have run a part of the query. */
+/* Whether a server may have worked, or may yet, on some part of a query. */
 bool bbl_query_may_have_run(const bbl_query *q);
 
+/* Answers a request that never became a query. */
+void bbl_forwarder_refuse(bbl_forwarder *f, bbl_usec now,
+                          const bbl_forward_request *request,
+                          bbl_forward_reason reason, unsigned status);
+
 /* Answers a query, unless its caller has left, and frees it. */
 void bbl_query_finish(bbl_forwarder *f, bbl_usec now, bbl_query *q,
                       bbl_forward_reason reason,
@@ -100,12 +102,16 @@
 /* The same with what the shards have answered. */
 void bbl_query_finish_merged(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
-/* Answers a query if that cannot become better; returns whether it did. */
+/*
+ * Answers a gather when it is complete, cannot succeed any more, or has met
+ * its target with enough shards; a request to one server when nothing can
+ * help any more. Returns whether it was answered.
+ */
 bool bbl_query_settle(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
 /* ---- forwarder.c ---- */
 
-/* Starts the attempts of a query that are due, and answers it if it is. */
+/* Does what is due for a query; false when that has answered it. */
 bool bbl_query_tend(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
 #endif
--- a/src/forward/pools.c
+++ b/src/forward/pools.c
@@ -6,15 +6,21 @@
 #include "util/alloc.h"
 
 static uint64_t
-label_key(const char *ptr, size_t size)
+name_key(bbl_str name)
 {
-    return bbl_hash(ptr, size, 31);
+    return bbl_hash(name.ptr, name.size, 31);
+}
+
+static uint64_t
+id_key(const bblx_backend *listed)
+{
+    return name_key(bbl_label_view(&listed->id));
 }
 
 bbl_pool *
 bbl_pools_get(bbl_pools *p, bbl_str service)
 {
-    uint64_t key = label_key(service.ptr, service.size);
+    uint64_t key = name_key(service);
     bbl_pool *pool = bbl_map_get(&p->pools, key);
 
     if (pool == NULL) {
@@ -26,17 +32,17 @@
     return pool;
 }
 
-static void
-unlist(bbl_pools *p, bbl_backend *b)
+bool
+bbl_pool_has_usable(const bbl_pool *pool, bbl_usec now)
 {
-    bbl_pool *pool = bbl_pools_get(p, bbl_label_view(&b->listed.service));
-
     for (size_t i = 0; i < pool->backends.size; i++) {
-        if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
-            bbl_vec_swap_remove(&pool->backends, i);
-            return;
+        if (bbl_backend_get_state(
+                *BBL_VEC_AT(bbl_backend *, &pool->backends, i), now) ==
+            BBL_BACKEND_USABLE) {
+            return true;
         }
     }
+    return false;
 }
 
 static bool
@@ -69,9 +75,10 @@
 static void
 retire(bbl_pools *p, bbl_backend *b)
 {
-    bbl_map_remove(&p->backends, label_key(b->listed.id.bblx_label_val,
-                                           b->listed.id.bblx_label_len));
-    unlist(p, b);
+    bbl_pool *pool = bbl_pools_get(p, bbl_label_view(&b->listed.service));
+
+    bbl_map_remove(&p->backends, id_key(&b->listed));
+    bbl_vec_swap_remove(&pool->backends, bbl_vec_find(&pool->backends, b));
     b->listed.gone = TRUE;
     bbl_vec_push(&p->leavers, &b);
     p->removed(p->ctx, b);
@@ -86,9 +93,7 @@
     b->listed = *listed;
     b->same_zone =
         bbl_str_equal(bbl_name_view(&b->listed.zone), bbl_name_str(&p->zone));
-    bbl_map_set(
-        &p->backends,
-        label_key(listed->id.bblx_label_val, listed->id.bblx_label_len), b);
+    bbl_map_set(&p->backends, id_key(listed), b);
     bbl_vec_push(&pool->backends, &b);
     p->added(p->ctx, b);
     return b;
@@ -98,9 +103,7 @@
 take_one(bbl_pools *p, bbl_usec now, bblx_backend *listed, bbl_usec cold_until,
          const bbl_name *evacuated, size_t evacuated_count)
 {
-    bbl_backend *b =
-        bbl_map_get(&p->backends, label_key(listed->id.bblx_label_val,
-                                            listed->id.bblx_label_len));
+    bbl_backend *b = bbl_map_get(&p->backends, id_key(listed));
     bbl_backend_state before;
     bool was_out;
 
--- a/src/forward/pools.h
+++ b/src/forward/pools.h
@@ -19,7 +19,7 @@
     bbl_extra_budget budget;
     bbl_load_limit limit; /* of the routes whose first service this is */
     uint32_t connections; /* that one server takes, of all hosts; 0: unknown */
-    bool routed;          /* some route of the present routing names it */
+
 } bbl_pool;
 
 typedef struct {
@@ -39,6 +39,9 @@
 /* Returns the pool of a service, made if missing. */
 bbl_pool *bbl_pools_get(bbl_pools *pools, bbl_str service);
 
+/* Returns whether some server of the pool may get work. */
+bool bbl_pool_has_usable(const bbl_pool *pool, bbl_usec now);
+
 /*
  * Takes over a list of servers.
  *
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -1,6 +1,5 @@
 #include "forward/forwarder_core.h"
 
-#include <math.h>
 #include <stdlib.h>
 
 #include "forward/subset.h"
@@ -90,24 +89,10 @@
             r->priority < t->most_urgent ? r->priority : t->most_urgent;
         bbl_split_init(&t->splits[i], r, bbl_rng_next(&f->rng));
         t->paces[i] = pace_of(f, r);
-        for (size_t k = 0; k < r->target_count; k++) {
-            t->pools[r->targets[k].service]->routed = true;
-        }
     }
     return t;
 }
 
-static void
-clear_routed(bbl_forwarder *f)
-{
-    bbl_pool *pool;
-    size_t pos = 0;
-
-    while ((pool = bbl_map_next(&f->pools.pools, &pos)) != NULL) {
-        pool->routed = false;
-    }
-}
-
 void
 bbl_forward_update_free(bbl_forward_update *u)
 {
@@ -132,14 +117,8 @@
     for (size_t i = 0; i < route->target_count; i++) {
         const bbl_service *s =
             bbl_routing_service(routing, route->targets[i].service);
-        const bbl_vec *list = &bbl_pools_get(&f->pools, s->name)->backends;
-        bool usable = false;
 
-        for (size_t k = 0; k < list->size && !usable; k++) {
-            usable = bbl_backend_get_state(*BBL_VEC_AT(bbl_backend *, list, k),
-                                           now) == BBL_BACKEND_USABLE;
-        }
-        if (!usable) {
+        if (!bbl_pool_has_usable(bbl_pools_get(&f->pools, s->name), now)) {
             return false;
         }
     }
@@ -171,7 +150,6 @@
     return false;
 }
 
-/* Puts the waiting routing into use, unless it should wait longer. */
 void
 bbl_forwarder_adopt(bbl_forwarder *f, bbl_usec now)
 {
@@ -183,7 +161,6 @@
         return;
     }
     bbl_route_table_release(f->table);
-    clear_routed(f);
     f->table = table_new(f, f->next_routing);
     f->next_routing = NULL;
     f->options.port.adopted(f->options.port.ctx,
@@ -224,8 +201,8 @@
     }
     bbl_pools_update(&f->pools, now, u->backends, u->cold_until,
                      u->backend_count, u->evacuated, u->evacuated_count);
+    u->backend_count = 0; /* taken over */
     share_slots(f);
-    u->backend_count = 0;
     bbl_pools_confirm(&f->pools, now, f->list_read, f->options.list_lag);
     bbl_forwarder_adopt(f, now);
     bbl_forward_update_free(u);
@@ -235,24 +212,22 @@
 bbl_forwarder_connections(bool *keep, bbl_forwarder *f, bbl_usec now,
                           const bbl_backend *b)
 {
-    const bblx_label *service = &b->listed.service;
     bbl_pool *pool =
-        bbl_pools_get(&f->pools, (bbl_str){service->bblx_label_val,
-                                           service->bblx_label_len});
+        bbl_pools_get(&f->pools, bbl_label_view(&b->listed.service));
     uint32_t all =
         pool->connections > 0 ? pool->connections : DEFAULT_CONNECTIONS;
     bbl_subset_input in = {f->options.seed,
                            CONNECTION_SHARE * all / f->entry_hosts};
+    size_t at;
 
     *keep = false;
     if (b->listed.leaving || b->listed.gone) {
         return 0;
     }
-    for (size_t i = 0; i < pool->backends.size; i++) {
-        if (*BBL_VEC_AT(bbl_backend *, &pool->backends, i) == b) {
-            return bbl_subset_connections(keep, &in, pool->backends.ptr,
-                                          pool->backends.size, i, now);
-        }
+    at = bbl_vec_find(&pool->backends, b);
+    if (at == pool->backends.size) {
+        return 0;
     }
-    return 0;
+    return bbl_subset_connections(keep, &in, pool->backends.ptr,
+                                  pool->backends.size, at, now);
 }
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -31,7 +31,7 @@
 typedef enum { LINE_CONNECTING, LINE_IDLE, LINE_BUSY, LINE_DEAD } line_state;
 
 /* One connection; also the exchange that runs on it. */
-struct bbl_exchange {
+struct bbl_link_exchange {
     bbl_backend_link *link;
     int fd;
     line_state state;
@@ -46,13 +46,13 @@
     bool used; /* it has carried a whole exchange */
     bool no_body;
     bbl_buf request_id;
-    bbl_exchange_done done; /* NULL: nobody waits */
+    bbl_link_exchange_done done; /* NULL: nobody waits */
     void *ctx;
     const char *reason; /* of a failure that the next tick tells */
-    struct bbl_exchange *next;
+    struct bbl_link_exchange *next;
 };
 
-typedef struct bbl_exchange line;
+typedef struct bbl_link_exchange line;
 
 struct bbl_backend_link {
     bbl_backend_client *client;
@@ -93,12 +93,7 @@
 {
     bbl_vec *lines = &l->link->lines;
 
-    for (size_t i = 0; i < lines->size; i++) {
-        if (*BBL_VEC_AT(line *, lines, i) == l) {
-            bbl_vec_remove(lines, i);
-            return;
-        }
-    }
+    bbl_vec_remove(lines, bbl_vec_find(lines, l));
 }
 
 /* Closes a connection; its memory goes with the next tick. */
@@ -124,32 +119,32 @@
 
 /* Ends a connection that failed, and tells who waits for it. */
 static void
-line_end(line *l, bbl_exchange_end end, const char *reason)
+line_end(line *l, bbl_link_exchange_end end, const char *reason)
 {
     bbl_backend_client *client = l->link->client;
     bool connecting = l->state == LINE_CONNECTING;
     bool had_request = l->has_request;
-    bbl_exchange_done done = l->done;
-    bbl_exchange_result r = {end, reason, NULL};
+    bbl_link_exchange_done done = l->done;
+    bbl_link_exchange_result r = {end, reason, NULL};
     void *ctx = l->ctx;
     void *owner = l->link->owner;
     bool freed = l->link->freed;
 
     l->done = NULL;
     if (connecting) {
-        l->link->unreachable = end == BBL_EXCHANGE_UNSENT;
+        l->link->unreachable = end == BBL_LINK_UNSENT;
         l->link->opened_ahead = bbl_clock_now();
         l->link->pause =
-            end == BBL_EXCHANGE_TURNED_AWAY ? TURNED_AWAY_US : REOPEN_US;
+            end == BBL_LINK_TURNED_AWAY ? TURNED_AWAY_US : REOPEN_US;
     }
     line_close(l);
     if (connecting) {
         client->counters.connect_failures++;
     }
     if (had_request) {
-        client->counters.broken += r.end == BBL_EXCHANGE_BROKEN;
+        client->counters.broken += r.end == BBL_LINK_BROKEN;
     }
-    if (connecting && !freed && end != BBL_EXCHANGE_TURNED_AWAY) {
+    if (connecting && !freed && end != BBL_LINK_TURNED_AWAY) {
         client->options.opened(client->options.ctx, owner, false);
     }
     if (done != NULL) {
@@ -160,8 +155,7 @@
 static void
 line_fail(line *l, const char *reason)
 {
-    line_end(l, l->any_sent ? BBL_EXCHANGE_BROKEN : BBL_EXCHANGE_UNSENT,
-             reason);
+    line_end(l, l->any_sent ? BBL_LINK_BROKEN : BBL_LINK_UNSENT, reason);
 }
 
 /* ---- the end of an exchange ---- */
@@ -222,8 +216,8 @@
 line_done(line *l, bool extra)
 {
     bbl_backend_client *client = l->link->client;
-    bbl_exchange_result r = {BBL_EXCHANGE_RESPONSE, NULL, &client->finished};
-    bbl_exchange_done done = l->done;
+    bbl_link_exchange_result r = {BBL_LINK_RESPONSE, NULL, &client->finished};
+    bbl_link_exchange_done done = l->done;
     void *ctx = l->ctx;
     bool keep = l->message.keeps && !extra && !l->link->freed;
     bbl_usec idle = idle_time(l);
@@ -252,9 +246,7 @@
         &head, bbl_http_message_status(&l->message), l->message.headers.ptr,
         l->message.headers.size);
     return l->request_id.size > 0 && head.request_id.size > 0 &&
-           (head.request_id.size != l->request_id.size ||
-            memcmp(head.request_id.ptr, l->request_id.ptr,
-                   l->request_id.size) != 0);
+           !bbl_str_equal(head.request_id, bbl_buf_str(&l->request_id));
 }
 
 /* Takes in response bytes; false when the connection is gone or done. */
@@ -374,8 +366,7 @@
         error != 0) {
         /* A reset in place of a refusal: the server is there, but full. */
         line_end(l,
-                 error == ECONNRESET ? BBL_EXCHANGE_TURNED_AWAY
-                                     : BBL_EXCHANGE_UNSENT,
+                 error == ECONNRESET ? BBL_LINK_TURNED_AWAY : BBL_LINK_UNSENT,
                  error == ECONNRESET ? "the server takes no more connections"
                                      : "the connection was refused");
         return;
@@ -489,7 +480,7 @@
 }
 
 static void
-prepare(line *l, const bbl_exchange_request *r)
+prepare(line *l, const bbl_link_exchange_request *r)
 {
     bbl_buf_clear(&l->out);
     l->sent = 0;
@@ -509,8 +500,8 @@
 }
 
 int
-bbl_exchange_start(bbl_exchange **out, bbl_backend_link *link, bbl_usec now,
-                   const bbl_exchange_request *r)
+bbl_link_exchange_start(bbl_link_exchange **out, bbl_backend_link *link,
+                        bbl_usec now, const bbl_link_exchange_request *r)
 {
     line *l = find_idle(link, now, r->fresh_within);
 
@@ -544,7 +535,7 @@
 }
 
 void
-bbl_exchange_abandon(bbl_exchange *l)
+bbl_link_exchange_abandon(bbl_link_exchange *l)
 {
     l->done = NULL;
     l->link->client->counters.abandoned++;
@@ -600,12 +591,6 @@
     return link->busy < link->limit;
 }
 
-unsigned
-bbl_backend_link_connections(const bbl_backend_link *link)
-{
-    return (unsigned)link->lines.size;
-}
-
 void
 bbl_backend_link_open(bbl_backend_link *link, bbl_usec now)
 {
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -11,25 +11,25 @@
 
 typedef struct bbl_backend_client bbl_backend_client;
 typedef struct bbl_backend_link bbl_backend_link;
-typedef struct bbl_exchange bbl_exchange;
+typedef struct bbl_link_exchange bbl_link_exchange;
 
 /* How an exchange ended. */
 typedef enum {
-    BBL_EXCHANGE_RESPONSE,    /* a whole response */
-    BBL_EXCHANGE_UNSENT,      /* no connection; nothing was sent */
-    BBL_EXCHANGE_TURNED_AWAY, /* the server takes no more connections;
+    BBL_LINK_RESPONSE,    /* a whole response */
+    BBL_LINK_UNSENT,      /* no connection; nothing was sent */
+    BBL_LINK_TURNED_AWAY, /* the server takes no more connections;
                                  nothing was sent */
-    BBL_EXCHANGE_BROKEN       /* sent, and no whole response came */
-} bbl_exchange_end;
+    BBL_LINK_BROKEN       /* sent, and no whole response came */
+} bbl_link_exchange_end;
 
 typedef struct {
-    bbl_exchange_end end;
+    bbl_link_exchange_end end;
     const char *reason;              /* static; of an end without a response */
     const bbl_http_message *message; /* of a response, borrowed */
-} bbl_exchange_result;
+} bbl_link_exchange_result;
 
-typedef void (*bbl_exchange_done)(void *ctx,
-                                  const bbl_exchange_result *result);
+typedef void (*bbl_link_exchange_done)(void *ctx,
+                                       const bbl_link_exchange_result *result);
 
 /* A request to send; all strings are borrowed for the call. */
 typedef struct {
@@ -40,9 +40,9 @@
     bbl_usec fresh_within; /* a kept connection must have been used so lately;
                               0: any */
     bool no_body;          /* the response to HEAD */
-    bbl_exchange_done done;
+    bbl_link_exchange_done done;
     void *ctx;
-} bbl_exchange_request;
+} bbl_link_exchange_request;
 
 typedef struct {
     uint64_t connects;
@@ -54,7 +54,7 @@
 } bbl_backend_counters;
 
 typedef struct {
-    bblx_address from; /* local address of the connections */
+
     /* Reads the id that a response echoes. */
     const bbl_dialect *dialect;
     bbl_usec connect_timeout;
@@ -99,9 +99,6 @@
 /* Returns whether an exchange could start now. */
 bool bbl_backend_link_has_room(const bbl_backend_link *link);
 
-/* Returns the connections that are open or opening. */
-unsigned bbl_backend_link_connections(const bbl_backend_link *link);
-
 /*
  * Opens a connection ahead of need; `opened` tells the outcome. Does nothing
  * within 300 ms of the last time.
@@ -117,10 +114,11 @@
  *
  * @return 0, or BBL_EFULL when all connections are in use
  */
-int bbl_exchange_start(bbl_exchange **out, bbl_backend_link *link,
-                       bbl_usec now, const bbl_exchange_request *request);
+int bbl_link_exchange_start(bbl_link_exchange **out, bbl_backend_link *link,
+                            bbl_usec now,
+                            const bbl_link_exchange_request *request);
 
 /* Ends an exchange by closing its connection, so that the work stops. */
-void bbl_exchange_abandon(bbl_exchange *exchange);
+void bbl_link_exchange_abandon(bbl_link_exchange *exchange);
 
 #endif
--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -15,7 +15,7 @@
     bbl_catalog_options options;
     bbl_backend_client *client;
     bbl_backend_link *link;
-    bbl_exchange *exchange; /* under way, or NULL */
+    bbl_link_exchange *exchange; /* under way, or NULL */
     bbl_usec started;
     bbl_vec backends; /* bblx_backend, owned */
     bbl_buf next;     /* page to read */
@@ -45,12 +45,12 @@
     c->options.failed(c->options.ctx, reason);
 }
 
-static void on_page(void *ctx, const bbl_exchange_result *r);
+static void on_page(void *ctx, const bbl_link_exchange_result *r);
 
 static void
 read_page(bbl_catalog_client *c, bbl_usec now)
 {
-    bbl_exchange_request r = {.done = on_page, .ctx = c};
+    bbl_link_exchange_request r = {.done = on_page, .ctx = c};
     bbl_buf head = BBL_BUF_INIT;
 
     bbl_buf_puts(&head, "GET ");
@@ -60,19 +60,19 @@
     bbl_buf_puts(&head, "\r\n");
     r.head = bbl_buf_str(&head);
     c->calls++;
-    if (bbl_exchange_start(&c->exchange, c->link, now, &r) != 0) {
+    if (bbl_link_exchange_start(&c->exchange, c->link, now, &r) != 0) {
         fail(c, bbl_error_last());
     }
     bbl_buf_free(&head);
 }
 
 static void
-on_page(void *ctx, const bbl_exchange_result *r)
+on_page(void *ctx, const bbl_link_exchange_result *r)
 {
     bbl_catalog_client *c = ctx;
 
     c->exchange = NULL;
-    if (r->end != BBL_EXCHANGE_RESPONSE) {
+    if (r->end != BBL_LINK_RESPONSE) {
         fail(c, r->reason);
         return;
     }
@@ -115,7 +115,7 @@
 {
     bbl_catalog_client *c = bbl_calloc(1, sizeof(*c));
     bbl_backend_client_options o = {
-        .from = options->from,
+
         .dialect = options->dialect,
         .connect_timeout = CONNECT_TIMEOUT_US,
         .silence_timeout = CONNECT_TIMEOUT_US,
@@ -170,7 +170,7 @@
 bbl_catalog_client_tick(bbl_catalog_client *c, bbl_usec now)
 {
     if (c->exchange != NULL && now > c->started + READ_TIMEOUT_US) {
-        bbl_exchange_abandon(c->exchange);
+        bbl_link_exchange_abandon(c->exchange);
         c->exchange = NULL;
         fail(c, "no answer in time");
     }
--- a/src/net/catalog_client.h
+++ b/src/net/catalog_client.h
@@ -9,7 +9,7 @@
 
 typedef struct {
     bbl_loop *loop;
-    bblx_address from;
+
     bblx_address platform;
     const bbl_dialect *dialect;
     /* A whole list; `skipped` entries could not be used. */
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -110,7 +110,9 @@
     if (waiting) {
         e->calls--;
         e->counters.left++;
-        e->handler.left(e->handler.ctx, &c->call);
+        if (e->handler.left != NULL) {
+            e->handler.left(e->handler.ctx, &c->call);
+        }
     }
 }
 
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -23,7 +23,6 @@
     bbl_str hostname; /* without the port */
     bbl_usec arrived; /* when its last byte was read */
     bool first;       /* of its connection */
-    void *user;       /* for the handler */
 };
 
 typedef struct {
@@ -36,7 +35,8 @@
 typedef struct {
     /* Takes a request; bbl_edge_answer must follow, now or later. */
     void (*take)(void *ctx, bbl_edge_call *call);
-    /* The caller has gone; the call is freed after this. */
+    /* The caller has gone; the call is freed after this. NULL where every
+     * call is answered at once. */
     void (*left)(void *ctx, bbl_edge_call *call);
     void *ctx;
 } bbl_edge_handler;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -193,11 +193,10 @@
 static void
 forget_running(bbl_vec *list, const exchange *x)
 {
-    for (size_t i = 0; i < list->size; i++) {
-        if (*BBL_VEC_AT(exchange *, list, i) == x) {
-            bbl_vec_swap_remove(list, i);
-            return;
-        }
+    size_t i = bbl_vec_find(list, x);
+
+    if (i < list->size) {
+        bbl_vec_swap_remove(list, i);
     }
 }
 
--- a/src/policy/gather.c
+++ b/src/policy/gather.c
@@ -213,12 +213,12 @@
 static void
 forget_query(bbl_gather *g, query *q)
 {
+    size_t at;
+
     bbl_map_remove(&g->queries, q->seq);
-    for (size_t i = 0; i < g->order.size; i++) {
-        if (*BBL_VEC_AT(query *, &g->order, i) == q) {
-            bbl_vec_swap_remove(&g->order, i);
-            break;
-        }
+    at = bbl_vec_find(&g->order, q);
+    if (at < g->order.size) {
+        bbl_vec_swap_remove(&g->order, at);
     }
     free_query(q);
 }
--- a/src/policy/view.c
+++ b/src/policy/view.c
@@ -9,7 +9,6 @@
 struct bbl_view {
     uint64_t revision;
     const bbl_lists *lists;
-    uint64_t lists_version;
     bbl_vec searchers; /* bbl_view_searcher */
     bbl_map by_id;     /* searcher -> place + 1 */
     bbl_vec members;   /* bbl_view_member */
@@ -30,10 +29,9 @@
 }
 
 void
-bbl_view_set_lists(bbl_view *v, const bbl_lists *lists, uint64_t version)
+bbl_view_set_lists(bbl_view *v, const bbl_lists *lists)
 {
     v->lists = lists;
-    v->lists_version = version;
 }
 
 bblx_index *
@@ -258,12 +256,6 @@
     return v->lists;
 }
 
-uint64_t
-bbl_view_lists_version(const bbl_view *v)
-{
-    return v->lists_version;
-}
-
 size_t
 bbl_view_searcher_count(const bbl_view *v)
 {
--- a/src/policy/view.h
+++ b/src/policy/view.h
@@ -64,8 +64,7 @@
  *
  * @param lists shared with the caller, who keeps it alive; may be NULL
  */
-void bbl_view_set_lists(bbl_view *view, const bbl_lists *lists,
-                        uint64_t version);
+void bbl_view_set_lists(bbl_view *view, const bbl_lists *lists);
 
 /* Adds a searcher; `report` may be NULL. */
 void bbl_view_add_searcher(bbl_view *view, const bblx_assign *assign,
@@ -81,7 +80,6 @@
 
 uint64_t bbl_view_revision(const bbl_view *view);
 const bbl_lists *bbl_view_lists(const bbl_view *view);
-uint64_t bbl_view_lists_version(const bbl_view *view);
 size_t bbl_view_searcher_count(const bbl_view *view);
 const bbl_view_searcher *bbl_view_searcher_at(const bbl_view *view, size_t i);
 
--- a/src/util/histogram.c
+++ b/src/util/histogram.c
@@ -60,13 +60,3 @@
     }
     h->sum /= 2;
 }
-
-void
-bbl_histogram_merge(bbl_histogram *to, const bbl_histogram *from)
-{
-    for (unsigned i = 0; i < BBL_HISTOGRAM_CELLS; i++) {
-        to->cells[i] += from->cells[i];
-    }
-    to->total += from->total;
-    to->sum += from->sum;
-}
--- a/src/util/histogram.h
+++ b/src/util/histogram.h
@@ -26,7 +26,4 @@
 /* Halves all counts. */
 void bbl_histogram_decay(bbl_histogram *h);
 
-/* Adds the counts of `from` to `to`. */
-void bbl_histogram_merge(bbl_histogram *to, const bbl_histogram *from);
-
 #endif
--- a/src/util/vec.c
+++ b/src/util/vec.c
@@ -35,6 +35,17 @@
     return (char *)vec->ptr + i * vec->item;
 }
 
+size_t
+bbl_vec_find(const bbl_vec *vec, const void *pointer)
+{
+    size_t i = 0;
+
+    while (i < vec->size && ((void **)vec->ptr)[i] != pointer) {
+        i++;
+    }
+    return i;
+}
+
 void
 bbl_vec_swap_remove(bbl_vec *vec, size_t i)
 {
--- a/src/util/vec.h
+++ b/src/util/vec.h
@@ -27,6 +27,9 @@
 /* Returns item `i`, which must be in range. */
 void *bbl_vec_at(const bbl_vec *vec, size_t i);
 
+/* Returns the place of a pointer among pointers; vec->size when absent. */
+size_t bbl_vec_find(const bbl_vec *vec, const void *pointer);
+
 /* Removes item `i` by moving the last item into its place. */
 void bbl_vec_swap_remove(bbl_vec *vec, size_t i);
 
--- a/tests/support/traffic_world.c
+++ b/tests/support/traffic_world.c
@@ -674,7 +674,7 @@
     bbl_view *view = bbl_view_new(w->revision);
     unsigned lists = (w->zone_out[0] ? 1u : 0u) + (w->zone_out[1] ? 2u : 0u);
 
-    bbl_view_set_lists(view, w->lists[lists], 1);
+    bbl_view_set_lists(view, w->lists[lists]);
     for (unsigned s = 0; s < SEARCHERS; s++) {
         add_searcher(w, view, s);
     }
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -20,7 +20,7 @@
 /* What became of an exchange. */
 typedef struct {
     unsigned calls;
-    bbl_exchange_end end;
+    bbl_link_exchange_end end;
     unsigned status;
     char body[256];
 } outcome;
@@ -36,7 +36,7 @@
 }
 
 static void
-on_done(void *ctx, const bbl_exchange_result *r)
+on_done(void *ctx, const bbl_link_exchange_result *r)
 {
     outcome *o = ctx;
 
@@ -77,19 +77,20 @@
     close(f->listener);
 }
 
-static bbl_exchange *
+static bbl_link_exchange *
 start(fixture *f, outcome *o)
 {
-    bbl_exchange_request r = {
+    bbl_link_exchange_request r = {
         .head = {"GET /x HTTP/1.1\r\nHost: a\r\nRequest-Id: q1\r\n", 43},
         .request_id = {"q1", 2},
         .done = on_done,
         .ctx = o,
     };
-    bbl_exchange *x;
+    bbl_link_exchange *x;
 
     memset(o, 0, sizeof(*o));
-    ck_assert_int_eq(bbl_exchange_start(&x, f->link, bbl_clock_now(), &r), 0);
+    ck_assert_int_eq(bbl_link_exchange_start(&x, f->link, bbl_clock_now(), &r),
+                     0);
     ck_assert_uint_eq(o->calls, 0);
     return x;
 }
@@ -114,15 +115,22 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: " id "\r\nContent-Length: " size          \
     "\r\n\r\n" body
 
+/* Starts the first exchange; returns the server's side of its connection. */
+static int
+open_exchange(fixture *f, outcome *o)
+{
+    open_fixture(f);
+    start(f, o);
+    return accept_one(f);
+}
+
 START_TEST(a_connection_serves_one_request_after_another)
 {
     fixture f;
     outcome o;
     int fd;
 
-    open_fixture(&f);
-    start(&f, &o);
-    fd = accept_one(&f);
+    fd = open_exchange(&f, &o);
     for (int i = 0; i < 3; i++) {
         if (i > 0) {
             start(&f, &o);
@@ -131,7 +139,7 @@
         wire_send(fd, OK("q1", "abc", "3"));
         wire_run(f.loop, 10);
         ck_assert_uint_eq(o.calls, 1);
-        ck_assert_int_eq(o.end, BBL_EXCHANGE_RESPONSE);
+        ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
         ck_assert_str_eq(o.body, "abc");
     }
     ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->connects, 1);
@@ -146,9 +154,7 @@
     outcome o;
     int fd;
 
-    open_fixture(&f);
-    start(&f, &o);
-    fd = accept_one(&f);
+    fd = open_exchange(&f, &o);
     wire_read(f.loop, fd);
     wire_send(fd, OK("q0", "old", "3"));
     wire_run(f.loop, 10);
@@ -167,9 +173,7 @@
     outcome o;
     int fd;
 
-    open_fixture(&f);
-    start(&f, &o);
-    fd = accept_one(&f);
+    fd = open_exchange(&f, &o);
     wire_read(f.loop, fd);
     wire_send(fd, OK("q1", "abc", "3") "more");
     wire_run(f.loop, 10);
@@ -184,15 +188,15 @@
 /* Responses that end with their connection, and what each is. */
 static const struct {
     const char *text;
-    bbl_exchange_end end;
+    bbl_link_exchange_end end;
 } ended[] = {
-    {"HTTP/1.1 200 OK\r\n\r\nwhole", BBL_EXCHANGE_RESPONSE},
-    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", BBL_EXCHANGE_BROKEN},
+    {"HTTP/1.1 200 OK\r\n\r\nwhole", BBL_LINK_RESPONSE},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", BBL_LINK_BROKEN},
     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
-     BBL_EXCHANGE_BROKEN},
-    {"HTTP/1.1 200", BBL_EXCHANGE_BROKEN},
-    {"", BBL_EXCHANGE_BROKEN},
-    {"noise that is no response\r\n\r\n", BBL_EXCHANGE_BROKEN},
+     BBL_LINK_BROKEN},
+    {"HTTP/1.1 200", BBL_LINK_BROKEN},
+    {"", BBL_LINK_BROKEN},
+    {"noise that is no response\r\n\r\n", BBL_LINK_BROKEN},
 };
 
 START_TEST(a_response_counts_only_as_a_whole)
@@ -201,9 +205,7 @@
     outcome o;
     int fd;
 
-    open_fixture(&f);
-    start(&f, &o);
-    fd = accept_one(&f);
+    fd = open_exchange(&f, &o);
     wire_read(f.loop, fd);
     wire_send(fd, ended[_i].text);
     close(fd);
@@ -221,16 +223,14 @@
     int fd;
     struct linger hard = {1, 0};
 
-    open_fixture(&f);
-    start(&f, &o);
-    fd = accept_one(&f);
+    fd = open_exchange(&f, &o);
     wire_read(f.loop, fd);
     wire_send(fd, "HTTP/1.1 200 OK\r\n\r\npart");
     wire_run(f.loop, 10);
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
     close(fd);
     wire_run(f.loop, 30);
-    ck_assert_int_eq(o.end, BBL_EXCHANGE_BROKEN);
+    ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
     close_fixture(&f);
 }
 END_TEST
@@ -246,7 +246,7 @@
     wire_run(f.loop, 20);
     bbl_backend_client_tick(f.client, bbl_clock_now());
     ck_assert_uint_eq(o.calls, 1);
-    ck_assert_int_eq(o.end, BBL_EXCHANGE_UNSENT);
+    ck_assert_int_eq(o.end, BBL_LINK_UNSENT);
     ck_assert_uint_eq(f.failed, 1);
     f.listener = wire_listen(&f.address);
     close_fixture(&f);
@@ -257,14 +257,15 @@
 {
     fixture f;
     outcome o[3];
-    bbl_exchange_request r = {.done = on_done};
-    bbl_exchange *x;
+    bbl_link_exchange_request r = {.done = on_done};
+    bbl_link_exchange *x;
 
     open_fixture(&f);
     start(&f, &o[0]);
     start(&f, &o[1]);
     ck_assert(!bbl_backend_link_has_room(f.link));
-    ck_assert_int_ne(bbl_exchange_start(&x, f.link, bbl_clock_now(), &r), 0);
+    ck_assert_int_ne(bbl_link_exchange_start(&x, f.link, bbl_clock_now(), &r),
+                     0);
     close_fixture(&f);
 }
 END_TEST
@@ -273,14 +274,14 @@
 {
     fixture f;
     outcome o;
-    bbl_exchange *x;
+    bbl_link_exchange *x;
     int fd;
 
     open_fixture(&f);
     x = start(&f, &o);
     fd = accept_one(&f);
     wire_read(f.loop, fd);
-    bbl_exchange_abandon(x);
+    bbl_link_exchange_abandon(x);
     ck_assert_str_eq(wire_read(f.loop, fd), "");
     ck_assert_uint_eq(o.calls, 0);
     ck_assert(bbl_backend_link_has_room(f.link));
@@ -295,9 +296,7 @@
     outcome o;
     int fd;
 
-    open_fixture(&f);
-    start(&f, &o);
-    fd = accept_one(&f);
+    fd = open_exchange(&f, &o);
     wire_read(f.loop, fd);
     wire_send(fd, OK("q1", "abc", "3"));
     wire_run(f.loop, 10);
@@ -310,8 +309,6 @@
 }
 END_TEST
 
-#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
-
 int
 main(void)
 {
--- a/tests/test_control_faults.c
+++ b/tests/test_control_faults.c
@@ -7,6 +7,7 @@
 
 #include "control/fault.h"
 #include "support/control_world.h"
+#include "support/fault_hunt.h"
 #include "support/run.h"
 #include "util/rng.h"
 
@@ -76,8 +77,9 @@
 };
 
 static const char *
-hunt_once(const hunt *h, uint64_t seed)
+hunt_once(const void *ctx, uint64_t seed)
 {
+    const hunt *h = ctx;
     control_op ops[OPS_MAX];
     bbl_rng rng = {seed};
 
@@ -92,20 +94,8 @@
 START_TEST(each_fault_is_found)
 {
     const hunt *h = &hunts[_i];
-    const char *found = NULL;
-    uint64_t seed = h->first_seed - 1;
 
-    bbl_test_faults = h->fault;
-    while (found == NULL && seed < h->first_seed + SCHEDULES_MAX) {
-        found = hunt_once(h, ++seed);
-    }
-    bbl_test_faults = 0;
-    ck_assert_msg(found != NULL, "%s: not found in %d schedules", h->name,
-                  SCHEDULES_MAX);
-    printf("%s: seed %llu: %s\n", h->name, (unsigned long long)seed, found);
-    /* The same schedule without the fault must pass. */
-    found = hunt_once(h, seed);
-    ck_assert_msg(found == NULL, "%s: %s without the fault", h->name, found);
+    hunt_fault(h->fault, h->name, h->first_seed, SCHEDULES_MAX, hunt_once, h);
 }
 END_TEST
 
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -254,8 +254,6 @@
 }
 END_TEST
 
-#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
-
 int
 main(void)
 {
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -497,8 +497,6 @@
 }
 END_TEST
 
-#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
-
 int
 main(void)
 {
--- a/tests/test_gather.c
+++ b/tests/test_gather.c
@@ -117,7 +117,7 @@
     m.host = OWNER;
     m.incarnation = 7;
     m.live = TRUE;
-    bbl_view_set_lists(view, lists, 1);
+    bbl_view_set_lists(view, lists);
     bbl_view_add_searcher(view, &a, &r);
     bbl_view_add_member(view, &m);
     bbl_view_finish(view);
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -179,8 +179,6 @@
 }
 END_TEST
 
-#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
-
 int
 main(void)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -320,8 +320,6 @@
 }
 END_TEST
 
-#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
-
 int
 main(void)
 {
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -374,7 +374,7 @@
 {
     bbl_view *view = bbl_view_new(1);
 
-    bbl_view_set_lists(view, lists, 1);
+    bbl_view_set_lists(view, lists);
     for (unsigned s = 0; s < searchers; s++) {
         u_int shard = s % shards;
         bblx_index index = {1, shards, shard, 1, {1, &shard}};
