A poll under way when a daemon stops is freed

Change: the client keeps its polls and cancels, and frees those that are left. Test: test_searcher_client, also under the address sanitizer; it reports 24 bytes without the change.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -21,7 +21,8 @@
 if [ "$kind" = address ]; then
     export UBSAN_OPTIONS=halt_on_error=1
     for t in util lists journal gather routing platform http_message \
-        forward_policy forwarder forward_schedules edge backend_link voter_plan control_join; do
+        forward_policy forwarder forward_schedules searcher_client edge \
+        backend_link voter_plan control_join; do
         "$build/tests/test_$t" >>"$log" 2>&1 || bad=1
     done
     RC_PARAMS="seed=1 max_success=60" "$build/tests/property_control" >>"$log" 2>&1 || bad=1
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -58,6 +58,7 @@
     bbl_map calls;     /* exchange -> call */
     bbl_map contacts;  /* searcher -> contact */
     bbl_vec confirmed; /* uint64_t exchanges */
+    bbl_vec sides;     /* side_call * */
     bbl_usec ticked;
     bbl_searcher_counters counters;
 };
@@ -229,6 +230,15 @@
            (r->status == 404 && k->cancelled >= k->started + ARRIVED_AFTER_US);
 }
 
+static void
+end_side(side_call *s)
+{
+    bbl_vec *sides = &s->client->sides;
+
+    bbl_vec_swap_remove(sides, bbl_vec_find(sides, s));
+    free(s);
+}
+
 static void
 cancel_done(void *ctx, const bbl_http_response *r)
 {
@@ -241,7 +251,7 @@
         k->confirmed = bbl_clock_now();
         bbl_vec_push(&c->confirmed, &k->exchange);
     }
-    free(s);
+    end_side(s);
 }
 
 static int
@@ -259,8 +269,10 @@
     error = bbl_http_start(&handle, c->http, r);
     if (error != 0) {
         free(s);
+        return error;
     }
-    return error;
+    bbl_vec_push(&c->sides, &s);
+    return 0;
 }
 
 void
@@ -426,7 +438,7 @@
     }
     bbl_searcher_info_clear(&indexes);
     bbl_vec_free(&indexes);
-    free(s);
+    end_side(s);
 }
 
 static int
@@ -483,6 +495,7 @@
     c->port = *port;
     c->grace = grace;
     c->confirmed = (bbl_vec)BBL_VEC_INIT(uint64_t);
+    c->sides = (bbl_vec)BBL_VEC_INIT(side_call *);
     *out = c;
 }
 
@@ -502,6 +515,10 @@
     while ((row = bbl_map_next(&c->contacts, &pos)) != NULL) {
         free(row);
     }
+    for (size_t i = 0; i < c->sides.size; i++) {
+        free(*BBL_VEC_AT(side_call *, &c->sides, i));
+    }
+    bbl_vec_free(&c->sides);
     bbl_map_free(&c->calls);
     bbl_map_free(&c->contacts);
     bbl_vec_free(&c->confirmed);
--- a/src/net/searcher_client.h
+++ b/src/net/searcher_client.h
@@ -31,6 +31,8 @@
 void bbl_searcher_client_new(bbl_searcher_client **out, bbl_http *http,
                              const bbl_searcher_port *port,
                              bbl_usec silent_grace);
+/* Frees the client. `http` must have been freed before: requests under way
+ * then end without a call. */
 void bbl_searcher_client_free(bbl_searcher_client *client);
 
 /* Starts an exchange; its end comes by the port, never in this call. */
