--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -167,11 +167,15 @@
     bbl_link_exchange_abandon(bbl_attempt_get_handle(attempt));
 }
 
-static bool
-on_has_room(void *ctx, const bbl_backend *backend)
+static bbl_room
+on_room(void *ctx, const bbl_backend *backend, bbl_usec now)
 {
     (void)ctx;
-    return bbl_backend_link_has_room(backend->link);
+    if (!bbl_backend_link_has_room(backend->link)) {
+        return BBL_ROOM_NONE;
+    }
+    return bbl_backend_link_is_ready(backend->link, now) ? BBL_ROOM_READY
+                                                         : BBL_ROOM_CONNECT;
 }
 
 /* ---- answers ---- */
@@ -302,11 +306,11 @@
 }
 
 static void
-on_opened(void *ctx, void *owner, bool ok)
+on_opened(void *ctx, void *owner, bool ok, bbl_usec took)
 {
     bbl_gateway *g = ctx;
 
-    bbl_forwarder_connected(g->forwarder, bbl_clock_now(), owner, ok);
+    bbl_forwarder_connected(g->forwarder, bbl_clock_now(), owner, ok, took);
 }
 
 /* ---- calls ---- */
@@ -475,7 +479,7 @@
     f.dialect = g->dialect;
     f.port.send = on_send;
     f.port.abandon = on_abandon;
-    f.port.has_room = on_has_room;
+    f.port.room = on_room;
     f.port.answer = on_answer;
     f.port.record = on_record;
     f.port.second = on_second;
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -102,7 +102,7 @@
 
     return bbl_placement_choose(
         &in, s->pool->backends.ptr, s->pool->backends.size, now,
-        f->options.port.has_room, f->options.port.ctx, &f->rng, usable);
+        f->options.port.room, f->options.port.ctx, &f->rng, usable);
 }
 
 bool
@@ -378,7 +378,7 @@
 
 void
 bbl_forwarder_connected(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
-                        bool ok)
+                        bool ok, bbl_usec took)
 {
     bbl_backend_state before = bbl_backend_get_state(b, now);
 
@@ -388,6 +388,7 @@
         b->unsure_at = b->down && !b->silent ? now : b->unsure_at;
         b->down = false;
         b->reached = now;
+        bbl_backend_opened(b, took);
     }
     else {
         b->down = true;
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -8,6 +8,9 @@
 #define SLOWNESS_WEIGHT 0.25 /* of one response */
 #define FAILURE_WEIGHT 0.2
 #define SLOWNESS_MAX 20.0
+/* One exchange between data centres, until a connection was opened. */
+#define OPENING_FIRST_US 2000
+#define OPENING_WEIGHT 4 /* the mean follows by this part */
 
 bbl_backend_state
 bbl_backend_get_state(const bbl_backend *b, bbl_usec now)
@@ -77,6 +80,20 @@
     b->rated = now;
 }
 
+void
+bbl_backend_opened(bbl_backend *b, bbl_usec took)
+{
+    b->opening = b->opening == 0 ? took
+                                 : (b->opening * (OPENING_WEIGHT - 1) + took) /
+                                       OPENING_WEIGHT;
+}
+
+double
+bbl_backend_opening(const bbl_backend *b)
+{
+    return b->opening != 0 ? (double)b->opening : OPENING_FIRST_US;
+}
+
 bool
 bbl_backend_stalls(const bbl_backend *b, bbl_usec now, bbl_usec patience)
 {
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -37,6 +37,7 @@
     bbl_usec oldest;     /* when the oldest of them was sent */
     bbl_usec answered;   /* last response of any kind */
     bbl_usec full_until; /* it has just refused work */
+    bbl_usec opening;    /* mean time to open a connection; 0: unknown */
     double slowness;     /* service time over that of its route; 1: usual */
     double failures;     /* share of requests that failed, recent first */
     bbl_usec rated;      /* when the two were last brought up to date */
@@ -62,6 +63,12 @@
 double bbl_backend_slowness(const bbl_backend *backend, bbl_usec now);
 double bbl_backend_failures(const bbl_backend *backend, bbl_usec now);
 
+/* Records that a connection was opened within `took` microseconds. */
+void bbl_backend_opened(bbl_backend *backend, bbl_usec took);
+
+/* Returns the time to expect for opening a connection, microseconds. */
+double bbl_backend_opening(const bbl_backend *backend);
+
 /*
  * Returns whether the server seems to stand still: something was sent to it,
  * and nothing came back for `patience`.
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include "forward/backend.h"
 #include "forward/dialect.h"
 #include "forward/extra_budget.h"
+#include "forward/placement.h"
 #include "util/histogram.h"
 
 #define BBL_FORWARDER_OPTIONS_VERSION 1
@@ -127,8 +128,8 @@
                 const bbl_attempt_request *request);
     /* Ends an attempt, so that the work stops. */
     void (*abandon)(void *ctx, bbl_attempt *attempt);
-    /* Whether an attempt could be sent now. */
-    bool (*has_room)(void *ctx, const bbl_backend *backend);
+    /* How an attempt could be sent now. */
+    bbl_placement_room room;
     void (*answer)(void *ctx, void *call, const bbl_forward_answer *answer);
     void (*record)(void *ctx, const bbl_forward_record *record);
     void (*second)(void *ctx, const bbl_forward_second *second);
@@ -217,9 +218,9 @@
                          bbl_attempt *attempt,
                          const bbl_attempt_result *result);
 
-/* A connection to a server was opened, or could not be. */
+/* A connection to a server was opened, or could not be, within `took`. */
 void bbl_forwarder_connected(bbl_forwarder *forwarder, bbl_usec now,
-                             bbl_backend *backend, bool ok);
+                             bbl_backend *backend, bool ok, bbl_usec took);
 
 /* Does what is due, and returns when to call again at the latest. */
 bbl_usec bbl_forwarder_tick(bbl_forwarder *forwarder, bbl_usec now);
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -21,8 +21,9 @@
 /* Returns the time that a request is expected to take, in microseconds. */
 static double
 expected_time(const bbl_placement_input *in, const bbl_backend *b,
-              bbl_usec now)
+              bbl_usec now, bbl_room room)
 {
+    double opening = room == BBL_ROOM_READY ? 0 : bbl_backend_opening(b);
     double slots = b->listed.slots > 0 ? b->listed.slots : 1;
     double units = bbl_backend_slowness(b, now) * (1 + b->in_flight / slots);
 
@@ -34,7 +35,7 @@
         units += FULL_COST;
     }
     return units * (double)in->service_time +
-           (b->same_zone ? 0 : OTHER_ZONE_US);
+           (b->same_zone ? 0 : OTHER_ZONE_US) + opening;
 }
 
 bbl_backend *
@@ -49,6 +50,7 @@
     *usable = 0;
     for (size_t i = 0; i < count; i++) {
         bbl_backend *b = backends[i];
+        bbl_room free_room;
         double cost;
 
         if (bbl_backend_get_state(b, now) != BBL_BACKEND_USABLE ||
@@ -56,12 +58,13 @@
             continue;
         }
         (*usable)++;
-        if (!room(room_ctx, b) ||
+        free_room = room(room_ctx, b, now);
+        if (free_room == BBL_ROOM_NONE ||
             (in->second && bbl_backend_stalls(b, now, in->patience))) {
             continue;
         }
-        cost =
-            expected_time(in, b, now) * (1 + TIE_SPREAD * bbl_rng_unit(rng));
+        cost = expected_time(in, b, now, free_room) *
+               (1 + TIE_SPREAD * bbl_rng_unit(rng));
         if (best == NULL || cost < best_cost) {
             best = b;
             best_cost = cost;
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -4,7 +4,9 @@
  * Load pattern: servers of a service differ, pause for a moment, turn slow
  * for seconds or fail a part of their requests, while the others have room.
  * The server with the least expected time is chosen, in the data centre of
- * the caller's host where that costs nothing.
+ * the caller's host where that costs nothing. Hosts with few requests a
+ * second keep one connection a service, so the time in which another server
+ * opens one counts too.
  */
 #ifndef BBL_PLACEMENT_H
 #define BBL_PLACEMENT_H
@@ -21,8 +23,15 @@
     bool second; /* a hedge: a server that stalls is no help */
 } bbl_placement_input;
 
-/* Whether the driver could send to a server now. */
-typedef bool (*bbl_placement_room)(void *ctx, const bbl_backend *backend);
+/* How the driver could send to a server now. */
+typedef enum {
+    BBL_ROOM_NONE,    /* all connections are in use */
+    BBL_ROOM_CONNECT, /* on a connection that is opened first */
+    BBL_ROOM_READY    /* on an open one */
+} bbl_room;
+
+typedef bbl_room (*bbl_placement_room)(void *ctx, const bbl_backend *backend,
+                                       bbl_usec now);
 
 /*
  * Returns the server to use, or NULL.
--- a/src/forward/subset.c
+++ b/src/forward/subset.c
@@ -4,7 +4,7 @@
 
 #include "util/map.h"
 
-#define LEAST_SERVERS 2 /* a hedge needs a second one */
+#define KEEP_SEED 7 /* differs from that of the order */
 
 /* Orders servers: usable ones, then those nearby, then by a hash. */
 static bool
@@ -29,24 +29,37 @@
     return hash_a < hash_b;
 }
 
+/*
+ * Whether this host is one of those that keep a connection, where the usable
+ * servers do not take one of each.
+ */
+static bool
+may_keep(const bbl_subset_input *in, const bbl_backend *b, size_t usable)
+{
+    uint64_t hash =
+        bbl_hash(b->listed.id.bblx_label_val, b->listed.id.bblx_label_len,
+                 in->host + KEEP_SEED);
+
+    return ldexp((double)hash, -64) < in->share * (double)usable;
+}
+
 unsigned
 bbl_subset_connections(bool *keep, const bbl_subset_input *in,
                        bbl_backend *const *servers, size_t count, size_t index,
                        bbl_usec now)
 {
-    size_t most;
     size_t before = 0;
+    size_t usable = 0;
 
     *keep = true;
     if (in->share >= 1) {
         return (unsigned)in->share;
     }
-    most = (size_t)floor(in->share * (double)count);
-    most = most < LEAST_SERVERS ? LEAST_SERVERS : most;
     for (size_t i = 0; i < count; i++) {
         before +=
             i != index && goes_before(in, servers[i], servers[index], now);
+        usable += bbl_backend_get_state(servers[i], now) == BBL_BACKEND_USABLE;
     }
-    *keep = before == 0;
-    return before < most ? 1 : 0;
+    *keep = before == 0 && may_keep(in, servers[index], usable);
+    return 1;
 }
--- a/src/forward/subset.h
+++ b/src/forward/subset.h
@@ -3,9 +3,11 @@
  * there are more hosts than one server takes connections.
  *
  * Load pattern: many entry hosts, each with few requests a second, and
- * servers with a limit of connections. Each host keeps to a part of the
- * servers, in its own data centre first, so that no server gets more hosts
- * than it takes; a host whose servers are out of use takes others.
+ * servers with a limit of connections. Each host keeps a connection to one
+ * server only, in its own data centre first, and to none where the servers
+ * left take fewer connections than there are hosts. It opens one to any
+ * other server when that is to get a request, and closes it soon after: a
+ * host must reach the sound server of a service when all others refuse work.
  */
 #ifndef BBL_SUBSET_H
 #define BBL_SUBSET_H
@@ -18,12 +20,9 @@
 } bbl_subset_input;
 
 /*
- * Returns how many connections the host may hold to servers[index]; 0: it
- * leaves that one to others.
+ * Returns how many connections the host may hold to servers[index].
  *
- * @param keep set to whether one of them should stay open without need;
- *             where connections are few only one server's does, so that a
- *             server has room for all hosts again after they lost theirs
+ * @param keep set to whether one of them should stay open without need
  */
 unsigned bbl_subset_connections(bool *keep, const bbl_subset_input *in,
                                 bbl_backend *const *servers, size_t count,
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -21,6 +21,8 @@
 #define IDLE_MARGIN_US (200 * BBL_USEC_PER_MS)
 /* Idle time of a connection beyond the first: bursts are shorter. */
 #define SURPLUS_US (2 * BBL_USEC_PER_SEC)
+/* The same of any connection to a server to which none stays open. */
+#define SPARE_US (500 * BBL_USEC_PER_MS)
 #define REOPEN_US (300 * BBL_USEC_PER_MS) /* between connections ahead */
 /* The same, of a full server */
 #define TURNED_AWAY_US (1000 * BBL_USEC_PER_MS)
@@ -145,7 +147,8 @@
         client->counters.broken += r.end == BBL_LINK_BROKEN;
     }
     if (connecting && !freed && end != BBL_LINK_TURNED_AWAY) {
-        client->options.opened(client->options.ctx, owner, false);
+        client->options.opened(client->options.ctx, owner, false,
+                               bbl_clock_now() - l->since);
     }
     if (done != NULL) {
         done(ctx, &r);
@@ -361,6 +364,7 @@
     bbl_backend_client *client = l->link->client;
     int error = 0;
     socklen_t size = sizeof(error);
+    bbl_usec took = bbl_clock_now() - l->since;
 
     if (getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
         error != 0) {
@@ -384,7 +388,8 @@
     }
     l->link->unreachable = false;
     if (l->state != LINE_DEAD && !l->link->freed) {
-        client->options.opened(client->options.ctx, l->link->owner, true);
+        client->options.opened(client->options.ctx, l->link->owner, true,
+                               took);
     }
 }
 
@@ -591,6 +596,12 @@
     return link->busy < link->limit;
 }
 
+bool
+bbl_backend_link_is_ready(bbl_backend_link *link, bbl_usec now)
+{
+    return find_idle(link, now, 0) != NULL;
+}
+
 void
 bbl_backend_link_open(bbl_backend_link *link, bbl_usec now)
 {
@@ -659,7 +670,7 @@
     else if (l->state == LINE_IDLE &&
              (now >= l->idle_until ||
               (l->link->lines.size > (l->link->keep ? 1u : 0u) &&
-               now >= l->since + SURPLUS_US))) {
+               now >= l->since + (l->link->keep ? SURPLUS_US : SPARE_US)))) {
         line_close(l);
     }
 }
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -60,8 +60,8 @@
     bbl_usec connect_timeout;
     bbl_usec silence_timeout; /* for data that is not acknowledged */
     size_t response_max;      /* bytes of a body */
-    /* A connection opened without a request, or could not be opened. */
-    void (*opened)(void *ctx, void *owner, bool ok);
+    /* A connection was opened, or could not be, within `took`. */
+    void (*opened)(void *ctx, void *owner, bool ok, bbl_usec took);
     void *ctx;
 } bbl_backend_client_options;
 
@@ -99,6 +99,9 @@
 /* Returns whether an exchange could start now. */
 bool bbl_backend_link_has_room(const bbl_backend_link *link);
 
+/* Returns whether it could on a connection that is open already. */
+bool bbl_backend_link_is_ready(bbl_backend_link *link, bbl_usec now);
+
 /*
  * Opens a connection ahead of need; `opened` tells the outcome. Does nothing
  * within 300 ms of the last time.
--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -102,8 +102,9 @@
 }
 
 static void
-on_opened(void *ctx, void *owner, bool ok)
+on_opened(void *ctx, void *owner, bool ok, bbl_usec took)
 {
+    (void)took;
     (void)ctx;
     (void)owner;
     (void)ok; /* the exchange that waits is told by itself */
