--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -492,7 +492,7 @@
 }
 
 static int
-open_client(bbl_gateway *g)
+open_client(bbl_gateway *g, uint64_t seed)
 {
     bbl_backend_client_options o = {
 
@@ -500,6 +500,7 @@
         .connect_timeout = CONNECT_TIMEOUT_US,
         .silence_timeout = SILENCE_TIMEOUT_US,
         .response_max = RESPONSE_MAX,
+        .seed = seed,
         .opened = on_opened,
         .ctx = g,
     };
@@ -544,7 +545,7 @@
         error = open_forwarder(g, seed);
     }
     if (error == 0) {
-        error = open_client(g);
+        error = open_client(g, seed);
     }
     if (error == 0) {
         error = open_edges(g);
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -1,5 +1,6 @@
 #include "forward/forwarder_core.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,8 +9,9 @@
 
 /* The usual time of an attempt is this quantile of the recent ones. */
 #define PACE_QUANTILE 0.6
-#define PACE_STEPS 48.0  /* one attempt moves the estimate by that part */
-#define USUAL_WEIGHT 256 /* the usual time follows by this part */
+#define PACE_STEPS 48.0    /* one attempt moves the estimate by that part */
+#define PACE_FIRST_STEPS 6 /* the first ones move it further */
+#define USUAL_WEIGHT 256   /* the usual time follows by this part */
 /* Service times of silence after which a server looks stalled. */
 #define PATIENCE 2
 #define PATIENCE_LEAST_US (8 * BBL_USEC_PER_MS)
@@ -53,14 +55,13 @@
 static void
 learn_pace(bbl_route_pace *p, bbl_usec took, bool congested)
 {
-    double step = (double)p->service_time / PACE_STEPS;
+    double step;
 
-    if (!p->measured) {
-        p->measured = true;
-        p->service_time = took + 1;
+    if (p->samples == 0) {
         p->usual_time = took + 1;
-        return;
     }
+    p->samples += p->samples < PACE_STEPS;
+    step = (double)p->service_time / fmax(p->samples, PACE_FIRST_STEPS);
     if (took > p->service_time) {
         p->service_time += (bbl_usec)(step * PACE_QUANTILE) + 1;
     }
@@ -234,11 +235,12 @@
         bbl_backend_rate(b, now, (double)took / (double)a->pace->service_time,
                          false);
         if (!a->hedge) {
-            bbl_load_limit_sample(
-                a->limit, now,
-                a->pace->measured ? (double)took / (double)a->pace->usual_time
-                                  : 1,
-                a->work, a->part);
+            bbl_load_limit_sample(a->limit, now,
+                                  a->pace->samples > 0
+                                      ? (double)took /
+                                            (double)a->pace->usual_time
+                                      : 1,
+                                  a->work, a->part);
         }
         learn_pace(a->pace, took, a->limit->congested);
     }
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -18,7 +18,7 @@
 typedef struct {
     bbl_usec service_time; /* usual time of an attempt, queues included */
     bbl_usec usual_time;   /* the same while there are no queues */
-    bool measured;
+    unsigned samples;      /* counted up to a limit */
 } bbl_route_pace;
 
 /* One version of the routing with what hangs on it. */
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -24,6 +24,12 @@
 /* The same of any connection to a server to which none stays open. */
 #define SPARE_US (500 * BBL_USEC_PER_MS)
 #define REOPEN_US (300 * BBL_USEC_PER_MS) /* between connections ahead */
+/*
+ * Connections opened ahead by one tick. A host that starts has none; without
+ * a limit all hosts that start together would fill the servers' slots with
+ * new connections while the first requests come in.
+ */
+#define AHEAD_PER_TICK 8
 /* The same, of a full server */
 #define TURNED_AWAY_US (1000 * BBL_USEC_PER_MS)
 /* A connection that ends so soon was one too many */
@@ -74,6 +80,7 @@
     bbl_loop *loop;
     bbl_backend_client_options options;
     bbl_vec links;             /* bbl_backend_link * */
+    size_t cursor;             /* the link whose turn is next */
     line *dead;                /* freed by the next tick */
     bbl_http_message finished; /* handed over last */
     bbl_backend_counters counters;
@@ -631,6 +638,7 @@
     c->loop = loop;
     c->options = *options;
     c->links = (bbl_vec)BBL_VEC_INIT(bbl_backend_link *);
+    c->cursor = options->seed;
     bbl_http_message_init(&c->finished, false, options->response_max);
     *out = c;
     return 0;
@@ -683,10 +691,28 @@
             check_line(*BBL_VEC_AT(line *, &link->lines, i - 1), now);
         }
     }
-    /* One connection stays open, so that the end of the server is noticed. */
-    if (link->lines.size == 0 && !link->freed &&
-        (link->keep || link->unreachable)) {
-        bbl_backend_link_open(link, now);
+}
+
+/*
+ * Opens connections ahead: one stays open, so that the end of the server is
+ * noticed, and one is tried where the server could not be reached.
+ */
+static void
+open_ahead(bbl_backend_client *c, bbl_usec now)
+{
+    uint64_t before = c->counters.connects;
+
+    for (size_t i = 0; i < c->links.size; i++) {
+        bbl_backend_link *link = *BBL_VEC_AT(bbl_backend_link *, &c->links,
+                                             c->cursor++ % c->links.size);
+
+        if (link->lines.size == 0 && !link->freed &&
+            (link->keep || link->unreachable)) {
+            bbl_backend_link_open(link, now);
+        }
+        if (c->counters.connects >= before + AHEAD_PER_TICK) {
+            return;
+        }
     }
 }
 
@@ -704,6 +730,7 @@
             free(link);
         }
     }
+    open_ahead(c, now);
     free_dead(c);
 }
 
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -60,6 +60,7 @@
     bbl_usec connect_timeout;
     bbl_usec silence_timeout; /* for data that is not acknowledged */
     size_t response_max;      /* bytes of a body */
+    size_t seed; /* differs between hosts: they connect in other orders */
     /* A connection was opened, or could not be, within `took`. */
     void (*opened)(void *ctx, void *owner, bool ok, bbl_usec took);
     void *ctx;
