--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -1,7 +1,11 @@
 #include "forward/placement.h"
 
-/* There and back between data centres, about, and the price of the bytes. */
+#include <math.h>
+
+/* There and back between data centres, about. */
 #define OTHER_ZONE_US 2500.0
+/* Part of the target that another one must win, if there is a target. */
+#define OTHER_ZONE_SHARE 0.08
 #define FAILURE_COST 6.0 /* service times that a failed request costs */
 #define STALL_COST 8.0   /* service times that a pause lasts, about */
 #define FULL_COST 8.0    /* of a server that has just refused work */
@@ -25,6 +29,7 @@
 {
     double opening = room == BBL_ROOM_READY ? 0 : bbl_backend_opening(b);
     double slots = b->listed.slots > 0 ? b->listed.slots : 1;
+    double detour = fmax(OTHER_ZONE_US, OTHER_ZONE_SHARE * (double)in->target);
     double units = bbl_backend_slowness(b, now) * (1 + b->in_flight / slots);
 
     units += FAILURE_COST * bbl_backend_failures(b, now);
@@ -34,8 +39,8 @@
     if (b->full_until > now) {
         units += FULL_COST;
     }
-    return units * (double)in->service_time +
-           (b->same_zone ? 0 : OTHER_ZONE_US) + opening;
+    return units * (double)in->service_time + (b->same_zone ? 0 : detour) +
+           opening;
 }
 
 bbl_backend *
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -4,7 +4,8 @@
  * Load pattern: servers of a service differ, pause for a moment, turn slow
  * for seconds or fail a part of their requests, while the others have room.
  * The server with the least expected time is chosen, in the data centre of
- * the caller's host where that costs nothing. Hosts with few requests a
+ * the caller's host unless another one wins a part of the target: bytes
+ * between data centres are paid for. Hosts with few requests a
  * second keep one connection a service, so the time in which another server
  * opens one counts too.
  */
@@ -20,7 +21,8 @@
     bbl_usec patience;     /* silence after which a server seems to stall */
     const bbl_backend *const *tried; /* not to be chosen again */
     size_t tried_count;
-    bool second; /* a hedge: a server that stalls is no help */
+    bool second;     /* a hedge: a server that stalls is no help */
+    bbl_usec target; /* of the answer, for a first attempt; else 0 */
 } bbl_placement_input;
 
 /* How the driver could send to a server now. */
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -155,7 +155,7 @@
 static unsigned
 count_first(pair *p, bbl_usec now, bool second)
 {
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0};
     unsigned n = 0;
     size_t usable;
 
@@ -181,7 +181,7 @@
 START_TEST(an_open_connection_is_used_while_its_server_is_no_slower)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
     size_t usable;
 
     init_pair(&p);
@@ -237,7 +237,7 @@
 START_TEST(only_usable_servers_are_chosen)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
     size_t usable;
 
     init_pair(&p);
