--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shorthands; each does its own set-up on a fresh Debian machine.
-.PHONY: all setup build test demo bench bench-quick format clean
+.PHONY: all setup build test demo bench bench-quick soak format clean
 
 all: build
 
@@ -23,6 +23,11 @@
 bench-quick: build
 	@scripts/bench.sh quick
 
+# Fresh seeds for about five minutes; SEEDS="1 2 3" plays those instead.
+SEEDS ?= $(shell shuf -i 1000-999999 -n 18)
+soak: build
+	@scripts/soak.sh $(SEEDS)
+
 format:
 	@git ls-files '*.c' '*.h' '*.cc' | grep -v '^proto/gen/' | xargs clang-format -i
 
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# soak.sh [--seconds N] SEED... - plays the fault soak with each seed. Keeps
+# the logs and data of a seed that failed, and says where.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+build=${SOAK_BUILD:-build}
+seconds=10
+if [ "${1:-}" = --seconds ]; then
+    seconds=$2
+    shift 2
+fi
+if [ $# -eq 0 ]; then
+    echo "usage: soak.sh [--seconds N] SEED..." >&2
+    exit 2
+fi
+failed=0
+for seed in "$@"; do
+    dir=$(mktemp -d)
+    if "$build/tools/bbl-soak" --program "$build/baobablatch" \
+        --folder "$dir" --seed "$seed" --seconds "$seconds"; then
+        rm -rf "$dir"
+    else
+        failed=$((failed + 1))
+        echo "soak: seed $seed failed; its logs are in $dir" >&2
+    fi
+done
+[ "$failed" -eq 0 ]
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -97,17 +97,17 @@
 bbl_attempt_choose(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
                    const bbl_shard *s, bool second, size_t *usable)
 {
-    bbl_placement_input in = {q->pace->service_time,
-                              bbl_pace_patience(q->pace),
-                              s->tried,
-                              s->sends,
-                              second,
-                              0};
+    bbl_placement_input in = {
+        .service_time = q->pace->service_time,
+        .patience = bbl_pace_patience(q->pace),
+        .tried = s->tried,
+        .tried_count = s->sends,
+        .second = second,
+    };
 
     if (s->sends == 0) {
         in.target = q->route->target_ms * BBL_USEC_PER_MS;
     }
-
     return bbl_placement_choose(
         &in, s->pool->backends.ptr, s->pool->backends.size, now,
         f->options.port.room, f->options.port.ctx, &f->rng, usable);
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -310,6 +310,32 @@
 }
 END_TEST
 
+#define LINKS 60
+
+START_TEST(connections_ahead_are_opened_a_few_at_a_time)
+{
+    /* A host that starts wants a connection to every server at once. */
+    fixture f;
+    const bbl_backend_counters *seen;
+    uint64_t before;
+
+    open_fixture(&f);
+    seen = bbl_backend_client_get_counters(f.client);
+    for (int i = 1; i < LINKS; i++) {
+        bbl_backend_link_set_limit(
+            bbl_backend_link_new(f.client, f.address, &f), 1, true);
+    }
+    for (int i = 0; i < LINKS; i++) {
+        before = seen->connects;
+        bbl_backend_client_tick(f.client, bbl_clock_now());
+        ck_assert_uint_le(seen->connects, before + 10);
+    }
+    /* Each got its turn, and only one. */
+    ck_assert_uint_eq(seen->connects, LINKS);
+    close_fixture(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -326,6 +352,7 @@
     tcase_add_test(tc, connections_are_limited);
     tcase_add_test(tc, an_abandoned_exchange_closes_its_connection);
     tcase_add_test(tc, the_end_of_the_last_connection_is_looked_into);
+    tcase_add_test(tc, connections_ahead_are_opened_a_few_at_a_time);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
 }
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -116,6 +116,23 @@
 }
 END_TEST
 
+START_TEST(a_hedge_leaves_time_for_two_answers_while_the_budget_lasts)
+{
+    /* Parts of a large query come in one after the other: the usual time is
+     * long, and twice that leaves a second server too little. */
+    bbl_hedge_input in = {30 * MS, 0, 100 * MS, false, 1.0};
+
+    ck_assert_uint_le(bbl_hedge_wait(&in), 40 * MS);
+    ck_assert_uint_ge(bbl_hedge_wait(&in), 30 * MS);
+    in.budget_left = 0.1;
+    ck_assert_uint_ge(bbl_hedge_wait(&in), 50 * MS);
+    /* With time to spare it waits for what most answers take. */
+    in.budget_left = 1.0;
+    in.target_left = 400 * MS;
+    ck_assert_uint_eq(bbl_hedge_wait(&in), 60 * MS);
+}
+END_TEST
+
 /* ---- placement ---- */
 
 static bbl_room
@@ -199,6 +216,35 @@
 }
 END_TEST
 
+START_TEST(another_data_centre_must_win_a_part_of_the_target)
+{
+    pair p;
+    bbl_placement_input in = {
+        .service_time = 15 * MS, .patience = 30 * MS, .target = 200 * MS};
+    size_t usable;
+
+    init_pair(&p);
+    p.servers[1].same_zone = false;
+    /* The own one is slower, by 10 ms; bytes between them are paid for. */
+    p.servers[0].slowness = 1.67;
+    p.servers[0].rated = SEC;
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, has_room, NULL,
+                                          &p.rng, &usable),
+                     p.list[0]);
+    /* A second attempt has no time for that. */
+    in.target = 0;
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, has_room, NULL,
+                                          &p.rng, &usable),
+                     p.list[1]);
+    /* Nor is a server chosen that takes several times as long. */
+    in.target = 200 * MS;
+    p.servers[0].slowness = 4;
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, has_room, NULL,
+                                          &p.rng, &usable),
+                     p.list[1]);
+}
+END_TEST
+
 START_TEST(a_server_that_pauses_gets_no_new_work)
 {
     pair p;
@@ -555,9 +601,12 @@
     tcase_add_test(tc, a_hedge_waits_longer_when_little_budget_is_left);
     tcase_add_test(tc, a_stalled_server_is_hedged_sooner);
     tcase_add_test(tc, a_hedge_starts_while_it_can_still_meet_the_target);
+    tcase_add_test(tc,
+                   a_hedge_leaves_time_for_two_answers_while_the_budget_lasts);
     tcase_add_test(tc, equal_servers_share_the_work);
     tcase_add_test(tc,
                    an_open_connection_is_used_while_its_server_is_no_slower);
+    tcase_add_test(tc, another_data_centre_must_win_a_part_of_the_target);
     tcase_add_test(tc, a_server_that_pauses_gets_no_new_work);
     tcase_add_test(tc, slow_and_failing_servers_are_avoided_until_that_fades);
     tcase_add_test(tc, only_usable_servers_are_chosen);
