--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -20,8 +20,10 @@
 #include "util/alloc.h"
 #include "util/clock.h"
 
-#define VOTER_WAIT_US (10 * BBL_USEC_PER_MS) /* a leader's beat is 50 ms */
-#define MEMBER_WAIT_US (50 * BBL_USEC_PER_MS)
+#define VOTER_WAIT_US (10 * BBL_USEC_PER_MS)   /* a leader's beat is 50 ms */
+#define MEMBER_WAIT_US (100 * BBL_USEC_PER_MS) /* half of a beat */
+/* Without a leader: the next one is asked for sooner. */
+#define LOST_WAIT_US (50 * BBL_USEC_PER_MS)
 #define ACK_TIMEOUT_US (150 * BBL_USEC_PER_MS)
 #define KEEP_US (300 * BBL_USEC_PER_MS)
 #define SERVICE_US (50 * BBL_USEC_PER_MS)
@@ -523,12 +525,19 @@
     tick_stop(n);
 }
 
+static bbl_usec
+wait_time(const node *n)
+{
+    if (bbl_control_quorum(n->control) != NULL) {
+        return VOTER_WAIT_US;
+    }
+    return n->control_lost ? LOST_WAIT_US : MEMBER_WAIT_US;
+}
+
 static void
 run_once(node *n)
 {
-    bbl_loop_run(n->loop, bbl_control_quorum(n->control) != NULL
-                              ? VOTER_WAIT_US
-                              : MEMBER_WAIT_US);
+    bbl_loop_run(n->loop, wait_time(n));
     n->now = bbl_clock_now();
     bbl_control_tick(n->control, n->now, bbl_clock_wall_ms());
     bbl_mesh_tick(n->mesh, n->now);
