--- a/tools/soak/schedule.c
+++ b/tools/soak/schedule.c
@@ -2,8 +2,8 @@
 
 #include "util/rng.h"
 
-#define GAP_LEAST_US (150 * BBL_USEC_PER_MS)
-#define GAP_SPREAD_US (1000 * BBL_USEC_PER_MS)
+#define GAP_LEAST_US (100 * BBL_USEC_PER_MS)
+#define GAP_SPREAD_US (600 * BBL_USEC_PER_MS)
 #define LENGTH_LEAST_US (200 * BBL_USEC_PER_MS)
 #define LENGTH_SPREAD_US (2800 * BBL_USEC_PER_MS)
 /* Hosts that lost their disks have caught up by then. */
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -20,8 +20,8 @@
 
 #define SERVICES 4
 #define PER_SERVICE 2
-#define WORK_US (5 * BBL_USEC_PER_MS)
-#define CALL_GAP_US (10 * BBL_USEC_PER_MS)
+#define WORK_US (20 * BBL_USEC_PER_MS)
+#define CALL_GAP_US (6 * BBL_USEC_PER_MS)
 #define RESTART_US (300 * BBL_USEC_PER_MS) /* and up to a fault's length */
 #define START_US (20 * BBL_USEC_PER_SEC)
 /* After the last fault everything is in order again within that time: the
