control: feeds are sent again with each heartbeat, as before

Next trial: a heartbeat that says that it reports a gap, so that a parent can tell it from one that crossed the feed.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -17,13 +17,6 @@
  * clock: a host makes fewer in that time. */
 #define NUMBERS_PER_START 4096
 #define CHILD_SILENT_US (2 * BBL_USEC_PER_SEC)
-/*
- * A feed that a child does not report within that time counts as lost and is
- * sent again: two heartbeats, and the time that a slow link takes for the
- * largest feed. Sooner, all hosts together would fill their links with feeds
- * that are still under way.
- */
-#define FEED_LOST_US (600 * BBL_USEC_PER_MS)
 #define RETRY_US (150 * BBL_USEC_PER_MS) /* resend of a proposal */
 #define PARENT_SILENT_BEATS 2 /* beats without a grant before a change */
 #define VOTERS_EVERY_US (100 * BBL_USEC_PER_MS)
@@ -43,13 +36,9 @@
 /* A host that follows this one's feed. */
 typedef struct {
     uint32_t host;
-    uint64_t incarnation;
     bblx_address address;
-    uint64_t applied;  /* sent up to here */
-    uint64_t revision; /* the same of the rows */
-    uint64_t reported_applied;
-    uint64_t reported_revision; /* 0: it does not know this feed yet */
-    bbl_usec progress; /* when its reports last went on, or were complete */
+    uint64_t applied;
+    uint64_t revision;
     bbl_usec heard;
 } child;
 
@@ -708,33 +697,15 @@
 note_child(bbl_control *c, uint32_t from, const bblx_heartbeat *h)
 {
     child *k = child_of(c, from);
-    uint64_t incarnation = h->beats.beats_val[0].incarnation;
-    uint64_t revision = h->feed_boot == c->feed_boot ? h->feed_revision : 0;
-    bool restarted = k == NULL || k->incarnation != incarnation ||
-                     (revision == 0 && k->reported_revision > 0);
 
     if (k == NULL) {
         k = bbl_vec_add(&c->children);
-        memset(k, 0, sizeof(*k));
         k->host = from;
     }
-    k->incarnation = incarnation;
     k->address = h->beats.beats_val[0].control;
     k->heard = c->now;
-    if (restarted || h->applied > k->reported_applied ||
-        revision > k->reported_revision ||
-        (h->applied >= k->applied && revision >= k->revision)) {
-        k->progress = c->now;
-    }
-    k->reported_applied = h->applied;
-    k->reported_revision = revision;
-    if (restarted || c->now >= k->progress + FEED_LOST_US) {
-        k->applied = h->applied;
-        k->revision = revision;
-        k->progress = c->now;
-    }
-    /* It may have got more from another host. */
-    k->applied = h->applied > k->applied ? h->applied : k->applied;
+    k->applied = h->applied;
+    k->revision = h->feed_boot == c->feed_boot ? h->feed_revision : 0;
     return k;
 }
 
