--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1,4 +1,4 @@
-#include "control/control.h"
+#include "control/control_core.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -9,44 +9,19 @@
 #include "util/alloc.h"
 
 #define ENTRIES_KEPT 1024 /* public entries kept for followers */
-#define FEED_ENTRIES 256  /* entries in one feed message */
-#define FEED_ROWS 4096    /* soft rows in one feed message */
 #define REPORTS_UP 1024   /* reports in one heartbeat */
-#define SENT_BEATS 64     /* send times remembered */
 /* Proposals numbered between two incarnations, which are microseconds of the
  * clock: a host makes fewer in that time. */
 #define NUMBERS_PER_START 4096
-#define CHILD_SILENT_US (2 * BBL_USEC_PER_SEC)
 #define RETRY_US (150 * BBL_USEC_PER_MS) /* resend of a proposal */
 #define PARENT_SILENT_BEATS 2 /* beats without a grant before a change */
 #define VOTERS_EVERY_US (100 * BBL_USEC_PER_MS)
 #define VOTER_LOST_US (1500 * BBL_USEC_PER_MS) /* then it is replaced */
 #define CANDIDATE_SILENT_US (1000 * BBL_USEC_PER_MS)
-#define CATALOG_UNKNOWN UINT32_MAX
 #define REOPEN_EVERY_US (500 * BBL_USEC_PER_MS) /* of a disk that failed */
 #define ASSIGN_EVERY_US (100 * BBL_USEC_PER_MS)
 #define PUBLISH_EVERY_US (50 * BBL_USEC_PER_MS)
 
-/* One public entry of the log, kept for followers. */
-typedef struct {
-    uint64_t index;
-    bbl_buf data;
-} kept_entry;
-
-/* A host that follows this one's feed. */
-typedef struct {
-    uint32_t host;
-    bblx_address address;
-    uint64_t applied;
-    uint64_t revision;
-    bbl_usec heard;
-} child;
-
-/* A child's beat waiting to go up. */
-typedef struct {
-    bblx_beat beat; /* zone owned */
-} relayed_beat;
-
 /* A proposal of this host, until it is answered. */
 typedef struct {
     uint64_t number;
@@ -64,73 +39,6 @@
     bblx_address address;
 } waiting;
 
-struct bbl_control {
-    bbl_control_options options;
-    bbl_usec now;
-    uint64_t wall_ms;
-
-    bbl_quorum *quorum;
-    bbl_state *full;  /* what the quorum applied; NULL without a quorum */
-    bbl_state *state; /* what members follow: no claims */
-    bbl_rows rows;
-    bbl_registry registry;
-    uint64_t led_term; /* term that the registry belongs to */
-
-    bbl_vec kept;        /* kept_entry, oldest first */
-    uint64_t kept_floor; /* entries after it are all kept */
-
-    uint64_t feed_boot; /* names this host's numbering of rows */
-    bbl_vec children;   /* child */
-    bbl_vec up;         /* relayed_beat */
-    bool push;          /* children should hear at once */
-
-    uint32_t parent;
-    bblx_address parent_address;
-    uint64_t parent_boot;
-    uint64_t parent_revision;
-    uint32_t leader;      /* as last told */
-    uint32_t told_leader; /* whose address was told with a feed */
-    bblx_address told_address;
-    size_t seed_next;
-    bbl_usec answered_at;  /* last grant, or the change of parent */
-    bbl_usec relay_barred; /* no relay before this time */
-
-    uint64_t beat_seq;
-    bbl_usec beat_sent[SENT_BEATS]; /* by sequence number */
-    bbl_usec next_beat;
-    bool beat_now;
-    bbl_usec lease_until;
-    uint64_t required;
-    bool draining;
-    bool released;
-
-    uint64_t next_number;
-    bbl_vec pendings;   /* pending */
-    bbl_vec waitings;   /* waiting */
-    uint64_t confirmed; /* index that the traffic threads follow */
-    uint64_t serial;
-    uint64_t revision;
-    uint64_t rows_seen;
-    uint64_t lists_index;  /* log index of the present lists */
-    uint64_t public_index; /* last index that matters to members */
-    bbl_usec next_assign;
-    bbl_usec next_publish;
-    bbl_usec next_voters;
-    bbl_usec next_reopen;
-    bool reopening; /* there is no quorum until the disk works again */
-    uint64_t voter_changes;
-    bbl_usec catalog_at; /* when the list was read; 0: never */
-    bbl_vec backends;    /* scratch */
-    bbl_vec reports;     /* scratch */
-    bbl_vec members;     /* scratch */
-    bbl_vec assigns;     /* scratch */
-
-    uint64_t beats_sent;
-    uint64_t beats_relayed;
-    uint64_t feeds_sent;
-    uint64_t snapshots_sent;
-};
-
 const char *
 bbl_ready_name(bbl_ready ready)
 {
@@ -142,15 +50,15 @@
     return names[ready];
 }
 
-static bool
-leads(const bbl_control *c)
+bool
+bbl_control_is_leading(const bbl_control *c)
 {
     return c->quorum != NULL && bbl_quorum_leads(c->quorum, c->now);
 }
 
-static void
-send_to(bbl_control *c, uint32_t host, bblx_address address,
-        const bblx_message *m)
+void
+bbl_control_send(bbl_control *c, uint32_t host, bblx_address address,
+                 const bblx_message *m)
 {
     c->options.port.send(c->options.port.ctx, host, address, m);
 }
@@ -184,8 +92,9 @@
     return false;
 }
 
-static bool
-find_address(const bbl_control *c, uint32_t host, bblx_address *out)
+bool
+bbl_control_find_address(const bbl_control *c, uint32_t host,
+                         bblx_address *out)
 {
     const bblx_member_row *member = bbl_rows_member(&c->rows, host);
 
@@ -206,7 +115,7 @@
 static void
 keep_entry(bbl_control *c, uint64_t index, bbl_str data)
 {
-    kept_entry *e;
+    bbl_kept_entry *e;
 
     if (c->kept.size >= ENTRIES_KEPT) {
         e = bbl_vec_at(&c->kept, 0);
@@ -223,15 +132,15 @@
 forget_entries(bbl_control *c)
 {
     for (size_t i = 0; i < c->kept.size; i++) {
-        bbl_buf_free(&BBL_VEC_AT(kept_entry, &c->kept, i)->data);
+        bbl_buf_free(&BBL_VEC_AT(bbl_kept_entry, &c->kept, i)->data);
     }
     c->kept.size = 0;
     c->kept_floor = bbl_state_applied(c->state);
 }
 
 /* After a snapshot: followers of this host need one too. */
-static void
-restart_log(bbl_control *c)
+void
+bbl_control_restart_log(bbl_control *c)
 {
     forget_entries(c);
     c->lists_index = bbl_state_applied(c->state);
@@ -245,8 +154,8 @@
  * Applies a committed entry to the followed state. The quorum and the feed
  * may both bring it; the second time it is skipped.
  */
-static void
-follow_entry(bbl_control *c, uint64_t index, bbl_str data)
+void
+bbl_control_follow_entry(bbl_control *c, uint64_t index, bbl_str data)
 {
     uint64_t version = bbl_state_lists_version(c->state);
     bbl_state_result result;
@@ -301,7 +210,7 @@
     memset(&m, 0, sizeof(m));
     m.kind = BBLX_PROPOSE_REPLY;
     m.bblx_message_u.propose_reply = *reply;
-    send_to(c, host, address, &m);
+    bbl_control_send(c, host, address, &m);
 }
 
 /* Stamps the leader's time into claims and outcomes. */
@@ -343,7 +252,7 @@
     int error = BBL_ELEADER;
 
     memset(&reply, 0, sizeof(reply));
-    if (leads(c)) {
+    if (bbl_control_is_leading(c)) {
         error = stamp(c, data, &stamped);
         if (error == 0) {
             error = bbl_quorum_propose(c->quorum, &w.index, &w.term,
@@ -368,20 +277,20 @@
     bblx_address address;
 
     p->next_try = c->now + RETRY_US;
-    if (leads(c)) {
+    if (bbl_control_is_leading(c)) {
         lead_proposal(c, c->options.host, c->options.control, p->number,
                       bbl_buf_str(&p->data));
         return;
     }
     if (c->leader == 0 || c->leader == c->options.host ||
-        !find_address(c, c->leader, &address)) {
+        !bbl_control_find_address(c, c->leader, &address)) {
         return;
     }
     memset(&m, 0, sizeof(m));
     m.kind = BBLX_PROPOSE;
     m.bblx_message_u.propose.number = p->number;
     m.bblx_message_u.propose.data = bbl_text_borrow(bbl_buf_str(&p->data));
-    send_to(c, c->leader, address, &m);
+    bbl_control_send(c, c->leader, address, &m);
 }
 
 static void
@@ -425,8 +334,8 @@
     bbl_control *c = ctx;
     bblx_address address;
 
-    if (find_address(c, host, &address)) {
-        send_to(c, host, address, m);
+    if (bbl_control_find_address(c, host, &address)) {
+        bbl_control_send(c, host, address, m);
     }
 }
 
@@ -466,7 +375,7 @@
     bbl_state_result result;
 
     bbl_state_apply(c->full, index, data, &result);
-    follow_entry(c, index, data);
+    bbl_control_follow_entry(c, index, data);
     answer_waiting(c, index, term, &result);
 }
 
@@ -493,420 +402,11 @@
     bbl_buf_free(&followed);
     if (error == 0) {
         bbl_state_skip_to(c->state, index);
-        restart_log(c);
+        bbl_control_restart_log(c);
     }
     return error;
 }
 
-/* ---- feed to children ---- */
-
-static child *
-child_of(bbl_control *c, uint32_t host)
-{
-    for (size_t i = 0; i < c->children.size; i++) {
-        child *k = bbl_vec_at(&c->children, i);
-
-        if (k->host == host) {
-            return k;
-        }
-    }
-    return NULL;
-}
-
-/* Fills in entries after `applied`, or a snapshot when some are missing. */
-static uint64_t
-fill_entries(bbl_control *c, bblx_feed *f, uint64_t applied, bblx_entry *space,
-             bbl_buf *snapshot)
-{
-    u_int n = 0;
-
-    if (applied < c->kept_floor) {
-        bbl_state_save(c->state, false, snapshot);
-        f->snapshot_set = TRUE;
-        f->snapshot = bbl_text_borrow(bbl_buf_str(snapshot));
-        c->snapshots_sent++;
-        return bbl_state_applied(c->state);
-    }
-    for (size_t i = c->kept.size; i > 0; i--) {
-        const kept_entry *e = bbl_vec_at(&c->kept, i - 1);
-
-        if (e->index <= applied) {
-            break;
-        }
-        n++;
-    }
-    f->entries.entries_val = space;
-    for (size_t i = c->kept.size - n; i < c->kept.size; i++) {
-        const kept_entry *e = bbl_vec_at(&c->kept, i);
-
-        if (f->entries.entries_len == FEED_ENTRIES) {
-            return space[FEED_ENTRIES - 1].index;
-        }
-        space[f->entries.entries_len].index = e->index;
-        space[f->entries.entries_len].term = 0;
-        space[f->entries.entries_len].data =
-            bbl_text_borrow(bbl_buf_str(&e->data));
-        f->entries.entries_len++;
-    }
-    return bbl_state_applied(c->state);
-}
-
-static void
-send_feed(bbl_control *c, child *k, bblx_grant *grants, u_int grant_count)
-{
-    bblx_entry space[FEED_ENTRIES];
-    bbl_buf snapshot = BBL_BUF_INIT;
-    bblx_message m;
-    bblx_feed *f = &m.bblx_message_u.feed;
-
-    memset(&m, 0, sizeof(m));
-    m.kind = BBLX_FEED;
-    f->leader = c->leader;
-    if (!find_address(c, c->leader, &f->leader_address)) {
-        memset(&f->leader_address, 0, sizeof(f->leader_address));
-    }
-    f->boot = c->feed_boot;
-    f->grants.grants_len = grant_count;
-    f->grants.grants_val = grants;
-    f->applied_after = k->applied;
-    f->applied = fill_entries(c, f, k->applied, space, &snapshot);
-    c->reports.size = 0;
-    c->members.size = 0;
-    c->backends.size = 0;
-    f->rows_after = k->revision;
-    f->revision = bbl_rows_since(&c->rows, k->revision, FEED_ROWS, c->now,
-                                 &c->reports, &c->members, &c->backends);
-    f->backends.backends_len = (u_int)c->backends.size;
-    f->backends.backends_val = c->backends.ptr;
-    f->catalog_age_ms =
-        c->catalog_at == 0
-            ? CATALOG_UNKNOWN
-            : (u_int)((c->now - c->catalog_at) / BBL_USEC_PER_MS);
-    f->reports.reports_len = (u_int)c->reports.size;
-    f->reports.reports_val = c->reports.ptr;
-    f->members.members_len = (u_int)c->members.size;
-    f->members.members_val = c->members.ptr;
-    k->applied = f->applied;
-    k->revision = f->revision;
-    c->feeds_sent++;
-    send_to(c, k->host, k->address, &m);
-    bbl_buf_free(&snapshot);
-}
-
-static void
-push_feeds(bbl_control *c)
-{
-    for (size_t i = c->children.size; i > 0; i--) {
-        child *k = bbl_vec_at(&c->children, i - 1);
-
-        if (k->heard + CHILD_SILENT_US < c->now) {
-            bbl_vec_swap_remove(&c->children, i - 1);
-            continue;
-        }
-        if (k->applied < bbl_state_applied(c->state) ||
-            k->revision < c->rows.revision) {
-            send_feed(c, k, NULL, 0);
-        }
-    }
-    c->push = false;
-}
-
-/* ---- heartbeats from children ---- */
-
-static void
-free_up(bbl_control *c)
-{
-    for (size_t i = 0; i < c->up.size; i++) {
-        relayed_beat *b = bbl_vec_at(&c->up, i);
-
-        free(b->beat.zone.bblx_name_val);
-    }
-    c->up.size = 0;
-}
-
-static void
-relay_up(bbl_control *c, const bblx_beat *beat)
-{
-    relayed_beat *slot = NULL;
-
-    for (size_t i = 0; i < c->up.size && slot == NULL; i++) {
-        relayed_beat *b = bbl_vec_at(&c->up, i);
-
-        slot = b->beat.host == beat->host ? b : NULL;
-    }
-    if (slot == NULL) {
-        slot = bbl_vec_add(&c->up);
-    }
-    free(slot->beat.zone.bblx_name_val);
-    slot->beat = *beat;
-    slot->beat.zone.bblx_name_val =
-        bbl_memdup(beat->zone.bblx_name_val, beat->zone.bblx_name_len);
-    c->beats_relayed++;
-}
-
-/*
- * Returns the index that a lease granted now must name: the last public entry
- * of the log, committed or not. An assignment that is proposed but not yet
- * committed would otherwise come into force under leases that do not know it.
- */
-static uint64_t
-required_index(const bbl_control *c)
-{
-    bbl_quorum_status s;
-
-    bbl_quorum_get_status(c->quorum, &s);
-    for (uint64_t i = s.last; i > s.commit; i--) {
-        uint64_t term;
-        bbl_str data;
-
-        if (bbl_quorum_entry(c->quorum, i, &term, &data) == 0 &&
-            bbl_state_is_public(data)) {
-            return i;
-        }
-    }
-    return c->public_index;
-}
-
-/* Answers beats as the leader: one grant each. */
-static u_int
-grant_beats(bbl_control *c, const bblx_heartbeat *h, bblx_grant *grants)
-{
-    uint64_t required = required_index(c);
-    u_int n = 0;
-
-    for (u_int i = 0; i < h->beats.beats_len; i++) {
-        const bblx_beat *b = &h->beats.beats_val[i];
-        const bbl_member *m;
-
-        bbl_registry_beat(&c->registry, c->now, b, true);
-        m = bbl_registry_member(&c->registry, b->host);
-        if (m->incarnation != b->incarnation) {
-            continue;
-        }
-        grants[n].host = b->host;
-        grants[n].incarnation = b->incarnation;
-        grants[n].seq = b->seq;
-        grants[n].required = required;
-        grants[n].lease_us = (u_int)c->options.lease;
-        n++;
-    }
-    return n;
-}
-
-static child *
-note_child(bbl_control *c, uint32_t from, const bblx_heartbeat *h)
-{
-    child *k = child_of(c, from);
-
-    if (k == NULL) {
-        k = bbl_vec_add(&c->children);
-        k->host = from;
-    }
-    k->address = h->beats.beats_val[0].control;
-    k->heard = c->now;
-    k->applied = h->applied;
-    k->revision = h->feed_boot == c->feed_boot ? h->feed_revision : 0;
-    return k;
-}
-
-static void
-on_heartbeat(bbl_control *c, uint32_t from, const bblx_heartbeat *h)
-{
-    bblx_grant *grants = NULL;
-    u_int n = 0;
-    child *k;
-
-    if (h->beats.beats_len == 0 || h->beats.beats_val[0].host != from) {
-        return;
-    }
-    for (u_int i = 0; i < h->reports.reports_len; i++) {
-        const bblx_report *r = &h->reports.reports_val[i];
-
-        if (bbl_rows_put_report(&c->rows, r, true, !leads(c))) {
-            c->push = true;
-        }
-    }
-    k = note_child(c, from, h);
-    if (leads(c)) {
-        grants = bbl_calloc(h->beats.beats_len, sizeof(*grants));
-        n = grant_beats(c, h, grants);
-    }
-    else {
-        for (u_int i = 0; i < h->beats.beats_len; i++) {
-            if (h->beats.beats_val[i].host != c->options.host) {
-                relay_up(c, &h->beats.beats_val[i]);
-            }
-        }
-    }
-    send_feed(c, k, grants, n);
-    free(grants);
-}
-
-/* ---- own lease ---- */
-
-static void
-take_grant(bbl_control *c, const bblx_grant *g)
-{
-    bbl_usec sent;
-    bbl_usec length = g->lease_us;
-
-    if (g->incarnation != c->options.incarnation || g->seq > c->beat_seq ||
-        g->seq + SENT_BEATS <= c->beat_seq) {
-        return;
-    }
-    sent = c->beat_sent[g->seq % SENT_BEATS];
-    if (BBL_FAULT(BBL_FAULT_LEASE_RECEIPT)) {
-        sent = c->now;
-    }
-    length -= length * c->options.clock_ppm / 1000000;
-    if (g->required > c->required) {
-        c->required = g->required;
-    }
-    if (sent + length > c->lease_until) {
-        c->lease_until = sent + length;
-    }
-}
-
-/* Passes grants on to the children they are for. */
-static void
-relay_grants(bbl_control *c, const bblx_feed *f)
-{
-    bblx_grant *batch = bbl_calloc(f->grants.grants_len, sizeof(*batch));
-
-    for (size_t i = 0; i < c->children.size; i++) {
-        child *k = bbl_vec_at(&c->children, i);
-        u_int n = 0;
-
-        for (u_int g = 0; g < f->grants.grants_len; g++) {
-            const bblx_grant *grant = &f->grants.grants_val[g];
-
-            if (grant->host == k->host) {
-                batch[n++] = *grant;
-            }
-        }
-        if (n > 0) {
-            send_feed(c, k, batch, n);
-        }
-    }
-    free(batch);
-}
-
-/* ---- feed from the parent ---- */
-
-static void
-follow_snapshot(bbl_control *c, const bblx_feed *f)
-{
-    if (f->applied <= bbl_state_applied(c->state) &&
-        bbl_state_applied(c->state) > 0) {
-        return;
-    }
-    if (bbl_state_load(c->state, bbl_text_str(&f->snapshot)) == 0) {
-        bbl_state_skip_to(c->state, f->applied);
-        restart_log(c);
-    }
-}
-
-static void
-follow_entries(bbl_control *c, const bblx_feed *f)
-{
-    for (u_int i = 0; i < f->entries.entries_len; i++) {
-        const bblx_entry *e = &f->entries.entries_val[i];
-
-        follow_entry(c, e->index, bbl_text_str(&e->data));
-    }
-    if (f->applied > bbl_state_applied(c->state)) {
-        bbl_state_skip_to(c->state, f->applied);
-        c->push = true;
-    }
-}
-
-/* Takes the log of a feed in, unless an earlier feed was lost. */
-static void
-follow_log(bbl_control *c, const bblx_feed *f)
-{
-    if (f->snapshot_set) {
-        follow_snapshot(c, f);
-    }
-    else if (f->applied_after > bbl_state_applied(c->state)) {
-        c->beat_now = true; /* asks again from where this host stands */
-    }
-    else {
-        follow_entries(c, f);
-    }
-}
-
-static void
-follow_rows(bbl_control *c, const bblx_feed *f)
-{
-    for (u_int i = 0; i < f->reports.reports_len; i++) {
-        const bblx_report *r = &f->reports.reports_val[i];
-
-        bbl_rows_confirm(&c->rows, r);
-        if (bbl_rows_put_report(&c->rows, r, false, false)) {
-            c->push = true;
-        }
-    }
-    for (u_int i = 0; i < f->members.members_len; i++) {
-        if (bbl_rows_put_member(&c->rows, &f->members.members_val[i])) {
-            c->push = true;
-        }
-    }
-    for (u_int i = 0; i < f->backends.backends_len; i++) {
-        if (bbl_rows_put_backend(&c->rows, &f->backends.backends_val[i],
-                                 c->now)) {
-            c->push = true;
-        }
-    }
-}
-
-/* Takes over how old the parent's list of backend servers is. */
-static void
-follow_catalog_age(bbl_control *c, const bblx_feed *f)
-{
-    bbl_usec age = f->catalog_age_ms * BBL_USEC_PER_MS;
-
-    if (f->catalog_age_ms != CATALOG_UNKNOWN && age < c->now &&
-        c->now - age > c->catalog_at) {
-        c->catalog_at = c->now - age;
-    }
-}
-
-static void
-on_feed(bbl_control *c, uint32_t from, const bblx_feed *f)
-{
-    if (from != c->parent || leads(c)) {
-        return;
-    }
-    if (f->leader != 0) {
-        c->leader = f->leader;
-        if (f->leader_address.ip != 0) {
-            c->told_leader = f->leader;
-            c->told_address = f->leader_address;
-        }
-    }
-    if (f->boot != c->parent_boot) {
-        c->parent_boot = f->boot;
-        c->parent_revision = 0;
-        bbl_rows_unconfirm(&c->rows);
-    }
-    follow_log(c, f);
-    if (f->rows_after <= c->parent_revision) {
-        follow_rows(c, f);
-        follow_catalog_age(c, f);
-        c->parent_revision = f->revision;
-    }
-    else {
-        c->beat_now = true;
-    }
-    for (u_int i = 0; i < f->grants.grants_len; i++) {
-        if (f->grants.grants_val[i].host == c->options.host) {
-            take_grant(c, &f->grants.grants_val[i]);
-            c->answered_at = c->now;
-        }
-    }
-    relay_grants(c, f);
-}
-
 /* ---- choice of the parent ---- */
 
 /* Returns the relay of this data centre, or 0. */
@@ -976,17 +476,18 @@
         c->answered_at = c->now;
         c->leader = c->parent == c->leader ? 0 : c->leader;
         /* A leader that cannot be found is asked for at the next seed. */
-        if (c->leader == 0 || !find_address(c, c->leader, &address)) {
+        if (c->leader == 0 ||
+            !bbl_control_find_address(c, c->leader, &address)) {
             next_seed(c);
             return;
         }
         relay = 0;
     }
-    if (relay != 0 && find_address(c, relay, &address)) {
+    if (relay != 0 && bbl_control_find_address(c, relay, &address)) {
         set_parent(c, relay, address);
     }
     else if (c->leader != 0 && c->leader != c->options.host &&
-             find_address(c, c->leader, &address)) {
+             bbl_control_find_address(c, c->leader, &address)) {
         set_parent(c, c->leader, address);
     }
     else if (c->parent == 0) {
@@ -1013,7 +514,7 @@
 fill_beat(bbl_control *c, bblx_beat *b)
 {
     c->beat_seq++;
-    c->beat_sent[c->beat_seq % SENT_BEATS] = c->now;
+    c->beat_sent[c->beat_seq % BBL_SENT_BEATS] = c->now;
     memset(b, 0, sizeof(*b));
     b->host = c->options.host;
     b->incarnation = c->options.incarnation;
@@ -1041,9 +542,9 @@
     grant.host = c->options.host;
     grant.incarnation = c->options.incarnation;
     grant.seq = beat.seq;
-    grant.required = required_index(c);
+    grant.required = bbl_control_required_index(c);
     grant.lease_us = (u_int)c->options.lease;
-    take_grant(c, &grant);
+    bbl_control_take_grant(c, &grant);
 }
 
 static void
@@ -1057,7 +558,7 @@
     m.kind = BBLX_HEARTBEAT;
     fill_beat(c, &beats[0]);
     for (size_t i = 0; i < c->up.size; i++) {
-        beats[i + 1] = BBL_VEC_AT(relayed_beat, &c->up, i)->beat;
+        beats[i + 1] = BBL_VEC_AT(bbl_relayed_beat, &c->up, i)->beat;
     }
     h->applied = bbl_state_applied(c->state);
     h->feed_boot = c->parent_boot;
@@ -1069,9 +570,9 @@
     h->reports.reports_len = (u_int)c->reports.size;
     h->reports.reports_val = c->reports.ptr;
     c->beats_sent++;
-    send_to(c, c->parent, c->parent_address, &m);
+    bbl_control_send(c, c->parent, c->parent_address, &m);
     free(beats);
-    free_up(c);
+    bbl_feed_drop_beats(c);
 }
 
 static void
@@ -1084,8 +585,8 @@
         c->next_beat = c->now + c->options.beat;
     }
     c->beat_now = false;
-    if (leads(c)) {
-        free_up(c);
+    if (bbl_control_is_leading(c)) {
+        bbl_feed_drop_beats(c);
         beat_self(c);
         return;
     }
@@ -1191,7 +692,7 @@
 {
     bbl_quorum_status s;
 
-    if (!leads(c)) {
+    if (!bbl_control_is_leading(c)) {
         return;
     }
     bbl_quorum_get_status(c->quorum, &s);
@@ -1249,9 +750,9 @@
     bbl_rows_init(&c->rows);
     bbl_registry_init(&c->registry, options->lease, options->clock_ppm,
                       (uint32_t)options->hold);
-    c->kept = (bbl_vec)BBL_VEC_INIT(kept_entry);
-    c->children = (bbl_vec)BBL_VEC_INIT(child);
-    c->up = (bbl_vec)BBL_VEC_INIT(relayed_beat);
+    c->kept = (bbl_vec)BBL_VEC_INIT(bbl_kept_entry);
+    c->children = (bbl_vec)BBL_VEC_INIT(bbl_feed_child);
+    c->up = (bbl_vec)BBL_VEC_INIT(bbl_relayed_beat);
     c->pendings = (bbl_vec)BBL_VEC_INIT(pending);
     c->waitings = (bbl_vec)BBL_VEC_INIT(waiting);
     c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
@@ -1281,7 +782,7 @@
     }
     bbl_quorum_free(c->quorum);
     forget_entries(c);
-    free_up(c);
+    bbl_feed_drop_beats(c);
     for (size_t i = 0; i < c->pendings.size; i++) {
         bbl_buf_free(&BBL_VEC_AT(pending, &c->pendings, i)->data);
     }
@@ -1354,7 +855,7 @@
         tick_beat(c);
     }
     if (c->push) {
-        push_feeds(c);
+        bbl_feed_push(c);
     }
     if (c->rows_seen != c->rows.revision) {
         c->rows_seen = c->rows.revision;
@@ -1413,13 +914,13 @@
     c->now = now;
     switch (m->kind) {
     case BBLX_HEARTBEAT:
-        on_heartbeat(c, from, &m->bblx_message_u.heartbeat);
+        bbl_feed_take_heartbeat(c, from, &m->bblx_message_u.heartbeat);
         break;
     case BBLX_FEED:
-        on_feed(c, from, &m->bblx_message_u.feed);
+        bbl_feed_take(c, from, &m->bblx_message_u.feed);
         break;
     case BBLX_PROPOSE:
-        if (find_address(c, from, &address)) {
+        if (bbl_control_find_address(c, from, &address)) {
             lead_proposal(c, from, address, m->bblx_message_u.propose.number,
                           bbl_text_str(&m->bblx_message_u.propose.data));
         }
