--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -392,16 +392,10 @@
     bbl_backend_state before = bbl_backend_get_state(b, now);
 
     if (ok) {
-        /* A server that was only silent stands still, or the connections
-         * do; one that could not be reached may have started again, cold. */
-        b->unsure_at = b->down && !b->silent ? now : b->unsure_at;
-        b->down = false;
-        b->reached = now;
-        bbl_backend_opened(b, took);
+        bbl_backend_opened(b, now, took);
     }
     else {
-        b->down = true;
+        bbl_backend_not_opened(b, took);
     }
-    b->silent = false;
     set_changed(f, now, b, before);
 }
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -11,6 +11,10 @@
 /* One exchange between data centres, until a connection was opened. */
 #define OPENING_FIRST_US 2000
 #define OPENING_WEIGHT 4 /* the mean follows by this part */
+/* A refusal comes within an exchange; after that nobody has answered. */
+#define NO_ANSWER_US (150 * BBL_USEC_PER_MS)
+/* Who answered so lately has not started again, unless it refused one. */
+#define ALIVE_US (600 * BBL_USEC_PER_MS)
 
 bbl_backend_state
 bbl_backend_get_state(const bbl_backend *b, bbl_usec now)
@@ -81,8 +85,27 @@
 }
 
 void
-bbl_backend_opened(bbl_backend *b, bbl_usec took)
+bbl_backend_not_opened(bbl_backend *b, bbl_usec took)
 {
+    b->refused = b->refused || took < NO_ANSWER_US;
+    b->down = true;
+    b->silent = false;
+}
+
+void
+bbl_backend_opened(bbl_backend *b, bbl_usec now, bbl_usec took)
+{
+    bbl_usec seen = b->reached > b->answered ? b->reached : b->answered;
+    bool alive = !b->refused && now < seen + ALIVE_US;
+
+    /* One that was only silent stands still, or the connections do. */
+    if (b->down && !b->silent && !alive) {
+        b->unsure_at = now;
+    }
+    b->down = false;
+    b->silent = false;
+    b->refused = false;
+    b->reached = now;
     b->opening = b->opening == 0 ? took
                                  : (b->opening * (OPENING_WEIGHT - 1) + took) /
                                        OPENING_WEIGHT;
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -27,9 +27,10 @@
     bool same_zone; /* as this host */
     bool replaced;  /* until the list says something new */
     bbl_usec replaced_at;
-    bool down;   /* the last connection could not be opened */
-    bool silent; /* down only since nothing comes back; a connection is being
-                    tried */
+    bool down;    /* the last connection could not be opened */
+    bool silent;  /* down only since nothing comes back; a connection is being
+                     tried */
+    bool refused; /* a connection was refused since it was reached */
     bbl_usec reached;   /* last connection that was opened */
     bbl_usec unsure_at; /* connected again then; 0: sure */
 
@@ -63,8 +64,16 @@
 double bbl_backend_slowness(const bbl_backend *backend, bbl_usec now);
 double bbl_backend_failures(const bbl_backend *backend, bbl_usec now);
 
-/* Records that a connection was opened within `took` microseconds. */
-void bbl_backend_opened(bbl_backend *backend, bbl_usec took);
+/*
+ * Records that a connection was opened within `took` microseconds. A server
+ * that could not be reached before may have started again, cold, and stays
+ * in doubt; not so one that answered this host a moment ago, and that left
+ * a connection without an answer as when all hosts connect at once.
+ */
+void bbl_backend_opened(bbl_backend *backend, bbl_usec now, bbl_usec took);
+
+/* Records that a connection could not be opened. */
+void bbl_backend_not_opened(bbl_backend *backend, bbl_usec took);
 
 /* Returns the time to expect for opening a connection, microseconds. */
 double bbl_backend_opening(const bbl_backend *backend);
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -203,7 +203,7 @@
 
     init_pair(&p);
     for (int i = 0; i < 100; i++) {
-        bbl_backend_opened(&p.servers[0], 6 * MS);
+        bbl_backend_opened(&p.servers[0], SEC, 6 * MS);
         ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, is_open,
                                               p.list[1], &p.rng, &usable),
                          p.list[1]);
@@ -303,6 +303,40 @@
 }
 END_TEST
 
+START_TEST(who_answered_a_moment_ago_has_not_started_again)
+{
+    bbl_backend b;
+
+    /* All hosts connect at once, and the server's queue is full. */
+    memset(&b, 0, sizeof(b));
+    bbl_backend_opened(&b, SEC, 2 * MS);
+    b.answered = SEC + 300 * MS;
+    bbl_backend_not_opened(&b, 250 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, SEC + 600 * MS),
+                     BBL_BACKEND_DOWN);
+    bbl_backend_opened(&b, SEC + 600 * MS, 2 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, SEC + 600 * MS),
+                     BBL_BACKEND_USABLE);
+    /* One that was away for longer may have. */
+    bbl_backend_not_opened(&b, 250 * MS);
+    bbl_backend_opened(&b, 3 * SEC, 2 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, 3 * SEC), BBL_BACKEND_UNSURE);
+    /* So may one that has refused a connection. */
+    memset(&b, 0, sizeof(b));
+    bbl_backend_opened(&b, SEC, 2 * MS);
+    bbl_backend_not_opened(&b, 1 * MS);
+    bbl_backend_not_opened(&b, 250 * MS);
+    bbl_backend_opened(&b, SEC + 500 * MS, 2 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, SEC + 500 * MS),
+                     BBL_BACKEND_UNSURE);
+    /* And one that this host has not reached before. */
+    memset(&b, 0, sizeof(b));
+    bbl_backend_not_opened(&b, 250 * MS);
+    bbl_backend_opened(&b, SEC, 2 * MS);
+    ck_assert_int_eq(bbl_backend_get_state(&b, SEC), BBL_BACKEND_UNSURE);
+}
+END_TEST
+
 START_TEST(a_server_that_came_back_waits_for_a_newer_list)
 {
     bbl_backend b;
@@ -610,6 +644,7 @@
     tcase_add_test(tc, a_server_that_pauses_gets_no_new_work);
     tcase_add_test(tc, slow_and_failing_servers_are_avoided_until_that_fades);
     tcase_add_test(tc, only_usable_servers_are_chosen);
+    tcase_add_test(tc, who_answered_a_moment_ago_has_not_started_again);
     tcase_add_test(tc, a_server_that_came_back_waits_for_a_newer_list);
     tcase_add_test(tc, a_burst_is_served_in_time_as_far_as_the_servers_go);
     tcase_add_test(tc, a_calm_load_and_slow_servers_are_not_limited);
