forward: a server that answered a moment ago and takes no connection is full

The servers counted as down, 2 ms later they were connected to, and then as in doubt until the list was read again, 1.07 s later: 32 queries failed since shards had no server in use.

Change: a connection that gets no answer from a server that answered within 600 ms makes it full for 200 ms, not down. A refused one, or a longer silence, means what it did.

--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -256,7 +256,8 @@
         b->replaced_at = now;
     }
     else if (r->end == BBL_ATTEMPT_UNSENT) {
-        b->down = true;
+        /* Its connection may have told already that it is only full. */
+        b->down = b->down || b->full_until <= now;
         b->silent = false;
     }
     else if (m != MEANS_FINAL && r->end != BBL_ATTEMPT_TURNED_AWAY) {
@@ -395,7 +396,7 @@
         bbl_backend_opened(b, now, took);
     }
     else {
-        bbl_backend_not_opened(b, took);
+        bbl_backend_not_opened(b, now, took);
     }
     set_changed(f, now, b, before);
 }
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -15,6 +15,8 @@
 #define NO_ANSWER_US (150 * BBL_USEC_PER_MS)
 /* Who answered so lately has not started again, unless it refused one. */
 #define ALIVE_US (600 * BBL_USEC_PER_MS)
+/* It is passed over that long when its queue of connections is full. */
+#define CROWDED_US (200 * BBL_USEC_PER_MS)
 
 bbl_backend_state
 bbl_backend_get_state(const bbl_backend *b, bbl_usec now)
@@ -84,10 +86,23 @@
     b->rated = now;
 }
 
+/* Whether the process that was last seen there is sure to be running. */
+static bool
+is_alive(const bbl_backend *b, bbl_usec now)
+{
+    bbl_usec seen = b->reached > b->answered ? b->reached : b->answered;
+
+    return !b->refused && now < seen + ALIVE_US;
+}
+
 void
-bbl_backend_not_opened(bbl_backend *b, bbl_usec took)
+bbl_backend_not_opened(bbl_backend *b, bbl_usec now, bbl_usec took)
 {
     b->refused = b->refused || took < NO_ANSWER_US;
+    if (is_alive(b, now)) {
+        b->full_until = now + CROWDED_US;
+        return;
+    }
     b->down = true;
     b->silent = false;
 }
@@ -95,11 +110,8 @@
 void
 bbl_backend_opened(bbl_backend *b, bbl_usec now, bbl_usec took)
 {
-    bbl_usec seen = b->reached > b->answered ? b->reached : b->answered;
-    bool alive = !b->refused && now < seen + ALIVE_US;
-
     /* One that was only silent stands still, or the connections do. */
-    if (b->down && !b->silent && !alive) {
+    if (b->down && !b->silent && !is_alive(b, now)) {
         b->unsure_at = now;
     }
     b->down = false;
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -72,8 +72,11 @@
  */
 void bbl_backend_opened(bbl_backend *backend, bbl_usec now, bbl_usec took);
 
-/* Records that a connection could not be opened. */
-void bbl_backend_not_opened(bbl_backend *backend, bbl_usec took);
+/*
+ * Records that a connection could not be opened. One that answered a moment
+ * ago and does not refuse connections has too many of them; others are down.
+ */
+void bbl_backend_not_opened(bbl_backend *backend, bbl_usec now, bbl_usec took);
 
 /* Returns the time to expect for opening a connection, microseconds. */
 double bbl_backend_opening(const bbl_backend *backend);
