--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -99,7 +99,7 @@
 
 /* ---- control.c ---- */
 
-/* Whether this host leads now. */
+/* bbl_control_leads at the time of the present call. */
 bool bbl_control_is_leading(const bbl_control *c);
 
 void bbl_control_send(bbl_control *c, uint32_t host, bblx_address address,
