--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -6,6 +6,7 @@
  * ends with 0 when every promise was kept.
  */
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -51,6 +52,15 @@
     soak_proxy *proxy;
 } heal;
 
+/* Set by a signal: the processes are ended before this one. */
+static volatile sig_atomic_t interrupted;
+
+static void
+on_signal(int number)
+{
+    interrupted = number;
+}
+
 /* ---- faults ---- */
 
 static void
@@ -254,6 +264,9 @@
         soak_callers_tick(s->callers, now);
         soak_operator_tick(s->op, now);
         bbl_backend_client_tick(s->client, now);
+        if (interrupted != 0) {
+            soak_servers_violate(s->servers, "ended by a signal");
+        }
         if (tend_fleet(s, now) != 0 ||
             soak_servers_violation(s->servers) != NULL) {
             return false;
@@ -451,6 +464,8 @@
         return 2;
     }
     g_option_context_free(context);
+    signal(SIGINT, on_signal);
+    signal(SIGTERM, on_signal);
     s.fleet.program = program;
     s.fleet.folder = folder;
     if (open_soak(&s, (uint64_t)seed) != 0) {
