--- a/tools/soak/callers.c
+++ b/tools/soak/callers.c
@@ -32,8 +32,6 @@
 } soak_call;
 
 typedef struct {
-    soak_callers *callers;
-    unsigned index;
     bbl_backend_link *link;
     bbl_backend_link *ready_link;
     unsigned misses;
@@ -475,8 +473,6 @@
     for (unsigned i = 0; i < SOAK_ENTRY_HOSTS; i++) {
         entry_host *e = &all->entries[i];
 
-        e->callers = all;
-        e->index = i;
         e->misses = READY_MISSES;
         e->link = open_link(client, i + 1, 8104, CONNECTIONS);
         e->ready_link = open_link(client, i + 1, 8108, 1);
--- a/tools/soak/operator.c
+++ b/tools/soak/operator.c
@@ -50,8 +50,6 @@
     bool read_newest[SOAK_CONTROL_HOSTS];
 };
 
-static void start_job(job *j, bbl_usec now);
-
 static bbl_buf *
 body_of(soak_operator *op, uint64_t version)
 {
