Control feed: bounded messages, one in flight a child, relays on control hosts

Cause: a feed message held up to 4,096 rows, about 130 KB for a list of 1,200 servers. A relay of 60 children needs over a second for them on its link, but a connection counts as silent after 150 ms, was replaced, and the whole frame was sent again. Each heartbeat of a child also reset its position to what it had received when it sent the heartbeat, so rows in flight were sent twice. The relay was the host with the lowest id, an entry host with 0.12 of a core.

Change: 256 rows a message, nothing new to a child while something is unacknowledged, 512 KB in flight to all children together, the age of the list only with the whole list, an acknowledgement timeout that doubles with each silent connection, and a control host of the data centre as its relay.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -413,15 +413,29 @@
 /* ---- choice of the parent ---- */
 
 /*
- * Returns the relay of this data centre: its live member with the lowest host
- * id, without draining members and the leader. Returns 0 if there are too few
- * members for relays, no such member, or this host is the relay.
+ * Returns whether a member is a better relay than another one. Hosts with a
+ * disk come first: they take no callers, and entry hosts may be too small to
+ * serve callers and a whole data centre.
+ */
+static bool
+is_better_relay(const bblx_member_row *m, const bblx_member_row *other)
+{
+    if (m->entry != other->entry) {
+        return !m->entry;
+    }
+    return m->host < other->host;
+}
+
+/*
+ * Returns the relay of this data centre, the best of its live members that are
+ * not draining. Returns 0 if there are too few members for relays, no such
+ * member, or this host is the relay.
  */
 static uint32_t
 find_zone_relay(const bbl_control *c)
 {
     const bblx_member_row *m;
-    uint32_t best = 0;
+    const bblx_member_row *best = NULL;
     size_t pos = 0;
 
     if (c->rows.members.size < c->options.relay_members) {
@@ -431,13 +445,14 @@
         bbl_name zone;
 
         bbl_name_from_wire(&zone, &m->zone);
-        if (m->live && !m->draining && m->host != c->leader &&
+        if (m->live && !m->draining &&
             bbl_name_equal(&zone, &c->options.zone) &&
-            (best == 0 || m->host < best)) {
-            best = m->host;
+            (m->host != c->leader || !m->entry) &&
+            (best == NULL || is_better_relay(m, best))) {
+            best = m;
         }
     }
-    return best == c->options.host ? 0 : best;
+    return best == NULL || best->host == c->options.host ? 0 : best->host;
 }
 
 static void
@@ -892,6 +907,7 @@
     }
     tick_heartbeat(c);
     tick_own_proposals(c);
+    c->feed_due = c->feed_due || c->feed_behind;
     flush_output(c);
 }
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -20,6 +20,9 @@
     /* Sends a message, which may be lost. */
     void (*send)(void *ctx, uint32_t host, bblx_address to,
                  const bblx_message *message);
+    /* Returns the bytes sent to a host that it has not acknowledged; they
+     * limit the changes that are sent to it. NULL if this is not known. */
+    size_t (*backlog)(void *ctx, uint32_t host);
     /* Reports the outcome of a proposal; BBL_ETIMEOUT: it is unknown. */
     void (*complete_proposal)(void *ctx, uint64_t number,
                               const bblx_propose_reply *reply);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -22,7 +22,9 @@
     bblx_address address;
     uint64_t applied;  /* log index that the child has, or was sent */
     uint64_t revision; /* revision of the rows that it has, or was sent */
+    uint64_t incarnation;
     bbl_usec last_heartbeat;
+    bbl_usec sent_at; /* when entries or rows were last sent */
 } bbl_feed_child;
 
 /* A child's heartbeat that the next heartbeat to the parent includes. */
@@ -49,6 +51,10 @@
     bbl_vec children;           /* bbl_feed_child */
     bbl_vec relayed_heartbeats; /* bbl_relayed_heartbeat */
     bool feed_due;              /* send changes to the children at once */
+    bool feed_behind;           /* some child lacks entries or rows */
+    size_t first_child;         /* where the next push begins */
+    size_t bytes_in_flight;     /* to children that acknowledge them */
+    bbl_usec in_flight_counted_at;
 
     uint32_t parent;
     bblx_address parent_address;
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -11,7 +11,20 @@
 #include "util/alloc.h"
 
 #define FEED_MESSAGE_ENTRIES 256 /* entries in one feed message */
-#define FEED_MESSAGE_ROWS 4096   /* ephemeral rows in one feed message */
+/*
+ * Ephemeral rows in one feed message. The message must reach a child over a
+ * slow link before the acknowledgement timeout of the connection.
+ */
+#define FEED_MESSAGE_ROWS 256
+/*
+ * Bytes of feed messages in flight to all children together. More would only
+ * queue on the link of this host, and delay heartbeats and elections.
+ */
+#define FEED_WINDOW_BYTES (512u << 10)
+/* A child with bytes in flight for longer does not count in the window. */
+#define FEED_STALLED_US (150 * BBL_USEC_PER_MS)
+/* Time between two counts of the bytes in flight. */
+#define IN_FLIGHT_INTERVAL_US (2 * BBL_USEC_PER_MS)
 /* Silence of a child before it is removed. */
 #define CHILD_SILENT_US (2 * BBL_USEC_PER_SEC)
 #define CATALOG_UNKNOWN UINT32_MAX /* catalog_age_ms without a list */
@@ -31,6 +44,22 @@
     return NULL;
 }
 
+/* Returns the bytes sent to a host that it has not acknowledged. */
+static size_t
+get_backlog(const bbl_control *c, uint32_t host)
+{
+    return c->options.port.backlog != NULL
+               ? c->options.port.backlog(c->options.port.ctx, host)
+               : 0;
+}
+
+static bool
+is_behind(const bbl_control *c, const bbl_feed_child *k)
+{
+    return k->applied < bbl_state_applied_index(c->state) ||
+           k->revision < c->rows.revision;
+}
+
 /*
  * Adds the entries after `applied`, or a snapshot if some of them are no
  * longer retained. Returns the index that the child then reaches.
@@ -72,6 +101,55 @@
     return bbl_state_applied_index(c->state);
 }
 
+/* Counts the bytes in flight to the children that acknowledge them. */
+static void
+count_bytes_in_flight(bbl_control *c)
+{
+    if (c->now < c->in_flight_counted_at + IN_FLIGHT_INTERVAL_US) {
+        return;
+    }
+    c->in_flight_counted_at = c->now;
+    c->bytes_in_flight = 0;
+    for (size_t i = 0; i < c->children.size; i++) {
+        const bbl_feed_child *k = bbl_vec_at(&c->children, i);
+
+        if (c->now < k->sent_at + FEED_STALLED_US) {
+            c->bytes_in_flight += get_backlog(c, k->host);
+        }
+    }
+}
+
+/*
+ * Returns whether entries and rows may be sent to a child now: nothing is in
+ * flight to it, and the window of all children has room.
+ */
+static bool
+may_send_changes(bbl_control *c, const bbl_feed_child *k)
+{
+    count_bytes_in_flight(c);
+    return c->bytes_in_flight < FEED_WINDOW_BYTES &&
+           get_backlog(c, k->host) == 0;
+}
+
+/* Adds the rows that the child lacks, as far as one message holds them. */
+static void
+fill_rows(bbl_control *c, bblx_feed *f, uint64_t revision)
+{
+    c->reports.size = 0;
+    c->members.size = 0;
+    c->backends.size = 0;
+    f->revision =
+        bbl_rows_collect_since(&c->rows, revision, FEED_MESSAGE_ROWS, c->now,
+                               &c->reports, &c->members, &c->backends);
+    f->backends.backends_len = (u_int)c->backends.size;
+    f->backends.backends_val = c->backends.ptr;
+    f->reports.reports_len = (u_int)c->reports.size;
+    f->reports.reports_val = c->reports.ptr;
+    f->members.members_len = (u_int)c->members.size;
+    f->members.members_val = c->members.ptr;
+}
+
+/* Sends grants to a child and, if it may, the changes that it lacks. */
 static void
 send_feed(bbl_control *c, bbl_feed_child *k, bblx_grant *grants,
           u_int grant_count)
@@ -91,47 +169,70 @@
     f->grants.grants_len = grant_count;
     f->grants.grants_val = grants;
     f->applied_after = k->applied;
-    f->applied = fill_entries(c, f, k->applied, space, &snapshot);
-    c->reports.size = 0;
-    c->members.size = 0;
-    c->backends.size = 0;
+    f->applied = k->applied;
     f->rows_after = k->revision;
-    f->revision =
-        bbl_rows_collect_since(&c->rows, k->revision, FEED_MESSAGE_ROWS,
-                               c->now, &c->reports, &c->members, &c->backends);
-    f->backends.backends_len = (u_int)c->backends.size;
-    f->backends.backends_val = c->backends.ptr;
-    f->catalog_age_ms =
-        c->catalog_read_at == 0
-            ? CATALOG_UNKNOWN
-            : (u_int)((c->now - c->catalog_read_at) / BBL_USEC_PER_MS);
-    f->reports.reports_len = (u_int)c->reports.size;
-    f->reports.reports_val = c->reports.ptr;
-    f->members.members_len = (u_int)c->members.size;
-    f->members.members_val = c->members.ptr;
+    f->revision = k->revision;
+    f->catalog_age_ms = CATALOG_UNKNOWN;
+    if (may_send_changes(c, k)) {
+        f->applied = fill_entries(c, f, k->applied, space, &snapshot);
+        fill_rows(c, f, k->revision);
+        if (is_behind(c, k)) {
+            k->sent_at = c->now;
+        }
+    }
+    /* The age of the list holds only for a child that has the whole list. */
+    if (f->revision == c->rows.revision && c->catalog_read_at != 0) {
+        f->catalog_age_ms =
+            (u_int)((c->now - c->catalog_read_at) / BBL_USEC_PER_MS);
+    }
     k->applied = f->applied;
     k->revision = f->revision;
+    c->feed_behind = c->feed_behind || is_behind(c, k);
     c->feeds_sent++;
     bbl_control_send(c, k->host, k->address, &m);
+    c->bytes_in_flight += get_backlog(c, k->host);
     bbl_buf_free(&snapshot);
 }
 
-void
-bbl_feed_push(bbl_control *c)
+/* Removes the children that send no heartbeats any more. */
+static void
+remove_silent_children(bbl_control *c)
 {
     for (size_t i = c->children.size; i > 0; i--) {
-        bbl_feed_child *k = bbl_vec_at(&c->children, i - 1);
+        const bbl_feed_child *k = bbl_vec_at(&c->children, i - 1);
 
         if (k->last_heartbeat + CHILD_SILENT_US < c->now) {
             bbl_vec_swap_remove(&c->children, i - 1);
+        }
+    }
+}
+
+void
+bbl_feed_push(bbl_control *c)
+{
+    size_t first;
+
+    remove_silent_children(c);
+    c->feed_due = false;
+    c->feed_behind = false;
+    first = c->children.size > 0 ? c->first_child % c->children.size : 0;
+    for (size_t i = 0; i < c->children.size; i++) {
+        size_t at = (first + i) % c->children.size;
+        bbl_feed_child *k = bbl_vec_at(&c->children, at);
+
+        if (!is_behind(c, k)) {
             continue;
         }
-        if (k->applied < bbl_state_applied_index(c->state) ||
-            k->revision < c->rows.revision) {
+        if (may_send_changes(c, k)) {
             send_feed(c, k, NULL, 0);
+            continue;
+        }
+        c->feed_behind = true;
+        if (c->bytes_in_flight >= FEED_WINDOW_BYTES) {
+            c->first_child = at; /* the next push continues here */
+            return;
         }
     }
-    c->feed_due = false;
 }
 
 /* ---- heartbeats from children ---- */
@@ -211,19 +312,32 @@
     return n;
 }
 
+/*
+ * Records a child's heartbeat. The position that it states is older than what
+ * was sent while messages are in flight, unless the child has restarted.
+ */
 static bbl_feed_child *
 update_child(bbl_control *c, uint32_t from, const bblx_heartbeat *h)
 {
     bbl_feed_child *k = find_child(c, from);
+    uint64_t incarnation = h->heartbeats.heartbeats_val[0].incarnation;
+    uint64_t revision = h->feed_boot == c->feed_boot ? h->feed_revision : 0;
+    bool in_flight;
 
     if (k == NULL) {
         k = bbl_vec_add(&c->children);
         k->host = from;
     }
+    in_flight = k->incarnation == incarnation && get_backlog(c, k->host) > 0;
+    k->incarnation = incarnation;
     k->address = h->heartbeats.heartbeats_val[0].control;
     k->last_heartbeat = c->now;
-    k->applied = h->applied;
-    k->revision = h->feed_boot == c->feed_boot ? h->feed_revision : 0;
+    if (!in_flight || h->applied > k->applied) {
+        k->applied = h->applied;
+    }
+    if (!in_flight || revision > k->revision) {
+        k->revision = revision;
+    }
     return k;
 }
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -613,6 +613,14 @@
     bbl_mesh_send(d->mesh, bbl_clock_now(), host, to, message);
 }
 
+static size_t
+get_control_backlog(void *ctx, uint32_t host)
+{
+    const daemon_state *d = ctx;
+
+    return bbl_mesh_get_backlog(d->mesh, host);
+}
+
 static void
 on_searcher_list(void *ctx, const bblx_place *places, size_t count)
 {
@@ -690,6 +698,7 @@
     c.relay_members = o->relay_members;
     c.compact_entries = o->compact_entries;
     c.port.send = send_control_message;
+    c.port.backlog = get_control_backlog;
     c.port.complete_proposal = on_proposal_complete;
     c.port.ctx = d;
     if (o->data_dir != NULL) {
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -342,6 +342,14 @@
     bbl_mesh_send(n->mesh, bbl_clock_now(), host, to, m);
 }
 
+static size_t
+get_mesh_backlog(void *ctx, uint32_t host)
+{
+    const node *n = ctx;
+
+    return bbl_mesh_get_backlog(n->mesh, host);
+}
+
 static void
 on_proposal_complete(void *ctx, uint64_t number,
                      const bblx_propose_reply *reply)
@@ -642,6 +650,7 @@
     c.copies = o->lost_disks + 1;
     c.voters_wanted = 2 * o->lost_disks + 1;
     c.port.send = send_mesh_message;
+    c.port.backlog = get_mesh_backlog;
     c.port.complete_proposal = on_proposal_complete;
     c.port.reopen_disk = reopen_disk;
     c.port.ctx = n;
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -28,6 +28,11 @@
 #define READ_CHUNK_BYTES 65536
 #define CONNECT_TIMEOUT_US (250 * BBL_USEC_PER_MS)
 #define RECONNECT_PAUSE_US (50 * BBL_USEC_PER_MS)
+/*
+ * The acknowledgement timeout of a link doubles with each silent connection in
+ * a row, at most this often: a slow peer is not helped by new connections.
+ */
+#define ACK_TIMEOUT_DOUBLINGS_MAX 3
 /* A longer time between two ticks means that this thread was delayed. */
 #define THREAD_STALL_US (25 * BBL_USEC_PER_MS)
 
@@ -59,6 +64,8 @@
     uint64_t next_seq;    /* of the next frame on this connection, from 0 */
     uint64_t acked_count; /* frames of this connection acknowledged */
     uint64_t last_frame_id;
+    /* Connections replaced for silence since the last acknowledgement. */
+    unsigned silent_connections;
     /* Time of the last acknowledgement, or of a frame appended when all
      * others were acknowledged. */
     bbl_usec last_progress;
@@ -225,6 +232,7 @@
             remove_oldest_frames(l, (size_t)(acked - l->acked_count));
             l->acked_count = acked;
             l->last_progress = l->now;
+            l->silent_connections = 0;
         }
     }
 }
@@ -359,6 +367,16 @@
     remove_oldest_frames(l, expired);
 }
 
+static bbl_usec
+get_ack_timeout(const outgoing_link *l)
+{
+    unsigned doublings = l->silent_connections < ACK_TIMEOUT_DOUBLINGS_MAX
+                             ? l->silent_connections
+                             : ACK_TIMEOUT_DOUBLINGS_MAX;
+
+    return l->mesh->options.ack_timeout << doublings;
+}
+
 /*
  * Connects if frames are waiting, closes a connection that is not established
  * in time, and replaces one whose frames are not acknowledged.
@@ -380,9 +398,11 @@
         return;
     }
     if (l->next_seq > l->acked_count && now >= l->mesh->silence_checks_from &&
-        now > l->last_progress + l->mesh->options.ack_timeout) {
-        bbl_log(BBL_EV_PEER_SILENT, "peer=%u frames=%llu", l->host,
-                (unsigned long long)(l->next_seq - l->acked_count));
+        now > l->last_progress + get_ack_timeout(l)) {
+        bbl_log(BBL_EV_PEER_SILENT, "peer=%u frames=%llu bytes=%zu", l->host,
+                (unsigned long long)(l->next_seq - l->acked_count),
+                l->unacked_bytes);
+        l->silent_connections++;
         l->mesh->counters.silent_connections++;
         outgoing_close(l, now);
         l->next_connect = 0;
@@ -677,6 +697,14 @@
     }
 }
 
+size_t
+bbl_mesh_get_backlog(const bbl_mesh *mesh, uint32_t host)
+{
+    const outgoing_link *l = bbl_map_get(&mesh->outgoing, host);
+
+    return l != NULL ? l->unacked_bytes : 0;
+}
+
 const bbl_mesh_counters *
 bbl_mesh_get_counters(const bbl_mesh *mesh)
 {
--- a/src/net/mesh.h
+++ b/src/net/mesh.h
@@ -26,7 +26,8 @@
     uint8_t key[BBL_MESH_KEY_BYTES]; /* shared by all hosts of the cluster */
     bblx_address listen_address;
     /* A connection without an acknowledgement for this long, while frames
-     * are unacknowledged, is replaced. */
+     * are unacknowledged, is replaced. The time doubles while a peer stays
+     * silent. */
     bbl_usec ack_timeout;
     /* A frame that has waited longer than this is dropped while there is no
      * connection. */
@@ -71,6 +72,9 @@
 void bbl_mesh_send(bbl_mesh *mesh, bbl_usec now, uint32_t host,
                    bblx_address to, const bblx_message *message);
 
+/* Returns the bytes of the frames that a host has not acknowledged. */
+size_t bbl_mesh_get_backlog(const bbl_mesh *mesh, uint32_t host);
+
 /* Writes queued frames, and replaces silent connections. */
 void bbl_mesh_tick(bbl_mesh *mesh, bbl_usec now);
 
--- /dev/null
+++ b/tests/test_control_feed.c
@@ -0,0 +1,384 @@
+/*
+ * Tests the change feed of a control core to many children over a link of
+ * limited bandwidth, as after a restart of all hosts: every child lacks the
+ * whole list of servers at once.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "control/control.h"
+#include "support/memdisk.h"
+#include "support/run.h"
+
+#define CHILDREN 60
+#define HOSTS (CHILDREN + 2)
+#define SERVERS 1200
+#define STEP_US 1000u
+#define SEC BBL_USEC_PER_SEC
+/* 26 Mbit/s */
+#define LINK_BYTES_PER_STEP 3250u
+
+typedef struct {
+    uint32_t from;
+    uint32_t to;
+    bbl_buf bytes;
+} packet;
+
+typedef struct {
+    bbl_control *control;
+    memdisk disk;
+    /* Packets in the order in which the link of this host carries them. */
+    bbl_vec queue;
+    size_t link_credit; /* bytes that the link may carry now */
+    size_t queued_bytes;
+    size_t queued_bytes_max;
+    size_t sent_bytes;
+    bbl_usec lease_lost_at; /* 0: it always had a lease */
+    bool had_lease;
+} host;
+
+typedef struct {
+    bbl_usec now;
+    uint64_t starts;
+    host hosts[HOSTS + 1];
+    bblx_voter seed;
+    bblx_backend servers[SERVERS];
+    char names[SERVERS][16];
+} simulation;
+
+typedef struct {
+    simulation *sim;
+    uint32_t host;
+} port_ctx;
+
+static port_ctx contexts[HOSTS + 1];
+
+static void
+on_send(void *ctx, uint32_t to, bblx_address address, const bblx_message *m)
+{
+    port_ctx *p = ctx;
+    host *x = &p->sim->hosts[p->host];
+    packet *k = bbl_vec_add(&x->queue);
+
+    (void)address;
+    k->from = p->host;
+    k->to = to;
+    ck_assert_int_eq(BBL_XDR_ENCODE(&k->bytes, bblx_message, m), 0);
+    x->sent_bytes += k->bytes.size;
+    x->queued_bytes += k->bytes.size;
+    if (x->queued_bytes > x->queued_bytes_max) {
+        x->queued_bytes_max = x->queued_bytes;
+    }
+}
+
+static size_t
+get_backlog(void *ctx, uint32_t to)
+{
+    port_ctx *p = ctx;
+    const bbl_vec *queue = &p->sim->hosts[p->host].queue;
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < queue->size; i++) {
+        const packet *k = bbl_vec_at(queue, i);
+
+        bytes += k->to == to ? k->bytes.size : 0;
+    }
+    return bytes;
+}
+
+static void
+on_proposed(void *ctx, uint64_t number, const bblx_propose_reply *reply)
+{
+    (void)ctx;
+    (void)number;
+    (void)reply;
+}
+
+static void
+start_host(simulation *sim, uint32_t h, const char *zone, bool has_disk,
+           uint32_t relay_members)
+{
+    bbl_control_options o = BBL_CONTROL_OPTIONS_INIT;
+
+    contexts[h] = (port_ctx){sim, h};
+    o.host = h;
+    o.incarnation = ++sim->starts;
+    o.seed = h * 77;
+    bbl_name_set(&o.zone, zone, strlen(zone));
+    o.control = (bblx_address){h, 1};
+    o.seeds.list.list_len = 1;
+    o.seeds.list.list_val = &sim->seed;
+    o.relay_members = relay_members;
+    o.port.send = on_send;
+    o.port.backlog = get_backlog;
+    o.port.complete_proposal = on_proposed;
+    o.port.ctx = &contexts[h];
+    ck_assert_int_eq(
+        bbl_control_open(&sim->hosts[h].control, &o,
+                         has_disk ? memdisk_open(&sim->hosts[h].disk) : NULL,
+                         sim->now),
+        0);
+}
+
+static simulation *
+open_simulation(void)
+{
+    simulation *sim = calloc(1, sizeof(*sim));
+
+    sim->now = SEC;
+    sim->seed = (bblx_voter){1, 1, BBLX_VOTER, {1, 1}};
+    for (uint32_t h = 1; h <= HOSTS; h++) {
+        memdisk_init(&sim->hosts[h].disk);
+        sim->hosts[h].queue = (bbl_vec)BBL_VEC_INIT(packet);
+    }
+    ck_assert_int_eq(
+        bbl_quorum_bootstrap(memdisk_open(&sim->hosts[1].disk), 1), 0);
+    for (unsigned i = 0; i < SERVERS; i++) {
+        bblx_backend *b = &sim->servers[i];
+
+        snprintf(sim->names[i], sizeof(sim->names[i]), "server-%u", i);
+        b->id = (bblx_label){(u_int)strlen(sim->names[i]), sim->names[i]};
+        b->service = (bblx_label){7, "service"};
+        b->zone = (bblx_name){3, "dc1"};
+        b->address = (bblx_address){1000 + i, 80};
+        b->slots = 2;
+    }
+    return sim;
+}
+
+static void
+close_simulation(simulation *sim)
+{
+    for (uint32_t h = 1; h <= HOSTS; h++) {
+        host *x = &sim->hosts[h];
+
+        for (size_t i = 0; i < x->queue.size; i++) {
+            bbl_buf_free(&BBL_VEC_AT(packet, &x->queue, i)->bytes);
+        }
+        bbl_vec_free(&x->queue);
+        bbl_control_free(x->control);
+        memdisk_free(&x->disk);
+    }
+    free(sim);
+}
+
+static void
+deliver(simulation *sim, const packet *k)
+{
+    bbl_control *to = sim->hosts[k->to].control;
+    bblx_message m;
+
+    if (to == NULL) {
+        return;
+    }
+    memset(&m, 0, sizeof(m));
+    ck_assert_int_eq(BBL_XDR_DECODE(&m, bblx_message, bbl_buf_str(&k->bytes)),
+                     0);
+    bbl_control_step(to, sim->now, k->from, &m);
+    BBL_XDR_FREE(bblx_message, &m);
+}
+
+/* Carries the packets that the link of a host has had the time for. */
+static void
+run_link(simulation *sim, host *x)
+{
+    x->link_credit += LINK_BYTES_PER_STEP;
+    while (x->queue.size > 0) {
+        packet k = *BBL_VEC_AT(packet, &x->queue, 0);
+
+        if (k.bytes.size > x->link_credit) {
+            return;
+        }
+        x->link_credit -= k.bytes.size;
+        x->queued_bytes -= k.bytes.size;
+        bbl_vec_remove(&x->queue, 0);
+        deliver(sim, &k);
+        bbl_buf_free(&k.bytes);
+    }
+    x->link_credit = 0;
+}
+
+/* Notes when a host that had a lease has lost it. */
+static void
+watch_lease(simulation *sim, host *x)
+{
+    bool has_lease = bbl_control_lease_until(x->control) > sim->now;
+
+    x->had_lease = x->had_lease || has_lease;
+    if (x->had_lease && !has_lease && x->lease_lost_at == 0) {
+        x->lease_lost_at = sim->now;
+    }
+}
+
+static void
+run_for(simulation *sim, bbl_usec duration)
+{
+    for (bbl_usec end = sim->now + duration; sim->now < end;
+         sim->now += STEP_US) {
+        for (uint32_t h = 1; h <= HOSTS; h++) {
+            host *x = &sim->hosts[h];
+
+            run_link(sim, x);
+            if (x->control != NULL && (sim->now / STEP_US + h) % 10 == 0) {
+                bbl_control_tick(x->control, sim->now, sim->now / 1000);
+                watch_lease(sim, x);
+            }
+        }
+    }
+}
+
+static unsigned
+count_servers(const simulation *sim, uint32_t h)
+{
+    const bbl_rows *rows = bbl_control_rows(sim->hosts[h].control);
+    unsigned count = 0;
+    size_t pos = 0;
+
+    while (bbl_rows_next_backend(rows, &pos) != NULL) {
+        count++;
+    }
+    return count;
+}
+
+static unsigned
+count_complete_children(const simulation *sim)
+{
+    unsigned complete = 0;
+
+    for (uint32_t h = 2; h <= CHILDREN + 1; h++) {
+        complete += count_servers(sim, h) == SERVERS;
+    }
+    return complete;
+}
+
+/* Starts the leader, and then all children at the same time. */
+static simulation *
+open_cluster(void)
+{
+    simulation *sim = open_simulation();
+
+    start_host(sim, 1, "dc1", true, UINT32_MAX);
+    run_for(sim, 2 * SEC);
+    bbl_control_replace_catalog(sim->hosts[1].control, sim->now, sim->servers,
+                                SERVERS);
+    for (uint32_t h = 2; h <= CHILDREN + 1; h++) {
+        start_host(sim, h, "dc1", false, UINT32_MAX);
+    }
+    return sim;
+}
+
+/*
+ * Load pattern: all children of a small host start at once and lack the whole
+ * list, which takes its link longer than a lease lasts. Each row is sent about
+ * once, little is queued on the link, and no child loses its lease meanwhile.
+ */
+START_TEST(test_whole_list_to_all_children)
+{
+    simulation *sim = open_cluster();
+    host *leader = &sim->hosts[1];
+    size_t list_bytes = SERVERS * 64;
+    bbl_usec started_at = sim->now;
+
+    while (count_complete_children(sim) < CHILDREN) {
+        ck_assert_uint_lt(sim->now, started_at + 20 * SEC);
+        run_for(sim, SEC / 10);
+    }
+    ck_assert_uint_lt(leader->sent_bytes, 2 * CHILDREN * list_bytes);
+    ck_assert_uint_lt(leader->queued_bytes_max, 1u << 20);
+    for (uint32_t h = 2; h <= CHILDREN + 1; h++) {
+        ck_assert_uint_eq(sim->hosts[h].lease_lost_at, 0);
+    }
+    close_simulation(sim);
+}
+END_TEST
+
+/*
+ * A child that has a part of the list must not take it for the whole list: its
+ * age is unknown until then.
+ */
+START_TEST(test_age_of_incomplete_list_is_unknown)
+{
+    simulation *sim = open_cluster();
+    bool seen_incomplete = false;
+
+    for (unsigned i = 0; i < 2000; i++) {
+        run_for(sim, STEP_US);
+        for (uint32_t h = 2; h <= CHILDREN + 1; h++) {
+            unsigned servers = count_servers(sim, h);
+            bbl_usec age =
+                bbl_control_catalog_age(sim->hosts[h].control, sim->now);
+
+            seen_incomplete =
+                seen_incomplete || (servers > 0 && servers < SERVERS);
+            ck_assert(servers == SERVERS || age == UINT64_MAX);
+        }
+    }
+    ck_assert(seen_incomplete);
+    close_simulation(sim);
+}
+END_TEST
+
+/* A child that has restarted with an empty copy gets the whole list again. */
+START_TEST(test_restarted_child_gets_whole_list)
+{
+    simulation *sim = open_cluster();
+
+    run_for(sim, 15 * SEC);
+    ck_assert_uint_eq(count_complete_children(sim), CHILDREN);
+    bbl_control_free(sim->hosts[5].control);
+    sim->hosts[5].control = NULL;
+    run_for(sim, SEC / 20);
+    start_host(sim, 5, "dc1", false, UINT32_MAX);
+    run_for(sim, SEC);
+    ck_assert_uint_eq(count_servers(sim, 5), SERVERS);
+    close_simulation(sim);
+}
+END_TEST
+
+/*
+ * The relay of a data centre is a host with a disk, which serves no callers,
+ * even if an entry host has a lower host id.
+ */
+START_TEST(test_relay_is_host_with_disk)
+{
+    simulation *sim = open_simulation();
+    uint32_t relay = CHILDREN + 2;
+    bbl_control_status status;
+
+    start_host(sim, 1, "dc1", true, 4);
+    start_host(sim, relay, "dc2", true, 4);
+    for (uint32_t h = 2; h <= 6; h++) {
+        start_host(sim, h, "dc2", false, 4);
+    }
+    run_for(sim, 5 * SEC);
+    bbl_control_get_status(sim->hosts[relay].control, sim->now, &status);
+    ck_assert_uint_eq(status.parent, 1);
+    for (uint32_t h = 2; h <= 6; h++) {
+        bbl_control_get_status(sim->hosts[h].control, sim->now, &status);
+        ck_assert_uint_eq(status.parent, relay);
+    }
+    close_simulation(sim);
+}
+END_TEST
+
+static Suite *
+control_feed_suite(void)
+{
+    Suite *s = suite_create("control_feed");
+    TCase *t = tcase_create("feed");
+
+    tcase_set_timeout(t, 120);
+    tcase_add_test(t, test_whole_list_to_all_children);
+    tcase_add_test(t, test_age_of_incomplete_list_is_unknown);
+    tcase_add_test(t, test_restarted_child_gets_whole_list);
+    tcase_add_test(t, test_relay_is_host_with_disk);
+    suite_add_tcase(s, t);
+    return s;
+}
+
+int
+main(void)
+{
+    return run_suite(control_feed_suite());
+}
