Forwarder: the time of a server without the host's own receiving

Cause: the time of an attempt ran from the arrival of the query to the moment at which this host had read the response. With 90 responses on a link of 27 Mbit/s and 0.12 of a core that is 33 ms where the servers take 8 ms, and all hedges, stalls and ratings derived from it came that much too late. A request that was read late was given its full time again, and its servers too.

Ruled out: the budget (0.5 to 0.8 left) and the number of connections.

Change: an attempt counts from the moment at which its request was written, to the middle of the interval in which the response can have arrived, less the measured time between responses that queue behind each other (forward/receive_cost.c). No hedge while responses follow each other at less than 2 ms. A request arrives at the earliest time that the loop can vouch for, and is refused as expired, not run, if that leaves no time.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -187,6 +187,8 @@
         {"broken", "it was sent, but no usable response came back"},
         {"timeout", "no usable response came in time"},
         {"left", "the caller left before the answer"},
+        {"expired",
+         "this host read it too late to answer in time; it has not run"},
         {"overload", "callers sent more than the servers can process"},
     };
     char outcome[32];
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -83,6 +83,9 @@
         : r->exchange_outcome == BBL_LINK_SERVER_FULL ? BBL_ATTEMPT_SERVER_FULL
                                                       : BBL_ATTEMPT_BROKEN;
     result.failure_reason = r->reason;
+    result.sent_at = r->sent_at;
+    result.ready_since = bbl_loop_get_ready_since(g->loop);
+    result.ready_by = bbl_loop_get_polled_at(g->loop);
     if (r->message != NULL) {
         result.status = bbl_http_message_status(r->message);
         result.headers = r->message->headers.ptr;
@@ -148,6 +151,7 @@
     bbl_edge_call *call = request->request_handle;
     bbl_link_exchange_request r;
     bbl_link_exchange *exchange;
+    bbl_usec now = bbl_clock_now();
     int error;
 
     render_request_head(g, call);
@@ -164,9 +168,9 @@
     r.no_body = call->message->parser.method == (unsigned)HTTP_HEAD;
     r.done = on_exchange_complete;
     r.ctx = attempt;
-    error =
-        bbl_link_exchange_start(&exchange, backend->link, bbl_clock_now(), &r);
+    error = bbl_link_exchange_start(&exchange, backend->link, now, &r);
     if (error == 0) {
+        bbl_attempt_set_sent_at(attempt, now);
         bbl_attempt_set_handle(attempt, exchange);
     }
     return error;
@@ -351,7 +355,7 @@
     r.has_time_left = head.has_time_left;
     r.time_left_ms = head.time_left_ms;
     r.arrived_at = call->received_at;
-    bbl_forwarder_receive_request(g->forwarder, call->received_at, &r);
+    bbl_forwarder_receive_request(g->forwarder, bbl_clock_now(), &r);
 }
 
 static void
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -27,8 +27,6 @@
  */
 #define REFUSED_BACKOFF_US (10 * BBL_USEC_PER_MS)
 #define SERVER_FULL_BACKOFF_US (200 * BBL_USEC_PER_MS)
-/* No attempt is sent with less time left until the deadline. */
-#define TIME_LEFT_MIN_US (3 * BBL_USEC_PER_MS)
 
 void
 bbl_attempt_set_handle(bbl_attempt *a, void *handle)
@@ -42,6 +40,12 @@
     return a->handle;
 }
 
+void
+bbl_attempt_set_sent_at(bbl_attempt *a, bbl_usec sent_at)
+{
+    a->sent_at = sent_at;
+}
+
 void *
 bbl_attempt_get_ctx(const bbl_attempt *a)
 {
@@ -150,7 +154,7 @@
     bbl_attempt_link(a);
     bbl_vec_push(&q->attempts, &a);
     if (s->attempts_sent == 0) {
-        s->first_sent_at = now;
+        s->first_sent_at = a->sent_at;
     }
     else {
         bbl_extra_budget_spend(&s->pool->budget, &f->extra_limits, now);
@@ -171,7 +175,7 @@
 {
     if (s->attempts_sent >= BBL_ATTEMPTS_MAX ||
         s->attempts_maybe_run >= q->route->max_attempts ||
-        q->deadline < now + TIME_LEFT_MIN_US) {
+        q->deadline < now + BBL_TIME_LEFT_MIN_US) {
         return false;
     }
     if (s->attempts_sent > 0 &&
@@ -196,7 +200,7 @@
     r.server = bbl_wire_label_str(&b->listed.id);
     r.hedge = hedge;
     r.stalled = stalled;
-    r.waited = now - s->first_sent_at;
+    r.waited = now > s->first_sent_at ? now - s->first_sent_at : 0;
     r.route_service_time = q->timing->service_time;
     r.budget_left =
         bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now);
@@ -240,6 +244,40 @@
     return RESULT_FINAL;
 }
 
+/*
+ * Returns how long the server took. Excludes the time to open a connection
+ * and, as far as it is known, the time until this host read the response.
+ */
+static bbl_usec
+get_server_time(const bbl_attempt *a, bbl_usec now,
+                const bbl_attempt_result *r)
+{
+    bbl_usec sent_at = r->sent_at > a->sent_at ? r->sent_at : a->sent_at;
+    bbl_usec since = r->ready_since > sent_at ? r->ready_since : sent_at;
+    bbl_usec by = r->ready_by != 0 ? r->ready_by : now;
+
+    if (r->ready_since == 0) {
+        since = by;
+    }
+    by = by > sent_at ? by : sent_at;
+    since = since < by ? since : by;
+    return bbl_receive_cost_get_server_time(
+        &a->timing->receive_cost, since + (by - since) / 2 - sent_at,
+        a->query != NULL ? a->query->responses : 0);
+}
+
+/* Records that a response to a query has been received. */
+static void
+count_response(bbl_usec now, bbl_query *q)
+{
+    if (q->responses > 0) {
+        bbl_receive_cost_record(&q->timing->receive_cost,
+                                now - q->responded_at);
+    }
+    q->responses++;
+    q->responded_at = now;
+}
+
 /* Updates the state, the ratings and the load limit of an attempt's server. */
 static void
 update_server(bbl_forwarder *f, bbl_usec now, bbl_attempt *a,
@@ -248,7 +286,7 @@
 {
     bbl_backend *b = a->backend;
     bbl_backend_state before = bbl_backend_get_state(b, now);
-    bbl_usec duration = now - a->sent_at;
+    bbl_usec duration = get_server_time(a, now, r);
 
     if (r->outcome == BBL_ATTEMPT_RESPONSE) {
         b->answered_at = now;
@@ -397,6 +435,7 @@
     }
     bbl_vec_swap_remove(&q->attempts, bbl_vec_find_pointer(&q->attempts, a));
     a->shard->in_flight--;
+    count_response(now, q);
     if (m == RESULT_USABLE) {
         receive_part(f, now, q, a, r, &head);
     }
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -39,7 +39,7 @@
 {
     static const char *const names[BBL_FORWARD_REASONS] = {
         "ok",   "partial", "failed",  "no-routing", "no-route", "unavailable",
-        "busy", "broken",  "timeout", "left",       "overload",
+        "busy", "broken",  "timeout", "left",       "overload", "expired",
     };
 
     return names[reason];
@@ -105,7 +105,8 @@
             continue;
         }
         in.service_time = q->timing->service_time;
-        in.waited = now - s->first_sent_at;
+        in.waited = now > s->first_sent_at ? now - s->first_sent_at : 0;
+        in.quiet = now - q->responded_at;
         in.target_left = q->target_at > now ? q->target_at - now : 0;
         in.budget_left =
             bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now);
@@ -306,6 +307,10 @@
     set_deadlines(f, q);
     add_shards(f, now, q);
     insert_query(f, q);
+    if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
+        return;
+    }
     if (count_usable_shards(q, now) < q->shards_needed) {
         bbl_query_fail(f, now, q, BBL_FORWARD_UNAVAILABLE,
                        BBL_STATUS_UNAVAILABLE);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -46,6 +46,7 @@
     /* Whether the request states how long its caller waits for the answer. */
     bool has_time_left;
     uint32_t time_left_ms; /* that time, from arrived_at on */
+    /* Earliest time at which it can have arrived; not after `now`. */
     bbl_usec arrived_at;
 } bbl_forward_request;
 
@@ -73,6 +74,14 @@
     const bbl_header *headers;
     size_t header_count;
     bbl_str body;
+    /* When sending began; 0 if this is not known. */
+    bbl_usec sent_at;
+    /*
+     * Earliest and latest time at which the response can have arrived: a busy
+     * host reads responses some time after their arrival. 0 if not known.
+     */
+    bbl_usec ready_since;
+    bbl_usec ready_by;
     /* Driver's handle of the response, used to relay it unchanged. */
     const void *driver_message;
 } bbl_attempt_result;
@@ -92,6 +101,7 @@
     BBL_FORWARD_TIMEOUT,
     BBL_FORWARD_LEFT,     /* cancelled: the caller closed its connection */
     BBL_FORWARD_OVERLOAD, /* refused by the load limit */
+    BBL_FORWARD_EXPIRED,  /* not run: read too late to be answered in time */
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
@@ -154,7 +164,11 @@
 } bbl_extra_attempt_record;
 
 typedef struct {
-    /* Starts an attempt. Returns 0, or BBL_EFULL if no connection is free. */
+    /*
+     * Starts an attempt. Returns 0, or BBL_EFULL if no connection is free. The
+     * time of a call that sends many attempts passes meanwhile, so the driver
+     * may set a later time with bbl_attempt_set_sent_at.
+     */
     int (*send)(void *ctx, bbl_attempt *attempt, bbl_backend *backend,
                 const bbl_attempt_request *request);
     /* Cancels an attempt so that the server stops working on it. */
@@ -342,6 +356,9 @@
 void bbl_attempt_set_handle(bbl_attempt *attempt, void *handle);
 void *bbl_attempt_get_handle(const bbl_attempt *attempt);
 
+/* Sets when an attempt was sent, microseconds; called by the port's `send`. */
+void bbl_attempt_set_sent_at(bbl_attempt *attempt, bbl_usec sent_at);
+
 /* Returns the `ctx` of the port of the attempt's forwarder. */
 void *bbl_attempt_get_ctx(const bbl_attempt *attempt);
 
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -17,6 +17,9 @@
 
 #define BBL_FOREVER UINT64_MAX
 
+/* No attempt is sent with less time left until the deadline. */
+#define BBL_TIME_LEFT_MIN_US (3 * BBL_USEC_PER_MS)
+
 struct bbl_forwarder {
     bbl_forwarder_options options;
     bbl_extra_limits extra_limits; /* share of this host */
@@ -34,6 +37,7 @@
     bbl_vec queries;
     /* bbl_attempt *, still in flight although their query is finished. */
     bbl_vec detached_attempts;
+    bbl_usec responded_at;        /* when the last response was processed */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_forward_counters counters;
 };
--- a/src/forward/hedge.c
+++ b/src/forward/hedge.c
@@ -6,6 +6,10 @@
 #define DELAY_LOW_BUDGET 4.0  /* with a low budget */
 #define DELAY_STALLED 1.4     /* if the server has stalled */
 #define LOW_BUDGET_SHARE 0.3  /* a budget below this share is low */
+/* While responses arrive at shorter intervals, more of them are queued. */
+#define QUIET_MIN_US 2000
+/* Service times after which a hedge no longer waits for such an interval. */
+#define QUIET_WAIT_MAX 8.0
 /* Shorter delays may come from the network alone. */
 #define DELAY_MIN_US 4000
 /*
@@ -46,6 +50,10 @@
     if (wait < DELAY_MIN_US) {
         wait = DELAY_MIN_US;
     }
-    return (double)in->waited >= wait ? 0
-                                      : (bbl_usec)(wait - (double)in->waited);
+    wait -= (double)in->waited;
+    if (in->quiet < QUIET_MIN_US &&
+        (double)in->waited < QUIET_WAIT_MAX * service) {
+        wait = fmax(wait, (double)(QUIET_MIN_US - in->quiet));
+    }
+    return wait <= 0 ? 0 : (bbl_usec)wait;
 }
--- a/src/forward/hedge.h
+++ b/src/forward/hedge.h
@@ -4,8 +4,10 @@
  *
  * Load pattern: each server pauses now and then for several service times.
  * With many shards most queries meet a pause at one of them; the second server
- * of that shard responds within one service time. The less of the budget of
- * extra requests is left, the longer a hedge is delayed.
+ * of that shard responds within one service time. The responses of many
+ * servers queue on the way to a host with a narrow link; while they come one
+ * after the other, a missing one is likely to be among them. The less of the
+ * budget of extra requests is left, the longer a hedge is delayed.
  */
 #ifndef BBL_HEDGE_H
 #define BBL_HEDGE_H
@@ -15,9 +17,11 @@
 typedef struct {
     bbl_usec service_time; /* usual time of an attempt on the route */
     bbl_usec waited;       /* time since the first attempt was sent */
-    bbl_usec target_left;  /* time until the target; 0 if it has passed */
-    bool stalled;          /* the first server has stalled */
-    double budget_left;    /* share of the budget that is left, 0 to 1 */
+    /* Time since the last response to the same query; large if none came. */
+    bbl_usec quiet;
+    bbl_usec target_left; /* time until the target; 0 if it has passed */
+    bool stalled;         /* the first server has stalled */
+    double budget_left;   /* share of the budget that is left, 0 to 1 */
 } bbl_hedge_input;
 
 /*
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -8,6 +8,7 @@
 
 #include "forward/forwarder.h"
 #include "forward/pools.h"
+#include "forward/receive_cost.h"
 #include "forward/split.h"
 #include "forward/top_records.h"
 
@@ -20,6 +21,7 @@
     bbl_usec service_time;
     /* Mean of that time while the servers are not congested. */
     bbl_usec uncongested_time;
+    bbl_receive_cost receive_cost;
     unsigned samples; /* number of usable responses, up to a limit */
 } bbl_route_timing;
 
@@ -65,7 +67,9 @@
      */
     bbl_usec target_at;
     bbl_usec deadline;
-    bbl_usec next_due_at; /* when the tick has to process the query again */
+    bbl_usec responded_at; /* when its last attempt to end had ended */
+    unsigned responses;    /* attempts that have ended */
+    bbl_usec next_due_at;  /* when the tick has to process the query again */
     bbl_shard *shards;
     unsigned shard_count;
     unsigned shards_needed; /* shards required for a success */
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -150,7 +150,8 @@
     bool connecting = c->state == CONN_CONNECTING;
     bool had_request = c->has_request;
     bbl_link_exchange_done done = c->done;
-    bbl_link_exchange_result r = {outcome, reason, NULL};
+    bbl_link_exchange_result r = {outcome, reason,
+                                  c->any_sent ? c->state_since : 0, NULL};
     void *ctx = c->ctx;
     void *link_ctx = c->link->link_ctx;
     bool released = c->link->released;
@@ -248,7 +249,7 @@
 conn_complete(conn *c, bool has_stray_bytes)
 {
     bbl_backend_client *client = c->link->client;
-    bbl_link_exchange_result r = {BBL_LINK_RESPONSE, NULL,
+    bbl_link_exchange_result r = {BBL_LINK_RESPONSE, NULL, c->state_since,
                                   &client->last_response};
     bbl_link_exchange_done done = c->done;
     void *ctx = c->ctx;
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -31,6 +31,7 @@
     bbl_link_exchange_outcome exchange_outcome;
     /* Description of a failure, a static string; NULL for a response. */
     const char *reason;
+    bbl_usec sent_at; /* when sending began; 0 if nothing was sent */
     /* The response, valid during the callback; NULL for a failure. */
     const bbl_http_message *message;
 } bbl_link_exchange_result;
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -46,6 +46,7 @@
     bool continue_sent; /* "100 Continue" was sent for this request */
     bool had_request;   /* the connection has carried a complete request */
     bbl_usec state_since;
+    bbl_usec readable_since;  /* earliest arrival of the last bytes read */
     bbl_usec request_started; /* time of the first byte; 0: no request yet */
     struct conn *prev;
     struct conn *next;
@@ -261,7 +262,7 @@
         call->path.size = (size_t)(query - call->target.ptr);
     }
     call->hostname = strip_port(bbl_http_message_field(&c->message, "Host"));
-    call->received_at = bbl_clock_now();
+    call->received_at = c->readable_since;
     call->first_on_connection = !c->had_request;
     c->had_request = true;
     c->edge->counters.requests++;
@@ -358,6 +359,7 @@
         return false;
     }
     c->in.size += (size_t)n;
+    c->readable_since = bbl_loop_get_ready_since(c->edge->loop);
     return true;
 }
 
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -27,8 +27,9 @@
     bbl_str method;
     bbl_str target; /* path and query string */
     bbl_str path;
-    bbl_str hostname;         /* value of the Host field without the port */
-    bbl_usec received_at;     /* when the last byte was read */
+    bbl_str hostname; /* value of the Host field without the port */
+    /* Earliest time at which its last byte can have arrived. */
+    bbl_usec received_at;
     bool first_on_connection; /* whether it is the first one */
 };
 
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -10,9 +10,14 @@
 
 #include "bbl/errors.h"
 #include "util/alloc.h"
+#include "util/clock.h"
 #include "util/map.h"
 
 #define EVENTS_MAX 256
+/* A shorter poll did not wait: the events were ready when it began. */
+#define WAIT_MIN_US 300
+/* A wait that ends later than this after its timeout was not scheduled. */
+#define SCHEDULING_SLACK_US (5 * BBL_USEC_PER_MS)
 
 typedef struct {
     int fd;
@@ -25,7 +30,9 @@
     int epoll_fd;
     int wake_fd;
     uint64_t last_serial;
-    bbl_map watches; /* fd + 1 -> watch */
+    bbl_usec polled_at;   /* when the last poll returned; 0 before it */
+    bbl_usec ready_since; /* see bbl_loop_get_ready_since */
+    bbl_map watches;      /* fd + 1 -> watch */
 };
 
 static uint64_t
@@ -120,14 +127,46 @@
     }
 }
 
+/* Records the times of a poll that began at `before`. */
+static void
+record_poll(bbl_loop *loop, bbl_usec before, bbl_usec timeout)
+{
+    bbl_usec after = bbl_clock_now();
+
+    if (after > before + timeout + SCHEDULING_SLACK_US) {
+        loop->ready_since = before;
+    }
+    else if (after > before + WAIT_MIN_US || loop->polled_at == 0) {
+        loop->ready_since = after;
+    }
+    else {
+        loop->ready_since = loop->polled_at;
+    }
+    loop->polled_at = after;
+}
+
+bbl_usec
+bbl_loop_get_ready_since(const bbl_loop *loop)
+{
+    return loop->ready_since;
+}
+
+bbl_usec
+bbl_loop_get_polled_at(const bbl_loop *loop)
+{
+    return loop->polled_at;
+}
+
 void
 bbl_loop_run_once(bbl_loop *loop, bbl_usec timeout)
 {
     struct epoll_event events[EVENTS_MAX];
     struct timespec ts = {(time_t)(timeout / BBL_USEC_PER_SEC),
                           (long)(timeout % BBL_USEC_PER_SEC) * 1000};
+    bbl_usec before = bbl_clock_now();
     int n = epoll_pwait2(loop->epoll_fd, events, EVENTS_MAX, &ts, NULL);
 
+    record_poll(loop, before, timeout);
     for (int i = 0; i < n; i++) {
         uint64_t tag = events[i].data.u64;
         watch *w;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -39,6 +39,17 @@
  */
 void bbl_loop_run_once(bbl_loop *loop, bbl_usec timeout);
 
+/*
+ * Returns the earliest time at which the events that are being handled can
+ * have become ready: the time of the poll that returned them if it had to wait
+ * for them, otherwise that of the poll before, or the start of the wait if the
+ * thread was not scheduled when the wait ended.
+ */
+bbl_usec bbl_loop_get_ready_since(const bbl_loop *loop);
+
+/* Returns the time of the poll that returned the events being handled. */
+bbl_usec bbl_loop_get_polled_at(const bbl_loop *loop);
+
 /* Ends the current or else the next wait; any thread may call it. */
 void bbl_loop_wake(bbl_loop *loop);
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -8,7 +8,8 @@
 #include "platform/dialect.h"
 #include "util/alloc.h"
 
-#define STEP_US 500 /* interval between ticks */
+#define STEP_US 500      /* interval between ticks */
+#define LINK_STEP_US 100 /* the same, while the link is narrow */
 
 /* An attempt in flight at a server. */
 typedef struct {
@@ -30,6 +31,8 @@
     char ids[FORWARD_SIM_CALLS_MAX][16];
     unsigned entry_hosts;
     bbl_usec list_read_at;
+    bbl_usec receive_time; /* of one response; 0: the link is fast */
+    bbl_usec link_free_at;
     uint64_t version;      /* active version */
     const char *violation; /* the first one, or NULL */
 };
@@ -263,19 +266,38 @@
     bbl_forwarder_complete_attempt(sim->forwarder, sim->now, x->attempt, &r);
 }
 
+/* Returns the due exchange that ended first, or SIZE_MAX. */
+static size_t
+find_due_exchange(const forward_sim *sim)
+{
+    size_t best = SIZE_MAX;
+    bbl_usec best_ends = sim->now + 1;
+
+    for (size_t i = 0; i < sim->exchanges.size; i++) {
+        const exchange *x = bbl_vec_at(&sim->exchanges, i);
+
+        if (x->ends < best_ends) {
+            best = i;
+            best_ends = x->ends;
+        }
+    }
+    return best;
+}
+
 static void
 complete_due_exchanges(forward_sim *sim)
 {
-    for (size_t i = 0; i < sim->exchanges.size;) {
+    size_t i;
+
+    while (sim->link_free_at <= sim->now &&
+           (i = find_due_exchange(sim)) != SIZE_MAX) {
         exchange x = *(exchange *)bbl_vec_at(&sim->exchanges, i);
 
-        if (x.ends > sim->now) {
-            i++;
-            continue;
-        }
         bbl_vec_swap_remove(&sim->exchanges, i);
+        if (sim->receive_time > 0) {
+            sim->link_free_at = sim->now + sim->receive_time;
+        }
         complete_exchange(sim, &x);
-        i = 0;
     }
 }
 
@@ -438,13 +460,19 @@
                                  0);
 }
 
+void
+forward_sim_set_receive_time(forward_sim *sim, bbl_usec receive_time)
+{
+    sim->receive_time = receive_time;
+}
+
 void
 forward_sim_run(forward_sim *sim, bbl_usec time)
 {
     bbl_usec until = sim->now + time;
 
     while (sim->now < until) {
-        sim->now += STEP_US;
+        sim->now += sim->receive_time > 0 ? LINK_STEP_US : STEP_US;
         complete_due_exchanges(sim);
         bbl_forwarder_tick(sim->forwarder, sim->now);
     }
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -8,7 +8,7 @@
 
 #include "forward/forwarder.h"
 
-#define FORWARD_SIM_SERVERS_MAX 64
+#define FORWARD_SIM_SERVERS_MAX 192
 #define FORWARD_SIM_CALLS_MAX 4096
 
 /* How a server handles the requests that it gets. */
@@ -105,6 +105,12 @@
 void forward_sim_record_connect(forward_sim *sim, forward_sim_server *server,
                                 bool ok);
 
+/*
+ * Sets how long the link of the host is busy with one response: responses that
+ * are sent at the same time arrive one after the other.
+ */
+void forward_sim_set_receive_time(forward_sim *sim, bbl_usec receive_time);
+
 /* Advances the simulated time by `time` microseconds. */
 void forward_sim_run(forward_sim *sim, bbl_usec time);
 
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -85,7 +85,7 @@
 
 START_TEST(a_low_budget_delays_hedges)
 {
-    bbl_hedge_input in = {15 * MS, 0, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, false, 1.0};
     bbl_usec full = bbl_hedge_get_delay(&in);
 
     in.budget_left = 0.1;
@@ -95,9 +95,25 @@
 }
 END_TEST
 
+START_TEST(no_hedge_while_responses_come_one_after_the_other)
+{
+    /* The missing response is likely to be queued behind the others. */
+    bbl_hedge_input in = {15 * MS, 32 * MS, MS / 2, 100 * MS, false, 1.0};
+
+    ck_assert_uint_gt(bbl_hedge_get_delay(&in), 0);
+    ck_assert_uint_le(bbl_hedge_get_delay(&in), 2 * MS);
+    in.quiet = 3 * MS;
+    ck_assert_uint_eq(bbl_hedge_get_delay(&in), 0);
+    /* They may come without end. */
+    in.quiet = 0;
+    in.waited = 120 * MS;
+    ck_assert_uint_eq(bbl_hedge_get_delay(&in), 0);
+}
+END_TEST
+
 START_TEST(a_stalled_server_is_hedged_sooner)
 {
-    bbl_hedge_input in = {15 * MS, 0, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, false, 1.0};
     bbl_usec usual = bbl_hedge_get_delay(&in);
 
     in.stalled = true;
@@ -113,7 +129,7 @@
      * A delay of twice the service time would leave the second server too
      * little time.
      */
-    bbl_hedge_input in = {100 * MS, 0, 260 * MS, false, 1.0};
+    bbl_hedge_input in = {100 * MS, 0, SEC, 260 * MS, false, 1.0};
 
     ck_assert_uint_le(bbl_hedge_get_delay(&in), 130 * MS);
     ck_assert_uint_ge(bbl_hedge_get_delay(&in), 100 * MS);
@@ -127,7 +143,7 @@
      * time is long, and twice that would leave the second server too little
      * time.
      */
-    bbl_hedge_input in = {30 * MS, 0, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {30 * MS, 0, SEC, 100 * MS, false, 1.0};
 
     ck_assert_uint_le(bbl_hedge_get_delay(&in), 40 * MS);
     ck_assert_uint_ge(bbl_hedge_get_delay(&in), 30 * MS);
@@ -664,6 +680,7 @@
     tcase_add_test(tc, an_idle_period_empties_the_window);
     tcase_add_test(tc, a_low_budget_delays_hedges);
     tcase_add_test(tc, a_stalled_server_is_hedged_sooner);
+    tcase_add_test(tc, no_hedge_while_responses_come_one_after_the_other);
     tcase_add_test(tc, a_hedge_starts_early_enough_for_the_target);
     tcase_add_test(tc, a_full_budget_hedges_earlier_before_the_target);
     tcase_add_test(tc, equal_servers_share_the_work);
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -133,6 +133,80 @@
 }
 END_TEST
 
+#define WIDE_SHARDS 90
+
+/* Adds a route /w/ over 90 shards with two servers each, target 80 ms. */
+static void
+install_wide_routing(forward_sim *sim, forward_sim_server **servers)
+{
+    bbl_buf text = BBL_BUF_INIT;
+    char id[16];
+    char service[16];
+
+    bbl_buf_printf(&text, "{\"version\":1,\"routes\":[{\"name\":\"w\","
+                          "\"hostname\":\"a.example\",\"path_prefix\":\"/w/"
+                          "\",\"route_type\":\"safe\",\"timeout_ms\":800,"
+                          "\"target_latency_ms\":80,\"priority\":1,"
+                          "\"max_attempts\":2,\"top_k\":5,"
+                          "\"min_coverage\":0.95,\"gather\":[");
+    for (int s = 0; s < WIDE_SHARDS; s++) {
+        snprintf(service, sizeof(service), "w%d", s);
+        bbl_buf_printf(&text, "%s\"%s\"", s > 0 ? "," : "", service);
+        for (int k = 0; k < 2; k++) {
+            snprintf(id, sizeof(id), "i%d-%d", s, k);
+            servers[2 * s + k] =
+                forward_sim_add_server(sim, id, service, "z1");
+            servers[2 * s + k]->work = 7500;
+        }
+    }
+    bbl_buf_printf(&text, "]}],\"services\":[");
+    for (int s = 0; s < WIDE_SHARDS; s++) {
+        bbl_buf_printf(&text, "%s{\"name\":\"w%d\",\"max_connections\":68}",
+                       s > 0 ? "," : "", s);
+    }
+    bbl_buf_printf(&text, "]}");
+    bbl_buf_append(&text, "", 1);
+    forward_sim_install_routing(sim, text.ptr);
+    bbl_buf_free(&text);
+}
+
+/*
+ * Load pattern: 90 responses need 33 ms on the link of the host, while a
+ * server takes 7.5 ms, and one server of 25 pauses for longer than the target
+ * allows. The hedges must leave the second servers enough time, and must not
+ * be spent on responses that are only queued on the link.
+ */
+START_TEST(paused_servers_are_hedged_in_time_behind_a_narrow_link)
+{
+    forward_sim *sim = forward_sim_new(1);
+    forward_sim_server *servers[2 * WIDE_SHARDS];
+    const forward_sim_call *c;
+    uint64_t hedges;
+    bbl_usec at;
+
+    install_wide_routing(sim, servers);
+    forward_sim_set_receive_time(sim, 370);
+    for (int i = 0; i < 40; i++) {
+        forward_sim_send_request(sim, "/w/1", 800);
+        forward_sim_run(sim, 150 * MS);
+    }
+    for (int i = 0; i < 2 * WIDE_SHARDS; i += 25) {
+        servers[i]->paused_until = forward_sim_get_time(sim) + 150 * MS;
+    }
+    hedges = forward_sim_get_counters(sim)->hedges;
+    at = forward_sim_get_time(sim);
+    c = forward_sim_get_call(sim, forward_sim_send_request(sim, "/w/1", 800));
+    forward_sim_run(sim, 100 * MS);
+    ck_assert(c->answered);
+    ck_assert_uint_eq(c->status, 200);
+    ck_assert_uint_eq(c->missing, 0);
+    ck_assert_uint_lt(c->answered_at - at, 62 * MS);
+    hedges = forward_sim_get_counters(sim)->hedges - hedges;
+    ck_assert_uint_le(hedges, 2 * WIDE_SHARDS / 25 + 4);
+    forward_sim_free(sim);
+}
+END_TEST
+
 START_TEST(a_missing_shard_is_reported_before_the_target)
 {
     fixture f;
@@ -518,6 +592,7 @@
     tcase_add_test(tc, all_shards_answer);
     tcase_add_test(tc, without_a_routing_requests_get_503);
     tcase_add_test(tc, a_paused_server_is_hedged_within_the_target);
+    tcase_add_test(tc, paused_servers_are_hedged_in_time_behind_a_narrow_link);
     tcase_add_test(tc, a_missing_shard_is_reported_before_the_target);
     tcase_add_test(tc, fewer_shards_than_required_fail);
     tcase_add_test(tc, requests_that_cannot_succeed_are_refused_at_once);
