--- a/src/control/control.c
+++ b/src/control/control.c
@@ -141,6 +141,7 @@
     }
     c->feed_entries.size = 0;
     c->feed_floor = bbl_state_applied_index(c->state);
+    bbl_buf_clear(&c->snapshot);
 }
 
 void
@@ -816,6 +817,7 @@
     bbl_state_free(c->state);
     bbl_rows_free(&c->rows);
     bbl_registry_free(&c->registry);
+    bbl_buf_free(&c->snapshot);
     bbl_vec_free(&c->feed_entries);
     bbl_vec_free(&c->children);
     bbl_vec_free(&c->relayed_heartbeats);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -47,6 +47,9 @@
     bbl_vec feed_entries; /* bbl_feed_entry, oldest first */
     uint64_t feed_floor;  /* all public entries after it are retained */
 
+    bbl_buf snapshot; /* of `state` at snapshot_index; may be empty */
+    uint64_t snapshot_index;
+
     uint64_t feed_boot;         /* incarnation of this host's row revisions */
     bbl_vec children;           /* bbl_feed_child */
     bbl_vec relayed_heartbeats; /* bbl_relayed_heartbeat */
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -11,6 +11,8 @@
 #include "util/alloc.h"
 
 #define FEED_MESSAGE_ENTRIES 256 /* entries in one feed message */
+/* Entries of fewer bytes are sent instead of a snapshot. */
+#define ENTRIES_MIN_BYTES 4096
 /*
  * Ephemeral rows in one feed message. The message must reach a child over a
  * slow link before the acknowledgement timeout of the connection.
@@ -60,33 +62,73 @@
            k->revision < c->rows.revision;
 }
 
+/* Returns the position of the first retained entry after `applied`. */
+static size_t
+find_entry_after(const bbl_control *c, uint64_t applied)
+{
+    size_t at = c->feed_entries.size;
+
+    while (at > 0 &&
+           BBL_VEC_AT(bbl_feed_entry, &c->feed_entries, at - 1)->index >
+               applied) {
+        at--;
+    }
+    return at;
+}
+
+/* Returns a snapshot of the followed state, encoded once for each state. */
+static bbl_str
+get_snapshot(bbl_control *c)
+{
+    uint64_t applied = bbl_state_applied_index(c->state);
+
+    if (c->snapshot_index != applied || c->snapshot.size == 0) {
+        bbl_buf_clear(&c->snapshot);
+        bbl_state_save(c->state, false, &c->snapshot);
+        c->snapshot_index = applied;
+    }
+    return bbl_buf_str(&c->snapshot);
+}
+
 /*
- * Adds the entries after `applied`, or a snapshot if some of them are no
- * longer retained. Returns the index that the child then reaches.
+ * Returns whether a child gets a snapshot: some entries that it lacks are no
+ * longer retained, or they are longer than the snapshot. Each routing replaces
+ * the one before, so a host that joins needs only the last one.
  */
-static uint64_t
-fill_entries(bbl_control *c, bblx_feed *f, uint64_t applied, bblx_entry *space,
-             bbl_buf *snapshot)
+static bool
+needs_snapshot(bbl_control *c, uint64_t applied, size_t first)
 {
-    u_int n = 0;
+    size_t bytes = 0;
 
     if (applied < c->feed_floor) {
-        bbl_state_save(c->state, false, snapshot);
+        return true;
+    }
+    if (c->feed_entries.size - first < 2) {
+        return false;
+    }
+    for (size_t i = first; i < c->feed_entries.size; i++) {
+        bytes += BBL_VEC_AT(bbl_feed_entry, &c->feed_entries, i)->data.size;
+    }
+    return bytes > ENTRIES_MIN_BYTES && bytes > get_snapshot(c).size;
+}
+
+/*
+ * Adds the entries after `applied`, or a snapshot if that is better. Returns
+ * the index that the child then reaches.
+ */
+static uint64_t
+fill_entries(bbl_control *c, bblx_feed *f, uint64_t applied, bblx_entry *space)
+{
+    size_t first = find_entry_after(c, applied);
+
+    if (needs_snapshot(c, applied, first)) {
         f->snapshot_set = TRUE;
-        f->snapshot = bbl_wire_text_borrow(bbl_buf_str(snapshot));
+        f->snapshot = bbl_wire_text_borrow(get_snapshot(c));
         c->snapshots_sent++;
         return bbl_state_applied_index(c->state);
     }
-    for (size_t i = c->feed_entries.size; i > 0; i--) {
-        const bbl_feed_entry *e = bbl_vec_at(&c->feed_entries, i - 1);
-
-        if (e->index <= applied) {
-            break;
-        }
-        n++;
-    }
     f->entries.entries_val = space;
-    for (size_t i = c->feed_entries.size - n; i < c->feed_entries.size; i++) {
+    for (size_t i = first; i < c->feed_entries.size; i++) {
         const bbl_feed_entry *e = bbl_vec_at(&c->feed_entries, i);
 
         if (f->entries.entries_len == FEED_MESSAGE_ENTRIES) {
@@ -155,7 +197,6 @@
           u_int grant_count)
 {
     bblx_entry space[FEED_MESSAGE_ENTRIES];
-    bbl_buf snapshot = BBL_BUF_INIT;
     bblx_message m;
     bblx_feed *f = &m.bblx_message_u.feed;
 
@@ -174,7 +215,7 @@
     f->revision = k->revision;
     f->catalog_age_ms = CATALOG_UNKNOWN;
     if (may_send_changes(c, k)) {
-        f->applied = fill_entries(c, f, k->applied, space, &snapshot);
+        f->applied = fill_entries(c, f, k->applied, space);
         fill_rows(c, f, k->revision);
         if (is_behind(c, k)) {
             k->sent_at = c->now;
@@ -191,7 +232,6 @@
     c->feeds_sent++;
     bbl_control_send(c, k->host, k->address, &m);
     c->bytes_in_flight += get_backlog(c, k->host);
-    bbl_buf_free(&snapshot);
 }
 
 /* Removes the children that send no heartbeats any more. */
--- a/tests/test_control_feed.c
+++ b/tests/test_control_feed.c
@@ -8,12 +8,15 @@
 
 #include "bbl/errors.h"
 #include "control/control.h"
+#include "control/list_plan.h"
 #include "support/memdisk.h"
 #include "support/run.h"
+#include "util/rng.h"
 
 #define CHILDREN 60
 #define HOSTS (CHILDREN + 2)
 #define SERVERS 1200
+#define ROUTING_BYTES 10000u
 #define STEP_US 1000u
 #define SEC BBL_USEC_PER_SEC
 /* 26 Mbit/s */
@@ -336,6 +339,148 @@
 }
 END_TEST
 
+static void
+propose_routing(simulation *sim, uint64_t version)
+{
+    bblx_command c;
+    bbl_buf data = BBL_BUF_INIT;
+    bbl_buf text = BBL_BUF_INIT;
+    bbl_rng rng = {version};
+
+    for (unsigned i = 0; i < ROUTING_BYTES; i++) {
+        char byte = (char)bbl_rng_below(&rng, 256);
+
+        bbl_buf_append(&text, &byte, 1);
+    }
+    memset(&c, 0, sizeof(c));
+    c.kind = BBLX_ROUTING;
+    c.bblx_command_u.routing.number = version;
+    c.bblx_command_u.routing.size = ROUTING_BYTES;
+    c.bblx_command_u.routing.document =
+        bbl_wire_text_borrow(bbl_buf_str(&text));
+    ck_assert_int_eq(BBL_XDR_ENCODE(&data, bblx_command, &c), 0);
+    bbl_control_propose(sim->hosts[1].control, sim->now, bbl_buf_str(&data));
+    bbl_buf_free(&data);
+    bbl_buf_free(&text);
+}
+
+/*
+ * A host that joins after many changes of the routing needs only the last one,
+ * not the log of all of them.
+ */
+START_TEST(test_joining_host_gets_last_routing_only)
+{
+    simulation *sim = open_simulation();
+    size_t sent;
+
+    start_host(sim, 1, "dc1", true, UINT32_MAX);
+    run_for(sim, 2 * SEC);
+    for (uint64_t version = 1; version <= 30; version++) {
+        propose_routing(sim, version);
+        run_for(sim, SEC / 10);
+    }
+    sent = sim->hosts[1].sent_bytes;
+    start_host(sim, 2, "dc1", false, UINT32_MAX);
+    run_for(sim, SEC);
+    ck_assert_uint_eq(
+        bbl_state_routing(bbl_control_state(sim->hosts[2].control))->number,
+        30);
+    ck_assert_uint_lt(sim->hosts[1].sent_bytes - sent, 2 * ROUTING_BYTES);
+    /* The next change is sent as an entry again. */
+    sent = sim->hosts[1].sent_bytes;
+    propose_routing(sim, 31);
+    run_for(sim, SEC / 10);
+    ck_assert_uint_eq(
+        bbl_state_routing(bbl_control_state(sim->hosts[2].control))->number,
+        31);
+    ck_assert_uint_lt(sim->hosts[1].sent_bytes - sent, 2 * ROUTING_BYTES);
+    close_simulation(sim);
+}
+END_TEST
+
+/* ---- reads of the platform's list ---- */
+
+static bbl_list_plan_input
+make_list_input(void)
+{
+    bbl_list_plan_input in = {.entry = true,
+                              .has_lease = true,
+                              .age = SEC,
+                              .uptime = 60 * SEC,
+                              .pages = 24,
+                              .entry_hosts = 295,
+                              .calls_per_s = 3500,
+                              .spread = 0.5};
+
+    return in;
+}
+
+START_TEST(test_hosts_that_get_the_list_do_not_read_it)
+{
+    bbl_list_plan_input in = make_list_input();
+
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 0);
+    /* It has just started, and a leader answers. */
+    in.age = UINT64_MAX;
+    in.uptime = SEC / 10;
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 0);
+    in.uptime = 2 * SEC;
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 0);
+    /* Control hosts do not need it. */
+    in.entry = false;
+    in.age = 10 * SEC;
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 0);
+    in.leads = true;
+    ck_assert_uint_gt(bbl_list_plan_get_pages(&in), 24);
+}
+END_TEST
+
+/*
+ * Load pattern: the leader has been silent, and 295 hosts need the list of 24
+ * pages at once. In any second they use at most about half of the rate.
+ */
+START_TEST(test_entry_hosts_take_turns_to_read_a_long_list)
+{
+    unsigned readers_by_second[16] = {0};
+
+    for (unsigned h = 0; h < 295; h++) {
+        bbl_list_plan_input in = make_list_input();
+
+        in.spread = h / 295.0;
+        for (in.age = SEC; bbl_list_plan_get_pages(&in) == 0;
+             in.age += SEC / 10) {
+            ck_assert_uint_lt(in.age, 8 * SEC);
+        }
+        readers_by_second[in.age / SEC]++;
+        ck_assert_uint_ge(bbl_list_plan_get_interval(&in), 4 * SEC);
+    }
+    for (unsigned i = 0; i < 16; i++) {
+        ck_assert_uint_le(readers_by_second[i] * 24, 3500 * 3 / 4);
+    }
+}
+END_TEST
+
+/* A few entry hosts with a short list wait for nobody. */
+START_TEST(test_few_hosts_read_a_short_list_soon)
+{
+    bbl_list_plan_input in = make_list_input();
+
+    in.pages = 3;
+    in.entry_hosts = 7;
+    in.calls_per_s = 42;
+    in.spread = 1;
+    in.has_lease = false;
+    in.age = 3 * SEC + SEC / 10;
+    ck_assert_uint_gt(bbl_list_plan_get_pages(&in), 3);
+    in.age = UINT64_MAX;
+    in.uptime = SEC / 2;
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 3);
+    ck_assert_uint_le(bbl_list_plan_get_interval(&in), SEC);
+    in.uptime = 2 * SEC;
+    ck_assert_uint_gt(bbl_list_plan_get_pages(&in), 3);
+}
+END_TEST
+
 /*
  * The relay of a data centre is a host with a disk, which serves no callers,
  * even if an entry host has a lower host id.
@@ -372,6 +517,10 @@
     tcase_add_test(t, test_whole_list_to_all_children);
     tcase_add_test(t, test_age_of_incomplete_list_is_unknown);
     tcase_add_test(t, test_restarted_child_gets_whole_list);
+    tcase_add_test(t, test_joining_host_gets_last_routing_only);
+    tcase_add_test(t, test_hosts_that_get_the_list_do_not_read_it);
+    tcase_add_test(t, test_entry_hosts_take_turns_to_read_a_long_list);
+    tcase_add_test(t, test_few_hosts_read_a_short_list_soon);
     tcase_add_test(t, test_relay_is_host_with_disk);
     suite_add_tcase(s, t);
     return s;
