Forwarder: refuse as not run what was not sent, deny routes only when sure

With the true server times, penalties of placement that were multiples of them had become too small against the detour and the opening of a connection, and hedges used up the budget that refused parts needed.

Ruled out: the load limit (no outcome overload in the window), the server time itself: the queries ended broken within 10 ms for want of budget.

Change: attempts of which nothing was sent are cancelled before the outcome is decided, and 503 is given if nothing else may have run. A request without a route is refused with 503 (unconfirmed) unless the lease says that the routing is the newest and no newer one waits. Penalties are at least 0.3 of the target a unit, and hedges leave a quarter of the budget to retries.

Tests: unsent_requests_are_refused_as_not_run, unknown_routes_are_denied_only_by_a_confirmed_routing, expired_requests_are_refused_at_once.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -182,6 +182,9 @@
         {"failed", "the server's own failure was passed on"},
         {"no-routing", "the host had not received any routing yet"},
         {"no-route", "no route of this version matches the host and path"},
+        {"unconfirmed",
+         "no route matches, and this host could not tell whether its routing "
+         "was the newest; it has not run"},
         {"unavailable", "too few shards had a usable server"},
         {"busy", "no connection to a usable server was free in time"},
         {"broken", "it was sent, but no usable response came back"},
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -61,9 +61,10 @@
     bbl_usec drain_started_at;
     pthread_t thread;
     bool thread_running;
-    uint32_t stop_requested; /* by ck_pr */
-    uint32_t phase;          /* gateway_phase, by ck_pr */
-    uint64_t grace_us;       /* by ck_pr; 0 before a shutdown */
+    uint32_t stop_requested;          /* by ck_pr */
+    uint32_t phase;                   /* gateway_phase, by ck_pr */
+    uint64_t grace_us;                /* by ck_pr; 0 before a shutdown */
+    uint64_t routing_confirmed_until; /* by ck_pr */
 };
 
 /* ---- attempts ---- */
@@ -183,6 +184,13 @@
     bbl_link_exchange_abandon(bbl_attempt_get_handle(attempt));
 }
 
+static bool
+is_attempt_sent(void *ctx, const bbl_attempt *attempt)
+{
+    (void)ctx;
+    return bbl_link_exchange_is_sent(bbl_attempt_get_handle(attempt));
+}
+
 static bbl_room
 get_server_room(void *ctx, const bbl_backend *backend, bbl_usec now)
 {
@@ -408,11 +416,15 @@
 apply_updates(bbl_gateway *g)
 {
     bbl_forward_update *u;
+    /* Read before the updates, which were queued before it was set. */
+    bbl_usec confirmed_until = ck_pr_load_64(&g->routing_confirmed_until);
 
+    ck_pr_fence_load();
     while ((u = bbl_mailbox_dequeue(&g->updates)) != NULL) {
         bbl_forwarder_update(g->forwarder, bbl_clock_now(), u);
         g->resize_links = true;
     }
+    bbl_forwarder_confirm_routing(g->forwarder, confirmed_until);
     if (g->resize_links) {
         g->resize_links = false;
         bbl_forwarder_each_backend(g->forwarder, g, set_link_limit);
@@ -500,6 +512,7 @@
     f.extra_limits.constant = o->extra_constant;
     f.dialect = g->dialect;
     f.port.send = send_attempt;
+    f.port.is_sent = is_attempt_sent;
     f.port.cancel = abandon_attempt;
     f.port.get_room = get_server_room;
     f.port.answer = answer_call;
@@ -599,6 +612,13 @@
     }
 }
 
+void
+bbl_gateway_confirm_routing(bbl_gateway *g, bbl_usec until)
+{
+    ck_pr_fence_store();
+    ck_pr_store_64(&g->routing_confirmed_until, until);
+}
+
 void
 bbl_gateway_start_drain(bbl_gateway *g, bbl_usec grace)
 {
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -37,6 +37,12 @@
  */
 void bbl_gateway_send_update(bbl_gateway *gateway, bbl_forward_update *update);
 
+/*
+ * Sets until when the last update holds the newest routing; see
+ * bbl_forwarder_confirm_routing. Called from the control thread.
+ */
+void bbl_gateway_confirm_routing(bbl_gateway *gateway, bbl_usec until);
+
 /*
  * Starts a graceful shutdown: the host reports that it is not ready, answers
  * ask callers to close their connections, and the shutdown ends before `grace`
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -12,6 +12,7 @@
 
 #include "bbl/errors.h"
 #include "control/control.h"
+#include "control/list_plan.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/gateway.h"
 #include "daemon/operator_api.h"
@@ -30,23 +31,6 @@
 #define ACK_TIMEOUT_US (150 * BBL_USEC_PER_MS)
 #define FRAME_TTL_US (300 * BBL_USEC_PER_MS)
 #define SERVICE_INTERVAL_US (50 * BBL_USEC_PER_MS)
-/* Shortest time between two reads of the list of backend servers. */
-#define CATALOG_MIN_INTERVAL_US (600 * BBL_USEC_PER_MS)
-/* Shares of the platform's rate limit that these reads use: the usual share,
- * and the largest share. */
-#define CATALOG_USUAL_SHARE 0.2
-#define CATALOG_MAX_SHARE 0.5
-/* Longest time between two reads by the leader, unless the largest share of
- * the rate limit requires more. */
-#define CATALOG_LEADER_INTERVAL_US (1200 * BBL_USEC_PER_MS)
-/* Age after which an entry host reads the list itself; the leader's last two
- * reads have failed by then. */
-#define CATALOG_STALE_US (3000 * BBL_USEC_PER_MS)
-/* How long a host that has started waits for an election and the feed before
- * it reads a long list itself. */
-#define CATALOG_START_WAIT_US (1500 * BBL_USEC_PER_MS)
-#define START_PAGES_MAX 3 /* known platforms list 50 servers per page */
-#define PAGES_MAX 10000
 /* Shortest time between two updates that only carry a new list age. */
 #define LIST_AGE_INTERVAL_US (250 * BBL_USEC_PER_MS)
 /* Time after the end of the lease until the control group counts as lost. */
@@ -84,6 +68,7 @@
     int signal_fd;
     bbl_usec next_service_at;
     bbl_usec next_catalog_read_at;
+    double list_spread; /* see bbl_list_plan_input */
     bool catalog_failing;
     size_t catalog_skipped;
     bbl_usec next_reread_at;
@@ -257,67 +242,38 @@
     n->catalog_failing = true;
 }
 
-/*
- * Returns the time until the next read of the list. The leader reads it for
- * all hosts. Entry hosts that get no list from a leader read it themselves, at
- * intervals that keep all of them together within the platform's rate limit.
- */
-static bbl_usec
-get_catalog_interval(const node *n, bool leads)
+static void
+fill_list_plan(const node *n, bbl_list_plan_input *in)
 {
-    double pages = bbl_catalog_client_page_count(n->catalog_client);
-    double readers =
-        leads || n->entry_host_count == 0 ? 1 : n->entry_host_count;
-    double calls = pages * readers * 1e6 / n->options->catalog_per_s;
-    bbl_usec usual = (bbl_usec)(calls / CATALOG_USUAL_SHARE);
-    bbl_usec minimum = (bbl_usec)(calls / CATALOG_MAX_SHARE);
-
-    if (leads && usual > CATALOG_LEADER_INTERVAL_US) {
-        return minimum > CATALOG_LEADER_INTERVAL_US
-                   ? minimum
-                   : CATALOG_LEADER_INTERVAL_US;
-    }
-    return usual > CATALOG_MIN_INTERVAL_US ? usual : CATALOG_MIN_INTERVAL_US;
-}
-
-/*
- * Returns the largest number of pages of the list that this host may read now;
- * 0 if it should not read the list. An entry host that has just started gets
- * the leader's list with the feed, but reads a short list itself because this
- * takes less time than an election.
- */
-static unsigned
-count_pages_to_read(const node *n, bool leads)
-{
-    bbl_usec age = bbl_control_catalog_age(n->control, n->now);
-
-    if (leads) {
-        return PAGES_MAX;
-    }
-    if (n->gateway == NULL || age <= CATALOG_STALE_US) {
-        return 0;
-    }
-    return n->now > n->started_at + CATALOG_START_WAIT_US ? PAGES_MAX
-                                                          : START_PAGES_MAX;
+    in->leads = bbl_control_leads(n->control, n->now);
+    in->entry = n->gateway != NULL;
+    in->has_lease = bbl_control_lease_until(n->control) > n->now;
+    in->age = bbl_control_catalog_age(n->control, n->now);
+    in->uptime = n->now - n->started_at;
+    in->pages = bbl_catalog_client_page_count(n->catalog_client);
+    in->entry_hosts = n->entry_host_count;
+    in->calls_per_s = n->options->catalog_per_s;
+    in->spread = n->list_spread;
 }
 
 static void
 tick_catalog(node *n)
 {
-    bool leads = bbl_control_leads(n->control, n->now);
+    bbl_list_plan_input in;
     unsigned pages;
 
     if (n->catalog_client == NULL) {
         return;
     }
     bbl_catalog_client_tick(n->catalog_client, n->now);
-    pages =
-        n->now < n->next_catalog_read_at ? 0 : count_pages_to_read(n, leads);
+    if (n->now < n->next_catalog_read_at) {
+        return;
+    }
+    fill_list_plan(n, &in);
+    pages = bbl_list_plan_get_pages(&in);
     if (pages > 0 &&
         bbl_catalog_client_start_read(n->catalog_client, n->now, pages)) {
-        n->next_catalog_read_at =
-            pages == START_PAGES_MAX ? n->started_at + CATALOG_START_WAIT_US
-                                     : n->now + get_catalog_interval(n, leads);
+        n->next_catalog_read_at = n->now + bbl_list_plan_get_interval(&in);
     }
 }
 
@@ -583,6 +539,10 @@
     bbl_control_tick(n->control, n->now, bbl_clock_wall_ms());
     bbl_mesh_tick(n->mesh, n->now);
     publish_update(n);
+    if (n->gateway != NULL) {
+        bbl_gateway_confirm_routing(n->gateway,
+                                    bbl_control_lease_until(n->control));
+    }
     /* The traffic thread adopts an update within one turn of its loop. */
     bbl_control_confirm_applied(
         n->control, bbl_state_applied_index(bbl_control_state(n->control)));
@@ -791,6 +751,9 @@
     n.incarnation = bbl_clock_wall_ms() * 1000;
     n.now = bbl_clock_now();
     n.started_at = n.now;
+    n.list_spread = (double)bbl_hash(&n.incarnation, sizeof(n.incarnation),
+                                     options->control_address.ip) /
+                    (double)UINT64_MAX;
     n.signal_fd = -1;
     bbl_log_setup(options->log_level, options->control_address.ip);
     bbl_log_enable_queue(options->log_lines_per_s);
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -243,10 +243,30 @@
     return false;
 }
 
+void
+bbl_query_cancel_unsent(bbl_forwarder *f, bbl_query *q)
+{
+    for (size_t i = q->attempts.size; i > 0; i--) {
+        bbl_attempt *a = *BBL_VEC_AT(bbl_attempt *, &q->attempts, i - 1);
+
+        if (f->options.port.is_sent(f->options.port.ctx, a)) {
+            continue;
+        }
+        f->options.port.cancel(f->options.port.ctx, a);
+        f->counters.attempts_cancelled++;
+        a->shard->in_flight--;
+        a->shard->attempts_maybe_run--;
+        bbl_vec_swap_remove(&q->attempts, i - 1);
+        bbl_attempt_unlink(a);
+        free(a);
+    }
+}
+
 /* Finishes a query that can no longer succeed with an error answer. */
 static void
 finish_failed(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
+    bbl_query_cancel_unsent(f, q);
     if (!bbl_query_may_have_run(q)) {
         bbl_query_fail(f, now, q,
                        q->attempted ? BBL_FORWARD_BUSY
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -118,11 +118,9 @@
         .tried = s->tried,
         .tried_count = s->attempts_sent,
         .hedge = hedge,
+        .target = q->route->target_latency_ms * BBL_USEC_PER_MS,
     };
 
-    if (s->attempts_sent == 0) {
-        in.target = q->route->target_latency_ms * BBL_USEC_PER_MS;
-    }
     return bbl_placement_choose(
         &in, s->pool->backends.ptr, s->pool->backends.size, now,
         f->options.port.get_room, f->options.port.ctx, &f->rng, eligible);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -38,8 +38,9 @@
 bbl_forward_reason_name(bbl_forward_reason reason)
 {
     static const char *const names[BBL_FORWARD_REASONS] = {
-        "ok",   "partial", "failed",  "no-routing", "no-route", "unavailable",
-        "busy", "broken",  "timeout", "left",       "overload", "expired",
+        "ok",          "partial",     "failed",  "no-routing", "no-route",
+        "unconfirmed", "unavailable", "busy",    "broken",     "timeout",
+        "left",        "overload",    "expired",
     };
 
     return names[reason];
@@ -140,6 +141,19 @@
     return next;
 }
 
+/* Finishes a query that has reached its deadline without an answer. */
+static void
+fail_late(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bbl_query_cancel_unsent(f, q);
+    if (bbl_query_may_have_run(q)) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_TIMEOUT, BBL_STATUS_TIMEOUT);
+    }
+    else {
+        bbl_query_fail(f, now, q, BBL_FORWARD_BUSY, BBL_STATUS_UNAVAILABLE);
+    }
+}
+
 bool
 bbl_query_process(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
@@ -161,7 +175,7 @@
             bbl_query_finish_merged(f, now, q);
         }
         else {
-            bbl_query_fail(f, now, q, BBL_FORWARD_TIMEOUT, BBL_STATUS_TIMEOUT);
+            fail_late(f, now, q);
         }
         return false;
     }
@@ -273,6 +287,12 @@
     *BBL_VEC_AT(bbl_query *, &f->queries, at) = q;
 }
 
+void
+bbl_forwarder_confirm_routing(bbl_forwarder *f, bbl_usec until)
+{
+    f->routing_confirmed_until = until;
+}
+
 void
 bbl_forwarder_receive_request(bbl_forwarder *f, bbl_usec now,
                               const bbl_forward_request *request)
@@ -289,8 +309,14 @@
     route =
         bbl_routing_match(f->table->routing, request->hostname, request->path);
     if (route == NULL) {
-        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTE,
-                             BBL_STATUS_NOT_FOUND);
+        if (f->next_routing != NULL || now >= f->routing_confirmed_until) {
+            bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
+                                 BBL_STATUS_UNAVAILABLE);
+        }
+        else {
+            bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTE,
+                                 BBL_STATUS_NOT_FOUND);
+        }
         return;
     }
     q = bbl_calloc(1, sizeof(*q));
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -93,8 +93,10 @@
     BBL_FORWARD_PARTIAL,
     /* A response of a server other than a usable 2xx response was relayed. */
     BBL_FORWARD_FAILED,
-    BBL_FORWARD_NO_ROUTING,  /* no routing version is known yet */
-    BBL_FORWARD_NO_ROUTE,    /* no route matches */
+    BBL_FORWARD_NO_ROUTING, /* no routing version is known yet */
+    BBL_FORWARD_NO_ROUTE,   /* no route matches */
+    /* No route matches, but a newer routing may exist; not run. */
+    BBL_FORWARD_UNCONFIRMED,
     BBL_FORWARD_UNAVAILABLE, /* too few shards have a usable server */
     BBL_FORWARD_BUSY,   /* not run: no capacity, or all attempts refused */
     BBL_FORWARD_BROKEN, /* it may have run; no usable response came */
@@ -171,6 +173,8 @@
      */
     int (*send)(void *ctx, bbl_attempt *attempt, bbl_backend *backend,
                 const bbl_attempt_request *request);
+    /* Returns whether any byte of an attempt was sent. */
+    bool (*is_sent)(void *ctx, const bbl_attempt *attempt);
     /* Cancels an attempt so that the server stops working on it. */
     void (*cancel)(void *ctx, bbl_attempt *attempt);
     /*
@@ -288,6 +292,15 @@
 void bbl_forwarder_update(bbl_forwarder *forwarder, bbl_usec now,
                           bbl_forward_update *update);
 
+/*
+ * Records until when the active routing is known to be the newest one that was
+ * in force everywhere. After that time, or while a newer routing waits, a
+ * request without a route is refused as unconfirmed instead of not found.
+ *
+ * @param until a time, microseconds; 0 if it is not known
+ */
+void bbl_forwarder_confirm_routing(bbl_forwarder *forwarder, bbl_usec until);
+
 /*
  * Receives a request of a caller. The port's answer function may be called
  * before this function returns.
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -31,6 +31,7 @@
     bbl_routing *next_routing;
     /* When the first version since the last activation arrived. */
     bbl_usec next_routing_received_at;
+    bbl_usec routing_confirmed_until; /* see bbl_forwarder_confirm_routing */
     bbl_usec list_read_at;
     unsigned entry_hosts;
     /* bbl_query *, open; lowest priority number first, then by arrival. */
@@ -106,6 +107,12 @@
  */
 bool bbl_query_may_have_run(const bbl_query *q);
 
+/*
+ * Cancels the attempts of which nothing was sent, for example because their
+ * connections are still being opened: no server will run them.
+ */
+void bbl_query_cancel_unsent(bbl_forwarder *f, bbl_query *q);
+
 /* Refuses a request for which no query was created. */
 void bbl_forwarder_refuse(bbl_forwarder *f, bbl_usec now,
                           const bbl_forward_request *request,
--- a/src/forward/hedge.c
+++ b/src/forward/hedge.c
@@ -6,6 +6,11 @@
 #define DELAY_LOW_BUDGET 4.0  /* with a low budget */
 #define DELAY_STALLED 1.4     /* if the server has stalled */
 #define LOW_BUDGET_SHARE 0.3  /* a budget below this share is low */
+/*
+ * Share of the budget that hedges leave for retries: without a retry a refused
+ * or failed part is lost, while a slow one may still come.
+ */
+#define RETRY_RESERVE 0.25
 /* While responses arrive at shorter intervals, more of them are queued. */
 #define QUIET_MIN_US 2000
 /* Service times after which a hedge no longer waits for such an interval. */
@@ -26,16 +31,16 @@
 bbl_hedge_get_delay(const bbl_hedge_input *in)
 {
     double service = (double)in->service_time;
-    double units = in->stalled                          ? DELAY_STALLED
-                   : in->budget_left < LOW_BUDGET_SHARE ? DELAY_LOW_BUDGET
-                                                        : DELAY_FULL_BUDGET;
+    double budget = (in->budget_left - RETRY_RESERVE) / (1 - RETRY_RESERVE);
+    double units = in->stalled                 ? DELAY_STALLED
+                   : budget < LOW_BUDGET_SHARE ? DELAY_LOW_BUDGET
+                                               : DELAY_FULL_BUDGET;
     double target_margin =
-        service *
-        (TARGET_MARGIN_EMPTY +
-         (TARGET_MARGIN_FULL - TARGET_MARGIN_EMPTY) * in->budget_left);
+        service * (TARGET_MARGIN_EMPTY +
+                   (TARGET_MARGIN_FULL - TARGET_MARGIN_EMPTY) * budget);
     double wait = units * service;
 
-    if (in->budget_left <= 0) {
+    if (budget <= 0) {
         return UINT64_MAX;
     }
     /*
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -6,9 +6,13 @@
 #define REMOTE_ZONE_US 2500.0
 /* Share of the target that a server in another data centre must save. */
 #define REMOTE_ZONE_TARGET_SHARE 0.08
-#define FAILURE_COST 6.0 /* service times per failed request */
-#define STALL_COST 8.0   /* approximate service times of a pause */
-#define FULL_COST 8.0    /* service times, after a refusal */
+/* Costs in service times, or in PENALTY_TARGET_SHARE of the target if longer:
+ * a failed or stalled attempt takes the time of another one, and its part may
+ * be lost for the answer. */
+#define FAILURE_COST 6.0 /* per failed request */
+#define STALL_COST 8.0   /* approximate duration of a pause */
+#define FULL_COST 8.0    /* after a refusal */
+#define PENALTY_TARGET_SHARE 0.3
 /* Random share of the cost; spreads the load over equal servers. */
 #define TIE_SPREAD 0.1
 
@@ -33,20 +37,23 @@
     double opening =
         room == BBL_ROOM_READY ? 0 : bbl_backend_get_connect_time(b);
     double slots = b->listed.slots > 0 ? b->listed.slots : 1;
-    double detour =
-        fmax(REMOTE_ZONE_US, REMOTE_ZONE_TARGET_SHARE * (double)in->target);
-    double units =
-        bbl_backend_get_slowness(b, now) * (1 + b->in_flight / slots);
+    double detour = in->hedge || in->tried_count > 0
+                        ? REMOTE_ZONE_US
+                        : fmax(REMOTE_ZONE_US,
+                               REMOTE_ZONE_TARGET_SHARE * (double)in->target);
+    double penalty_unit = fmax((double)in->service_time,
+                               PENALTY_TARGET_SHARE * (double)in->target);
+    double penalties = FAILURE_COST * bbl_backend_get_failure_rate(b, now);
 
-    units += FAILURE_COST * bbl_backend_get_failure_rate(b, now);
     if (bbl_backend_is_stalled(b, now, in->stall_timeout)) {
-        units += STALL_COST;
+        penalties += STALL_COST;
     }
     if (b->full_until > now) {
-        units += FULL_COST;
+        penalties += FULL_COST;
     }
-    return units * (double)in->service_time + (b->same_zone ? 0 : detour) +
-           opening;
+    return bbl_backend_get_slowness(b, now) * (1 + b->in_flight / slots) *
+               (double)in->service_time +
+           penalties * penalty_unit + (b->same_zone ? 0 : detour) + opening;
 }
 
 bbl_backend *
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -21,9 +21,8 @@
     bbl_usec stall_timeout; /* silence after which a server has stalled */
     const bbl_backend *const *tried; /* servers not to be chosen again */
     size_t tried_count;
-    bool hedge; /* for a hedge, stalled servers are excluded */
-    /* Latency target of the answer for a first attempt, otherwise 0. */
-    bbl_usec target;
+    bool hedge;      /* for a hedge, stalled servers are excluded */
+    bbl_usec target; /* latency target of the answer */
 } bbl_placement_input;
 
 /* How the driver could send to a server now. */
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -583,6 +583,12 @@
     return 0;
 }
 
+bool
+bbl_link_exchange_is_sent(const bbl_link_exchange *c)
+{
+    return c->any_sent;
+}
+
 void
 bbl_link_exchange_abandon(bbl_link_exchange *c)
 {
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -158,6 +158,9 @@
                             bbl_usec now,
                             const bbl_link_exchange_request *request);
 
+/* Returns whether any byte of the request of an exchange was sent. */
+bool bbl_link_exchange_is_sent(const bbl_link_exchange *exchange);
+
 /*
  * Ends an exchange without calling `done`. Closes its connection, so that the
  * server stops processing the request.
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -15,6 +15,7 @@
 typedef enum {
     SERVER_OK,
     SERVER_SILENT,   /* runs it, never responds */
+    SERVER_DARK,     /* answers no attempt to connect */
     SERVER_SHEDS,    /* refuses to run it */
     SERVER_FAILS,    /* runs it, responds with a failure */
     SERVER_BREAKS,   /* runs it, the connection breaks */
@@ -51,8 +52,9 @@
     unsigned parts; /* signatures in the answer */
     unsigned missing;
     uint32_t retry_after_ms;
-    bbl_usec answered_at; /* when it was answered */
-    unsigned runs;        /* runs of this request, on all servers */
+    bbl_usec answered_at;      /* when it was answered */
+    unsigned runs;             /* runs of this request, on all servers */
+    uint32_t time_left_max_ms; /* greatest time left that a server was given */
     bbl_forward_reason reason;
 } forward_sim_call;
 
@@ -98,6 +100,11 @@
 unsigned forward_sim_send_request(forward_sim *sim, const char *path,
                                   uint32_t time_left_ms);
 
+/* The same for a request that has waited unread for `delay` microseconds. */
+unsigned forward_sim_send_delayed_request(forward_sim *sim, const char *path,
+                                          uint32_t time_left_ms,
+                                          bbl_usec delay);
+
 /* Lets the caller of a request leave. */
 void forward_sim_cancel_request(forward_sim *sim, unsigned call);
 
@@ -105,6 +112,9 @@
 void forward_sim_record_connect(forward_sim *sim, forward_sim_server *server,
                                 bool ok);
 
+/* See bbl_forwarder_confirm_routing; at first the routing is confirmed. */
+void forward_sim_confirm_routing(forward_sim *sim, bbl_usec until);
+
 /*
  * Sets how long the link of the host is busy with one response: responses that
  * are sent at the same time arrive one after the other.
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -133,6 +133,85 @@
 }
 END_TEST
 
+/*
+ * All servers have become unreachable without a reset: at the deadline the
+ * attempts still wait for their connections, so nothing has run.
+ */
+START_TEST(unsent_requests_are_refused_as_not_run)
+{
+    fixture f;
+    const forward_sim_call *c;
+
+    init_fixture(&f);
+    for (int s = 0; s < 4; s++) {
+        f.shard[s][0]->mode = SERVER_DARK;
+        f.shard[s][1]->mode = SERVER_DARK;
+    }
+    f.one[0]->mode = SERVER_DARK;
+    f.one[1]->mode = SERVER_DARK;
+    c = send_and_wait(&f, "/g/1");
+    ck_assert_uint_eq(c->status, 503);
+    c = send_and_wait(&f, "/one/1");
+    ck_assert_uint_eq(c->status, 503);
+    c = send_and_wait(&f, "/once/1");
+    ck_assert_uint_eq(c->status, 503);
+    /* What was cancelled is not sent after all. */
+    ck_assert_uint_eq(forward_sim_count_in_flight(f.sim), 0);
+    /* One part was sent: the request may have run. */
+    f.shard[0][0]->mode = SERVER_SILENT;
+    f.shard[0][1]->mode = SERVER_SILENT;
+    c = send_and_wait(&f, "/g/1");
+    ck_assert(c->status != 503 || c->runs == 0);
+    free_fixture(&f);
+}
+END_TEST
+
+/*
+ * A host that cannot tell whether its routing is the newest must not answer
+ * that a route does not exist.
+ */
+START_TEST(unknown_routes_are_denied_only_by_a_confirmed_routing)
+{
+    fixture f;
+    bbl_usec now;
+    unsigned n;
+
+    init_fixture(&f);
+    now = forward_sim_get_time(f.sim);
+    forward_sim_confirm_routing(f.sim, now + 100 * MS);
+    n = forward_sim_send_request(f.sim, "/none/", 800);
+    ck_assert_uint_eq(forward_sim_get_call(f.sim, n)->status, 404);
+    forward_sim_run(f.sim, 100 * MS);
+    n = forward_sim_send_request(f.sim, "/none/", 800);
+    ck_assert_uint_eq(forward_sim_get_call(f.sim, n)->status, 503);
+    ck_assert_uint_gt(forward_sim_get_call(f.sim, n)->retry_after_ms, 0);
+    /* Known routes are served as before. */
+    ck_assert_uint_eq(send_and_wait(&f, "/one/1")->status, 200);
+    free_fixture(&f);
+}
+END_TEST
+
+/* A request that waited unread until its deadline is refused, not sent. */
+START_TEST(expired_requests_are_refused_at_once)
+{
+    fixture f;
+    const forward_sim_call *c;
+    unsigned n;
+
+    init_fixture(&f);
+    n = forward_sim_send_delayed_request(f.sim, "/g/1", 400, 450 * MS);
+    c = forward_sim_get_call(f.sim, n);
+    ck_assert(c->answered);
+    ck_assert_uint_eq(c->status, 503);
+    ck_assert_uint_eq(c->runs, 0);
+    /* With some time left, the servers get no more than that. */
+    n = forward_sim_send_delayed_request(f.sim, "/g/1", 400, 300 * MS);
+    ck_assert_uint_gt(forward_sim_get_call(f.sim, n)->runs, 0);
+    ck_assert_uint_le(forward_sim_get_call(f.sim, n)->time_left_max_ms, 100);
+    free_fixture(&f);
+}
+END_TEST
+
 #define WIDE_SHARDS 90
 
 /* Adds a route /w/ over 90 shards with two servers each, target 80 ms. */
@@ -592,6 +671,9 @@
     tcase_add_test(tc, all_shards_answer);
     tcase_add_test(tc, without_a_routing_requests_get_503);
     tcase_add_test(tc, a_paused_server_is_hedged_within_the_target);
+    tcase_add_test(tc, unsent_requests_are_refused_as_not_run);
+    tcase_add_test(tc, unknown_routes_are_denied_only_by_a_confirmed_routing);
+    tcase_add_test(tc, expired_requests_are_refused_at_once);
     tcase_add_test(tc, paused_servers_are_hedged_in_time_behind_a_narrow_link);
     tcase_add_test(tc, a_missing_shard_is_reported_before_the_target);
     tcase_add_test(tc, fewer_shards_than_required_fail);
