HTTP: trailer fields no longer move the head; servers that send without end

Cause: trailer fields of a chunked body were appended to the text of the head, to which the parsed header fields point; a long trailer moved it, and the header fields of a request or a response then pointed into freed memory. Any caller or server could cause that. Besides, a server could keep an exchange busy with interim responses or responses to other requests until its deadline, and many servers with endless bodies could together exceed the memory of a host (16 MB each).

Change: trailer fields are dropped, 64 KB at most. What comes before a response is bounded, the bytes of all responses being received are bounded at 32 MB, and the longest is ended first, as broken and rated as a failure. Buffers over 64 KB are freed between messages.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -20,6 +20,8 @@
 /* Longer than the loss of two packets in a row delays data. */
 #define SILENCE_TIMEOUT_US (700 * BBL_USEC_PER_MS)
 #define RESPONSE_MAX_BYTES (16u << 20) /* of a response body */
+/* Of the responses of all servers together while they are received. */
+#define RESPONSES_MAX_BYTES (32u << 20)
 /* Longest idle time of a connection that may carry a request that is not
  * idempotent: the server may be closing one that was idle for longer. */
 #define NON_IDEMPOTENT_IDLE_US (1000 * BBL_USEC_PER_MS)
@@ -535,6 +537,7 @@
         .connect_timeout = CONNECT_TIMEOUT_US,
         .tcp_user_timeout = SILENCE_TIMEOUT_US,
         .response_max = RESPONSE_MAX_BYTES,
+        .buffered_max = RESPONSES_MAX_BYTES,
         .seed = seed,
         .on_connect = on_backend_connect,
         .ctx = g,
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -40,6 +40,10 @@
 /* The server is considered full if it closes a new connection that has carried
  * no exchange within this time. */
 #define SERVER_FULL_CLOSE_US (50 * BBL_USEC_PER_MS)
+/* Bytes of interim responses and of responses to earlier requests that a
+ * server may send before its response to a request, besides one of any length.
+ */
+#define STRAY_MAX_BYTES (64u << 10)
 #define INTERIM_STATUS_MAX 199 /* responses that precede the final one */
 
 typedef enum { CONN_CONNECTING, CONN_IDLE, CONN_BUSY, CONN_CLOSED } conn_state;
@@ -62,6 +66,8 @@
     bool any_sent;       /* at least one byte of the request was sent */
     bool served;         /* at least one exchange has completed */
     bool no_body;
+    size_t stray_bytes; /* received before the response to this request */
+    size_t buffered;    /* bytes of the response counted in the client */
     bbl_buf request_id;
     /* NULL if no exchange runs or it was abandoned. */
     bbl_link_exchange_done done;
@@ -98,6 +104,7 @@
     size_t next_link;
     conn *closed; /* list of closed connections; the next tick frees them */
     bbl_http_message last_response; /* passed to the latest callback */
+    size_t buffered;                /* bytes of the responses being received */
     bbl_backend_counters counters;
 };
 
@@ -120,6 +127,16 @@
     bbl_vec_remove(connections, bbl_vec_find_pointer(connections, c));
 }
 
+/* Counts the bytes of the response that a connection holds now. */
+static void
+count_buffered(conn *c, size_t bytes)
+{
+    bbl_backend_client *client = c->link->client;
+
+    client->buffered = client->buffered - c->buffered + bytes;
+    c->buffered = bytes;
+}
+
 /* Closes a connection; the next tick frees it. */
 static void
 conn_close(conn *c)
@@ -131,6 +148,7 @@
     }
     c->link->busy_count -= c->has_request;
     c->state = CONN_CLOSED;
+    count_buffered(c, 0);
     if (c->fd >= 0) {
         bbl_loop_unwatch(client->loop, c->fd);
         close(c->fd);
@@ -259,6 +277,7 @@
 
     client->counters.stray += has_stray_bytes;
     c->done = NULL;
+    count_buffered(c, 0);
     move_message(&client->last_response, &c->message);
     if (reusable) {
         conn_set_idle(c, idle, bbl_clock_now());
@@ -284,6 +303,36 @@
            !bbl_str_equal(head.request_id, bbl_buf_str(&c->request_id));
 }
 
+/*
+ * Ends the exchanges with the longest responses while all of them together
+ * exceed the limit: many servers may send without end at the same time.
+ */
+static void
+limit_buffered(bbl_backend_client *client)
+{
+    while (client->buffered > client->options.buffered_max) {
+        conn *longest = NULL;
+
+        for (size_t i = 0; i < client->links.size; i++) {
+            const bbl_backend_link *link =
+                *BBL_VEC_AT(bbl_backend_link *, &client->links, i);
+
+            for (size_t k = 0; k < link->connections.size; k++) {
+                conn *c = *BBL_VEC_AT(conn *, &link->connections, k);
+
+                if (longest == NULL || c->buffered > longest->buffered) {
+                    longest = c;
+                }
+            }
+        }
+        if (longest == NULL) {
+            return;
+        }
+        conn_fail(longest,
+                  "the responses of all servers take too much memory");
+    }
+}
+
 /* Parses received bytes; may complete the exchange or close `c`. */
 static void
 parse_response(conn *c, bbl_str bytes)
@@ -297,13 +346,23 @@
         }
         bytes.ptr += used;
         bytes.size -= used;
+        c->stray_bytes += used;
         if (!c->message.done) {
+            count_buffered(c,
+                           c->message.body.size + c->message.head_text.size);
+            limit_buffered(c->link->client);
             return;
         }
         if (bbl_http_message_status(&c->message) <= INTERIM_STATUS_MAX ||
             is_stray_response(c)) {
             c->link->client->counters.stray +=
                 bbl_http_message_status(&c->message) > INTERIM_STATUS_MAX;
+            if (c->stray_bytes >
+                c->link->client->options.response_max + STRAY_MAX_BYTES) {
+                conn_fail(c, "the server sends no response to the request but "
+                             "other bytes");
+                return;
+            }
             if (!c->message.keep_alive) {
                 conn_fail(c, "the server closes the connection without a "
                              "response to the request");
@@ -541,6 +600,7 @@
     c->ctx = r->ctx;
     c->no_body = r->no_body;
     c->message.no_body = r->no_body;
+    c->stray_bytes = 0;
     c->has_request = true;
     c->link->busy_count++;
     c->any_sent = false;
@@ -807,6 +867,12 @@
     free(client);
 }
 
+size_t
+bbl_backend_client_get_buffered(const bbl_backend_client *client)
+{
+    return client->buffered;
+}
+
 const bbl_backend_counters *
 bbl_backend_client_get_counters(const bbl_backend_client *client)
 {
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -71,6 +71,9 @@
      * (TCP_USER_TIMEOUT). */
     bbl_usec tcp_user_timeout;
     size_t response_max; /* maximum bytes in a response body */
+    /* Maximum bytes of all responses that are being received. Beyond it, the
+     * exchange with the longest of them fails. */
+    size_t buffered_max;
     /* Selects the link that is preconnected first. Hosts use different values
      * so that they connect to the backend servers in different orders. */
     size_t seed;
@@ -101,6 +104,9 @@
  */
 void bbl_backend_client_tick(bbl_backend_client *client, bbl_usec now);
 
+/* Returns the bytes of all responses that are being received. */
+size_t bbl_backend_client_get_buffered(const bbl_backend_client *client);
+
 const bbl_backend_counters *
 bbl_backend_client_get_counters(const bbl_backend_client *client);
 
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -7,6 +7,9 @@
 
 /* For any message; the limit for the requests of callers is smaller. */
 #define HEAD_MAX_BYTES (1u << 20)
+#define TRAILERS_MAX_BYTES (64u << 10)
+/* A buffer that has grown beyond this is freed before the next message. */
+#define KEPT_BUFFER_BYTES (64u << 10)
 
 /* The place of one field in `head_text`. */
 typedef struct {
@@ -27,6 +30,17 @@
     return 0;
 }
 
+/*
+ * Drops a part of the trailer fields. The head must not change any more, since
+ * the header fields point into it.
+ */
+static int
+drop_trailer(bbl_http_message *m, size_t size)
+{
+    m->trailers_size += size;
+    return m->trailers_size > TRAILERS_MAX_BYTES;
+}
+
 static int
 on_field(http_parser *p, const char *at, size_t size)
 {
@@ -35,6 +49,9 @@
                         ? bbl_vec_at(&m->field_spans, m->field_spans.size - 1)
                         : NULL;
 
+    if (m->head_done) {
+        return drop_trailer(m, size);
+    }
     if (s == NULL || s->has_value) {
         s = bbl_vec_add(&m->field_spans);
         s->name = m->head_text.size;
@@ -48,8 +65,12 @@
 on_value(http_parser *p, const char *at, size_t size)
 {
     bbl_http_message *m = p->data;
-    field_span *s = bbl_vec_at(&m->field_spans, m->field_spans.size - 1);
+    field_span *s;
 
+    if (m->head_done) {
+        return drop_trailer(m, size);
+    }
+    s = bbl_vec_at(&m->field_spans, m->field_spans.size - 1);
     if (!s->has_value) {
         s->value = m->head_text.size;
         s->has_value = true;
@@ -141,17 +162,27 @@
     bbl_vec_free(&m->headers);
 }
 
+static void
+empty_buffer(bbl_buf *buf)
+{
+    if (buf->cap > KEPT_BUFFER_BYTES) {
+        bbl_buf_free(buf);
+    }
+    bbl_buf_clear(buf);
+}
+
 void
 bbl_http_message_reset(bbl_http_message *m)
 {
     http_parser_init(&m->parser, (enum http_parser_type)m->parser.type);
     m->parser.data = m;
-    bbl_buf_clear(&m->head_text);
-    bbl_buf_clear(&m->body);
+    empty_buffer(&m->head_text);
+    empty_buffer(&m->body);
     m->field_spans.size = 0;
     m->headers.size = 0;
     m->target_size = 0;
     m->head_size = 0;
+    m->trailers_size = 0;
     m->last_byte = 0;
     m->line_size = 0;
     m->line_count = 0;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -22,12 +22,13 @@
     bbl_vec field_spans; /* offsets of the fields in `head_text` */
     bbl_vec headers;     /* bbl_header; empty until `head_done` */
     bbl_buf body;
-    size_t target_size; /* bytes of the target in `head_text` */
-    size_t body_max;    /* maximum bytes in the body */
-    size_t head_size;   /* bytes of the head received so far */
-    char last_byte;     /* last one of these bytes */
-    size_t line_size;   /* bytes of the current line of the head */
-    size_t line_count;  /* non-empty lines before it */
+    size_t target_size;   /* bytes of the target in `head_text` */
+    size_t body_max;      /* maximum bytes in the body */
+    size_t head_size;     /* bytes of the head received so far */
+    size_t trailers_size; /* bytes of trailer fields, which are dropped */
+    char last_byte;       /* last one of these bytes */
+    size_t line_size;     /* bytes of the current line of the head */
+    size_t line_count;    /* non-empty lines before it */
     /* The message is a response to a HEAD request. To be set after
      * bbl_http_message_init or bbl_http_message_reset, which clear it. */
     bool no_body;
--- a/tests/support/tcp.h
+++ b/tests/support/tcp.h
@@ -63,6 +63,29 @@
                      (ssize_t)strlen(text));
 }
 
+/*
+ * Sends `text` again and again while the loop runs, until the peer closes the
+ * connection or `max` bytes were sent. Returns the number of bytes sent.
+ */
+static inline size_t
+tcp_send_endlessly(bbl_loop *loop, int fd, const char *text, size_t max)
+{
+    size_t size = strlen(text);
+    size_t sent = 0;
+
+    while (sent < max) {
+        ssize_t n = send(fd, text + sent % size, size - sent % size,
+                         MSG_NOSIGNAL | MSG_DONTWAIT);
+
+        if (n < 0 && errno != EAGAIN) {
+            break;
+        }
+        sent += n > 0 ? (size_t)n : 0;
+        bbl_loop_run_once(loop, 0);
+    }
+    return sent;
+}
+
 /* Runs the loop for about `ms` milliseconds. */
 static inline void
 tcp_run_loop(bbl_loop *loop, int ms)
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -54,13 +54,14 @@
 }
 
 static void
-open_fixture(fixture *f)
+open_fixture_with(fixture *f, size_t response_max, size_t buffered_max)
 {
     bbl_backend_client_options o = {
         .dialect = bbl_platform_dialect(),
         .connect_timeout = 200 * BBL_USEC_PER_MS,
         .tcp_user_timeout = 500 * BBL_USEC_PER_MS,
-        .response_max = 200,
+        .response_max = response_max,
+        .buffered_max = buffered_max,
         .on_connect = record_connect,
         .ctx = f,
     };
@@ -73,6 +74,12 @@
     bbl_backend_link_set_limit(f->link, 2, true);
 }
 
+static void
+open_fixture(fixture *f)
+{
+    open_fixture_with(f, 200, 1u << 20);
+}
+
 static void
 close_fixture(fixture *f)
 {
@@ -82,7 +89,7 @@
 }
 
 static bbl_link_exchange *
-start_exchange(fixture *f, outcome *o)
+start_exchange_on(bbl_backend_link *link, outcome *o)
 {
     bbl_link_exchange_request r = {
         .head = {"GET /x HTTP/1.1\r\nHost: a\r\nRequest-Id: q1\r\n", 43},
@@ -93,12 +100,18 @@
     bbl_link_exchange *x;
 
     memset(o, 0, sizeof(*o));
-    ck_assert_int_eq(bbl_link_exchange_start(&x, f->link, bbl_clock_now(), &r),
+    ck_assert_int_eq(bbl_link_exchange_start(&x, link, bbl_clock_now(), &r),
                      0);
     ck_assert_uint_eq(o->calls, 0);
     return x;
 }
 
+static bbl_link_exchange *
+start_exchange(fixture *f, outcome *o)
+{
+    return start_exchange_on(f->link, o);
+}
+
 /* Returns the server's end of the next connection. */
 static int
 accept_connection(fixture *f)
@@ -317,6 +330,120 @@
 
 #define LINKS 60
 
+/*
+ * Servers in trouble may send bytes that are no response without end, until
+ * the caller closes the connection. `start` is what comes first, `more` is
+ * repeated.
+ */
+static const struct {
+    const char *start;
+    const char *more;
+} endless[] = {
+    /* a head: fields, one field name, one value, blank lines, no HTTP */
+    {"HTTP/1.1 200 OK\r\n", "X-More: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+    {"HTTP/1.1 200 OK\r\n", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"HTTP/1.1 200 OK\r\nX: ", "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"},
+    {"", "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n"},
+    {"", "\001\002garbage-garbage-garbage-garbage-garbage-garbage"},
+    /* a body: until the connection ends, chunks, a chunk extension, trailers
+     */
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n\r\n",
+     "0123456789abcdef0123456789abcdef"},
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "10\r\n0123456789abcdef\r\n"},
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "1;x=",
+     "cccccccccccccccccccccccccccccccccccccccc"},
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "0\r\n",
+     "X-Trailer: dddddddddddddddddddddddddddddd\r\n"},
+    /* complete responses that belong to no request */
+    {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"",
+     "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 4\r\n\r\nabcd"},
+};
+
+#define ENDLESS_MAX_BYTES (1u << 20)
+
+START_TEST(bytes_without_end_close_the_connection)
+{
+    fixture f;
+    outcome o;
+    size_t sent;
+    int fd = start_first_exchange(&f, &o);
+
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, endless[_i].start);
+    sent = tcp_send_endlessly(f.loop, fd, endless[_i].more,
+                              8 * ENDLESS_MAX_BYTES);
+    ck_assert_uint_lt(sent, 8 * ENDLESS_MAX_BYTES);
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
+    ck_assert_uint_eq(bbl_backend_client_get_buffered(f.client), 0);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/*
+ * Many servers send endless bodies at the same time. What they have sent stays
+ * within the limit of the host, and a sound server still gets its response in.
+ */
+START_TEST(endless_bodies_of_many_servers_are_bounded)
+{
+    enum { SERVERS = 16 };
+    fixture f;
+    outcome o[SERVERS + 1];
+    bbl_backend_link *links[SERVERS];
+    int listeners[SERVERS];
+    int fds[SERVERS];
+    static const char body[] = "0123456789abcdef0123456789abcdef"
+                               "0123456789abcdef0123456789abcdef";
+    unsigned broken = 0;
+
+    open_fixture_with(&f, 1u << 20, 2u << 20);
+    for (int i = 0; i < SERVERS; i++) {
+        bblx_address address;
+
+        listeners[i] = tcp_listen(&address);
+        links[i] = bbl_backend_link_new(f.client, address, &f);
+        start_exchange_on(links[i], &o[i]);
+        while ((fds[i] = accept(listeners[i], NULL, NULL)) < 0) {
+            bbl_loop_run_once(f.loop, 1000);
+        }
+        tcp_send(fds[i], "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n"
+                         "Content-Length: 1000000\r\n\r\n");
+    }
+    for (int round = 0; round < 12000; round++) {
+        for (int i = 0; i < SERVERS; i++) {
+            send(fds[i], body, sizeof(body) - 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+        }
+        bbl_loop_run_once(f.loop, 0);
+        ck_assert_uint_le(bbl_backend_client_get_buffered(f.client), 2u << 20);
+    }
+    for (int i = 0; i < SERVERS; i++) {
+        broken += o[i].calls == 1 && o[i].end == BBL_LINK_BROKEN;
+    }
+    ck_assert_uint_ge(broken, SERVERS / 2);
+    start_exchange(&f, &o[SERVERS]);
+    {
+        int fd = accept_connection(&f);
+
+        tcp_receive(f.loop, fd);
+        tcp_send(fd, OK("q1", "fine", "4"));
+        tcp_run_loop(f.loop, 20);
+        close(fd);
+    }
+    ck_assert_uint_eq(o[SERVERS].calls, 1);
+    ck_assert_int_eq(o[SERVERS].end, BBL_LINK_RESPONSE);
+    for (int i = 0; i < SERVERS; i++) {
+        close(fds[i]);
+        close(listeners[i]);
+    }
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(preconnects_per_tick_are_limited)
 {
     /* Without a limit, a host that starts would connect to all servers at
@@ -358,6 +485,9 @@
     tcase_add_test(tc, connections_are_limited);
     tcase_add_test(tc, an_abandoned_exchange_closes_its_connection);
     tcase_add_test(tc, the_last_connection_is_reopened_when_closed);
+    tcase_add_loop_test(tc, bytes_without_end_close_the_connection, 0,
+                        ARRAY_SIZE(endless));
+    tcase_add_test(tc, endless_bodies_of_many_servers_are_bounded);
     tcase_add_test(tc, preconnects_per_tick_are_limited);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -133,6 +133,43 @@
 }
 END_TEST
 
+/*
+ * Trailer fields after a chunked body are dropped. Storing them behind the
+ * head would move it in memory, under the header fields that point into it.
+ */
+START_TEST(trailer_fields_leave_the_head_intact)
+{
+    bbl_http_message m;
+    bbl_buf text = BBL_BUF_INIT;
+    bbl_str first;
+    size_t used = 0;
+
+    bbl_buf_append_cstr(&text, "HTTP/1.1 200 OK\r\nX-First: one\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "2\r\nab\r\n0\r\n");
+    for (int i = 0; i < 400; i++) {
+        bbl_buf_append_cstr(&text, "X-First: ");
+        for (int k = 0; k < 8; k++) {
+            bbl_buf_append_cstr(&text, "trailer-");
+        }
+        bbl_buf_append_cstr(&text, "\r\n");
+    }
+    bbl_buf_append_cstr(&text, "\r\n");
+    bbl_http_message_init(&m, false, BODY_MAX);
+    ck_assert_msg(bbl_http_message_feed(&m, bbl_buf_str(&text), &used) == 0,
+                  "%s", bbl_error_last());
+    ck_assert(m.done);
+    ck_assert_uint_eq(used, text.size);
+    ck_assert_uint_eq(m.headers.size, 2);
+    first = bbl_http_message_field(&m, "X-First");
+    ck_assert_uint_eq(first.size, 3);
+    ck_assert_int_eq(memcmp(first.ptr, "one", 3), 0);
+    ck_assert_uint_lt(m.head_text.size, 200);
+    bbl_http_message_free(&m);
+    bbl_buf_free(&text);
+}
+END_TEST
+
 START_TEST(a_large_body_is_refused)
 {
     bbl_http_message m;
@@ -198,6 +235,7 @@
     tcase_add_test(tc, the_parts_of_a_request_are_parsed);
     tcase_add_loop_test(tc, ambiguous_requests_are_refused, 0,
                         ARRAY_SIZE(invalid_requests));
+    tcase_add_test(tc, trailer_fields_leave_the_head_intact);
     tcase_add_test(tc, a_large_body_is_refused);
     tcase_add_test(tc, a_body_without_length_ends_with_the_connection);
     tcase_add_test(tc, hop_by_hop_fields_are_recognised);
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -426,6 +426,7 @@
         .connect_timeout = 1000 * BBL_USEC_PER_MS,
         .tcp_user_timeout = 3000 * BBL_USEC_PER_MS,
         .response_max = 1u << 20,
+        .buffered_max = 16u << 20,
         .on_connect = ignore_connect,
     };
     int error = bbl_loop_open(&s->loop);
