Drain: what has just arrived is answered

Cause: at the end of a planned stop the listener was closed while connections waited in its queue, and a connection counted as idle was closed although its request lay unread in the socket; both were reset without an answer. Requests still open at the end of the grace time were cut off as well.

Ruled out: pipelined requests; they are buffered and answered in order.

Change: waiting connections are accepted before the listener closes, a connection with unread bytes is not idle, and at the end of the grace time all open requests are answered: with the parts that came if they are enough, 503 if nothing was sent, otherwise 502. 150 ms remain to write these answers.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -32,8 +32,10 @@
 /* Idle time after which a drain closes a connection: one that was just opened
  * is likely to carry a request soon. */
 #define DRAIN_IDLE_US (150 * BBL_USEC_PER_MS)
-/* How long before the end of the grace time a drain ends. */
-#define EXIT_MARGIN_US (600 * BBL_USEC_PER_MS)
+/* How long before the end of the grace time a drain ends, and how long after
+ * that the last answers are still written. */
+#define EXIT_MARGIN_US (750 * BBL_USEC_PER_MS)
+#define FLUSH_US (150 * BBL_USEC_PER_MS)
 
 typedef enum {
     GATEWAY_SERVING,
@@ -451,12 +453,20 @@
     if (spent >= BALANCER_LAG_US) {
         bbl_edge_close_idle(g->caller_edge, DRAIN_IDLE_US, now);
     }
-    if ((spent >= BALANCER_LAG_US &&
-         bbl_edge_connection_count(g->caller_edge) == 0) ||
-        spent + EXIT_MARGIN_US >= grace) {
-        /* Requests on further connections would get no answer. */
+    if (spent >= BALANCER_LAG_US &&
+        bbl_edge_connection_count(g->caller_edge) == 0) {
+        /* This may accept the last connections, which are served as well. */
         bbl_edge_stop_listening(g->caller_edge);
-        ck_pr_store_32(&g->phase, GATEWAY_DRAINED);
+        if (bbl_edge_connection_count(g->caller_edge) == 0) {
+            ck_pr_store_32(&g->phase, GATEWAY_DRAINED);
+        }
+    }
+    if (spent + EXIT_MARGIN_US >= grace) {
+        bbl_edge_stop_listening(g->caller_edge);
+        bbl_forwarder_finish_open(g->forwarder, now);
+        if (spent + EXIT_MARGIN_US >= grace + FLUSH_US) {
+            ck_pr_store_32(&g->phase, GATEWAY_DRAINED);
+        }
     }
 }
 
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -262,9 +262,8 @@
     }
 }
 
-/* Finishes a query that can no longer succeed with an error answer. */
-static void
-finish_failed(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+void
+bbl_query_fail_decided(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     bbl_query_cancel_unsent(f, q);
     if (!bbl_query_may_have_run(q)) {
@@ -285,7 +284,7 @@
 
     if (q->route->kind != BBL_ROUTE_GATHER) {
         if (q->shards_failed > 0) {
-            finish_failed(f, now, q);
+            bbl_query_fail_decided(f, now, q);
             return true;
         }
         return false;
@@ -296,7 +295,7 @@
         return true;
     }
     if (q->shards_answered + open < q->shards_needed || open == 0) {
-        finish_failed(f, now, q);
+        bbl_query_fail_decided(f, now, q);
         return true;
     }
     return false;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -366,6 +366,22 @@
     }
 }
 
+void
+bbl_forwarder_finish_open(bbl_forwarder *f, bbl_usec now)
+{
+    while (f->queries.size > 0) {
+        bbl_query *q = *BBL_VEC_AT(bbl_query *, &f->queries, 0);
+
+        if (q->route->kind == BBL_ROUTE_GATHER && q->shards_answered > 0 &&
+            q->shards_answered >= q->shards_needed) {
+            bbl_query_finish_merged(f, now, q);
+        }
+        else {
+            bbl_query_fail_decided(f, now, q);
+        }
+    }
+}
+
 /* ---- time ---- */
 
 /* Cancels the detached attempts that have reached cancel_at. */
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -315,6 +315,13 @@
 void bbl_forwarder_cancel_request(bbl_forwarder *forwarder, bbl_usec now,
                                   void *request_handle);
 
+/*
+ * Answers all open requests at once, for a host that is about to stop: with
+ * what has been received if that is enough, as not run if nothing was sent,
+ * and otherwise as broken.
+ */
+void bbl_forwarder_finish_open(bbl_forwarder *forwarder, bbl_usec now);
+
 /* Processes the result of an attempt that has ended, and frees the attempt. */
 void bbl_forwarder_complete_attempt(bbl_forwarder *forwarder, bbl_usec now,
                                     bbl_attempt *attempt,
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -131,6 +131,12 @@
 void bbl_query_fail(bbl_forwarder *f, bbl_usec now, bbl_query *q,
                     bbl_forward_reason reason, unsigned status);
 
+/*
+ * Finishes a query that can no longer succeed: as not run if no server can
+ * have run a part of it, otherwise as broken.
+ */
+void bbl_query_fail_decided(bbl_forwarder *f, bbl_usec now, bbl_query *q);
+
 /* Finishes a query with the merged parts that the shards have answered. */
 void bbl_query_finish_merged(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -442,34 +442,42 @@
     }
 }
 
+/* Accepts one waiting connection; returns false if there is none. */
+static bool
+accept_connection(bbl_edge *e)
+{
+    int peer = accept4(e->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int one = 1;
+    conn *c;
+
+    if (peer < 0) {
+        return false;
+    }
+    setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    c = bbl_calloc(1, sizeof(*c));
+    c->edge = e;
+    c->fd = peer;
+    bbl_http_message_init(&c->message, true, e->limits.max_body_bytes);
+    c->next = e->connections;
+    if (e->connections != NULL) {
+        e->connections->prev = c;
+    }
+    e->connections = c;
+    e->connection_count++;
+    e->counters.accepted++;
+    set_state(c, CONN_READING);
+    watch(c, EPOLLIN | EPOLLRDHUP);
+    return true;
+}
+
 static void
 listener_ready(void *ctx, int fd, uint32_t events)
 {
     bbl_edge *e = ctx;
-    int one = 1;
 
+    (void)fd;
     (void)events;
-    for (int i = 0; i < ACCEPTS_PER_EVENT; i++) {
-        int peer = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        conn *c;
-
-        if (peer < 0) {
-            return;
-        }
-        setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-        c = bbl_calloc(1, sizeof(*c));
-        c->edge = e;
-        c->fd = peer;
-        bbl_http_message_init(&c->message, true, e->limits.max_body_bytes);
-        c->next = e->connections;
-        if (e->connections != NULL) {
-            e->connections->prev = c;
-        }
-        e->connections = c;
-        e->connection_count++;
-        e->counters.accepted++;
-        set_state(c, CONN_READING);
-        watch(c, EPOLLIN | EPOLLRDHUP);
+    for (int i = 0; i < ACCEPTS_PER_EVENT && accept_connection(e); i++) {
     }
 }
 
@@ -516,6 +524,16 @@
     }
 }
 
+static void
+close_listener(bbl_edge *e)
+{
+    if (e->listener >= 0) {
+        bbl_loop_unwatch(e->loop, e->listener);
+        close(e->listener);
+        e->listener = -1;
+    }
+}
+
 void
 bbl_edge_free(bbl_edge *e)
 {
@@ -526,7 +544,7 @@
         conn_close(e->connections);
     }
     free_closed(e);
-    bbl_edge_stop_listening(e);
+    close_listener(e);
     free(e);
 }
 
@@ -546,9 +564,10 @@
 bbl_edge_stop_listening(bbl_edge *e)
 {
     if (e->listener >= 0) {
-        bbl_loop_unwatch(e->loop, e->listener);
-        close(e->listener);
-        e->listener = -1;
+        /* Closing the listener would reset the connections that wait. */
+        while (accept_connection(e)) {
+        }
+        close_listener(e);
     }
 }
 
@@ -557,6 +576,14 @@
 {
     return c->state == CONN_READING && c->request_started == 0;
 }
+/* Returns whether bytes of a caller wait unread in the socket. */
+static bool
+has_unread_bytes(const conn *c)
+{
+    char byte;
+
+    return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
 
 void
 bbl_edge_close_idle(bbl_edge *e, bbl_usec idle_for, bbl_usec now)
@@ -565,7 +592,8 @@
 
     for (conn *c = e->connections; c != NULL; c = next) {
         next = c->next;
-        if (is_idle(c) && now >= c->state_since + idle_for) {
+        if (is_idle(c) && now >= c->state_since + idle_for &&
+            !has_unread_bytes(c)) {
             conn_close(c);
         }
     }
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -472,6 +472,12 @@
     return n;
 }
 
+void
+forward_sim_finish_open(forward_sim *sim)
+{
+    bbl_forwarder_finish_open(sim->forwarder, sim->now);
+}
+
 void
 forward_sim_cancel_request(forward_sim *sim, unsigned call)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -105,6 +105,9 @@
                                           uint32_t time_left_ms,
                                           bbl_usec delay);
 
+/* Lets the host answer all open requests, as when it stops. */
+void forward_sim_finish_open(forward_sim *sim);
+
 /* Lets the caller of a request leave. */
 void forward_sim_cancel_request(forward_sim *sim, unsigned call);
 
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -237,6 +237,36 @@
 }
 END_TEST
 
+/*
+ * A drain must not close a connection as idle whose request has arrived but is
+ * still unread, nor drop connections that wait to be accepted.
+ */
+START_TEST(a_drain_answers_what_has_just_arrived)
+{
+    fixture f;
+    int idle;
+    int waiting;
+
+    open_fixture(&f);
+    idle = tcp_connect(f.address);
+    tcp_run_loop(f.loop, 5);
+    bbl_edge_drain(f.edge);
+    tcp_send(idle, GET);
+    bbl_edge_close_idle(f.edge, 0, bbl_clock_now());
+    waiting = tcp_connect(f.address);
+    tcp_send(waiting, GET);
+    bbl_edge_stop_listening(f.edge);
+    ck_assert_int_eq(tcp_connect(f.address), -1);
+    ck_assert_uint_eq(bbl_edge_connection_count(f.edge), 2);
+    ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, idle), "fine"));
+    ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, waiting), "fine"));
+    ck_assert_uint_eq(f.requests, 2);
+    close(idle);
+    close(waiting);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(expect_100_continue_is_answered)
 {
     fixture f;
@@ -268,6 +298,7 @@
     tcase_add_test(tc, a_long_head_is_refused);
     tcase_add_test(tc, slow_heads_and_idle_connections_time_out);
     tcase_add_test(tc, draining_closes_connections_after_their_responses);
+    tcase_add_test(tc, a_drain_answers_what_has_just_arrived);
     tcase_add_test(tc, expect_100_continue_is_answered);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -191,6 +191,35 @@
 }
 END_TEST
 
+/*
+ * A host that stops answers what is still open: what was not sent has not run,
+ * what was sent may have run, and enough parts are an answer.
+ */
+START_TEST(open_requests_are_answered_when_the_host_stops)
+{
+    fixture f;
+    unsigned unsent;
+    unsigned sent;
+    unsigned merged;
+
+    init_fixture(&f);
+    f.shard[0][0]->mode = SERVER_SILENT;
+    f.shard[0][1]->mode = SERVER_SILENT;
+    merged = forward_sim_send_request(f.sim, "/g/1", 800);
+    forward_sim_run(f.sim, 15 * MS);
+    sent = forward_sim_send_request(f.sim, "/once/1", 800);
+    f.one[0]->mode = SERVER_DARK;
+    f.one[1]->mode = SERVER_DARK;
+    unsent = forward_sim_send_request(f.sim, "/once/1", 800);
+    forward_sim_finish_open(f.sim);
+    ck_assert_uint_eq(forward_sim_get_call(f.sim, merged)->status, 200);
+    ck_assert_uint_eq(forward_sim_get_call(f.sim, merged)->missing, 1);
+    ck_assert_uint_eq(forward_sim_get_call(f.sim, sent)->status, 502);
+    ck_assert_uint_eq(forward_sim_get_call(f.sim, unsent)->status, 503);
+    free_fixture(&f);
+}
+END_TEST
+
 /* A request that waited unread until its deadline is refused, not sent. */
 START_TEST(expired_requests_are_refused_at_once)
 {
@@ -673,6 +702,7 @@
     tcase_add_test(tc, a_paused_server_is_hedged_within_the_target);
     tcase_add_test(tc, unsent_requests_are_refused_as_not_run);
     tcase_add_test(tc, unknown_routes_are_denied_only_by_a_confirmed_routing);
+    tcase_add_test(tc, open_requests_are_answered_when_the_host_stops);
     tcase_add_test(tc, expired_requests_are_refused_at_once);
     tcase_add_test(tc, paused_servers_are_hedged_in_time_behind_a_narrow_link);
     tcase_add_test(tc, a_missing_shard_is_reported_before_the_target);
