Control hosts read the platform's list when they start

Cause: after a restart of all hosts the leader began to read the list (24 pages) only when it was elected, and every entry host waited for it.

Ruled out: the election (0.5 s after the start) and the routing, which reached the entry hosts with the first heartbeat.

Change: a control host without a list and without a leader reads it at its start (control/list_plan.c).

--- a/src/control/list_plan.c
+++ b/src/control/list_plan.c
@@ -55,7 +55,9 @@
         return PAGES_MAX;
     }
     if (!in->entry) {
-        return 0;
+        /* It may be elected after a restart of all hosts, which then wait for
+         * the list. */
+        return in->age == UINT64_MAX && !in->has_lease ? PAGES_MAX : 0;
     }
     if (in->age != UINT64_MAX) {
         return in->age > STALE_US + get_turn(in) ? PAGES_MAX : 0;
--- a/src/control/list_plan.h
+++ b/src/control/list_plan.h
@@ -2,11 +2,12 @@
  * list_plan.h - decides when a host reads the platform's list of backend
  * servers, and how much of it.
  *
- * The leader reads the list for all hosts and distributes it with the feed. An
- * entry host reads it itself when it gets none. Load pattern: all hosts start
- * at once, or the leader is silent for seconds, and the platform limits the
- * calls of all hosts together. If every entry host then read the whole list,
- * the leader would be refused, and all of them would have to go on reading.
+ * The leader reads the list for all hosts and distributes it with the feed. A
+ * control host reads it when it starts, in case it is elected. An entry host
+ * reads it itself when it gets none. Load pattern: all hosts start at once, or
+ * the leader is silent for seconds, and the platform limits the calls of all
+ * hosts together. If every entry host then read the whole list, the leader
+ * would be refused, and all of them would have to go on reading.
  */
 #ifndef BBL_LIST_PLAN_H
 #define BBL_LIST_PLAN_H
--- a/tests/test_control_feed.c
+++ b/tests/test_control_feed.c
@@ -435,6 +435,26 @@
 }
 END_TEST
 
+/* After a restart of all hosts, the next leader has the list when it is
+ * elected.
+ */
+START_TEST(test_starting_control_host_reads_the_list)
+{
+    bbl_list_plan_input in = make_list_input();
+
+    in.entry = false;
+    in.has_lease = false;
+    in.age = UINT64_MAX;
+    in.uptime = 0;
+    ck_assert_uint_gt(bbl_list_plan_get_pages(&in), 24);
+    in.has_lease = true;
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 0);
+    in.has_lease = false;
+    in.age = 5 * SEC;
+    ck_assert_uint_eq(bbl_list_plan_get_pages(&in), 0);
+}
+END_TEST
+
 /*
  * Load pattern: the leader has been silent, and 295 hosts need the list of 24
  * pages at once. In any second they use at most about half of the rate.
@@ -519,6 +539,7 @@
     tcase_add_test(t, test_restarted_child_gets_whole_list);
     tcase_add_test(t, test_joining_host_gets_last_routing_only);
     tcase_add_test(t, test_hosts_that_get_the_list_do_not_read_it);
+    tcase_add_test(t, test_starting_control_host_reads_the_list);
     tcase_add_test(t, test_entry_hosts_take_turns_to_read_a_long_list);
     tcase_add_test(t, test_few_hosts_read_a_short_list_soon);
     tcase_add_test(t, test_relay_is_host_with_disk);
