--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -1,13 +1,17 @@
 #!/usr/bin/env bash
-# forward-test.sh [BUILD] - tests five control hosts, three entry hosts and
+# forward-test.sh [BUILD [OTHER-BINARY]] - tests five control hosts, three entry hosts and
 # stand-in servers as real processes on loopback. Checks that requests are
 # forwarded and merged, that acknowledged routings survive the kill of each
 # control host in turn (the leader among them) and of all processes at once with
-# the loss of two disks, and that a drain interrupts no request. Ends only
-# processes that it started.
+# the loss of two disks, and that a drain interrupts no request. Hosts with an
+# even number run OTHER-BINARY if it is given, and the other one after a restart:
+# a fleet is upgraded host by host. Ends only processes that it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
+binary=$build/baobablatch
+other=${2:-$binary}
+declare -A starts
 dir=$(mktemp -d)
 seeds=127.60.1.1:1,127.60.1.2:1,127.60.1.3:1
 declare -A pids
@@ -28,9 +32,18 @@
     exit 1
 }
 
+# select_binary NAME NUMBER: sets `program` to the binary for the next start of a
+# host.
+select_binary() {
+    starts[$1]=$((${starts[$1]:-0} + 1))
+    program=$binary
+    if [ $((($2 + ${starts[$1]}) % 2)) -eq 1 ]; then program=$other; fi
+}
+
 # start_control NUMBER FOUND: starts a control host; FOUND is the value of --found.
 start_control() {
-    "$build/baobablatch" forward --data-centre "z$1" --seeds $seeds \
+    select_binary "c$1" "$1"
+    "$program" forward --data-centre "z$1" --seeds $seeds \
         --control-address "127.60.1.$1:7380" --order-address "127.60.1.$1:8106" \
         --catalog-address 127.60.4.1:8102 --data-dir "$dir/c$1" --found "$2" \
         --lost-disks 2 >>"$dir/control$1.log" 2>&1 &
@@ -39,7 +52,8 @@
 
 # start_entry NUMBER: starts an entry host.
 start_entry() {
-    "$build/baobablatch" forward --data-centre "z$1" --seeds $seeds \
+    select_binary "e$1" "$1"
+    "$program" forward --data-centre "z$1" --seeds $seeds \
         --control-address "127.60.2.$1:7380" --caller-address "127.60.2.$1:8104" \
         --ready-address "127.60.2.$1:8108" --metrics-address "127.60.2.$1:9100" \
         --catalog-address 127.60.4.1:8102 --grace-s 5 >>"$dir/entry$1.log" 2>&1 &
