List of servers: a page may come in pieces, and starting entry hosts do not read it

Ruled out: the platform's limit of calls; it refused none.

Change: the client refuses options without room for one response; entry hosts no longer read a short list at their start, since control hosts do.

--- a/src/control/list_plan.c
+++ b/src/control/list_plan.c
@@ -12,15 +12,11 @@
 /* Age after which an entry host reads the list itself; the leader's last two
  * reads have failed by then. */
 #define STALE_US (3000 * BBL_USEC_PER_MS)
-/* A host that has started while others run gets the list within this time. */
-#define FEED_US (250 * BBL_USEC_PER_MS)
 /* How long a host that has started waits for an election and the feed before
- * it reads a long list itself. */
+ * it reads the list itself. Without a leader it has no routing either. */
 #define START_WAIT_US (1500 * BBL_USEC_PER_MS)
 /* The same if a leader answers: the feed is on its way. */
 #define LEASED_START_WAIT_US (4000 * BBL_USEC_PER_MS)
-#define START_PAGES_MAX 3 /* known platforms list 50 servers per page */
-#define PAGES_MAX 10000
 /* Entry hosts that all read the list within this time need not take turns. */
 #define TOGETHER_US BBL_USEC_PER_SEC
 
@@ -46,29 +42,23 @@
                : 0;
 }
 
-unsigned
-bbl_list_plan_get_pages(const bbl_list_plan_input *in)
+bool
+bbl_list_plan_should_read(const bbl_list_plan_input *in)
 {
     bbl_usec wait = in->has_lease ? LEASED_START_WAIT_US : START_WAIT_US;
 
     if (in->leads) {
-        return PAGES_MAX;
+        return true;
     }
     if (!in->entry) {
         /* It may be elected after a restart of all hosts, which then wait for
          * the list. */
-        return in->age == UINT64_MAX && !in->has_lease ? PAGES_MAX : 0;
+        return in->age == UINT64_MAX && !in->has_lease;
     }
     if (in->age != UINT64_MAX) {
-        return in->age > STALE_US + get_turn(in) ? PAGES_MAX : 0;
+        return in->age > STALE_US + get_turn(in);
     }
-    if (in->uptime > wait + get_turn(in)) {
-        return PAGES_MAX;
-    }
-    /* A short list is read sooner than a leader is elected. */
-    return !in->has_lease && in->uptime > FEED_US && in->uptime <= wait
-               ? START_PAGES_MAX
-               : 0;
+    return in->uptime > wait + get_turn(in);
 }
 
 bbl_usec
@@ -77,9 +67,6 @@
     bbl_usec usual = get_read_time(in, USUAL_SHARE);
     bbl_usec minimum = get_read_time(in, MAX_SHARE);
 
-    if (!in->leads && in->age == UINT64_MAX && in->uptime <= START_WAIT_US) {
-        return START_WAIT_US - in->uptime; /* after a read of few pages */
-    }
     if (in->leads && usual > LEADER_INTERVAL_US) {
         return minimum > LEADER_INTERVAL_US ? minimum : LEADER_INTERVAL_US;
     }
--- a/src/control/list_plan.h
+++ b/src/control/list_plan.h
@@ -1,6 +1,6 @@
 /*
  * list_plan.h - decides when a host reads the platform's list of backend
- * servers, and how much of it.
+ * servers.
  *
  * The leader reads the list for all hosts and distributes it with the feed. A
  * control host reads it when it starts, in case it is elected. An entry host
@@ -27,8 +27,8 @@
     double spread;        /* 0 to 1; differs between hosts */
 } bbl_list_plan_input;
 
-/* Returns the most pages to read now; 0 if the list is not to be read. */
-unsigned bbl_list_plan_get_pages(const bbl_list_plan_input *in);
+/* Returns whether to read the list now. */
+bool bbl_list_plan_should_read(const bbl_list_plan_input *in);
 
 /* Returns the time from the start of a read to the next one, microseconds. */
 bbl_usec bbl_list_plan_get_interval(const bbl_list_plan_input *in);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -31,6 +31,7 @@
 #define ACK_TIMEOUT_US (150 * BBL_USEC_PER_MS)
 #define FRAME_TTL_US (300 * BBL_USEC_PER_MS)
 #define SERVICE_INTERVAL_US (50 * BBL_USEC_PER_MS)
+#define CATALOG_PAGES_MAX 10000
 /* Shortest time between two updates that only carry a new list age. */
 #define LIST_AGE_INTERVAL_US (250 * BBL_USEC_PER_MS)
 /* Time after the end of the lease until the control group counts as lost. */
@@ -260,7 +261,6 @@
 tick_catalog(node *n)
 {
     bbl_list_plan_input in;
-    unsigned pages;
 
     if (n->catalog_client == NULL) {
         return;
@@ -270,9 +270,9 @@
         return;
     }
     fill_list_plan(n, &in);
-    pages = bbl_list_plan_get_pages(&in);
-    if (pages > 0 &&
-        bbl_catalog_client_start_read(n->catalog_client, n->now, pages)) {
+    if (bbl_list_plan_should_read(&in) &&
+        bbl_catalog_client_start_read(n->catalog_client, n->now,
+                                      CATALOG_PAGES_MAX)) {
         n->next_catalog_read_at = n->now + bbl_list_plan_get_interval(&in);
     }
 }
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -738,8 +738,13 @@
 bbl_backend_client_open(bbl_backend_client **out, bbl_loop *loop,
                         const bbl_backend_client_options *options)
 {
-    bbl_backend_client *client = bbl_calloc(1, sizeof(*client));
+    bbl_backend_client *client;
 
+    *out = NULL;
+    if (options->buffered_max < options->response_max) {
+        return bbl_error_set(BBL_EINVAL, "no room for one whole response");
+    }
+    client = bbl_calloc(1, sizeof(*client));
     client->loop = loop;
     client->options = *options;
     client->links = (bbl_vec)BBL_VEC_INIT(bbl_backend_link *);
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -71,8 +71,9 @@
      * (TCP_USER_TIMEOUT). */
     bbl_usec tcp_user_timeout;
     size_t response_max; /* maximum bytes in a response body */
-    /* Maximum bytes of all responses that are being received. Beyond it, the
-     * exchange with the longest of them fails. */
+    /* Maximum bytes of all responses that are being received, at least
+     * `response_max`. Beyond it, the exchange with the longest of them fails.
+     */
     size_t buffered_max;
     /* Selects the link that is preconnected first. Hosts use different values
      * so that they connect to the backend servers in different orders. */
@@ -88,7 +89,7 @@
     void *ctx; /* passed to `on_connect` */
 } bbl_backend_client_options;
 
-/* Creates a client without links; returns 0. */
+/* Creates a client without links; returns 0 or BBL_EINVAL. */
 int bbl_backend_client_open(bbl_backend_client **out, bbl_loop *loop,
                             const bbl_backend_client_options *options);
 
--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -122,6 +122,7 @@
         .connect_timeout = CONNECT_TIMEOUT_US,
         .tcp_user_timeout = CONNECT_TIMEOUT_US,
         .response_max = PAGE_MAX_BYTES,
+        .buffered_max = PAGE_MAX_BYTES,
         .on_connect = ignore_connect,
     };
     int error;
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "bbl/errors.h"
 #include "net/backend_link.h"
 #include "platform/dialect.h"
 #include "support/run.h"
@@ -444,6 +445,20 @@
 }
 END_TEST
 
+/* With less room than for one response, none that comes in pieces gets in. */
+START_TEST(a_client_needs_room_for_one_response)
+{
+    bbl_backend_client_options o = {.response_max = 200, .buffered_max = 199};
+    bbl_backend_client *client;
+    bbl_loop *loop;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    ck_assert_int_eq(bbl_backend_client_open(&client, loop, &o), BBL_EINVAL);
+    ck_assert_ptr_null(client);
+    bbl_loop_free(loop);
+}
+END_TEST
+
 START_TEST(preconnects_per_tick_are_limited)
 {
     /* Without a limit, a host that starts would connect to all servers at
@@ -488,6 +503,7 @@
     tcase_add_loop_test(tc, bytes_without_end_close_the_connection, 0,
                         ARRAY_SIZE(endless));
     tcase_add_test(tc, endless_bodies_of_many_servers_are_bounded);
+    tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, preconnects_per_tick_are_limited);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
