--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -367,6 +367,7 @@
     r.has_time_left = head.has_time_left;
     r.time_left_ms = head.time_left_ms;
     r.arrived_at = call->received_at;
+    r.round_trip = call->round_trip;
     bbl_forwarder_receive_request(g->forwarder, bbl_clock_now(), &r);
 }
 
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -212,13 +212,11 @@
     const bbl_forward_request *r = &q->request;
     bbl_usec limit = q->route->timeout_ms * BBL_USEC_PER_MS;
     bbl_usec target = q->route->target_latency_ms * BBL_USEC_PER_MS;
-    /*
-     * One round trip between the caller and this host, or two if the caller
-     * has opened a connection for this request.
-     */
-    bbl_usec reserved_time =
-        f->options.caller_distance * (r->first_on_connection ? 4 : 2) +
-        f->options.answer_margin;
+    bbl_usec round_trip =
+        r->round_trip > 0 ? r->round_trip : 2 * f->options.caller_distance;
+    /* The caller may have opened a connection for this request. */
+    bbl_usec reserved_time = round_trip * (r->first_on_connection ? 2 : 1) +
+                             f->options.answer_margin;
 
     if (r->has_time_left && r->time_left_ms * BBL_USEC_PER_MS < limit) {
         limit = r->time_left_ms * BBL_USEC_PER_MS;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -48,6 +48,8 @@
     uint32_t time_left_ms; /* that time, from arrived_at on */
     /* Earliest time at which it can have arrived; not after `now`. */
     bbl_usec arrived_at;
+    /* Measured round trip time to the caller; 0 if it is not known. */
+    bbl_usec round_trip;
 } bbl_forward_request;
 
 /* What the driver needs to send an attempt, besides the caller's request. */
@@ -214,7 +216,8 @@
      * connection. The driver sets a different one on each host.
      */
     uint64_t seed;
-    /* One-way network delay between callers and this host. */
+    /* One-way network delay between callers and this host where it could not
+     * be measured. */
     bbl_usec caller_distance;
     /* Answers are due this long before the latency target of the route. */
     bbl_usec answer_margin;
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -46,6 +46,7 @@
     bool continue_sent; /* "100 Continue" was sent for this request */
     bool had_request;   /* the connection has carried a complete request */
     bbl_usec state_since;
+    bbl_usec round_trip;      /* to the caller; 0 if not known */
     bbl_usec readable_since;  /* earliest arrival of the last bytes read */
     bbl_usec request_started; /* time of the first byte; 0: no request yet */
     struct conn *prev;
@@ -246,6 +247,24 @@
     return host;
 }
 
+/*
+ * Updates the least round trip time to the caller. A single measurement may
+ * include the time by which the caller has delayed an acknowledgement.
+ */
+static void
+measure_round_trip(conn *c)
+{
+    struct tcp_info info;
+    socklen_t size = sizeof(info);
+
+    memset(&info, 0, sizeof(info));
+    if (getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+        info.tcpi_rtt > 0 &&
+        (c->round_trip == 0 || info.tcpi_rtt < c->round_trip)) {
+        c->round_trip = info.tcpi_rtt;
+    }
+}
+
 static void
 dispatch_call(conn *c)
 {
@@ -264,6 +283,8 @@
     call->hostname = strip_port(bbl_http_message_field(&c->message, "Host"));
     call->received_at = c->readable_since;
     call->first_on_connection = !c->had_request;
+    measure_round_trip(c);
+    call->round_trip = c->round_trip;
     c->had_request = true;
     c->edge->counters.requests++;
     c->edge->open_call_count++;
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -30,6 +30,7 @@
     bbl_str hostname; /* value of the Host field without the port */
     /* Earliest time at which its last byte can have arrived. */
     bbl_usec received_at;
+    bbl_usec round_trip;      /* to the caller; 0 if it is not known */
     bool first_on_connection; /* whether it is the first one */
 };
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -33,6 +33,7 @@
     bbl_usec list_read_at;
     bbl_usec receive_time; /* of one response; 0: the link is fast */
     bbl_usec link_free_at;
+    bbl_usec round_trip;   /* to callers; 0 if not measured */
     uint64_t version;      /* active version */
     const char *violation; /* the first one, or NULL */
 };
@@ -468,10 +469,17 @@
     r.has_time_left = time_left_ms > 0;
     r.time_left_ms = time_left_ms;
     r.arrived_at = sim->now - delay;
+    r.round_trip = sim->round_trip;
     bbl_forwarder_receive_request(sim->forwarder, sim->now, &r);
     return n;
 }
 
+void
+forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip)
+{
+    sim->round_trip = round_trip;
+}
+
 void
 forward_sim_finish_open(forward_sim *sim)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -105,6 +105,9 @@
                                           uint32_t time_left_ms,
                                           bbl_usec delay);
 
+/* Sets the measured round trip time to the callers of further requests. */
+void forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip);
+
 /* Lets the host answer all open requests, as when it stops. */
 void forward_sim_finish_open(forward_sim *sim);
 
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -334,6 +334,29 @@
 }
 END_TEST
 
+static const bbl_usec round_trips[] = {2 * MS, 40 * MS};
+
+/* Near callers leave the servers more time until the target. */
+START_TEST(the_measured_distance_of_the_caller_sets_the_time_of_the_answer)
+{
+    bbl_usec due = 120 * MS - round_trips[_i];
+    const forward_sim_call *c;
+    fixture f;
+    bbl_usec at;
+
+    init_fixture(&f);
+    f.shard[2][0]->mode = SERVER_SILENT;
+    f.shard[2][1]->mode = SERVER_SILENT;
+    forward_sim_set_round_trip(f.sim, round_trips[_i]);
+    at = forward_sim_get_time(f.sim);
+    c = send_and_wait(&f, "/g/1");
+    ck_assert_uint_eq(c->missing, 1);
+    ck_assert_uint_le(c->answered_at - at, due);
+    ck_assert_uint_ge(c->answered_at - at, due - 8 * MS);
+    free_fixture(&f);
+}
+END_TEST
+
 START_TEST(fewer_shards_than_required_fail)
 {
     fixture f;
@@ -706,6 +729,9 @@
     tcase_add_test(tc, expired_requests_are_refused_at_once);
     tcase_add_test(tc, paused_servers_are_hedged_in_time_behind_a_narrow_link);
     tcase_add_test(tc, a_missing_shard_is_reported_before_the_target);
+    tcase_add_loop_test(
+        tc, the_measured_distance_of_the_caller_sets_the_time_of_the_answer, 0,
+        ARRAY_SIZE(round_trips));
     tcase_add_test(tc, fewer_shards_than_required_fail);
     tcase_add_test(tc, requests_that_cannot_succeed_are_refused_at_once);
     tcase_add_loop_test(tc, idempotent_requests_are_retried_at_another_server,
