Feed: a relay answers a heartbeat once

Cause: a relay answered each heartbeat at once, without grants, and again when the leader's grants had come: two messages for each of five heartbeats a second and child, most of them empty.

Change: the first is left out while the relay has a lease and the child lacks nothing.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -413,7 +413,9 @@
             }
         }
     }
-    send_feed(c, k, grants, n);
+    if (n > 0 || is_behind(c, k) || c->lease_until <= c->now) {
+        send_feed(c, k, grants, n);
+    } /* else the grants of the leader follow, and nothing is new */
     free(grants);
 }
 
