Loop: exact times of polls; a request counts from the arrival of its connection

Cause: whether a poll had waited was judged by its duration, which a busy machine falsifies, and a request that waited in the accept queue of a stalled host counted only from the moment at which its connection was accepted.

Change: a poll without a wait comes first, so events that were ready count from the poll before; the first request on a connection counts from the earliest arrival of the connection if it was readable at once.

--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -38,7 +38,6 @@
     bbl_vec queries;
     /* bbl_attempt *, still in flight although their query is finished. */
     bbl_vec detached_attempts;
-    bbl_usec responded_at;        /* when the last response was processed */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_forward_counters counters;
 };
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -47,6 +47,8 @@
     bool had_request;   /* the connection has carried a complete request */
     bbl_usec state_since;
     bbl_usec round_trip;      /* to the caller; 0 if not known */
+    bbl_usec accepted_since;  /* earliest arrival of the connection */
+    bbl_usec accepted_at;     /* poll that reported the connection */
     bbl_usec readable_since;  /* earliest arrival of the last bytes read */
     bbl_usec request_started; /* time of the first byte; 0: no request yet */
     struct conn *prev;
@@ -381,6 +383,10 @@
     }
     c->in.size += (size_t)n;
     c->readable_since = bbl_loop_get_ready_since(c->edge->loop);
+    if (c->readable_since <= c->accepted_at) {
+        /* They may have waited as long as the connection. */
+        c->readable_since = c->accepted_since;
+    }
     return true;
 }
 
@@ -478,6 +484,8 @@
     c = bbl_calloc(1, sizeof(*c));
     c->edge = e;
     c->fd = peer;
+    c->accepted_since = bbl_loop_get_ready_since(e->loop);
+    c->accepted_at = bbl_loop_get_polled_at(e->loop);
     bbl_http_message_init(&c->message, true, e->limits.max_body_bytes);
     c->next = e->connections;
     if (e->connections != NULL) {
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -14,8 +14,6 @@
 #include "util/map.h"
 
 #define EVENTS_MAX 256
-/* A shorter poll did not wait: the events were ready when it began. */
-#define WAIT_MIN_US 300
 /* A wait that ends later than this after its timeout was not scheduled. */
 #define SCHEDULING_SLACK_US (5 * BBL_USEC_PER_MS)
 
@@ -127,22 +125,38 @@
     }
 }
 
-/* Records the times of a poll that began at `before`. */
-static void
-record_poll(bbl_loop *loop, bbl_usec before, bbl_usec timeout)
+static int
+poll_events(bbl_loop *loop, struct epoll_event *events, bbl_usec timeout)
 {
-    bbl_usec after = bbl_clock_now();
+    struct timespec ts = {(time_t)(timeout / BBL_USEC_PER_SEC),
+                          (long)(timeout % BBL_USEC_PER_SEC) * 1000};
 
-    if (after > before + timeout + SCHEDULING_SLACK_US) {
-        loop->ready_since = before;
-    }
-    else if (after > before + WAIT_MIN_US || loop->polled_at == 0) {
-        loop->ready_since = after;
-    }
-    else {
-        loop->ready_since = loop->polled_at;
+    return epoll_pwait2(loop->epoll_fd, events, EVENTS_MAX, &ts, NULL);
+}
+
+/*
+ * Polls and records the times of the poll. A first poll without a wait shows
+ * whether the events became ready after the poll before, or during this wait.
+ */
+static int
+wait_for_events(bbl_loop *loop, struct epoll_event *events, bbl_usec timeout)
+{
+    bbl_usec polled_before = loop->polled_at;
+    int n = poll_events(loop, events, 0);
+
+    loop->polled_at = bbl_clock_now();
+    loop->ready_since = polled_before != 0 ? polled_before : loop->polled_at;
+    if (n == 0 && timeout > 0) {
+        bbl_usec started = loop->polled_at;
+
+        n = poll_events(loop, events, timeout);
+        loop->polled_at = bbl_clock_now();
+        loop->ready_since =
+            loop->polled_at > started + timeout + SCHEDULING_SLACK_US
+                ? started
+                : loop->polled_at;
     }
-    loop->polled_at = after;
+    return n;
 }
 
 bbl_usec
@@ -161,12 +175,8 @@
 bbl_loop_run_once(bbl_loop *loop, bbl_usec timeout)
 {
     struct epoll_event events[EVENTS_MAX];
-    struct timespec ts = {(time_t)(timeout / BBL_USEC_PER_SEC),
-                          (long)(timeout % BBL_USEC_PER_SEC) * 1000};
-    bbl_usec before = bbl_clock_now();
-    int n = epoll_pwait2(loop->epoll_fd, events, EVENTS_MAX, &ts, NULL);
+    int n = wait_for_events(loop, events, timeout);
 
-    record_poll(loop, before, timeout);
     for (int i = 0; i < n; i++) {
         uint64_t tag = events[i].data.u64;
         watch *w;
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -267,6 +267,42 @@
 }
 END_TEST
 
+/*
+ * A request that waits unread while its host is held up counts from then on:
+ * its caller's time runs. The connection may not even be accepted yet.
+ */
+START_TEST(the_time_that_a_request_waits_unread_counts)
+{
+    fixture f;
+    int fds[2];
+
+    open_fixture(&f);
+    f.answer_later = true;
+    bbl_loop_run_once(f.loop, 1000);
+    for (int i = 0; i < 2; i++) {
+        bbl_usec sent_at = bbl_clock_now();
+
+        fds[i] = tcp_connect(f.address);
+        if (i == 1) {
+            /* The second connection is accepted before its request comes. */
+            tcp_run_loop(f.loop, 5);
+            sent_at = bbl_clock_now();
+        }
+        tcp_send(fds[i], GET);
+        usleep(60000);
+        f.call = NULL;
+        tcp_run_loop(f.loop, 5);
+        ck_assert_ptr_nonnull(f.call);
+        ck_assert_uint_le(f.call->received_at, sent_at + 10000);
+        bbl_edge_respond_text(f.call, 200, "", "fine");
+        tcp_run_loop(f.loop, 5);
+    }
+    close(fds[0]);
+    close(fds[1]);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(expect_100_continue_is_answered)
 {
     fixture f;
@@ -299,6 +335,7 @@
     tcase_add_test(tc, slow_heads_and_idle_connections_time_out);
     tcase_add_test(tc, draining_closes_connections_after_their_responses);
     tcase_add_test(tc, a_drain_answers_what_has_just_arrived);
+    tcase_add_test(tc, the_time_that_a_request_waits_unread_counts);
     tcase_add_test(tc, expect_100_continue_is_answered);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
