Server time runs to the latest arrival of the response

Cause: with exact polls the middle of the interval in which a response can have arrived lies too early on a busy host, and the estimate of server times fell.

Change: the time ends with the poll that reported the response, and one field less is passed.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -89,7 +89,6 @@
                                                       : BBL_ATTEMPT_BROKEN;
     result.failure_reason = r->reason;
     result.sent_at = r->sent_at;
-    result.ready_since = bbl_loop_get_ready_since(g->loop);
     result.ready_by = bbl_loop_get_polled_at(g->loop);
     if (r->message != NULL) {
         result.status = bbl_http_message_status(r->message);
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -251,16 +251,11 @@
                 const bbl_attempt_result *r)
 {
     bbl_usec sent_at = r->sent_at > a->sent_at ? r->sent_at : a->sent_at;
-    bbl_usec since = r->ready_since > sent_at ? r->ready_since : sent_at;
-    bbl_usec by = r->ready_by != 0 ? r->ready_by : now;
+    bbl_usec arrived_at = r->ready_by != 0 ? r->ready_by : now;
 
-    if (r->ready_since == 0) {
-        since = by;
-    }
-    by = by > sent_at ? by : sent_at;
-    since = since < by ? since : by;
     return bbl_receive_cost_get_server_time(
-        &a->timing->receive_cost, since + (by - since) / 2 - sent_at,
+        &a->timing->receive_cost,
+        arrived_at > sent_at ? arrived_at - sent_at : 0,
         a->query != NULL ? a->query->responses : 0);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -79,10 +79,9 @@
     /* When sending began; 0 if this is not known. */
     bbl_usec sent_at;
     /*
-     * Earliest and latest time at which the response can have arrived: a busy
-     * host reads responses some time after their arrival. 0 if not known.
+     * Latest time at which the response can have arrived: a busy host reads
+     * responses some time after their arrival. 0 if this is not known.
      */
-    bbl_usec ready_since;
     bbl_usec ready_by;
     /* Driver's handle of the response, used to relay it unchanged. */
     const void *driver_message;
