Log and count what a host sends to servers that state a rate limit

Neither the field nor the rate at which a host sends to one server was visible, so the three hypotheses of the incident could not be told apart. The response head now decodes the limit, BBL4004 reports it with the attempts of this host, and a metric counts them. No request is handled differently.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -336,6 +336,25 @@
     g->resize_links = true; /* other servers may get its share */
 }
 
+static void
+on_rate_limit_reported(void *ctx, const bbl_backend *b)
+{
+    bbl_usec now = bbl_clock_now();
+    bbl_usec counted = b->limit.counted_at;
+
+    (void)ctx;
+    bbl_log(BBL_EV_RATE_LIMIT,
+            "id=%.*s service=%.*s limited=%s per_s=%.3f first_sent=%u "
+            "extra_sent=%u in_ms=%llu",
+            (int)b->listed.id.bblx_label_len, b->listed.id.bblx_label_val,
+            (int)b->listed.service.bblx_label_len,
+            b->listed.service.bblx_label_val, b->limit.limited ? "yes" : "no",
+            b->limit.rate, b->limit.first_sent, b->limit.extra_sent,
+            (unsigned long long)(counted != 0
+                                     ? (now - counted) / BBL_USEC_PER_MS
+                                     : 0));
+}
+
 static void
 on_backend_connect(void *ctx, void *owner, bool ok, bbl_usec took)
 {
@@ -534,6 +553,7 @@
     f.port.server_added = on_server_added;
     f.port.server_removed = on_server_removed;
     f.port.server_changed = on_server_changed;
+    f.port.rate_limit_reported = on_rate_limit_reported;
     f.port.ctx = g;
     return bbl_forwarder_new(&g->forwarder, &f);
 }
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -164,6 +164,8 @@
     q->attempted = true;
     q->record.attempt_count++;
     f->counters.attempts++;
+    f->counters.attempts_limited += b->limit.limited;
+    bbl_rate_limit_count_sent(&b->limit, s->attempts_sent > 1);
     return true;
 }
 
@@ -271,6 +273,20 @@
     q->responded_at = now;
 }
 
+/* Records the rate limit that a response states, or that it states none. */
+static void
+update_rate_limit(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
+                  const bbl_backend_head *head)
+{
+    if (bbl_rate_limit_update(&b->limit, head->has_rate_limit,
+                              head->rate_limit) ||
+        (b->limit.limited &&
+         now >= b->limit.counted_at + BBL_RATE_REPORT_US)) {
+        f->options.port.rate_limit_reported(f->options.port.ctx, b);
+        bbl_rate_limit_reset_counts(&b->limit, now);
+    }
+}
+
 /* Updates the state, the ratings and the load limit of an attempt's server. */
 static void
 update_server(bbl_forwarder *f, bbl_usec now, bbl_attempt *a,
@@ -283,6 +299,9 @@
 
     if (r->outcome == BBL_ATTEMPT_RESPONSE) {
         b->answered_at = now;
+        if (!head->wrong_incarnation) {
+            update_rate_limit(f, now, b, head);
+        }
     }
     if (m == RESULT_USABLE) {
         bbl_backend_record_result(
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -7,6 +7,7 @@
 #define BBL_FORWARD_BACKEND_H
 
 #include "bbl/types.h"
+#include "forward/rate_limit.h"
 #include "model/codec.h"
 
 /* Whether a server may get work, and if not, why. */
@@ -55,6 +56,8 @@
     /* When slowness and failure_rate were last updated. */
     bbl_usec rated_at;
 
+    bbl_rate_limit limit;
+
     void *link;     /* handle of the driver */
     void *attempts; /* bbl_attempt, the oldest one in flight */
 } bbl_backend;
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -36,6 +36,9 @@
     bbl_str incarnation; /* of the server; may be empty */
     bool has_cold_ms;
     uint32_t cold_ms; /* time left of its cold start */
+    /* Whether it limits the requests that all hosts together may send. */
+    bool has_rate_limit;
+    double rate_limit; /* requests per second */
 } bbl_backend_head;
 
 /* What an operator or a load balancer requests of a daemon. */
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -27,6 +27,8 @@
 #include "util/histogram.h"
 
 #define BBL_FORWARDER_OPTIONS_VERSION 1
+/* Interval of the reports about a server that limits its request rate. */
+#define BBL_RATE_REPORT_US (4 * BBL_USEC_PER_SEC)
 
 typedef struct bbl_forwarder bbl_forwarder;
 typedef struct bbl_attempt bbl_attempt;
@@ -204,6 +206,12 @@
     void (*server_removed)(void *ctx, bbl_backend *backend);
     void (*server_changed)(void *ctx, bbl_backend *backend,
                            bbl_backend_state state);
+    /*
+     * Reports that a server states another rate limit than before, or none,
+     * and every BBL_RATE_REPORT_US while it states one. The counts of
+     * backend->limit are reset afterwards.
+     */
+    void (*rate_limit_reported)(void *ctx, const bbl_backend *backend);
     void *ctx;
 } bbl_forward_port;
 
@@ -257,6 +265,8 @@
     /* How often an extra attempt was due while the budget was used up. */
     uint64_t attempts_over_budget;
     uint64_t attempts_cancelled; /* after their query was finished */
+    /* Attempts sent to servers that state a rate limit. */
+    uint64_t attempts_limited;
     bbl_histogram latency;       /* microseconds; OK and PARTIAL only */
 } bbl_forward_counters;
 
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -75,6 +75,9 @@
       "a connection to a searcher made no progress; the others are suspect")  \
     X(BACKEND, 4003, INFO, "backend",                                         \
       "the state of a backend server has changed")                            \
+    X(RATE_LIMIT, 4004, INFO, "rate-limit",                                   \
+      "a backend server limits the requests of all hosts together, or no "    \
+      "longer does")                                                          \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -232,6 +232,13 @@
     find_server(ctx, backend)->backend = NULL;
 }
 
+static void
+on_rate_limit_reported(void *ctx, const bbl_backend *backend)
+{
+    (void)ctx;
+    (void)backend;
+}
+
 static void
 on_changed(void *ctx, bbl_backend *backend, bbl_backend_state before)
 {
@@ -246,9 +253,11 @@
 complete_exchange(forward_sim *sim, const exchange *x)
 {
     static const char body[] = "0123456789abcdef";
+    char limit[24];
     bbl_header signature = {{"Response-Stamp", 14},
                             {x->server->id, strlen(x->server->id)}};
     bbl_header not_run = {{"Not-Executed", 12}, {"1", 1}};
+    bbl_header headers[2];
     bbl_attempt_result r;
 
     memset(&r, 0, sizeof(r));
@@ -282,6 +291,14 @@
     default:
         break;
     }
+    if (x->server->rate_limit > 0) {
+        snprintf(limit, sizeof(limit), "%.3f", x->server->rate_limit);
+        headers[0] = *r.headers;
+        headers[r.header_count] =
+            (bbl_header){{"Server-Limit", 12}, {limit, strlen(limit)}};
+        r.headers = headers;
+        r.header_count++;
+    }
     x->server->in_use--;
     bbl_forwarder_complete_attempt(sim->forwarder, sim->now, x->attempt, &r);
 }
@@ -346,6 +363,7 @@
     o.port.server_added = on_added;
     o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
+    o.port.rate_limit_reported = on_rate_limit_reported;
     o.port.ctx = sim;
     bbl_forwarder_new(&sim->forwarder, &o);
     bbl_forwarder_confirm_routing(sim->forwarder, UINT64_MAX);
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -40,6 +40,7 @@
     unsigned runs;
     unsigned connections; /* limit of those in use; 0 if unlimited */
     unsigned in_use;
+    double rate_limit;    /* stated in its responses; 0 for none */
     bbl_backend *backend; /* the forwarder's; NULL if unlisted */
 } forward_sim_server;
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -232,7 +232,8 @@
                             {str("Request-Id"), str("9c41")},
                             {str("Instance-Id"), str("i-7")},
                             {str("Warmup-Ms"), str("800")},
-                            {str("Content-Encoding"), str("gzip")}};
+                            {str("Content-Encoding"), str("gzip")},
+                            {str("server-limit"), str("6.5")}};
     bbl_caller_head c;
     bbl_backend_head b;
 
@@ -242,10 +243,17 @@
     caller[1].value = str("12x");
     bbl_platform_dialect()->read_caller_head(&c, caller, 2);
     ck_assert(!c.has_time_left);
-    bbl_platform_dialect()->read_backend_head(&b, 503, backend, 6);
+    bbl_platform_dialect()->read_backend_head(&b, 503, backend, 7);
     ck_assert(b.not_run && !b.wrong_incarnation && b.encoded);
     ck_assert(b.has_cold_ms && b.cold_ms == 800);
     ck_assert(equals(b.signature, "3e.1") && equals(b.incarnation, "i-7"));
+    ck_assert(b.has_rate_limit && b.rate_limit > 6.49 && b.rate_limit < 6.51);
+    backend[6].value = str("-1");
+    bbl_platform_dialect()->read_backend_head(&b, 503, backend, 7);
+    ck_assert(!b.has_rate_limit);
+    backend[6].value = str(".");
+    bbl_platform_dialect()->read_backend_head(&b, 503, backend, 7);
+    ck_assert(!b.has_rate_limit);
     bbl_platform_dialect()->read_backend_head(&b, 421, NULL, 0);
     ck_assert(b.not_run && b.wrong_incarnation);
     bbl_platform_dialect()->read_backend_head(&b, 503, NULL, 0);
