--- /dev/null
+++ b/tests/support/forward_fleet.h
@@ -0,0 +1,74 @@
+/*
+ * forward_fleet.h - many entry hosts that share backend servers, in simulated
+ * time. Counts the requests that each server gets from all of them.
+ */
+#ifndef BBL_TEST_FORWARD_FLEET_H
+#define BBL_TEST_FORWARD_FLEET_H
+
+#include "support/forward_sim.h"
+
+#define FORWARD_FLEET_SERVERS_MAX 64
+
+typedef struct forward_fleet forward_fleet;
+
+forward_fleet *forward_fleet_new(unsigned hosts);
+
+/* Frees the fleet; fails the test if a host violated a guarantee. */
+void forward_fleet_free(forward_fleet *fleet);
+
+/* Adds a server at all hosts. Returns its number. */
+unsigned forward_fleet_add_server(forward_fleet *fleet, const char *id,
+                                  const char *service, const char *zone);
+
+/* Passes a routing document and the list of servers to all hosts. */
+void forward_fleet_install_routing(forward_fleet *fleet, const char *document);
+
+/*
+ * Sets the limit that a server states from now on, in requests per second; 0
+ * for none.
+ */
+void forward_fleet_set_limit(forward_fleet *fleet, unsigned server,
+                             double rate);
+
+/* Returns the simulation of one host. */
+forward_sim *forward_fleet_get_host(forward_fleet *fleet, unsigned host);
+
+/*
+ * Advances the time while callers send requests of `path` to hosts drawn at
+ * random.
+ *
+ * @param per_s requests per second to all hosts together
+ */
+void forward_fleet_run(forward_fleet *fleet, bbl_usec time, double per_s,
+                       const char *path);
+
+/* Returns the current time. */
+bbl_usec forward_fleet_get_time(const forward_fleet *fleet);
+
+/* Returns how many requests a server has got since a time. */
+unsigned forward_fleet_count_arrivals(const forward_fleet *fleet,
+                                      unsigned server, bbl_usec since);
+
+/*
+ * Returns the greatest number of requests that a server got within `window`
+ * microseconds since a time.
+ */
+unsigned forward_fleet_get_busiest_window(const forward_fleet *fleet,
+                                          unsigned server, bbl_usec since,
+                                          bbl_usec window);
+
+/* What the callers got for the requests that were sent since a time. */
+typedef struct {
+    unsigned sent;
+    unsigned served;  /* status 200 */
+    unsigned refused; /* status 503 */
+    unsigned other;
+    unsigned unanswered;
+    unsigned refused_late; /* refused after a quarter of the latency target */
+    unsigned without_retry_after;
+} forward_fleet_summary;
+
+void forward_fleet_summarize(forward_fleet_summary *out,
+                             const forward_fleet *fleet, bbl_usec since);
+
+#endif
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -36,6 +36,8 @@
     bbl_usec round_trip;   /* to callers; 0 if not measured */
     uint64_t version;      /* active version */
     const char *violation; /* the first one, or NULL */
+    void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now);
+    void *arrived_ctx;
 };
 
 /* Records the first violated guarantee. */
@@ -97,6 +99,10 @@
     }
     s->in_use++;
     s->arrivals += s->mode != SERVER_REFUSES && s->mode != SERVER_DARK;
+    if (sim->arrived != NULL && s->mode != SERVER_REFUSES &&
+        s->mode != SERVER_DARK) {
+        sim->arrived(sim->arrived_ctx, s, sim->now);
+    }
     s->runs += runs;
     sim->calls[call].runs += runs;
     if (request->time_left_ms > sim->calls[call].time_left_max_ms) {
@@ -492,6 +498,16 @@
     return n;
 }
 
+void
+forward_sim_set_arrival_callback(
+    forward_sim *sim,
+    void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now),
+    void *ctx)
+{
+    sim->arrived = arrived;
+    sim->arrived_ctx = ctx;
+}
+
 void
 forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -106,6 +106,12 @@
                                           uint32_t time_left_ms,
                                           bbl_usec delay);
 
+/* Calls `arrived` for each request that arrives at a server. */
+void forward_sim_set_arrival_callback(
+    forward_sim *sim,
+    void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now),
+    void *ctx);
+
 /* Sets the measured round trip time to the callers of further requests. */
 void forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip);
 
