forward-test: read the metrics into a file before searching them

Seen: one run of sanitize_address failed with "no counter of successful requests in the metrics" although the counter was there. Cause: with pipefail a pipe from curl to grep -q fails when grep has found its line before curl has written the rest, which more metrics make likelier. Ruled out: a missing counter (the log of the host has the request). The same line is searched, in a file.

--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -140,8 +140,9 @@
 [ "$(stat -c %s "$dir/body")" -eq 112 ] || fail "the body is not 112 bytes, the 7 greatest records"
 [ "$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Host: a.example' \
     "http://127.60.2.1:8104/none")" = 404 ] || fail "a request without a route was not answered with 404"
-curl -sf -m 2 http://127.60.2.1:9100/metrics |
-    grep -q 'baobablatch_requests_total{outcome="ok"}' || fail "no counter of successful requests in the metrics"
+# Not a pipe: grep ends at the first match, and curl would fail to write on.
+curl -sf -m 2 -o "$dir/metrics" http://127.60.2.1:9100/metrics || fail "no metrics"
+grep -q 'baobablatch_requests_total{outcome="ok"}' "$dir/metrics" || fail "no counter of successful requests in the metrics"
 put_routing 2 1 >/dev/null || fail "an older version was not acknowledged"
 has_routing 3 || fail "an older version changed the routing"
 [ "$(echo '{"version":9' | curl -s -m 3 -X PUT --data-binary @- -o /dev/null \
