--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -273,6 +273,7 @@
 	BBLX_HELD = 3,
 	BBLX_DOWN = 4,
 	BBLX_RELEASED = 5,
+	BBLX_RATE_LIMIT = 6,
 };
 typedef enum bblx_phase bblx_phase;
 
@@ -503,6 +504,41 @@
 };
 typedef struct bblx_sub_cancel bblx_sub_cancel;
 
+struct bblx_permit_item {
+	u_quad_t server;
+	u_int group;
+	u_int rate;
+};
+typedef struct bblx_permit_item bblx_permit_item;
+
+struct bblx_permit_request {
+	u_quad_t number;
+	bblx_address control;
+	bool_t urgent;
+	u_int needed;
+	struct {
+		u_int items_len;
+		bblx_permit_item *items_val;
+	} items;
+};
+typedef struct bblx_permit_request bblx_permit_request;
+
+struct bblx_permit_result {
+	u_quad_t server;
+	bool_t granted;
+	u_int wait_us;
+};
+typedef struct bblx_permit_result bblx_permit_result;
+
+struct bblx_permit_reply {
+	u_quad_t number;
+	struct {
+		u_int results_len;
+		bblx_permit_result *results_val;
+	} results;
+};
+typedef struct bblx_permit_reply bblx_permit_reply;
+
 enum bblx_kind {
 	BBLX_VOTE_REQUEST = 1,
 	BBLX_VOTE_REPLY = 2,
@@ -517,6 +553,8 @@
 	BBLX_SUB_RESULTS = 11,
 	BBLX_SUB_CANCEL = 12,
 	BBLX_TRANSFER = 13,
+	BBLX_PERMIT_REQUEST = 14,
+	BBLX_PERMIT_REPLY = 15,
 };
 typedef enum bblx_kind bblx_kind;
 
@@ -536,6 +574,8 @@
 		bblx_sub_results sub_results;
 		bblx_sub_cancel sub_cancel;
 		bblx_transfer transfer;
+		bblx_permit_request permit_request;
+		bblx_permit_reply permit_reply;
 	} bblx_message_u;
 };
 typedef struct bblx_message bblx_message;
@@ -600,6 +640,10 @@
 extern  bool_t xdr_bblx_load (XDR *, bblx_load*);
 extern  bool_t xdr_bblx_sub_results (XDR *, bblx_sub_results*);
 extern  bool_t xdr_bblx_sub_cancel (XDR *, bblx_sub_cancel*);
+extern  bool_t xdr_bblx_permit_item (XDR *, bblx_permit_item*);
+extern  bool_t xdr_bblx_permit_request (XDR *, bblx_permit_request*);
+extern  bool_t xdr_bblx_permit_result (XDR *, bblx_permit_result*);
+extern  bool_t xdr_bblx_permit_reply (XDR *, bblx_permit_reply*);
 extern  bool_t xdr_bblx_kind (XDR *, bblx_kind*);
 extern  bool_t xdr_bblx_message (XDR *, bblx_message*);
 extern  bool_t xdr_bblx_frame (XDR *, bblx_frame*);
@@ -651,6 +695,10 @@
 extern bool_t xdr_bblx_load ();
 extern bool_t xdr_bblx_sub_results ();
 extern bool_t xdr_bblx_sub_cancel ();
+extern bool_t xdr_bblx_permit_item ();
+extern bool_t xdr_bblx_permit_request ();
+extern bool_t xdr_bblx_permit_result ();
+extern bool_t xdr_bblx_permit_reply ();
 extern bool_t xdr_bblx_kind ();
 extern bool_t xdr_bblx_message ();
 extern bool_t xdr_bblx_frame ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1151,6 +1151,66 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_permit_item (XDR *xdrs, bblx_permit_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_permit_request (XDR *xdrs, bblx_permit_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bblx_address (xdrs, &objp->control))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->urgent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->needed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, 8192,
+		sizeof (bblx_permit_item), (xdrproc_t) xdr_bblx_permit_item))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_permit_result (XDR *xdrs, bblx_permit_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_permit_reply (XDR *xdrs, bblx_permit_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, 8192,
+		sizeof (bblx_permit_result), (xdrproc_t) xdr_bblx_permit_result))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_kind (XDR *xdrs, bblx_kind *objp)
 {
@@ -1221,6 +1281,14 @@
 		 if (!xdr_bblx_transfer (xdrs, &objp->bblx_message_u.transfer))
 			 return FALSE;
 		break;
+	case BBLX_PERMIT_REQUEST:
+		 if (!xdr_bblx_permit_request (xdrs, &objp->bblx_message_u.permit_request))
+			 return FALSE;
+		break;
+	case BBLX_PERMIT_REPLY:
+		 if (!xdr_bblx_permit_reply (xdrs, &objp->bblx_message_u.permit_reply))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -216,7 +216,8 @@
     BBLX_LEAVING = 2,
     BBLX_HELD = 3,            /* its owner waits for the takeover delay */
     BBLX_DOWN = 4,
-    BBLX_RELEASED = 5         /* its owner has handed it over */
+    BBLX_RELEASED = 5,        /* its owner has handed it over */
+    BBLX_RATE_LIMIT = 6       /* a backend server's rate limit, see below */
 };
 
 struct bblx_index {
@@ -227,6 +228,14 @@
     unsigned int shards<4096>;
 };
 
+/*
+ * What a host has observed of a searcher that it owns.
+ *
+ * With phase BBLX_RATE_LIMIT it is what any host has observed of a backend
+ * server: boot is the key of the server, searcher the lower half of the key,
+ * limit its rate in requests per 1000 s, UINT32_MAX for none. Hosts that do not
+ * know a phase pass such a report on.
+ */
 struct bblx_report {
     unsigned int searcher;
     unsigned hyper epoch;
@@ -398,6 +407,37 @@
     unsigned int subs<65536>;
 };
 
+/* ---- permits for servers that limit their request rate ---- */
+
+/*
+ * A server that would do for one request. Of the servers with one group, the
+ * first that has a permit left is taken.
+ */
+struct bblx_permit_item {
+    unsigned hyper server;        /* key of the server */
+    unsigned int group;
+    unsigned int rate;            /* requests per 1000 s, from all hosts */
+};
+
+struct bblx_permit_request {
+    unsigned hyper number;
+    bblx_address control;         /* of the sender, for the reply */
+    bool urgent;
+    unsigned int needed;          /* with permits for fewer groups, none */
+    bblx_permit_item items<8192>; /* ordered by group */
+};
+
+struct bblx_permit_result {
+    unsigned hyper server;
+    bool granted;
+    unsigned int wait_us;         /* until the next permit, if refused */
+};
+
+struct bblx_permit_reply {
+    unsigned hyper number;
+    bblx_permit_result results<8192>;
+};
+
 enum bblx_kind {
     BBLX_VOTE_REQUEST = 1,
     BBLX_VOTE_REPLY = 2,
@@ -411,7 +451,10 @@
     BBLX_SUB_REQUEST = 10,
     BBLX_SUB_RESULTS = 11,
     BBLX_SUB_CANCEL = 12,
-    BBLX_TRANSFER = 13
+    BBLX_TRANSFER = 13,
+    /* Only for hosts that announce the kinds above BBLX_TRANSFER, see mesh.c. */
+    BBLX_PERMIT_REQUEST = 14,
+    BBLX_PERMIT_REPLY = 15
 };
 
 union bblx_message switch (bblx_kind kind) {
@@ -441,6 +484,10 @@
     bblx_sub_cancel sub_cancel;
 case BBLX_TRANSFER:
     bblx_transfer transfer;
+case BBLX_PERMIT_REQUEST:
+    bblx_permit_request permit_request;
+case BBLX_PERMIT_REPLY:
+    bblx_permit_reply permit_reply;
 };
 
 struct bblx_frame {
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -25,6 +25,10 @@
 /* Interval of attempts to reopen a disk that failed. */
 #define REOPEN_INTERVAL_US (500 * BBL_USEC_PER_MS)
 #define ASSIGN_INTERVAL_US (100 * BBL_USEC_PER_MS)
+/* Reports that nobody withdraws are forgotten after some of these intervals.
+ */
+#define REPORT_EXPIRY_INTERVAL_US (10 * BBL_USEC_PER_SEC)
+#define REPORT_EXPIRY_ROUNDS 30
 #define PUBLISH_INTERVAL_US (50 * BBL_USEC_PER_MS)
 
 /* A proposal of this host that has no outcome yet. */
@@ -70,8 +74,8 @@
 
 /* ---- addresses ---- */
 
-static const bblx_voters *
-known_voters(const bbl_control *c)
+const bblx_voters *
+bbl_control_known_voters(const bbl_control *c)
 {
     const bblx_voters *voters = bbl_state_voters(c->state);
 
@@ -103,7 +107,7 @@
 {
     const bblx_member_row *member = bbl_rows_get_member(&c->rows, host);
 
-    if (find_voter(known_voters(c), host, out) ||
+    if (find_voter(bbl_control_known_voters(c), host, out) ||
         find_voter(&c->options.seeds, host, out)) {
         return true;
     }
@@ -471,7 +475,7 @@
 static void
 select_next_seed(bbl_control *c)
 {
-    const bblx_voters *voters = known_voters(c);
+    const bblx_voters *voters = bbl_control_known_voters(c);
     const bblx_voter *v;
 
     if (voters->list.list_len == 0) {
@@ -783,6 +787,7 @@
     c->own_proposals = (bbl_vec)BBL_VEC_INIT(own_proposal);
     c->logged_proposals = (bbl_vec)BBL_VEC_INIT(logged_proposal);
     c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
+    bbl_permits_init(c);
     c->members = (bbl_vec)BBL_VEC_INIT(bblx_member_row);
     c->assigns = (bbl_vec)BBL_VEC_INIT(bblx_assign);
     c->backends = (bbl_vec)BBL_VEC_INIT(bblx_backend);
@@ -824,6 +829,7 @@
     bbl_vec_free(&c->own_proposals);
     bbl_vec_free(&c->logged_proposals);
     bbl_vec_free(&c->reports);
+    bbl_permits_free(c);
     bbl_vec_free(&c->members);
     bbl_vec_free(&c->assigns);
     bbl_vec_free(&c->backends);
@@ -909,6 +915,11 @@
     }
     tick_heartbeat(c);
     tick_own_proposals(c);
+    bbl_permits_tick(c);
+    if (now >= c->next_report_expiry) {
+        c->next_report_expiry = now + REPORT_EXPIRY_INTERVAL_US;
+        bbl_rows_expire_reports(&c->rows, REPORT_EXPIRY_ROUNDS);
+    }
     c->feed_due = c->feed_due || c->feed_behind;
     flush_output(c);
 }
@@ -958,6 +969,13 @@
     case BBLX_PROPOSE_REPLY:
         on_propose_reply(c, from, &m->bblx_message_u.propose_reply);
         break;
+    case BBLX_PERMIT_REQUEST:
+        bbl_permits_receive_request(c, from,
+                                    &m->bblx_message_u.permit_request);
+        break;
+    case BBLX_PERMIT_REPLY:
+        bbl_permits_receive_reply(c, from, &m->bblx_message_u.permit_reply);
+        break;
     default:
         if (c->quorum != NULL) {
             bbl_quorum_receive(c->quorum, now, from, m);
@@ -973,7 +991,13 @@
     bblx_report numbered = *report;
 
     numbered.serial = ++c->report_serial;
-    if (bbl_rows_update_report(&c->rows, &numbered, true, true)) {
+    bbl_control_publish_report(c, &numbered);
+}
+
+void
+bbl_control_publish_report(bbl_control *c, const bblx_report *report)
+{
+    if (bbl_rows_update_report(&c->rows, report, true, true)) {
         c->heartbeat_due = true;
         c->feed_due = true;
     }
@@ -1097,6 +1121,8 @@
     out->snapshots_sent = c->snapshots_sent;
     out->parent_answered_at = c->parent_answered_at;
     out->voter_changes = c->voter_changes;
+    out->permits_granted = c->permits.granted;
+    out->permits_withheld = c->permits.refused;
 }
 
 uint64_t
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -26,6 +26,8 @@
     /* Reports the outcome of a proposal; BBL_ETIMEOUT: it is unknown. */
     void (*complete_proposal)(void *ctx, uint64_t number,
                               const bblx_propose_reply *reply);
+    /* Passes on the answer to a request for permits; may be NULL. */
+    void (*permits_received)(void *ctx, const bblx_permit_reply *reply);
     /* Reopens the disk after a failure. If NULL, a host whose disk failed
      * takes no part in the quorum until it is restarted. */
     int (*reopen_disk)(void *ctx, bbl_disk **out);
@@ -95,6 +97,8 @@
     uint64_t feeds_sent;
     uint64_t snapshots_sent;
     uint64_t voter_changes;      /* proposed while this host led */
+    uint64_t permits_granted;    /* for servers that limit their rate */
+    uint64_t permits_withheld;   /* servers without a permit left */
     bbl_usec parent_answered_at; /* last grant or change of parent */
 } bbl_control_status;
 
@@ -133,6 +137,28 @@
 /* Publishes this owner's report of a searcher; sets `serial` in its copy. */
 void bbl_control_report(bbl_control *control, const bblx_report *report);
 
+/*
+ * Publishes the rate limit that a backend server states, unless all hosts know
+ * it already.
+ *
+ * @param server key of the server, see bbl_backend_get_key()
+ * @param rate   requests per 1000 s, UINT32_MAX for none
+ */
+void bbl_control_report_rate_limit(bbl_control *control, uint64_t server,
+                                   uint32_t rate);
+
+/*
+ * Requests permits for servers that limit their request rate from one of the
+ * hosts that grant them, each time from another one. The answer may be lost.
+ *
+ * @param request the number, items, urgency and needed groups
+ */
+void bbl_control_request_permits(bbl_control *control, bbl_usec now,
+                                 const bblx_permit_request *request);
+
+/* Returns the number of hosts that grant permits, 0 if none is known. */
+unsigned bbl_control_count_grantors(const bbl_control *control);
+
 /* Replaces the platform's list of searchers, which is copied. */
 void bbl_control_set_places(bbl_control *control, const bblx_place *places,
                             size_t count);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -6,6 +6,7 @@
 #ifndef BBL_CONTROL_CORE_H
 #define BBL_CONTROL_CORE_H
 
+#include "control/permit_book.h"
 #include "control/control.h"
 
 #define BBL_HEARTBEAT_TIMES 64 /* heartbeats whose send time is stored */
@@ -92,6 +93,7 @@
     bbl_usec next_publish;
     bbl_usec next_voter_check;
     bbl_usec next_reopen;
+    bbl_usec next_report_expiry;
     bool reopening; /* the disk failed and is not in use again yet */
     uint64_t voter_changes;
     bbl_usec catalog_read_at; /* when the list was read; 0 without a list */
@@ -100,6 +102,11 @@
     bbl_vec members;          /* scratch: bblx_member_row */
     bbl_vec assigns;          /* scratch: bblx_assign */
 
+    bbl_permit_book permits; /* that this host grants */
+    bbl_vec permit_requests; /* open_permit_request, see permits.c */
+    bbl_map silent_grantors; /* host -> bbl_usec, silent until then */
+    size_t next_grantor;
+
     uint64_t heartbeats_sent;
     uint64_t heartbeats_relayed;
     uint64_t feeds_sent;
@@ -130,6 +137,27 @@
  */
 void bbl_control_apply_entry(bbl_control *c, uint64_t index, bbl_str data);
 
+/* Stores a report of this host, to be sent to its parent and children. */
+void bbl_control_publish_report(bbl_control *c, const bblx_report *report);
+
+/* Returns the voters, as far as this host knows them. */
+const bblx_voters *bbl_control_known_voters(const bbl_control *c);
+
+/* ---- permits.c ---- */
+
+void bbl_permits_init(bbl_control *c);
+void bbl_permits_free(bbl_control *c);
+
+/* Answers a request for permits, if this host grants them. */
+void bbl_permits_receive_request(bbl_control *c, uint32_t from,
+                                 const bblx_permit_request *r);
+
+void bbl_permits_receive_reply(bbl_control *c, uint32_t from,
+                               const bblx_permit_reply *r);
+
+/* Notes the grantors that have not answered in time. */
+void bbl_permits_tick(bbl_control *c);
+
 /* ---- feed.c ---- */
 
 /* Sends each child the entries and rows that it lacks. */
--- /dev/null
+++ b/src/control/permit_book.c
@@ -0,0 +1,249 @@
+#include "control/permit_book.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/alloc.h"
+
+/* Share of the server's rate; the rest is for hosts not told of it yet. */
+#define GRANTED_SHARE 0.95
+/*
+ * Lowest rate of permits for a server, requests per second: only its responses
+ * tell that it accepts more again.
+ */
+#define RATE_MIN 0.25
+/* Tokens of an unused bucket: one, and what it earns in this time. */
+#define BURST_SECONDS 0.8
+/*
+ * Share of the rate for less urgent requests while urgent ones would use all
+ * of it.
+ */
+#define LESS_URGENT_SHARE 0.25
+/* How long after its refusal a less urgent request still counts as waiting. */
+#define LESS_URGENT_WAITS_US (2 * BBL_USEC_PER_SEC)
+/* Averaging time of the rate of urgent requests. */
+#define URGENT_RATE_SECONDS 2.0
+/*
+ * A book of this age gives the first permit for a server at once; a younger
+ * one may have been restarted, and its predecessor may just have given one.
+ */
+#define NEW_BOOK_US (6 * BBL_USEC_PER_SEC)
+/* Longest time to which a refused caller is told to wait. */
+#define WAIT_MAX_SECONDS 10.0
+#define BUCKETS_MAX 16384
+#define IDLE_BUCKET_US (60 * BBL_USEC_PER_SEC)
+
+/* The state of one server at this grantor. */
+typedef struct {
+    uint64_t server;
+    double rate; /* of this grantor, permits per second */
+    double tokens;
+    double less_urgent_tokens;
+    /* Of the next token; at 1 it is for a less urgent request only. */
+    double reserved;
+    bbl_usec less_urgent_refused_at;
+    double urgent_rate; /* urgent requests per second, decaying mean */
+    /* Permits that refused requests will come back for. */
+    double expected;
+    bbl_usec filled_at;
+} bucket;
+
+void
+bbl_permit_book_init(bbl_permit_book *book, bbl_usec now)
+{
+    memset(book, 0, sizeof(*book));
+    book->started_at = now;
+}
+
+void
+bbl_permit_book_free(bbl_permit_book *book)
+{
+    bucket *b;
+    size_t pos = 0;
+
+    while ((b = bbl_map_next(&book->buckets, &pos)) != NULL) {
+        free(b);
+    }
+    bbl_map_free(&book->buckets);
+}
+
+double
+bbl_permit_rate(double rate)
+{
+    return fmax(GRANTED_SHARE * rate, RATE_MIN);
+}
+
+/* Removes the buckets that were not used lately once there are too many. */
+static void
+prune_buckets(bbl_permit_book *book, bbl_usec now)
+{
+    bbl_map kept = BBL_MAP_INIT;
+    bucket *b;
+    size_t pos = 0;
+
+    if (book->buckets.size < BUCKETS_MAX) {
+        return;
+    }
+    while ((b = bbl_map_next(&book->buckets, &pos)) != NULL) {
+        if (b->filled_at + IDLE_BUCKET_US < now) {
+            free(b);
+        }
+        else {
+            bbl_map_set(&kept, b->server, b);
+        }
+    }
+    bbl_map_free(&book->buckets);
+    book->buckets = kept;
+}
+
+static void
+refill(bucket *b, bbl_usec now)
+{
+    double seconds = (double)(now - b->filled_at) / BBL_USEC_PER_SEC;
+    double tokens_max = 1 + BURST_SECONDS * b->rate;
+    double urgent_share =
+        b->rate > 0 ? fmin(b->urgent_rate / b->rate, 1 - LESS_URGENT_SHARE)
+                    : 1;
+
+    b->tokens = fmin(b->tokens + b->rate * seconds, tokens_max);
+    b->less_urgent_tokens =
+        fmin(b->less_urgent_tokens + b->rate * (1 - urgent_share) * seconds,
+             tokens_max);
+    b->reserved =
+        now < b->less_urgent_refused_at + LESS_URGENT_WAITS_US
+            ? fmin(b->reserved + LESS_URGENT_SHARE * b->rate * seconds, 1)
+            : 0;
+    b->expected = fmax(b->expected - b->rate * seconds, 0);
+    b->urgent_rate *= exp(-seconds / URGENT_RATE_SECONDS);
+    b->filled_at = now;
+}
+
+/* Returns the bucket of a server, with the tokens of this moment. */
+static bucket *
+get_bucket(bbl_permit_book *book, bbl_usec now, unsigned grantors,
+           const bblx_permit_item *item)
+{
+    bucket *b = bbl_map_get(&book->buckets, item->server);
+
+    if (b == NULL) {
+        prune_buckets(book, now);
+        b = bbl_calloc(1, sizeof(*b));
+        b->server = item->server;
+        b->filled_at = now;
+        if (now >= book->started_at + NEW_BOOK_US) {
+            b->tokens = 1;
+            b->less_urgent_tokens = 1;
+        }
+        bbl_map_set(&book->buckets, item->server, b);
+    }
+    refill(b, now);
+    b->rate = bbl_permit_rate(item->rate / 1000.0) / grantors;
+    return b;
+}
+
+static bool
+has_permit(const bucket *b, bool urgent)
+{
+    return b->tokens >= 1 &&
+           (urgent ? b->reserved < 1
+                   : b->reserved >= 1 || b->less_urgent_tokens >= 1);
+}
+
+/*
+ * Returns the time until a bucket has a permit that no earlier refused request
+ * comes back for, microseconds; at least 1.
+ */
+static uint32_t
+get_wait(const bucket *b, bool urgent)
+{
+    double missing = fmax(1 - b->tokens, 0);
+
+    if (!urgent) {
+        missing = fmax(missing, fmin(1 - b->less_urgent_tokens,
+                                     (1 - b->reserved) / LESS_URGENT_SHARE));
+    }
+    else if (b->reserved >= 1) {
+        missing += 1; /* the next token is for a less urgent request */
+    }
+    missing += b->expected;
+    return 1 + (uint32_t)(fmin(missing / b->rate, WAIT_MAX_SECONDS) *
+                          BBL_USEC_PER_SEC);
+}
+
+static unsigned
+count_group(const bblx_permit_request *r, unsigned group)
+{
+    unsigned n = 0;
+
+    for (u_int i = 0; i < r->items.items_len; i++) {
+        n += r->items.items_val[i].group == group;
+    }
+    return n;
+}
+
+/*
+ * Chooses one item of each group that has a permit, and marks it as granted.
+ * Returns the number of groups that have one.
+ */
+static unsigned
+choose_items(bblx_permit_result *out, bbl_permit_book *book, bbl_usec now,
+             unsigned grantors, const bblx_permit_request *r)
+{
+    unsigned groups = 0;
+    bool done = false;
+
+    for (u_int i = 0; i < r->items.items_len; i++) {
+        const bblx_permit_item *item = &r->items.items_val[i];
+        bucket *b = get_bucket(book, now, grantors, item);
+
+        if (i == 0 || item->group != r->items.items_val[i - 1].group) {
+            done = false;
+        }
+        if (r->urgent) {
+            b->urgent_rate += 1 / URGENT_RATE_SECONDS;
+        }
+        out[i].server = item->server;
+        out[i].granted = !done && has_permit(b, r->urgent);
+        out[i].wait_us = has_permit(b, r->urgent) ? 0 : get_wait(b, r->urgent);
+        groups += out[i].granted;
+        done = done || out[i].granted;
+    }
+    return groups;
+}
+
+void
+bbl_permit_book_grant(bblx_permit_result *out, bbl_permit_book *book,
+                      bbl_usec now, unsigned grantors,
+                      const bblx_permit_request *r)
+{
+    unsigned groups = choose_items(out, book, now, grantors, r);
+
+    for (u_int i = 0; i < r->items.items_len; i++) {
+        bucket *b = bbl_map_get(&book->buckets, out[i].server);
+
+        if (groups < r->needed) {
+            out[i].granted = FALSE;
+        }
+        if (out[i].granted && b->tokens >= 1) {
+            b->tokens -= 1;
+            if (!r->urgent) {
+                b->less_urgent_tokens = fmax(b->less_urgent_tokens - 1, 0);
+                b->reserved = fmax(b->reserved - 1, 0);
+            }
+        }
+        else {
+            out[i].granted = FALSE; /* an earlier item took the token */
+        }
+        if (out[i].wait_us > 0 && !r->urgent) {
+            b->less_urgent_refused_at = now;
+        }
+        if (out[i].wait_us > 0) {
+            /* The request is repeated at other grantors and servers. */
+            b->expected += 1.0 / BBL_PERMIT_ASKED_MAX /
+                           count_group(r, r->items.items_val[i].group);
+        }
+        book->granted += out[i].granted;
+        book->refused += !out[i].granted;
+    }
+}
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -100,6 +100,9 @@
 {
     change_ref ref = {++rows->revision, key, kind};
 
+    if (kind == ROW_BACKEND) {
+        rows->backend_revision = rows->revision;
+    }
     prune_changes(rows);
     bbl_vec_push(&rows->changes, &ref);
     return ref.revision;
@@ -143,6 +146,7 @@
     deep_copy(&copy, report, (xdrproc_t)xdr_bblx_report);
     BBL_XDR_FREE(bblx_report, &row->report);
     row->report = copy;
+    row->rounds = 0;
     row->from_subtree = from_subtree;
     row->pending = pending;
     row->revision = record_change(rows, report->searcher, ROW_REPORT);
@@ -418,6 +422,37 @@
     return row ? &row->report : NULL;
 }
 
+const bblx_report *
+bbl_rows_next_report(const bbl_rows *rows, size_t *pos)
+{
+    bbl_report_row *row = bbl_map_next(&rows->reports, pos);
+
+    return row ? &row->report : NULL;
+}
+
+void
+bbl_rows_expire_reports(bbl_rows *rows, unsigned rounds_max)
+{
+    bbl_vec keys = BBL_VEC_INIT(uint64_t);
+    bbl_report_row *row;
+    size_t pos = 0;
+
+    while ((row = bbl_map_next(&rows->reports, &pos)) != NULL) {
+        uint64_t key = row->report.searcher;
+
+        if (row->report.phase >= BBLX_RATE_LIMIT &&
+            ++row->rounds > rounds_max) {
+            bbl_vec_push(&keys, &key);
+        }
+    }
+    for (size_t i = 0; i < keys.size; i++) {
+        row = bbl_map_remove(&rows->reports, *BBL_VEC_AT(uint64_t, &keys, i));
+        BBL_XDR_FREE(bblx_report, &row->report);
+        free(row);
+    }
+    bbl_vec_free(&keys);
+}
+
 const bblx_member_row *
 bbl_rows_get_member(const bbl_rows *rows, uint32_t host)
 {
--- a/src/control/rows.h
+++ b/src/control/rows.h
@@ -19,6 +19,7 @@
     uint64_t revision;
     bool from_subtree; /* from this host or a child, not from the parent */
     bool pending;      /* the parent has not confirmed it yet */
+    unsigned rounds;   /* of bbl_rows_expire_reports since the last change */
 } bbl_report_row;
 
 typedef struct {
@@ -33,11 +34,12 @@
 } bbl_backend_row;
 
 typedef struct {
-    uint64_t revision; /* number of the last change */
-    bbl_map reports;   /* searcher -> bbl_report_row */
-    bbl_map members;   /* host -> bbl_member_row */
-    bbl_map backends;  /* hash of the id -> bbl_backend_row */
-    bbl_vec changes;   /* change_ref, by revision */
+    uint64_t revision;         /* number of the last change */
+    bbl_map reports;           /* searcher -> bbl_report_row */
+    bbl_map members;           /* host -> bbl_member_row */
+    bbl_map backends;          /* hash of the id -> bbl_backend_row */
+    bbl_vec changes;           /* change_ref, by revision */
+    uint64_t backend_revision; /* of the last change of a backend server */
 } bbl_rows;
 
 void bbl_rows_init(bbl_rows *rows);
@@ -107,6 +109,15 @@
 const bblx_report *bbl_rows_get_report(const bbl_rows *rows,
                                        uint32_t searcher);
 
+/* Iterates over the reports as bbl_map_next does. */
+const bblx_report *bbl_rows_next_report(const bbl_rows *rows, size_t *pos);
+
+/*
+ * Removes the reports of BBLX_RATE_LIMIT and later phases that have not
+ * changed during the last `rounds_max` calls: nobody withdraws them.
+ */
+void bbl_rows_expire_reports(bbl_rows *rows, unsigned rounds_max);
+
 /* Returns the row of a member, NULL if there is none. */
 const bblx_member_row *bbl_rows_get_member(const bbl_rows *rows,
                                            uint32_t host);
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -76,6 +76,14 @@
     bbl_metrics_append_counter(out, "limited_attempts_total",
                                "attempts sent to rate limited servers",
                                c->attempts_limited);
+    bbl_metrics_append_counter(out, "permit_requests_total",
+                               "requests for permits of limited servers",
+                               c->permit_requests);
+    bbl_metrics_append_counter(out, "permits_total", "permits received",
+                               c->permits);
+    bbl_metrics_append_counter(out, "permits_refused_total",
+                               "servers for which no permit was left",
+                               c->permits_refused);
     bbl_metrics_append_counter(out, "caller_connections_total",
                                "connections of callers", callers->accepted);
     bbl_metrics_append_counter(out, "callers_left_total",
@@ -120,6 +128,12 @@
                                "calls to the platform", catalog_calls);
     bbl_metrics_append_counter(out, "orders_total", "orders of operators",
                                operator_commands);
+    bbl_metrics_append_counter(out, "permits_granted_total",
+                               "permits for limited servers granted",
+                               s->permits_granted);
+    bbl_metrics_append_counter(out, "permits_withheld_total",
+                               "servers for which no permit was granted",
+                               s->permits_withheld);
     bbl_metrics_append_counter(out, "feeds_sent_total", "feeds to followers",
                                s->feeds_sent);
     bbl_metrics_append_counter(out, "snapshots_sent_total",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -7,6 +7,7 @@
 #include <ck_pr.h>
 
 #include "bbl/errors.h"
+#include "control/permit_book.h"
 #include "daemon/forward_metrics.h"
 #include "net/backend_link.h"
 #include "net/edge.h"
@@ -48,6 +49,8 @@
     const bbl_dialect *dialect;
     bbl_loop *loop;
     bbl_mailbox updates; /* bbl_forward_update * */
+    bbl_mailbox permits; /* bbl_permit_reply * */
+    bbl_mailbox *notices;
     bbl_edge *caller_edge;
     bbl_edge *ready_edge;
     bbl_edge *metrics_edge;
@@ -355,6 +358,26 @@
                                      : 0));
 }
 
+static void
+send_notice(bbl_gateway *g, bbl_notice *notice)
+{
+    if (!bbl_mailbox_enqueue(g->notices, notice)) {
+        bbl_notice_free(notice);
+    }
+}
+
+static void
+publish_rate_limit(void *ctx, const bbl_backend *b)
+{
+    send_notice(ctx, bbl_notice_new_rate_limit(b));
+}
+
+static void
+request_permits(void *ctx, const bbl_permit_request *request)
+{
+    send_notice(ctx, bbl_notice_new_permit_request(request));
+}
+
 static void
 on_backend_connect(void *ctx, void *owner, bool ok, bbl_usec took)
 {
@@ -439,6 +462,7 @@
 apply_updates(bbl_gateway *g)
 {
     bbl_forward_update *u;
+    bbl_permit_reply *reply;
     /* Read before the updates, which were queued before it was set. */
     bbl_usec confirmed_until = ck_pr_load_64(&g->routing_confirmed_until);
 
@@ -448,6 +472,10 @@
         g->resize_links = true;
     }
     bbl_forwarder_confirm_routing(g->forwarder, confirmed_until);
+    while ((reply = bbl_mailbox_dequeue(&g->permits)) != NULL) {
+        bbl_forwarder_receive_permits(g->forwarder, bbl_clock_now(), reply);
+        bbl_permit_reply_free(reply);
+    }
     if (g->resize_links) {
         g->resize_links = false;
         bbl_forwarder_each_backend(g->forwarder, g, set_link_limit);
@@ -554,6 +582,9 @@
     f.port.server_removed = on_server_removed;
     f.port.server_changed = on_server_changed;
     f.port.rate_limit_reported = on_rate_limit_reported;
+    f.port.publish_rate_limit = publish_rate_limit;
+    f.port.request_permits = request_permits;
+    f.permit_ttl = BBL_PERMIT_TTL_US;
     f.port.ctx = g;
     return bbl_forwarder_new(&g->forwarder, &f);
 }
@@ -598,7 +629,8 @@
 
 int
 bbl_gateway_open(bbl_gateway **out, const bbl_node_options *options,
-                 const bbl_dialect *dialect, uint64_t seed)
+                 const bbl_dialect *dialect, uint64_t seed,
+                 bbl_mailbox *notices)
 {
     bbl_gateway *g = bbl_calloc(1, sizeof(*g));
     int error;
@@ -606,10 +638,14 @@
     *out = NULL;
     g->options = options;
     g->dialect = dialect;
+    g->notices = notices;
     error = bbl_loop_open(&g->loop);
     if (error == 0) {
         error = bbl_mailbox_init(&g->updates, g->loop, MAILBOX_SLOTS);
     }
+    if (error == 0) {
+        error = bbl_mailbox_init(&g->permits, g->loop, MAILBOX_SLOTS);
+    }
     if (error == 0) {
         error = open_forwarder(g, seed);
     }
@@ -645,6 +681,14 @@
     }
 }
 
+void
+bbl_gateway_send_permits(bbl_gateway *g, bbl_permit_reply *reply)
+{
+    if (!bbl_mailbox_enqueue(&g->permits, reply)) {
+        bbl_permit_reply_free(reply);
+    }
+}
+
 void
 bbl_gateway_confirm_routing(bbl_gateway *g, bbl_usec until)
 {
@@ -682,6 +726,12 @@
     bbl_forward_update_free(update);
 }
 
+static void
+free_permits(void *reply)
+{
+    bbl_permit_reply_free(reply);
+}
+
 void
 bbl_gateway_free(bbl_gateway *g)
 {
@@ -695,6 +745,7 @@
     bbl_forwarder_free(g->forwarder);
     bbl_backend_client_free(g->backend_client);
     bbl_mailbox_free(&g->updates, free_update);
+    bbl_mailbox_free(&g->permits, free_permits);
     bbl_loop_free(g->loop);
     bbl_buf_free(&g->request_head);
     bbl_buf_free(&g->scratch_fields);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -10,8 +10,10 @@
 #define BBL_DAEMON_GATEWAY_H
 
 #include "daemon/node_options.h"
+#include "daemon/notice.h"
 #include "forward/forwarder.h"
 #include "net/loop.h"
+#include "net/mailbox.h"
 
 typedef struct bbl_gateway bbl_gateway;
 
@@ -20,10 +22,12 @@
  *
  * @param options borrowed until bbl_gateway_free
  * @param seed    must differ between hosts
+ * @param notices receives bbl_notice; borrowed until bbl_gateway_free
  * @return 0, or a negative error with `*out` set to NULL
  */
 int bbl_gateway_open(bbl_gateway **out, const bbl_node_options *options,
-                     const bbl_dialect *dialect, uint64_t seed);
+                     const bbl_dialect *dialect, uint64_t seed,
+                     bbl_mailbox *notices);
 
 /* Stops the thread if it runs, and closes all connections. */
 void bbl_gateway_free(bbl_gateway *gateway);
@@ -37,6 +41,12 @@
  */
 void bbl_gateway_send_update(bbl_gateway *gateway, bbl_forward_update *update);
 
+/*
+ * Sends the reply to a request for permits to the thread. Takes ownership of
+ * `reply`, which is dropped if too many replies are queued.
+ */
+void bbl_gateway_send_permits(bbl_gateway *gateway, bbl_permit_reply *reply);
+
 /*
  * Sets until when the last update holds the newest routing; see
  * bbl_forwarder_confirm_routing. Called from the control thread.
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -62,6 +62,7 @@
     bbl_mesh *mesh;
     bbl_control *control;
     bbl_gateway *gateway;
+    bbl_mailbox notices; /* bbl_notice *, from the gateway */
     bbl_catalog_client *catalog_client;
     bbl_edge *operator_edge;
     bbl_edge *metrics_edge;
@@ -74,6 +75,9 @@
     size_t catalog_skipped;
     bbl_usec next_reread_at;
     uint64_t published_revision; /* revision of the control core */
+    /* Revisions of the servers and of the state in the last update. */
+    uint64_t published_backends;
+    uint64_t published_applied;
     bbl_usec published_list_read_at;
     uint64_t routing_version;
     unsigned entry_host_count;
@@ -187,6 +191,43 @@
     bbl_buf_free(&document);
 }
 
+/* Fills the rate limits that any host has observed. */
+static void
+fill_limits(node *n, bbl_forward_update *u)
+{
+    const bbl_rows *rows = bbl_control_rows(n->control);
+    const bblx_report *report;
+    bbl_vec limits = BBL_VEC_INIT(bbl_observed_limit);
+    size_t pos = 0;
+
+    while ((report = bbl_rows_next_report(rows, &pos)) != NULL) {
+        if (report->phase == BBLX_RATE_LIMIT) {
+            bbl_observed_limit_read(bbl_vec_add(&limits), report);
+        }
+    }
+    u->has_limits = true;
+    u->limits = limits.ptr;
+    u->limit_count = limits.size;
+    u->grantors = bbl_control_count_grantors(n->control);
+}
+
+/*
+ * Fills the servers, unless only observations of hosts have changed: these are
+ * frequent, and copying all servers is not cheap.
+ */
+static void
+fill_changed_backends(node *n, bbl_forward_update *u)
+{
+    uint64_t backends = bbl_control_rows(n->control)->backend_revision;
+    uint64_t applied = bbl_state_applied_index(bbl_control_state(n->control));
+
+    if (backends != n->published_backends || applied != n->published_applied) {
+        n->published_backends = backends;
+        n->published_applied = applied;
+        fill_backends(n, u);
+    }
+}
+
 static void
 publish_update(node *n)
 {
@@ -203,7 +244,8 @@
     u = bbl_calloc(1, sizeof(*u));
     if (revision != n->published_revision) {
         fill_routing(n, u);
-        fill_backends(n, u);
+        fill_changed_backends(n, u);
+        fill_limits(n, u);
     }
     n->published_revision = revision;
     n->published_list_read_at = list_read;
@@ -213,6 +255,37 @@
     bbl_gateway_send_update(n->gateway, u);
 }
 
+/* ---- notices of the traffic thread ---- */
+
+static void
+handle_notices(node *n)
+{
+    bbl_notice *notice;
+
+    while (n->gateway != NULL &&
+           (notice = bbl_mailbox_dequeue(&n->notices)) != NULL) {
+        if (notice->kind == BBL_NOTICE_RATE_LIMIT) {
+            bbl_control_report_rate_limit(n->control, notice->server,
+                                          notice->rate);
+        }
+        else {
+            bbl_control_request_permits(n->control, n->now,
+                                        &notice->permit_request);
+        }
+        bbl_notice_free(notice);
+    }
+}
+
+static void
+on_permits_received(void *ctx, const bblx_permit_reply *reply)
+{
+    node *n = ctx;
+
+    if (n->gateway != NULL) {
+        bbl_gateway_send_permits(n->gateway, bbl_permit_reply_new(reply));
+    }
+}
+
 /* ---- list of backend servers ---- */
 
 static void
@@ -536,6 +609,7 @@
 {
     bbl_loop_run_once(n->loop, get_loop_wait(n));
     n->now = bbl_clock_now();
+    handle_notices(n);
     bbl_control_tick(n->control, n->now, bbl_clock_wall_ms());
     bbl_mesh_tick(n->mesh, n->now);
     publish_update(n);
@@ -612,6 +686,7 @@
     c.port.send = send_mesh_message;
     c.port.backlog = get_mesh_backlog;
     c.port.complete_proposal = on_proposal_complete;
+    c.port.permits_received = on_permits_received;
     c.port.reopen_disk = reopen_disk;
     c.port.ctx = n;
     if (o->data_dir != NULL && o->bootstrap) {
@@ -704,9 +779,12 @@
         error = open_catalog(n);
     }
     if (error == 0 && n->options->caller_address.port != 0) {
-        error =
-            bbl_gateway_open(&n->gateway, n->options, n->dialect,
-                             n->incarnation ^ n->options->control_address.ip);
+        error = bbl_mailbox_init(&n->notices, n->loop, BBL_MAILBOX_SLOTS) != 0
+                    ? BBL_EIO
+                    : bbl_gateway_open(&n->gateway, n->options, n->dialect,
+                                       n->incarnation ^
+                                           n->options->control_address.ip,
+                                       &n->notices);
     }
     if (error == 0) {
         error = open_edges(n);
@@ -717,10 +795,19 @@
     return error;
 }
 
+static void
+free_notice(void *notice)
+{
+    bbl_notice_free(notice);
+}
+
 static void
 close_node(node *n)
 {
-    bbl_gateway_free(n->gateway);
+    if (n->gateway != NULL) {
+        bbl_gateway_free(n->gateway);
+        bbl_mailbox_free(&n->notices, free_notice);
+    }
     bbl_edge_free(n->operator_edge);
     bbl_edge_free(n->metrics_edge);
     bbl_operator_api_free(&n->operator_api);
--- /dev/null
+++ b/src/daemon/notice.c
@@ -0,0 +1,93 @@
+#include "daemon/notice.h"
+
+#include <stdlib.h>
+
+#include "util/alloc.h"
+
+/* Rates are sent in requests per 1000 s; this one means that there is none. */
+#define NO_LIMIT UINT32_MAX
+#define RATE_UNITS 1000.0
+
+static uint32_t
+encode_rate(double rate)
+{
+    double units = rate * RATE_UNITS;
+
+    return units < NO_LIMIT ? (uint32_t)units : NO_LIMIT - 1;
+}
+
+bbl_notice *
+bbl_notice_new_rate_limit(const bbl_backend *b)
+{
+    bbl_notice *n = bbl_calloc(1, sizeof(*n));
+
+    n->kind = BBL_NOTICE_RATE_LIMIT;
+    n->server = b->key;
+    n->rate = b->limit.limited ? encode_rate(b->limit.rate) : NO_LIMIT;
+    return n;
+}
+
+bbl_notice *
+bbl_notice_new_permit_request(const bbl_permit_request *r)
+{
+    bbl_notice *n = bbl_calloc(1, sizeof(*n));
+    bblx_permit_request *out = &n->permit_request;
+
+    n->kind = BBL_NOTICE_PERMIT_REQUEST;
+    out->number = r->number;
+    out->urgent = r->urgent;
+    out->needed = r->needed;
+    out->items.items_len = (u_int)r->item_count;
+    out->items.items_val = bbl_calloc(r->item_count, sizeof(bblx_permit_item));
+    for (size_t i = 0; i < r->item_count; i++) {
+        bblx_permit_item *item = &out->items.items_val[i];
+
+        item->server = r->items[i].server;
+        item->group = r->items[i].group;
+        item->rate = encode_rate(r->items[i].rate);
+    }
+    return n;
+}
+
+void
+bbl_notice_free(bbl_notice *n)
+{
+    if (n != NULL) {
+        free(n->permit_request.items.items_val);
+        free(n);
+    }
+}
+
+bbl_permit_reply *
+bbl_permit_reply_new(const bblx_permit_reply *reply)
+{
+    u_int n = reply->results.results_len;
+    bbl_permit_reply *out = bbl_calloc(1, sizeof(*out));
+    bbl_permit_result *results = bbl_calloc(n, sizeof(*results));
+
+    for (u_int i = 0; i < n; i++) {
+        const bblx_permit_result *r = &reply->results.results_val[i];
+
+        results[i] = (bbl_permit_result){r->server, r->granted, r->wait_us};
+    }
+    *out = (bbl_permit_reply){reply->number, results, n};
+    return out;
+}
+
+void
+bbl_permit_reply_free(bbl_permit_reply *reply)
+{
+    if (reply != NULL) {
+        free((void *)reply->results);
+        free(reply);
+    }
+}
+
+void
+bbl_observed_limit_read(bbl_observed_limit *out, const bblx_report *r)
+{
+    out->server = r->boot;
+    out->serial = r->serial;
+    out->limited = r->limit != NO_LIMIT;
+    out->rate = r->limit / RATE_UNITS;
+}
--- /dev/null
+++ b/src/daemon/notice.h
@@ -0,0 +1,39 @@
+/*
+ * notice.h - what the traffic thread of an entry host tells its control
+ * thread: rate limits of backend servers that it has observed, and requests
+ * for permits. The control thread sends the replies to those back.
+ */
+#ifndef BBL_DAEMON_NOTICE_H
+#define BBL_DAEMON_NOTICE_H
+
+#include "forward/backend.h"
+#include "forward/permit.h"
+#include "model/codec.h"
+
+typedef enum {
+    BBL_NOTICE_RATE_LIMIT,
+    BBL_NOTICE_PERMIT_REQUEST
+} bbl_notice_kind;
+
+typedef struct {
+    bbl_notice_kind kind;
+    uint64_t server; /* BBL_NOTICE_RATE_LIMIT: key of the server */
+    uint32_t rate;   /* in the units of bblx_report.limit */
+    bblx_permit_request permit_request; /* BBL_NOTICE_PERMIT_REQUEST; owned */
+} bbl_notice;
+
+bbl_notice *bbl_notice_new_rate_limit(const bbl_backend *backend);
+bbl_notice *bbl_notice_new_permit_request(const bbl_permit_request *request);
+
+/* Frees a notice; NULL is allowed. */
+void bbl_notice_free(bbl_notice *notice);
+
+/* Copies a reply, to be freed with bbl_permit_reply_free. */
+bbl_permit_reply *bbl_permit_reply_new(const bblx_permit_reply *reply);
+void bbl_permit_reply_free(bbl_permit_reply *reply);
+
+/* Decodes a report with phase BBLX_RATE_LIMIT. */
+void bbl_observed_limit_read(bbl_observed_limit *out,
+                             const bblx_report *report);
+
+#endif
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -13,6 +13,8 @@
 #define LATE_GRACE_US (100 * BBL_USEC_PER_MS)
 #define RETRY_AFTER_MS 250 /* if no better estimate is known */
 #define RETRY_AFTER_MIN_MS 30
+/* Random part of the retry time of a limited service: one in this many. */
+#define LIMIT_SPREAD 8
 /* A started host receives its first routing within about this time. */
 #define NO_ROUTING_RETRY_MS 600
 
@@ -168,11 +170,55 @@
     }
     report_and_answer(f, now, q->request.request_handle, r, answer);
     bbl_query_detach_attempts(f, q, cancel_at);
+    bbl_query_forget_permits(f, q);
     bbl_query_remove(f, q);
     bbl_route_table_release(q->table);
     bbl_query_free(q);
 }
 
+/*
+ * Returns the time until some server of each shard that failed for a rate
+ * limit has a permit again.
+ */
+static bbl_usec
+get_limit_wait(bbl_usec now, const bbl_query *q)
+{
+    bbl_usec longest = 0;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        const bbl_shard *s = &q->shards[i];
+        bbl_usec shortest = BBL_FOREVER;
+
+        for (size_t k = 0; s->limited && k < s->pool->backends.size; k++) {
+            const bbl_backend *b =
+                *BBL_VEC_AT(bbl_backend *, &s->pool->backends, k);
+            bbl_usec wait = b->limit.next_permit_at > now
+                                ? b->limit.next_permit_at - now
+                                : 0;
+
+            if (bbl_backend_get_state(b, now) == BBL_BACKEND_USABLE &&
+                wait < shortest) {
+                shortest = wait;
+            }
+        }
+        if (shortest != BBL_FOREVER && shortest > longest) {
+            longest = shortest;
+        }
+    }
+    return longest;
+}
+
+static bool
+is_limited(const bbl_query *q)
+{
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        if (q->shards[i].limited) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /*
  * Returns the time after which a refused caller should retry. It is
  * randomized, so that callers refused together do not return together.
@@ -193,6 +239,12 @@
     }
     wait = bbl_load_limit_get_wait(q->load_limit) / BBL_USEC_PER_MS;
     ms = wait > ms ? (uint32_t)wait : ms;
+    wait = get_limit_wait(now, q) / BBL_USEC_PER_MS;
+    if (wait > ms) {
+        /* The grantors have told each host another time already. */
+        return (uint32_t)wait +
+               (uint32_t)bbl_rng_below(&f->rng, wait / LIMIT_SPREAD + 1);
+    }
     ms = ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS : ms;
     return ms + (uint32_t)bbl_rng_below(&f->rng, ms);
 }
@@ -268,8 +320,9 @@
     bbl_query_cancel_unsent(f, q);
     if (!bbl_query_may_have_run(q)) {
         bbl_query_fail(f, now, q,
-                       q->attempted ? BBL_FORWARD_BUSY
-                                    : BBL_FORWARD_UNAVAILABLE,
+                       is_limited(q)  ? BBL_FORWARD_LIMITED
+                       : q->attempted ? BBL_FORWARD_BUSY
+                                      : BBL_FORWARD_UNAVAILABLE,
                        BBL_STATUS_UNAVAILABLE);
     }
     else {
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -108,19 +108,26 @@
     report_state_change(f, now, b, before);
 }
 
+void
+bbl_attempt_fill_placement(bbl_placement_input *in, const bbl_query *q,
+                           const bbl_shard *s, bool hedge)
+{
+    in->service_time = q->timing->service_time;
+    in->stall_timeout = bbl_route_timing_get_stall_timeout(q->timing);
+    in->tried = s->tried;
+    in->tried_count = s->attempts_sent;
+    in->hedge = hedge;
+    in->target = q->route->target_latency_ms * BBL_USEC_PER_MS;
+}
+
 bbl_backend *
 bbl_attempt_choose_backend(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
-                           const bbl_shard *s, bool hedge, size_t *eligible)
+                           const bbl_shard *s, bool hedge,
+                           bbl_placement_counts *eligible)
 {
-    bbl_placement_input in = {
-        .service_time = q->timing->service_time,
-        .stall_timeout = bbl_route_timing_get_stall_timeout(q->timing),
-        .tried = s->tried,
-        .tried_count = s->attempts_sent,
-        .hedge = hedge,
-        .target = q->route->target_latency_ms * BBL_USEC_PER_MS,
-    };
+    bbl_placement_input in;
 
+    bbl_attempt_fill_placement(&in, q, s, hedge);
     return bbl_placement_choose(
         &in, s->pool->backends.ptr, s->pool->backends.size, now,
         f->options.port.get_room, f->options.port.ctx, &f->rng, eligible);
@@ -165,6 +172,7 @@
     q->record.attempt_count++;
     f->counters.attempts++;
     f->counters.attempts_limited += b->limit.limited;
+    bbl_rate_limit_spend(&b->limit, now);
     bbl_rate_limit_count_sent(&b->limit, s->attempts_sent > 1);
     return true;
 }
@@ -278,13 +286,18 @@
 update_rate_limit(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
                   const bbl_backend_head *head)
 {
-    if (bbl_rate_limit_update(&b->limit, head->has_rate_limit,
-                              head->rate_limit) ||
-        (b->limit.limited &&
-         now >= b->limit.counted_at + BBL_RATE_REPORT_US)) {
+    bool changed = bbl_rate_limit_update(&b->limit, head->has_rate_limit,
+                                         head->rate_limit);
+
+    f->limits_known = f->limits_known || b->limit.limited;
+    if (changed || (b->limit.limited &&
+                    now >= b->limit.counted_at + BBL_RATE_REPORT_US)) {
         f->options.port.rate_limit_reported(f->options.port.ctx, b);
         bbl_rate_limit_reset_counts(&b->limit, now);
     }
+    if (bbl_rate_limit_is_publication_due(&b->limit, now, changed)) {
+        f->options.port.publish_rate_limit(f->options.port.ctx, b);
+    }
 }
 
 /* Updates the state, the ratings and the load limit of an attempt's server. */
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -2,6 +2,9 @@
 
 #include <math.h>
 
+#include "util/map.h"
+
+#define KEY_SEED 61
 /*
  * Half-life of a rating. Servers turn slow for seconds, so older results say
  * little.
@@ -29,6 +32,14 @@
 /* How long a server is avoided when its queue of connections is full. */
 #define FULL_BACKOFF_US (200 * BBL_USEC_PER_MS)
 
+uint64_t
+bbl_backend_get_key(const bblx_backend *listed)
+{
+    return bbl_hash(listed->id.bblx_label_val, listed->id.bblx_label_len,
+                    KEY_SEED) ^
+           bbl_hash(&listed->born, sizeof(listed->born), KEY_SEED);
+}
+
 bbl_backend_state
 bbl_backend_get_state(const bbl_backend *b, bbl_usec now)
 {
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -24,6 +24,7 @@
 
 typedef struct bbl_backend {
     bblx_backend listed; /* owned; the entry in the platform's list */
+    uint64_t key;        /* see bbl_backend_get_key() */
     bbl_usec cold_until;
     bool evacuated;
     bool same_zone; /* whether it is in the data centre of this host */
@@ -57,11 +58,18 @@
     bbl_usec rated_at;
 
     bbl_rate_limit limit;
+    uint64_t limit_serial; /* of the last observation of another host */
 
     void *link;     /* handle of the driver */
     void *attempts; /* bbl_attempt, the oldest one in flight */
 } bbl_backend;
 
+/*
+ * Returns the key of an incarnation of a server, equal on all hosts. A server
+ * that restarts under its id has another key.
+ */
+uint64_t bbl_backend_get_key(const bblx_backend *listed);
+
 /* Returns whether a server may get work, and if not, why. */
 bbl_backend_state bbl_backend_get_state(const bbl_backend *backend,
                                         bbl_usec now);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -27,6 +27,10 @@
  * after the latency target of its route divided by this.
  */
 #define NOT_RUN_WAIT_DIVISOR 5
+/*
+ * One of this many queries asks for permits although other servers would do.
+ */
+#define PROBE_INTERVAL 16
 /*
  * Maximum time between two ticks. A tick also does maintenance if a quarter of
  * this time has passed since the last one: it activates a waiting routing,
@@ -40,7 +44,7 @@
     static const char *const names[BBL_FORWARD_REASONS] = {
         "ok",          "partial",     "failed",  "no-routing", "no-route",
         "unconfirmed", "unavailable", "busy",    "broken",     "timeout",
-        "left",        "overload",    "expired",
+        "left",        "overload",    "expired", "limited",
     };
 
     return names[reason];
@@ -48,13 +52,51 @@
 
 /* ---- shards ---- */
 
+/* Returns whether a permit may be requested for some server of a shard. */
+static bool
+may_ask_for_permit(bbl_usec now, const bbl_query *q, const bbl_shard *s)
+{
+    bbl_placement_input in;
+
+    bbl_attempt_fill_placement(&in, q, s, false);
+    for (size_t i = 0; i < s->pool->backends.size; i++) {
+        const bbl_backend *b =
+            *BBL_VEC_AT(bbl_backend *, &s->pool->backends, i);
+
+        if (bbl_placement_is_eligible(&in, b, now) &&
+            bbl_rate_limit_may_ask(&b->limit, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Handles a pending shard whose remaining servers limit their request rate and
+ * have given no permit: it waits for one, or fails if none is to be had.
+ */
+static void
+await_permit(bbl_usec now, bbl_query *q, bbl_shard *s)
+{
+    if (may_ask_for_permit(now, q, s)) {
+        s->permit_wish = BBL_PERMIT_REQUIRED;
+    }
+    else if (!bbl_query_awaits_permits(q, now)) {
+        s->limited = true;
+        s->failure_reason = "the servers are at their rate limit";
+        s->state = BBL_SHARD_FAILED;
+        q->shards_failed++;
+    }
+}
+
 /* Sends an attempt to a pending shard, if a server has capacity now. */
 static void
 send_pending_shard(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_shard *s)
 {
-    size_t eligible;
+    bbl_placement_counts eligible;
     bbl_backend *b;
 
+    s->permit_wish = BBL_PERMIT_NONE;
     if (s->state != BBL_SHARD_PENDING) {
         return;
     }
@@ -64,6 +106,11 @@
         return;
     }
     b = bbl_attempt_choose_backend(f, now, q, s, false, &eligible);
+    if (q->probes_limits && eligible.limited > 0 &&
+        may_ask_for_permit(now, q, s)) {
+        s->permit_wish = BBL_PERMIT_USEFUL;
+        return;
+    }
     if (b != NULL && bbl_attempt_send(f, now, q, s, b, false)) {
         if (s->attempts_sent > 1) {
             q->record.retries++;
@@ -72,7 +119,7 @@
         }
         return;
     }
-    if (eligible == 0 && s->attempts_sent > s->attempts_maybe_run &&
+    if (eligible.usable == 0 && s->attempts_sent > s->attempts_maybe_run &&
         s->tried[0] != NULL) {
         /*
          * All servers were tried, and some cannot have run the request: the
@@ -81,10 +128,92 @@
         memset(s->tried, 0, sizeof(s->tried));
         return;
     }
-    if (eligible == 0) {
+    if (eligible.usable == 0) {
         s->state = BBL_SHARD_FAILED;
         q->shards_failed++;
     }
+    else if (eligible.limited == eligible.usable) {
+        await_permit(now, q, s);
+    }
+}
+
+/*
+ * Returns whether all servers that a pending shard could use need a permit
+ * that this host does not have.
+ */
+static bool
+is_blocked(bbl_usec now, const bbl_query *q, const bbl_shard *s)
+{
+    bbl_placement_input in;
+    bool limited = false;
+
+    if (s->state != BBL_SHARD_PENDING) {
+        return false;
+    }
+    bbl_attempt_fill_placement(&in, q, s, false);
+    for (size_t i = 0; i < s->pool->backends.size; i++) {
+        const bbl_backend *b =
+            *BBL_VEC_AT(bbl_backend *, &s->pool->backends, i);
+
+        if (!bbl_placement_is_eligible(&in, b, now)) {
+            continue;
+        }
+        if (bbl_rate_limit_may_send(&b->limit, now)) {
+            return false;
+        }
+        limited = true;
+    }
+    return limited;
+}
+
+/*
+ * Returns whether a query that was not sent to any server has to wait, because
+ * it cannot succeed without permits. If it gets none it is refused unrun,
+ * instead of having run at the other shards for nothing.
+ */
+static bool
+hold_for_permits(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    unsigned blocked = 0;
+
+    if (!f->limits_known || q->attempted) {
+        return false;
+    }
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        blocked += is_blocked(now, q, &q->shards[i]);
+    }
+    if (q->shards_needed + blocked <= q->shard_count - q->shards_failed) {
+        return false;
+    }
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        bbl_shard *s = &q->shards[i];
+
+        s->permit_wish = BBL_PERMIT_NONE;
+        if (is_blocked(now, q, s)) {
+            await_permit(now, q, s);
+        }
+    }
+    return true;
+}
+
+/* Sends attempts to the pending shards. Returns whether one still waits. */
+static bool
+send_pending_shards(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bool waiting = false;
+
+    if (q->probes_limits && q->last_permit_request != 0 &&
+        !bbl_query_awaits_permits(q, now)) {
+        q->probes_limits = false;
+    }
+    if (hold_for_permits(f, now, q)) {
+        return true;
+    }
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        send_pending_shard(f, now, q, &q->shards[i]);
+        waiting = waiting || q->shards[i].state == BBL_SHARD_PENDING;
+    }
+    return waiting;
 }
 
 /* Sends the hedges that are due. Returns when to check again. */
@@ -97,7 +226,7 @@
         bbl_shard *s = &q->shards[i];
         bbl_hedge_input in;
         bbl_usec wait;
-        size_t eligible;
+        bbl_placement_counts eligible;
         bbl_backend *b;
 
         if (s->state != BBL_SHARD_IN_FLIGHT || s->in_flight > 1 ||
@@ -131,6 +260,9 @@
                 bbl_attempt_report_extra(f, now, q, s, b, true, in.stalled);
                 continue;
             }
+            if (b == NULL && eligible.limited > 0) {
+                s->permit_wish = BBL_PERMIT_USEFUL;
+            }
             wait = RECHECK_US;
         }
         wait = wait < RECHECK_US ? RECHECK_US : wait;
@@ -157,15 +289,12 @@
 bool
 bbl_query_process(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
-    bool waiting = false;
+    bool waiting;
     bbl_usec not_run_until =
         q->request.arrived_at +
         q->route->target_latency_ms * BBL_USEC_PER_MS / NOT_RUN_WAIT_DIVISOR;
 
-    for (unsigned i = 0; i < q->shard_count; i++) {
-        send_pending_shard(f, now, q, &q->shards[i]);
-        waiting = waiting || q->shards[i].state == BBL_SHARD_PENDING;
-    }
+    waiting = send_pending_shards(f, now, q);
     if (bbl_query_finish_if_decided(f, now, q)) {
         return false;
     }
@@ -201,6 +330,7 @@
 
         q->next_due_at = due < q->next_due_at ? due : q->next_due_at;
     }
+    bbl_query_request_permits(f, now, q);
     return true;
 }
 
@@ -255,6 +385,7 @@
                                      &f->extra_limits, now);
     }
     q->load_limit = &q->shards[0].pool->load_limit;
+    q->probes_limits = bbl_rng_below(&f->rng, PROBE_INTERVAL) == 0;
 }
 
 /* Returns the number of shards that have a usable server. */
@@ -403,17 +534,23 @@
     }
 }
 
-/* Marks servers as down that have sent no response for too long. */
+/*
+ * Marks servers as down that have sent no response for too long, and notes
+ * whether any server limits its request rate.
+ */
 static void
-mark_silent_servers(bbl_forwarder *f, bbl_usec now)
+check_servers(bbl_forwarder *f, bbl_usec now)
 {
     bbl_backend *b;
     size_t pos = 0;
 
+    f->limits_known = false;
     while ((b = bbl_map_next(&f->pools.backends, &pos)) != NULL) {
         const bbl_attempt *a = b->attempts;
         bbl_usec limit = SILENCE_DOWN_MIN_US;
 
+        f->limits_known = f->limits_known || b->limit.limited;
+
         if (a != NULL &&
             SILENCE_DOWN_SERVICE_TIMES * a->timing->service_time > limit) {
             limit = SILENCE_DOWN_SERVICE_TIMES * a->timing->service_time;
@@ -441,7 +578,8 @@
         f->next_maintenance_at = now + TICK_INTERVAL_MAX_US / 4;
         bbl_forwarder_activate_routing(f, now);
         cancel_expired_attempts(f, now);
-        mark_silent_servers(f, now);
+        check_servers(f, now);
+        bbl_forwarder_expire_permit_requests(f, now);
         bbl_pools_free_retired(&f->pools);
     }
     return next > now ? next : now;
@@ -460,6 +598,9 @@
     f->rng.state = options->seed;
     f->queries = (bbl_vec)BBL_VEC_INIT(bbl_query *);
     f->detached_attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
+    f->permit_requests = bbl_permit_requests_init();
+    f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
+    bbl_permit_book_init(&f->local_permits, 0);
     f->pools.zone = options->zone;
     f->pools.retired = (bbl_vec)BBL_VEC_INIT(bbl_backend *);
     f->pools.added = options->port.server_added;
@@ -497,6 +638,9 @@
     bbl_map_free(&f->timings);
     bbl_vec_free(&f->queries);
     bbl_vec_free(&f->detached_attempts);
+    bbl_vec_free(&f->permit_requests);
+    bbl_vec_free(&f->permit_items);
+    bbl_permit_book_free(&f->local_permits);
     free(f);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -23,6 +23,7 @@
 #include "forward/backend.h"
 #include "forward/dialect.h"
 #include "forward/extra_budget.h"
+#include "forward/permit.h"
 #include "forward/placement.h"
 #include "util/histogram.h"
 
@@ -107,6 +108,8 @@
     BBL_FORWARD_LEFT,     /* cancelled: the caller closed its connection */
     BBL_FORWARD_OVERLOAD, /* refused by the load limit */
     BBL_FORWARD_EXPIRED,  /* not run: read too late to be answered in time */
+    /* Not run: too few servers accept a further request now. */
+    BBL_FORWARD_LIMITED,
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
@@ -212,6 +215,13 @@
      * backend->limit are reset afterwards.
      */
     void (*rate_limit_reported)(void *ctx, const bbl_backend *backend);
+    /* Tells the other hosts what a server states now. */
+    void (*publish_rate_limit)(void *ctx, const bbl_backend *backend);
+    /*
+     * Requests permits; bbl_forwarder_receive_permits passes on the reply,
+     * which may be lost.
+     */
+    void (*request_permits)(void *ctx, const bbl_permit_request *request);
     void *ctx;
 } bbl_forward_port;
 
@@ -237,6 +247,7 @@
      * entry hosts.
      */
     bbl_extra_limits extra_limits;
+    bbl_usec permit_ttl; /* from the request for a permit until its end */
     const bbl_dialect *dialect;
     bbl_forward_port port;
 } bbl_forwarder_options;
@@ -247,7 +258,8 @@
         .caller_distance = 3 * BBL_USEC_PER_MS,                               \
         .answer_margin = 6 * BBL_USEC_PER_MS,                                 \
         .list_lag = 800 * BBL_USEC_PER_MS,                                    \
-        .routing_wait_max = 1500 * BBL_USEC_PER_MS, .extra_limits = {         \
+        .routing_wait_max = 1500 * BBL_USEC_PER_MS,                           \
+        .permit_ttl = 300 * BBL_USEC_PER_MS, .extra_limits = {                \
             10 * BBL_USEC_PER_SEC,                                            \
             0.2,                                                              \
             50                                                                \
@@ -267,7 +279,10 @@
     uint64_t attempts_cancelled; /* after their query was finished */
     /* Attempts sent to servers that state a rate limit. */
     uint64_t attempts_limited;
-    bbl_histogram latency;       /* microseconds; OK and PARTIAL only */
+    uint64_t permit_requests;
+    uint64_t permits; /* granted */
+    uint64_t permits_refused;
+    bbl_histogram latency; /* microseconds; OK and PARTIAL only */
 } bbl_forward_counters;
 
 /*
@@ -289,6 +304,11 @@
      * counts as 1.
      */
     unsigned entry_hosts;
+    /* Whether the two fields below are set. */
+    bool has_limits;
+    bbl_observed_limit *limits; /* of servers, observed by any host */
+    size_t limit_count;
+    unsigned grantors; /* hosts that grant permits */
 } bbl_forward_update;
 
 void bbl_forward_update_free(bbl_forward_update *update);
@@ -334,6 +354,10 @@
  */
 void bbl_forwarder_finish_open(bbl_forwarder *forwarder, bbl_usec now);
 
+/* Processes the reply to a request for permits; a late one is ignored. */
+void bbl_forwarder_receive_permits(bbl_forwarder *forwarder, bbl_usec now,
+                                   const bbl_permit_reply *reply);
+
 /* Processes the result of an attempt that has ended, and frees the attempt. */
 void bbl_forwarder_complete_attempt(bbl_forwarder *forwarder, bbl_usec now,
                                     bbl_attempt *attempt,
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -7,6 +7,8 @@
 #ifndef BBL_FORWARD_FORWARDER_CORE_H
 #define BBL_FORWARD_FORWARDER_CORE_H
 
+#include "control/permit_book.h"
+#include "forward/placement.h"
 #include "forward/query.h"
 #include "util/rng.h"
 
@@ -38,6 +40,14 @@
     bbl_vec queries;
     /* bbl_attempt *, still in flight although their query is finished. */
     bbl_vec detached_attempts;
+    bbl_vec permit_requests; /* open_request, see permit.c; oldest first */
+    bbl_vec permit_items;    /* scratch: bbl_permit_item */
+    uint64_t last_permit_request;
+    unsigned grantors; /* hosts that grant permits */
+    /* The first request for permits since the last reply; 0 if none. */
+    bbl_usec permits_unanswered_since;
+    bbl_permit_book local_permits; /* while no grantor replies */
+    bool limits_known; /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_forward_counters counters;
 };
@@ -61,16 +71,20 @@
 /* Marks a server as down because it has not responded to its attempts. */
 void bbl_backend_mark_silent(bbl_forwarder *f, bbl_usec now, bbl_backend *b);
 
+/* Describes the next attempt at a shard to the choice of its server. */
+void bbl_attempt_fill_placement(bbl_placement_input *in, const bbl_query *q,
+                                const bbl_shard *s, bool hedge);
+
 /*
  * Returns the server for the next attempt at a shard, or NULL.
  *
  * @param hedge whether another attempt at the shard is already in flight
- * @param eligible set to the number of usable servers that were not tried,
- *                 including those without capacity
+ * @param eligible set to the number of usable servers that were not tried
  */
 bbl_backend *bbl_attempt_choose_backend(bbl_forwarder *f, bbl_usec now,
                                         const bbl_query *q, const bbl_shard *s,
-                                        bool hedge, size_t *eligible);
+                                        bool hedge,
+                                        bbl_placement_counts *eligible);
 
 /* Sends an attempt. Returns false if no connection is free. */
 bool bbl_attempt_send(bbl_forwarder *f, bbl_usec now, bbl_query *q,
@@ -88,6 +102,28 @@
                               const bbl_query *q, const bbl_shard *s,
                               const bbl_backend *b, bool hedge, bool stalled);
 
+/* ---- permit.c ---- */
+
+/* Returns an empty list of open requests. */
+bbl_vec bbl_permit_requests_init(void);
+
+/* Returns whether the reply to a request for permits may still come. */
+bool bbl_query_awaits_permits(const bbl_query *q, bbl_usec now);
+
+/* Requests permits for the shards that wish one, unless a reply is awaited. */
+void bbl_query_request_permits(bbl_forwarder *f, bbl_usec now, bbl_query *q);
+
+/* Forgets a query that is about to be freed. */
+void bbl_query_forget_permits(bbl_forwarder *f, const bbl_query *q);
+
+/* Forgets the requests whose permits would no longer be valid. */
+void bbl_forwarder_expire_permit_requests(bbl_forwarder *f, bbl_usec now);
+
+/* Applies the limits that other hosts have observed. */
+void bbl_forwarder_apply_limits(bbl_forwarder *f,
+                                const bbl_observed_limit *limits,
+                                size_t count);
+
 /* ---- answer.c ---- */
 
 /* Removes a query from the list of open queries, without freeing it. */
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -56,26 +56,37 @@
            penalties * penalty_unit + (b->same_zone ? 0 : detour) + opening;
 }
 
+bool
+bbl_placement_is_eligible(const bbl_placement_input *in, const bbl_backend *b,
+                          bbl_usec now)
+{
+    return bbl_backend_get_state(b, now) == BBL_BACKEND_USABLE &&
+           !was_tried(in, b);
+}
+
 bbl_backend *
 bbl_placement_choose(const bbl_placement_input *in,
                      bbl_backend *const *backends, size_t count, bbl_usec now,
                      bbl_placement_room_cb room, void *room_ctx, bbl_rng *rng,
-                     size_t *usable)
+                     bbl_placement_counts *counts)
 {
     bbl_backend *best = NULL;
     double best_cost = 0;
 
-    *usable = 0;
+    *counts = (bbl_placement_counts){0, 0};
     for (size_t i = 0; i < count; i++) {
         bbl_backend *b = backends[i];
         bbl_room free_room;
         double cost;
 
-        if (bbl_backend_get_state(b, now) != BBL_BACKEND_USABLE ||
-            was_tried(in, b)) {
+        if (!bbl_placement_is_eligible(in, b, now)) {
+            continue;
+        }
+        counts->usable++;
+        if (!bbl_rate_limit_may_send(&b->limit, now)) {
+            counts->limited++;
             continue;
         }
-        (*usable)++;
         free_room = room(room_ctx, b, now);
         if (free_room == BBL_ROOM_NONE ||
             (in->hedge && bbl_backend_is_stalled(b, now, in->stall_timeout))) {
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -36,16 +36,25 @@
                                           const bbl_backend *backend,
                                           bbl_usec now);
 
+/* The servers that were not tried yet, and may get work. */
+typedef struct {
+    size_t usable;  /* with or without capacity */
+    size_t limited; /* of these, without a permit that they need */
+} bbl_placement_counts;
+
 /*
  * Returns the server to use, or NULL.
  *
  * @param backends servers of the service
- * @param usable set to how many may get work, with or without capacity
  */
 bbl_backend *bbl_placement_choose(const bbl_placement_input *in,
                                   bbl_backend *const *backends, size_t count,
                                   bbl_usec now, bbl_placement_room_cb room,
                                   void *room_ctx, bbl_rng *rng,
-                                  size_t *usable);
+                                  bbl_placement_counts *counts);
+
+/* Returns whether a server may get this attempt, apart from its capacity. */
+bool bbl_placement_is_eligible(const bbl_placement_input *in,
+                               const bbl_backend *backend, bbl_usec now);
 
 #endif
--- a/src/forward/pools.c
+++ b/src/forward/pools.c
@@ -79,6 +79,7 @@
     bbl_pool *pool = bbl_pools_get(p, bbl_wire_label_str(&b->listed.service));
 
     bbl_map_remove(&p->backends, id_key(&b->listed));
+    bbl_map_remove(&p->keys, b->key);
     bbl_vec_swap_remove(&pool->backends,
                         bbl_vec_find_pointer(&pool->backends, b));
     b->listed.gone = TRUE;
@@ -93,9 +94,11 @@
     bbl_pool *pool = bbl_pools_get(p, bbl_wire_label_str(&listed->service));
 
     b->listed = *listed;
+    b->key = bbl_backend_get_key(listed);
     b->same_zone = bbl_str_equal(bbl_wire_name_str(&b->listed.zone),
                                  bbl_name_str(&p->zone));
     bbl_map_set(&p->backends, id_key(listed), b);
+    bbl_map_set(&p->keys, b->key, b);
     bbl_vec_push(&pool->backends, &b);
     p->added(p->ctx, b);
     return b;
@@ -210,5 +213,6 @@
     }
     bbl_map_free(&p->pools);
     bbl_map_free(&p->backends);
+    bbl_map_free(&p->keys);
     bbl_vec_free(&p->retired);
 }
--- a/src/forward/pools.h
+++ b/src/forward/pools.h
@@ -30,6 +30,7 @@
     bbl_name zone;    /* data centre of this host */
     bbl_map pools;    /* hash of the service name -> bbl_pool */
     bbl_map backends; /* hash of id -> bbl_backend */
+    bbl_map keys;     /* bbl_backend.key -> bbl_backend */
     bbl_vec retired;  /* bbl_backend *, no longer listed */
     /*
      * Called for each server that is added, removed or has changed its state;
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -43,9 +43,18 @@
     BBL_SHARD_FAILED
 } bbl_shard_state;
 
+/* Whether a shard waits for a permit, see permit.h. */
+typedef enum {
+    BBL_PERMIT_NONE,
+    BBL_PERMIT_USEFUL,  /* another server would do as well */
+    BBL_PERMIT_REQUIRED /* all its servers limit their request rate */
+} bbl_permit_wish;
+
 typedef struct {
     bbl_pool *pool;
     bbl_shard_state state;
+    bbl_permit_wish permit_wish;
+    bool limited;           /* failed because no server had a permit left */
     bbl_usec first_sent_at; /* when the first attempt was sent */
     unsigned attempts_sent;
     unsigned attempts_maybe_run; /* attempts that a server may have run */
@@ -76,6 +85,15 @@
     unsigned shards_answered;
     unsigned shards_failed;
 
+    uint64_t last_permit_request; /* 0 before the first one */
+    uint64_t permit_request;      /* the one not answered yet, or 0 */
+    bbl_usec permit_timeout_at;
+    /*
+     * Whether it asks for permits although other servers would do: a server
+     * tells that its limit is gone only in a response.
+     */
+    bool probes_limits;
+
     bool attempted;         /* whether any attempt was sent */
     bbl_vec attempts;       /* bbl_attempt *, in flight */
     bbl_vec signatures;     /* signature_span, private to query.c */
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -110,6 +110,7 @@
     free(u->backends);
     free(u->cold_until);
     free(u->evacuated_zones);
+    free(u->limits);
     free(u);
 }
 
@@ -212,6 +213,10 @@
                      u->backend_count, u->evacuated_zones,
                      u->evacuated_zone_count);
     u->backend_count = 0; /* owned by the pools now */
+    if (u->has_limits) {
+        f->grantors = u->grantors;
+        bbl_forwarder_apply_limits(f, u->limits, u->limit_count);
+    }
     update_slot_capacity(f);
     bbl_pools_confirm(&f->pools, now, f->list_read_at, f->options.list_lag);
     bbl_forwarder_activate_routing(f, now);
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -36,9 +36,18 @@
 /* A longer time between two ticks means that this thread was delayed. */
 #define THREAD_STALL_US (25 * BBL_USEC_PER_MS)
 
+/* A challenge that starts with these bytes, followed by random ones, announces
+ * that its sender also accepts the message kinds above BASE_KIND_MAX. Earlier
+ * builds send a wholly random challenge, and close a connection that carries a
+ * message of a kind unknown to them. */
+#define EXTENDED_KINDS_MARK "bblx-k15"
+#define EXTENDED_KINDS_MARK_BYTES 8
+#define BASE_KIND_MAX BBLX_TRANSFER
+
 /* A frame that the peer has not acknowledged. */
 typedef struct {
     bbl_usec queued_at;
+    bool extended; /* only for a peer that accepts extended kinds */
     bbl_buf bytes;
 } unacked_frame;
 
@@ -53,6 +62,7 @@
     bblx_address address;
     int fd;           /* -1: no connection */
     bool established; /* the challenge of the peer was received */
+    bool extended;    /* the peer accepts extended kinds; if established */
     uint8_t challenge[CHALLENGE_BYTES];
     bbl_buf input;
     bbl_buf output;
@@ -180,6 +190,18 @@
     l->mesh->counters.frames_sent++;
 }
 
+/* Drops a frame that this connection has not carried yet. */
+static void
+drop_unwritten_frame(outgoing_link *l, size_t at)
+{
+    unacked_frame *f = bbl_vec_at(&l->unacked, at);
+
+    l->unacked_bytes -= f->bytes.size;
+    bbl_buf_free(&f->bytes);
+    bbl_vec_remove(&l->unacked, at);
+    l->mesh->counters.dropped_frames++;
+}
+
 /* Appends the frames that this connection has not carried yet. */
 static void
 append_unwritten_frames(outgoing_link *l)
@@ -187,6 +209,10 @@
     while (l->established && l->unacked_written < l->unacked.size) {
         unacked_frame *f = bbl_vec_at(&l->unacked, l->unacked_written);
 
+        if (f->extended && !l->extended) {
+            drop_unwritten_frame(l, l->unacked_written);
+            continue;
+        }
         append_frame(l, bbl_buf_str(&f->bytes));
         l->unacked_written++;
     }
@@ -217,6 +243,8 @@
     memcpy(l->challenge, l->input.ptr, CHALLENGE_BYTES);
     bbl_buf_consume(&l->input, CHALLENGE_BYTES);
     l->established = true;
+    l->extended = memcmp(l->challenge, EXTENDED_KINDS_MARK,
+                         EXTENDED_KINDS_MARK_BYTES) == 0;
     append_unwritten_frames(l);
 }
 
@@ -323,7 +351,7 @@
               const bblx_message *message)
 {
     outgoing_link *l = get_outgoing_link(mesh, host, to, now);
-    unacked_frame f = {now, BBL_BUF_INIT};
+    unacked_frame f = {now, message->kind > BASE_KIND_MAX, BBL_BUF_INIT};
     bblx_frame frame;
 
     memset(&frame, 0, sizeof(frame));
@@ -567,6 +595,7 @@
     l->mesh = mesh;
     l->fd = peer;
     randombytes_buf(l->challenge, CHALLENGE_BYTES);
+    memcpy(l->challenge, EXTENDED_KINDS_MARK, EXTENDED_KINDS_MARK_BYTES);
     if (send(peer, l->challenge, CHALLENGE_BYTES, MSG_NOSIGNAL) !=
             CHALLENGE_BYTES ||
         bbl_loop_watch(mesh->loop, peer, EPOLLIN, incoming_ready, l) != 0) {
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/permit_book.h"
 #include "util/alloc.h"
 #include "util/rng.h"
 #include "util/vec.h"
@@ -11,6 +12,25 @@
 #define TIME_LEFT_MS 800
 #define REFUSAL_MAX_US (30 * BBL_USEC_PER_MS)
 
+/* Time until a control host has received a request for permits. */
+#define CONTROL_DELAY_US (2 * BBL_USEC_PER_MS)
+/* Time until all hosts know what one has observed. */
+#define FEED_DELAY_US (300 * BBL_USEC_PER_MS)
+
+/* A request for permits on its way to a control host. */
+typedef struct {
+    bbl_usec due_at;
+    unsigned host;
+    unsigned grantor;
+    bblx_permit_request request; /* items owned */
+} fleet_permit_request;
+
+/* A limit on its way to all hosts. */
+typedef struct {
+    bbl_usec due_at;
+    bbl_observed_limit limit;
+} fleet_limit;
+
 /* One request of a caller. */
 typedef struct {
     bbl_usec sent_at;
@@ -25,6 +45,13 @@
     forward_sim_server **servers;                /* by host and server */
     bbl_vec arrivals[FORWARD_FLEET_SERVERS_MAX]; /* bbl_usec */
     bbl_vec calls;                               /* fleet_call */
+    bbl_permit_book books[FORWARD_FLEET_GRANTORS];
+    bool stopped[FORWARD_FLEET_GRANTORS];
+    bool *cut; /* by host */
+    unsigned next_grantor;
+    bbl_vec permit_requests; /* fleet_permit_request */
+    bbl_vec limits;          /* fleet_limit */
+    uint64_t last_serial;
     bbl_rng rng;
     double due; /* requests to send, a fraction */
 };
@@ -47,11 +74,121 @@
     }
 }
 
+static unsigned
+find_host(const forward_fleet *f, const forward_sim *sim)
+{
+    unsigned i = 0;
+
+    while (f->hosts[i] != sim) {
+        i++;
+    }
+    return i;
+}
+
+static void
+on_publish_limit(void *ctx, forward_sim *sim, const bbl_observed_limit *limit)
+{
+    forward_fleet *f = ctx;
+    fleet_limit l = {forward_sim_get_time(sim) + FEED_DELAY_US, *limit};
+
+    if (!f->cut[find_host(f, sim)]) {
+        l.limit.serial = ++f->last_serial;
+        bbl_vec_push(&f->limits, &l);
+    }
+}
+
+static void
+on_request_permits(void *ctx, forward_sim *sim,
+                   const bbl_permit_request *request)
+{
+    forward_fleet *f = ctx;
+    fleet_permit_request r;
+
+    memset(&r, 0, sizeof(r));
+    r.due_at = forward_sim_get_time(sim) + CONTROL_DELAY_US;
+    r.host = find_host(f, sim);
+    r.grantor = f->next_grantor++ % FORWARD_FLEET_GRANTORS;
+    r.request.number = request->number;
+    r.request.urgent = request->urgent;
+    r.request.needed = request->needed;
+    r.request.items.items_len = (u_int)request->item_count;
+    r.request.items.items_val =
+        bbl_calloc(request->item_count, sizeof(bblx_permit_item));
+    for (size_t i = 0; i < request->item_count; i++) {
+        bblx_permit_item *item = &r.request.items.items_val[i];
+
+        item->server = request->items[i].server;
+        item->group = request->items[i].group;
+        item->rate = (u_int)(request->items[i].rate * 1000);
+    }
+    bbl_vec_push(&f->permit_requests, &r);
+}
+
+/* Lets a control host answer a request for permits. */
+static void
+answer_permit_request(forward_fleet *f, const fleet_permit_request *r)
+{
+    u_int n = r->request.items.items_len;
+    bblx_permit_result *granted = bbl_calloc(n, sizeof(*granted));
+    bbl_permit_result *results = bbl_calloc(n, sizeof(*results));
+    bbl_permit_reply reply = {r->request.number, results, n};
+
+    bbl_permit_book_grant(granted, &f->books[r->grantor], r->due_at,
+                          FORWARD_FLEET_GRANTORS, &r->request);
+    for (u_int i = 0; i < n; i++) {
+        results[i] = (bbl_permit_result){granted[i].server, granted[i].granted,
+                                         granted[i].wait_us};
+    }
+    forward_sim_receive_permits(f->hosts[r->host], &reply);
+    free(results);
+    free(granted);
+}
+
+static void
+deliver(forward_fleet *f)
+{
+    bbl_usec now = forward_fleet_get_time(f);
+
+    for (size_t i = 0; i < f->permit_requests.size;) {
+        fleet_permit_request r =
+            *BBL_VEC_AT(fleet_permit_request, &f->permit_requests, i);
+
+        if (r.due_at > now) {
+            i++;
+            continue;
+        }
+        bbl_vec_remove(&f->permit_requests, i);
+        if (!f->cut[r.host] && !f->stopped[r.grantor]) {
+            answer_permit_request(f, &r);
+        }
+        free(r.request.items.items_val);
+    }
+    while (f->limits.size > 0 &&
+           BBL_VEC_AT(fleet_limit, &f->limits, 0)->due_at <= now) {
+        fleet_limit l = *BBL_VEC_AT(fleet_limit, &f->limits, 0);
+
+        bbl_vec_remove(&f->limits, 0);
+        for (unsigned i = 0; i < f->host_count; i++) {
+            if (!f->cut[i]) {
+                forward_sim_update_limits(f->hosts[i], &l.limit, 1,
+                                          FORWARD_FLEET_GRANTORS);
+            }
+        }
+    }
+}
+
 forward_fleet *
 forward_fleet_new(unsigned hosts)
 {
     forward_fleet *f = bbl_calloc(1, sizeof(*f));
+    forward_sim_control control = {on_publish_limit, on_request_permits, f};
 
+    f->cut = bbl_calloc(hosts, sizeof(*f->cut));
+    f->permit_requests = (bbl_vec)BBL_VEC_INIT(fleet_permit_request);
+    f->limits = (bbl_vec)BBL_VEC_INIT(fleet_limit);
+    for (unsigned i = 0; i < FORWARD_FLEET_GRANTORS; i++) {
+        bbl_permit_book_init(&f->books[i], 0);
+    }
     f->host_count = hosts;
     f->hosts = bbl_calloc(hosts, sizeof(*f->hosts));
     f->servers =
@@ -64,6 +201,7 @@
     for (unsigned i = 0; i < hosts; i++) {
         f->hosts[i] = forward_sim_new(hosts);
         forward_sim_set_arrival_callback(f->hosts[i], on_arrival, f);
+        forward_sim_set_control(f->hosts[i], &control);
     }
     return f;
 }
@@ -77,7 +215,17 @@
     for (unsigned i = 0; i < FORWARD_FLEET_SERVERS_MAX; i++) {
         bbl_vec_free(&f->arrivals[i]);
     }
+    for (unsigned i = 0; i < FORWARD_FLEET_GRANTORS; i++) {
+        bbl_permit_book_free(&f->books[i]);
+    }
+    for (size_t i = 0; i < f->permit_requests.size; i++) {
+        free(BBL_VEC_AT(fleet_permit_request, &f->permit_requests, i)
+                 ->request.items.items_val);
+    }
+    bbl_vec_free(&f->permit_requests);
+    bbl_vec_free(&f->limits);
     bbl_vec_free(&f->calls);
+    free(f->cut);
     free(f->servers);
     free(f->hosts);
     free(f);
@@ -110,6 +258,26 @@
     }
 }
 
+void
+forward_fleet_cut_host(forward_fleet *f, unsigned host, bool cut)
+{
+    f->cut[host] = cut;
+}
+
+void
+forward_fleet_restart_grantor(forward_fleet *f, unsigned grantor)
+{
+    bbl_permit_book_free(&f->books[grantor]);
+    bbl_permit_book_init(&f->books[grantor], forward_fleet_get_time(f));
+}
+
+void
+forward_fleet_stop_grantor(forward_fleet *f, unsigned grantor, bool stopped)
+{
+    f->stopped[grantor] = stopped;
+    forward_fleet_restart_grantor(f, grantor);
+}
+
 forward_sim *
 forward_fleet_get_host(forward_fleet *f, unsigned host)
 {
@@ -140,6 +308,7 @@
         for (unsigned i = 0; i < f->host_count; i++) {
             forward_sim_run(f->hosts[i], STEP_US);
         }
+        deliver(f);
     }
 }
 
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -8,6 +8,7 @@
 #include "support/forward_sim.h"
 
 #define FORWARD_FLEET_SERVERS_MAX 64
+#define FORWARD_FLEET_GRANTORS 5
 
 typedef struct forward_fleet forward_fleet;
 
@@ -30,6 +31,16 @@
 void forward_fleet_set_limit(forward_fleet *fleet, unsigned server,
                              double rate);
 
+/* Cuts a host off from the control hosts, or ends the cut. */
+void forward_fleet_cut_host(forward_fleet *fleet, unsigned host, bool cut);
+
+/* Restarts a control host, of which there are FORWARD_FLEET_GRANTORS. */
+void forward_fleet_restart_grantor(forward_fleet *fleet, unsigned grantor);
+
+/* Stops a control host, or starts it again. */
+void forward_fleet_stop_grantor(forward_fleet *fleet, unsigned grantor,
+                                bool stopped);
+
 /* Returns the simulation of one host. */
 forward_sim *forward_fleet_get_host(forward_fleet *fleet, unsigned host);
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -38,6 +38,7 @@
     const char *violation; /* the first one, or NULL */
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now);
     void *arrived_ctx;
+    forward_sim_control control;
 };
 
 /* Records the first violated guarantee. */
@@ -245,6 +246,29 @@
     (void)backend;
 }
 
+static void
+on_publish_rate_limit(void *ctx, const bbl_backend *backend)
+{
+    forward_sim *sim = ctx;
+    bbl_observed_limit limit = {backend->key, 0, backend->limit.limited,
+                                backend->limit.rate};
+
+    if (sim->control.publish_limit != NULL) {
+        sim->control.publish_limit(sim->control.ctx, sim, &limit);
+    }
+}
+
+static void
+on_request_permits(void *ctx, const bbl_permit_request *request)
+{
+    forward_sim *sim = ctx;
+
+    require(sim, request->item_count > 0, "permits for no server");
+    if (sim->control.request_permits != NULL) {
+        sim->control.request_permits(sim->control.ctx, sim, request);
+    }
+}
+
 static void
 on_changed(void *ctx, bbl_backend *backend, bbl_backend_state before)
 {
@@ -370,6 +394,8 @@
     o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
     o.port.rate_limit_reported = on_rate_limit_reported;
+    o.port.publish_rate_limit = on_publish_rate_limit;
+    o.port.request_permits = on_request_permits;
     o.port.ctx = sim;
     bbl_forwarder_new(&sim->forwarder, &o);
     bbl_forwarder_confirm_routing(sim->forwarder, UINT64_MAX);
@@ -508,6 +534,33 @@
     sim->arrived_ctx = ctx;
 }
 
+void
+forward_sim_set_control(forward_sim *sim, const forward_sim_control *control)
+{
+    sim->control = *control;
+}
+
+void
+forward_sim_receive_permits(forward_sim *sim, const bbl_permit_reply *reply)
+{
+    bbl_forwarder_receive_permits(sim->forwarder, sim->now, reply);
+}
+
+void
+forward_sim_update_limits(forward_sim *sim, const bbl_observed_limit *limits,
+                          size_t count, unsigned grantors)
+{
+    bbl_forward_update *u = bbl_calloc(1, sizeof(*u));
+
+    u->list_read_at = sim->list_read_at;
+    u->entry_hosts = sim->entry_hosts;
+    u->has_limits = true;
+    u->limits = (void *)bbl_memdup(limits, count * sizeof(*limits));
+    u->limit_count = count;
+    u->grantors = grantors;
+    bbl_forwarder_update(sim->forwarder, sim->now, u);
+}
+
 void
 forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -112,6 +112,28 @@
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now),
     void *ctx);
 
+/* How the simulated host reaches the control hosts. */
+typedef struct {
+    void (*publish_limit)(void *ctx, forward_sim *sim,
+                          const bbl_observed_limit *limit);
+    void (*request_permits)(void *ctx, forward_sim *sim,
+                            const bbl_permit_request *request);
+    void *ctx;
+} forward_sim_control;
+
+/* Connects the host to control hosts; without, it gets no permit. */
+void forward_sim_set_control(forward_sim *sim,
+                             const forward_sim_control *control);
+
+/* Passes a reply to the forwarder. */
+void forward_sim_receive_permits(forward_sim *sim,
+                                 const bbl_permit_reply *reply);
+
+/* Passes the limits that other hosts have observed to the forwarder. */
+void forward_sim_update_limits(forward_sim *sim,
+                               const bbl_observed_limit *limits, size_t count,
+                               unsigned grantors);
+
 /* Sets the measured round trip time to the callers of further requests. */
 void forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip);
 
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -203,7 +203,7 @@
 {
     bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0};
     unsigned n = 0;
-    size_t usable;
+    bbl_placement_counts usable;
 
     for (int i = 0; i < 100; i++) {
         n += bbl_placement_choose(&in, p->list, 2, now, room_except_ctx, NULL,
@@ -228,7 +228,7 @@
 {
     pair p;
     bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
-    size_t usable;
+    bbl_placement_counts usable;
 
     init_pair(&p);
     for (int i = 0; i < 100; i++) {
@@ -252,7 +252,7 @@
     pair p;
     bbl_placement_input in = {
         .service_time = 15 * MS, .stall_timeout = 30 * MS, .target = 200 * MS};
-    size_t usable;
+    bbl_placement_counts usable;
 
     init_pair(&p);
     p.servers[1].same_zone = false;
@@ -318,23 +318,23 @@
 {
     pair p;
     bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
-    size_t usable;
+    bbl_placement_counts usable;
 
     init_pair(&p);
     p.servers[0].listed.leaving = TRUE;
     p.servers[1].cold_until = 2 * SEC;
     ck_assert_ptr_null(bbl_placement_choose(
         &in, p.list, 2, SEC, room_except_ctx, NULL, &p.rng, &usable));
-    ck_assert_uint_eq(usable, 0);
+    ck_assert_uint_eq(usable.usable, 0);
     ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, 2 * SEC,
                                           room_except_ctx, NULL, &p.rng,
                                           &usable),
                      p.list[1]);
-    ck_assert_uint_eq(usable, 1);
+    ck_assert_uint_eq(usable.usable, 1);
     /* A server without capacity still counts as usable. */
     ck_assert_ptr_null(bbl_placement_choose(
         &in, p.list, 2, 2 * SEC, room_except_ctx, p.list[1], &p.rng, &usable));
-    ck_assert_uint_eq(usable, 1);
+    ck_assert_uint_eq(usable.usable, 1);
 }
 END_TEST
 
--- /dev/null
+++ b/tests/test_mesh.c
@@ -0,0 +1,146 @@
+#include <string.h>
+
+#include "net/mesh.h"
+#include "support/run.h"
+#include "support/tcp.h"
+#include "util/clock.h"
+
+#define MS BBL_USEC_PER_MS
+#define CHALLENGE_BYTES 16
+
+typedef struct {
+    bbl_loop *loop;
+    bbl_mesh *mesh;
+    unsigned feeds;   /* BBLX_FEED messages received */
+    unsigned permits; /* BBLX_PERMIT_REQUEST messages received */
+} peer;
+
+static void
+on_receive(void *ctx, uint32_t from, uint64_t incarnation,
+           const bblx_message *m)
+{
+    peer *p = ctx;
+
+    (void)from;
+    (void)incarnation;
+    p->feeds += m->kind == BBLX_FEED;
+    p->permits += m->kind == BBLX_PERMIT_REQUEST;
+}
+
+static bblx_address
+open_peer(peer *p, bbl_loop *loop, uint32_t host)
+{
+    bbl_mesh_options o;
+
+    memset(&o, 0, sizeof(o));
+    o.host = host;
+    o.incarnation = 1;
+    bbl_name_set(&o.cluster, "test", 4);
+    o.listen_address = tcp_free_address();
+    o.ack_timeout = 150 * MS;
+    o.frame_ttl = 300 * MS;
+    o.receive = on_receive;
+    o.ctx = p;
+    memset(p, 0, sizeof(*p));
+    p->loop = loop;
+    ck_assert_int_eq(bbl_mesh_open(&p->mesh, loop, &o), 0);
+    return o.listen_address;
+}
+
+static void
+send_message(peer *p, uint32_t host, bblx_address to, bblx_kind kind)
+{
+    bblx_message m;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = kind;
+    bbl_mesh_send(p->mesh, bbl_clock_now(), host, to, &m);
+}
+
+static void
+run(peer *a, peer *b, unsigned turns)
+{
+    for (unsigned i = 0; i < turns; i++) {
+        bbl_loop_run_once(a->loop, 5 * MS);
+        bbl_mesh_tick(a->mesh, bbl_clock_now());
+        if (b != NULL) {
+            bbl_mesh_tick(b->mesh, bbl_clock_now());
+        }
+    }
+}
+
+START_TEST(extended_kinds_reach_a_peer_that_announces_them)
+{
+    bbl_loop *loop;
+    peer a;
+    peer b;
+    bblx_address to;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    open_peer(&a, loop, 1);
+    to = open_peer(&b, loop, 2);
+    send_message(&a, 2, to, BBLX_FEED);
+    send_message(&a, 2, to, BBLX_PERMIT_REQUEST);
+    run(&a, &b, 10);
+    send_message(&a, 2, to, BBLX_PERMIT_REQUEST);
+    run(&a, &b, 10);
+    ck_assert_uint_eq(b.feeds, 1);
+    ck_assert_uint_eq(b.permits, 2);
+    bbl_mesh_free(a.mesh);
+    bbl_mesh_free(b.mesh);
+    bbl_loop_free(loop);
+}
+END_TEST
+
+/*
+ * An earlier build would close the connection, and with it lose the heartbeats
+ * that it carries.
+ */
+START_TEST(extended_kinds_are_not_sent_to_earlier_builds)
+{
+    static const char challenge[CHALLENGE_BYTES] = "0123456789abcdef";
+    bbl_loop *loop;
+    peer a;
+    bblx_address to;
+    int listener = tcp_listen(&to);
+    int fd;
+    char received[65536];
+    ssize_t size;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    open_peer(&a, loop, 1);
+    send_message(&a, 2, to, BBLX_PERMIT_REQUEST);
+    send_message(&a, 2, to, BBLX_FEED);
+    send_message(&a, 2, to, BBLX_PERMIT_REQUEST);
+    run(&a, NULL, 2);
+    fd = accept(listener, NULL, NULL);
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(send(fd, challenge, CHALLENGE_BYTES, 0), CHALLENGE_BYTES);
+    run(&a, NULL, 5);
+    send_message(&a, 2, to, BBLX_PERMIT_REQUEST);
+    run(&a, NULL, 5);
+    size = recv(fd, received, sizeof(received), MSG_DONTWAIT);
+    /* One frame: its record mark states the rest of the bytes. */
+    ck_assert_int_gt(size, 4);
+    ck_assert_uint_eq(((uint8_t)received[2] << 8) + (uint8_t)received[3],
+                      (unsigned)size - 4);
+    ck_assert_uint_eq(bbl_mesh_get_counters(a.mesh)->frames_sent, 1);
+    ck_assert_uint_eq(bbl_mesh_get_counters(a.mesh)->dropped_frames, 3);
+    close(fd);
+    close(listener);
+    bbl_mesh_free(a.mesh);
+    bbl_loop_free(loop);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *s = suite_create("mesh");
+    TCase *tc = tcase_create("kinds");
+
+    tcase_add_test(tc, extended_kinds_reach_a_peer_that_announces_them);
+    tcase_add_test(tc, extended_kinds_are_not_sent_to_earlier_builds);
+    suite_add_tcase(s, tc);
+    return run_suite(s);
+}
