A host grants itself permits only after several requests without a reply

Cause: one request for permits whose reply was lost made a host believe, at its next request seconds later, that there are no grantors; it then used its own share as well as their permits. Ruled out: hosts that were not told (all had the limit, BBL4004), the bursts of the grantors (15.5 at most at that rate). Test one_lost_reply_gives_no_permit failed before and passes.

--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -44,7 +44,8 @@
     bbl_vec permit_items;    /* scratch: bbl_permit_item */
     uint64_t last_permit_request;
     unsigned grantors; /* hosts that grant permits */
-    /* The first request for permits since the last reply; 0 if none. */
+    /* Requests for permits since the last reply, and when the first was. */
+    unsigned permits_unanswered;
     bbl_usec permits_unanswered_since;
     bbl_permit_book local_permits; /* while no grantor replies */
     bool limits_known; /* whether some server limits its request rate */
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -260,6 +260,32 @@
 }
 END_TEST
 
+/*
+ * A request for permits without a reply is followed by none for seconds: that
+ * does not mean that there are no grantors.
+ */
+START_TEST(one_lost_reply_gives_no_permit)
+{
+    forward_fleet *f = forward_fleet_new(2);
+    unsigned before;
+
+    add_servers(f, "one", 1);
+    forward_fleet_install_routing(f, routing);
+    forward_fleet_set_limit(f, 0, 10);
+    forward_fleet_run(f, 2 * SECOND, 20, "/one/x");
+    for (unsigned i = 0; i < FORWARD_FLEET_GRANTORS; i++) {
+        forward_fleet_stop_grantor(f, i, true);
+    }
+    before = forward_fleet_count_arrivals(f, 0, 0);
+    for (unsigned i = 0; i < 2; i++) {
+        forward_sim_send_request(forward_fleet_get_host(f, 0), "/one/x", 800);
+        forward_fleet_run(f, 4 * SECOND, 0, "/one/x");
+    }
+    ck_assert_uint_eq(forward_fleet_count_arrivals(f, 0, 0), before);
+    forward_fleet_free(f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -278,6 +304,7 @@
     tcase_add_test(tc, service_recovers_when_all_its_limits_end);
     tcase_add_test(tc, limits_hold_while_control_hosts_restart);
     tcase_add_test(tc, limits_hold_without_control_hosts);
+    tcase_add_test(tc, one_lost_reply_gives_no_permit);
     suite_add_tcase(s, tc);
     sr = srunner_create(s);
     srunner_run_all(sr, CK_NORMAL);
