Log servers that end while they run a request, with a fingerprint of it

Every copy of a request has a new id, and a broken connection did not tell whether the server had ended, so the hypotheses of the incident could not be told apart. A fingerprint of what is asked for is logged with each request, and BBL4005 when a server ended while it ran one: its connection broke and no new one could be opened within a second. No request is handled differently.

--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -73,6 +73,9 @@
     bbl_metrics_append_counter(out, "abandoned_total",
                                "attempts ended by their connection",
                                c->attempts_cancelled);
+    bbl_metrics_append_counter(out, "servers_ended_total",
+                               "servers that ended while they ran an attempt",
+                               c->servers_ended);
     bbl_metrics_append_counter(out, "limited_attempts_total",
                                "attempts sent to rate limited servers",
                                c->attempts_limited);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <ck_pr.h>
+#include <sodium.h>
 
 #include "bbl/errors.h"
 #include "control/permit_book.h"
@@ -248,7 +249,7 @@
         "id=%.*s outcome=%s status=%u route=%.*s routing=%llu "
         "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
         "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
-        "usable=%u server=%s detail=\"%s\"",
+        "usable=%u server=%s fingerprint=%016llx detail=\"%s\"",
         (int)r->request_id.size, r->request_id.ptr,
         bbl_forward_reason_name(r->reason), r->status,
         r->route ? (int)r->route->name.size : 0,
@@ -261,7 +262,7 @@
         (int)r->service.size, r->service.ptr ? r->service.ptr : "", r->servers,
         r->usable_servers,
         r->service.size > 0 ? bbl_backend_state_name(r->unusable_state) : "",
-        detail);
+        (unsigned long long)r->fingerprint, detail);
 }
 
 static void
@@ -387,8 +388,44 @@
                                  took);
 }
 
+static void
+on_server_ended(void *ctx, const bbl_broken_attempt *a)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_SERVER_ENDED,
+            "id=%s fingerprint=%016llx server_key=%016llx", a->request_id,
+            (unsigned long long)a->fingerprint, (unsigned long long)a->server);
+}
+
 /* ---- calls ---- */
 
+/*
+ * Returns a fingerprint of what a request asks for. The hash withstands a
+ * search for a second request with the fingerprint of another one.
+ */
+static uint64_t
+compute_fingerprint(const bbl_edge_call *call)
+{
+    uint8_t hash[crypto_generichash_BYTES_MIN];
+    crypto_generichash_state state;
+    bbl_str parts[] = {call->hostname, call->method, call->target,
+                       bbl_buf_str(&call->message->body)};
+    uint64_t fingerprint;
+
+    crypto_generichash_init(&state, NULL, 0, sizeof(hash));
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        uint64_t size = parts[i].size;
+
+        crypto_generichash_update(&state, (const uint8_t *)&size,
+                                  sizeof(size));
+        crypto_generichash_update(&state, (const uint8_t *)parts[i].ptr,
+                                  parts[i].size);
+    }
+    crypto_generichash_final(&state, hash, sizeof(hash));
+    memcpy(&fingerprint, hash, sizeof(fingerprint));
+    return fingerprint;
+}
+
 static void
 on_caller_request(void *ctx, bbl_edge_call *call)
 {
@@ -404,6 +441,7 @@
     r.hostname = call->hostname;
     r.path = call->path;
     r.request_id = head.request_id;
+    r.fingerprint = compute_fingerprint(call);
     r.first_on_connection = call->first_on_connection;
     r.has_time_left = head.has_time_left;
     r.time_left_ms = head.time_left_ms;
@@ -582,6 +620,7 @@
     f.port.server_removed = on_server_removed;
     f.port.server_changed = on_server_changed;
     f.port.rate_limit_reported = on_rate_limit_reported;
+    f.port.server_ended = on_server_ended;
     f.port.publish_rate_limit = publish_rate_limit;
     f.port.request_permits = request_permits;
     f.permit_ttl = BBL_PERMIT_TTL_US;
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -135,6 +135,7 @@
     r.status = status;
     r.routing_version = bbl_forwarder_get_routing_version(f);
     r.elapsed = now - request->arrived_at;
+    r.fingerprint = request->fingerprint;
     if (status == BBL_STATUS_UNAVAILABLE) {
         r.retry_after_ms =
             NO_ROUTING_RETRY_MS +
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -460,6 +460,10 @@
     }
     bbl_vec_swap_remove(&q->attempts, bbl_vec_find_pointer(&q->attempts, a));
     a->shard->in_flight--;
+    if (r->outcome == BBL_ATTEMPT_BROKEN && q->request.fingerprint != 0) {
+        bbl_crash_watch_add(&f->crash_watch, now, a->backend->key,
+                            q->request.fingerprint, q->request.request_id);
+    }
     count_response(now, q);
     if (m == RESULT_USABLE) {
         receive_part(f, now, q, a, r, &head);
@@ -470,6 +474,15 @@
     free(a);
 }
 
+static void
+on_server_ended(void *ctx, const bbl_broken_attempt *attempt)
+{
+    bbl_forwarder *f = ctx;
+
+    f->counters.servers_ended++;
+    f->options.port.server_ended(f->options.port.ctx, attempt);
+}
+
 void
 bbl_forwarder_record_connect(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
                              bool ok, bbl_usec duration)
@@ -483,4 +496,6 @@
         bbl_backend_record_connect_failure(b, now, duration);
     }
     report_state_change(f, now, b, before);
+    bbl_crash_watch_resolve(&f->crash_watch, now, b->key, ok, on_server_ended,
+                            f);
 }
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -456,6 +456,7 @@
     q->attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
     q->signatures = (bbl_vec){NULL, 0, 0, 2 * sizeof(size_t)};
     q->record.request_id = request->request_id;
+    q->record.fingerprint = request->fingerprint;
     q->record.route = route;
     q->record.routing_version = bbl_routing_version(f->table->routing);
     bbl_top_records_init(&q->top_records, route->top_k);
@@ -598,6 +599,7 @@
     f->rng.state = options->seed;
     f->queries = (bbl_vec)BBL_VEC_INIT(bbl_query *);
     f->detached_attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
+    bbl_crash_watch_init(&f->crash_watch);
     f->permit_requests = bbl_permit_requests_init();
     f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
     bbl_permit_book_init(&f->local_permits, 0);
@@ -638,6 +640,7 @@
     bbl_map_free(&f->timings);
     bbl_vec_free(&f->queries);
     bbl_vec_free(&f->detached_attempts);
+    bbl_crash_watch_free(&f->crash_watch);
     bbl_vec_free(&f->permit_requests);
     bbl_vec_free(&f->permit_items);
     bbl_permit_book_free(&f->local_permits);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -21,6 +21,7 @@
 
 #include "bbl/routing.h"
 #include "forward/backend.h"
+#include "forward/crash_watch.h"
 #include "forward/dialect.h"
 #include "forward/extra_budget.h"
 #include "forward/permit.h"
@@ -44,6 +45,12 @@
     bbl_str hostname;
     bbl_str path;
     bbl_str request_id;
+    /*
+     * Hash of all that tells what the servers are to run: the host name,
+     * method, target and body. The same for each repetition by any caller; 0
+     * if unknown.
+     */
+    uint64_t fingerprint;
     /* Whether it is the first request on the caller's connection. */
     bool first_on_connection;
     /* Whether the request states how long its caller waits for the answer. */
@@ -138,6 +145,7 @@
     unsigned hedges;
     unsigned retries;
     uint32_t retry_after_ms; /* retry time in the answer; 0 if none */
+    uint64_t fingerprint;
     /*
      * Service of the first unanswered shard without a usable server, or of the
      * first unanswered shard if all of them have one. Empty if there is none.
@@ -215,6 +223,8 @@
      * backend->limit are reset afterwards.
      */
     void (*rate_limit_reported)(void *ctx, const bbl_backend *backend);
+    /* Reports that a server has ended while it ran an attempt. */
+    void (*server_ended)(void *ctx, const bbl_broken_attempt *attempt);
     /* Tells the other hosts what a server states now. */
     void (*publish_rate_limit)(void *ctx, const bbl_backend *backend);
     /*
@@ -277,6 +287,7 @@
     /* How often an extra attempt was due while the budget was used up. */
     uint64_t attempts_over_budget;
     uint64_t attempts_cancelled; /* after their query was finished */
+    uint64_t servers_ended;      /* while they ran an attempt of this host */
     /* Attempts sent to servers that state a rate limit. */
     uint64_t attempts_limited;
     uint64_t permit_requests;
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -78,6 +78,8 @@
     X(RATE_LIMIT, 4004, INFO, "rate-limit",                                   \
       "a backend server limits the requests of all hosts together, or no "    \
       "longer does")                                                          \
+    X(SERVER_ENDED, 4005, WARN, "server-ended",                               \
+      "a backend server has ended while it ran a request")                    \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -246,6 +246,13 @@
     (void)backend;
 }
 
+static void
+on_server_ended(void *ctx, const bbl_broken_attempt *attempt)
+{
+    require(ctx, attempt->fingerprint != 0,
+            "a crash is reported without a fingerprint");
+}
+
 static void
 on_publish_rate_limit(void *ctx, const bbl_backend *backend)
 {
@@ -394,6 +401,7 @@
     o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
     o.port.rate_limit_reported = on_rate_limit_reported;
+    o.port.server_ended = on_server_ended;
     o.port.publish_rate_limit = on_publish_rate_limit;
     o.port.request_permits = on_request_permits;
     o.port.ctx = sim;
