--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -312,6 +312,17 @@
     }
 }
 
+void
+forward_fleet_reconnect(forward_fleet *f)
+{
+    for (unsigned i = 0; i < f->host_count; i++) {
+        for (unsigned k = 0; k < f->server_count; k++) {
+            forward_sim_record_connect(f->hosts[i], get_server(f, i, k), true);
+        }
+        forward_sim_update_list(f->hosts[i], NULL);
+    }
+}
+
 bbl_usec
 forward_fleet_get_time(const forward_fleet *f)
 {
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -53,6 +53,9 @@
 void forward_fleet_run(forward_fleet *fleet, bbl_usec time, double per_s,
                        const char *path);
 
+/* Lets all hosts connect to all servers, and read a new list of them. */
+void forward_fleet_reconnect(forward_fleet *fleet);
+
 /* Returns the current time. */
 bbl_usec forward_fleet_get_time(const forward_fleet *fleet);
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -8,7 +8,8 @@
 #include "platform/dialect.h"
 #include "util/alloc.h"
 
-#define STEP_US 500      /* interval between ticks */
+#define STEP_US 500 /* interval between ticks */
+#define CRASH_FINGERPRINT 0x4372617368ull
 #define LINK_STEP_US 100 /* the same, while the link is narrow */
 
 /* An attempt in flight at a server. */
@@ -39,6 +40,7 @@
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now);
     void *arrived_ctx;
     forward_sim_control control;
+    const char *crash_path; /* NULL if no request ends its servers */
 };
 
 /* Records the first violated guarantee. */
@@ -89,7 +91,7 @@
     x = bbl_vec_add(&sim->exchanges);
     x->attempt = attempt;
     x->server = s;
-    x->mode = s->mode;
+    x->mode = sim->calls[call].crashes && runs ? SERVER_BREAKS : s->mode;
     x->call = call;
     x->ends = sim->now + (runs ? s->work : 1000);
     if (s->paused_until > sim->now) {
@@ -338,6 +340,10 @@
     }
     x->server->in_use--;
     bbl_forwarder_complete_attempt(sim->forwarder, sim->now, x->attempt, &r);
+    if (sim->calls[x->call].crashes && x->mode == SERVER_BREAKS &&
+        x->server->backend != NULL) {
+        forward_sim_record_connect(sim, x->server, false);
+    }
 }
 
 /* Returns the due exchange that ended first, or SIZE_MAX. */
@@ -524,6 +530,9 @@
     r.hostname = (bbl_str){"a.example", 9};
     r.path = (bbl_str){path, strlen(path)};
     r.request_id = (bbl_str){sim->ids[n], strlen(sim->ids[n])};
+    sim->calls[n].crashes =
+        sim->crash_path != NULL && strcmp(path, sim->crash_path) == 0;
+    r.fingerprint = sim->calls[n].crashes ? CRASH_FINGERPRINT : n + 1;
     r.has_time_left = time_left_ms > 0;
     r.time_left_ms = time_left_ms;
     r.arrived_at = sim->now - delay;
@@ -542,6 +551,12 @@
     sim->arrived_ctx = ctx;
 }
 
+void
+forward_sim_set_crash_path(forward_sim *sim, const char *path)
+{
+    sim->crash_path = path;
+}
+
 void
 forward_sim_set_control(forward_sim *sim, const forward_sim_control *control)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -54,6 +54,7 @@
     unsigned missing;
     uint32_t retry_after_ms;
     bbl_usec answered_at;      /* when it was answered */
+    bool crashes;              /* ends each server that runs it */
     unsigned runs;             /* runs of this request, on all servers */
     uint32_t time_left_max_ms; /* greatest time left that a server was given */
     bbl_forward_reason reason;
@@ -112,6 +113,12 @@
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now),
     void *ctx);
 
+/*
+ * Makes each server that runs a request of this path end after its work: its
+ * connection breaks, and the next one is refused. `path` is borrowed.
+ */
+void forward_sim_set_crash_path(forward_sim *sim, const char *path);
+
 /* How the simulated host reaches the control hosts. */
 typedef struct {
     void (*publish_limit)(void *ctx, forward_sim *sim,
