A request under which servers end again and again is refused

Cause: nothing remembers under which request a server has ended; every copy has a new id and is a first attempt. Class: state that only one host has of what is repeated at all of them. Ruled out: retries within one request (sent=1 in the log), except for gathered queries, where they double the servers lost. Change: when a server has ended while it ran a request, the host tells the others its fingerprint and a generation, one more than the greatest known when it was sent (report rows of the feed). From the third generation on the request is refused for 300 s, as not run and with that time to come back. A copy under suspicion gets one server and no second attempt; a gathered one is tried at one shard first. An answer by a server ends the suspicion. A loss of power has one generation, whatever the clocks say. crash_ledger.h bounds the memory.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -274,6 +274,7 @@
 	BBLX_DOWN = 4,
 	BBLX_RELEASED = 5,
 	BBLX_RATE_LIMIT = 6,
+	BBLX_CRASH = 7,
 };
 typedef enum bblx_phase bblx_phase;
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -217,7 +217,8 @@
     BBLX_HELD = 3,            /* its owner waits for the takeover delay */
     BBLX_DOWN = 4,
     BBLX_RELEASED = 5,        /* its owner has handed it over */
-    BBLX_RATE_LIMIT = 6       /* a backend server's rate limit, see below */
+    BBLX_RATE_LIMIT = 6,      /* a backend server's rate limit, see below */
+    BBLX_CRASH = 7            /* a request ended a server, see below */
 };
 
 struct bblx_index {
@@ -233,8 +234,12 @@
  *
  * With phase BBLX_RATE_LIMIT it is what any host has observed of a backend
  * server: boot is the key of the server, searcher the lower half of the key,
- * limit its rate in requests per 1000 s, UINT32_MAX for none. Hosts that do not
- * know a phase pass such a report on.
+ * limit its rate in requests per 1000 s, UINT32_MAX for none.
+ *
+ * With phase BBLX_CRASH a server has ended while it ran a request: boot is the
+ * fingerprint of the request, limit its generation, searcher a hash of both,
+ * serial the wall clock in ms. With limit 0 a server has answered the request.
+ * Hosts that do not know a phase pass such a report on.
  */
 struct bblx_report {
     unsigned int searcher;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -147,6 +147,16 @@
 void bbl_control_report_rate_limit(bbl_control *control, uint64_t server,
                                    uint32_t rate);
 
+/*
+ * Publishes that a server has ended while it ran a request, or has answered a
+ * request of which that was known.
+ *
+ * @param fingerprint of the request
+ * @param generation  see bbl_observed_crash
+ */
+void bbl_control_report_crash(bbl_control *control, uint64_t fingerprint,
+                              uint32_t generation);
+
 /*
  * Requests permits for servers that limit their request rate from one of the
  * hosts that grant them, each time from another one. The answer may be lost.
--- a/src/control/permits.c
+++ b/src/control/permits.c
@@ -1,7 +1,6 @@
 /*
  * Permits for backend servers that limit the request rate of all hosts
- * together: who grants them, requests for them, and what hosts tell each other
- * of such limits.
+ * together: who grants them, and requests for them.
  */
 #include "control/control_core.h"
 
@@ -217,28 +216,3 @@
         bbl_vec_remove(&c->permit_requests, 0);
     }
 }
-
-/* ---- limits that servers state ---- */
-
-void
-bbl_control_report_rate_limit(bbl_control *c, uint64_t server, uint32_t rate)
-{
-    const bblx_report *known = bbl_rows_get_report(&c->rows, (uint32_t)server);
-    bblx_report r;
-
-    if (known != NULL && known->phase == BBLX_RATE_LIMIT &&
-        known->boot == server && known->limit == rate) {
-        return;
-    }
-    memset(&r, 0, sizeof(r));
-    r.searcher = (uint32_t)server;
-    r.phase = BBLX_RATE_LIMIT;
-    r.boot = server;
-    r.limit = rate;
-    /* The clocks of hosts differ, and a later report must replace this one. */
-    r.serial = c->wall_ms;
-    if (known != NULL && known->serial >= r.serial) {
-        r.serial = known->serial + 1;
-    }
-    bbl_control_publish_report(c, &r);
-}
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -423,10 +423,11 @@
 }
 
 const bblx_report *
-bbl_rows_next_report(const bbl_rows *rows, size_t *pos)
+bbl_rows_next_report(const bbl_rows *rows, size_t *pos, uint64_t *revision)
 {
     bbl_report_row *row = bbl_map_next(&rows->reports, pos);
 
+    *revision = row ? row->revision : 0;
     return row ? &row->report : NULL;
 }
 
--- a/src/control/rows.h
+++ b/src/control/rows.h
@@ -109,8 +109,13 @@
 const bblx_report *bbl_rows_get_report(const bbl_rows *rows,
                                        uint32_t searcher);
 
-/* Iterates over the reports as bbl_map_next does. */
-const bblx_report *bbl_rows_next_report(const bbl_rows *rows, size_t *pos);
+/*
+ * Iterates over the reports as bbl_map_next does.
+ *
+ * @param revision set to that of the report's last change
+ */
+const bblx_report *bbl_rows_next_report(const bbl_rows *rows, size_t *pos,
+                                        uint64_t *revision);
 
 /*
  * Removes the reports of BBLX_RATE_LIMIT and later phases that have not
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -391,10 +391,26 @@
 static void
 on_server_ended(void *ctx, const bbl_broken_attempt *a)
 {
-    (void)ctx;
     bbl_log(BBL_EV_SERVER_ENDED,
-            "id=%s fingerprint=%016llx server_key=%016llx", a->request_id,
-            (unsigned long long)a->fingerprint, (unsigned long long)a->server);
+            "id=%s fingerprint=%016llx generation=%u server_key=%016llx",
+            a->request_id, (unsigned long long)a->fingerprint, a->generation,
+            (unsigned long long)a->server);
+    send_notice(ctx, bbl_notice_new_crash(a->fingerprint, a->generation));
+}
+
+static void
+on_suspect_answered(void *ctx, uint64_t fingerprint)
+{
+    send_notice(ctx, bbl_notice_new_crash(fingerprint, 0));
+}
+
+static void
+on_request_barred(void *ctx, uint64_t fingerprint)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_REQUEST_BARRED, "fingerprint=%016llx for_ms=%llu",
+            (unsigned long long)fingerprint,
+            (unsigned long long)(BBL_CRASH_REFUSED_US / BBL_USEC_PER_MS));
 }
 
 /* ---- calls ---- */
@@ -621,6 +637,8 @@
     f.port.server_changed = on_server_changed;
     f.port.rate_limit_reported = on_rate_limit_reported;
     f.port.server_ended = on_server_ended;
+    f.port.suspect_answered = on_suspect_answered;
+    f.port.request_barred = on_request_barred;
     f.port.publish_rate_limit = publish_rate_limit;
     f.port.request_permits = request_permits;
     f.permit_ttl = BBL_PERMIT_TTL_US;
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -78,6 +78,7 @@
     /* Revisions of the servers and of the state in the last update. */
     uint64_t published_backends;
     uint64_t published_applied;
+    uint64_t published_reports; /* revision of the rows in the last update */
     bbl_usec published_list_read_at;
     uint64_t routing_version;
     unsigned entry_host_count;
@@ -191,23 +192,37 @@
     bbl_buf_free(&document);
 }
 
-/* Fills the rate limits that any host has observed. */
+/*
+ * Fills what hosts have observed of servers since the last update: rate
+ * limits, and requests under which servers have ended.
+ */
 static void
-fill_limits(node *n, bbl_forward_update *u)
+fill_observations(node *n, bbl_forward_update *u)
 {
     const bbl_rows *rows = bbl_control_rows(n->control);
     const bblx_report *report;
     bbl_vec limits = BBL_VEC_INIT(bbl_observed_limit);
+    bbl_vec crashes = BBL_VEC_INIT(bbl_observed_crash);
+    uint64_t revision;
     size_t pos = 0;
 
-    while ((report = bbl_rows_next_report(rows, &pos)) != NULL) {
+    while ((report = bbl_rows_next_report(rows, &pos, &revision)) != NULL) {
+        if (revision <= n->published_reports) {
+            continue;
+        }
         if (report->phase == BBLX_RATE_LIMIT) {
             bbl_observed_limit_read(bbl_vec_add(&limits), report);
         }
+        else if (report->phase == BBLX_CRASH) {
+            bbl_observed_crash_read(bbl_vec_add(&crashes), report);
+        }
     }
-    u->has_limits = true;
+    n->published_reports = rows->revision;
+    u->has_observations = true;
     u->limits = limits.ptr;
     u->limit_count = limits.size;
+    u->crashes = crashes.ptr;
+    u->crash_count = crashes.size;
     u->grantors = bbl_control_count_grantors(n->control);
 }
 
@@ -245,7 +260,7 @@
     if (revision != n->published_revision) {
         fill_routing(n, u);
         fill_changed_backends(n, u);
-        fill_limits(n, u);
+        fill_observations(n, u);
     }
     n->published_revision = revision;
     n->published_list_read_at = list_read;
@@ -268,6 +283,10 @@
             bbl_control_report_rate_limit(n->control, notice->server,
                                           notice->rate);
         }
+        else if (notice->kind == BBL_NOTICE_CRASH) {
+            bbl_control_report_crash(n->control, notice->fingerprint,
+                                     notice->generation);
+        }
         else {
             bbl_control_request_permits(n->control, n->now,
                                         &notice->permit_request);
--- a/src/daemon/notice.c
+++ b/src/daemon/notice.c
@@ -27,6 +27,17 @@
     return n;
 }
 
+bbl_notice *
+bbl_notice_new_crash(uint64_t fingerprint, uint32_t generation)
+{
+    bbl_notice *n = bbl_calloc(1, sizeof(*n));
+
+    n->kind = BBL_NOTICE_CRASH;
+    n->fingerprint = fingerprint;
+    n->generation = generation;
+    return n;
+}
+
 bbl_notice *
 bbl_notice_new_permit_request(const bbl_permit_request *r)
 {
@@ -83,6 +94,14 @@
     }
 }
 
+void
+bbl_observed_crash_read(bbl_observed_crash *out, const bblx_report *r)
+{
+    out->fingerprint = r->boot;
+    out->generation = r->limit;
+    out->serial = r->serial;
+}
+
 void
 bbl_observed_limit_read(bbl_observed_limit *out, const bblx_report *r)
 {
--- a/src/daemon/notice.h
+++ b/src/daemon/notice.h
@@ -7,11 +7,13 @@
 #define BBL_DAEMON_NOTICE_H
 
 #include "forward/backend.h"
+#include "forward/crash_ledger.h"
 #include "forward/permit.h"
 #include "model/codec.h"
 
 typedef enum {
     BBL_NOTICE_RATE_LIMIT,
+    BBL_NOTICE_CRASH,
     BBL_NOTICE_PERMIT_REQUEST
 } bbl_notice_kind;
 
@@ -19,10 +21,14 @@
     bbl_notice_kind kind;
     uint64_t server; /* BBL_NOTICE_RATE_LIMIT: key of the server */
     uint32_t rate;   /* in the units of bblx_report.limit */
+    /* BBL_NOTICE_CRASH; see bbl_observed_crash */
+    uint64_t fingerprint;
+    uint32_t generation;
     bblx_permit_request permit_request; /* BBL_NOTICE_PERMIT_REQUEST; owned */
 } bbl_notice;
 
 bbl_notice *bbl_notice_new_rate_limit(const bbl_backend *backend);
+bbl_notice *bbl_notice_new_crash(uint64_t fingerprint, uint32_t generation);
 bbl_notice *bbl_notice_new_permit_request(const bbl_permit_request *request);
 
 /* Frees a notice; NULL is allowed. */
@@ -32,6 +38,10 @@
 bbl_permit_reply *bbl_permit_reply_new(const bblx_permit_reply *reply);
 void bbl_permit_reply_free(bbl_permit_reply *reply);
 
+/* Decodes a report with phase BBLX_CRASH. */
+void bbl_observed_crash_read(bbl_observed_crash *out,
+                             const bblx_report *report);
+
 /* Decodes a report with phase BBLX_RATE_LIMIT. */
 void bbl_observed_limit_read(bbl_observed_limit *out,
                              const bblx_report *report);
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -123,7 +123,8 @@
 void
 bbl_forwarder_refuse(bbl_forwarder *f, bbl_usec now,
                      const bbl_forward_request *request,
-                     bbl_forward_reason reason, unsigned status)
+                     bbl_forward_reason reason, unsigned status,
+                     bbl_usec retry_after)
 {
     bbl_buf fields = BBL_BUF_INIT;
     bbl_forward_answer a;
@@ -136,7 +137,10 @@
     r.routing_version = bbl_forwarder_get_routing_version(f);
     r.elapsed = now - request->arrived_at;
     r.fingerprint = request->fingerprint;
-    if (status == BBL_STATUS_UNAVAILABLE) {
+    if (retry_after > 0) {
+        r.retry_after_ms = (uint32_t)(retry_after / BBL_USEC_PER_MS);
+    }
+    else if (status == BBL_STATUS_UNAVAILABLE) {
         r.retry_after_ms =
             NO_ROUTING_RETRY_MS +
             (uint32_t)bbl_rng_below(&f->rng, NO_ROUTING_RETRY_MS / 2);
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -21,6 +21,11 @@
  */
 #define STALL_SERVICE_TIMES 2
 #define STALL_TIMEOUT_MIN_US (8 * BBL_USEC_PER_MS)
+/*
+ * Connections that break under a query, none of whose shards has answered,
+ * before it gets no second attempts.
+ */
+#define BROKEN_MAX 3
 /*
  * How long a server is avoided after it refused a request because of its load,
  * or because it accepts no further connection.
@@ -177,6 +182,18 @@
     return true;
 }
 
+/*
+ * Returns whether a query may be what ends its servers, so that it gets no
+ * second attempt.
+ */
+static bool
+is_crash_suspected(const bbl_forwarder *f, bbl_usec now, const bbl_query *q)
+{
+    return (q->broken >= BROKEN_MAX && q->shards_answered == 0) ||
+           bbl_crash_ledger_get_generation(&f->crash_ledger, now,
+                                           q->request.fingerprint) > 0;
+}
+
 bool
 bbl_attempt_may_send(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
                      bbl_shard *s)
@@ -186,6 +203,9 @@
         q->deadline < now + BBL_TIME_LEFT_MIN_US) {
         return false;
     }
+    if (s->attempts_sent > 0 && is_crash_suspected(f, now, q)) {
+        return false;
+    }
     if (s->attempts_sent > 0 &&
         bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now) <=
             0) {
@@ -390,6 +410,12 @@
 {
     bbl_shard *s = a->shard;
 
+    if (q->shards_answered == 0 &&
+        bbl_crash_ledger_get_generation(&f->crash_ledger, now,
+                                        q->request.fingerprint) > 0) {
+        f->options.port.suspect_answered(f->options.port.ctx,
+                                         q->request.fingerprint);
+    }
     if (s->state == BBL_SHARD_ANSWERED) {
         return;
     }
@@ -404,7 +430,9 @@
         return;
     }
     bbl_query_add_part(q, head->signature, r->body);
-    bbl_query_finish_if_decided(f, now, q);
+    if (!bbl_query_finish_if_decided(f, now, q) && q->shards_answered == 1) {
+        bbl_query_process(f, now, q); /* the others may wait for the first */
+    }
 }
 
 /* Processes a failed attempt; another one may be sent to the shard. */
@@ -460,9 +488,11 @@
     }
     bbl_vec_swap_remove(&q->attempts, bbl_vec_find_pointer(&q->attempts, a));
     a->shard->in_flight--;
+    q->broken += r->outcome == BBL_ATTEMPT_BROKEN;
     if (r->outcome == BBL_ATTEMPT_BROKEN && q->request.fingerprint != 0) {
         bbl_crash_watch_add(&f->crash_watch, now, a->backend->key,
-                            q->request.fingerprint, q->request.request_id);
+                            q->request.fingerprint, q->crash_generation + 1,
+                            q->request.request_id);
     }
     count_response(now, q);
     if (m == RESULT_USABLE) {
--- a/src/forward/crash_watch.c
+++ b/src/forward/crash_watch.c
@@ -3,12 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "util/map.h"
-
 /* A connection that fails later says nothing of the broken one. */
 #define RESOLVE_MAX_US (1000 * BBL_USEC_PER_MS)
 #define ATTEMPTS_MAX 1024
-#define REQUEST_SEED 71
 
 void
 bbl_crash_watch_init(bbl_crash_watch *w)
@@ -24,7 +21,8 @@
 
 void
 bbl_crash_watch_add(bbl_crash_watch *w, bbl_usec now, uint64_t server,
-                    uint64_t fingerprint, bbl_str request_id)
+                    uint64_t fingerprint, unsigned generation,
+                    bbl_str request_id)
 {
     bbl_broken_attempt *a;
 
@@ -35,8 +33,7 @@
     memset(a, 0, sizeof(*a));
     a->server = server;
     a->fingerprint = fingerprint;
-    a->request = bbl_hash(request_id.ptr ? request_id.ptr : "",
-                          request_id.size, REQUEST_SEED);
+    a->generation = generation;
     snprintf(a->request_id, sizeof(a->request_id), "%.*s",
              (int)request_id.size, request_id.ptr ? request_id.ptr : "");
     a->broken_at = now;
--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -16,7 +16,7 @@
 typedef struct {
     uint64_t server;      /* key of the server */
     uint64_t fingerprint; /* of the request; see bbl_forward_request */
-    uint64_t request;     /* hash of the request id */
+    unsigned generation;  /* of a crash, see crash_ledger.h */
     char request_id[BBL_CRASH_ID_MAX]; /* for the log; may be truncated */
     bbl_usec broken_at;
 } bbl_broken_attempt;
@@ -30,7 +30,8 @@
 
 /* Adds a broken attempt. */
 void bbl_crash_watch_add(bbl_crash_watch *watch, bbl_usec now, uint64_t server,
-                         uint64_t fingerprint, bbl_str request_id);
+                         uint64_t fingerprint, unsigned generation,
+                         bbl_str request_id);
 
 /*
  * Applies the result of opening a connection to a server. Removes its broken
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -44,7 +44,7 @@
     static const char *const names[BBL_FORWARD_REASONS] = {
         "ok",          "partial",     "failed",  "no-routing", "no-route",
         "unconfirmed", "unavailable", "busy",    "broken",     "timeout",
-        "left",        "overload",    "expired", "limited",
+        "left",        "overload",    "expired", "limited",    "crashes",
     };
 
     return names[reason];
@@ -196,6 +196,28 @@
     return true;
 }
 
+/*
+ * Returns whether the remaining shards of a query have to wait, because
+ * servers have ended under earlier copies of it: one shard is tried first. If
+ * its server ends as well, the others are not sent the query.
+ */
+static bool
+hold_suspect(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (q->shard_count < 2 || q->shards_answered > 0 || !q->attempted ||
+        bbl_crash_ledger_get_generation(&f->crash_ledger, now,
+                                        q->request.fingerprint) == 0) {
+        return false;
+    }
+    for (unsigned i = 0; q->broken > 0 && i < q->shard_count; i++) {
+        if (q->shards[i].state == BBL_SHARD_PENDING) {
+            q->shards[i].state = BBL_SHARD_FAILED;
+            q->shards_failed++;
+        }
+    }
+    return true;
+}
+
 /* Sends attempts to the pending shards. Returns whether one still waits. */
 static bool
 send_pending_shards(bbl_forwarder *f, bbl_usec now, bbl_query *q)
@@ -206,11 +228,14 @@
         !bbl_query_awaits_permits(q, now)) {
         q->probes_limits = false;
     }
-    if (hold_for_permits(f, now, q)) {
+    if (hold_for_permits(f, now, q) || hold_suspect(f, now, q)) {
         return true;
     }
     for (unsigned i = 0; i < q->shard_count; i++) {
         send_pending_shard(f, now, q, &q->shards[i]);
+        if (hold_suspect(f, now, q)) {
+            return true;
+        }
         waiting = waiting || q->shards[i].state == BBL_SHARD_PENDING;
     }
     return waiting;
@@ -427,12 +452,13 @@
                               const bbl_forward_request *request)
 {
     const bbl_route *route;
+    bbl_usec refused;
     bbl_query *q;
 
     f->counters.requests++;
     if (f->table == NULL) {
         bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTING,
-                             BBL_STATUS_UNAVAILABLE);
+                             BBL_STATUS_UNAVAILABLE, 0);
         return;
     }
     route =
@@ -440,14 +466,21 @@
     if (route == NULL) {
         if (f->next_routing != NULL || now >= f->routing_confirmed_until) {
             bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
-                                 BBL_STATUS_UNAVAILABLE);
+                                 BBL_STATUS_UNAVAILABLE, 0);
         }
         else {
             bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTE,
-                                 BBL_STATUS_NOT_FOUND);
+                                 BBL_STATUS_NOT_FOUND, 0);
         }
         return;
     }
+    refused = bbl_crash_ledger_get_refused(&f->crash_ledger, now,
+                                           request->fingerprint);
+    if (refused > 0) {
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_CRASHES,
+                             BBL_STATUS_UNAVAILABLE, refused);
+        return;
+    }
     q = bbl_calloc(1, sizeof(*q));
     q->request = *request;
     q->table = f->table;
@@ -457,6 +490,8 @@
     q->signatures = (bbl_vec){NULL, 0, 0, 2 * sizeof(size_t)};
     q->record.request_id = request->request_id;
     q->record.fingerprint = request->fingerprint;
+    q->crash_generation = bbl_crash_ledger_get_generation(
+        &f->crash_ledger, now, request->fingerprint);
     q->record.route = route;
     q->record.routing_version = bbl_routing_version(f->table->routing);
     bbl_top_records_init(&q->top_records, route->top_k);
@@ -600,6 +635,7 @@
     f->queries = (bbl_vec)BBL_VEC_INIT(bbl_query *);
     f->detached_attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
     bbl_crash_watch_init(&f->crash_watch);
+    bbl_crash_ledger_init(&f->crash_ledger);
     f->permit_requests = bbl_permit_requests_init();
     f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
     bbl_permit_book_init(&f->local_permits, 0);
@@ -641,6 +677,7 @@
     bbl_vec_free(&f->queries);
     bbl_vec_free(&f->detached_attempts);
     bbl_crash_watch_free(&f->crash_watch);
+    bbl_crash_ledger_free(&f->crash_ledger);
     bbl_vec_free(&f->permit_requests);
     bbl_vec_free(&f->permit_items);
     bbl_permit_book_free(&f->local_permits);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -21,6 +21,7 @@
 
 #include "bbl/routing.h"
 #include "forward/backend.h"
+#include "forward/crash_ledger.h"
 #include "forward/crash_watch.h"
 #include "forward/dialect.h"
 #include "forward/extra_budget.h"
@@ -117,6 +118,8 @@
     BBL_FORWARD_EXPIRED,  /* not run: read too late to be answered in time */
     /* Not run: too few servers accept a further request now. */
     BBL_FORWARD_LIMITED,
+    /* Not run: servers have ended under earlier copies of the request. */
+    BBL_FORWARD_CRASHES,
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
@@ -225,6 +228,13 @@
     void (*rate_limit_reported)(void *ctx, const bbl_backend *backend);
     /* Reports that a server has ended while it ran an attempt. */
     void (*server_ended)(void *ctx, const bbl_broken_attempt *attempt);
+    /*
+     * Reports that a server has answered a request under which another one had
+     * ended.
+     */
+    void (*suspect_answered)(void *ctx, uint64_t fingerprint);
+    /* Reports that a request is refused from now on; see crash_ledger.h. */
+    void (*request_barred)(void *ctx, uint64_t fingerprint);
     /* Tells the other hosts what a server states now. */
     void (*publish_rate_limit)(void *ctx, const bbl_backend *backend);
     /*
@@ -315,10 +325,13 @@
      * counts as 1.
      */
     unsigned entry_hosts;
-    /* Whether the two fields below are set. */
-    bool has_limits;
-    bbl_observed_limit *limits; /* of servers, observed by any host */
+    /* Whether the fields below are set. */
+    bool has_observations;
+    /* What any host has observed since the last update. */
+    bbl_observed_limit *limits;
     size_t limit_count;
+    bbl_observed_crash *crashes;
+    size_t crash_count;
     unsigned grantors; /* hosts that grant permits */
 } bbl_forward_update;
 
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -41,6 +41,7 @@
     /* bbl_attempt *, still in flight although their query is finished. */
     bbl_vec detached_attempts;
     bbl_crash_watch crash_watch;
+    bbl_crash_ledger crash_ledger;
     bbl_vec permit_requests; /* open_request, see permit.c; oldest first */
     bbl_vec permit_items;    /* scratch: bbl_permit_item */
     uint64_t last_permit_request;
@@ -150,10 +151,16 @@
  */
 void bbl_query_cancel_unsent(bbl_forwarder *f, bbl_query *q);
 
-/* Refuses a request for which no query was created. */
+/*
+ * Refuses a request for which no query was created.
+ *
+ * @param retry_after with status 503, the time to come back, microseconds; 0
+ *                    if it is not known
+ */
 void bbl_forwarder_refuse(bbl_forwarder *f, bbl_usec now,
                           const bbl_forward_request *request,
-                          bbl_forward_reason reason, unsigned status);
+                          bbl_forward_reason reason, unsigned status,
+                          bbl_usec retry_after);
 
 /*
  * Finishes a query: reports it, answers it and frees it.
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -94,6 +94,10 @@
      */
     bool probes_limits;
 
+    /* Generation of crashes of the request that was known at its start. */
+    unsigned crash_generation;
+    unsigned broken; /* attempts whose connection broke */
+
     bool attempted;         /* whether any attempt was sent */
     bbl_vec attempts;       /* bbl_attempt *, in flight */
     bbl_vec signatures;     /* signature_span, private to query.c */
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -111,6 +111,7 @@
     free(u->cold_until);
     free(u->evacuated_zones);
     free(u->limits);
+    free(u->crashes);
     free(u);
 }
 
@@ -191,6 +192,18 @@
     }
 }
 
+/* Records the crashes that other hosts, or this one, have observed. */
+static void
+apply_crashes(bbl_forwarder *f, bbl_usec now, const bbl_forward_update *u)
+{
+    for (size_t i = 0; i < u->crash_count; i++) {
+        if (bbl_crash_ledger_record(&f->crash_ledger, now, &u->crashes[i])) {
+            f->options.port.request_barred(f->options.port.ctx,
+                                           u->crashes[i].fingerprint);
+        }
+    }
+}
+
 void
 bbl_forwarder_update(bbl_forwarder *f, bbl_usec now, bbl_forward_update *u)
 {
@@ -213,9 +226,10 @@
                      u->backend_count, u->evacuated_zones,
                      u->evacuated_zone_count);
     u->backend_count = 0; /* owned by the pools now */
-    if (u->has_limits) {
+    if (u->has_observations) {
         f->grantors = u->grantors;
         bbl_forwarder_apply_limits(f, u->limits, u->limit_count);
+        apply_crashes(f, now, u);
     }
     update_slot_capacity(f);
     bbl_pools_confirm(&f->pools, now, f->list_read_at, f->options.list_lag);
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -80,6 +80,9 @@
       "longer does")                                                          \
     X(SERVER_ENDED, 4005, WARN, "server-ended",                               \
       "a backend server has ended while it ran a request")                    \
+    X(REQUEST_BARRED, 4006, WARN, "request-barred",                           \
+      "a request is refused from now on: servers have ended under copies of " \
+      "it")                                                                   \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -31,6 +31,12 @@
     bbl_observed_limit limit;
 } fleet_limit;
 
+/* A crash on its way to all hosts. */
+typedef struct {
+    bbl_usec due_at;
+    bbl_observed_crash crash;
+} fleet_crash;
+
 /* One request of a caller. */
 typedef struct {
     bbl_usec sent_at;
@@ -51,6 +57,7 @@
     unsigned next_grantor;
     bbl_vec permit_requests; /* fleet_permit_request */
     bbl_vec limits;          /* fleet_limit */
+    bbl_vec crashes;         /* fleet_crash */
     uint64_t last_serial;
     bbl_rng rng;
     double due; /* requests to send, a fraction */
@@ -97,6 +104,20 @@
     }
 }
 
+static void
+on_publish_crash(void *ctx, forward_sim *sim, uint64_t fingerprint,
+                 uint32_t generation)
+{
+    forward_fleet *f = ctx;
+    bbl_usec now = forward_sim_get_time(sim);
+    fleet_crash c = {now + FEED_DELAY_US,
+                     {fingerprint, generation, now / BBL_USEC_PER_MS}};
+
+    if (!f->cut[find_host(f, sim)]) {
+        bbl_vec_push(&f->crashes, &c);
+    }
+}
+
 static void
 on_request_permits(void *ctx, forward_sim *sim,
                    const bbl_permit_request *request)
@@ -175,17 +196,30 @@
             }
         }
     }
+    while (f->crashes.size > 0 &&
+           BBL_VEC_AT(fleet_crash, &f->crashes, 0)->due_at <= now) {
+        fleet_crash c = *BBL_VEC_AT(fleet_crash, &f->crashes, 0);
+
+        bbl_vec_remove(&f->crashes, 0);
+        for (unsigned i = 0; i < f->host_count; i++) {
+            if (!f->cut[i]) {
+                forward_sim_update_crashes(f->hosts[i], &c.crash, 1);
+            }
+        }
+    }
 }
 
 forward_fleet *
 forward_fleet_new(unsigned hosts)
 {
     forward_fleet *f = bbl_calloc(1, sizeof(*f));
-    forward_sim_control control = {on_publish_limit, on_request_permits, f};
+    forward_sim_control control = {on_publish_limit, on_request_permits,
+                                   on_publish_crash, f};
 
     f->cut = bbl_calloc(hosts, sizeof(*f->cut));
     f->permit_requests = (bbl_vec)BBL_VEC_INIT(fleet_permit_request);
     f->limits = (bbl_vec)BBL_VEC_INIT(fleet_limit);
+    f->crashes = (bbl_vec)BBL_VEC_INIT(fleet_crash);
     for (unsigned i = 0; i < FORWARD_FLEET_GRANTORS; i++) {
         bbl_permit_book_init(&f->books[i], 0);
     }
@@ -224,6 +258,7 @@
     }
     bbl_vec_free(&f->permit_requests);
     bbl_vec_free(&f->limits);
+    bbl_vec_free(&f->crashes);
     bbl_vec_free(&f->calls);
     free(f->cut);
     free(f->servers);
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -40,7 +40,8 @@
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now);
     void *arrived_ctx;
     forward_sim_control control;
-    const char *crash_path; /* NULL if no request ends its servers */
+    const char *crash_path;    /* NULL if no request ends its servers */
+    const char *repeated_path; /* see forward_sim_set_repeated_path; or NULL */
 };
 
 /* Records the first violated guarantee. */
@@ -251,8 +252,31 @@
 static void
 on_server_ended(void *ctx, const bbl_broken_attempt *attempt)
 {
-    require(ctx, attempt->fingerprint != 0,
+    forward_sim *sim = ctx;
+
+    require(sim, attempt->fingerprint != 0,
             "a crash is reported without a fingerprint");
+    if (sim->control.publish_crash != NULL) {
+        sim->control.publish_crash(sim->control.ctx, sim, attempt->fingerprint,
+                                   attempt->generation);
+    }
+}
+
+static void
+on_suspect_answered(void *ctx, uint64_t fingerprint)
+{
+    forward_sim *sim = ctx;
+
+    if (sim->control.publish_crash != NULL) {
+        sim->control.publish_crash(sim->control.ctx, sim, fingerprint, 0);
+    }
+}
+
+static void
+on_request_barred(void *ctx, uint64_t fingerprint)
+{
+    require(ctx, fingerprint == CRASH_FINGERPRINT,
+            "a request that ended no server is refused");
 }
 
 static void
@@ -408,6 +432,8 @@
     o.port.server_changed = on_changed;
     o.port.rate_limit_reported = on_rate_limit_reported;
     o.port.server_ended = on_server_ended;
+    o.port.suspect_answered = on_suspect_answered;
+    o.port.request_barred = on_request_barred;
     o.port.publish_rate_limit = on_publish_rate_limit;
     o.port.request_permits = on_request_permits;
     o.port.ctx = sim;
@@ -532,7 +558,11 @@
     r.request_id = (bbl_str){sim->ids[n], strlen(sim->ids[n])};
     sim->calls[n].crashes =
         sim->crash_path != NULL && strcmp(path, sim->crash_path) == 0;
-    r.fingerprint = sim->calls[n].crashes ? CRASH_FINGERPRINT : n + 1;
+    r.fingerprint =
+        sim->calls[n].crashes || (sim->repeated_path != NULL &&
+                                  strcmp(path, sim->repeated_path) == 0)
+            ? CRASH_FINGERPRINT
+            : n + 1;
     r.has_time_left = time_left_ms > 0;
     r.time_left_ms = time_left_ms;
     r.arrived_at = sim->now - delay;
@@ -551,12 +581,32 @@
     sim->arrived_ctx = ctx;
 }
 
+void
+forward_sim_update_crashes(forward_sim *sim, const bbl_observed_crash *crashes,
+                           size_t count)
+{
+    bbl_forward_update *u = bbl_calloc(1, sizeof(*u));
+
+    u->list_read_at = sim->list_read_at;
+    u->entry_hosts = sim->entry_hosts;
+    u->has_observations = true;
+    u->crashes = (void *)bbl_memdup(crashes, count * sizeof(*crashes));
+    u->crash_count = count;
+    bbl_forwarder_update(sim->forwarder, sim->now, u);
+}
+
 void
 forward_sim_set_crash_path(forward_sim *sim, const char *path)
 {
     sim->crash_path = path;
 }
 
+void
+forward_sim_set_repeated_path(forward_sim *sim, const char *path)
+{
+    sim->repeated_path = path;
+}
+
 void
 forward_sim_set_control(forward_sim *sim, const forward_sim_control *control)
 {
@@ -577,7 +627,7 @@
 
     u->list_read_at = sim->list_read_at;
     u->entry_hosts = sim->entry_hosts;
-    u->has_limits = true;
+    u->has_observations = true;
     u->limits = (void *)bbl_memdup(limits, count * sizeof(*limits));
     u->limit_count = count;
     u->grantors = grantors;
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -119,15 +119,28 @@
  */
 void forward_sim_set_crash_path(forward_sim *sim, const char *path);
 
+/*
+ * Gives all requests of this path the fingerprint that those of the crash path
+ * have; servers serve them. `path` is borrowed.
+ */
+void forward_sim_set_repeated_path(forward_sim *sim, const char *path);
+
 /* How the simulated host reaches the control hosts. */
 typedef struct {
     void (*publish_limit)(void *ctx, forward_sim *sim,
                           const bbl_observed_limit *limit);
     void (*request_permits)(void *ctx, forward_sim *sim,
                             const bbl_permit_request *request);
+    void (*publish_crash)(void *ctx, forward_sim *sim, uint64_t fingerprint,
+                          uint32_t generation);
     void *ctx;
 } forward_sim_control;
 
+/* Passes crashes that hosts have observed to the forwarder. */
+void forward_sim_update_crashes(forward_sim *sim,
+                                const bbl_observed_crash *crashes,
+                                size_t count);
+
 /* Connects the host to control hosts; without, it gets no permit. */
 void forward_sim_set_control(forward_sim *sim,
                              const forward_sim_control *control);
--- a/tests/test_repeated_crashes.c
+++ b/tests/test_repeated_crashes.c
@@ -80,6 +80,112 @@
 }
 END_TEST
 
+/* The same while some hosts are cut off from the others for a while. */
+START_TEST(request_is_kept_from_servers_after_a_cut)
+{
+    forward_fleet *f = new_fleet(7, 8);
+    unsigned runs;
+
+    forward_fleet_cut_host(f, 1, true);
+    forward_fleet_cut_host(f, 2, true);
+    send_copies(f, 7, 20, 200 * MS);
+    forward_fleet_cut_host(f, 1, false);
+    forward_fleet_cut_host(f, 2, false);
+    send_copies(f, 7, 14, 300 * MS);
+    runs = send_copies(f, 7, 40, 200 * MS);
+    ck_assert_msg(runs <= 3, "sent to servers %u times more", runs);
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* What its callers are told is true: it does not run, for that long. */
+START_TEST(refused_request_is_told_when_to_come_back)
+{
+    forward_fleet *f = new_fleet(3, 8);
+    const forward_sim_call *c;
+    unsigned call;
+
+    send_copies(f, 3, 12, 400 * MS);
+    call = forward_sim_send_request(forward_fleet_get_host(f, 0), CRASH_PATH,
+                                    800);
+    c = forward_sim_get_call(forward_fleet_get_host(f, 0), call);
+    ck_assert(c->answered);
+    ck_assert_uint_eq(c->status, 503);
+    ck_assert_uint_eq(c->reason, BBL_FORWARD_CRASHES);
+    ck_assert_uint_ge(c->retry_after_ms, 290000);
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* A gathered query does not end the servers of all shards once it is known. */
+START_TEST(query_over_shards_is_tried_at_one_of_them)
+{
+    forward_fleet *f = forward_fleet_new(1);
+    forward_sim *sim = forward_fleet_get_host(f, 0);
+    unsigned runs[2];
+
+    for (unsigned i = 0; i < 12; i++) {
+        char id[16];
+        char service[8];
+
+        snprintf(service, sizeof(service), "s%u", i / 2);
+        snprintf(id, sizeof(id), "%s-%u", service, i % 2);
+        forward_fleet_add_server(f, id, service, "z1");
+    }
+    forward_fleet_install_routing(f, routing);
+    forward_sim_set_crash_path(sim, "/g/crash");
+    for (unsigned i = 0; i < 2; i++) {
+        unsigned call = forward_sim_send_request(sim, "/g/crash", 800);
+
+        forward_fleet_run(f, 2 * SECOND, 0, "/g/x");
+        runs[i] = forward_sim_get_call(sim, call)->runs;
+        for (unsigned k = 0; k < 3; k++) {
+            forward_fleet_reconnect(f);
+            forward_fleet_run(f, 1 * SECOND, 0, "/g/x");
+        }
+    }
+    /* Six first attempts, and retries of the first ones to break. */
+    ck_assert_uint_le(runs[0], 8);
+    ck_assert_uint_eq(runs[1], 1);
+    forward_fleet_free(f);
+}
+END_TEST
+
+/*
+ * Every server ends at once, with the same request running at all hosts. It is
+ * innocent: later copies are served.
+ */
+START_TEST(request_that_met_a_loss_of_power_is_served)
+{
+    forward_fleet *f = new_fleet(7, 8);
+    unsigned served = 0;
+
+    for (unsigned i = 0; i < 7; i++) {
+        forward_sim_send_request(forward_fleet_get_host(f, i), CRASH_PATH,
+                                 800);
+    }
+    forward_fleet_run(f, 1 * SECOND, 0, "/one/x");
+    for (unsigned i = 0; i < 7; i++) {
+        forward_sim_set_crash_path(forward_fleet_get_host(f, i), NULL);
+        forward_sim_set_repeated_path(forward_fleet_get_host(f, i),
+                                      CRASH_PATH);
+    }
+    for (unsigned i = 0; i < 3; i++) {
+        forward_fleet_reconnect(f);
+        forward_fleet_run(f, 1 * SECOND, 0, "/one/x");
+    }
+    for (unsigned i = 0; i < 21; i++) {
+        forward_sim *sim = forward_fleet_get_host(f, i % 7);
+        unsigned call = forward_sim_send_request(sim, CRASH_PATH, 800);
+
+        forward_fleet_run(f, 100 * MS, 0, "/one/x");
+        served += forward_sim_get_call(sim, call)->status == 200;
+    }
+    ck_assert_uint_eq(served, 21);
+    forward_fleet_free(f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -89,6 +195,10 @@
     tcase_set_timeout(tc, 120);
     tcase_add_loop_test(tc, request_that_ends_its_servers_is_kept_from_them, 0,
                         3);
+    tcase_add_test(tc, request_is_kept_from_servers_after_a_cut);
+    tcase_add_test(tc, refused_request_is_told_when_to_come_back);
+    tcase_add_test(tc, query_over_shards_is_tried_at_one_of_them);
+    tcase_add_test(tc, request_that_met_a_loss_of_power_is_served);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
