--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -3,7 +3,8 @@
 # stand-in servers as real processes on loopback. Checks that requests are
 # forwarded and merged, that acknowledged routings survive the kill of each
 # control host in turn (the leader among them) and of all processes at once with
-# the loss of two disks, and that a drain interrupts no request. Hosts with an
+# the loss of two disks, that a drain interrupts no request, that rate limits of
+# servers are kept, and that a request does not end one server after another. Hosts with an
 # even number run OTHER-BINARY if it is given, and the other one after a restart:
 # a fleet is upgraded host by host. Ends only processes that it started.
 set -euo pipefail
@@ -15,6 +16,7 @@
 dir=$(mktemp -d)
 seeds=127.60.1.1:1,127.60.1.2:1,127.60.1.3:1
 declare -A pids
+declare -A loads
 standin_pid=0
 
 cleanup() {
@@ -110,8 +112,9 @@
 has_routing() {
     local host
     for host in 1 2 3 4 5; do
-        if curl -sfL -m 2 "http://127.60.1.$host:8106/-/config" |
-            grep -q "\"version\":$1,"; then return 0; fi
+        # Not a pipe to grep -q, which would fail curl under pipefail.
+        if curl -sfL -m 2 -o "$dir/routing" "http://127.60.1.$host:8106/-/config" &&
+            grep -q "\"version\":$1," "$dir/routing"; then return 0; fi
     done
     return 1
 }
@@ -124,10 +127,30 @@
         "http://127.60.2.$1:8104$2"
 }
 
-"$build/tools/platform_standin" --list 127.60.4.1:8102 \
-    s1=127.60.3.1:8080,127.60.3.2:8080 s2=127.60.3.3:8080,127.60.3.4:8080 \
-    >"$dir/standin.log" 2>&1 &
-standin_pid=$!
+# start_standin OPTION...: starts the stand-in servers, in place of those that run.
+start_standin() {
+    if [ "$standin_pid" -gt 0 ]; then
+        kill "$standin_pid"
+        wait "$standin_pid" 2>/dev/null || true
+    fi
+    "$build/tools/platform_standin" --list 127.60.4.1:8102 "$@" \
+        s1=127.60.3.1:8080,127.60.3.2:8080 s2=127.60.3.3:8080,127.60.3.4:8080 \
+        >"$dir/standin.log" 2>&1 &
+    standin_pid=$!
+}
+
+# send_for SECONDS ENTRY: sends requests one after the other to an entry host and
+# prints their statuses.
+send_for() {
+    local until=$((SECONDS + $1))
+    while [ "$SECONDS" -lt "$until" ]; do
+        curl -s -m 3 -o /dev/null -w '%{http_code}\n' -H 'Host: a.example' \
+            -H "Request-Id: l$RANDOM$RANDOM" -H 'Deadline-Ms: 2000' \
+            "http://127.60.2.$2:8104/one/$RANDOM" || true
+    done
+}
+
+start_standin
 for n in 1 2 3 4 5; do start_control "$n" true; done
 for n in 1 2 3; do start_entry "$n"; done
 
@@ -176,4 +199,32 @@
 wait "${pids[e1]}" || fail "a drained host exited with an error"
 unset 'pids[e1]'
 grep -q BBL1005 "$dir/entry1.log" || fail "no stop event (BBL1005) in the log"
+# The last checks are for a fleet of this build only: earlier ones keep no limit.
+if [ "$other" != "$binary" ]; then
+    echo "forward-test: all checks passed"
+    exit 0
+fi
+start_entry 1
+wait_until is_ready 1 || fail "entry host 1 is not ready again"
+
+# Servers that state a rate limit get no more, and all that they accept is used.
+start_standin --rate-limit 4
+for n in 1 2 3; do wait_until send_request "$n" /one/limited || fail "no answer under a rate limit"; done
+for n in 1 2 3; do send_for 11 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+for n in 1 2 3; do wait "${loads[$n]}"; done
+if grep "is over its rate limit" "$dir/standin.log"; then fail "a server is over its rate limit"; fi
+[ "$(cat "$dir"/statuses? | grep -c '^200$')" -ge 30 ] || fail "less than half of what the servers accept is served"
+[ "$(cat "$dir"/statuses? | grep -c -v -E '^(200|503)$')" -eq 0 ] || fail "a status other than 200 and 503 under a rate limit"
+
+# A request that ends its servers is kept from them, at all hosts.
+start_standin --crash-path /one/crash
+for n in 1 2 3; do wait_until send_request "$n" /one/calm || fail "no answer after the rate limit"; done
+for i in $(seq 60); do
+    send_request $((i % 3 + 1)) /one/crash || true
+    sleep 0.15
+    if [ "$i" -eq 30 ]; then early=$(grep -c "crashes:" "$dir/standin.log"); fi
+done
+[ "$early" -ge 1 ] || fail "the request ended no server"
+[ "$(grep -c "crashes:" "$dir/standin.log")" -le $((early + 3)) ] ||
+    fail "a request that ends its servers is sent to them more than three times more"
 echo "forward-test: all checks passed"
--- a/tools/platform_standin.c
+++ b/tools/platform_standin.c
@@ -3,7 +3,8 @@
  * process, on loopback, for the end-to-end test and for experiments. The
  * platform serves the list of servers. Each server answers a request after a
  * fixed time, echoes its id, refuses requests for another instance, and
- * pauses at random times.
+ * pauses at random times. It may state a rate limit, and then counts the
+ * requests over it; and a request may end each server that runs it.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,16 +22,26 @@
 
 #define RECORDS_PER_RESPONSE 20
 #define RECORD_BYTES 16
+/* Window over which a rate is judged, and what it allows. */
+#define RATE_WINDOW_US (4 * BBL_USEC_PER_SEC)
+#define RATE_FACTOR 1.5
+#define RATE_SLACK 5
+/* Time in which all hosts learn that a server states a limit. */
+#define RATE_NOTICE_US (4 * BBL_USEC_PER_SEC)
+#define RESTART_US (1 * BBL_USEC_PER_SEC)
 
 typedef struct {
     char service[64];
-    char id[64];
+    char id[128];
     char zone[32];
     bblx_address address;
     bbl_edge *edge;
     bbl_usec paused_until; /* requests that arrive before it wait for it */
     bbl_usec next_pause;
     uint64_t response_count;
+    bbl_vec arrivals;    /* bbl_usec, of the last RATE_WINDOW_US */
+    bbl_usec restart_at; /* it has ended until then; 0 if it runs */
+    unsigned starts;     /* part of the id after a restart */
 } standin_server;
 
 /* A request that a server has not yet answered. */
@@ -48,6 +59,10 @@
     int work_ms;        /* service time of a request */
     int pause_ms;       /* 0: no pauses */
     int pause_every_ms; /* mean time between pauses of a server */
+    double rate_limit;  /* that each server states; 0 for none */
+    bbl_usec rate_limit_since;
+    char *crash_path; /* requests of it end their server; NULL for none */
+    uint64_t crashes;
     bbl_rng rng;
 } platform_standin;
 
@@ -63,16 +78,20 @@
 
     (void)ctx;
     bbl_buf_append_cstr(&body, "{\"instances\":[");
-    for (size_t i = 0; i < self.servers.size; i++) {
+    for (size_t i = 0, listed = 0; i < self.servers.size; i++) {
         const standin_server *s =
             *BBL_VEC_AT(standin_server *, &self.servers, i);
 
+        if (s->restart_at != 0) {
+            continue;
+        }
+
         bbl_buf_printf(&body,
                        "%s{\"service\":\"%s\",\"id\":\"%s\",\"zone\":\"%s\","
                        "\"slots\":2,\"state\":\"ready\","
                        "\"warmup_left_ms\":0,\"version\":\"v1\","
                        "\"address\":\"",
-                       i > 0 ? "," : "", s->service, s->id, s->zone);
+                       listed++ > 0 ? "," : "", s->service, s->id, s->zone);
         bbl_address_append(&body, s->address);
         bbl_buf_append_cstr(&body, "\"}");
     }
@@ -91,6 +110,41 @@
 
 /* ---- servers ---- */
 
+/* Counts a request, and reports if too many have come for the rate limit. */
+static void
+check_rate(standin_server *s, bbl_usec now)
+{
+    double allowed =
+        RATE_FACTOR * self.rate_limit * RATE_WINDOW_US / BBL_USEC_PER_SEC +
+        RATE_SLACK;
+
+    if (self.rate_limit <= 0 || now < self.rate_limit_since + RATE_NOTICE_US) {
+        return;
+    }
+    while (s->arrivals.size > 0 &&
+           *BBL_VEC_AT(bbl_usec, &s->arrivals, 0) + RATE_WINDOW_US <= now) {
+        bbl_vec_remove(&s->arrivals, 0);
+    }
+    bbl_vec_push(&s->arrivals, &now);
+    if ((double)s->arrivals.size > allowed) {
+        printf("%s is over its rate limit: %zu requests in 4 s\n", s->id,
+               s->arrivals.size);
+        fflush(stdout);
+    }
+}
+
+/*
+ * Ends a server as a crash does: its connections are closed, and it accepts no
+ * other one until it starts again under another id.
+ */
+static void
+crash_server(standin_server *s, bbl_usec now)
+{
+    printf("%s crashes: %llu\n", s->id, (unsigned long long)++self.crashes);
+    fflush(stdout);
+    s->restart_at = now + RESTART_US;
+}
+
 static bool
 is_addressed_to(const standin_server *s, const bbl_edge_call *call)
 {
@@ -109,10 +163,17 @@
     pending_request request = {
         s, call, from + (bbl_usec)self.work_ms * BBL_USEC_PER_MS};
 
+    check_rate(s, now);
     if (!is_addressed_to(s, call)) {
         bbl_edge_respond_text(call, 421, "", "");
         return;
     }
+    if (self.crash_path != NULL &&
+        strlen(self.crash_path) == call->path.size &&
+        memcmp(self.crash_path, call->path.ptr, call->path.size) == 0 &&
+        s->restart_at == 0) {
+        crash_server(s, now);
+    }
     bbl_vec_push(&self.pending_requests, &request);
 }
 
@@ -145,6 +206,9 @@
                    request->server->id,
                    (unsigned long long)request->server->response_count,
                    (int)id.size, id.ptr ? id.ptr : "");
+    if (self.rate_limit > 0) {
+        bbl_buf_printf(&fields, "Server-Limit: %g\r\n", self.rate_limit);
+    }
     r.fields = bbl_buf_str(&fields);
     bbl_edge_respond(request->call, &r);
     bbl_buf_free(&fields);
@@ -167,13 +231,50 @@
     }
 }
 
+static void
+open_server(standin_server *s)
+{
+    bbl_edge_handler handler = {on_server_request, on_server_request_cancelled,
+                                s};
+
+    if (bbl_edge_open(&s->edge, self.loop, s->address, &handler) != 0) {
+        fprintf(stderr, "platform_standin: %s\n", bbl_error_last());
+        exit(1);
+    }
+}
+
+/* Closes the servers that have crashed, and starts them again later. */
+static void
+tick_crashes(bbl_usec now)
+{
+    for (size_t i = 0; i < self.servers.size; i++) {
+        standin_server *s = *BBL_VEC_AT(standin_server *, &self.servers, i);
+
+        if (s->restart_at == 0) {
+            continue;
+        }
+        if (s->edge != NULL) {
+            bbl_edge_free(s->edge); /* cancels its requests */
+            s->edge = NULL;
+        }
+        else if (now >= s->restart_at) {
+            s->restart_at = 0;
+            snprintf(s->id, sizeof(s->id), "i-%s-%zu-%u", s->service, i,
+                     ++s->starts);
+            open_server(s);
+        }
+    }
+}
+
 static void
 tick_servers(bbl_usec now)
 {
     for (size_t i = 0; i < self.servers.size; i++) {
         standin_server *s = *BBL_VEC_AT(standin_server *, &self.servers, i);
 
-        bbl_edge_tick(s->edge, now);
+        if (s->edge != NULL) {
+            bbl_edge_tick(s->edge, now);
+        }
         if (self.pause_ms > 0 && now >= s->next_pause) {
             s->paused_until = now + (bbl_usec)self.pause_ms * BBL_USEC_PER_MS;
             s->next_pause =
@@ -201,15 +302,14 @@
 
     for (int i = 0; error == 0 && addresses[i] != NULL; i++) {
         standin_server *s = bbl_calloc(1, sizeof(*s));
-        bbl_edge_handler handler = {on_server_request,
-                                    on_server_request_cancelled, s};
 
+        s->arrivals = (bbl_vec)BBL_VEC_INIT(bbl_usec);
         snprintf(s->service, sizeof(s->service), "%s", halves[0]);
         snprintf(s->id, sizeof(s->id), "i-%s-%d", halves[0], i);
         snprintf(s->zone, sizeof(s->zone), "z%d", i % 2 + 1);
         error = bbl_address_parse(&s->address, addresses[i]);
         if (error == 0) {
-            error = bbl_edge_open(&s->edge, self.loop, s->address, &handler);
+            open_server(s);
         }
         bbl_vec_push(&self.servers, &s);
     }
@@ -232,6 +332,12 @@
          "duration of a pause, 0 for no pauses", "MS"},
         {"pause-every-ms", 'e', 0, G_OPTION_ARG_INT, &self.pause_every_ms,
          "mean time between pauses of a server", "MS"},
+        {"rate-limit", 'r', 0, G_OPTION_ARG_DOUBLE, &self.rate_limit,
+         "requests per second that each server accepts, as it states; 0 for "
+         "no limit",
+         "RATE"},
+        {"crash-path", 'c', 0, G_OPTION_ARG_STRING, &self.crash_path,
+         "path of the requests that end each server that runs them", "PATH"},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &services, "",
          "SERVICE=ADDRESS,ADDRESS..."},
         {NULL},
@@ -266,8 +372,10 @@
         fprintf(stderr, "platform_standin: %s\n", bbl_error_last());
         return 1;
     }
+    self.rate_limit_since = bbl_clock_now();
     for (;;) {
         bbl_loop_run_once(self.loop, BBL_USEC_PER_MS);
+        tick_crashes(bbl_clock_now());
         answer_due_requests(bbl_clock_now());
         tick_servers(bbl_clock_now());
     }
