A refused shard of a suspected query is followed by the others

Found on reading the change: a gathered query under suspicion waits for the answer of the first shard; if the server of that shard refused it unrun, nothing was in flight and the query waited until its deadline. Change: the other shards wait only while an attempt is in flight. Test refused_shard_of_a_suspect_is_followed_by_others failed before (no answer in 200 ms) and passes.

--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -204,7 +204,8 @@
 static bool
 hold_suspect(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
-    if (q->shard_count < 2 || q->shards_answered > 0 || !q->attempted ||
+    if (q->shard_count < 2 || q->shards_answered > 0 ||
+        (q->attempts.size == 0 && q->broken == 0) ||
         bbl_crash_ledger_get_generation(&f->crash_ledger, now,
                                         q->request.fingerprint) == 0) {
         return false;
--- a/src/forward/permit.c
+++ b/src/forward/permit.c
@@ -78,10 +78,7 @@
     return q->shards_needed > others ? q->shards_needed - others : 0;
 }
 
-/*
- * Returns whether this host has to do without grantors. Its own share is small
- * enough that even the first request of every host fits into the limit.
- */
+/* Returns whether this host has to do without grantors. */
 static bool
 must_grant_locally(const bbl_forwarder *f, bbl_usec now)
 {
@@ -90,8 +87,9 @@
 }
 
 /*
- * Grants permits from this host's own share of the limits, which is
- * LOCAL_SHARE of an equal share. Returns whether any was granted.
+ * Grants permits from a part of this host's equal share of the limits, if the
+ * fleet is so small that a first request of every host fits into them. Returns
+ * whether any was granted.
  */
 static bool
 grant_locally(bbl_forwarder *f, bbl_usec now, bbl_permit_request *r)
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -293,6 +293,14 @@
     }
 }
 
+void
+forward_fleet_set_mode(forward_fleet *f, unsigned server, server_mode mode)
+{
+    for (unsigned i = 0; i < f->host_count; i++) {
+        get_server(f, i, server)->mode = mode;
+    }
+}
+
 void
 forward_fleet_cut_host(forward_fleet *f, unsigned host, bool cut)
 {
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -31,6 +31,10 @@
 void forward_fleet_set_limit(forward_fleet *fleet, unsigned server,
                              double rate);
 
+/* Sets how a server handles requests. */
+void forward_fleet_set_mode(forward_fleet *fleet, unsigned server,
+                            server_mode mode);
+
 /* Cuts a host off from the control hosts, or ends the cut. */
 void forward_fleet_cut_host(forward_fleet *fleet, unsigned host, bool cut);
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -607,6 +607,12 @@
     sim->repeated_path = path;
 }
 
+uint64_t
+forward_sim_get_repeated_fingerprint(void)
+{
+    return CRASH_FINGERPRINT;
+}
+
 void
 forward_sim_set_control(forward_sim *sim, const forward_sim_control *control)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -125,6 +125,9 @@
  */
 void forward_sim_set_repeated_path(forward_sim *sim, const char *path);
 
+/* Returns the fingerprint of the crash path and the repeated path. */
+uint64_t forward_sim_get_repeated_fingerprint(void);
+
 /* How the simulated host reaches the control hosts. */
 typedef struct {
     void (*publish_limit)(void *ctx, forward_sim *sim,
--- a/tests/test_repeated_crashes.c
+++ b/tests/test_repeated_crashes.c
@@ -151,6 +151,38 @@
 }
 END_TEST
 
+/* A server that refuses the first shard of a suspect does not hold it up. */
+START_TEST(refused_shard_of_a_suspect_is_followed_by_others)
+{
+    forward_fleet *f = forward_fleet_new(1);
+    forward_sim *sim = forward_fleet_get_host(f, 0);
+    bbl_observed_crash crash;
+    const forward_sim_call *c;
+    unsigned call;
+
+    for (unsigned i = 0; i < 6; i++) {
+        char id[16];
+        char service[8];
+
+        snprintf(service, sizeof(service), "s%u", i);
+        snprintf(id, sizeof(id), "%s-0", service);
+        forward_fleet_add_server(f, id, service, "z1");
+    }
+    forward_fleet_install_routing(f, routing);
+    forward_sim_set_repeated_path(sim, "/g/again");
+    crash = (bbl_observed_crash){forward_sim_get_repeated_fingerprint(), 1, 1};
+    forward_sim_update_crashes(sim, &crash, 1);
+    forward_fleet_set_mode(f, 0, SERVER_SHEDS);
+    call = forward_sim_send_request(sim, "/g/again", 800);
+    forward_fleet_run(f, 200 * MS, 0, "/g/x");
+    c = forward_sim_get_call(sim, call);
+    ck_assert(c->answered);
+    ck_assert_uint_eq(c->status, 200);
+    ck_assert_uint_eq(c->parts, 5);
+    forward_fleet_free(f);
+}
+END_TEST
+
 /*
  * Every server ends at once, with the same request running at all hosts. It is
  * innocent: later copies are served.
@@ -198,6 +230,7 @@
     tcase_add_test(tc, request_is_kept_from_servers_after_a_cut);
     tcase_add_test(tc, refused_request_is_told_when_to_come_back);
     tcase_add_test(tc, query_over_shards_is_tried_at_one_of_them);
+    tcase_add_test(tc, refused_shard_of_a_suspect_is_followed_by_others);
     tcase_add_test(tc, request_that_met_a_loss_of_power_is_served);
     suite_add_tcase(s, tc);
     return run_suite(s);
