A query that loses parts at once gets them again when another part comes

Cause: a query became a suspect by its own lost parts, also after other shards had answered it. Change: only a copy that came after known crashes, or a query of which no shard has answered, is a suspect; it waits for the answer of another shard instead of failing. Test innocent_query_gets_its_lost_parts_again failed before (502) and passes.

--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -23,7 +23,7 @@
 #define STALL_TIMEOUT_MIN_US (8 * BBL_USEC_PER_MS)
 /*
  * Connections that break under a query, none of whose shards has answered,
- * before it gets no second attempts.
+ * before it is a suspect.
  */
 #define BROKEN_MAX 3
 /*
@@ -182,16 +182,11 @@
     return true;
 }
 
-/*
- * Returns whether a query may be what ends its servers, so that it gets no
- * second attempt.
- */
-static bool
-is_crash_suspected(const bbl_forwarder *f, bbl_usec now, const bbl_query *q)
+bool
+bbl_query_is_suspect(const bbl_query *q)
 {
-    return (q->broken >= BROKEN_MAX && q->shards_answered == 0) ||
-           bbl_crash_ledger_get_generation(&f->crash_ledger, now,
-                                           q->request.fingerprint) > 0;
+    return q->shards_answered == 0 &&
+           (q->broken >= BROKEN_MAX || q->crash_generation > 0);
 }
 
 bool
@@ -203,7 +198,7 @@
         q->deadline < now + BBL_TIME_LEFT_MIN_US) {
         return false;
     }
-    if (s->attempts_sent > 0 && is_crash_suspected(f, now, q)) {
+    if (s->attempts_sent > 0 && bbl_query_is_suspect(q)) {
         return false;
     }
     if (s->attempts_sent > 0 &&
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -100,6 +100,10 @@
     if (s->state != BBL_SHARD_PENDING) {
         return;
     }
+    if (s->attempts_sent > 0 && q->attempts.size > 0 &&
+        bbl_query_is_suspect(q)) {
+        return; /* the answer of another shard decides */
+    }
     if (!bbl_attempt_may_send(f, now, q, s)) {
         s->state = BBL_SHARD_FAILED;
         q->shards_failed++;
@@ -202,12 +206,11 @@
  * its server ends as well, the others are not sent the query.
  */
 static bool
-hold_suspect(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+hold_suspect(bbl_query *q)
 {
-    if (q->shard_count < 2 || q->shards_answered > 0 ||
-        (q->attempts.size == 0 && q->broken == 0) ||
-        bbl_crash_ledger_get_generation(&f->crash_ledger, now,
-                                        q->request.fingerprint) == 0) {
+    if (q->shard_count < 2 || q->crash_generation == 0 ||
+        !bbl_query_is_suspect(q) ||
+        (q->attempts.size == 0 && q->broken == 0)) {
         return false;
     }
     for (unsigned i = 0; q->broken > 0 && i < q->shard_count; i++) {
@@ -229,12 +232,12 @@
         !bbl_query_awaits_permits(q, now)) {
         q->probes_limits = false;
     }
-    if (hold_for_permits(f, now, q) || hold_suspect(f, now, q)) {
+    if (hold_for_permits(f, now, q) || hold_suspect(q)) {
         return true;
     }
     for (unsigned i = 0; i < q->shard_count; i++) {
         send_pending_shard(f, now, q, &q->shards[i]);
-        if (hold_suspect(f, now, q)) {
+        if (hold_suspect(q)) {
             return true;
         }
         waiting = waiting || q->shards[i].state == BBL_SHARD_PENDING;
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -93,6 +93,13 @@
 bool bbl_attempt_send(bbl_forwarder *f, bbl_usec now, bbl_query *q,
                       bbl_shard *s, bbl_backend *b, bool hedge);
 
+/*
+ * Returns whether a query may be what ends its servers: servers have ended
+ * under earlier copies of it, or connections break under this one, and no
+ * shard has answered yet. It gets no second attempts meanwhile.
+ */
+bool bbl_query_is_suspect(const bbl_query *q);
+
 /*
  * Returns whether another attempt at a shard is allowed by the route, by the
  * time left and by the budget for extra attempts.
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -301,6 +301,23 @@
     }
 }
 
+void
+forward_fleet_set_work(forward_fleet *f, unsigned server, bbl_usec work)
+{
+    for (unsigned i = 0; i < f->host_count; i++) {
+        get_server(f, i, server)->work = work;
+    }
+}
+
+void
+forward_fleet_refuse_connection(forward_fleet *f, unsigned server)
+{
+    for (unsigned i = 0; i < f->host_count; i++) {
+        forward_sim_record_connect(f->hosts[i], get_server(f, i, server),
+                                   false);
+    }
+}
+
 void
 forward_fleet_cut_host(forward_fleet *f, unsigned host, bool cut)
 {
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -35,6 +35,13 @@
 void forward_fleet_set_mode(forward_fleet *fleet, unsigned server,
                             server_mode mode);
 
+/* Sets how long a server works on a request. */
+void forward_fleet_set_work(forward_fleet *fleet, unsigned server,
+                            bbl_usec work);
+
+/* Reports to all hosts that a server refuses connections. */
+void forward_fleet_refuse_connection(forward_fleet *fleet, unsigned server);
+
 /* Cuts a host off from the control hosts, or ends the cut. */
 void forward_fleet_cut_host(forward_fleet *fleet, unsigned host, bool cut);
 
--- a/tests/test_repeated_crashes.c
+++ b/tests/test_repeated_crashes.c
@@ -151,6 +151,44 @@
 }
 END_TEST
 
+/*
+ * Servers of many shards end at once, before any other has answered: the query
+ * is innocent, and its lost parts are sent again.
+ */
+START_TEST(innocent_query_gets_its_lost_parts_again)
+{
+    forward_fleet *f = forward_fleet_new(1);
+    forward_sim *sim = forward_fleet_get_host(f, 0);
+    const forward_sim_call *c;
+    unsigned call;
+
+    for (unsigned i = 0; i < 12; i++) {
+        char id[16];
+        char service[8];
+
+        snprintf(service, sizeof(service), "s%u", i / 2);
+        snprintf(id, sizeof(id), "%s-%u", service, i % 2);
+        forward_fleet_add_server(f, id, service, i % 2 ? "z2" : "z1");
+        if (i % 2 == 0 && i < 10) {
+            forward_fleet_set_mode(f, i, SERVER_BREAKS);
+            forward_fleet_set_work(f, i, 1 * MS);
+        }
+    }
+    forward_fleet_install_routing(f, routing);
+    call = forward_sim_send_request(sim, "/g/x", 800);
+    forward_fleet_run(f, 2 * MS, 0, "/g/x");
+    for (unsigned i = 0; i < 10; i += 2) {
+        forward_fleet_refuse_connection(f, i);
+    }
+    forward_fleet_run(f, 200 * MS, 0, "/g/x");
+    c = forward_sim_get_call(sim, call);
+    ck_assert(c->answered);
+    ck_assert_uint_eq(c->status, 200);
+    ck_assert_uint_eq(c->parts, 6);
+    forward_fleet_free(f);
+}
+END_TEST
+
 /* A server that refuses the first shard of a suspect does not hold it up. */
 START_TEST(refused_shard_of_a_suspect_is_followed_by_others)
 {
@@ -230,6 +268,7 @@
     tcase_add_test(tc, request_is_kept_from_servers_after_a_cut);
     tcase_add_test(tc, refused_request_is_told_when_to_come_back);
     tcase_add_test(tc, query_over_shards_is_tried_at_one_of_them);
+    tcase_add_test(tc, innocent_query_gets_its_lost_parts_again);
     tcase_add_test(tc, refused_shard_of_a_suspect_is_followed_by_others);
     tcase_add_test(tc, request_that_met_a_loss_of_power_is_served);
     suite_add_tcase(s, tc);
