A server that ends after its caller has left is counted as well

Found on reading the change: attempts that are detached from their query, because its caller left or it was answered, were not watched, so a request whose callers leave early went on ending servers. Change: an attempt keeps the fingerprint and the known generation itself. Test request_whose_callers_leave_is_kept_from_servers failed before (40 runs more where 3 are allowed) and passes.

--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -154,6 +154,8 @@
     a->load_limit = q->load_limit;
     a->work = (double)q->timing->uncongested_time;
     a->request_share = 1.0 / q->shard_count;
+    a->fingerprint = q->request.fingerprint;
+    a->crash_generation = q->crash_generation;
     a->ctx = f->options.port.ctx;
     a->sent_at = now;
     a->hedge = hedge;
@@ -475,6 +477,12 @@
 
     bbl_attempt_unlink(a);
     update_server(f, now, a, r, &head, m);
+    if (r->outcome == BBL_ATTEMPT_BROKEN && a->fingerprint != 0) {
+        bbl_crash_watch_add(&f->crash_watch, now, a->backend->key,
+                            a->fingerprint, a->crash_generation + 1,
+                            q != NULL ? q->request.request_id
+                                      : (bbl_str){"", 0});
+    }
     if (q == NULL) {
         bbl_vec_swap_remove(&f->detached_attempts,
                             bbl_vec_find_pointer(&f->detached_attempts, a));
@@ -484,11 +492,6 @@
     bbl_vec_swap_remove(&q->attempts, bbl_vec_find_pointer(&q->attempts, a));
     a->shard->in_flight--;
     q->broken += r->outcome == BBL_ATTEMPT_BROKEN;
-    if (r->outcome == BBL_ATTEMPT_BROKEN && q->request.fingerprint != 0) {
-        bbl_crash_watch_add(&f->crash_watch, now, a->backend->key,
-                            q->request.fingerprint, q->crash_generation + 1,
-                            q->request.request_id);
-    }
     count_response(now, q);
     if (m == RESULT_USABLE) {
         receive_part(f, now, q, a, r, &head);
--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -17,7 +17,8 @@
     uint64_t server;      /* key of the server */
     uint64_t fingerprint; /* of the request; see bbl_forward_request */
     unsigned generation;  /* of a crash, see crash_ledger.h */
-    char request_id[BBL_CRASH_ID_MAX]; /* for the log; may be truncated */
+    /* For the log; may be truncated, empty if the request has ended. */
+    char request_id[BBL_CRASH_ID_MAX];
     bbl_usec broken_at;
 } bbl_broken_attempt;
 
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -115,8 +115,10 @@
     void *handle; /* the driver's handle of the attempt */
     void *ctx;    /* ctx of the port */
     bbl_usec sent_at;
-    double work;          /* expected server time, microseconds */
-    double request_share; /* 1 / shards of its query, 0 to 1 */
+    uint64_t fingerprint;      /* of the request */
+    unsigned crash_generation; /* that was known when the query began */
+    double work;               /* expected server time, microseconds */
+    double request_share;      /* 1 / shards of its query, 0 to 1 */
     /* When to cancel the attempt; set once its query is finished. */
     bbl_usec cancel_at;
     bool hedge;
--- a/tests/test_repeated_crashes.c
+++ b/tests/test_repeated_crashes.c
@@ -98,6 +98,29 @@
 }
 END_TEST
 
+/* Its callers leave before the servers have ended. */
+START_TEST(request_whose_callers_leave_is_kept_from_servers)
+{
+    forward_fleet *f = new_fleet(7, 8);
+    unsigned runs = 0;
+
+    for (unsigned i = 0; i < 60; i++) {
+        forward_sim *sim = forward_fleet_get_host(f, i % 7);
+        unsigned call = forward_sim_send_request(sim, CRASH_PATH, 800);
+
+        forward_fleet_run(f, 4 * MS, 0, "/one/x");
+        if (!forward_sim_get_call(sim, call)->answered) {
+            forward_sim_cancel_request(sim, call);
+        }
+        forward_fleet_run(f, 400 * MS, 0, "/one/x");
+        runs += i >= 20 ? forward_sim_get_call(sim, call)->runs : 0;
+        forward_fleet_reconnect(f);
+    }
+    ck_assert_msg(runs <= 3, "sent to servers %u times more", runs);
+    forward_fleet_free(f);
+}
+END_TEST
+
 /* What its callers are told is true: it does not run, for that long. */
 START_TEST(refused_request_is_told_when_to_come_back)
 {
@@ -266,6 +289,7 @@
     tcase_add_loop_test(tc, request_that_ends_its_servers_is_kept_from_them, 0,
                         3);
     tcase_add_test(tc, request_is_kept_from_servers_after_a_cut);
+    tcase_add_test(tc, request_whose_callers_leave_is_kept_from_servers);
     tcase_add_test(tc, refused_request_is_told_when_to_come_back);
     tcase_add_test(tc, query_over_shards_is_tried_at_one_of_them);
     tcase_add_test(tc, innocent_query_gets_its_lost_parts_again);
