Only requests for permits whose reply did not come count as unanswered

Change: a request counts when its permits would have expired. one_lost_reply_gives_no_permit with a burst failed before (15 requests, 14 allowed) and passes; limits_hold_without_control_hosts passes as before.

--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -46,9 +46,9 @@
     bbl_vec permit_items;    /* scratch: bbl_permit_item */
     uint64_t last_permit_request;
     unsigned grantors; /* hosts that grant permits */
-    /* Requests for permits since the last reply, and when the first was. */
-    unsigned permits_unanswered;
-    bbl_usec permits_unanswered_since;
+    /* Requests for permits since the last reply whose reply did not come. */
+    unsigned permits_expired;
+    bbl_usec permits_expired_since;
     bbl_permit_book local_permits; /* while no grantor replies */
     bool limits_known; /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
@@ -126,7 +126,7 @@
 /* Forgets a query that is about to be freed. */
 void bbl_query_forget_permits(bbl_forwarder *f, const bbl_query *q);
 
-/* Forgets the requests whose permits would no longer be valid. */
+/* Counts and forgets the requests whose permits would no longer be valid. */
 void bbl_forwarder_expire_permit_requests(bbl_forwarder *f, bbl_usec now);
 
 /* Applies the limits that other hosts have observed. */
--- a/src/forward/permit.c
+++ b/src/forward/permit.c
@@ -14,8 +14,8 @@
 
 /* Time without any reply after which a host relies on its own share. */
 #define GRANTORS_LOST_US (2 * BBL_USEC_PER_SEC)
-/* Requests in a row without a reply; one alone may have been lost. */
-#define UNANSWERED_MAX 5
+/* Requests in a row whose reply did not come; one alone may have been lost. */
+#define EXPIRED_MAX 5
 /* The part of an equal share that a host uses then: one in this many. */
 #define LOCAL_SHARE_DIVISOR 4
 /*
@@ -82,8 +82,8 @@
 static bool
 must_grant_locally(const bbl_forwarder *f, bbl_usec now)
 {
-    return f->permits_unanswered > UNANSWERED_MAX &&
-           now > f->permits_unanswered_since + GRANTORS_LOST_US;
+    return f->permits_expired > EXPIRED_MAX &&
+           now > f->permits_expired_since + GRANTORS_LOST_US;
 }
 
 /*
@@ -161,9 +161,6 @@
     if (must_grant_locally(f, now) && grant_locally(f, now, &r)) {
         q->next_due_at = now;
     }
-    if (f->permits_unanswered++ == 0) {
-        f->permits_unanswered_since = now;
-    }
     f->counters.permit_requests++;
     f->options.port.request_permits(f->options.port.ctx, &r);
 }
@@ -201,7 +198,7 @@
     if (!take_open_request(&r, f, reply->number)) {
         return;
     }
-    f->permits_unanswered = 0;
+    f->permits_expired = 0;
     for (size_t i = 0; i < reply->result_count; i++) {
         const bbl_permit_result *result = &reply->results[i];
         bbl_backend *b = bbl_map_get(&f->pools.keys, result->server);
@@ -231,6 +228,9 @@
     while (f->permit_requests.size > 0 &&
            now > BBL_VEC_AT(open_request, &f->permit_requests, 0)->asked_at +
                      f->options.permit_ttl) {
+        if (f->permits_expired++ == 0) {
+            f->permits_expired_since = now;
+        }
         bbl_vec_remove(&f->permit_requests, 0);
     }
 }
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -282,6 +282,11 @@
         forward_fleet_run(f, 4 * SECOND, 0, "/one/x");
     }
     ck_assert_uint_eq(forward_fleet_count_arrivals(f, 0, 0), before);
+    /* Nor do many requests at once, before a reply to them can have come. */
+    for (unsigned i = 0; i < 12; i++) {
+        forward_sim_send_request(forward_fleet_get_host(f, 0), "/one/x", 800);
+    }
+    ck_assert_uint_eq(forward_fleet_count_arrivals(f, 0, 0), before);
     forward_fleet_free(f);
 }
 END_TEST
