One request for permits may name all servers of a large service

Found on reading the change: a request of more than 8,192 items was dropped when it was encoded, so a query over 1,100 limited shards would have got no permit; and the grantor searched the whole request again for each refused item. Change: the bound of the rows, and the size of a group counted once. request_for_all_shards_of_a_large_service_is_encoded failed before and passes.

--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1178,7 +1178,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->needed))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, 8192,
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BBLX_ROWS_MAX,
 		sizeof (bblx_permit_item), (xdrproc_t) xdr_bblx_permit_item))
 		 return FALSE;
 	return TRUE;
@@ -1205,7 +1205,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, 8192,
+	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, BBLX_ROWS_MAX,
 		sizeof (bblx_permit_result), (xdrproc_t) xdr_bblx_permit_result))
 		 return FALSE;
 	return TRUE;
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -430,7 +430,7 @@
     bblx_address control;         /* of the sender, for the reply */
     bool urgent;
     unsigned int needed;          /* with permits for fewer groups, none */
-    bblx_permit_item items<8192>; /* ordered by group */
+    bblx_permit_item items<BBLX_ROWS_MAX>; /* ordered by group */
 };
 
 struct bblx_permit_result {
@@ -441,7 +441,7 @@
 
 struct bblx_permit_reply {
     unsigned hyper number;
-    bblx_permit_result results<8192>;
+    bblx_permit_result results<BBLX_ROWS_MAX>;
 };
 
 enum bblx_kind {
--- a/src/control/permit_book.c
+++ b/src/control/permit_book.c
@@ -171,13 +171,16 @@
                           BBL_USEC_PER_SEC);
 }
 
-static unsigned
-count_group(const bblx_permit_request *r, unsigned group)
+/* Returns the number of items in the group that begins at `first`. */
+static u_int
+count_group(const bblx_permit_request *r, u_int first)
 {
-    unsigned n = 0;
+    u_int n = 1;
 
-    for (u_int i = 0; i < r->items.items_len; i++) {
-        n += r->items.items_val[i].group == group;
+    while (first + n < r->items.items_len &&
+           r->items.items_val[first + n].group ==
+               r->items.items_val[first].group) {
+        n++;
     }
     return n;
 }
@@ -218,10 +221,16 @@
                       const bblx_permit_request *r)
 {
     unsigned groups = choose_items(out, book, now, grantors, r);
+    u_int group_size = 0;
+    u_int group_end = 0;
 
     for (u_int i = 0; i < r->items.items_len; i++) {
         bucket *b = bbl_map_get(&book->buckets, out[i].server);
 
+        if (i == group_end) {
+            group_size = count_group(r, i);
+            group_end += group_size;
+        }
         if (groups < r->needed) {
             out[i].granted = FALSE;
         }
@@ -240,8 +249,7 @@
         }
         if (out[i].wait_us > 0) {
             /* The request is repeated at other grantors and servers. */
-            b->expected += 1.0 / BBL_PERMIT_ASKED_MAX /
-                           count_group(r, r->items.items_val[i].group);
+            b->expected += 1.0 / BBL_PERMIT_ASKED_MAX / group_size;
         }
         book->granted += out[i].granted;
         book->refused += !out[i].granted;
--- a/src/forward/rate_limit.c
+++ b/src/forward/rate_limit.c
@@ -8,7 +8,7 @@
 #define SAME_RATE_SHARE 0.01
 /* Shortest time between two reports of one server to other hosts. */
 #define PUBLISH_INTERVAL_US (250 * BBL_USEC_PER_MS)
-/* Bounds of the time after such refusals in which no permit is requested. */
+/* Bounds of the time after refusals in which no permit is requested. */
 #define REFUSED_MIN_US (50 * BBL_USEC_PER_MS)
 #define REFUSED_MAX_US (250 * BBL_USEC_PER_MS)
 
--- a/tests/test_permit_book.c
+++ b/tests/test_permit_book.c
@@ -143,6 +143,23 @@
 }
 END_TEST
 
+/* A query over all shards of a large service goes into one request. */
+START_TEST(request_for_all_shards_of_a_large_service_is_encoded)
+{
+    static bblx_permit_item items[1100 * 13];
+    bblx_message m;
+    bbl_buf bytes = BBL_BUF_INIT;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_PERMIT_REQUEST;
+    m.bblx_message_u.permit_request.items.items_len =
+        sizeof(items) / sizeof(items[0]);
+    m.bblx_message_u.permit_request.items.items_val = items;
+    ck_assert_int_eq(BBL_XDR_ENCODE(&bytes, bblx_message, &m), 0);
+    bbl_buf_free(&bytes);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -157,6 +174,7 @@
     tcase_add_test(tc, request_that_cannot_be_met_takes_nothing);
     tcase_add_test(tc, urgent_requests_come_first_but_leave_a_share);
     tcase_add_test(tc, refused_requests_are_told_different_times);
+    tcase_add_test(tc, request_for_all_shards_of_a_large_service_is_encoded);
     suite_add_tcase(s, tc);
     sr = srunner_create(s);
     srunner_run_all(sr, CK_NORMAL);
