--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -213,7 +213,7 @@
 for n in 1 2 3; do send_for 11 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
 for n in 1 2 3; do wait "${loads[$n]}"; done
 if grep "is over its rate limit" "$dir/standin.log"; then fail "a server is over its rate limit"; fi
-[ "$(cat "$dir"/statuses? | grep -c '^200$')" -ge 30 ] || fail "less than half of what the servers accept is served"
+[ "$(cat "$dir"/statuses? | grep -c '^200$')" -ge 30 ] || fail "less than a third of what the servers accept is served"
 [ "$(cat "$dir"/statuses? | grep -c -v -E '^(200|503)$')" -eq 0 ] || fail "a status other than 200 and 503 under a rate limit"
 
 # A request that ends its servers is kept from them, at all hosts.
