Log how many of the backend servers a host reaches

BBL4003 is a line for each server, so the logs did not tell a host that has lost its links from a fleet whose servers are down. BBL4007 and two gauges tell it. No decision has changed.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -118,7 +118,7 @@
            event == BBL_EV_EVACUATION || event == BBL_EV_CONTROL_LOST ||
            event == BBL_EV_CONTROL_FOUND || event == BBL_EV_LEADER ||
            event == BBL_EV_CATALOG_FAILED || event == BBL_EV_CATALOG ||
-           event == BBL_EV_LOST_LINES;
+           event == BBL_EV_REACH || event == BBL_EV_LOST_LINES;
 }
 
 /* Prints the newest line of each state event of a host up to a time. */
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -55,6 +55,11 @@
                  (double)bbl_forwarder_count_open(f));
     append_gauge(out, "routing_version", "version of the routing in force",
                  (double)bbl_forwarder_get_routing_version(f));
+    append_gauge(out, "servers_usable", "backend servers that may get work",
+                 bbl_forwarder_get_reach(f)->usable);
+    append_gauge(out, "servers_unreachable",
+                 "backend servers that this host cannot reach",
+                 bbl_forwarder_get_reach(f)->unreachable);
     bbl_metrics_append_counter(out, "attempts_total",
                                "attempts sent to backend servers",
                                c->attempts);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -340,6 +340,21 @@
     g->resize_links = true; /* other servers may get its share */
 }
 
+static void
+on_reach_changed(void *ctx, const bbl_reach *r, bbl_reach_level before)
+{
+    bbl_usec now = bbl_clock_now();
+
+    (void)ctx;
+    bbl_log(BBL_EV_REACH,
+            "from=%s to=%s usable=%u unreachable=%u contact_age_ms=%lld",
+            bbl_reach_level_name(before), bbl_reach_level_name(r->level),
+            r->usable, r->unreachable,
+            r->contact_at == 0
+                ? -1LL
+                : (long long)((now - r->contact_at) / BBL_USEC_PER_MS));
+}
+
 static void
 on_rate_limit_reported(void *ctx, const bbl_backend *b)
 {
@@ -635,6 +650,7 @@
     f.port.server_added = on_server_added;
     f.port.server_removed = on_server_removed;
     f.port.server_changed = on_server_changed;
+    f.port.reach_changed = on_reach_changed;
     f.port.rate_limit_reported = on_rate_limit_reported;
     f.port.server_ended = on_server_ended;
     f.port.suspect_answered = on_suspect_answered;
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -329,6 +329,7 @@
 
     if (r->outcome == BBL_ATTEMPT_RESPONSE) {
         b->answered_at = now;
+        f->reach.contact_at = now;
         if (!head->wrong_incarnation) {
             update_rate_limit(f, now, b, head);
         }
@@ -518,6 +519,7 @@
     bbl_backend_state before = bbl_backend_get_state(b, now);
 
     if (ok) {
+        f->reach.contact_at = now;
         bbl_backend_record_connect(b, now, duration);
     }
     else {
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -575,16 +575,18 @@
 }
 
 /*
- * Marks servers as down that have sent no response for too long, and notes
- * whether any server limits its request rate.
+ * Marks servers as down that have sent no response for too long, counts those
+ * that can be reached, and notes whether any limits its request rate.
  */
 static void
 check_servers(bbl_forwarder *f, bbl_usec now)
 {
+    bbl_reach_level before = f->reach.level;
     bbl_backend *b;
     size_t pos = 0;
 
     f->limits_known = false;
+    bbl_reach_start_count(&f->reach);
     while ((b = bbl_map_next(&f->pools.backends, &pos)) != NULL) {
         const bbl_attempt *a = b->attempts;
         bbl_usec limit = SILENCE_DOWN_MIN_US;
@@ -598,6 +600,10 @@
         if (a != NULL && !b->down && bbl_backend_is_stalled(b, now, limit)) {
             bbl_backend_mark_silent(f, now, b);
         }
+        bbl_reach_count(&f->reach, b, now);
+    }
+    if (bbl_reach_finish_count(&f->reach)) {
+        f->options.port.reach_changed(f->options.port.ctx, &f->reach, before);
     }
 }
 
@@ -718,6 +724,12 @@
     return f->table != NULL ? bbl_routing_version(f->table->routing) : 0;
 }
 
+const bbl_reach *
+bbl_forwarder_get_reach(const bbl_forwarder *f)
+{
+    return &f->reach;
+}
+
 const bbl_forward_counters *
 bbl_forwarder_get_counters(const bbl_forwarder *f)
 {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -27,6 +27,7 @@
 #include "forward/extra_budget.h"
 #include "forward/permit.h"
 #include "forward/placement.h"
+#include "forward/reach.h"
 #include "util/histogram.h"
 
 #define BBL_FORWARDER_OPTIONS_VERSION 1
@@ -220,6 +221,9 @@
     void (*server_removed)(void *ctx, bbl_backend *backend);
     void (*server_changed)(void *ctx, bbl_backend *backend,
                            bbl_backend_state state);
+    /* Reports that this host reaches more or fewer servers than before. */
+    void (*reach_changed)(void *ctx, const bbl_reach *reach,
+                          bbl_reach_level before);
     /*
      * Reports that a server states another rate limit than before, or none,
      * and every BBL_RATE_REPORT_US while it states one. The counts of
@@ -425,6 +429,9 @@
                                             bbl_usec now,
                                             const bbl_backend *backend);
 
+/* Returns how many servers this host reaches. */
+const bbl_reach *bbl_forwarder_get_reach(const bbl_forwarder *forwarder);
+
 const bbl_forward_counters *
 bbl_forwarder_get_counters(const bbl_forwarder *forwarder);
 
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -40,6 +40,7 @@
     bbl_vec queries;
     /* bbl_attempt *, still in flight although their query is finished. */
     bbl_vec detached_attempts;
+    bbl_reach reach;
     bbl_crash_watch crash_watch;
     bbl_crash_ledger crash_ledger;
     bbl_vec permit_requests; /* open_request, see permit.c; oldest first */
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -83,6 +83,8 @@
     X(REQUEST_BARRED, 4006, WARN, "request-barred",                           \
       "a request is refused from now on: servers have ended under copies of " \
       "it")                                                                   \
+    X(REACH, 4007, WARN, "reach",                                             \
+      "this host reaches more or fewer of the backend servers than before")   \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -310,6 +310,12 @@
     (void)before;
 }
 
+static void
+on_reach_changed(void *ctx, const bbl_reach *reach, bbl_reach_level before)
+{
+    require(ctx, reach->level != before, "an unchanged reach is reported");
+}
+
 /* ---- servers ---- */
 
 static void
@@ -430,6 +436,7 @@
     o.port.server_added = on_added;
     o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
+    o.port.reach_changed = on_reach_changed;
     o.port.rate_limit_reported = on_rate_limit_reported;
     o.port.server_ended = on_server_ended;
     o.port.suspect_answered = on_suspect_answered;
