--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -324,6 +324,21 @@
     f->cut[host] = cut;
 }
 
+void
+forward_fleet_set_links(forward_fleet *f, unsigned host,
+                        forward_sim_links links)
+{
+    forward_sim_set_links(f->hosts[host], links);
+}
+
+void
+forward_fleet_update_lists(forward_fleet *f)
+{
+    for (unsigned i = 0; i < f->host_count; i++) {
+        forward_sim_update_list(f->hosts[i], NULL);
+    }
+}
+
 void
 forward_fleet_restart_grantor(forward_fleet *f, unsigned grantor)
 {
@@ -430,6 +445,14 @@
 void
 forward_fleet_summarize(forward_fleet_summary *out, const forward_fleet *f,
                         bbl_usec since)
+{
+    forward_fleet_summarize_hosts(out, f, 0, f->host_count - 1, since);
+}
+
+void
+forward_fleet_summarize_hosts(forward_fleet_summary *out,
+                              const forward_fleet *f, unsigned first,
+                              unsigned last, bbl_usec since)
 {
     memset(out, 0, sizeof(*out));
     for (size_t i = 0; i < f->calls.size; i++) {
@@ -437,7 +460,7 @@
         const forward_sim_call *c =
             forward_sim_get_call(f->hosts[sent->host], sent->call);
 
-        if (sent->sent_at < since) {
+        if (sent->sent_at < since || sent->host < first || sent->host > last) {
             continue;
         }
         out->sent++;
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -45,6 +45,10 @@
 /* Cuts a host off from the control hosts, or ends the cut. */
 void forward_fleet_cut_host(forward_fleet *fleet, unsigned host, bool cut);
 
+/* Sets the state of the links of a host; see forward_sim_set_links. */
+void forward_fleet_set_links(forward_fleet *fleet, unsigned host,
+                             forward_sim_links links);
+
 /* Restarts a control host, of which there are FORWARD_FLEET_GRANTORS. */
 void forward_fleet_restart_grantor(forward_fleet *fleet, unsigned grantor);
 
@@ -96,4 +100,12 @@
 void forward_fleet_summarize(forward_fleet_summary *out,
                              const forward_fleet *fleet, bbl_usec since);
 
+/* The same for the requests that were sent to the hosts `first` to `last`. */
+void forward_fleet_summarize_hosts(forward_fleet_summary *out,
+                                   const forward_fleet *fleet, unsigned first,
+                                   unsigned last, bbl_usec since);
+
+/* Lets all hosts read the list of servers. */
+void forward_fleet_update_lists(forward_fleet *fleet);
+
 #endif
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -12,6 +12,18 @@
 #define CRASH_FINGERPRINT 0x4372617368ull
 #define LINK_STEP_US 100 /* the same, while the link is narrow */
 
+/* Timeouts of the connections, see forward_sim_set_links. */
+#define CONNECT_TIMEOUT_US (250 * BBL_USEC_PER_MS)
+#define CONNECTION_TIMEOUT_US (700 * BBL_USEC_PER_MS)
+#define RECONNECT_INTERVAL_US (300 * BBL_USEC_PER_MS)
+#define REFUSAL_US BBL_USEC_PER_MS
+
+typedef enum {
+    LINK_FAILURE_NONE,
+    LINK_FAILURE_CONNECT, /* no connection could be opened */
+    LINK_FAILURE_BROKEN   /* the connection was reset or has timed out */
+} link_failure;
+
 /* An attempt in flight at a server. */
 typedef struct {
     bbl_attempt *attempt;
@@ -19,6 +31,7 @@
     server_mode mode; /* of the server when the attempt arrived */
     bbl_usec ends;
     unsigned call;
+    link_failure link_failure;
 } exchange;
 
 struct forward_sim {
@@ -40,6 +53,8 @@
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now);
     void *arrived_ctx;
     forward_sim_control control;
+    forward_sim_links links;
+    bool simulates_links;      /* see forward_sim_set_links */
     const char *crash_path;    /* NULL if no request ends its servers */
     const char *repeated_path; /* see forward_sim_set_repeated_path; or NULL */
 };
@@ -67,6 +82,40 @@
     abort(); /* no such server was ever listed */
 }
 
+/* Returns how long the host waits until a connect fails. */
+static bbl_usec
+get_connect_failure_time(const forward_sim *sim)
+{
+    return sim->links == LINKS_REFUSE ? REFUSAL_US : CONNECT_TIMEOUT_US;
+}
+
+/*
+ * Starts an exchange that the links let fail. Returns false if they let it
+ * pass.
+ */
+static bool
+start_failing_exchange(forward_sim *sim, bbl_attempt *attempt,
+                       forward_sim_server *s, unsigned call)
+{
+    exchange x = {attempt, s, s->mode, 0, call, LINK_FAILURE_CONNECT};
+
+    if (!sim->simulates_links || sim->links == LINKS_OPEN ||
+        (sim->links == LINKS_REFUSE && s->connected && s->in_use == 0)) {
+        s->connected = true;
+        return false;
+    }
+    x.ends = sim->now + get_connect_failure_time(sim);
+    if (sim->links == LINKS_HANG && s->connected) {
+        x.ends = sim->now + CONNECTION_TIMEOUT_US;
+        x.link_failure = LINK_FAILURE_BROKEN;
+        s->connected = false;
+    }
+    s->in_use++;
+    bbl_vec_push(&sim->exchanges, &x);
+    bbl_attempt_set_handle(attempt, attempt);
+    return true;
+}
+
 /* ---- the port ---- */
 
 static int
@@ -89,7 +138,11 @@
             "a request is sent to a cold server");
     require(sim, request->time_left_ms > 0,
             "a request is sent with no time left");
+    if (start_failing_exchange(sim, attempt, s, call)) {
+        return 0;
+    }
     x = bbl_vec_add(&sim->exchanges);
+    x->link_failure = LINK_FAILURE_NONE;
     x->attempt = attempt;
     x->server = s;
     x->mode = sim->calls[call].crashes && runs ? SERVER_BREAKS : s->mode;
@@ -125,7 +178,8 @@
         const exchange *x = bbl_vec_at(&sim->exchanges, i);
 
         if (x->attempt == attempt) {
-            return x->mode != SERVER_DARK;
+            return x->mode != SERVER_DARK &&
+                   x->link_failure != LINK_FAILURE_CONNECT;
         }
     }
     require(sim, false, "an attempt is asked for that is not in flight");
@@ -305,9 +359,12 @@
 static void
 on_changed(void *ctx, bbl_backend *backend, bbl_backend_state before)
 {
-    (void)ctx;
-    (void)backend;
+    forward_sim *sim = ctx;
+
     (void)before;
+    if (bbl_backend_get_state(backend, sim->now) == BBL_BACKEND_DOWN) {
+        find_server(sim, backend)->connected = false;
+    }
 }
 
 static void
@@ -318,6 +375,33 @@
 
 /* ---- servers ---- */
 
+static void
+record_connect(forward_sim *sim, const forward_sim_server *s, bool ok,
+               bbl_usec duration)
+{
+    if (s->backend != NULL) {
+        bbl_forwarder_record_connect(sim->forwarder, sim->now, s->backend, ok,
+                                     duration);
+    }
+}
+
+/* Completes an exchange that the links let fail. */
+static void
+complete_failed_exchange(forward_sim *sim, const exchange *x)
+{
+    bbl_attempt_result r;
+
+    memset(&r, 0, sizeof(r));
+    r.outcome = BBL_ATTEMPT_BROKEN;
+    r.failure_reason = "the links are cut";
+    x->server->in_use--;
+    if (x->link_failure == LINK_FAILURE_CONNECT) {
+        r.outcome = BBL_ATTEMPT_UNSENT;
+        record_connect(sim, x->server, false, get_connect_failure_time(sim));
+    }
+    bbl_forwarder_complete_attempt(sim->forwarder, sim->now, x->attempt, &r);
+}
+
 static void
 complete_exchange(forward_sim *sim, const exchange *x)
 {
@@ -407,7 +491,31 @@
         if (sim->receive_time > 0) {
             sim->link_free_at = sim->now + sim->receive_time;
         }
-        complete_exchange(sim, &x);
+        if (x.link_failure != LINK_FAILURE_NONE) {
+            complete_failed_exchange(sim, &x);
+        }
+        else {
+            complete_exchange(sim, &x);
+        }
+    }
+}
+
+/* Opens connections to the servers that are down, as the driver does. */
+static void
+reconnect_servers(forward_sim *sim)
+{
+    for (size_t i = 0; sim->simulates_links && i < sim->server_count; i++) {
+        forward_sim_server *s = &sim->servers[i];
+
+        if (s->backend == NULL || !s->backend->down ||
+            sim->now < s->next_connect_at) {
+            continue;
+        }
+        s->next_connect_at = sim->now + RECONNECT_INTERVAL_US;
+        s->connected = sim->links == LINKS_OPEN;
+        record_connect(sim, s, s->connected,
+                       s->connected ? REFUSAL_US
+                                    : get_connect_failure_time(sim));
     }
 }
 
@@ -667,6 +775,28 @@
                                  (void *)(uintptr_t)(call + 1));
 }
 
+void
+forward_sim_set_links(forward_sim *sim, forward_sim_links links)
+{
+    for (size_t i = 0; !sim->simulates_links && i < sim->server_count; i++) {
+        sim->servers[i].connected = true;
+    }
+    sim->simulates_links = true;
+    sim->links = links;
+    for (size_t i = 0; i < sim->exchanges.size; i++) {
+        exchange *x = bbl_vec_at(&sim->exchanges, i);
+
+        if (links == LINKS_HANG || links == LINKS_RESET) {
+            x->link_failure = LINK_FAILURE_BROKEN;
+            x->ends =
+                sim->now + (links == LINKS_HANG ? CONNECTION_TIMEOUT_US : 0);
+        }
+    }
+    for (size_t i = 0; links == LINKS_RESET && i < sim->server_count; i++) {
+        sim->servers[i].connected = false;
+    }
+}
+
 void
 forward_sim_record_connect(forward_sim *sim, forward_sim_server *server,
                            bool ok)
@@ -695,6 +825,7 @@
     while (sim->now < until) {
         sim->now += sim->receive_time > 0 ? LINK_STEP_US : STEP_US;
         complete_due_exchanges(sim);
+        reconnect_servers(sim);
         bbl_forwarder_tick(sim->forwarder, sim->now);
     }
 }
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -24,6 +24,14 @@
     SERVER_UNSIGNED  /* responds without a signature */
 } server_mode;
 
+/* State of the links from the host to all servers. */
+typedef enum {
+    LINKS_OPEN,
+    LINKS_HANG,  /* nothing passes; connections and connects time out */
+    LINKS_RESET, /* the same, but open connections are reset at once */
+    LINKS_REFUSE /* open connections live on, new ones are refused */
+} forward_sim_links;
+
 typedef struct {
     char id[16];
     char service[16];
@@ -40,6 +48,8 @@
     unsigned runs;
     unsigned connections; /* limit of those in use; 0 if unlimited */
     unsigned in_use;
+    bool connected; /* while links are simulated: one is idle */
+    bbl_usec next_connect_at;
     double rate_limit;    /* stated in its responses; 0 for none */
     bbl_backend *backend; /* the forwarder's; NULL if unlisted */
 } forward_sim_server;
@@ -166,6 +176,13 @@
 /* Lets the caller of a request leave. */
 void forward_sim_cancel_request(forward_sim *sim, unsigned call);
 
+/*
+ * Sets the state of the links from now on. After the first call, connections
+ * are simulated: each server has an idle one, a server that is down is
+ * connected to again and again, and a connect may fail.
+ */
+void forward_sim_set_links(forward_sim *sim, forward_sim_links links);
+
 /* Records that opening a connection to a server succeeded or failed. */
 void forward_sim_record_connect(forward_sim *sim, forward_sim_server *server,
                                 bool ok);
