--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -3,7 +3,7 @@
 # stand-in servers as real processes on loopback. Checks that requests are
 # forwarded and merged, that acknowledged routings survive the kill of each
 # control host in turn (the leader among them) and of all processes at once with
-# the loss of two disks, that a drain interrupts no request, that rate limits of
+# the loss of two disks, that a drain interrupts no request, that delegated queries are answered, that rate limits of
 # servers are kept, and that a request does not end one server after another. Hosts with an
 # even number run OTHER-BINARY if it is given, and the other one after a restart:
 # a fleet is upgraded host by host. Ends only processes that it started.
@@ -54,11 +54,14 @@
 
 # start_entry NUMBER: starts an entry host.
 start_entry() {
+    local peer=()
     select_binary "e$1" "$1"
+    # Earlier builds do not have the setting.
+    if [ "$program" = "$binary" ]; then peer=(--peer-address "127.60.2.$1:7381"); fi
     "$program" forward --data-centre "z$1" --seeds $seeds \
         --control-address "127.60.2.$1:7380" --caller-address "127.60.2.$1:8104" \
         --ready-address "127.60.2.$1:8108" --metrics-address "127.60.2.$1:9100" \
-        --catalog-address 127.60.4.1:8102 --grace-s 5 >>"$dir/entry$1.log" 2>&1 &
+        "${peer[@]}" --catalog-address 127.60.4.1:8102 --grace-s 5 >>"$dir/entry$1.log" 2>&1 &
     pids[e$1]=$!
 }
 
@@ -207,6 +210,22 @@
 start_entry 1
 wait_until is_ready 1 || fail "entry host 1 is not ready again"
 
+# An entry host answers a query that another one has delegated, and no other.
+delegated='Baobablatch-Delegated: host=1 elapsed_us=1000 round_trip_us=100 attempts=0'
+send_delegated() { # HEADER
+    curl -s -m 3 -o "$dir/body" -D "$dir/head" -H 'Host: a.example' -H 'Request-Id: rd' \
+        -H 'Deadline-Ms: 2000' -H "$1" http://127.60.2.2:7381/all/delegated
+}
+send_delegated "$delegated"
+grep -q '^HTTP/1.1 200' "$dir/head" || fail "a delegated query was not answered"
+grep -qi '^Baobablatch-Outcome: reason=ok reach=most attempts=1' "$dir/head" ||
+    fail "the answer to a delegated query does not tell its outcome"
+grep -q 'id=rd .*delegated_by=1 ' "$dir/entry2.log" || fail "the log does not name the delegating host"
+send_delegated "Baobablatch-Delegated: host=0"
+grep -q '^HTTP/1.1 400' "$dir/head" || fail "a malformed delegated query was not refused"
+send_request 2 /all/x || fail "no answer after the delegated query"
+if grep -qi '^Baobablatch-' "$dir/head"; then fail "a caller gets a header between hosts"; fi
+
 # Servers that state a rate limit get no more, and all that they accept is used.
 start_standin --rate-limit 4
 for n in 1 2 3; do wait_until send_request "$n" /one/limited || fail "no answer under a rate limit"; done
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -92,6 +92,15 @@
     bbl_metrics_append_counter(out, "permits_refused_total",
                                "servers for which no permit was left",
                                c->permits_refused);
+    bbl_metrics_append_counter(out, "delegations_total",
+                               "requests passed on to another entry host",
+                               c->delegations);
+    bbl_metrics_append_counter(out, "delegations_refused_total",
+                               "of these, refused by that host",
+                               c->delegations_refused);
+    bbl_metrics_append_counter(out, "delegated_requests_total",
+                               "requests received from other entry hosts",
+                               c->delegated_requests);
     bbl_metrics_append_counter(out, "caller_connections_total",
                                "connections of callers", callers->accepted);
     bbl_metrics_append_counter(out, "callers_left_total",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -11,6 +11,7 @@
 #include "control/permit_book.h"
 #include "daemon/forward_metrics.h"
 #include "net/backend_link.h"
+#include "net/delegation_field.h"
 #include "net/edge.h"
 #include "net/mailbox.h"
 #include "util/alloc.h"
@@ -37,6 +38,10 @@
 /* How long before the end of the grace time a drain ends, and how long after
  * that the last answers are still written. */
 #define EXIT_MARGIN_US (750 * BBL_USEC_PER_MS)
+/* Bytes that a delegating host adds to the header of a request. */
+#define DELEGATED_HEADER_BYTES 512
+/* Connections from this host to one other entry host. */
+#define PEER_CONNECTIONS_MAX 256
 #define FLUSH_US (150 * BBL_USEC_PER_MS)
 
 typedef enum {
@@ -53,9 +58,11 @@
     bbl_mailbox permits; /* bbl_permit_reply * */
     bbl_mailbox *notices;
     bbl_edge *caller_edge;
+    bbl_edge *peer_edge; /* delegated queries of other hosts; may be NULL */
     bbl_edge *ready_edge;
     bbl_edge *metrics_edge;
     bbl_backend_client *backend_client;
+    bbl_backend_client *peer_client; /* for queries of this host */
     bbl_forwarder *forwarder;
     /* The call for which `request_head` and `request_id` were rendered, or
      * NULL. All attempts of a call share them. */
@@ -78,29 +85,35 @@
 /* ---- attempts ---- */
 
 static void
-on_exchange_complete(void *ctx, const bbl_link_exchange_result *r)
+read_exchange_result(bbl_attempt_result *out,
+                     const bbl_link_exchange_result *r)
 {
-    bbl_attempt *attempt = ctx;
-    bbl_gateway *g;
-    bbl_attempt_result result;
-
-    memset(&result, 0, sizeof(result));
-    g = bbl_attempt_get_ctx(attempt);
-    result.outcome =
+    memset(out, 0, sizeof(*out));
+    out->outcome =
         r->exchange_outcome == BBL_LINK_RESPONSE      ? BBL_ATTEMPT_RESPONSE
         : r->exchange_outcome == BBL_LINK_UNSENT      ? BBL_ATTEMPT_UNSENT
         : r->exchange_outcome == BBL_LINK_SERVER_FULL ? BBL_ATTEMPT_SERVER_FULL
                                                       : BBL_ATTEMPT_BROKEN;
-    result.failure_reason = r->reason;
-    result.sent_at = r->sent_at;
-    result.ready_by = bbl_loop_get_polled_at(g->loop);
+    out->failure_reason = r->reason;
+    out->sent_at = r->sent_at;
     if (r->message != NULL) {
-        result.status = bbl_http_message_status(r->message);
-        result.headers = r->message->headers.ptr;
-        result.header_count = r->message->headers.size;
-        result.body = bbl_buf_str(&r->message->body);
-        result.driver_message = r->message;
+        out->status = bbl_http_message_status(r->message);
+        out->headers = r->message->headers.ptr;
+        out->header_count = r->message->headers.size;
+        out->body = bbl_buf_str(&r->message->body);
+        out->driver_message = r->message;
     }
+}
+
+static void
+on_exchange_complete(void *ctx, const bbl_link_exchange_result *r)
+{
+    bbl_attempt *attempt = ctx;
+    bbl_gateway *g = bbl_attempt_get_ctx(attempt);
+    bbl_attempt_result result;
+
+    read_exchange_result(&result, r);
+    result.ready_by = bbl_loop_get_polled_at(g->loop);
     bbl_forwarder_complete_attempt(g->forwarder, bbl_clock_now(), attempt,
                                    &result);
 }
@@ -141,7 +154,8 @@
         const bbl_header *h = bbl_vec_at(&m->headers, i);
 
         if (!bbl_http_is_hop_by_hop(m, h->name) &&
-            !g->dialect->is_own_field(h->name)) {
+            !g->dialect->is_own_field(h->name) &&
+            !bbl_delegation_is_field(h->name)) {
             append_field(out, h);
         }
     }
@@ -209,31 +223,157 @@
                                                          : BBL_ROOM_CONNECT;
 }
 
+/* ---- delegated queries ---- */
+
+static void
+on_delegation_complete(void *ctx, const bbl_link_exchange_result *r)
+{
+    bbl_delegation *delegation = ctx;
+    bbl_gateway *g = bbl_delegation_get_ctx(delegation);
+    bbl_delegation_outcome outcome = {BBL_FORWARD_FAILED, BBL_REACH_MOST, 0};
+    bbl_attempt_result result;
+
+    read_exchange_result(&result, r);
+    if (r->message != NULL &&
+        bbl_delegation_outcome_read(&outcome, r->message) != 0) {
+        /* Not an answer of a peer: it may have run the query. */
+        result.outcome = BBL_ATTEMPT_BROKEN;
+        result.failure_reason = bbl_error_last();
+    }
+    bbl_forwarder_complete_delegation(g->forwarder, bbl_clock_now(),
+                                      delegation, &result, &outcome);
+}
+
+static int
+delegate_query(void *ctx, bbl_delegation *delegation,
+               const bbl_delegation_request *request)
+{
+    bbl_gateway *g = ctx;
+    bbl_edge_call *call = request->request_handle;
+    bbl_delegated delegated = request->delegated;
+    bbl_link_exchange_request r;
+    bbl_link_exchange *exchange;
+    int error;
+
+    delegated.host = g->options->control_address.ip;
+    render_request_head(g, call);
+    bbl_buf_clear(&g->scratch_fields);
+    g->dialect->append_attempt_fields(&g->scratch_fields,
+                                      request->time_left_ms, (bbl_str){"", 0});
+    bbl_delegated_append(&g->scratch_fields, &delegated);
+    memset(&r, 0, sizeof(r));
+    r.head = bbl_buf_str(&g->request_head);
+    r.extra_fields = bbl_buf_str(&g->scratch_fields);
+    r.body = bbl_buf_str(&call->message->body);
+    r.request_id = g->request_id;
+    r.max_idle = request->idempotent ? 0 : NON_IDEMPOTENT_IDLE_US;
+    r.no_body = call->message->parser.method == (unsigned)HTTP_HEAD;
+    r.done = on_delegation_complete;
+    r.ctx = delegation;
+    error = bbl_link_exchange_start(&exchange, request->peer->link,
+                                    bbl_clock_now(), &r);
+    if (error == 0) {
+        bbl_delegation_set_handle(delegation, exchange);
+    }
+    return error;
+}
+
+static bool
+is_delegation_sent(void *ctx, const bbl_delegation *delegation)
+{
+    (void)ctx;
+    return bbl_link_exchange_is_sent(bbl_delegation_get_handle(delegation));
+}
+
+static void
+cancel_delegation(void *ctx, bbl_delegation *delegation)
+{
+    (void)ctx;
+    bbl_link_exchange_abandon(bbl_delegation_get_handle(delegation));
+}
+
+static void
+log_delegation(void *ctx, const bbl_forward_request *request,
+               const bbl_delegation_request *r, bbl_delegation_cause cause)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_DELEGATED,
+            "id=%.*s to=%u cause=%s attempts=%u ms=%.1f time_left_ms=%u",
+            (int)request->request_id.size, request->request_id.ptr,
+            r->peer->listed.host, bbl_delegation_cause_name(cause),
+            r->delegated.attempts, (double)r->delegated.elapsed / 1000.0,
+            r->time_left_ms);
+}
+
+static void
+on_peer_added(void *ctx, bbl_peer *peer)
+{
+    bbl_gateway *g = ctx;
+
+    peer->link =
+        bbl_backend_link_new(g->peer_client, peer->listed.address, peer);
+    bbl_backend_link_set_limit(peer->link, PEER_CONNECTIONS_MAX, false);
+}
+
+static void
+on_peer_removed(void *ctx, bbl_peer *peer)
+{
+    (void)ctx;
+    bbl_backend_link_release(peer->link);
+    peer->link = NULL;
+}
+
+static void
+on_peer_connect(void *ctx, void *peer, bool ok, bbl_usec took)
+{
+    (void)ctx;
+    (void)peer;
+    (void)ok;
+    (void)took;
+}
+
 /* ---- answers and log ---- */
 
+/* Returns whether another host has delegated a query to this one. */
+static bool
+is_delegated(const bbl_edge_call *call)
+{
+    return call->user_data != NULL;
+}
+
 static void
-answer_call(void *ctx, void *call, const bbl_forward_answer *answer)
+answer_call(void *ctx, void *handle, const bbl_forward_answer *answer)
 {
     bbl_gateway *g = ctx;
+    bbl_edge_call *call = handle;
     bbl_edge_response r;
+    bbl_delegation_outcome outcome = {answer->reason, BBL_REACH_MOST,
+                                      answer->attempts};
     const bbl_http_message *m;
 
     memset(&r, 0, sizeof(r));
     r.status = answer->status;
-    r.fields = answer->header_lines;
     r.body = answer->body;
+    bbl_buf_clear(&g->scratch_fields);
+    bbl_buf_append(&g->scratch_fields, answer->header_lines.ptr,
+                   answer->header_lines.size);
     if (answer->relayed != NULL) {
         m = answer->relayed->driver_message;
-        bbl_buf_clear(&g->scratch_fields);
         for (size_t i = 0; i < m->headers.size; i++) {
             const bbl_header *h = bbl_vec_at(&m->headers, i);
 
-            if (!bbl_http_is_hop_by_hop(m, h->name)) {
+            if (!bbl_http_is_hop_by_hop(m, h->name) &&
+                !bbl_delegation_is_field(h->name)) {
                 append_field(&g->scratch_fields, h);
             }
         }
-        r.fields = bbl_buf_str(&g->scratch_fields);
     }
+    if (is_delegated(call)) {
+        outcome.reach =
+            bbl_reach_get_level(bbl_forwarder_get_reach(g->forwarder));
+        bbl_delegation_outcome_append(&g->scratch_fields, &outcome);
+    }
+    r.fields = bbl_buf_str(&g->scratch_fields);
     bbl_edge_respond(call, &r);
 }
 
@@ -249,7 +389,8 @@
         "id=%.*s outcome=%s status=%u route=%.*s routing=%llu "
         "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
         "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
-        "usable=%u server=%s fingerprint=%016llx detail=\"%s\"",
+        "usable=%u server=%s fingerprint=%016llx delegate=%u "
+        "delegated_by=%u detail=\"%s\"",
         (int)r->request_id.size, r->request_id.ptr,
         bbl_forward_reason_name(r->reason), r->status,
         r->route ? (int)r->route->name.size : 0,
@@ -262,7 +403,8 @@
         (int)r->service.size, r->service.ptr ? r->service.ptr : "", r->servers,
         r->usable_servers,
         r->service.size > 0 ? bbl_backend_state_name(r->unusable_state) : "",
-        (unsigned long long)r->fingerprint, detail);
+        (unsigned long long)r->fingerprint, r->delegate, r->delegated_by,
+        detail);
 }
 
 static void
@@ -283,12 +425,18 @@
 on_routing_activated(void *ctx, uint64_t version, bbl_usec waited)
 {
     bbl_gateway *g = ctx;
+    const bbl_caller_limits *limits = bbl_forwarder_get_limits(g->forwarder);
 
     bbl_log(BBL_EV_ROUTING_IN_USE, "version=%llu held_ms=%llu",
             (unsigned long long)version,
             (unsigned long long)(waited / BBL_USEC_PER_MS));
-    bbl_edge_set_limits(g->caller_edge,
-                        bbl_forwarder_get_limits(g->forwarder));
+    bbl_edge_set_limits(g->caller_edge, limits);
+    if (g->peer_edge != NULL) {
+        bbl_caller_limits peer_limits = *limits;
+
+        peer_limits.max_header_bytes += DELEGATED_HEADER_BYTES;
+        bbl_edge_set_limits(g->peer_edge, &peer_limits);
+    }
     g->resize_links = true;
 }
 
@@ -458,26 +606,78 @@
 }
 
 static void
-on_caller_request(void *ctx, bbl_edge_call *call)
+fill_request(bbl_gateway *g, bbl_forward_request *r, bbl_edge_call *call)
 {
-    bbl_gateway *g = ctx;
-    bbl_forward_request r;
     bbl_caller_head head;
 
     g->head_call = NULL; /* an earlier call may have had this address */
     g->dialect->read_caller_head(&head, call->message->headers.ptr,
                                  call->message->headers.size);
-    memset(&r, 0, sizeof(r));
-    r.request_handle = call;
-    r.hostname = call->hostname;
-    r.path = call->path;
-    r.request_id = head.request_id;
-    r.fingerprint = compute_fingerprint(call);
-    r.first_on_connection = call->first_on_connection;
-    r.has_time_left = head.has_time_left;
-    r.time_left_ms = head.time_left_ms;
-    r.arrived_at = call->received_at;
-    r.round_trip = call->round_trip;
+    memset(r, 0, sizeof(*r));
+    r->request_handle = call;
+    r->hostname = call->hostname;
+    r->path = call->path;
+    r->request_id = head.request_id;
+    r->fingerprint = compute_fingerprint(call);
+    r->first_on_connection = call->first_on_connection;
+    r->has_time_left = head.has_time_left;
+    r->time_left_ms = head.time_left_ms;
+    r->arrived_at = call->received_at;
+    r->round_trip = call->round_trip;
+}
+
+static void
+on_caller_request(void *ctx, bbl_edge_call *call)
+{
+    bbl_gateway *g = ctx;
+    bbl_forward_request r;
+
+    fill_request(g, &r, call);
+    bbl_forwarder_receive_request(g->forwarder, bbl_clock_now(), &r);
+}
+
+/* Refuses a delegated query that this host does not process. */
+static void
+refuse_delegated(bbl_edge_call *call, unsigned status,
+                 bbl_forward_reason reason, const char *text)
+{
+    bbl_delegation_outcome outcome = {reason, BBL_REACH_MOST, 0};
+    bbl_edge_response r = {status, {"", 0}, {text, strlen(text)}, true};
+    bbl_buf fields = BBL_BUF_INIT;
+
+    bbl_delegation_outcome_append(&fields, &outcome);
+    r.fields = bbl_buf_str(&fields);
+    bbl_edge_respond(call, &r);
+    bbl_buf_free(&fields);
+}
+
+/* Receives a query that another entry host has delegated. */
+static void
+on_peer_request(void *ctx, bbl_edge_call *call)
+{
+    bbl_gateway *g = ctx;
+    bbl_forward_request r;
+    bbl_delegated delegated;
+
+    if (ck_pr_load_32(&g->phase) != GATEWAY_SERVING) {
+        refuse_delegated(call, 503, BBL_FORWARD_DRAINING, "draining\n");
+        return;
+    }
+    if (bbl_delegated_read(&delegated, call->message) != 0) {
+        bbl_log(BBL_EV_PEER_REFUSED, "reason=\"%s\"", bbl_error_last());
+        refuse_delegated(call, 400, BBL_FORWARD_FAILED,
+                         "no delegated query\n");
+        return;
+    }
+    call->user_data = g->peer_edge;
+    fill_request(g, &r, call);
+    r.delegated = delegated;
+    r.first_on_connection = false;
+    r.round_trip = delegated.round_trip + call->round_trip;
+    /* The query arrived at the other host before, and its time began there. */
+    r.time_left_ms += (uint32_t)(delegated.elapsed / BBL_USEC_PER_MS);
+    r.arrived_at -=
+        delegated.elapsed < r.arrived_at ? delegated.elapsed : r.arrived_at;
     bbl_forwarder_receive_request(g->forwarder, bbl_clock_now(), &r);
 }
 
@@ -564,13 +764,18 @@
         g->drain_started_at = now;
         ck_pr_store_32(&g->phase, GATEWAY_DRAINING);
         bbl_edge_drain(g->caller_edge);
+        if (g->peer_edge != NULL) {
+            bbl_edge_drain(g->peer_edge);
+        }
     }
     spent = now - g->drain_started_at;
     if (spent >= BALANCER_LAG_US) {
         bbl_edge_close_idle(g->caller_edge, DRAIN_IDLE_US, now);
     }
     if (spent >= BALANCER_LAG_US &&
-        bbl_edge_connection_count(g->caller_edge) == 0) {
+        bbl_edge_connection_count(g->caller_edge) == 0 &&
+        (g->peer_edge == NULL ||
+         bbl_edge_open_call_count(g->peer_edge) == 0)) {
         /* This may accept the last connections, which are served as well. */
         bbl_edge_stop_listening(g->caller_edge);
         if (bbl_edge_connection_count(g->caller_edge) == 0) {
@@ -594,6 +799,9 @@
     }
     g->next_service_at = now + SERVICE_INTERVAL_US;
     bbl_edge_tick(g->caller_edge, now);
+    if (g->peer_edge != NULL) {
+        bbl_edge_tick(g->peer_edge, now);
+    }
     if (g->ready_edge != NULL) {
         bbl_edge_tick(g->ready_edge, now);
     }
@@ -601,6 +809,7 @@
         bbl_edge_tick(g->metrics_edge, now);
     }
     bbl_backend_client_tick(g->backend_client, now);
+    bbl_backend_client_tick(g->peer_client, now);
     tick_drain(g, now);
 }
 
@@ -650,6 +859,12 @@
     f.port.server_added = on_server_added;
     f.port.server_removed = on_server_removed;
     f.port.server_changed = on_server_changed;
+    f.port.delegate = delegate_query;
+    f.port.is_delegation_sent = is_delegation_sent;
+    f.port.cancel_delegation = cancel_delegation;
+    f.port.report_delegation = log_delegation;
+    f.port.peer_added = on_peer_added;
+    f.port.peer_removed = on_peer_removed;
     f.port.reach_changed = on_reach_changed;
     f.port.rate_limit_reported = on_rate_limit_reported;
     f.port.server_ended = on_server_ended;
@@ -663,8 +878,9 @@
 }
 
 static int
-open_client(bbl_gateway *g, uint64_t seed)
+open_clients(bbl_gateway *g, uint64_t seed)
 {
+    int error;
     bbl_backend_client_options o = {
 
         .dialect = g->dialect,
@@ -677,18 +893,26 @@
         .ctx = g,
     };
 
-    return bbl_backend_client_open(&g->backend_client, g->loop, &o);
+    error = bbl_backend_client_open(&g->backend_client, g->loop, &o);
+    o.on_connect = on_peer_connect;
+    return error != 0 ? error
+                      : bbl_backend_client_open(&g->peer_client, g->loop, &o);
 }
 
 static int
 open_edges(bbl_gateway *g)
 {
     bbl_edge_handler callers = {on_caller_request, on_caller_disconnect, g};
+    bbl_edge_handler peers = {on_peer_request, on_caller_disconnect, g};
     bbl_edge_handler ready = {on_ready_request, NULL, g};
     bbl_edge_handler metrics = {on_metrics_request, NULL, g};
     int error = bbl_edge_open(&g->caller_edge, g->loop,
                               g->options->caller_address, &callers);
 
+    if (error == 0 && g->options->peer_address.port != 0) {
+        error = bbl_edge_open(&g->peer_edge, g->loop, g->options->peer_address,
+                              &peers);
+    }
     if (error == 0 && g->options->ready_address.port != 0) {
         error = bbl_edge_open(&g->ready_edge, g->loop,
                               g->options->ready_address, &ready);
@@ -723,7 +947,7 @@
         error = open_forwarder(g, seed);
     }
     if (error == 0) {
-        error = open_client(g, seed);
+        error = open_clients(g, seed);
     }
     if (error == 0) {
         error = open_edges(g);
@@ -815,8 +1039,10 @@
     bbl_edge_free(g->ready_edge);
     bbl_edge_free(g->metrics_edge);
     bbl_edge_free(g->caller_edge);
+    bbl_edge_free(g->peer_edge);
     bbl_forwarder_free(g->forwarder);
     bbl_backend_client_free(g->backend_client);
+    bbl_backend_client_free(g->peer_client);
     bbl_mailbox_free(&g->updates, free_update);
     bbl_mailbox_free(&g->permits, free_permits);
     bbl_loop_free(g->loop);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -41,6 +41,8 @@
 /* How long entry hosts that fell silent are still counted: they may still
  * serve requests. */
 #define SILENT_ENTRY_HOST_US (30 * BBL_USEC_PER_SEC)
+/* Entry hosts that one host may delegate queries to. */
+#define PEERS_MAX 64
 /* A control host exits when no operator call is open, but not before it has
  * had time to transfer the leadership, and no later than EXIT_MAX_US. */
 #define EXIT_MAX_US (1500 * BBL_USEC_PER_MS)
@@ -80,6 +82,7 @@
     uint64_t published_applied;
     uint64_t published_reports; /* revision of the rows in the last update */
     bbl_usec published_list_read_at;
+    uint64_t published_peers; /* hash of the peers in the last update */
     uint64_t routing_version;
     unsigned entry_host_count;
     bbl_usec entry_hosts_counted_at;
@@ -243,6 +246,58 @@
     }
 }
 
+/*
+ * Returns whether this host may delegate queries to a member: an entry host
+ * that accepts them. Hosts of earlier versions have no such address.
+ */
+static bool
+is_peer(const node *n, const bblx_member_row *m)
+{
+    return m->entry && m->live && !m->draining && m->traffic.port != 0 &&
+           m->host != n->options->control_address.ip;
+}
+
+/*
+ * Fills the hosts to which queries may be delegated, if they have changed: a
+ * part of a large fleet, which is another one at each host.
+ */
+static void
+fill_peers(node *n, bbl_forward_update *u)
+{
+    const bbl_rows *rows = bbl_control_rows(n->control);
+    const bblx_member_row *m;
+    bbl_vec peers = BBL_VEC_INIT(bbl_listed_peer);
+    uint64_t hash = 0;
+    size_t pos = 0;
+
+    while ((m = bbl_rows_next_member(rows, &pos)) != NULL) {
+        bbl_listed_peer peer = {m->host, m->traffic};
+
+        if (is_peer(n, m)) {
+            bbl_vec_push(&peers, &peer);
+        }
+    }
+    while (peers.size > PEERS_MAX) {
+        bbl_vec_swap_remove(
+            &peers, bbl_hash(&peers.size, sizeof(peers.size), n->incarnation) %
+                        peers.size);
+    }
+    for (size_t i = 0; i < peers.size; i++) {
+        const bbl_listed_peer *peer = bbl_vec_at(&peers, i);
+
+        hash ^= bbl_hash(&peer->address.ip, sizeof(peer->address.ip),
+                         peer->address.port);
+    }
+    if (hash == n->published_peers) {
+        bbl_vec_free(&peers);
+        return;
+    }
+    n->published_peers = hash;
+    u->has_peers = true;
+    u->peers = peers.ptr;
+    u->peer_count = peers.size;
+}
+
 static void
 publish_update(node *n)
 {
@@ -261,6 +316,7 @@
         fill_routing(n, u);
         fill_changed_backends(n, u);
         fill_observations(n, u);
+        fill_peers(n, u);
     }
     n->published_revision = revision;
     n->published_list_read_at = list_read;
@@ -698,6 +754,7 @@
     c.zone = o->zone;
     c.control = o->control_address;
     c.http = o->caller_address;
+    c.traffic = o->peer_address;
     c.seeds = o->seeds;
     c.heartbeat_interval = o->heartbeat_ms * BBL_USEC_PER_MS;
     c.copies = o->lost_disks + 1;
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -47,6 +47,12 @@
     return read_address(&((bbl_node_options *)out)->caller_address, text);
 }
 
+static int
+read_peer_address(void *out, const char *text)
+{
+    return read_address(&((bbl_node_options *)out)->peer_address, text);
+}
+
 static int
 read_ready_address(void *out, const char *text)
 {
@@ -225,6 +231,9 @@
      read_control_address},
     {"caller-address", VARIABLE("CALLER_ADDRESS"), "", "", "a.b.c.d:port",
      "where callers send requests", read_caller_address},
+    {"peer-address", VARIABLE("PEER_ADDRESS"), "", "", "a.b.c.d:port",
+     "where other entry hosts send queries that they cannot answer",
+     read_peer_address},
     {"ready-address", VARIABLE("READY_ADDRESS"), "", "", "a.b.c.d:port",
      "where the balancer asks whether to send callers", read_ready_address},
     {"order-address", VARIABLE("ORDER_ADDRESS"), "", "", "a.b.c.d:port",
--- a/src/daemon/node_options.h
+++ b/src/daemon/node_options.h
@@ -15,6 +15,8 @@
     /* Other daemons connect to this address; its IP address is the host id. */
     bblx_address control_address;
     bblx_address caller_address; /* port 0: this host accepts no callers */
+    /* Other entry hosts delegate queries to this address; port 0: none do. */
+    bblx_address peer_address;
     /* Load balancers query readiness here; port 0: none do. */
     bblx_address ready_address;
     bblx_address operator_address; /* port 0: no operator commands here */
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -97,7 +97,11 @@
     f->counters.outcomes[r->reason]++;
     f->options.port.report_request(f->options.port.ctx, r);
     if (answer != NULL) {
-        f->options.port.answer(f->options.port.ctx, request_handle, answer);
+        bbl_forward_answer a = *answer;
+
+        a.reason = r->reason;
+        a.attempts = r->attempts_maybe_run;
+        f->options.port.answer(f->options.port.ctx, request_handle, &a);
     }
 }
 
@@ -170,10 +174,12 @@
     r->elapsed = now - q->request.arrived_at;
     r->answered_shards = q->shards_answered;
     r->shards = q->shard_count;
+    r->attempts_maybe_run = bbl_query_count_attempts(q);
     if (reason == BBL_FORWARD_OK || reason == BBL_FORWARD_PARTIAL) {
         bbl_histogram_add(&f->counters.latency, (uint32_t)r->elapsed);
     }
     report_and_answer(f, now, q->request.request_handle, r, answer);
+    bbl_query_cancel_delegation(f, q);
     bbl_query_detach_attempts(f, q, cancel_at);
     bbl_query_forget_permits(f, q);
     bbl_query_remove(f, q);
@@ -289,9 +295,25 @@
     bbl_buf_free(&fields);
 }
 
+unsigned
+bbl_query_count_attempts(const bbl_query *q)
+{
+    unsigned most = 0;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        if (q->shards[i].attempts_maybe_run > most) {
+            most = q->shards[i].attempts_maybe_run;
+        }
+    }
+    return most;
+}
+
 bool
 bbl_query_may_have_run(const bbl_query *q)
 {
+    if (q->delegation != NULL || q->delegation_may_have_run) {
+        return true;
+    }
     for (unsigned i = 0; i < q->shard_count; i++) {
         if (q->shards[i].attempts_maybe_run > 0) {
             return true;
@@ -317,6 +339,10 @@
         bbl_attempt_unlink(a);
         free(a);
     }
+    if (q->delegation != NULL && !f->options.port.is_delegation_sent(
+                                     f->options.port.ctx, q->delegation)) {
+        bbl_query_cancel_delegation(f, q);
+    }
 }
 
 void
@@ -335,26 +361,37 @@
     }
 }
 
+/*
+ * Finishes a query that can no longer succeed at this host, unless another one
+ * may serve it. Returns whether it was finished.
+ */
+static bool
+fail_or_delegate(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bbl_delegation_cause cause;
+
+    if (q->delegation != NULL ||
+        (bbl_query_needs_delegation(&cause, f, now, q) &&
+         bbl_query_delegate(f, now, q, BBL_DELEGATE_FAILED))) {
+        return false;
+    }
+    bbl_query_fail_decided(f, now, q);
+    return true;
+}
+
 bool
 bbl_query_finish_if_decided(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     unsigned open = q->shard_count - q->shards_answered - q->shards_failed;
 
     if (q->route->kind != BBL_ROUTE_GATHER) {
-        if (q->shards_failed > 0) {
-            bbl_query_fail_decided(f, now, q);
-            return true;
-        }
-        return false;
+        return q->shards_failed > 0 && fail_or_delegate(f, now, q);
     }
     if (q->shards_answered >= q->shards_needed && q->shards_answered > 0 &&
         (open == 0 || now >= q->target_at)) {
         bbl_query_finish_merged(f, now, q);
         return true;
     }
-    if (q->shards_answered + open < q->shards_needed || open == 0) {
-        bbl_query_fail_decided(f, now, q);
-        return true;
-    }
-    return false;
+    return (q->shards_answered + open < q->shards_needed || open == 0) &&
+           fail_or_delegate(f, now, q);
 }
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -138,6 +138,16 @@
         f->options.port.get_room, f->options.port.ctx, &f->rng, eligible);
 }
 
+/*
+ * Returns whether an attempt at a shard is an extra one: this host or another
+ * one has sent one before.
+ */
+static bool
+is_extra(const bbl_shard *s)
+{
+    return s->attempts_sent > 0 || s->attempts_maybe_run > 0;
+}
+
 bool
 bbl_attempt_send(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_shard *s,
                  bbl_backend *b, bool hedge)
@@ -168,7 +178,7 @@
     if (s->attempts_sent == 0) {
         s->first_sent_at = a->sent_at;
     }
-    else {
+    if (is_extra(s)) {
         bbl_extra_budget_spend(&s->pool->budget, &f->extra_limits, now);
     }
     s->tried[s->attempts_sent++] = b;
@@ -197,15 +207,15 @@
 {
     if (s->attempts_sent >= BBL_ATTEMPTS_MAX ||
         s->attempts_maybe_run >= q->route->max_attempts ||
+        q->delegation_may_have_run ||
         q->deadline < now + BBL_TIME_LEFT_MIN_US) {
         return false;
     }
     if (s->attempts_sent > 0 && bbl_query_is_suspect(q)) {
         return false;
     }
-    if (s->attempts_sent > 0 &&
-        bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now) <=
-            0) {
+    if (is_extra(s) && bbl_extra_budget_get_left(&s->pool->budget,
+                                                 &f->extra_limits, now) <= 0) {
         f->counters.attempts_over_budget++;
         return false;
     }
@@ -449,6 +459,10 @@
     if (s->state == BBL_SHARD_ANSWERED || s->in_flight > 0) {
         return; /* the attempt in flight decides */
     }
+    if (q->delegation != NULL) {
+        s->state = BBL_SHARD_PENDING; /* the delegation decides */
+        return;
+    }
     if (single && r->outcome == BBL_ATTEMPT_RESPONSE && m != RESULT_NOT_RUN &&
         !head->encoded &&
         (m == RESULT_FINAL || !q->route->idempotent ||
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -67,7 +67,7 @@
     bool (*is_own_field)(bbl_str name);
     /*
      * Appends the fields of one attempt: the time left, and the only
-     * incarnation that may run it.
+     * incarnation that may run it, empty if any may.
      */
     void (*append_attempt_fields)(bbl_buf *out, uint32_t time_left_ms,
                                   bbl_str incarnation);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bbl/errors.h"
 #include "forward/hedge.h"
 #include "util/alloc.h"
 
@@ -42,14 +43,29 @@
 bbl_forward_reason_name(bbl_forward_reason reason)
 {
     static const char *const names[BBL_FORWARD_REASONS] = {
-        "ok",          "partial",     "failed",  "no-routing", "no-route",
-        "unconfirmed", "unavailable", "busy",    "broken",     "timeout",
-        "left",        "overload",    "expired", "limited",    "crashes",
+        "ok",       "partial",     "failed",      "no-routing",
+        "no-route", "unconfirmed", "unavailable", "busy",
+        "broken",   "timeout",     "left",        "overload",
+        "expired",  "limited",     "crashes",     "draining",
     };
 
     return names[reason];
 }
 
+int
+bbl_forward_reason_parse(bbl_forward_reason *out, bbl_str name)
+{
+    for (int i = 0; i < BBL_FORWARD_REASONS; i++) {
+        const char *known = bbl_forward_reason_name((bbl_forward_reason)i);
+
+        if (bbl_str_equal(name, (bbl_str){known, strlen(known)})) {
+            *out = (bbl_forward_reason)i;
+            return 0;
+        }
+    }
+    return bbl_error_set(BBL_EINVAL, "no reason of an answer");
+}
+
 /* ---- shards ---- */
 
 /* Returns whether a permit may be requested for some server of a shard. */
@@ -315,6 +331,37 @@
     }
 }
 
+/* Finishes a query at its deadline, with the parts that suffice if any do. */
+static void
+finish_at_deadline(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (q->route->kind == BBL_ROUTE_GATHER &&
+        q->shards_answered >= q->shards_needed && q->shards_answered > 0) {
+        bbl_query_finish_merged(f, now, q);
+    }
+    else {
+        fail_late(f, now, q);
+    }
+}
+
+/*
+ * Waits for the delegation of a query, or for parts of attempts that were in
+ * flight before. Returns false if the query was finished and freed.
+ */
+static bool
+await_delegation(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (bbl_query_finish_if_decided(f, now, q)) {
+        return false;
+    }
+    if (now >= q->deadline) {
+        finish_at_deadline(f, now, q);
+        return false;
+    }
+    q->next_due_at = q->target_at > now ? q->target_at : q->deadline;
+    return true;
+}
+
 bool
 bbl_query_process(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
@@ -323,18 +370,18 @@
         q->request.arrived_at +
         q->route->target_latency_ms * BBL_USEC_PER_MS / NOT_RUN_WAIT_DIVISOR;
 
+    if (q->delegation != NULL) {
+        return await_delegation(f, now, q);
+    }
     waiting = send_pending_shards(f, now, q);
     if (bbl_query_finish_if_decided(f, now, q)) {
         return false;
     }
+    if (q->delegation != NULL) {
+        return await_delegation(f, now, q);
+    }
     if (now >= q->deadline) {
-        if (q->route->kind == BBL_ROUTE_GATHER &&
-            q->shards_answered >= q->shards_needed && q->shards_answered > 0) {
-            bbl_query_finish_merged(f, now, q);
-        }
-        else {
-            fail_late(f, now, q);
-        }
+        finish_at_deadline(f, now, q);
         return false;
     }
     if (waiting && !bbl_query_may_have_run(q) && now >= not_run_until) {
@@ -386,8 +433,39 @@
         (target > reserved_time ? target - reserved_time : target / 2);
 }
 
+/* Returns the index of the target of a route with a split for one request. */
+static size_t
+choose_split_target(const bbl_query *q, size_t route_index)
+{
+    const bbl_route *route = q->route;
+    bbl_str service = q->request.delegated.service;
+
+    for (size_t i = 0; service.size > 0 && i < route->target_count; i++) {
+        if (bbl_str_equal(
+                bbl_buf_str(
+                    &q->table->pools[route->targets[i].service_index]->name),
+                service)) {
+            return i;
+        }
+    }
+    return bbl_split_next(&q->table->splits[route_index], route);
+}
+
+void
+bbl_query_count_first(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (q->first_counted || q->request.delegated.attempts > 0) {
+        return;
+    }
+    q->first_counted = true;
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        bbl_extra_budget_count_first(&q->shards[i].pool->budget,
+                                     &f->extra_limits, now);
+    }
+}
+
 static void
-add_shards(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+add_shards(bbl_forwarder *f, bbl_query *q)
 {
     const bbl_route *route = q->route;
     size_t index = bbl_routing_route_index(q->table->routing, route);
@@ -404,14 +482,12 @@
     }
     q->shards = bbl_calloc(q->shard_count, sizeof(bbl_shard));
     for (unsigned i = 0; i < q->shard_count; i++) {
-        size_t target = route->kind == BBL_ROUTE_SPLIT
-                            ? bbl_split_next(&q->table->splits[index], route)
-                            : i;
+        size_t target =
+            route->kind == BBL_ROUTE_SPLIT ? choose_split_target(q, index) : i;
 
         q->shards[i].pool =
             q->table->pools[route->targets[target].service_index];
-        bbl_extra_budget_count_first(&q->shards[i].pool->budget,
-                                     &f->extra_limits, now);
+        q->shards[i].attempts_maybe_run = q->request.delegated.attempts;
     }
     q->load_limit = &q->shards[0].pool->load_limit;
     q->probes_limits = bbl_rng_below(&f->rng, PROBE_INTERVAL) == 0;
@@ -457,9 +533,11 @@
 {
     const bbl_route *route;
     bbl_usec refused;
+    bbl_delegation_cause cause;
     bbl_query *q;
 
     f->counters.requests++;
+    f->counters.delegated_requests += request->delegated.host != 0;
     if (f->table == NULL) {
         bbl_forwarder_refuse(f, now, request, BBL_FORWARD_NO_ROUTING,
                              BBL_STATUS_UNAVAILABLE, 0);
@@ -494,19 +572,26 @@
     q->signatures = (bbl_vec){NULL, 0, 0, 2 * sizeof(size_t)};
     q->record.request_id = request->request_id;
     q->record.fingerprint = request->fingerprint;
+    q->record.delegated_by = request->delegated.host;
     q->crash_generation = bbl_crash_ledger_get_generation(
         &f->crash_ledger, now, request->fingerprint);
     q->record.route = route;
     q->record.routing_version = bbl_routing_version(f->table->routing);
     bbl_top_records_init(&q->top_records, route->top_k);
     set_deadlines(f, q);
-    add_shards(f, now, q);
+    add_shards(f, q);
     insert_query(f, q);
+    if (bbl_query_needs_delegation(&cause, f, now, q) &&
+        bbl_query_delegate(f, now, q, cause)) {
+        return;
+    }
+    bbl_query_count_first(f, now, q);
     if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
         bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
         return;
     }
-    if (count_usable_shards(q, now) < q->shards_needed) {
+    if (count_usable_shards(q, now) < q->shards_needed ||
+        bbl_query_is_hopeless(f, q)) {
         bbl_query_fail(f, now, q, BBL_FORWARD_UNAVAILABLE,
                        BBL_STATUS_UNAVAILABLE);
         return;
@@ -574,6 +659,41 @@
     }
 }
 
+/*
+ * Handles the loss of all links: marks the overdue servers as down, so that
+ * new connections to them are tried, delegates the open queries, and gives up
+ * those that other hosts have delegated to this one.
+ */
+static void
+handle_isolation(bbl_forwarder *f, bbl_usec now)
+{
+    bbl_backend *b;
+    size_t pos = 0;
+
+    while ((b = bbl_map_next(&f->pools.backends, &pos)) != NULL) {
+        const bbl_attempt *a = b->attempts;
+
+        if (a != NULL && !b->down &&
+            bbl_reach_is_overdue(&f->reach, b, now, a->timing->service_time)) {
+            bbl_backend_mark_silent(f, now, b);
+        }
+    }
+    for (size_t i = 0; i < f->queries.size;) {
+        bbl_query *q = *BBL_VEC_AT(bbl_query *, &f->queries, i);
+
+        if (q->shards_answered >= q->shards_needed) {
+            i++;
+        }
+        else if (q->request.delegated.host != 0) {
+            bbl_query_fail_decided(f, now, q); /* its host asks another one */
+        }
+        else {
+            bbl_query_delegate(f, now, q, BBL_DELEGATE_ISOLATED);
+            i++;
+        }
+    }
+}
+
 /*
  * Marks servers as down that have sent no response for too long, counts those
  * that can be reached, and notes whether any limits its request rate.
@@ -601,6 +721,17 @@
             bbl_backend_mark_silent(f, now, b);
         }
         bbl_reach_count(&f->reach, b, now);
+        f->reach.overdue +=
+            a != NULL &&
+            bbl_reach_is_overdue(&f->reach, b, now, a->timing->service_time);
+    }
+    if (now > f->servers_checked_at + 2 * TICK_INTERVAL_MAX_US) {
+        /* This host itself has paused: responses may wait unread. */
+        f->reach.overdue = 0;
+    }
+    f->servers_checked_at = now;
+    if (bbl_reach_update_isolated(&f->reach, now)) {
+        handle_isolation(f, now);
     }
     if (bbl_reach_finish_count(&f->reach)) {
         f->options.port.reach_changed(f->options.port.ctx, &f->reach, before);
@@ -627,6 +758,7 @@
         check_servers(f, now);
         bbl_forwarder_expire_permit_requests(f, now);
         bbl_pools_free_retired(&f->pools);
+        bbl_peers_free_retired(&f->peers);
     }
     return next > now ? next : now;
 }
@@ -649,6 +781,10 @@
     f->permit_requests = bbl_permit_requests_init();
     f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
     bbl_permit_book_init(&f->local_permits, 0);
+    bbl_peers_init(&f->peers);
+    f->peers.added = options->port.peer_added;
+    f->peers.removed = options->port.peer_removed;
+    f->peers.ctx = options->port.ctx;
     f->pools.zone = options->zone;
     f->pools.retired = (bbl_vec)BBL_VEC_INIT(bbl_backend *);
     f->pools.added = options->port.server_added;
@@ -672,6 +808,7 @@
         bbl_query *q = *BBL_VEC_AT(bbl_query *, &f->queries, 0);
 
         bbl_query_detach_attempts(f, q, 0);
+        bbl_query_cancel_delegation(f, q);
         bbl_query_remove(f, q);
         bbl_route_table_release(q->table);
         bbl_query_free(q);
@@ -680,6 +817,7 @@
     bbl_route_table_release(f->table);
     bbl_routing_free(f->next_routing);
     bbl_pools_free(&f->pools);
+    bbl_peers_free(&f->peers);
     while ((timing = bbl_map_next(&f->timings, &pos)) != NULL) {
         free(timing);
     }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -23,6 +23,7 @@
 #include "forward/backend.h"
 #include "forward/crash_ledger.h"
 #include "forward/crash_watch.h"
+#include "forward/delegate.h"
 #include "forward/dialect.h"
 #include "forward/extra_budget.h"
 #include "forward/permit.h"
@@ -62,6 +63,7 @@
     bbl_usec arrived_at;
     /* Measured round trip time to the caller; 0 if it is not known. */
     bbl_usec round_trip;
+    bbl_delegated delegated; /* set if another host has delegated it */
 } bbl_forward_request;
 
 /* What the driver needs to send an attempt, besides the caller's request. */
@@ -121,13 +123,27 @@
     BBL_FORWARD_LIMITED,
     /* Not run: servers have ended under earlier copies of the request. */
     BBL_FORWARD_CRASHES,
+    BBL_FORWARD_DRAINING, /* not run: a delegated request to a leaving host */
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
 const char *bbl_forward_reason_name(bbl_forward_reason reason);
 
+/* Parses the name of a reason; returns 0 or BBL_EINVAL. */
+int bbl_forward_reason_parse(bbl_forward_reason *out, bbl_str name);
+
+/* How a peer has handled a delegated query, as it states in its answer. */
+typedef struct {
+    bbl_forward_reason reason;
+    bbl_reach_level reach; /* of the peer */
+    /* Attempts at each shard that servers may have run, all hosts included. */
+    unsigned attempts;
+} bbl_delegation_outcome;
+
 typedef struct {
     unsigned status;
+    bbl_forward_reason reason;
+    unsigned attempts;    /* see bbl_delegation_outcome */
     bbl_str header_lines; /* header lines added by the forwarder */
     bbl_str body;
     const bbl_attempt_result *relayed; /* response to relay, or NULL */
@@ -146,10 +162,13 @@
     unsigned shards;
     unsigned answered_shards;
     unsigned attempt_count; /* at all shards, including hedges and retries */
+    unsigned attempts_maybe_run; /* at one shard; see bbl_delegation_outcome */
     unsigned hedges;
     unsigned retries;
     uint32_t retry_after_ms; /* retry time in the answer; 0 if none */
     uint64_t fingerprint;
+    uint32_t delegate;     /* host that has answered it; 0: this one */
+    uint32_t delegated_by; /* host that has delegated it; 0 if none has */
     /*
      * Service of the first unanswered shard without a usable server, or of the
      * first unanswered shard if all of them have one. Empty if there is none.
@@ -221,6 +240,24 @@
     void (*server_removed)(void *ctx, bbl_backend *backend);
     void (*server_changed)(void *ctx, bbl_backend *backend,
                            bbl_backend_state state);
+    /*
+     * Passes a query on to a peer. Returns 0, or BBL_EFULL if no connection is
+     * free. bbl_forwarder_complete_delegation passes on the result, after this
+     * function has returned.
+     */
+    int (*delegate)(void *ctx, bbl_delegation *delegation,
+                    const bbl_delegation_request *request);
+    /* Returns whether any byte of a delegated query was sent. */
+    bool (*is_delegation_sent)(void *ctx, const bbl_delegation *delegation);
+    /* Cancels a delegation, so that the peer cancels the query. */
+    void (*cancel_delegation)(void *ctx, bbl_delegation *delegation);
+    /* Reports that a query was delegated. */
+    void (*report_delegation)(void *ctx, const bbl_forward_request *request,
+                              const bbl_delegation_request *delegation,
+                              bbl_delegation_cause cause);
+    /* Report that a peer was added or removed. */
+    void (*peer_added)(void *ctx, bbl_peer *peer);
+    void (*peer_removed)(void *ctx, bbl_peer *peer);
     /* Reports that this host reaches more or fewer servers than before. */
     void (*reach_changed)(void *ctx, const bbl_reach *reach,
                           bbl_reach_level before);
@@ -307,7 +344,10 @@
     uint64_t permit_requests;
     uint64_t permits; /* granted */
     uint64_t permits_refused;
-    bbl_histogram latency; /* microseconds; OK and PARTIAL only */
+    uint64_t delegations;         /* queries passed on to another host */
+    uint64_t delegations_refused; /* by that host, which cannot serve them */
+    uint64_t delegated_requests;  /* received from other hosts */
+    bbl_histogram latency;        /* microseconds; OK and PARTIAL only */
 } bbl_forward_counters;
 
 /*
@@ -329,6 +369,9 @@
      * counts as 1.
      */
     unsigned entry_hosts;
+    bool has_peers; /* whether the next two fields are set */
+    bbl_listed_peer *peers;
+    size_t peer_count;
     /* Whether the fields below are set. */
     bool has_observations;
     /* What any host has observed since the last update. */
@@ -386,6 +429,16 @@
 void bbl_forwarder_receive_permits(bbl_forwarder *forwarder, bbl_usec now,
                                    const bbl_permit_reply *reply);
 
+/*
+ * Processes the result of a delegation that has ended, and frees it.
+ *
+ * @param outcome what the peer states in its response; ignored otherwise
+ */
+void bbl_forwarder_complete_delegation(bbl_forwarder *forwarder, bbl_usec now,
+                                       bbl_delegation *delegation,
+                                       const bbl_attempt_result *result,
+                                       const bbl_delegation_outcome *outcome);
+
 /* Processes the result of an attempt that has ended, and frees the attempt. */
 void bbl_forwarder_complete_attempt(bbl_forwarder *forwarder, bbl_usec now,
                                     bbl_attempt *attempt,
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -41,6 +41,7 @@
     /* bbl_attempt *, still in flight although their query is finished. */
     bbl_vec detached_attempts;
     bbl_reach reach;
+    bbl_peers peers;
     bbl_crash_watch crash_watch;
     bbl_crash_ledger crash_ledger;
     bbl_vec permit_requests; /* open_request, see permit.c; oldest first */
@@ -53,6 +54,7 @@
     bbl_permit_book local_permits; /* while no grantor replies */
     bool limits_known; /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
+    bbl_usec servers_checked_at;
     bbl_forward_counters counters;
 };
 
@@ -135,6 +137,33 @@
                                 const bbl_observed_limit *limits,
                                 size_t count);
 
+/* ---- delegate.c ---- */
+
+/*
+ * Returns whether another host may serve a query better than this one.
+ *
+ * @param cause set to the reason
+ */
+bool bbl_query_needs_delegation(bbl_delegation_cause *cause,
+                                const bbl_forwarder *f, bbl_usec now,
+                                const bbl_query *q);
+
+/*
+ * Delegates a query to a peer, if the promises to its caller allow this and a
+ * peer is left to ask. Attempts in flight go on; the first answer counts.
+ */
+bool bbl_query_delegate(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                        bbl_delegation_cause cause);
+
+/*
+ * Returns whether a query that no server has received is to be refused: no
+ * server responds to this host, and another host is to run it or was asked to.
+ */
+bool bbl_query_is_hopeless(const bbl_forwarder *f, const bbl_query *q);
+
+/* Cancels the delegation of a query, if there is one. */
+void bbl_query_cancel_delegation(bbl_forwarder *f, bbl_query *q);
+
 /* ---- answer.c ---- */
 
 /* Removes a query from the list of open queries, without freeing it. */
@@ -147,6 +176,12 @@
 void bbl_query_detach_attempts(bbl_forwarder *f, bbl_query *q,
                                bbl_usec cancel_at);
 
+/*
+ * Returns the greatest number of attempts at a shard that servers may have
+ * run.
+ */
+unsigned bbl_query_count_attempts(const bbl_query *q);
+
 /*
  * Returns whether a server may have run, or may still run, some part of a
  * query.
@@ -203,6 +238,12 @@
 
 /* ---- forwarder.c ---- */
 
+/*
+ * Counts a query as a first request to its services in the budgets for extra
+ * attempts, once and only at the host that runs it first.
+ */
+void bbl_query_count_first(bbl_forwarder *f, bbl_usec now, bbl_query *q);
+
 /*
  * Sends the first attempts, retries and hedges of a query that are due.
  * Returns false if the query was finished and freed.
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -23,6 +23,13 @@
     bbl_usec uncongested_time;
     bbl_receive_cost receive_cost;
     unsigned samples; /* number of usable responses, up to a limit */
+    /* Refusals of delegated queries in a row; see delegate.c. */
+    unsigned refusals_elsewhere;
+    /* Until then other hosts are taken not to serve the route, not to reach
+     * all of its shards, or to serve it. */
+    bbl_usec unavailable_elsewhere_until;
+    bbl_usec incomplete_elsewhere_until;
+    bbl_usec served_elsewhere_until;
 } bbl_route_timing;
 
 /* One routing version with the data that the forwarder keeps for it. */
@@ -98,6 +105,13 @@
     unsigned crash_generation;
     unsigned broken; /* attempts whose connection broke */
 
+    bbl_delegation *delegation; /* in flight, or NULL */
+    unsigned delegations;       /* hosts that it was delegated to */
+    uint32_t delegates[BBL_DELEGATIONS_MAX];
+    /* A delegation broke; its host may have run the query. */
+    bool delegation_may_have_run;
+
+    bool first_counted;     /* in the budget for extra attempts */
     bool attempted;         /* whether any attempt was sent */
     bbl_vec attempts;       /* bbl_attempt *, in flight */
     bbl_vec signatures;     /* signature_span, private to query.c */
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -110,6 +110,7 @@
     free(u->backends);
     free(u->cold_until);
     free(u->evacuated_zones);
+    free(u->peers);
     free(u->limits);
     free(u->crashes);
     free(u);
@@ -231,6 +232,9 @@
         bbl_forwarder_apply_limits(f, u->limits, u->limit_count);
         apply_crashes(f, now, u);
     }
+    if (u->has_peers) {
+        bbl_peers_update(&f->peers, u->peers, u->peer_count);
+    }
     update_slot_capacity(f);
     bbl_pools_confirm(&f->pools, now, f->list_read_at, f->options.list_lag);
     bbl_forwarder_activate_routing(f, now);
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -32,6 +32,7 @@
     bbl_usec received_at;
     bbl_usec round_trip;      /* to the caller; 0 if it is not known */
     bool first_on_connection; /* whether it is the first one */
+    void *user_data;          /* for the handler; NULL at first */
 };
 
 typedef struct {
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -89,7 +89,9 @@
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
     X(SECOND, 5003, INFO, "second",                                           \
-      "a request or a sub-request was sent again")
+      "a request or a sub-request was sent again")                            \
+    X(DELEGATED, 5004, INFO, "delegated",                                     \
+      "a request was passed on to another entry host")
 
 typedef enum {
 #define BBL_LOG_ENUM(symbol, number, level, name, meaning)                    \
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -37,6 +37,22 @@
     bbl_observed_crash crash;
 } fleet_crash;
 
+/* Time from one entry host to another. */
+#define PEER_DELAY_US (2 * BBL_USEC_PER_MS)
+#define NO_CALL UINT32_MAX
+
+/* A query that one entry host has delegated to another. */
+typedef struct {
+    bbl_delegation *delegation; /* NULL once it has ended */
+    bbl_usec due_at;
+    unsigned from;
+    unsigned to;
+    unsigned call;           /* at `from` */
+    unsigned delegated_call; /* at `to`; NO_CALL until it has arrived */
+    uint32_t time_left_ms;
+    bbl_delegated delegated;
+} fleet_delegation;
+
 /* One request of a caller. */
 typedef struct {
     bbl_usec sent_at;
@@ -53,7 +69,9 @@
     bbl_vec calls;                               /* fleet_call */
     bbl_permit_book books[FORWARD_FLEET_GRANTORS];
     bool stopped[FORWARD_FLEET_GRANTORS];
-    bool *cut; /* by host */
+    bool *cut;           /* by host */
+    bool *broken;        /* by host; see forward_fleet_break_peer */
+    bbl_vec delegations; /* fleet_delegation */
     unsigned next_grantor;
     bbl_vec permit_requests; /* fleet_permit_request */
     bbl_vec limits;          /* fleet_limit */
@@ -145,6 +163,107 @@
     bbl_vec_push(&f->permit_requests, &r);
 }
 
+static fleet_delegation *
+find_delegation(const forward_fleet *f, const bbl_delegation *delegation)
+{
+    for (size_t i = 0; i < f->delegations.size; i++) {
+        fleet_delegation *d = bbl_vec_at(&f->delegations, i);
+
+        if (d->delegation == delegation) {
+            return d;
+        }
+    }
+    abort(); /* it has ended, or was never started */
+}
+
+static int
+on_delegate(void *ctx, forward_sim *sim, bbl_delegation *delegation,
+            const bbl_delegation_request *request)
+{
+    forward_fleet *f = ctx;
+    fleet_delegation *d = bbl_vec_add(&f->delegations);
+
+    memset(d, 0, sizeof(*d));
+    d->delegation = delegation;
+    d->due_at = forward_sim_get_time(sim) + PEER_DELAY_US;
+    d->from = find_host(f, sim);
+    d->to = request->peer->listed.host - 1;
+    d->call = (unsigned)(uintptr_t)request->request_handle - 1;
+    d->delegated_call = NO_CALL;
+    d->time_left_ms = request->time_left_ms;
+    d->delegated = request->delegated;
+    d->delegated.host = d->from + 1;
+    return 0;
+}
+
+static bool
+on_is_delegation_sent(void *ctx, const bbl_delegation *delegation)
+{
+    (void)ctx;
+    (void)delegation;
+    return true;
+}
+
+static void
+on_cancel_delegation(void *ctx, bbl_delegation *delegation)
+{
+    forward_fleet *f = ctx;
+    fleet_delegation *d = find_delegation(f, delegation);
+
+    d->delegation = NULL;
+    if (d->delegated_call != NO_CALL) {
+        forward_sim_cancel_request(f->hosts[d->to], d->delegated_call);
+    }
+}
+
+/* Completes a delegation whose host was stopped or has answered. */
+static void
+complete_delegation(forward_fleet *f, size_t i, const forward_sim_call *answer,
+                    bbl_attempt_outcome outcome)
+{
+    fleet_delegation *d = bbl_vec_at(&f->delegations, i);
+    bbl_delegation *delegation = d->delegation;
+    bbl_reach_level reach =
+        bbl_reach_get_level(forward_sim_get_reach(f->hosts[d->to]));
+
+    d->delegation = NULL;
+    forward_sim_complete_delegation(f->hosts[d->from], delegation, answer,
+                                    reach, outcome);
+}
+
+/* Passes delegated queries on to their hosts, and the answers back. */
+static void
+deliver_delegations(forward_fleet *f)
+{
+    bbl_usec now = forward_fleet_get_time(f);
+
+    for (size_t i = 0; i < f->delegations.size; i++) {
+        fleet_delegation *d = bbl_vec_at(&f->delegations, i);
+        const forward_sim_call *c;
+
+        if (d->delegation == NULL || now < d->due_at) {
+            continue;
+        }
+        if (f->broken[d->to]) {
+            complete_delegation(f, i, NULL,
+                                d->delegated_call == NO_CALL
+                                    ? BBL_ATTEMPT_UNSENT
+                                    : BBL_ATTEMPT_BROKEN);
+            continue;
+        }
+        if (d->delegated_call == NO_CALL) {
+            d->delegated_call = forward_sim_send_delegated(
+                f->hosts[d->to],
+                forward_sim_get_call(f->hosts[d->from], d->call)->path,
+                d->time_left_ms, &d->delegated);
+        }
+        c = forward_sim_get_call(f->hosts[d->to], d->delegated_call);
+        if (c->answered) {
+            complete_delegation(f, i, c, BBL_ATTEMPT_RESPONSE);
+        }
+    }
+}
+
 /* Lets a control host answer a request for permits. */
 static void
 answer_permit_request(forward_fleet *f, const fleet_permit_request *r)
@@ -209,6 +328,24 @@
     }
 }
 
+/* Tells a host of all others; host `i` has the id `i` + 1. */
+static void
+connect_peers(forward_fleet *f, unsigned host)
+{
+    forward_sim_peers peers = {on_delegate, on_is_delegation_sent,
+                               on_cancel_delegation, f};
+    uint32_t *ids = bbl_calloc(f->host_count, sizeof(*ids));
+    size_t count = 0;
+
+    for (unsigned i = 0; i < f->host_count; i++) {
+        if (i != host) {
+            ids[count++] = i + 1;
+        }
+    }
+    forward_sim_set_peers(f->hosts[host], &peers, ids, count);
+    free(ids);
+}
+
 forward_fleet *
 forward_fleet_new(unsigned hosts)
 {
@@ -217,6 +354,8 @@
                                    on_publish_crash, f};
 
     f->cut = bbl_calloc(hosts, sizeof(*f->cut));
+    f->broken = bbl_calloc(hosts, sizeof(*f->broken));
+    f->delegations = (bbl_vec)BBL_VEC_INIT(fleet_delegation);
     f->permit_requests = (bbl_vec)BBL_VEC_INIT(fleet_permit_request);
     f->limits = (bbl_vec)BBL_VEC_INIT(fleet_limit);
     f->crashes = (bbl_vec)BBL_VEC_INIT(fleet_crash);
@@ -236,6 +375,7 @@
         f->hosts[i] = forward_sim_new(hosts);
         forward_sim_set_arrival_callback(f->hosts[i], on_arrival, f);
         forward_sim_set_control(f->hosts[i], &control);
+        connect_peers(f, i);
     }
     return f;
 }
@@ -260,6 +400,8 @@
     bbl_vec_free(&f->limits);
     bbl_vec_free(&f->crashes);
     bbl_vec_free(&f->calls);
+    bbl_vec_free(&f->delegations);
+    free(f->broken);
     free(f->cut);
     free(f->servers);
     free(f->hosts);
@@ -301,6 +443,13 @@
     }
 }
 
+void
+forward_fleet_set_host_mode(forward_fleet *f, unsigned host, unsigned server,
+                            server_mode mode)
+{
+    get_server(f, host, server)->mode = mode;
+}
+
 void
 forward_fleet_set_work(forward_fleet *f, unsigned server, bbl_usec work)
 {
@@ -331,6 +480,35 @@
     forward_sim_set_links(f->hosts[host], links);
 }
 
+void
+forward_fleet_break_peer(forward_fleet *f, unsigned host)
+{
+    f->broken[host] = true;
+}
+
+unsigned
+forward_fleet_count_delegations(const forward_fleet *f)
+{
+    return (unsigned)f->delegations.size;
+}
+
+unsigned
+forward_fleet_count_runs(const forward_fleet *f, unsigned host, unsigned call)
+{
+    unsigned runs = forward_sim_get_call(f->hosts[host], call)->runs;
+
+    for (size_t i = 0; i < f->delegations.size; i++) {
+        const fleet_delegation *d = bbl_vec_at(&f->delegations, i);
+
+        if (d->from == host && d->call == call &&
+            d->delegated_call != NO_CALL) {
+            runs +=
+                forward_sim_get_call(f->hosts[d->to], d->delegated_call)->runs;
+        }
+    }
+    return runs;
+}
+
 void
 forward_fleet_update_lists(forward_fleet *f)
 {
@@ -384,6 +562,7 @@
             forward_sim_run(f->hosts[i], STEP_US);
         }
         deliver(f);
+        deliver_delegations(f);
     }
 }
 
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -35,6 +35,10 @@
 void forward_fleet_set_mode(forward_fleet *fleet, unsigned server,
                             server_mode mode);
 
+/* The same for the requests of one host only. */
+void forward_fleet_set_host_mode(forward_fleet *fleet, unsigned host,
+                                 unsigned server, server_mode mode);
+
 /* Sets how long a server works on a request. */
 void forward_fleet_set_work(forward_fleet *fleet, unsigned server,
                             bbl_usec work);
@@ -49,6 +53,19 @@
 void forward_fleet_set_links(forward_fleet *fleet, unsigned host,
                              forward_sim_links links);
 
+/*
+ * Stops an entry host for its peers: connections to it break, and new ones are
+ * refused.
+ */
+void forward_fleet_break_peer(forward_fleet *fleet, unsigned host);
+
+/* Returns the number of queries that hosts have delegated. */
+unsigned forward_fleet_count_delegations(const forward_fleet *fleet);
+
+/* Returns the runs of one request of a caller at all hosts and servers. */
+unsigned forward_fleet_count_runs(const forward_fleet *fleet, unsigned host,
+                                  unsigned call);
+
 /* Restarts a control host, of which there are FORWARD_FLEET_GRANTORS. */
 void forward_fleet_restart_grantor(forward_fleet *fleet, unsigned grantor);
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -53,6 +53,7 @@
     void (*arrived)(void *ctx, const forward_sim_server *server, bbl_usec now);
     void *arrived_ctx;
     forward_sim_control control;
+    forward_sim_peers peers;
     forward_sim_links links;
     bool simulates_links;      /* see forward_sim_set_links */
     const char *crash_path;    /* NULL if no request ends its servers */
@@ -243,6 +244,7 @@
     require(sim, !c->left, "a caller is answered after it left");
     c->answered = true;
     c->status = answer->status;
+    c->attempts_maybe_run = answer->attempts;
     c->answered_at = sim->now;
     if (answer->relayed == NULL) {
         read_header_lines(c, answer->header_lines);
@@ -367,6 +369,54 @@
     }
 }
 
+static int
+on_delegate(void *ctx, bbl_delegation *delegation,
+            const bbl_delegation_request *request)
+{
+    forward_sim *sim = ctx;
+    unsigned call = (unsigned)(uintptr_t)request->request_handle - 1;
+
+    require(sim, request->time_left_ms > 0,
+            "a query is delegated with no time left");
+    require(sim, request->idempotent || sim->calls[call].runs == 0,
+            "a request that is not idempotent is delegated after a run");
+    return sim->peers.delegate(sim->peers.ctx, sim, delegation, request);
+}
+
+static bool
+on_is_delegation_sent(void *ctx, const bbl_delegation *delegation)
+{
+    forward_sim *sim = ctx;
+
+    return sim->peers.is_sent(sim->peers.ctx, delegation);
+}
+
+static void
+on_cancel_delegation(void *ctx, bbl_delegation *delegation)
+{
+    forward_sim *sim = ctx;
+
+    sim->peers.cancel(sim->peers.ctx, delegation);
+}
+
+static void
+on_report_delegation(void *ctx, const bbl_forward_request *request,
+                     const bbl_delegation_request *delegation,
+                     bbl_delegation_cause cause)
+{
+    (void)cause;
+    require(ctx, request->delegated.host == 0,
+            "a delegated query is delegated again");
+    require(ctx, delegation->peer != NULL, "a query is delegated to no peer");
+}
+
+static void
+on_peer_changed(void *ctx, bbl_peer *peer)
+{
+    (void)ctx;
+    (void)peer;
+}
+
 static void
 on_reach_changed(void *ctx, const bbl_reach *reach, bbl_reach_level before)
 {
@@ -544,6 +594,12 @@
     o.port.server_added = on_added;
     o.port.server_removed = on_removed;
     o.port.server_changed = on_changed;
+    o.port.delegate = on_delegate;
+    o.port.is_delegation_sent = on_is_delegation_sent;
+    o.port.cancel_delegation = on_cancel_delegation;
+    o.port.report_delegation = on_report_delegation;
+    o.port.peer_added = on_peer_changed;
+    o.port.peer_removed = on_peer_changed;
     o.port.reach_changed = on_reach_changed;
     o.port.rate_limit_reported = on_rate_limit_reported;
     o.port.server_ended = on_server_ended;
@@ -654,9 +710,10 @@
     return forward_sim_send_delayed_request(sim, path, time_left_ms, 0);
 }
 
-unsigned
-forward_sim_send_delayed_request(forward_sim *sim, const char *path,
-                                 uint32_t time_left_ms, bbl_usec delay)
+/* Sends a request that arrived `delay` ago. Returns its number. */
+static unsigned
+send_request(forward_sim *sim, const char *path, uint32_t time_left_ms,
+             bbl_usec delay, const bbl_delegated *delegated)
 {
     unsigned n = sim->call_count++;
     bbl_forward_request r;
@@ -666,6 +723,9 @@
     }
     snprintf(sim->ids[n], sizeof(sim->ids[n]), "q%u", n);
     sim->calls[n].used = true;
+    sim->calls[n].path = path;
+    sim->calls[n].delegated = delegated->host != 0;
+    sim->calls[n].sent_at = sim->now;
     memset(&r, 0, sizeof(r));
     r.request_handle = (void *)(uintptr_t)(n + 1);
     r.hostname = (bbl_str){"a.example", 9};
@@ -682,10 +742,77 @@
     r.time_left_ms = time_left_ms;
     r.arrived_at = sim->now - delay;
     r.round_trip = sim->round_trip;
+    r.delegated = *delegated;
     bbl_forwarder_receive_request(sim->forwarder, sim->now, &r);
     return n;
 }
 
+unsigned
+forward_sim_send_delayed_request(forward_sim *sim, const char *path,
+                                 uint32_t time_left_ms, bbl_usec delay)
+{
+    static const bbl_delegated none;
+
+    return send_request(sim, path, time_left_ms, delay, &none);
+}
+
+void
+forward_sim_set_peers(forward_sim *sim, const forward_sim_peers *peers,
+                      const uint32_t *hosts, size_t count)
+{
+    bbl_forward_update *u = bbl_calloc(1, sizeof(*u));
+
+    sim->peers = *peers;
+    u->list_read_at = sim->list_read_at;
+    u->entry_hosts = sim->entry_hosts;
+    u->has_peers = true;
+    u->peers = bbl_calloc(count, sizeof(*u->peers));
+    u->peer_count = count;
+    for (size_t i = 0; i < count; i++) {
+        u->peers[i].host = hosts[i];
+    }
+    bbl_forwarder_update(sim->forwarder, sim->now, u);
+}
+
+unsigned
+forward_sim_send_delegated(forward_sim *sim, const char *path,
+                           uint32_t time_left_ms,
+                           const bbl_delegated *delegated)
+{
+    return send_request(sim, path,
+                        time_left_ms +
+                            (uint32_t)(delegated->elapsed / BBL_USEC_PER_MS),
+                        delegated->elapsed, delegated);
+}
+
+void
+forward_sim_complete_delegation(forward_sim *sim, bbl_delegation *delegation,
+                                const forward_sim_call *answer,
+                                bbl_reach_level reach,
+                                bbl_attempt_outcome outcome)
+{
+    bbl_delegation_outcome o = {BBL_FORWARD_BROKEN, reach, 0};
+    bbl_attempt_result r;
+
+    memset(&r, 0, sizeof(r));
+    r.outcome = outcome;
+    r.failure_reason = "fault set by the test";
+    if (answer != NULL) {
+        r.outcome = BBL_ATTEMPT_RESPONSE;
+        r.status = answer->status;
+        o.reason = answer->reason;
+        o.attempts = answer->attempts_maybe_run;
+    }
+    bbl_forwarder_complete_delegation(sim->forwarder, sim->now, delegation, &r,
+                                      &o);
+}
+
+const bbl_reach *
+forward_sim_get_reach(const forward_sim *sim)
+{
+    return bbl_forwarder_get_reach(sim->forwarder);
+}
+
 void
 forward_sim_set_arrival_callback(
     forward_sim *sim,
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -57,6 +57,9 @@
 /* What a caller received. */
 typedef struct {
     bool used;
+    bool delegated; /* by another host */
+    bbl_usec sent_at;
+    const char *path;
     bool answered;
     bool left;
     unsigned status;
@@ -68,6 +71,7 @@
     unsigned runs;             /* runs of this request, on all servers */
     uint32_t time_left_max_ms; /* greatest time left that a server was given */
     bbl_forward_reason reason;
+    unsigned attempts_maybe_run; /* as the host states */
 } forward_sim_call;
 
 typedef struct forward_sim forward_sim;
@@ -167,6 +171,40 @@
                                const bbl_observed_limit *limits, size_t count,
                                unsigned grantors);
 
+/* How the simulated host reaches the other entry hosts. */
+typedef struct {
+    /* Passes a query on; returns 0, or not if no connection is free. */
+    int (*delegate)(void *ctx, forward_sim *sim, bbl_delegation *delegation,
+                    const bbl_delegation_request *request);
+    bool (*is_sent)(void *ctx, const bbl_delegation *delegation);
+    void (*cancel)(void *ctx, bbl_delegation *delegation);
+    void *ctx;
+} forward_sim_peers;
+
+/* Connects the host to other entry hosts, which have the given ids. */
+void forward_sim_set_peers(forward_sim *sim, const forward_sim_peers *peers,
+                           const uint32_t *hosts, size_t count);
+
+/* Sends a request that another host has delegated. Returns its number. */
+unsigned forward_sim_send_delegated(forward_sim *sim, const char *path,
+                                    uint32_t time_left_ms,
+                                    const bbl_delegated *delegated);
+
+/*
+ * Completes a delegation.
+ *
+ * @param answer  the call at the other host; NULL if there is no response
+ * @param outcome how the delegation ended if there is none
+ */
+void forward_sim_complete_delegation(forward_sim *sim,
+                                     bbl_delegation *delegation,
+                                     const forward_sim_call *answer,
+                                     bbl_reach_level reach,
+                                     bbl_attempt_outcome outcome);
+
+/* Returns how many of the servers the host reaches. */
+const bbl_reach *forward_sim_get_reach(const forward_sim *sim);
+
 /* Sets the measured round trip time to the callers of further requests. */
 void forward_sim_set_round_trip(forward_sim *sim, bbl_usec round_trip);
 
--- a/tests/test_lost_links.c
+++ b/tests/test_lost_links.c
@@ -113,6 +113,180 @@
     forward_fleet_free(f);
 }
 
+/* Returns the call with this number at host 0 after one second. */
+static const forward_sim_call *
+wait_for(forward_fleet *f, unsigned call)
+{
+    forward_fleet_run(f, SECOND, 0, "");
+    ck_assert(
+        forward_sim_get_call(forward_fleet_get_host(f, 0), call)->answered);
+    return forward_sim_get_call(forward_fleet_get_host(f, 0), call);
+}
+
+/* Creates a fleet of which host 0 has lost its links, and has noticed. */
+static forward_fleet *
+create_cut_fleet(unsigned hosts)
+{
+    forward_fleet *f = create_fleet(hosts);
+
+    run_fleet(f, 2, 20 * hosts, "/g/1");
+    forward_fleet_set_links(f, 0, LINKS_HANG);
+    run_fleet(f, 2, 20 * hosts, "/g/1");
+    return f;
+}
+
+static unsigned
+send_to_cut_host(forward_fleet *f, const char *path, uint32_t time_left_ms)
+{
+    return forward_sim_send_request(forward_fleet_get_host(f, 0), path,
+                                    time_left_ms);
+}
+
+START_TEST(a_request_that_is_not_idempotent_runs_once)
+{
+    forward_fleet *f = create_cut_fleet(3);
+
+    for (unsigned i = 0; i < 20; i++) {
+        unsigned n = send_to_cut_host(f, "/once/1", 800);
+
+        ck_assert_uint_eq(wait_for(f, n)->status, 200);
+        ck_assert_uint_eq(forward_fleet_count_runs(f, 0, n), 1);
+    }
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* Its host stops while it runs the request: whether it ran is not known. */
+START_TEST(a_request_whose_host_stops_is_not_sent_again)
+{
+    forward_fleet *f = create_cut_fleet(2);
+    unsigned n = send_to_cut_host(f, "/once/1", 800);
+    const forward_sim_call *c;
+
+    forward_fleet_run(f, 6 * MS, 0, "");
+    ck_assert_uint_eq(forward_fleet_count_runs(f, 0, n), 1);
+    forward_fleet_break_peer(f, 1);
+    c = wait_for(f, n);
+    ck_assert_uint_eq(c->status, 502);
+    ck_assert_uint_eq(forward_fleet_count_runs(f, 0, n), 1);
+    /* The next one is not accepted there, so it has not run. */
+    n = send_to_cut_host(f, "/once/1", 800);
+    ck_assert_uint_eq(wait_for(f, n)->status, 503);
+    ck_assert_uint_eq(forward_fleet_count_runs(f, 0, n), 0);
+    forward_fleet_free(f);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_ends_its_delegated_query)
+{
+    forward_fleet *f = create_cut_fleet(2);
+    unsigned n = send_to_cut_host(f, "/g/1", 800);
+
+    forward_fleet_run(f, 6 * MS, 0, "");
+    ck_assert_uint_eq(
+        forward_sim_count_in_flight(forward_fleet_get_host(f, 1)), 4);
+    forward_sim_cancel_request(forward_fleet_get_host(f, 0), n);
+    forward_fleet_run(f, 500 * MS, 0, "");
+    ck_assert_uint_eq(
+        forward_sim_count_in_flight(forward_fleet_get_host(f, 1)), 0);
+    forward_fleet_free(f);
+}
+END_TEST
+
+START_TEST(servers_get_no_more_time_than_the_caller_has_left)
+{
+    forward_fleet *f = create_cut_fleet(2);
+    forward_sim *sim = forward_fleet_get_host(f, 0);
+    unsigned n = forward_sim_send_delayed_request(sim, "/g/1", 700, 300 * MS);
+    unsigned most = 0;
+
+    wait_for(f, n);
+    for (unsigned i = 0; i < FORWARD_SIM_CALLS_MAX; i++) {
+        const forward_sim_call *c =
+            forward_sim_get_call(forward_fleet_get_host(f, 1), i);
+
+        if (c->used && c->delegated && c->time_left_max_ms > most &&
+            c->sent_at >= forward_fleet_get_time(f) - SECOND - MS) {
+            most = c->time_left_max_ms;
+        }
+    }
+    ck_assert_uint_gt(most, 300);
+    ck_assert_uint_le(most, 400);
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* No host reaches a server: callers are refused at once, with a time. */
+START_TEST(hosts_do_not_ask_each_other_for_each_query_in_an_outage)
+{
+    forward_fleet *f = create_fleet(20);
+    forward_fleet_summary s;
+    unsigned before;
+    bbl_usec since;
+
+    run_fleet(f, 2, 200, "/g/1");
+    set_links(f, 20, LINKS_RESET);
+    run_fleet(f, 3, 200, "/g/1");
+    since = forward_fleet_get_time(f);
+    before = forward_fleet_count_delegations(f);
+    run_fleet(f, 5, 200, "/g/1");
+    forward_fleet_run(f, SECOND, 0, "");
+    forward_fleet_summarize(&s, f, since);
+    ck_assert_uint_eq(s.refused, s.sent);
+    ck_assert_uint_eq(s.refused_late, 0);
+    ck_assert_uint_eq(s.without_retry_after, 0);
+    /* Each host asks each second until REFUSALS_MAX (16) have refused. */
+    ck_assert_uint_le(forward_fleet_count_delegations(f) - before,
+                      20 * 5 * (16 + 2));
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* One host cannot reach one shard; a whole answer is to be had elsewhere. */
+START_TEST(a_host_without_one_shard_gives_whole_answers)
+{
+    forward_fleet *f = create_fleet(3);
+    unsigned whole = 0;
+
+    run_fleet(f, 2, 60, "/g/1");
+    forward_fleet_set_host_mode(f, 0, 2, SERVER_REFUSES);
+    forward_fleet_set_host_mode(f, 0, 3, SERVER_REFUSES);
+    run_fleet(f, 1, 60, "/g/1");
+    for (unsigned i = 0; i < 20; i++) {
+        const forward_sim_call *c =
+            wait_for(f, send_to_cut_host(f, "/g/1", 800));
+
+        ck_assert_uint_eq(c->status, 200);
+        whole += c->reason == BBL_FORWARD_OK;
+    }
+    ck_assert_uint_ge(whole, 18);
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* No host reaches a shard: all answer in part, and seldom ask another. */
+START_TEST(a_shard_that_is_lost_everywhere_is_left_out)
+{
+    forward_fleet *f = create_fleet(3);
+    forward_fleet_summary s;
+    unsigned before;
+    bbl_usec since;
+
+    run_fleet(f, 2, 60, "/g/1");
+    forward_fleet_set_mode(f, 2, SERVER_REFUSES);
+    forward_fleet_set_mode(f, 3, SERVER_REFUSES);
+    run_fleet(f, 1, 60, "/g/1");
+    since = forward_fleet_get_time(f);
+    before = forward_fleet_count_delegations(f);
+    run_fleet(f, 5, 60, "/g/1");
+    forward_fleet_run(f, SECOND, 0, "");
+    forward_fleet_summarize(&s, f, since);
+    ck_assert_uint_eq(s.served, s.sent);
+    ck_assert_uint_le(forward_fleet_count_delegations(f) - before, 3 * 5 + 3);
+    forward_fleet_free(f);
+}
+END_TEST
+
 START_TEST(callers_are_served_while_links_hang)
 {
     play_cut(3, 7, 100, "/g/1", LINKS_HANG);
@@ -153,6 +327,13 @@
     tcase_add_test(t, callers_are_served_while_new_connections_are_refused);
     tcase_add_test(
         t, callers_are_served_while_most_of_many_hosts_lost_their_links);
+    tcase_add_test(t, a_request_that_is_not_idempotent_runs_once);
+    tcase_add_test(t, a_request_whose_host_stops_is_not_sent_again);
+    tcase_add_test(t, a_caller_that_leaves_ends_its_delegated_query);
+    tcase_add_test(t, servers_get_no_more_time_than_the_caller_has_left);
+    tcase_add_test(t, hosts_do_not_ask_each_other_for_each_query_in_an_outage);
+    tcase_add_test(t, a_host_without_one_shard_gives_whole_answers);
+    tcase_add_test(t, a_shard_that_is_lost_everywhere_is_left_out);
     suite_add_tcase(s, t);
     return run_suite(s);
 }
