Connects that time out do not count as servers that ended under a request

What callers saw: nothing yet. A cut-off host put 75 to 77 requests down, within a second, as requests that had ended their servers (BBL4005), and told all hosts; a request so blamed three times is refused everywhere for 300 s.

Cause: an attempt whose connection broke counted as running under a server that ended if the next connection could not be opened, for whatever reason. When the links of a host are lost, each connect times out. The test of the watch is named "only a refused connection shows that a server ended", but the code took any failure.

Change: the result of a connect is opened, refused or timed out, and only a refusal counts.

--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -540,6 +540,10 @@
         bbl_backend_record_connect_failure(b, now, duration);
     }
     report_state_change(f, now, b, before);
-    bbl_crash_watch_resolve(&f->crash_watch, now, b->key, ok, on_server_ended,
-                            f);
+    bbl_crash_watch_resolve(&f->crash_watch, now, b->key,
+                            ok ? BBL_CONNECT_OPENED
+                            : bbl_backend_is_refusal_time(duration)
+                                ? BBL_CONNECT_REFUSED
+                                : BBL_CONNECT_TIMED_OUT,
+                            on_server_ended, f);
 }
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -125,10 +125,17 @@
     return !b->connect_refused && now < seen + ALIVE_US;
 }
 
+bool
+bbl_backend_is_refusal_time(bbl_usec took)
+{
+    return took < REFUSAL_TIMEOUT_US;
+}
+
 void
 bbl_backend_record_connect_failure(bbl_backend *b, bbl_usec now, bbl_usec took)
 {
-    b->connect_refused = b->connect_refused || took < REFUSAL_TIMEOUT_US;
+    b->connect_refused =
+        b->connect_refused || bbl_backend_is_refusal_time(took);
     if (is_alive(b, now)) {
         b->full_until = now + FULL_BACKOFF_US;
         return;
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -109,6 +109,9 @@
 void bbl_backend_record_connect_failure(bbl_backend *backend, bbl_usec now,
                                         bbl_usec took);
 
+/* Returns whether a connect that failed after this time was refused. */
+bool bbl_backend_is_refusal_time(bbl_usec took);
+
 /* Returns the expected time to open a connection, microseconds. */
 double bbl_backend_get_connect_time(const bbl_backend *backend);
 
--- a/src/forward/crash_watch.c
+++ b/src/forward/crash_watch.c
@@ -40,9 +40,11 @@
 }
 
 void
-bbl_crash_watch_resolve(
-    bbl_crash_watch *w, bbl_usec now, uint64_t server, bool connected,
-    void (*ended)(void *ctx, const bbl_broken_attempt *attempt), void *ctx)
+bbl_crash_watch_resolve(bbl_crash_watch *w, bbl_usec now, uint64_t server,
+                        bbl_connect_result result,
+                        void (*ended)(void *ctx,
+                                      const bbl_broken_attempt *attempt),
+                        void *ctx)
 {
     for (size_t i = 0; i < w->attempts.size;) {
         bbl_broken_attempt a =
@@ -54,7 +56,7 @@
             continue;
         }
         bbl_vec_remove(&w->attempts, i);
-        if (!connected && !expired && ended != NULL) {
+        if (result == BBL_CONNECT_REFUSED && !expired && ended != NULL) {
             ended(ctx, &a);
         }
     }
--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -1,8 +1,9 @@
 /*
  * crash_watch.h - finds out whether a server has ended while it ran a request.
  * A broken connection alone does not tell: the server may have reset it. The
- * attempt counts as running under a server that ended if no new connection to
- * the server can be opened shortly afterwards.
+ * attempt counts as running under a server that ended if the next connection
+ * to the server is refused shortly afterwards. One that times out tells
+ * nothing: the links of this host may be lost.
  */
 #ifndef BBL_CRASH_WATCH_H
 #define BBL_CRASH_WATCH_H
@@ -22,6 +23,13 @@
     bbl_usec broken_at;
 } bbl_broken_attempt;
 
+/* How opening a connection to a server has ended. */
+typedef enum {
+    BBL_CONNECT_OPENED,
+    BBL_CONNECT_REFUSED,
+    BBL_CONNECT_TIMED_OUT
+} bbl_connect_result;
+
 typedef struct {
     bbl_vec attempts; /* bbl_broken_attempt, oldest first */
 } bbl_crash_watch;
@@ -40,8 +48,10 @@
  *
  * @param ended may be NULL
  */
-void bbl_crash_watch_resolve(
-    bbl_crash_watch *watch, bbl_usec now, uint64_t server, bool connected,
-    void (*ended)(void *ctx, const bbl_broken_attempt *attempt), void *ctx);
+void bbl_crash_watch_resolve(bbl_crash_watch *watch, bbl_usec now,
+                             uint64_t server, bbl_connect_result result,
+                             void (*ended)(void *ctx,
+                                           const bbl_broken_attempt *attempt),
+                             void *ctx);
 
 #endif
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -76,6 +76,7 @@
     bbl_vec permit_requests; /* fleet_permit_request */
     bbl_vec limits;          /* fleet_limit */
     bbl_vec crashes;         /* fleet_crash */
+    unsigned crash_count;    /* reported by all hosts */
     uint64_t last_serial;
     bbl_rng rng;
     double due; /* requests to send, a fraction */
@@ -131,6 +132,8 @@
     fleet_crash c = {now + FEED_DELAY_US,
                      {fingerprint, generation, now / BBL_USEC_PER_MS}};
 
+    f->crash_count += generation > 0;
+
     if (!f->cut[find_host(f, sim)]) {
         bbl_vec_push(&f->crashes, &c);
     }
@@ -486,6 +489,12 @@
     f->broken[host] = true;
 }
 
+unsigned
+forward_fleet_count_crashes(const forward_fleet *f)
+{
+    return f->crash_count;
+}
+
 unsigned
 forward_fleet_count_delegations(const forward_fleet *f)
 {
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -59,6 +59,10 @@
  */
 void forward_fleet_break_peer(forward_fleet *fleet, unsigned host);
 
+/* Returns how often a host has reported that a server ended under a request.
+ */
+unsigned forward_fleet_count_crashes(const forward_fleet *fleet);
+
 /* Returns the number of queries that hosts have delegated. */
 unsigned forward_fleet_count_delegations(const forward_fleet *fleet);
 
--- a/tests/test_crash_ledger.c
+++ b/tests/test_crash_ledger.c
@@ -112,16 +112,25 @@
     bbl_crash_watch_init(&w);
     ended = 0;
     bbl_crash_watch_add(&w, SEC, 1, 7, 1, id);
-    bbl_crash_watch_resolve(&w, SEC + MS, 1, true, on_ended, NULL);
-    bbl_crash_watch_resolve(&w, SEC + 2 * MS, 1, false, on_ended, NULL);
+    bbl_crash_watch_resolve(&w, SEC + MS, 1, BBL_CONNECT_OPENED, on_ended,
+                            NULL);
+    bbl_crash_watch_resolve(&w, SEC + 2 * MS, 1, BBL_CONNECT_REFUSED, on_ended,
+                            NULL);
     ck_assert_uint_eq(ended, 0);
     bbl_crash_watch_add(&w, SEC, 1, 7, 1, id);
-    bbl_crash_watch_resolve(&w, SEC + MS, 2, false, on_ended, NULL);
+    bbl_crash_watch_resolve(&w, SEC + MS, 1, BBL_CONNECT_TIMED_OUT, on_ended,
+                            NULL);
     ck_assert_uint_eq(ended, 0);
-    bbl_crash_watch_resolve(&w, SEC + 2 * MS, 1, false, on_ended, NULL);
+    bbl_crash_watch_add(&w, SEC, 1, 7, 1, id);
+    bbl_crash_watch_resolve(&w, SEC + MS, 2, BBL_CONNECT_REFUSED, on_ended,
+                            NULL);
+    ck_assert_uint_eq(ended, 0);
+    bbl_crash_watch_resolve(&w, SEC + 2 * MS, 1, BBL_CONNECT_REFUSED, on_ended,
+                            NULL);
     ck_assert_uint_eq(ended, 1);
     bbl_crash_watch_add(&w, SEC, 1, 7, 1, id);
-    bbl_crash_watch_resolve(&w, 10 * SEC, 1, false, on_ended, NULL);
+    bbl_crash_watch_resolve(&w, 10 * SEC, 1, BBL_CONNECT_REFUSED, on_ended,
+                            NULL);
     ck_assert_uint_eq(ended, 1);
     bbl_crash_watch_free(&w);
 }
--- a/tests/test_lost_links.c
+++ b/tests/test_lost_links.c
@@ -242,6 +242,24 @@
 }
 END_TEST
 
+/* Connections that time out do not tell that a server has ended. */
+START_TEST(requests_are_not_blamed_for_lost_links)
+{
+    static const forward_sim_links cuts[] = {LINKS_HANG, LINKS_RESET,
+                                             LINKS_REFUSE};
+
+    for (unsigned i = 0; i < 3; i++) {
+        forward_fleet *f = create_fleet(7);
+
+        run_fleet(f, 2, 400, "/g/1");
+        set_links(f, 3, cuts[i]);
+        run_fleet(f, 4, 400, "/g/1");
+        ck_assert_uint_eq(forward_fleet_count_crashes(f), 0);
+        forward_fleet_free(f);
+    }
+}
+END_TEST
+
 /* One host cannot reach one shard; a whole answer is to be had elsewhere. */
 START_TEST(a_host_without_one_shard_gives_whole_answers)
 {
@@ -332,6 +350,7 @@
     tcase_add_test(t, a_caller_that_leaves_ends_its_delegated_query);
     tcase_add_test(t, servers_get_no_more_time_than_the_caller_has_left);
     tcase_add_test(t, hosts_do_not_ask_each_other_for_each_query_in_an_outage);
+    tcase_add_test(t, requests_are_not_blamed_for_lost_links);
     tcase_add_test(t, a_host_without_one_shard_gives_whole_answers);
     tcase_add_test(t, a_shard_that_is_lost_everywhere_is_left_out);
     suite_add_tcase(s, t);
