Log what backend servers ask of a host: no requests for some time, or none any more

The header fields Retry-After (of a 503) and Server-Leaving are decoded and logged, with the attempts sent meanwhile. No decision uses them yet.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -522,6 +522,30 @@
                                      : 0));
 }
 
+static void
+on_backoff_begun(void *ctx, const bbl_backend *b, unsigned sent_before)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_BACKOFF, "id=%.*s service=%.*s for_ms=%llu sent_before=%u",
+            (int)b->listed.id.bblx_label_len, b->listed.id.bblx_label_val,
+            (int)b->listed.service.bblx_label_len,
+            b->listed.service.bblx_label_val,
+            (unsigned long long)((b->backoff.until - bbl_clock_now()) /
+                                 BBL_USEC_PER_MS),
+            sent_before);
+}
+
+static void
+on_leaving_stated(void *ctx, const bbl_backend *b)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_SERVER_LEAVING, "id=%.*s service=%.*s listed_as=%s",
+            (int)b->listed.id.bblx_label_len, b->listed.id.bblx_label_val,
+            (int)b->listed.service.bblx_label_len,
+            b->listed.service.bblx_label_val,
+            b->listed.leaving ? "leaving" : "ready");
+}
+
 static void
 send_notice(bbl_gateway *g, bbl_notice *notice)
 {
@@ -867,6 +891,8 @@
     f.port.peer_removed = on_peer_removed;
     f.port.reach_changed = on_reach_changed;
     f.port.rate_limit_reported = on_rate_limit_reported;
+    f.port.backoff_begun = on_backoff_begun;
+    f.port.leaving_stated = on_leaving_stated;
     f.port.server_ended = on_server_ended;
     f.port.suspect_answered = on_suspect_answered;
     f.port.request_barred = on_request_barred;
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -189,6 +189,7 @@
     q->record.attempt_count++;
     f->counters.attempts++;
     f->counters.attempts_limited += b->limit.limited;
+    b->backoff.sent += bbl_backoff_is_active(&b->backoff, now);
     bbl_rate_limit_spend(&b->limit, now);
     bbl_rate_limit_count_sent(&b->limit, s->attempts_sent > 1);
     return true;
@@ -327,6 +328,23 @@
     }
 }
 
+/* Records what a response asks of this host. */
+static void
+update_backoff(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
+               const bbl_backend_head *head)
+{
+    unsigned sent_before = 0;
+
+    if (head->leaving && !b->backoff.leaving) {
+        b->backoff.leaving = true;
+        f->options.port.leaving_stated(f->options.port.ctx, b);
+    }
+    if (head->has_backoff &&
+        bbl_backoff_begin(&b->backoff, now, head->backoff_ms, &sent_before)) {
+        f->options.port.backoff_begun(f->options.port.ctx, b, sent_before);
+    }
+}
+
 /* Updates the state, the ratings and the load limit of an attempt's server. */
 static void
 update_server(bbl_forwarder *f, bbl_usec now, bbl_attempt *a,
@@ -342,6 +360,7 @@
         f->reach.contact_at = now;
         if (!head->wrong_incarnation) {
             update_rate_limit(f, now, b, head);
+            update_backoff(f, now, b, head);
         }
     }
     if (m == RESULT_USABLE) {
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -7,6 +7,7 @@
 #define BBL_FORWARD_BACKEND_H
 
 #include "bbl/types.h"
+#include "forward/backoff.h"
 #include "forward/rate_limit.h"
 #include "model/codec.h"
 
@@ -57,6 +58,7 @@
     /* When slowness and failure_rate were last updated. */
     bbl_usec rated_at;
 
+    bbl_backoff backoff;
     bbl_rate_limit limit;
     uint64_t limit_serial; /* of the last observation of another host */
 
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -39,8 +39,15 @@
     /* Whether it limits the requests that all hosts together may send. */
     bool has_rate_limit;
     double rate_limit; /* requests per second */
+    /* Whether it refuses the request and wants none for some time. */
+    bool has_backoff;
+    uint32_t backoff_ms; /* that time; BBL_BACKOFF_MAX_MS at most */
+    bool leaving;        /* it is about to end */
 } bbl_backend_head;
 
+/* A longer time that a server asks for counts as this one. */
+#define BBL_BACKOFF_MAX_MS (24u * 3600 * 1000)
+
 /* What an operator or a load balancer requests of a daemon. */
 typedef enum {
     BBL_OPERATOR_COMMAND_UNKNOWN,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -267,6 +267,15 @@
      * backend->limit are reset afterwards.
      */
     void (*rate_limit_reported)(void *ctx, const bbl_backend *backend);
+    /*
+     * Reports that a server wants no request for some time, which it has not
+     * said before or whose last such time has passed. `sent_before` is the
+     * number of attempts sent during the last one.
+     */
+    void (*backoff_begun)(void *ctx, const bbl_backend *backend,
+                          unsigned sent_before);
+    /* Reports that a server has said that it is leaving. */
+    void (*leaving_stated)(void *ctx, const bbl_backend *backend);
     /* Reports that a server has ended while it ran an attempt. */
     void (*server_ended)(void *ctx, const bbl_broken_attempt *attempt);
     /*
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -85,6 +85,10 @@
       "it")                                                                   \
     X(REACH, 4007, WARN, "reach",                                             \
       "this host reaches more or fewer of the backend servers than before")   \
+    X(BACKOFF, 4008, INFO, "backoff",                                         \
+      "a backend server wants no request from this host for some time")       \
+    X(SERVER_LEAVING, 4009, INFO, "server-leaving",                           \
+      "a backend server has said that it is leaving")                         \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -305,6 +305,19 @@
     (void)backend;
 }
 
+static void
+on_backoff_begun(void *ctx, const bbl_backend *backend, unsigned sent_before)
+{
+    (void)sent_before;
+    require(ctx, backend->backoff.until > 0, "no time without requests");
+}
+
+static void
+on_leaving_stated(void *ctx, const bbl_backend *backend)
+{
+    require(ctx, backend->backoff.leaving, "the server is not leaving");
+}
+
 static void
 on_server_ended(void *ctx, const bbl_broken_attempt *attempt)
 {
@@ -602,6 +615,8 @@
     o.port.peer_removed = on_peer_changed;
     o.port.reach_changed = on_reach_changed;
     o.port.rate_limit_reported = on_rate_limit_reported;
+    o.port.backoff_begun = on_backoff_begun;
+    o.port.leaving_stated = on_leaving_stated;
     o.port.server_ended = on_server_ended;
     o.port.suspect_answered = on_suspect_answered;
     o.port.request_barred = on_request_barred;
