--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -465,15 +465,23 @@
     bbl_forwarder_complete_attempt(sim->forwarder, sim->now, x->attempt, &r);
 }
 
+static void
+add_field(bbl_vec *fields, const char *name, const char *value)
+{
+    bbl_header h = {{name, strlen(name)}, {value, strlen(value)}};
+
+    bbl_vec_push(fields, &h);
+}
+
 static void
 complete_exchange(forward_sim *sim, const exchange *x)
 {
     static const char body[] = "0123456789abcdef";
     char limit[24];
+    bbl_vec fields = BBL_VEC_INIT(bbl_header);
     bbl_header signature = {{"Response-Stamp", 14},
                             {x->server->id, strlen(x->server->id)}};
     bbl_header not_run = {{"Not-Executed", 12}, {"1", 1}};
-    bbl_header headers[2];
     bbl_attempt_result r;
 
     memset(&r, 0, sizeof(r));
@@ -507,16 +515,24 @@
     default:
         break;
     }
+    if (r.header_count > 0) {
+        bbl_vec_push(&fields, r.headers);
+    }
     if (x->server->rate_limit > 0) {
         snprintf(limit, sizeof(limit), "%.3f", x->server->rate_limit);
-        headers[0] = *r.headers;
-        headers[r.header_count] =
-            (bbl_header){{"Server-Limit", 12}, {limit, strlen(limit)}};
-        r.headers = headers;
-        r.header_count++;
+        add_field(&fields, "Server-Limit", limit);
+    }
+    if (x->server->retry_after != NULL && r.status == 503) {
+        add_field(&fields, "Retry-After", x->server->retry_after);
+    }
+    if (x->server->states_leaving) {
+        add_field(&fields, "Server-Leaving", "1");
     }
+    r.headers = fields.ptr;
+    r.header_count = fields.size;
     x->server->in_use--;
     bbl_forwarder_complete_attempt(sim->forwarder, sim->now, x->attempt, &r);
+    bbl_vec_free(&fields);
     if (sim->calls[x->call].crashes && x->mode == SERVER_BREAKS &&
         x->server->backend != NULL) {
         forward_sim_record_connect(sim, x->server, false);
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -50,7 +50,10 @@
     unsigned in_use;
     bool connected; /* while links are simulated: one is idle */
     bbl_usec next_connect_at;
-    double rate_limit;    /* stated in its responses; 0 for none */
+    double rate_limit; /* stated in its responses; 0 for none */
+    /* Time for which it wants no request, in its refusals; NULL for none. */
+    const char *retry_after;
+    bool states_leaving;  /* in all its responses */
     bbl_backend *backend; /* the forwarder's; NULL if unlisted */
 } forward_sim_server;
 
