Servers that ask a host for rest, or say that they are leaving, get nothing from it

What servers saw: one that turned a request away with 503 and Retry-After: 3 got 4 to 16 more from each host within these 3 s, each of which it had to answer. Callers lost 10 ms for each part so refused.

A refusal made a host avoid the server for 10 ms and counted as a failure. Server-Leaving was not read either. Class: what a server says of itself is not one of the reasons why it may get no request. Ruled out: that only hedges and retries ignore it (most were first attempts), and that something ended the time early (nothing held it).

Change: both are states of a server, beside evacuated, cold and down (BBL_BACKEND_BACKOFF, BBL_BACKEND_LEAVING), so that first attempts, hedges, retries and the parts of queries under way keep them alike. A refusal with a time is no failure of the server. A shorter time does not end a longer one; 24 h is the most. If a query lacks servers for this, it is refused at once with the time at which enough shards have one. What a server said of leaving holds until it is gone from the list.

--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -219,6 +219,57 @@
     return longest;
 }
 
+static int
+compare_time(const void *a, const void *b)
+{
+    const bbl_usec *x = a;
+    const bbl_usec *y = b;
+
+    return (*x > *y) - (*x < *y);
+}
+
+/*
+ * Returns the time until the first server of a shard accepts requests again,
+ * BBL_FOREVER if none has said when, and 0 if one does now.
+ */
+static bbl_usec
+get_shard_backoff(const bbl_shard *s, bbl_usec now)
+{
+    bbl_usec shortest = BBL_FOREVER;
+
+    for (size_t i = 0; i < s->pool->backends.size; i++) {
+        const bbl_backend *b =
+            *BBL_VEC_AT(bbl_backend *, &s->pool->backends, i);
+        bbl_backend_state state = bbl_backend_get_state(b, now);
+        bbl_usec wait = b->backoff.until > now ? b->backoff.until - now : 0;
+
+        if ((state == BBL_BACKEND_BACKOFF || state == BBL_BACKEND_USABLE) &&
+            wait < shortest) {
+            shortest = wait;
+        }
+    }
+    return shortest;
+}
+
+/*
+ * Returns the time until as many shards as a query needs have a server that
+ * accepts requests; 0 if this is not known.
+ */
+static bbl_usec
+get_backoff_wait(bbl_usec now, const bbl_query *q)
+{
+    bbl_usec *waits = bbl_calloc(q->shard_count, sizeof(*waits));
+    bbl_usec wait;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        waits[i] = get_shard_backoff(&q->shards[i], now);
+    }
+    qsort(waits, q->shard_count, sizeof(*waits), compare_time);
+    wait = waits[q->shards_needed - 1];
+    free(waits);
+    return wait == BBL_FOREVER ? 0 : wait;
+}
+
 static bool
 is_limited(const bbl_query *q)
 {
@@ -238,6 +289,7 @@
 get_retry_after(bbl_forwarder *f, bbl_usec now, const bbl_query *q)
 {
     uint32_t ms = RETRY_AFTER_MS;
+    bbl_usec backoff;
     bbl_usec wait;
 
     if (q->route->kind != BBL_ROUTE_GATHER &&
@@ -250,9 +302,11 @@
     }
     wait = bbl_load_limit_get_wait(q->load_limit) / BBL_USEC_PER_MS;
     ms = wait > ms ? (uint32_t)wait : ms;
-    wait = get_limit_wait(now, q) / BBL_USEC_PER_MS;
+    wait = get_limit_wait(now, q);
+    backoff = get_backoff_wait(now, q);
+    wait = (backoff > wait ? backoff : wait) / BBL_USEC_PER_MS;
     if (wait > ms) {
-        /* The grantors have told each host another time already. */
+        /* The hosts have been told different times already. */
         return (uint32_t)wait +
                (uint32_t)bbl_rng_below(&f->rng, wait / LIMIT_SPREAD + 1);
     }
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -388,7 +388,8 @@
         b->down = b->down || b->full_until <= now;
         b->silent = false;
     }
-    else if (m != RESULT_FINAL && r->outcome != BBL_ATTEMPT_SERVER_FULL) {
+    else if (m != RESULT_FINAL && r->outcome != BBL_ATTEMPT_SERVER_FULL &&
+             !head->has_backoff) {
         bbl_backend_record_result(b, now, 0, true);
     }
     if (m == RESULT_NOT_RUN && r->outcome != BBL_ATTEMPT_UNSENT) {
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -40,13 +40,19 @@
            bbl_hash(&listed->born, sizeof(listed->born), KEY_SEED);
 }
 
+bool
+bbl_backend_is_leaving(const bbl_backend *b)
+{
+    return b->listed.leaving || b->backoff.leaving;
+}
+
 bbl_backend_state
 bbl_backend_get_state(const bbl_backend *b, bbl_usec now)
 {
     if (b->listed.gone) {
         return BBL_BACKEND_GONE;
     }
-    if (b->listed.leaving) {
+    if (bbl_backend_is_leaving(b)) {
         return BBL_BACKEND_LEAVING;
     }
     if (b->evacuated) {
@@ -61,6 +67,9 @@
     if (b->down) {
         return BBL_BACKEND_DOWN;
     }
+    if (bbl_backoff_is_active(&b->backoff, now)) {
+        return BBL_BACKEND_BACKOFF;
+    }
     return b->unsure_at != 0 ? BBL_BACKEND_UNSURE : BBL_BACKEND_USABLE;
 }
 
@@ -68,8 +77,8 @@
 bbl_backend_state_name(bbl_backend_state state)
 {
     static const char *const names[] = {
-        "usable", "gone", "leaving", "evacuated",
-        "cold",   "down", "unsure",  "replaced",
+        "usable", "gone",   "leaving",  "evacuated", "cold",
+        "down",   "unsure", "replaced", "backoff",
     };
 
     return names[state];
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -15,12 +15,13 @@
 typedef enum {
     BBL_BACKEND_USABLE,
     BBL_BACKEND_GONE,      /* no longer listed */
-    BBL_BACKEND_LEAVING,   /* listed as leaving */
+    BBL_BACKEND_LEAVING,   /* listed as leaving, or it has said so */
     BBL_BACKEND_EVACUATED, /* its data centre is evacuated */
     BBL_BACKEND_COLD,      /* in its cold start */
     BBL_BACKEND_DOWN,      /* no connection to it can be opened */
     BBL_BACKEND_UNSURE,    /* reconnected; it may have restarted cold */
-    BBL_BACKEND_REPLACED   /* another incarnation uses its address */
+    BBL_BACKEND_REPLACED,  /* another incarnation uses its address */
+    BBL_BACKEND_BACKOFF    /* it has asked for a time without requests */
 } bbl_backend_state;
 
 typedef struct bbl_backend {
@@ -72,6 +73,9 @@
  */
 uint64_t bbl_backend_get_key(const bblx_backend *listed);
 
+/* Returns whether a server is leaving, by the list or its own word. */
+bool bbl_backend_is_leaving(const bbl_backend *backend);
+
 /* Returns whether a server may get work, and if not, why. */
 bbl_backend_state bbl_backend_get_state(const bbl_backend *backend,
                                         bbl_usec now);
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -254,7 +254,7 @@
     size_t at;
 
     *keep = false;
-    if (b->listed.leaving || b->listed.gone) {
+    if (bbl_backend_is_leaving(b) || b->listed.gone) {
         return 0;
     }
     at = bbl_vec_find_pointer(&pool->backends, b);
--- a/src/forward/subset.c
+++ b/src/forward/subset.c
@@ -6,6 +6,18 @@
 
 #define KEEP_SEED 7 /* independent of the hash in is_preferred() */
 
+/*
+ * Returns whether a server is worth a connection. One that wants no request
+ * for some seconds keeps those that it has.
+ */
+static bool
+is_connectable(const bbl_backend *b, bbl_usec now)
+{
+    bbl_backend_state state = bbl_backend_get_state(b, now);
+
+    return state == BBL_BACKEND_USABLE || state == BBL_BACKEND_BACKOFF;
+}
+
 /*
  * Orders servers: usable ones first, then those in the same data centre, then
  * by a hash.
@@ -14,8 +26,8 @@
 is_preferred(const bbl_subset_input *in, const bbl_backend *a,
              const bbl_backend *b, bbl_usec now)
 {
-    bool use_a = bbl_backend_get_state(a, now) == BBL_BACKEND_USABLE;
-    bool use_b = bbl_backend_get_state(b, now) == BBL_BACKEND_USABLE;
+    bool use_a = is_connectable(a, now);
+    bool use_b = is_connectable(b, now);
     uint64_t hash_a;
     uint64_t hash_b;
 
@@ -62,7 +74,7 @@
     for (size_t i = 0; i < count; i++) {
         before +=
             i != index && is_preferred(in, servers[i], servers[index], now);
-        usable += bbl_backend_get_state(servers[i], now) == BBL_BACKEND_USABLE;
+        usable += is_connectable(servers[i], now);
     }
     *keep = before == 0 && may_keep(in, servers[index], usable);
     return 1;
--- a/tests/test_backoff.c
+++ b/tests/test_backoff.c
@@ -168,6 +168,25 @@
 }
 END_TEST
 
+/* A later answer with a shorter time was sent before the longer one. */
+START_TEST(a_shorter_time_does_not_end_a_longer_one)
+{
+    bbl_backoff b = {0, 0, false};
+    unsigned sent = 9;
+
+    ck_assert(bbl_backoff_begin(&b, SECOND, 3000, &sent));
+    ck_assert_uint_eq(sent, 0);
+    ck_assert(!bbl_backoff_begin(&b, SECOND + MS, 100, &sent));
+    ck_assert(bbl_backoff_is_active(&b, 4 * SECOND - 1));
+    ck_assert(!bbl_backoff_is_active(&b, 4 * SECOND));
+    /* It is renewed, and the next one is a new one. */
+    ck_assert(!bbl_backoff_begin(&b, 3 * SECOND, 2000, &sent));
+    ck_assert(bbl_backoff_is_active(&b, 5 * SECOND - 1));
+    ck_assert(bbl_backoff_begin(&b, 6 * SECOND, 1000, &sent));
+    ck_assert(!bbl_backoff_begin(&b, 9 * SECOND, 0, &sent));
+}
+END_TEST
+
 /* The list, which lags, does not say yet that the server is leaving. */
 START_TEST(a_server_that_says_it_is_leaving_gets_nothing_more)
 {
@@ -195,6 +214,7 @@
     tcase_add_test(t, hedges_and_retries_keep_the_time);
     tcase_add_test(t, a_server_that_rested_is_no_worse_than_before);
     tcase_add_test(t, callers_are_told_when_the_first_server_returns);
+    tcase_add_test(t, a_shorter_time_does_not_end_a_longer_one);
     tcase_add_test(t, a_server_that_says_it_is_leaving_gets_nothing_more);
     suite_add_tcase(s, t);
     return run_suite(s);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -261,6 +261,47 @@
 }
 END_TEST
 
+START_TEST(what_a_server_asks_for_is_decoded)
+{
+    static const struct {
+        unsigned status;
+        const char *text;
+        bool valid;
+        uint32_t ms;
+    } rows[] = {
+        {503, "3", true, 3000},
+        {503, "0.25", true, 250},
+        {503, "0.0001", true, 1},
+        {503, "0", true, 0},
+        {503, "99999999999999999999999999", true, BBL_BACKOFF_MAX_MS},
+        {503, "-1", false, 0},
+        {503, "", false, 0},
+        {503, "3 s", false, 0},
+        {503, "Fri, 04 Dec 2026 17:00:00 GMT", false, 0},
+        {200, "3", false, 0},
+    };
+    bbl_header fields[] = {{str("retry-after"), str("")},
+                           {str("server-leaving"), str("1")}};
+    bbl_backend_head b;
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        fields[0].value = str(rows[i].text);
+        bbl_platform_dialect()->read_backend_head(&b, rows[i].status, fields,
+                                                  1);
+        ck_assert_msg(b.has_backoff == rows[i].valid, "%s", rows[i].text);
+        ck_assert(!b.leaving);
+        if (rows[i].valid) {
+            ck_assert_uint_eq(b.backoff_ms, rows[i].ms);
+        }
+    }
+    bbl_platform_dialect()->read_backend_head(&b, 200, fields, 2);
+    ck_assert(b.leaving);
+    fields[1].value = str("0");
+    bbl_platform_dialect()->read_backend_head(&b, 200, fields, 2);
+    ck_assert(!b.leaving);
+}
+END_TEST
+
 START_TEST(header_fields_are_encoded)
 {
     bbl_buf out = BBL_BUF_INIT;
@@ -345,6 +386,7 @@
                         ARRAY_SIZE(bad_entries));
     tcase_add_test(tc, an_invalid_page_is_refused);
     tcase_add_test(tc, header_fields_are_decoded);
+    tcase_add_test(tc, what_a_server_asks_for_is_decoded);
     tcase_add_test(tc, header_fields_are_encoded);
     tcase_add_test(tc, operator_commands_are_decoded);
     tcase_add_test(tc, page_paths_are_encoded);
