serve: a searcher that asks for a pause gets no request in it

The searcher now counts as down until the time has passed, which the owner reports to all hosts, so that queries go to the other searchers of the shard. It is no failure of the searcher: afterwards it starts cold, and one more failure does not mark it down. `X-Reason: leaving` was read and held already. docs/SEARCHER-API.md.

Test: searcher_that_asked_for_a_pause_gets_no_work_in_it fails without the change in dispatch.c (phase cold, not down) and passes with it; 100 cases of property_traffic pass.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -15,6 +15,7 @@
 #define ADDRESS_CONNECTIONS_MAX 16L /* to one address at a time */
 #define CONNECT_TIMEOUT_MS 250L
 #define IDLE_HANDLES_MAX 512 /* kept for reuse */
+#define RETRY_AFTER_MAX_S (24u * 3600)
 
 typedef struct {
     bbl_http_client *http;
@@ -101,6 +102,22 @@
     return line + n;
 }
 
+/* Parses a time in whole seconds; 0 if the text is none, such as a date. */
+static uint64_t
+read_seconds(const char *text)
+{
+    uint64_t seconds = 0;
+
+    if (text[strspn(text, "0123456789")] != '\0') {
+        return 0;
+    }
+    for (; *text != '\0'; text++) {
+        seconds = seconds * 10 + (uint64_t)(*text - '0');
+        seconds = seconds < RETRY_AFTER_MAX_S ? seconds : RETRY_AFTER_MAX_S;
+    }
+    return seconds;
+}
+
 static size_t
 on_header(char *line, size_t size, size_t count, void *ctx)
 {
@@ -109,7 +126,7 @@
     char text[64];
     const char *value;
 
-    if (bytes < 2 || (line[0] != 'X' && line[0] != 'x')) {
+    if (bytes < 2 || strchr("XxRr", line[0]) == NULL) {
         return bytes;
     }
     snprintf(text, sizeof(text), "%.*s", (int)bytes, line);
@@ -125,6 +142,9 @@
         snprintf(x->response.reason, sizeof(x->response.reason), "%.31s",
                  value);
     }
+    else if ((value = header_value(text, bytes, "Retry-After: ")) != NULL) {
+        x->response.retry_after_s = read_seconds(value);
+    }
     return size * count;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -29,6 +29,7 @@
     uint64_t boot;          /* X-Boot header, hexadecimal; 0: absent */
     uint64_t index_version; /* X-Index-Version header; 0: absent */
     char reason[32];        /* X-Reason header; empty: absent */
+    uint64_t retry_after_s; /* Retry-After header; 0: absent */
     bool reused;            /* the connection had been used before */
 } bbl_http_response;
 
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -153,6 +153,7 @@
     result.outcome = outcome_of_response(x, r);
     result.boot = r->boot;
     result.version = r->index_version;
+    result.backoff = r->retry_after_s * BBL_USEC_PER_SEC;
     result.body = r->body;
     if (r->end == BBL_HTTP_TIMED_OUT || r->end == BBL_HTTP_ABORTED) {
         record_silence(c, x);
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -897,6 +897,29 @@
     report_state(d, row);
 }
 
+/*
+ * Records that a searcher has refused a request because of its load. If it has
+ * asked for a time without requests, it is down until then.
+ */
+static void
+record_refusal(bbl_dispatch *d, searcher_row *row, bbl_usec now,
+               bbl_usec backoff)
+{
+    bool paused = row->phase == BBLX_DOWN && now < row->down_until;
+
+    if (!paused) {
+        mark_cold(d, row);
+    }
+    if (backoff == 0 || (row->phase != BBLX_COLD && row->phase != BBLX_DOWN)) {
+        return;
+    }
+    if (!paused || now + backoff > row->down_until) {
+        row->down_until = now + backoff;
+    }
+    row->phase = BBLX_DOWN;
+    report_state(d, row);
+}
+
 /*
  * Ends the pause of a searcher that is down. It starts cold; one more failure
  * marks it down again.
@@ -907,7 +930,9 @@
     if (row->phase != BBLX_DOWN || now < row->down_until) {
         return;
     }
-    row->failures = DOWN_FAILURES - 1;
+    if (row->down_pause > 0) { /* 0: it has not failed, but asked for it */
+        row->failures = DOWN_FAILURES - 1;
+    }
     mark_cold(d, row);
 }
 
@@ -927,7 +952,7 @@
         break;
     case BBL_EXCHANGE_REFUSED:
         d->counters.refused_by_searcher++;
-        mark_cold(d, row);
+        record_refusal(d, row, now, result->backoff);
         observe_boot(d, row, result->boot);
         break;
     case BBL_EXCHANGE_LEAVING:
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -54,6 +54,9 @@
     /* Boot id, which identifies one run of the searcher; 0: unknown. */
     uint64_t boot;
     uint64_t version; /* index version of the response */
+    /* With BBL_EXCHANGE_REFUSED: time in which the searcher wants no request;
+     * 0 if it has not said so. */
+    bbl_usec backoff;
     bbl_str body;
 } bbl_exchange_result;
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -183,6 +183,35 @@
 }
 END_TEST
 
+START_TEST(searcher_that_asked_for_a_pause_gets_no_work_in_it)
+{
+    port_calls s = {0};
+    bbl_view *view = create_view();
+    bbl_dispatch *d = create_dispatch(&s, view);
+    bbl_exchange_result r = {.outcome = BBL_EXCHANGE_REFUSED, .version = 1};
+    bbl_usec now = START;
+
+    ck_assert_uint_eq(send_requests(d, &s, now, 3), 3);
+    r.backoff = 3 * BBL_USEC_PER_SEC;
+    bbl_dispatch_complete_exchange(d, now, s.started[0], &r);
+    ck_assert_int_eq(s.phase, BBLX_DOWN);
+    /* Refusals of the others do not end the pause. */
+    r.backoff = 0;
+    bbl_dispatch_complete_exchange(d, now + 1000, s.started[1], &r);
+    r.backoff = BBL_USEC_PER_SEC;
+    bbl_dispatch_complete_exchange(d, now + 2000, s.started[2], &r);
+    bbl_dispatch_tick(d, now + 2900000);
+    ck_assert_uint_eq(send_requests(d, &s, now + 2900000, 2), 0);
+    bbl_dispatch_flush(d);
+    ck_assert_uint_eq(s.not_run, 5);
+    now += 3001000;
+    bbl_dispatch_tick(d, now);
+    ck_assert_uint_eq(send_requests(d, &s, now, 2), 1);
+    bbl_dispatch_free(d);
+    bbl_view_free(view);
+}
+END_TEST
+
 START_TEST(broken_exchange_keeps_its_slot_until_its_deadline)
 {
     port_calls s = {0};
@@ -227,6 +256,7 @@
 
     tcase_add_test(tc, handed_over_searcher_keeps_its_limit);
     tcase_add_test(tc, searcher_that_only_fails_gets_no_work_for_a_while);
+    tcase_add_test(tc, searcher_that_asked_for_a_pause_gets_no_work_in_it);
     tcase_add_test(tc, broken_exchange_keeps_its_slot_until_its_deadline);
     tcase_add_test(tc, nothing_starts_without_a_lease);
     suite_add_tcase(suite, tc);
