A host restarted with its clock set back is heard again

What operators saw: a control host that was killed and came back with its clock behind an earlier start logged `reload why=no-leader` every few seconds for the rest of its life, and nobody logged that its frames were dropped.

Cause: the incarnation of a process is the wall clock at its start, and a receiver dropped, yet acknowledged, frames with a lower one than it had seen; the leader ignored such heartbeats as well. Nothing that must hold may need a clock that only goes forward.

Change: of two incarnations of a host, the later process is the one whose connection was accepted later, since a process opens its connections after its predecessor has ended; no message changes. Late frames of the earlier one are dropped, counted and logged (BBL3006). The leader takes a lower incarnation once the heartbeats with the higher one have ceased for 1 s; until then it may be a delayed one. An incarnation has random low digits, so that two starts that read the same time differ.

Read through for the same: feeds, grants, assignments, claims and query ids compare incarnations for equality only; proposal numbers start at 4,096 times the incarnation and overlap only after that many proposals a microsecond between two starts; serials of observations are made greater than the stored one; leases, terms and timeouts use the monotonic clock or the disk; uptime in the log now does.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -37,7 +37,7 @@
 typedef struct {
     int version;
     uint32_t host;
-    uint64_t incarnation; /* grows with each start of this host */
+    uint64_t incarnation; /* differs for each start of this host */
     uint64_t seed;
     bbl_name zone;
     bblx_address control;
--- a/src/control/registry.c
+++ b/src/control/registry.c
@@ -7,6 +7,12 @@
 #include "util/alloc.h"
 
 #define SERVICE_OWNERS_MAX 16 /* owners of one service that are compared */
+/*
+ * A process whose heartbeats have the higher incarnation and that has been
+ * silent for so long, twice the longest heartbeat interval and more, has ended
+ * before the other one started with its clock set back.
+ */
+#define EARLIER_PROCESS_US (1000 * BBL_USEC_PER_MS)
 #define HANDOVERS_PER_ROUND 8 /* handovers started in one round */
 /* Costs added to the number of searchers that a candidate owner has. */
 #define OTHER_ZONE_COST 8 /* it is in another data centre */
@@ -105,7 +111,8 @@
 {
     bbl_member *m = find_or_add_member(r, heartbeat->host);
 
-    if (heartbeat->incarnation < m->incarnation) {
+    if (heartbeat->incarnation < m->incarnation &&
+        now < m->last_heartbeat + EARLIER_PROCESS_US) {
         return; /* a delayed heartbeat of an earlier process */
     }
     if (m->incarnation != heartbeat->incarnation) {
--- a/src/control/registry.h
+++ b/src/control/registry.h
@@ -48,7 +48,9 @@
 
 /*
  * Records one heartbeat. If `leads` is set, it also extends the member's
- * lease. A heartbeat of an earlier incarnation is ignored.
+ * lease. A heartbeat with a lower incarnation than before is ignored, as it
+ * may be a delayed one of an earlier process, unless those with the higher one
+ * have ceased.
  */
 void bbl_registry_record_heartbeat(bbl_registry *registry, bbl_usec now,
                                    const bblx_member_heartbeat *heartbeat,
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -837,12 +837,13 @@
 int
 bbl_daemon_run(const bbl_daemon_options *options)
 {
+    bbl_usec started_at = bbl_clock_now();
     daemon_state d;
     int error;
 
     memset(&d, 0, sizeof(d));
     d.options = options;
-    d.incarnation = bbl_clock_wall_ms() * 1000;
+    d.incarnation = bbl_clock_make_incarnation();
     d.now = bbl_clock_now();
     d.signal_fd = -1;
     d.logged_readiness = BBL_UNREADY_NO_LEASE;
@@ -858,10 +859,9 @@
         while (d.phase != PHASE_DONE) {
             run_round(&d);
         }
-        bbl_log(
-            BBL_EV_STOP, "uptime_ms=%llu",
-            (unsigned long long)((bbl_clock_wall_ms() * 1000 - d.incarnation) /
-                                 1000));
+        bbl_log(BBL_EV_STOP, "uptime_ms=%llu",
+                (unsigned long long)((bbl_clock_now() - started_at) /
+                                     BBL_USEC_PER_MS));
     }
     stop(&d);
     curl_global_cleanup();
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -911,7 +911,7 @@
     n.dialect = dialect;
     n.reread = reread;
     n.reread_ctx = ctx;
-    n.incarnation = bbl_clock_wall_ms() * 1000;
+    n.incarnation = bbl_clock_make_incarnation();
     n.now = bbl_clock_now();
     n.started_at = n.now;
     n.list_spread = (double)bbl_hash(&n.incarnation, sizeof(n.incarnation),
@@ -933,10 +933,9 @@
         while (!n.done) {
             run_once(&n);
         }
-        bbl_log(
-            BBL_EV_STOP, "uptime_ms=%llu",
-            (unsigned long long)((bbl_clock_wall_ms() * 1000 - n.incarnation) /
-                                 1000));
+        bbl_log(BBL_EV_STOP, "uptime_ms=%llu",
+                (unsigned long long)((bbl_clock_now() - n.started_at) /
+                                     BBL_USEC_PER_MS));
     }
     close_node(&n);
     bbl_log_flush();
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -88,6 +88,9 @@
 typedef struct {
     uint64_t incarnation;
     uint64_t id;
+    /* Number of the last connection that carried a frame of the incarnation.
+     */
+    uint64_t connection;
 } last_frame;
 
 /* A connection from a peer, which carries frames in that direction only. */
@@ -96,8 +99,10 @@
     int fd;
     uint8_t challenge[CHALLENGE_BYTES];
     bbl_buf input;
-    uint64_t next_seq; /* expected next; also the acknowledged count */
-    bool closed;       /* freed by the next tick */
+    uint64_t next_seq;   /* expected next; also the acknowledged count */
+    uint64_t number;     /* in the order in which connections were accepted */
+    bool logged_earlier; /* a frame of an earlier process was logged */
+    bool closed;         /* freed by the next tick */
 } incoming_link;
 
 struct bbl_mesh {
@@ -106,6 +111,7 @@
     int listener;
     bbl_map outgoing;    /* host -> outgoing_link */
     bbl_vec incoming;    /* incoming_link * */
+    uint64_t accepted;   /* connections so far */
     bbl_map last_frames; /* host -> last_frame */
     bbl_usec ticked_at;
     bbl_usec silence_checks_from; /* no link counts as silent before */
@@ -472,26 +478,62 @@
     bbl_log(BBL_EV_PEER_REFUSED, "reason=\"%s\"", why);
 }
 
+static last_frame *
+get_last_frame(bbl_mesh *mesh, uint32_t host)
+{
+    last_frame *seen = bbl_map_get(&mesh->last_frames, host);
+
+    if (seen == NULL) {
+        seen = bbl_calloc(1, sizeof(*seen));
+        bbl_map_set(&mesh->last_frames, host, seen);
+    }
+    return seen;
+}
+
+/*
+ * Returns whether a frame was sent by an earlier process of its host than the
+ * one heard last. A process opens its connections after its predecessor has
+ * ended, so the order of the connections tells; that of the incarnations does
+ * not, as clocks may be set back.
+ */
+static bool
+is_of_earlier_process(incoming_link *l, const last_frame *seen,
+                      const bblx_frame *frame)
+{
+    if (frame->incarnation == seen->incarnation ||
+        l->number > seen->connection) {
+        return false;
+    }
+    l->mesh->counters.earlier_frames++;
+    if (!l->logged_earlier) {
+        l->logged_earlier = true;
+        bbl_log(BBL_EV_PEER_EARLIER,
+                "peer=%u incarnation=%llu heard_last=%llu", frame->from,
+                (unsigned long long)frame->incarnation,
+                (unsigned long long)seen->incarnation);
+    }
+    return true;
+}
+
 /*
  * Returns whether the frame was received before, or comes from an earlier
- * incarnation of its host. Frames are sent again on a new connection after the
+ * process of its host. Frames are sent again on a new connection after the
  * old one has failed or gone silent. Records any other frame as the last one.
  */
 static bool
-is_duplicate(bbl_mesh *mesh, const bblx_frame *frame)
+is_duplicate(incoming_link *l, const bblx_frame *frame)
 {
-    last_frame *seen = bbl_map_get(&mesh->last_frames, frame->from);
+    last_frame *seen = get_last_frame(l->mesh, frame->from);
 
-    if (seen == NULL) {
-        seen = bbl_calloc(1, sizeof(*seen));
-        bbl_map_set(&mesh->last_frames, frame->from, seen);
-    }
-    if (frame->incarnation < seen->incarnation ||
+    if (is_of_earlier_process(l, seen, frame) ||
         (frame->incarnation == seen->incarnation && frame->id <= seen->id)) {
         return true;
     }
     seen->incarnation = frame->incarnation;
     seen->id = frame->id;
+    if (l->number > seen->connection) {
+        seen->connection = l->number;
+    }
     return false;
 }
 
@@ -514,7 +556,7 @@
         return;
     }
     mesh->counters.frames_received++;
-    if (is_duplicate(mesh, &frame)) {
+    if (is_duplicate(l, &frame)) {
         BBL_XDR_FREE(bblx_frame, &frame);
         return;
     }
@@ -594,6 +636,7 @@
     l = bbl_calloc(1, sizeof(*l));
     l->mesh = mesh;
     l->fd = peer;
+    l->number = ++mesh->accepted;
     randombytes_buf(l->challenge, CHALLENGE_BYTES);
     memcpy(l->challenge, EXTENDED_KINDS_MARK, EXTENDED_KINDS_MARK_BYTES);
     if (send(peer, l->challenge, CHALLENGE_BYTES, MSG_NOSIGNAL) !=
--- a/src/net/mesh.h
+++ b/src/net/mesh.h
@@ -21,7 +21,7 @@
 
 typedef struct {
     uint32_t host;        /* id of this host */
-    uint64_t incarnation; /* of this process; larger after each restart */
+    uint64_t incarnation; /* of this process; differs from earlier ones */
     bbl_name cluster;     /* frames of other clusters are rejected */
     uint8_t key[BBL_MESH_KEY_BYTES]; /* shared by all hosts of the cluster */
     bblx_address listen_address;
@@ -45,8 +45,9 @@
     uint64_t bytes_received;
     uint64_t dropped_frames;      /* expired, too large or queue full */
     uint64_t refused_connections; /* closed for a wrong key or header */
-    uint64_t silent_connections;  /* replaced for lack of acknowledgements */
-    uint64_t connects;            /* attempts to open a connection */
+    uint64_t earlier_frames; /* of earlier processes of their hosts; dropped */
+    uint64_t silent_connections; /* replaced for lack of acknowledgements */
+    uint64_t connects;           /* attempts to open a connection */
 } bbl_mesh_counters;
 
 typedef struct bbl_mesh bbl_mesh;
--- a/src/util/clock.h
+++ b/src/util/clock.h
@@ -16,6 +16,13 @@
 /* Returns the wall clock time in milliseconds since 1970-01-01 UTC. */
 uint64_t bbl_clock_wall_ms(void);
 
+/*
+ * Returns a number that names this start of a process. It differs from that of
+ * any other start, also if the clock was set back, but may be lower than that
+ * of an earlier one.
+ */
+uint64_t bbl_clock_make_incarnation(void);
+
 /* Returns the CPU time of this process, in microseconds. */
 bbl_usec bbl_clock_process_cpu(void);
 
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -62,6 +62,8 @@
       "a peer with a wrong key, cluster or version was rejected")             \
     X(PEER_SILENT, 3002, WARN, "peer-silent",                                 \
       "a peer stopped acknowledging frames; its connection is replaced")      \
+    X(PEER_EARLIER, 3006, WARN, "peer-earlier",                               \
+      "frames of an earlier process of a peer arrived late and were dropped") \
     X(PLATFORM, 3003, WARN, "platform",                                       \
       "the platform's list of searchers cannot be used")                      \
     X(CATALOG, 3004, INFO, "catalog",                                         \
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -133,6 +133,62 @@
 }
 END_TEST
 
+/* Opens a further process of a host, with its own incarnation. */
+static bblx_address
+open_process(peer *p, bbl_loop *loop, uint32_t host, uint64_t incarnation)
+{
+    bbl_mesh_options o;
+
+    memset(&o, 0, sizeof(o));
+    o.host = host;
+    o.incarnation = incarnation;
+    bbl_name_set(&o.cluster, "test", 4);
+    o.listen_address = tcp_free_address();
+    o.ack_timeout = 150 * MS;
+    o.frame_ttl = 300 * MS;
+    o.receive = on_receive;
+    o.ctx = p;
+    memset(p, 0, sizeof(*p));
+    p->loop = loop;
+    ck_assert_int_eq(bbl_mesh_open(&p->mesh, loop, &o), 0);
+    return o.listen_address;
+}
+
+/* The clock was set back between the starts, so the later one has the lower
+ * incarnation. */
+START_TEST(a_host_restarted_with_its_clock_set_back_is_heard)
+{
+    bbl_loop *loop;
+    peer receiver;
+    peer before;
+    peer after;
+    bblx_address to;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    to = open_process(&receiver, loop, 1, 9);
+    open_process(&before, loop, 2, 500);
+    open_process(&after, loop, 2, 100);
+    send_message(&before, 1, to, BBLX_FEED);
+    run(&receiver, &before, 30);
+    ck_assert_uint_eq(receiver.feeds, 1);
+    send_message(&after, 1, to, BBLX_FEED);
+    run(&receiver, &after, 30);
+    ck_assert_uint_eq(receiver.feeds, 2);
+    /* What the earlier process sent arrives late. */
+    send_message(&before, 1, to, BBLX_FEED);
+    run(&receiver, &before, 30);
+    ck_assert_uint_eq(receiver.feeds, 2);
+    ck_assert_uint_eq(bbl_mesh_get_counters(receiver.mesh)->earlier_frames, 1);
+    send_message(&after, 1, to, BBLX_FEED);
+    run(&receiver, &after, 30);
+    ck_assert_uint_eq(receiver.feeds, 3);
+    bbl_mesh_free(receiver.mesh);
+    bbl_mesh_free(before.mesh);
+    bbl_mesh_free(after.mesh);
+    bbl_loop_free(loop);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -141,6 +197,7 @@
 
     tcase_add_test(tc, extended_kinds_reach_a_peer_that_announces_them);
     tcase_add_test(tc, extended_kinds_are_not_sent_to_earlier_builds);
+    tcase_add_test(tc, a_host_restarted_with_its_clock_set_back_is_heard);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
