A group that loses a founder while it grows elects a leader and goes on

Cause: a leader was elected, but could commit nothing. With two disks that may be lost, an entry had to be held by three voters, and there were three, one of them dead. The first entry of the term stayed uncommitted, a leader without it acts as none, and the learner could not be promoted, since that is a change to commit. It ended when the dead host came back. The suspicion in the issue, that a change was in force at the dead leader alone, is ruled out: all hosts left held the same members.

Change: up to the first entry of a leader's term a majority of the voters commits; no proposer of that term waits for those entries. Later entries need min_copies as before, but the copies of learners count, beside a majority of the voters.

--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -510,23 +510,39 @@
 }
 
 /*
- * Returns how many voters must hold an entry before it is committed: at least
- * a majority and options.min_copies, at most all voters.
+ * Returns the highest index that enough disks hold for the loss of some of
+ * them: options.min_copies, at most all members. The copies of learners count,
+ * so that a group that has lost a voter while it was growing can go on.
  */
-static size_t
-copies_to_commit(const bbl_quorum *q)
+static uint64_t
+index_copied_enough(const bbl_quorum *q)
 {
-    size_t need = majority(q);
-    size_t voters = 0;
+    uint64_t values[64];
+    size_t need = q->options.min_copies < q->members.list.list_len
+                      ? q->options.min_copies
+                      : q->members.list.list_len;
+    size_t n = 0;
 
-    for (u_int i = 0; i < q->members.list.list_len; i++) {
-        voters += q->members.list.list_val[i].role == BBLX_VOTER;
+    if (need == 0 || BBL_FAULT(BBL_FAULT_COMMIT_BY_MAJORITY)) {
+        return UINT64_MAX;
     }
-    if (BBL_FAULT(BBL_FAULT_COMMIT_BY_MAJORITY) ||
-        q->options.min_copies <= need) {
-        return need;
+    if (is_self_counted_voter(q)) {
+        values[n++] = q->synced_index;
     }
-    return q->options.min_copies < voters ? q->options.min_copies : voters;
+    for (size_t i = 0; i < q->peers.size; i++) {
+        const peer *p = bbl_vec_at(&q->peers, i);
+        const bblx_voter *v = find_member(&q->members, p->host);
+        bool learner = v != NULL && v->role == BBLX_LEARNER;
+
+        if ((learner || is_counted_voter(q, p->host, p->disk_id)) && n < 64) {
+            values[n++] = p->match_index;
+        }
+    }
+    if (n < need) {
+        return 0;
+    }
+    qsort(values, n, sizeof(values[0]), compare_desc);
+    return values[need - 1];
 }
 
 static uint64_t
@@ -543,14 +559,21 @@
 
 /*
  * Commits the entries that enough voters hold. Only an entry of the current
- * term is committed by counting copies, and with it all entries before it.
+ * term is committed by counting copies, and with it all entries before it. Up
+ * to the first entry of the term a majority is enough: without it the leader
+ * cannot add the hosts that would hold further copies, and no proposer of this
+ * term waits for an earlier entry.
  */
 static void
 advance_commit_index(bbl_quorum *q)
 {
-    uint64_t index = value_reached_by(q, copies_to_commit(q), q->synced_index,
-                                      peer_match_index);
+    uint64_t held =
+        value_reached_by(q, majority(q), q->synced_index, peer_match_index);
+    uint64_t copied = index_copied_enough(q);
+    uint64_t index =
+        copied > q->term_start_index ? copied : q->term_start_index;
 
+    index = index < held ? index : held;
     if (index <= q->commit_index) {
         return;
     }
--- a/src/control/quorum.h
+++ b/src/control/quorum.h
@@ -66,8 +66,9 @@
     /* Minimum number of entries between two snapshots. */
     uint32_t compact_entries;
     /*
-     * Number of voters that must hold an entry before it is committed. Raised
-     * to a majority and lowered to the number of voters; 0 means a majority.
+     * Number of voters and learners that must hold an entry before it is
+     * committed, besides a majority of the voters. Lowered to the number of
+     * members. Not required of entries up to the first one of a leader's term.
      */
     uint32_t min_copies;
     bbl_quorum_port port;
