Nothing is acknowledged while fewer hosts hold it than lost-disks promises

What operators were promised: with lost-disks 2, an acknowledged order outlives two lost disks. While the group had one or two members, an order was acknowledged with one or two copies, so that the loss of these disks lost it.

Cause: the number of copies was lowered to that of the members, so that a group can grow from one host, and orders were accepted in that time.

A group that can never have as many disks acknowledges nothing: set lost-disks lower. Changes of the members themselves go on as before, or the group could not grow.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -248,6 +248,17 @@
     return error;
 }
 
+/*
+ * Returns whether the group has as many members as there are to be copies of
+ * what is acknowledged. Until then proposers retry.
+ */
+static bool
+has_enough_members(const bbl_control *c)
+{
+    return bbl_quorum_get_members(c->quorum)->list.list_len >=
+           c->options.copies;
+}
+
 static void
 append_proposal(bbl_control *c, uint32_t host, bblx_address address,
                 uint64_t number, bbl_str data)
@@ -258,7 +269,7 @@
     int error = BBL_ENOTLEADER;
 
     memset(&reply, 0, sizeof(reply));
-    if (bbl_control_leads_now(c)) {
+    if (bbl_control_leads_now(c) && has_enough_members(c)) {
         error = stamp_command(c, data, &stamped);
         if (error == 0) {
             error = bbl_quorum_propose(c->quorum, &w.index, &w.term,
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -250,7 +250,9 @@
      "found the quorum if this host is a seed without a journal",
      read_bootstrap},
     {"lost-disks", VARIABLE("LOST_DISKS"), "1", "hosts", "0 to 7",
-     "disks that may be lost at once", read_lost_disks},
+     "disks that may be lost at once; one more is needed before orders are "
+     "acknowledged",
+     read_lost_disks},
     {"catalog-calls-per-s", VARIABLE("CATALOG_CALLS_PER_S"), "40", "calls/s",
      "0.1 to 1000000", "calls that the platform takes from all hosts",
      read_catalog_per_s},
--- a/tests/test_control_join.c
+++ b/tests/test_control_join.c
@@ -307,6 +307,29 @@
 }
 END_TEST
 
+/* A group that begins with one host, while two lost disks must lose nothing.
+ */
+START_TEST(nothing_is_acknowledged_before_there_are_enough_disks)
+{
+    simulation *sim = open_simulation();
+
+    sim->seed_count = 1;
+    start_host(sim, 1, true);
+    run_for(sim, 2 * SEC);
+    ck_assert_uint_eq(find_leader(sim), 1);
+    ck_assert(!propose_routing(sim, 1, 2, "two"));
+    start_host(sim, 2, false);
+    run_for(sim, 2 * SEC);
+    ck_assert(!propose_routing(sim, 1, 3, "three"));
+    start_host(sim, 3, false);
+    run_for(sim, 3 * SEC);
+    ck_assert(propose_routing(sim, 1, 4, "four"));
+    ck_assert_uint_eq(routing_version_at(sim, 2), 4);
+    ck_assert_uint_eq(routing_version_at(sim, 3), 4);
+    close_simulation(sim);
+}
+END_TEST
+
 START_TEST(a_lost_voter_is_replaced_by_an_empty_host)
 {
     simulation *sim = open_grown_simulation();
@@ -491,6 +514,7 @@
     tcase_add_test(tc, the_quorum_grows_and_every_host_follows);
     tcase_add_loop_test(tc, an_early_loss_of_the_leader_leaves_a_quorum, 0,
                         600);
+    tcase_add_test(tc, nothing_is_acknowledged_before_there_are_enough_disks);
     tcase_add_test(tc, a_lost_voter_is_replaced_by_an_empty_host);
     tcase_add_test(tc, a_wiped_voter_joins_again);
     tcase_add_test(tc, two_wiped_seeds_lead_to_a_leader_that_is_no_seed);
