While servers end, a sharded query goes to one shard first

Cause: what a host learns of a crash reaches the others in 0.1 to 0.3 s, the caller's repetition in 10 ms. And the first two broken parts of a query were sent to the second servers before the third made it a suspect.

Change: each host sees for itself that servers refuse connections. After three within 250 ms, or a crash that any host reports, sharded queries go to one shard first for 10 s, drawn at random, and to the others when that has answered or after two service times (a canary request). If its server ends, the others do not get the query. A sharded query whose connection breaks gets no second attempt until a shard has answered (three connections before; a query to one service is as before).

--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -22,10 +22,11 @@
 #define STALL_SERVICE_TIMES 2
 #define STALL_TIMEOUT_MIN_US (8 * BBL_USEC_PER_MS)
 /*
- * Connections that break under a query, none of whose shards has answered,
- * before it is a suspect.
+ * Connections that break under a query to one service, without an answer,
+ * before it is a suspect. A sharded query is one from the first on: another
+ * shard soon tells whether it is harmless.
  */
-#define BROKEN_MAX 3
+#define SINGLE_BROKEN_MAX 3
 /*
  * How long a server is avoided after it refused a request because of its load,
  * or because it accepts no further connection.
@@ -198,8 +199,10 @@
 bool
 bbl_query_is_suspect(const bbl_query *q)
 {
+    unsigned broken_max = q->shard_count > 1 ? 1 : SINGLE_BROKEN_MAX;
+
     return q->shards_answered == 0 &&
-           (q->broken >= BROKEN_MAX || q->crash_generation > 0);
+           (q->broken >= broken_max || q->crash_generation > 0 || q->canary);
 }
 
 bool
@@ -543,6 +546,7 @@
     bbl_forwarder *f = ctx;
 
     f->counters.servers_ended++;
+    bbl_crash_alert_raise(&f->crash_alert, attempt->broken_at);
     f->options.port.server_ended(f->options.port.ctx, attempt);
 }
 
@@ -557,6 +561,10 @@
         bbl_backend_record_connect(b, now, duration);
     }
     else {
+        if (before == BBL_BACKEND_USABLE &&
+            bbl_backend_is_refusal_time(duration)) {
+            bbl_crash_alert_count(&f->crash_alert, now);
+        }
         bbl_backend_record_connect_failure(b, now, duration);
     }
     report_state_change(f, now, b, before);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -32,6 +32,11 @@
  * One of this many queries asks for permits although other servers would do.
  */
 #define PROBE_INTERVAL 16
+/*
+ * A shard that was sent first has answered within this many service times
+ * unless its server is slow; one that ends breaks its connections at once.
+ */
+#define CANARY_SERVICE_TIMES 2
 /*
  * Maximum time between two ticks. A tick also does maintenance if a quarter of
  * this time has passed since the last one: it activates a waiting routing,
@@ -216,15 +221,31 @@
     return true;
 }
 
+/* Lets all shards of a query be sent if the one that went first is slow. */
+static void
+release_slow_canary(bbl_usec now, bbl_query *q)
+{
+    if (!q->canary || !q->attempted) {
+        return;
+    }
+    if (q->canary_until == 0) {
+        q->canary_until = now + CANARY_SERVICE_TIMES * q->timing->service_time;
+    }
+    if (now >= q->canary_until && q->broken == 0) {
+        q->canary = false;
+    }
+}
+
 /*
  * Returns whether the remaining shards of a query have to wait, because
- * servers have ended under earlier copies of it: one shard is tried first. If
- * its server ends as well, the others are not sent the query.
+ * servers have ended under earlier copies of it or for an unknown reason: one
+ * shard is tried first. If its server ends as well, the others are not sent
+ * the query.
  */
 static bool
 hold_suspect(bbl_query *q)
 {
-    if (q->shard_count < 2 || q->crash_generation == 0 ||
+    if (q->shard_count < 2 || (q->crash_generation == 0 && !q->canary) ||
         !bbl_query_is_suspect(q) ||
         (q->attempts.size == 0 && q->broken == 0)) {
         return false;
@@ -248,15 +269,19 @@
         !bbl_query_awaits_permits(q, now)) {
         q->probes_limits = false;
     }
+    release_slow_canary(now, q);
     if (hold_for_permits(f, now, q) || hold_suspect(q)) {
         return true;
     }
     for (unsigned i = 0; i < q->shard_count; i++) {
-        send_pending_shard(f, now, q, &q->shards[i]);
+        bbl_shard *s = &q->shards[(q->first_shard + i) % q->shard_count];
+
+        send_pending_shard(f, now, q, s);
         if (hold_suspect(q)) {
+            release_slow_canary(now, q); /* starts its time */
             return true;
         }
-        waiting = waiting || q->shards[i].state == BBL_SHARD_PENDING;
+        waiting = waiting || s->state == BBL_SHARD_PENDING;
     }
     return waiting;
 }
@@ -575,11 +600,16 @@
     q->record.delegated_by = request->delegated.host;
     q->crash_generation = bbl_crash_ledger_get_generation(
         &f->crash_ledger, now, request->fingerprint);
+    q->canary = route->kind == BBL_ROUTE_GATHER && route->target_count > 1 &&
+                bbl_crash_alert_is_raised(&f->crash_alert, now);
     q->record.route = route;
     q->record.routing_version = bbl_routing_version(f->table->routing);
     bbl_top_records_init(&q->top_records, route->top_k);
     set_deadlines(f, q);
     add_shards(f, q);
+    if (q->canary) {
+        q->first_shard = (unsigned)bbl_rng_below(&f->rng, q->shard_count);
+    }
     insert_query(f, q);
     if (bbl_query_needs_delegation(&cause, f, now, q) &&
         bbl_query_delegate(f, now, q, cause)) {
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -8,6 +8,7 @@
 #define BBL_FORWARD_FORWARDER_CORE_H
 
 #include "control/permit_book.h"
+#include "forward/crash_alert.h"
 #include "forward/placement.h"
 #include "forward/query.h"
 #include "util/rng.h"
@@ -42,6 +43,7 @@
     bbl_vec detached_attempts;
     bbl_reach reach;
     bbl_peers peers;
+    bbl_crash_alert crash_alert;
     bbl_crash_watch crash_watch;
     bbl_crash_ledger crash_ledger;
     bbl_vec permit_requests; /* open_request, see permit.c; oldest first */
@@ -98,8 +100,9 @@
 
 /*
  * Returns whether a query may be what ends its servers: servers have ended
- * under earlier copies of it, or connections break under this one, and no
- * shard has answered yet. It gets no second attempts meanwhile.
+ * under earlier copies of it, connections break under this one, or it is sent
+ * to one shard first; and no shard has answered yet. It gets no second
+ * attempts meanwhile.
  */
 bool bbl_query_is_suspect(const bbl_query *q);
 
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -104,6 +104,11 @@
     /* Generation of crashes of the request that was known at its start. */
     unsigned crash_generation;
     unsigned broken; /* attempts whose connection broke */
+    /* Whether one shard goes first, see crash_alert.h: until it has answered,
+     * or until canary_until, as it may just be slow. */
+    bool canary;
+    bbl_usec canary_until; /* 0 until the attempt is sent */
+    unsigned first_shard;  /* index of the shard that is sent first */
 
     bbl_delegation *delegation; /* in flight, or NULL */
     unsigned delegations;       /* hosts that it was delegated to */
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -198,6 +198,9 @@
 apply_crashes(bbl_forwarder *f, bbl_usec now, const bbl_forward_update *u)
 {
     for (size_t i = 0; i < u->crash_count; i++) {
+        if (u->crashes[i].generation > 0) {
+            bbl_crash_alert_raise(&f->crash_alert, now);
+        }
         if (bbl_crash_ledger_record(&f->crash_ledger, now, &u->crashes[i])) {
             f->options.port.request_barred(f->options.port.ctx,
                                            u->crashes[i].fingerprint);
--- a/tests/test_repeated_crashes.c
+++ b/tests/test_repeated_crashes.c
@@ -279,6 +279,83 @@
 }
 END_TEST
 
+/* Adds two servers of each of six shards. */
+static forward_fleet *
+new_sharded_fleet(unsigned hosts)
+{
+    forward_fleet *f = forward_fleet_new(hosts);
+
+    for (unsigned i = 0; i < 12; i++) {
+        char id[16];
+        char service[16];
+
+        snprintf(id, sizeof(id), "g-%u", i);
+        snprintf(service, sizeof(service), "s%u", i / 2);
+        forward_fleet_add_server(f, id, service, i % 2 ? "z2" : "z1");
+    }
+    forward_fleet_install_routing(f, routing);
+    for (unsigned i = 0; i < hosts; i++) {
+        forward_sim_set_crash_path(forward_fleet_get_host(f, i), "/g/crash");
+    }
+    return f;
+}
+
+/* Sends the query that ends its servers to one host; returns its runs. */
+static unsigned
+send_deadly(forward_fleet *f, unsigned host)
+{
+    forward_sim *sim = forward_fleet_get_host(f, host);
+    unsigned call = forward_sim_send_request(sim, "/g/crash", 800);
+
+    forward_fleet_run(f, 30 * MS, 0, "");
+    ck_assert(forward_sim_get_call(sim, call)->answered);
+    return forward_sim_get_call(sim, call)->runs;
+}
+
+/*
+ * Its caller repeats a query at once at another host, before that can have
+ * heard of the servers that it has ended.
+ */
+START_TEST(a_repeated_query_ends_no_second_server_of_each_shard)
+{
+    forward_fleet *f = new_sharded_fleet(7);
+    unsigned runs;
+
+    forward_fleet_run(f, SECOND, 40, "/g/x");
+    runs = send_deadly(f, 0);
+    ck_assert_uint_le(runs, 6);
+    /* All hosts see that one server of each shard refuses connections. */
+    for (unsigned i = 0; i < 12; i += 2) {
+        forward_fleet_refuse_connection(f, i);
+    }
+    for (unsigned host = 1; host < 4; host++) {
+        ck_assert_uint_le(send_deadly(f, host), 1);
+    }
+    forward_fleet_free(f);
+}
+END_TEST
+
+/* One shard goes first, but a slow one does not hold up the others. */
+START_TEST(queries_are_served_while_servers_end)
+{
+    forward_fleet *f = new_sharded_fleet(2);
+    forward_fleet_summary s;
+    bbl_usec since;
+
+    forward_fleet_run(f, SECOND, 40, "/g/x");
+    for (unsigned i = 0; i < 6; i += 2) {
+        forward_fleet_refuse_connection(f, i);
+    }
+    since = forward_fleet_get_time(f);
+    forward_fleet_set_mode(f, 7, SERVER_SILENT);
+    forward_fleet_run(f, 2 * SECOND, 40, "/g/x");
+    forward_fleet_run(f, SECOND, 0, "");
+    forward_fleet_summarize(&s, f, since);
+    ck_assert_uint_eq(s.served, s.sent);
+    forward_fleet_free(f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -295,6 +372,8 @@
     tcase_add_test(tc, innocent_query_gets_its_lost_parts_again);
     tcase_add_test(tc, refused_shard_of_a_suspect_is_followed_by_others);
     tcase_add_test(tc, request_that_met_a_loss_of_power_is_served);
+    tcase_add_test(tc, a_repeated_query_ends_no_second_server_of_each_shard);
+    tcase_add_test(tc, queries_are_served_while_servers_end);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
