A delegated answer tells that its server is leaving; end-to-end checks

Found when a check of the end-to-end test failed once in four runs: the server got two requests, from two hosts. Traced by delegated_by in the log of the second host: while the stand-ins restarted, the first host had delegated to it. Each host may learn from an answer of its own, so the check allows one for each of the three hosts.

Change: the answer to a delegated request names the server that says it is leaving, and the delegating host keeps to it. forward-test and its stand-ins play a server that turns requests away for 3 s, and one that says it is leaving.

--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -246,4 +246,24 @@
 [ "$early" -ge 1 ] || fail "the request ended no server"
 [ "$(grep -c "crashes:" "$dir/standin.log")" -le $((early + 3)) ] ||
     fail "a request that ends its servers is sent to them more than three times more"
+
+# A server that turns requests away and asks for 3 s without any gets one in 3 s.
+start_standin --rest-s 3
+wait_until send_request 1 /one/rest || fail "no answer after the crashes"
+turned_away=$(grep -c "^i-s1-0 turns a request away" "$dir/standin.log" || true)
+send_for 10 1 >"$dir/statuses1"
+[ "$(grep -c '^200$' "$dir/statuses1")" -ge 20 ] || fail "no service beside a server that rests"
+[ "$(($(grep -c "^i-s1-0 turns a request away" "$dir/standin.log") - turned_away))" -le 5 ] ||
+    fail "a server gets requests in the time for which it wants none"
+grep -q 'BBL4008 backoff .*for_ms=\(2999\|3000\)' "$dir/entry1.log" || fail "no log of the time that a server asked for"
+
+# A server that says it is leaving gets nothing from a host after the answer that
+# says so, whatever the list says. While the servers return, the host may have
+# delegated requests to the two others.
+start_standin --leaving
+wait_until send_request 1 /one/leave || fail "no answer after the rest"
+send_for 5 1 >"$dir/statuses1"
+[ "$(grep -c '^200$' "$dir/statuses1")" -ge 20 ] || fail "no service beside a server that leaves"
+[ "$(grep -c "^i-s1-0 gets a request although it is leaving" "$dir/standin.log" || true)" -le 3 ] ||
+    fail "a server that is leaving gets more than one request from each host"
 echo "forward-test: all checks passed"
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -230,7 +230,8 @@
 {
     bbl_delegation *delegation = ctx;
     bbl_gateway *g = bbl_delegation_get_ctx(delegation);
-    bbl_delegation_outcome outcome = {BBL_FORWARD_FAILED, BBL_REACH_MOST, 0};
+    bbl_delegation_outcome outcome = {BBL_FORWARD_FAILED, BBL_REACH_MOST, 0,
+                                      0};
     bbl_attempt_result result;
 
     read_exchange_result(&result, r);
@@ -348,7 +349,7 @@
     bbl_edge_call *call = handle;
     bbl_edge_response r;
     bbl_delegation_outcome outcome = {answer->reason, BBL_REACH_MOST,
-                                      answer->attempts};
+                                      answer->attempts, answer->leaving};
     const bbl_http_message *m;
 
     memset(&r, 0, sizeof(r));
@@ -665,7 +666,7 @@
 refuse_delegated(bbl_edge_call *call, unsigned status,
                  bbl_forward_reason reason, const char *text)
 {
-    bbl_delegation_outcome outcome = {reason, BBL_REACH_MOST, 0};
+    bbl_delegation_outcome outcome = {reason, BBL_REACH_MOST, 0, 0};
     bbl_edge_response r = {status, {"", 0}, {text, strlen(text)}, true};
     bbl_buf fields = BBL_BUF_INIT;
 
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -95,9 +95,9 @@
     }
 }
 
-static void
-report_state_change(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
-                    bbl_backend_state before)
+void
+bbl_backend_report_state(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
+                         bbl_backend_state before)
 {
     if (bbl_backend_get_state(b, now) != before) {
         f->options.port.server_changed(f->options.port.ctx, b, before);
@@ -111,7 +111,7 @@
 
     b->down = true;
     b->silent = true;
-    report_state_change(f, now, b, before);
+    bbl_backend_report_state(f, now, b, before);
 }
 
 void
@@ -331,6 +331,15 @@
     }
 }
 
+void
+bbl_backend_mark_leaving(bbl_forwarder *f, bbl_backend *b)
+{
+    if (!b->backoff.leaving) {
+        b->backoff.leaving = true;
+        f->options.port.leaving_stated(f->options.port.ctx, b);
+    }
+}
+
 /* Records what a response asks of this host. */
 static void
 update_backoff(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
@@ -338,9 +347,8 @@
 {
     unsigned sent_before = 0;
 
-    if (head->leaving && !b->backoff.leaving) {
-        b->backoff.leaving = true;
-        f->options.port.leaving_stated(f->options.port.ctx, b);
+    if (head->leaving) {
+        bbl_backend_mark_leaving(f, b);
     }
     if (head->has_backoff &&
         bbl_backoff_begin(&b->backoff, now, head->backoff_ms, &sent_before)) {
@@ -401,7 +409,7 @@
                                    ? SERVER_FULL_BACKOFF_US
                                    : REFUSED_BACKOFF_US);
     }
-    report_state_change(f, now, b, before);
+    bbl_backend_report_state(f, now, b, before);
 }
 
 static const char *
@@ -423,7 +431,8 @@
 /* Finishes a query with the unchanged response of a server. */
 static void
 relay_response(bbl_forwarder *f, bbl_usec now, bbl_query *q,
-               const bbl_attempt_result *r, bbl_forward_reason reason)
+               const bbl_backend *server, const bbl_attempt_result *r,
+               bbl_forward_reason reason)
 {
     bbl_forward_answer a;
 
@@ -431,6 +440,7 @@
     a.status = r->status;
     a.body = r->body;
     a.relayed = r;
+    a.leaving = server->backoff.leaving ? server->key : 0;
     bbl_query_finish(f, now, q, reason, &a);
 }
 
@@ -457,7 +467,7 @@
     q->shards_answered++;
     f->counters.hedge_wins += a->hedge;
     if (q->route->kind != BBL_ROUTE_GATHER) {
-        relay_response(f, now, q, r, BBL_FORWARD_OK);
+        relay_response(f, now, q, a->backend, r, BBL_FORWARD_OK);
         return;
     }
     bbl_query_add_part(q, head->signature, r->body);
@@ -492,7 +502,7 @@
          s->attempts_maybe_run >= q->route->max_attempts ||
          bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now) <=
              0)) {
-        relay_response(f, now, q, r, BBL_FORWARD_FAILED);
+        relay_response(f, now, q, a->backend, r, BBL_FORWARD_FAILED);
         return;
     }
     if (m == RESULT_FAILURE && !q->route->idempotent) {
@@ -567,7 +577,7 @@
         }
         bbl_backend_record_connect_failure(b, now, duration);
     }
-    report_state_change(f, now, b, before);
+    bbl_backend_report_state(f, now, b, before);
     bbl_crash_watch_resolve(&f->crash_watch, now, b->key,
                             ok ? BBL_CONNECT_OPENED
                             : bbl_backend_is_refusal_time(duration)
--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -325,6 +325,7 @@
 {
     bbl_query *q = d->query;
     uint32_t host = d->peer->listed.host;
+    bbl_backend *leaving;
     bbl_forward_answer a;
 
     record_outcome(f, now, q, d->peer, r, outcome);
@@ -344,6 +345,13 @@
         return;
     }
     q->record.delegate = host;
+    leaving = bbl_map_get(&f->pools.keys, outcome->leaving);
+    if (outcome->leaving != 0 && leaving != NULL) {
+        bbl_backend_state before = bbl_backend_get_state(leaving, now);
+
+        bbl_backend_mark_leaving(f, leaving);
+        bbl_backend_report_state(f, now, leaving, before);
+    }
     memset(&a, 0, sizeof(a));
     a.status = r->status;
     a.body = r->body;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -138,12 +138,16 @@
     bbl_reach_level reach; /* of the peer */
     /* Attempts at each shard that servers may have run, all hosts included. */
     unsigned attempts;
+    /* Key of the answering server if it has said that it is leaving, else 0:
+     * a host that passes such an answer on keeps to it. */
+    uint64_t leaving;
 } bbl_delegation_outcome;
 
 typedef struct {
     unsigned status;
     bbl_forward_reason reason;
     unsigned attempts;    /* see bbl_delegation_outcome */
+    uint64_t leaving;     /* the same */
     bbl_str header_lines; /* header lines added by the forwarder */
     bbl_str body;
     const bbl_attempt_result *relayed; /* response to relay, or NULL */
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -79,6 +79,13 @@
 /* Marks a server as down because it has not responded to its attempts. */
 void bbl_backend_mark_silent(bbl_forwarder *f, bbl_usec now, bbl_backend *b);
 
+/* Reports the state of a server if it differs from `before`. */
+void bbl_backend_report_state(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
+                              bbl_backend_state before);
+
+/* Records that a server has said that it is leaving. */
+void bbl_backend_mark_leaving(bbl_forwarder *f, bbl_backend *b);
+
 /* Describes the next attempt at a shard to the choice of its server. */
 void bbl_attempt_fill_placement(bbl_placement_input *in, const bbl_query *q,
                                 const bbl_shard *s, bool hedge);
--- a/src/net/delegation_field.c
+++ b/src/net/delegation_field.c
@@ -5,8 +5,6 @@
 
 #include "bbl/errors.h"
 
-#define NUMBER_MAX (UINT64_MAX / 10 - 1)
-
 static bool
 equals_nocase(bbl_str name, const char *field)
 {
@@ -53,11 +51,13 @@
     uint64_t n = 0;
 
     for (size_t i = 0; i < value.size; i++) {
-        if (value.ptr[i] < '0' || value.ptr[i] > '9' || n > NUMBER_MAX) {
+        unsigned digit = (unsigned)(unsigned char)value.ptr[i] - '0';
+
+        if (digit > 9 || n > (UINT64_MAX - digit) / 10) {
             return bbl_error_set(BBL_EDAMAGED, "%s: %s is no number",
                                  BBL_DELEGATED_FIELD, key);
         }
-        n = n * 10 + (uint64_t)(value.ptr[i] - '0');
+        n = n * 10 + digit;
     }
     if (value.size == 0 || n > max) {
         return bbl_error_set(BBL_EDAMAGED, "%s: %s is missing or too large",
@@ -115,10 +115,13 @@
 void
 bbl_delegation_outcome_append(bbl_buf *out, const bbl_delegation_outcome *o)
 {
-    bbl_buf_printf(out,
-                   BBL_OUTCOME_FIELD ": reason=%s reach=%s attempts=%u\r\n",
+    bbl_buf_printf(out, BBL_OUTCOME_FIELD ": reason=%s reach=%s attempts=%u",
                    bbl_forward_reason_name(o->reason),
                    bbl_reach_level_name(o->reach), o->attempts);
+    if (o->leaving != 0) {
+        bbl_buf_printf(out, " leaving=%llu", (unsigned long long)o->leaving);
+    }
+    bbl_buf_append_cstr(out, "\r\n");
 }
 
 int
@@ -135,5 +138,8 @@
         return bbl_error_set(BBL_EDAMAGED, "no valid %s", BBL_OUTCOME_FIELD);
     }
     out->attempts = (unsigned)attempts;
-    return 0;
+    out->leaving = 0;
+    return find_value(text, "leaving").size == 0
+               ? 0
+               : read_number(&out->leaving, text, "leaving", UINT64_MAX);
 }
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -453,6 +453,21 @@
     get_server(f, host, server)->mode = mode;
 }
 
+void
+forward_fleet_set_states_leaving(forward_fleet *f, unsigned server)
+{
+    for (unsigned i = 0; i < f->host_count; i++) {
+        get_server(f, i, server)->states_leaving = true;
+    }
+}
+
+const bbl_backend *
+forward_fleet_get_backend(const forward_fleet *f, unsigned host,
+                          unsigned server)
+{
+    return get_server(f, host, server)->backend;
+}
+
 void
 forward_fleet_set_work(forward_fleet *f, unsigned server, bbl_usec work)
 {
--- a/tests/support/forward_fleet.h
+++ b/tests/support/forward_fleet.h
@@ -39,6 +39,13 @@
 void forward_fleet_set_host_mode(forward_fleet *fleet, unsigned host,
                                  unsigned server, server_mode mode);
 
+/* Makes a server say in its responses that it is leaving. */
+void forward_fleet_set_states_leaving(forward_fleet *fleet, unsigned server);
+
+/* Returns what a host knows of a server. */
+const bbl_backend *forward_fleet_get_backend(const forward_fleet *fleet,
+                                             unsigned host, unsigned server);
+
 /* Sets how long a server works on a request. */
 void forward_fleet_set_work(forward_fleet *fleet, unsigned server,
                             bbl_usec work);
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -75,6 +75,7 @@
     uint32_t time_left_max_ms; /* greatest time left that a server was given */
     bbl_forward_reason reason;
     unsigned attempts_maybe_run; /* as the host states */
+    uint64_t leaving;            /* the same */
 } forward_sim_call;
 
 typedef struct forward_sim forward_sim;
--- a/tests/test_lost_links.c
+++ b/tests/test_lost_links.c
@@ -260,6 +260,22 @@
 }
 END_TEST
 
+/* A host that passes on the answer of a leaving server sends it nothing. */
+START_TEST(a_leaving_server_is_known_from_a_delegated_answer)
+{
+    forward_fleet *f = create_cut_fleet(2);
+
+    forward_fleet_set_mode(f, 1, SERVER_REFUSES);
+    forward_fleet_set_states_leaving(f, 0);
+    ck_assert(!forward_fleet_get_backend(f, 0, 0)->backoff.leaving);
+    ck_assert_uint_eq(wait_for(f, send_to_cut_host(f, "/one/1", 800))->status,
+                      200);
+    ck_assert(forward_fleet_get_backend(f, 0, 0)->backoff.leaving);
+    ck_assert(!forward_fleet_get_backend(f, 0, 1)->backoff.leaving);
+    forward_fleet_free(f);
+}
+END_TEST
+
 /* One host cannot reach one shard; a whole answer is to be had elsewhere. */
 START_TEST(a_host_without_one_shard_gives_whole_answers)
 {
@@ -351,6 +367,7 @@
     tcase_add_test(t, servers_get_no_more_time_than_the_caller_has_left);
     tcase_add_test(t, hosts_do_not_ask_each_other_for_each_query_in_an_outage);
     tcase_add_test(t, requests_are_not_blamed_for_lost_links);
+    tcase_add_test(t, a_leaving_server_is_known_from_a_delegated_answer);
     tcase_add_test(t, a_host_without_one_shard_gives_whole_answers);
     tcase_add_test(t, a_shard_that_is_lost_everywhere_is_left_out);
     suite_add_tcase(s, t);
--- a/tools/platform_standin.c
+++ b/tools/platform_standin.c
@@ -4,7 +4,9 @@
  * platform serves the list of servers. Each server answers a request after a
  * fixed time, echoes its id, refuses requests for another instance, and
  * pauses at random times. It may state a rate limit, and then counts the
- * requests over it; and a request may end each server that runs it.
+ * requests over it; a request may end each server that runs it; and the first
+ * server of each service may turn requests away and ask for a time without
+ * any, or say that it is leaving.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -42,6 +44,8 @@
     bbl_vec arrivals;    /* bbl_usec, of the last RATE_WINDOW_US */
     bbl_usec restart_at; /* it has ended until then; 0 if it runs */
     unsigned starts;     /* part of the id after a restart */
+    bool first;          /* of its service */
+    unsigned unwanted;   /* requests turned away, or since it is leaving */
 } standin_server;
 
 /* A request that a server has not yet answered. */
@@ -61,6 +65,8 @@
     int pause_every_ms; /* mean time between pauses of a server */
     double rate_limit;  /* that each server states; 0 for none */
     bbl_usec rate_limit_since;
+    int rest_s;       /* time that first servers ask for; 0: they serve */
+    bool leaving;     /* whether first servers say that they are leaving */
     char *crash_path; /* requests of it end their server; NULL for none */
     uint64_t crashes;
     bbl_rng rng;
@@ -145,6 +151,26 @@
     s->restart_at = now + RESTART_US;
 }
 
+/* Counts a request to a server that wants none. */
+static void
+count_unwanted(standin_server *s, const char *why)
+{
+    printf("%s %s: %u\n", s->id, why, ++s->unwanted);
+    fflush(stdout);
+}
+
+/* Turns a request away and asks for a time without requests. */
+static void
+turn_away(standin_server *s, bbl_edge_call *call)
+{
+    char fields[64];
+
+    snprintf(fields, sizeof(fields), "Not-Executed: 1\r\nRetry-After: %d\r\n",
+             self.rest_s);
+    count_unwanted(s, "turns a request away");
+    bbl_edge_respond_text(call, 503, fields, "");
+}
+
 static bool
 is_addressed_to(const standin_server *s, const bbl_edge_call *call)
 {
@@ -168,6 +194,13 @@
         bbl_edge_respond_text(call, 421, "", "");
         return;
     }
+    if (s->first && self.rest_s > 0) {
+        turn_away(s, call);
+        return;
+    }
+    if (s->first && self.leaving) {
+        count_unwanted(s, "gets a request although it is leaving");
+    }
     if (self.crash_path != NULL &&
         strlen(self.crash_path) == call->path.size &&
         memcmp(self.crash_path, call->path.ptr, call->path.size) == 0 &&
@@ -209,6 +242,9 @@
     if (self.rate_limit > 0) {
         bbl_buf_printf(&fields, "Server-Limit: %g\r\n", self.rate_limit);
     }
+    if (self.leaving && request->server->first) {
+        bbl_buf_append_cstr(&fields, "Server-Leaving: 1\r\n");
+    }
     r.fields = bbl_buf_str(&fields);
     bbl_edge_respond(request->call, &r);
     bbl_buf_free(&fields);
@@ -307,6 +343,7 @@
         snprintf(s->service, sizeof(s->service), "%s", halves[0]);
         snprintf(s->id, sizeof(s->id), "i-%s-%d", halves[0], i);
         snprintf(s->zone, sizeof(s->zone), "z%d", i % 2 + 1);
+        s->first = i == 0;
         error = bbl_address_parse(&s->address, addresses[i]);
         if (error == 0) {
             open_server(s);
@@ -323,6 +360,7 @@
 {
     char *list = NULL;
     char **services = NULL;
+    gboolean leaving = FALSE;
     GOptionEntry entries[] = {
         {"list", 'l', 0, G_OPTION_ARG_STRING, &list,
          "address that serves the list", "ADDRESS"},
@@ -338,6 +376,12 @@
          "RATE"},
         {"crash-path", 'c', 0, G_OPTION_ARG_STRING, &self.crash_path,
          "path of the requests that end each server that runs them", "PATH"},
+        {"rest-s", 't', 0, G_OPTION_ARG_INT, &self.rest_s,
+         "the first server of each service turns requests away and asks for "
+         "this time without any",
+         "S"},
+        {"leaving", 'v', 0, G_OPTION_ARG_NONE, &leaving,
+         "the first server of each service says that it is leaving", NULL},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &services, "",
          "SERVICE=ADDRESS,ADDRESS..."},
         {NULL},
@@ -361,6 +405,7 @@
         return 2;
     }
     g_option_context_free(context);
+    self.leaving = leaving;
     error = bbl_loop_open(&self.loop);
     if (error == 0) {
         error = bbl_edge_open(&self.list_server, self.loop, address, &handler);
