Only hosts that use the same routing answer delegated queries

Change: the routing version goes along, and a host that uses another one refuses (not run), so that the next peer is asked.

--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -211,7 +211,7 @@
 wait_until is_ready 1 || fail "entry host 1 is not ready again"
 
 # An entry host answers a query that another one has delegated, and no other.
-delegated='Baobablatch-Delegated: host=1 elapsed_us=1000 round_trip_us=100 attempts=0'
+delegated='Baobablatch-Delegated: host=1 elapsed_us=1000 round_trip_us=100 attempts=0 routing=15'
 send_delegated() { # HEADER
     curl -s -m 3 -o "$dir/body" -D "$dir/head" -H 'Host: a.example' -H 'Request-Id: rd' \
         -H 'Deadline-Ms: 2000' -H "$1" http://127.60.2.2:7381/all/delegated
--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -135,6 +135,7 @@
     r->delegated.round_trip =
         in->first_on_connection ? 2 * round_trip : round_trip;
     r->delegated.attempts = bbl_query_count_attempts(q);
+    r->delegated.routing_version = bbl_routing_version(q->table->routing);
     if (q->route->kind == BBL_ROUTE_SPLIT) {
         r->delegated.service = bbl_buf_str(&q->shards[0].pool->name);
     }
--- a/src/forward/delegate.h
+++ b/src/forward/delegate.h
@@ -33,6 +33,9 @@
     bbl_usec round_trip;
     /* Attempts at each shard that servers may have run. */
     unsigned attempts;
+    /* Routing version that applies to it: a host never goes back to an older
+     * one, so only hosts that use the same version answer for it. */
+    uint64_t routing_version;
     /* The service that was chosen for it; empty if none was. */
     bbl_str service;
 } bbl_delegated;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -568,6 +568,13 @@
                              BBL_STATUS_UNAVAILABLE, 0);
         return;
     }
+    if (request->delegated.host != 0 &&
+        request->delegated.routing_version !=
+            bbl_routing_version(f->table->routing)) {
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
+                             BBL_STATUS_UNAVAILABLE, 0);
+        return;
+    }
     route =
         bbl_routing_match(f->table->routing, request->hostname, request->path);
     if (route == NULL) {
--- a/src/net/delegation_field.c
+++ b/src/net/delegation_field.c
@@ -72,9 +72,11 @@
 {
     bbl_buf_printf(out,
                    BBL_DELEGATED_FIELD
-                   ": host=%u elapsed_us=%llu round_trip_us=%llu attempts=%u",
+                   ": host=%u elapsed_us=%llu round_trip_us=%llu attempts=%u "
+                   "routing=%llu",
                    d->host, (unsigned long long)d->elapsed,
-                   (unsigned long long)d->round_trip, d->attempts);
+                   (unsigned long long)d->round_trip, d->attempts,
+                   (unsigned long long)d->routing_version);
     if (d->service.size > 0) {
         bbl_buf_printf(out, " service=%.*s", (int)d->service.size,
                        d->service.ptr);
@@ -106,6 +108,10 @@
     if (error == 0) {
         error = read_number(&attempts, text, "attempts", UINT32_MAX);
     }
+    if (error == 0) {
+        error =
+            read_number(&out->routing_version, text, "routing", UINT64_MAX);
+    }
     out->host = (uint32_t)host;
     out->attempts = (unsigned)attempts;
     out->service = find_value(text, "service");
--- a/tests/test_delegation_field.c
+++ b/tests/test_delegation_field.c
@@ -26,7 +26,7 @@
 
 START_TEST(a_delegated_query_is_read_as_it_was_written)
 {
-    bbl_delegated in = {167837735, 12345, 6789, 1, {"shard-7", 7}};
+    bbl_delegated in = {167837735, 12345, 6789, 1, 1ull << 60, {"shard-7", 7}};
     bbl_delegated out;
     bbl_buf line = BBL_BUF_INIT;
     bbl_http_message m;
@@ -38,6 +38,7 @@
     ck_assert_uint_eq(out.elapsed, in.elapsed);
     ck_assert_uint_eq(out.round_trip, in.round_trip);
     ck_assert_uint_eq(out.attempts, in.attempts);
+    ck_assert_uint_eq(out.routing_version, in.routing_version);
     ck_assert(bbl_str_equal(out.service, in.service));
     bbl_http_message_free(&m);
     bbl_buf_free(&line);
@@ -70,10 +71,13 @@
     "",
     BBL_DELEGATED_FIELD ": \r\n",
     BBL_DELEGATED_FIELD ": host=1\r\n",
-    BBL_DELEGATED_FIELD ": host=0 elapsed_us=1 round_trip_us=1 attempts=0\r\n",
+    BBL_DELEGATED_FIELD ": host=1 elapsed_us=1 round_trip_us=1 attempts=0\r\n",
     BBL_DELEGATED_FIELD
-    ": host=1 elapsed_us=-1 round_trip_us=1 attempts=0\r\n",
-    BBL_DELEGATED_FIELD ": host=1 elapsed_us=1 round_trip_us=1 attempts=\r\n",
+    ": host=0 elapsed_us=1 round_trip_us=1 attempts=0 routing=1\r\n",
+    BBL_DELEGATED_FIELD
+    ": host=1 elapsed_us=-1 round_trip_us=1 attempts=0 routing=1\r\n",
+    BBL_DELEGATED_FIELD
+    ": host=1 elapsed_us=1 round_trip_us=1 attempts= routing=1\r\n",
     BBL_DELEGATED_FIELD
     ": host=1 elapsed_us=99999999999999999999999 round_trip_us=1 "
     "attempts=0\r\n",
--- a/tests/test_lost_links.c
+++ b/tests/test_lost_links.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "support/forward_fleet.h"
 #include "support/run.h"
@@ -260,6 +261,25 @@
 }
 END_TEST
 
+/* A host that uses an older routing would serve what it no longer allows. */
+START_TEST(only_hosts_with_the_same_routing_answer)
+{
+    forward_fleet *f = create_cut_fleet(2);
+    char newer[sizeof(routing)];
+
+    memcpy(newer, routing, sizeof(routing));
+    strstr(newer, "\"version\":1")[10] = '2';
+    forward_sim_install_routing(forward_fleet_get_host(f, 0), newer);
+    ck_assert_uint_eq(wait_for(f, send_to_cut_host(f, "/g/1", 800))->status,
+                      503);
+    forward_sim_install_routing(forward_fleet_get_host(f, 1), newer);
+    forward_fleet_run(f, SECOND, 0, "");
+    ck_assert_uint_eq(wait_for(f, send_to_cut_host(f, "/g/1", 800))->status,
+                      200);
+    forward_fleet_free(f);
+}
+END_TEST
+
 /* A host that passes on the answer of a leaving server sends it nothing. */
 START_TEST(a_leaving_server_is_known_from_a_delegated_answer)
 {
@@ -367,6 +387,7 @@
     tcase_add_test(t, servers_get_no_more_time_than_the_caller_has_left);
     tcase_add_test(t, hosts_do_not_ask_each_other_for_each_query_in_an_outage);
     tcase_add_test(t, requests_are_not_blamed_for_lost_links);
+    tcase_add_test(t, only_hosts_with_the_same_routing_answer);
     tcase_add_test(t, a_leaving_server_is_known_from_a_delegated_answer);
     tcase_add_test(t, a_host_without_one_shard_gives_whole_answers);
     tcase_add_test(t, a_shard_that_is_lost_everywhere_is_left_out);
