--- a/tools/soak/fleet.c
+++ b/tools/soak/fleet.c
@@ -39,6 +39,7 @@
     char control_address[TEXT_MAX];
     char serving_address[TEXT_MAX];
     char data_or_ready[TEXT_MAX];
+    char peer_address[TEXT_MAX];
     char log_path[TEXT_MAX];
     char *args[ARGS_MAX] = {
         "baobablatch",       "forward",
@@ -73,6 +74,11 @@
         args[count++] = "--found";
         args[count++] = bootstrap ? "true" : "false";
     }
+    else {
+        snprintf(peer_address, TEXT_MAX, "127.61.2.%u:7381", n);
+        args[count++] = "--peer-address";
+        args[count++] = peer_address;
+    }
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path,
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
