--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -10,6 +10,7 @@
 #include "control/journal.h"
 #include "control/state.h"
 #include "forward/dialect.h"
+#include "net/delegation_field.h"
 #include "net/http_message.h"
 #include "net/mesh.h"
 #include "net/platform_client.h"
@@ -132,6 +133,26 @@
     bbl_buf_free(&next);
 }
 
+/* Reads the header fields of a message as its receiver does. */
+static void
+read_fields(const bbl_http_message *m, bool request)
+{
+    bbl_delegation_outcome outcome;
+    bbl_delegated delegated;
+    bbl_caller_head caller;
+    bbl_backend_head backend;
+
+    if (request) {
+        bbl_delegated_read(&delegated, m);
+        bbl_platform_dialect()->read_caller_head(&caller, m->headers.ptr,
+                                                 m->headers.size);
+        return;
+    }
+    bbl_delegation_outcome_read(&outcome, m);
+    bbl_platform_dialect()->read_backend_head(
+        &backend, bbl_http_message_status(m), m->headers.ptr, m->headers.size);
+}
+
 /*
  * The first byte selects request or response, and the size of the chunks in
  * which the rest is fed to the parser.
@@ -156,6 +177,7 @@
         }
         offset += used;
         if (message.done) {
+            read_fields(&message, selector % 2 == 1);
             bbl_http_message_reset(&message);
         }
     }
