A peer that refuses a query is not asked again at once

Cause: a cut-off host whose open connections live on still reaches most servers, and a peer was avoided after a refusal only if it reached few. Class: repetitions counted as if they were different witnesses.

Change: a peer that refuses for lack of servers is avoided for 0.5 s, so the next query asks another one; refusals for other reasons do not count against the route; while all are avoided, one that has served lately is asked all the same.

--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -8,6 +8,8 @@
 
 /* Time for which a peer is avoided that refused a query or did not answer. */
 #define AVOIDED_US (2 * BBL_USEC_PER_SEC)
+/* The same for one that reaches most servers, but not those of the route. */
+#define REFUSED_US (500 * BBL_USEC_PER_MS)
 /*
  * Refusals in a row after which a route counts as unavailable everywhere, and
  * for how long: while all servers are down, hosts do not ask each other for
@@ -276,7 +278,12 @@
             outcome->reach != BBL_REACH_MOST) {
             peer->avoided_until = now + AVOIDED_US;
         }
-        if (++t->refusals_elsewhere >= refusals_max) {
+        else if (outcome->reason == BBL_FORWARD_UNAVAILABLE) {
+            /* The next queries ask other peers, until all have refused. */
+            peer->avoided_until = now + REFUSED_US;
+        }
+        if (outcome->reason == BBL_FORWARD_UNAVAILABLE &&
+            ++t->refusals_elsewhere >= refusals_max) {
             t->refusals_elsewhere = 0;
             t->unavailable_elsewhere_until = now + UNAVAILABLE_US;
         }
--- a/src/forward/peers.c
+++ b/src/forward/peers.c
@@ -97,6 +97,7 @@
     const uint32_t *asked;
     size_t asked_count;
     bool served_lately; /* whether only peers that have served are chosen */
+    bool avoided_too;   /* whether also those that are avoided are */
 } choice;
 
 static bool
@@ -107,7 +108,7 @@
             return false;
         }
     }
-    return c->now >= peer->avoided_until &&
+    return (c->avoided_too || c->now >= peer->avoided_until) &&
            (!c->served_lately ||
             (peer->served_at != 0 &&
              c->now < peer->served_at + SERVED_LATELY_US));
@@ -143,7 +144,7 @@
 bbl_peers_choose(const bbl_peers *p, bbl_usec now, const uint32_t *asked,
                  size_t asked_count, bbl_rng *rng)
 {
-    choice c = {now, asked, asked_count, asked_count > 0};
+    choice c = {now, asked, asked_count, asked_count > 0, false};
     bbl_peer *peer;
 
     if (p->listed.size == 0) {
@@ -154,5 +155,10 @@
         c.served_lately = false;
         peer = draw_least_busy(p, &c, rng);
     }
+    if (peer == NULL) {
+        c.served_lately = true;
+        c.avoided_too = true;
+        peer = draw_least_busy(p, &c, rng);
+    }
     return peer;
 }
--- a/src/forward/peers.h
+++ b/src/forward/peers.h
@@ -51,7 +51,7 @@
 /*
  * Chooses a peer: of two that are drawn at random, the one with fewer queries
  * in flight. A query that a peer has refused goes to one that has served a
- * query lately, if there is one.
+ * query lately, if there is one; so does each query while all are avoided.
  *
  * @param asked hosts that are not to be chosen
  * @return NULL if there is none
--- a/tests/test_lost_links.c
+++ b/tests/test_lost_links.c
@@ -29,13 +29,30 @@
     "{\"name\":\"g\",\"hostname\":\"a.example\",\"path_prefix\":\"/g/\","
     "\"route_type\":\"safe\",\"timeout_ms\":800,\"target_latency_ms\":120,"
     "\"priority\":1,\"gather\":[\"s0\",\"s1\",\"s2\",\"s3\"],"
-    "\"max_attempts\":2,\"top_k\":5,\"min_coverage\":0.75}],"
+    "\"max_attempts\":2,\"top_k\":5,\"min_coverage\":0.75},"
+    "{\"name\":\"w\",\"hostname\":\"a.example\",\"path_prefix\":\"/whole/\","
+    "\"route_type\":\"safe\",\"timeout_ms\":800,\"target_latency_ms\":120,"
+    "\"priority\":1,\"gather\":[\"s0\",\"s1\",\"s2\",\"s3\"],"
+    "\"max_attempts\":2,\"top_k\":5,\"min_coverage\":1.0}],"
     "\"services\":[{\"name\":\"one\",\"max_connections\":26},"
     "{\"name\":\"s0\",\"max_connections\":26},"
     "{\"name\":\"s1\",\"max_connections\":26},"
     "{\"name\":\"s2\",\"max_connections\":26},"
     "{\"name\":\"s3\",\"max_connections\":26}]}";
 
+/*
+ * Some hosts have lost the servers of one shard, and no others:
+ * they reach most of the servers and refuse what is delegated to them.
+ */
+static void
+lose_a_shard(forward_fleet *f, unsigned hosts)
+{
+    for (unsigned host = 0; host < hosts; host++) {
+        forward_fleet_set_host_mode(f, host, 2, SERVER_REFUSES);
+        forward_fleet_set_host_mode(f, host, 3, SERVER_REFUSES);
+    }
+}
+
 /* Creates a fleet whose services have two servers each. */
 static forward_fleet *
 create_fleet(unsigned hosts)
@@ -348,6 +365,33 @@
 }
 END_TEST
 
+/*
+ * Asking them again and again would also make the route count as unavailable
+ * everywhere, after as many refusals in a row as there are peers.
+ */
+START_TEST(a_peer_that_refused_is_not_asked_again_at_once)
+{
+    forward_fleet *f = create_fleet(8);
+    forward_fleet_summary s;
+    unsigned before;
+    bbl_usec since;
+
+    run_fleet(f, 2, 400, "/whole/1");
+    lose_a_shard(f, 6);
+    run_fleet(f, 1, 400, "/whole/1");
+    since = forward_fleet_get_time(f);
+    before = forward_fleet_count_delegations(f);
+    run_fleet(f, 6, 400, "/whole/1");
+    check_service(f, 6, 8, since);
+    forward_fleet_summarize_hosts(&s, f, 0, 5, since);
+    ck_assert_msg((forward_fleet_count_delegations(f) - before) * 4 <=
+                      s.sent * 5,
+                  "%u delegations for %u queries",
+                  forward_fleet_count_delegations(f) - before, s.sent);
+    forward_fleet_free(f);
+}
+END_TEST
+
 START_TEST(callers_are_served_after_links_were_reset)
 {
     play_cut(3, 7, 100, "/g/1", LINKS_RESET);
@@ -377,6 +421,7 @@
 
     tcase_set_timeout(t, 60);
     tcase_add_test(t, callers_are_served_while_links_hang);
+    tcase_add_test(t, a_peer_that_refused_is_not_asked_again_at_once);
     tcase_add_test(t, callers_are_served_after_links_were_reset);
     tcase_add_test(t, callers_are_served_while_new_connections_are_refused);
     tcase_add_test(
