Preconnect later when the link had no room for it

Cause: bbl_backend_link_preconnect() did nothing when the link already held as many connections as it may. On sites with many hosts that limit is 1, so a server that was marked down while its only connection hung was never connected to again by this host and stayed unreachable for it. Ruled out: the backoff after a failed connect (it ends after 300 ms or 1 s). Change: the link remembers the preconnect and the tick makes up for it once no connection is open; any connection that opens instead settles it. Test: a_preconnect_that_found_no_room_is_made_up_for failed before ("no connection was opened") and passes now.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -92,6 +92,7 @@
     bbl_usec backoff;    /* minimum time to the next preconnect */
     bool keep_open;      /* one connection stays open while idle */
     bool unreachable;    /* the last attempt to connect has failed */
+    bool preconnect_due; /* one found no room; a tick makes up for it */
     bool released;       /* a tick frees the link once it has no connection */
     bbl_vec connections; /* conn *, most recently used last */
 };
@@ -535,6 +536,7 @@
     c->state = CONN_CONNECTING;
     bbl_http_message_init(&c->message, false, client->options.response_max);
     bbl_vec_push(&link->connections, &c);
+    link->preconnect_due = false;
     client->counters.connects++;
     c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (c->fd < 0) {
@@ -716,9 +718,11 @@
 void
 bbl_backend_link_preconnect(bbl_backend_link *link, bbl_usec now)
 {
-    if (link->connections.size < link->max_connections &&
-        (link->backoff_start == 0 ||
-         now >= link->backoff_start + link->backoff)) {
+    if (link->connections.size >= link->max_connections) {
+        link->preconnect_due = true;
+    }
+    else if (link->backoff_start == 0 ||
+             now >= link->backoff_start + link->backoff) {
         link->backoff_start = now;
         link->backoff = PRECONNECT_INTERVAL_US;
         conn_open(link, now);
@@ -822,7 +826,7 @@
                         client->next_link++ % client->links.size);
 
         if (link->connections.size == 0 && !link->released &&
-            (link->keep_open || link->unreachable)) {
+            (link->keep_open || link->unreachable || link->preconnect_due)) {
             bbl_backend_link_preconnect(link, now);
         }
         if (client->counters.connects >=
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -144,9 +144,9 @@
 
 /*
  * Opens a connection before a request needs it; `on_connect` reports the
- * result. Does nothing if the limit of connections is reached. Does nothing
- * for 300 ms (1 s if the server was full) after a preconnect or failed
- * connect.
+ * result. If the limit of connections is reached, a tick does so once none is
+ * open. Does nothing for 300 ms (1 s if the server was full) after a
+ * preconnect or failed connect.
  */
 void bbl_backend_link_preconnect(bbl_backend_link *link, bbl_usec now);
 
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -459,6 +459,35 @@
 }
 END_TEST
 
+/*
+ * The only connection that the link may hold hangs when the server is taken
+ * for down, so the connection that would show that it is back has to wait.
+ */
+START_TEST(a_preconnect_that_found_no_room_is_made_up_for)
+{
+    fixture f;
+    outcome o;
+    bbl_link_exchange *x;
+    int fd;
+
+    open_fixture(&f);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    x = start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_run_loop(f.loop, 10);
+    bbl_backend_link_preconnect(f.link, bbl_clock_now());
+    ck_assert_uint_eq(f.opened, 1);
+    bbl_link_exchange_abandon(x);
+    close(fd);
+    bbl_backend_client_tick(f.client, bbl_clock_now());
+    fd = accept_connection(&f);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(f.opened, 2);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(preconnects_per_tick_are_limited)
 {
     /* Without a limit, a host that starts would connect to all servers at
@@ -504,6 +533,7 @@
                         ARRAY_SIZE(endless));
     tcase_add_test(tc, endless_bodies_of_many_servers_are_bounded);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
+    tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, preconnects_per_tick_are_limited);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
