Isolation ends when no unreachable server is left

Cause: an isolated host ends that state at the first contact with a server, and only connections to unreachable servers are tried again. If all of those were replaced or delisted during the cut, nothing was tried and the host would have delegated its queries for good. Ruled out: the usable servers bring the contact; an isolated host sends them no request. Change: without an unreachable server the host is not isolated; its next attempts show whether the links are back, and isolate it again if not. Test: an_isolated_host_tries_the_servers_that_replace_those_it_lost failed before and passes now.

--- a/src/forward/reach.c
+++ b/src/forward/reach.c
@@ -84,7 +84,12 @@
 bbl_reach_update_isolated(bbl_reach *r, bbl_usec now)
 {
     if (r->isolated) {
-        r->isolated = r->contact_at <= r->isolated_at;
+        /*
+         * Connections to unreachable servers are tried again and again.
+         * Without such a server only the next attempts can show that the links
+         * are back.
+         */
+        r->isolated = r->contact_at <= r->isolated_at && r->unreachable > 0;
         return false;
     }
     if (r->overdue >= OVERDUE_SERVERS ||
--- a/tests/test_lost_links.c
+++ b/tests/test_lost_links.c
@@ -278,6 +278,22 @@
 }
 END_TEST
 
+/* The servers that did not respond are replaced during the cut. */
+START_TEST(an_isolated_host_tries_the_servers_that_replace_those_it_lost)
+{
+    bbl_reach r = {BBL_REACH_NONE, 0, 3, 3, false, 0, SECOND};
+
+    ck_assert(bbl_reach_update_isolated(&r, 2 * SECOND));
+    ck_assert(!bbl_reach_update_isolated(&r, 3 * SECOND));
+    ck_assert(r.isolated);
+    r.overdue = 0;
+    r.unreachable = 0;
+    r.usable = 3;
+    bbl_reach_update_isolated(&r, 4 * SECOND);
+    ck_assert(!r.isolated);
+}
+END_TEST
+
 /* A host that uses an older routing would serve what it no longer allows. */
 START_TEST(only_hosts_with_the_same_routing_answer)
 {
@@ -432,6 +448,8 @@
     tcase_add_test(t, servers_get_no_more_time_than_the_caller_has_left);
     tcase_add_test(t, hosts_do_not_ask_each_other_for_each_query_in_an_outage);
     tcase_add_test(t, requests_are_not_blamed_for_lost_links);
+    tcase_add_test(
+        t, an_isolated_host_tries_the_servers_that_replace_those_it_lost);
     tcase_add_test(t, only_hosts_with_the_same_routing_answer);
     tcase_add_test(t, a_leaving_server_is_known_from_a_delegated_answer);
     tcase_add_test(t, a_host_without_one_shard_gives_whole_answers);
