--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -5,11 +5,10 @@
 # control host in turn (the leader among them) and of all processes at once with
 # the loss of two disks, that a drain interrupts no request, that delegated
 # queries are answered, that rate limits of servers and the rest that they ask for
-# are kept, that a leaving server gets at most one more
-# request a host, and that a request does
-# not end one server after another. Hosts with an even number run OTHER-BINARY if
-# it is given, and the other one after a restart: a fleet is upgraded host by host.
-# Ends only processes that it started.
+# are kept, that a leaving server gets at most one more request a host, and that a
+# request does not end one server after another. Hosts with an even number run
+# OTHER-BINARY if it is given, and the other one after a restart: a fleet is
+# upgraded host by host. Ends only processes that it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
