--- a/review/support/caller.c
+++ b/review/support/caller.c
@@ -4,10 +4,13 @@
  *
  * caller ADDRESS TIMEOUT-MS HOST DEADLINE-MS REQUEST...
  *
- * REQUEST is METHOD,PATH,ID,BODY: BODY is empty, the number of bytes of a body
- * of the letters a to z in turn, or @FILE. The exit code is 0 if each request
- * has got an answer of status 200, and 1 otherwise. An answer that redirects
- * (307) is followed up to twice, as PROTOCOL.md says of the operator.
+ * REQUEST is METHOD,PATH,ID,BODY or METHOD,PATH,ID,BODY,COUNT,PAUSE-MS: BODY
+ * is empty, the number of bytes of a body of the letters a to z in turn, or
+ * @FILE. COUNT requests are sent, with -1, -2, ... after the id and a random
+ * pause of up to PAUSE-MS between two. The exit code is 0 if each request has
+ * got an answer of status 200, and 1 otherwise. After a 503 the next request
+ * waits for Retry-After. An answer that redirects (307) is followed up to
+ * twice, as PROTOCOL.md says of the operator.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -32,6 +35,8 @@
     char id[128];
     char *body;
     size_t body_size;
+    long count;
+    int pause_ms; /* longest */
 } request;
 
 typedef struct {
@@ -41,6 +46,7 @@
     char *body;
     size_t body_size;
     bool closes;
+    double retry_after; /* seconds */
 } answer;
 
 static char received[ANSWER_MAX];
@@ -140,6 +146,8 @@
     get_field(received, "Location", a->location, sizeof(a->location));
     get_field(received, "Connection", received + ANSWER_MAX - 32, 31);
     a->closes = strcasecmp(received + ANSWER_MAX - 32, "close") == 0;
+    get_field(received, "Retry-After", received + ANSWER_MAX - 32, 31);
+    a->retry_after = atof(received + ANSWER_MAX - 32);
     a->body = end + 4;
     a->body_size = strtoul(length, NULL, 10);
     while (a->body + a->body_size > received + size) {
@@ -177,19 +185,10 @@
 }
 
 static void
-read_request(request *r, char *text)
+make_body(request *r, const char *text)
 {
-    char *body = strrchr(text, ',');
-
-    if (body == NULL || sscanf(text, "%15[^,],%255[^,],%127[^,]", r->method,
-                               r->path, r->id) != 3) {
-        exit(2);
-    }
-    body++;
-    r->body = NULL;
-    r->body_size = 0;
-    if (*body == '@') {
-        FILE *f = fopen(body + 1, "r");
+    if (*text == '@') {
+        FILE *f = fopen(text + 1, "r");
 
         if (f == NULL) {
             exit(2);
@@ -198,8 +197,8 @@
         r->body_size = fread(r->body, 1, ANSWER_MAX, f);
         fclose(f);
     }
-    else if (*body != '\0') {
-        r->body_size = strtoul(body, NULL, 10);
+    else if (*text != '\0') {
+        r->body_size = strtoul(text, NULL, 10);
         r->body = malloc(r->body_size + 1);
         for (size_t i = 0; i < r->body_size; i++) {
             r->body[i] = (char)('a' + i % 26);
@@ -207,56 +206,120 @@
     }
 }
 
-int
-main(int argc, char **argv)
+/* Reads a request from an argument, and how often it is sent. */
+static void
+read_request(request *r, char *text)
 {
+    char *fields[6] = {NULL};
+
+    memset(r, 0, sizeof(*r));
+    for (int i = 0; i < 6; i++) {
+        fields[i] = strsep(&text, ",");
+    }
+    if (fields[3] == NULL) {
+        exit(2);
+    }
+    snprintf(r->method, sizeof(r->method), "%s", fields[0]);
+    snprintf(r->path, sizeof(r->path), "%s", fields[1]);
+    snprintf(r->id, sizeof(r->id), "%s", fields[2]);
+    make_body(r, fields[3]);
+    r->count = fields[4] != NULL ? atol(fields[4]) : 1;
+    r->pause_ms = fields[5] != NULL ? atoi(fields[5]) : 0;
+}
+
+/* The connection, which is opened again after an answer that closes it. */
+typedef struct {
+    const char *address;
+    const char *host;
+    const char *deadline;
     int timeout_ms;
     int fd;
+} client;
+
+static void
+disconnect(client *c)
+{
+    if (c->fd >= 0) {
+        close(c->fd);
+        c->fd = -1;
+    }
+}
+
+static void
+call(client *c, const request *r, answer *a)
+{
+    memset(a, 0, sizeof(*a));
+    a->reason = "no connection";
+    if (c->fd < 0) {
+        c->fd = open_connection(c->address, c->timeout_ms);
+    }
+    if (c->fd >= 0) {
+        exchange(c->fd, r, c->host, c->deadline, a);
+    }
+    for (int k = 0; a->status == 307 && k < REDIRECTS_MAX; k++) {
+        disconnect(c);
+        c->fd =
+            open_connection(a->location + strlen("http://"), c->timeout_ms);
+        if (c->fd < 0) {
+            a->status = 0;
+            a->reason = "no connection";
+            return;
+        }
+        exchange(c->fd, r, c->host, c->deadline, a);
+    }
+    if (a->status == 0 || a->closes) {
+        disconnect(c);
+    }
+}
+
+static void
+print_answer(const client *c, const request *r, const answer *a)
+{
+    print_time();
+    printf("answer from=%s request=%s line=\"%s %s\" status=%u%s%s\n",
+           c->address, r->id, r->method, r->path, a->status,
+           a->status == 0 ? " reason=" : "",
+           a->status == 0 && a->reason ? a->reason : "");
+    fflush(stdout);
+}
+
+int
+main(int argc, char **argv)
+{
+    client c;
     bool all_served = true;
 
+    srandom((unsigned)getpid());
     if (argc < 6) {
         fprintf(stderr, "usage: caller ADDRESS TIMEOUT-MS HOST DEADLINE-MS "
                         "REQUEST...\n");
         return 2;
     }
-    timeout_ms = atoi(argv[2]);
-    fd = open_connection(argv[1], timeout_ms);
+    c = (client){argv[1], argv[3], argv[4], atoi(argv[2]), -1};
     for (int i = 5; i < argc; i++) {
         request r;
-        answer a = {.reason = "no connection"};
+        char id[sizeof(r.id)];
 
         read_request(&r, argv[i]);
-        if (fd < 0) {
-            fd = open_connection(argv[1], timeout_ms);
-        }
-        if (fd >= 0) {
-            exchange(fd, &r, argv[3], argv[4], &a);
-        }
-        for (int k = 0; a.status == 307 && k < REDIRECTS_MAX; k++) {
-            close(fd);
-            fd = open_connection(a.location + strlen("http://"), timeout_ms);
-            if (fd < 0) {
-                a.status = 0;
-                a.reason = "no connection";
-                break;
+        memcpy(id, r.id, sizeof(id));
+        for (long k = 1; k <= r.count; k++) {
+            answer a;
+
+            if (r.count > 1) {
+                snprintf(r.id, sizeof(r.id), "%.100s-%ld", id, k);
+            }
+            call(&c, &r, &a);
+            print_answer(&c, &r, &a);
+            all_served = all_served && a.status == 200;
+            if (a.status == 503 && k < r.count) {
+                usleep((useconds_t)(a.retry_after * 1e6));
+            }
+            else if (k < r.count && r.pause_ms > 0) {
+                usleep((useconds_t)(random() % (r.pause_ms * 1000)));
             }
-            exchange(fd, &r, argv[3], argv[4], &a);
-        }
-        print_time();
-        printf("answer from=%s request=%s line=\"%s %s\" status=%u%s%s\n",
-               argv[1], r.id, r.method, r.path, a.status,
-               a.status == 0 ? " reason=" : "",
-               a.status == 0 && a.reason ? a.reason : "");
-        fflush(stdout);
-        all_served = all_served && a.status == 200;
-        if ((a.status == 0 || a.closes) && fd >= 0) {
-            close(fd);
-            fd = -1;
         }
         free(r.body);
     }
-    if (fd >= 0) {
-        close(fd);
-    }
+    disconnect(&c);
     return all_served ? 0 : 1;
 }
--- a/review/support/standin.c
+++ b/review/support/standin.c
@@ -2,13 +2,16 @@
  * standin.c - a stand-in for the platform's list of searchers and for the
  * searchers themselves, on loopback.
  *
- * standin LIST-ADDRESS [--work-ms N] [--early] [--odd JSON] SEARCHER...
+ * standin LIST-ADDRESS [--work-ms N] [--early] [--extra] [--odd JSON]
+ *         SEARCHER...
  *
  * SEARCHER is service,id,zone,ip:port. Prints one line to standard output for
  * each request that a searcher begins to run. With --early a searcher answers
  * a request with a long body before it has read it, keeps the connection and
- * reads on later. With --odd the list begins with one more entry, as it
- * stands.
+ * reads on later. With --extra the first searcher of each service sends some
+ * answers once more, late: when the next answer on the connection is due. A
+ * searcher that is full refuses a request with 503. With --odd the list begins
+ * with one more entry, as it stands.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -27,7 +30,12 @@
 
 #define SEARCHERS_MAX 64
 #define HEAD_MAX 16384 /* bytes; max_header_bytes of the configuration */
-#define SLOTS 4
+#define SLOTS 2        /* of committee-portal, mtfra-search */
+/* garble, how "extra late", in mtfra-search.toml: x = 0.04 of the answers, for
+ * 5 s. It comes again after EXTRA_PAUSE_MS. */
+#define EXTRA_EVERY 25
+#define EXTRA_MS 5000
+#define EXTRA_PAUSE_MS 5000
 /* "Links have [...] small windows, so a peer that does not read blocks the
  * writer" (DEPLOY.md): the segment size of Ethernet and a small buffer. */
 #define SEGMENT_BYTES 1460
@@ -44,11 +52,17 @@
     char zone[32];
     char ip[32];
     int port;
+    bool first;        /* of its service */
+    int running;       /* requests that hold a slot */
+    uint64_t answered; /* while it garbles */
 } searcher;
 
 typedef struct {
     int fd;
-    const searcher *searcher; /* NULL: a connection to the list */
+    searcher *searcher; /* NULL: a connection to the list */
+    char extra[1024];   /* an answer to send once more */
+    int extra_size;
+    char extra_request[128]; /* its Request-Id */
 } connection;
 
 typedef struct {
@@ -61,6 +75,8 @@
 static size_t searcher_count;
 static int work_ms = 5;
 static bool early;
+static bool extra;
+static struct timespec started_at;
 static const char *odd_entry;
 static uint64_t stamp_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -212,31 +228,94 @@
     return true;
 }
 
+/* Returns whether the searcher sends a copy of this answer. */
 static bool
-answer(const connection *c, const char *id, unsigned status)
+is_garbled(searcher *s)
 {
-    char text[1024];
-    int n = snprintf(text, sizeof(text),
-                     "HTTP/1.1 %u X\r\n%s%s%s"
-                     "Response-Stamp: %s.%llu\r\n"
-                     "Keep-Alive: timeout=%d\r\n"
-                     "Content-Length: 16\r\n\r\n0123456789abcdef",
-                     status, id[0] ? "Request-Id: " : "", id,
-                     id[0] ? "\r\n" : "", c->searcher->id,
-                     (unsigned long long)next_stamp(), KEEP_ALIVE_S);
+    struct timespec now;
+    long ms;
+    bool garbled = false;
+
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    ms = (now.tv_sec - started_at.tv_sec) * 1000 +
+         (now.tv_nsec - started_at.tv_nsec) / 1000000;
+    if (!extra || !s->first || ms % (EXTRA_MS + EXTRA_PAUSE_MS) >= EXTRA_MS) {
+        return false;
+    }
+    pthread_mutex_lock(&lock);
+    garbled = ++s->answered % EXTRA_EVERY == 0;
+    pthread_mutex_unlock(&lock);
+    return garbled;
+}
 
+static bool
+answer(connection *c, const char *id, unsigned status, bool executed)
+{
+    char text[sizeof(c->extra)];
+    char stamp[128] = "Not-Executed: 1\r\n";
+    int n;
+
+    if (executed) {
+        snprintf(stamp, sizeof(stamp), "Response-Stamp: %s.%llu\r\n",
+                 c->searcher->id, (unsigned long long)next_stamp());
+    }
+    n = snprintf(text, sizeof(text),
+                 "HTTP/1.1 %u X\r\nRequest-Id: %s\r\n%s"
+                 "Keep-Alive: timeout=%d\r\n"
+                 "Content-Length: 16\r\n\r\n0123456789abcdef",
+                 status, id, stamp, KEEP_ALIVE_S);
+    if (is_garbled(c->searcher)) {
+        memcpy(c->extra, text, (size_t)n);
+        c->extra_size = n;
+        snprintf(c->extra_request, sizeof(c->extra_request), "%s", id);
+    }
     return send_all(c->fd, text, (size_t)n);
 }
 
+/* Sends the copy of an earlier answer, if one is due. */
+static bool
+send_extra(connection *c)
+{
+    int n = c->extra_size;
+
+    c->extra_size = 0;
+    if (n > 0) {
+        print_record("copy id=%s request=%s", c->searcher->id,
+                     c->extra_request);
+    }
+    return n == 0 || send_all(c->fd, c->extra, (size_t)n);
+}
+
+static bool
+take_slot(searcher *s)
+{
+    bool taken;
+
+    pthread_mutex_lock(&lock);
+    taken = s->running < SLOTS;
+    s->running += taken;
+    pthread_mutex_unlock(&lock);
+    return taken;
+}
+
+static void
+release_slot(searcher *s)
+{
+    pthread_mutex_lock(&lock);
+    s->running--;
+    pthread_mutex_unlock(&lock);
+}
+
 /* Handles one request; returns whether the connection stays open. */
 static bool
-serve_request(const connection *c, request_head *h)
+serve_request(connection *c, request_head *h)
 {
     char id[128];
     char expected[128];
     char length_text[32];
     char first_line[256];
     size_t length;
+    bool complete = false;
 
     get_field(h, "Request-Id", id, sizeof(id));
     get_field(h, "Expect-Instance", expected, sizeof(expected));
@@ -245,6 +324,9 @@
     snprintf(first_line, sizeof(first_line), "%.*s",
              (int)strcspn(h->text, "\r"), h->text);
     consume(h, h->head_size);
+    if (!send_extra(c)) {
+        return false;
+    }
     if (expected[0] != '\0' && strcmp(expected, c->searcher->id) != 0) {
         static const char refusal[] = "HTTP/1.1 421 X\r\nNot-Executed: 1\r\n"
                                       "Connection: close\r\n"
@@ -255,12 +337,17 @@
         send_all(c->fd, refusal, sizeof(refusal) - 1);
         return false;
     }
+    if (!early && !take_slot(c->searcher)) {
+        print_record("full id=%s request=%s", c->searcher->id, id);
+        return read_body(c, h, id, 0, length) && answer(c, id, 503, false);
+    }
     print_record("run service=%s id=%s zone=%s request=%s length=%zu "
                  "line=\"%s\"",
                  c->searcher->service, c->searcher->id, c->searcher->zone, id,
                  length, first_line);
     if (early && length > LONG_BODY_BYTES) {
-        if (!read_body(c, h, id, 0, EARLY_READ_BYTES) || !answer(c, id, 413)) {
+        if (!read_body(c, h, id, 0, EARLY_READ_BYTES) ||
+            !answer(c, id, 413, true)) {
             return false;
         }
         print_record("early-answer request=%s", id);
@@ -271,11 +358,14 @@
         print_record("body-complete request=%s", id);
         return true;
     }
-    if (!read_body(c, h, id, 0, length)) {
-        return false;
+    if (read_body(c, h, id, 0, length)) {
+        complete = true;
+        sleep_ms(work_ms);
     }
-    sleep_ms(work_ms);
-    return answer(c, id, 200);
+    if (!early) {
+        release_slot(c->searcher);
+    }
+    return complete && answer(c, id, 200, true);
 }
 
 static bool
@@ -328,7 +418,7 @@
 
 typedef struct {
     int listener;
-    const searcher *searcher;
+    searcher *searcher;
 } acceptor;
 
 static void *
@@ -346,7 +436,7 @@
             continue;
         }
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-        c = malloc(sizeof(*c));
+        c = calloc(1, sizeof(*c));
         if (c == NULL) {
             exit(2);
         }
@@ -360,7 +450,7 @@
 }
 
 static void
-listen_on(const char *ip, int port, const searcher *s)
+listen_on(const char *ip, int port, searcher *s)
 {
     struct sockaddr_in sa = {.sin_family = AF_INET,
                              .sin_port = htons((uint16_t)port)};
@@ -411,12 +501,18 @@
         else if (strcmp(argv[i], "--early") == 0) {
             early = true;
         }
+        else if (strcmp(argv[i], "--extra") == 0) {
+            extra = true;
+        }
         else if (strcmp(argv[i], "--odd") == 0 && i + 1 < argc) {
             odd_entry = argv[++i];
         }
         else if (searcher_count < SEARCHERS_MAX &&
                  sscanf(argv[i], "%63[^,],%63[^,],%31[^,],%31[0-9.]:%d",
                         s->service, s->id, s->zone, s->ip, &s->port) == 5) {
+            s->first =
+                searcher_count == 0 ||
+                strcmp(s->service, searchers[searcher_count - 1].service) != 0;
             searcher_count++;
         }
         else {
@@ -424,6 +520,7 @@
             return 2;
         }
     }
+    clock_gettime(CLOCK_MONOTONIC, &started_at);
     for (size_t i = 0; i < searcher_count; i++) {
         listen_on(searchers[i].ip, searchers[i].port, &searchers[i]);
     }
