review: a late copy of a refusal hides that a request runs

Claim (REFUSED, TWICE): a copy of a 503 with Not-Executed that comes late is taken as the answer to the second sending of the same request, which runs.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -21,7 +21,7 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
 J
 wait_until 20 order 1 "PUT,/-/config,c1,@$dir/config" || cannot_run "no configuration"
-wait_until 20 call 1 "$DEADLINE_MS" "POST,/record/first,f1,100" || cannot_run "no request is served"
+wait_until 20 call_once 1 POST /record/first "100" || cannot_run "no request is served"
 
 for round in $(seq "$ROUNDS"); do
     note "round $round: a request with a long body, then a short one"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -15,10 +15,10 @@
 DEADLINE_MS=3000    # of rack-record, mtfra-search
 
 # evacuate HOST...: sends `request` to one host after the other until one
-# acknowledges it, as the operator does.
+# acknowledges it, as the operator does; twice at most.
 evacuate() {
     local host
-    for host in "$@"; do
+    for host in "$@" "$@"; do
         order "$host" "$request" && return 0
     done
     return 1
@@ -59,7 +59,7 @@
 J
 wait_until 20 order 1 "PUT,/-/config,c1,@$dir/config" || cannot_run "no configuration"
 for n in 1 2 3; do
-    wait_until 20 call "$n" "$DEADLINE_MS" "GET,/record/first,f$n," || cannot_run "no request is served"
+    wait_until 20 call_once "$n" GET /record/first "" || cannot_run "no request is served"
 done
 sleep $((CONTACT_WINDOW_MS / 1000))
 
--- a/review/support/caller.c
+++ b/review/support/caller.c
@@ -47,6 +47,7 @@
     size_t body_size;
     bool closes;
     double retry_after; /* seconds */
+    bool stamped;       /* it has a Response-Stamp */
 } answer;
 
 static char received[ANSWER_MAX];
@@ -125,6 +126,7 @@
     size_t size = 0;
     char *end = NULL;
     char length[32];
+    char value[256];
 
     while (end == NULL && size < ANSWER_MAX - 1) {
         ssize_t n = recv(fd, received + size, ANSWER_MAX - 1 - size, 0);
@@ -144,14 +146,16 @@
     *end = '\0';
     get_field(received, "Content-Length", length, sizeof(length));
     get_field(received, "Location", a->location, sizeof(a->location));
-    get_field(received, "Connection", received + ANSWER_MAX - 32, 31);
-    a->closes = strcasecmp(received + ANSWER_MAX - 32, "close") == 0;
-    get_field(received, "Retry-After", received + ANSWER_MAX - 32, 31);
-    a->retry_after = atof(received + ANSWER_MAX - 32);
+    get_field(received, "Connection", value, sizeof(value));
+    a->closes = strcasecmp(value, "close") == 0;
+    get_field(received, "Retry-After", value, sizeof(value));
+    a->retry_after = atof(value);
+    get_field(received, "Response-Stamp", value, sizeof(value));
+    a->stamped = value[0] != '\0';
     a->body = end + 4;
     a->body_size = strtoul(length, NULL, 10);
     while (a->body + a->body_size > received + size) {
-        ssize_t n = recv(fd, received + size, ANSWER_MAX - 64 - size, 0);
+        ssize_t n = recv(fd, received + size, ANSWER_MAX - 1 - size, 0);
 
         if (n <= 0) {
             a->status = 0;
@@ -276,8 +280,8 @@
 print_answer(const client *c, const request *r, const answer *a)
 {
     print_time();
-    printf("answer from=%s request=%s line=\"%s %s\" status=%u%s%s\n",
-           c->address, r->id, r->method, r->path, a->status,
+    printf("answer from=%s request=%s line=\"%s %s\" status=%u stamp=%d%s%s\n",
+           c->address, r->id, r->method, r->path, a->status, a->stamped,
            a->status == 0 ? " reason=" : "",
            a->status == 0 && a->reason ? a->reason : "");
     fflush(stdout);
--- a/review/support/fleet.sh
+++ b/review/support/fleet.sh
@@ -98,6 +98,11 @@
         "$deadline" "$@" >>"$record"
 }
 
+# call_once ENTRY METHOD PATH BODY: sends one request with an id of its own.
+call_once() {
+    call "$1" "$DEADLINE_MS" "$2,$3,first$1.$RANDOM$RANDOM,$4"
+}
+
 # wait_until SECONDS COMMAND...: runs a command until it succeeds.
 wait_until() {
     local end=$((SECONDS + $1))
--- a/review/support/standin.c
+++ b/review/support/standin.c
@@ -2,16 +2,17 @@
  * standin.c - a stand-in for the platform's list of searchers and for the
  * searchers themselves, on loopback.
  *
- * standin LIST-ADDRESS [--work-ms N] [--early] [--extra] [--odd JSON]
- *         SEARCHER...
+ * standin LIST-ADDRESS [--work-ms N] [--early] [--extra] [--spoil]
+ *         [--odd JSON] SEARCHER...
  *
  * SEARCHER is service,id,zone,ip:port. Prints one line to standard output for
  * each request that a searcher begins to run. With --early a searcher answers
  * a request with a long body before it has read it, keeps the connection and
  * reads on later. With --extra the first searcher of each service sends some
  * answers once more, late: when the next answer on the connection is due. A
- * searcher that is full refuses a request with 503. With --odd the list begins
- * with one more entry, as it stands.
+ * searcher that is full refuses a request with 503. With --spoil it sends a
+ * wrong byte in the head of some answers. With --odd the list begins with one
+ * more entry, as it stands.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -30,12 +31,14 @@
 
 #define SEARCHERS_MAX 64
 #define HEAD_MAX 16384 /* bytes; max_header_bytes of the configuration */
+#define BODY_BYTES 16  /* of an answer */
 #define SLOTS 2        /* of committee-portal, mtfra-search */
-/* garble, how "extra late", in mtfra-search.toml: x = 0.04 of the answers, for
- * 5 s. It comes again after EXTRA_PAUSE_MS. */
+/* garble in mtfra-search.toml, for 5 s at a time: with how "extra late" 0.04
+ * of the answers, without 0.02. It comes again after a pause. */
 #define EXTRA_EVERY 25
-#define EXTRA_MS 5000
-#define EXTRA_PAUSE_MS 5000
+#define SPOILED_EVERY 50
+#define GARBLE_MS 5000
+#define GARBLE_PAUSE_MS 5000
 /* "Links have [...] small windows, so a peer that does not read blocks the
  * writer" (DEPLOY.md): the segment size of Ethernet and a small buffer. */
 #define SEGMENT_BYTES 1460
@@ -43,7 +46,6 @@
 #define LONG_BODY_BYTES 65536 /* longer bodies are answered early */
 #define EARLY_READ_BYTES 4096 /* read of a body before the early answer */
 #define READ_ON_AFTER_MS 500  /* from the early answer to reading on */
-#define SHOWN_BYTES 48        /* of the wrong bytes, in the record */
 #define KEEP_ALIVE_S 9        /* idle timeout that searchers state */
 
 typedef struct {
@@ -76,6 +78,7 @@
 static int work_ms = 5;
 static bool early;
 static bool extra;
+static bool spoil;
 static struct timespec started_at;
 static const char *odd_entry;
 static uint64_t stamp_count;
@@ -228,7 +231,7 @@
     return true;
 }
 
-/* Returns whether the searcher sends a copy of this answer. */
+/* Returns whether this answer is spoiled or, with --extra, sent twice. */
 static bool
 is_garbled(searcher *s)
 {
@@ -239,20 +242,34 @@
     clock_gettime(CLOCK_MONOTONIC, &now);
     ms = (now.tv_sec - started_at.tv_sec) * 1000 +
          (now.tv_nsec - started_at.tv_nsec) / 1000000;
-    if (!extra || !s->first || ms % (EXTRA_MS + EXTRA_PAUSE_MS) >= EXTRA_MS) {
+    if ((!extra && !spoil) || !s->first ||
+        ms % (GARBLE_MS + GARBLE_PAUSE_MS) >= GARBLE_MS) {
         return false;
     }
     pthread_mutex_lock(&lock);
-    garbled = ++s->answered % EXTRA_EVERY == 0;
+    garbled = ++s->answered % (spoil ? SPOILED_EVERY : EXTRA_EVERY) == 0;
     pthread_mutex_unlock(&lock);
     return garbled;
 }
 
+/* Replaces a byte of a head, at random, by a letter. */
+static void
+spoil_head(const connection *c, const char *id, char *head, size_t size)
+{
+    size_t at = (size_t)random() % size;
+
+    head[at] = head[at] == 'x' ? 'y' : 'x';
+    print_record("spoiled id=%s request=%s offset=%zu bytes=\"%.*s\"",
+                 c->searcher->id, id, at, (int)strcspn(head + at, "\r\n"),
+                 head + at);
+}
+
 static bool
 answer(connection *c, const char *id, unsigned status, bool executed)
 {
     char text[sizeof(c->extra)];
     char stamp[128] = "Not-Executed: 1\r\n";
+    bool garbled;
     int n;
 
     if (executed) {
@@ -264,7 +281,11 @@
                  "Keep-Alive: timeout=%d\r\n"
                  "Content-Length: 16\r\n\r\n0123456789abcdef",
                  status, id, stamp, KEEP_ALIVE_S);
-    if (is_garbled(c->searcher)) {
+    garbled = is_garbled(c->searcher);
+    if (garbled && spoil) {
+        spoil_head(c, id, text, (size_t)n - BODY_BYTES);
+    }
+    else if (garbled) {
         memcpy(c->extra, text, (size_t)n);
         c->extra_size = n;
         snprintf(c->extra_request, sizeof(c->extra_request), "%s", id);
@@ -504,6 +525,9 @@
         else if (strcmp(argv[i], "--extra") == 0) {
             extra = true;
         }
+        else if (strcmp(argv[i], "--spoil") == 0) {
+            spoil = true;
+        }
         else if (strcmp(argv[i], "--odd") == 0 && i + 1 < argc) {
             odd_entry = argv[++i];
         }
