--- a/review/support/standin.c
+++ b/review/support/standin.c
@@ -8,11 +8,11 @@
  * SEARCHER is service,id,zone,ip:port. Prints one line to standard output for
  * each request that a searcher begins to run. With --early the first
  * searcher of a service answers some requests with a long body before it has
- * read them, keeps the connection and reads on later. With --extra the first searcher of each service sends some
- * answers once more, late: when the next answer on the connection is due. A
- * searcher that is full refuses a request with 503. With --spoil it sends a
- * wrong byte in the head of some answers. With --odd the list begins with one
- * more entry, as it stands.
+ * read them, keeps the connection and reads on later. With --extra the first
+ * searcher of each service sends some answers once more, late: when the next
+ * answer on the connection is due. A searcher that is full refuses a request
+ * with 503. With --spoil it sends a wrong byte in the head of some answers.
+ * With --odd the list begins with one more entry, as it stands.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
