--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,12 +7,14 @@
 # shellcheck source=../support/fleet.sh
 source "$case_dir/../support/fleet.sh"
 BODY_BYTES=200000 # below max_body_bytes, 262,144, of the configuration
-ROUNDS=5
+ROUNDS=10
+SHORT=60          # of each of four clients: one answer in 50 may be early
 DEADLINE_MS=3000  # of rack-record, mtfra-search
 
 options=()
 [ "$TROUBLE" = 0 ] || options=(--early)
-start_standin "${options[@]}" "s1,i-s1-0,z1,$net.91:8080"
+start_standin "${options[@]}" "s1,i-s1-0,z2,$net.91:8080" \
+    "s1,i-s1-1,z1,$net.92:8080"
 start_fleet
 cat >"$dir/config" <<J
 {"version":1,"routes":[
@@ -24,10 +26,18 @@
 wait_until 20 call_once 1 POST /record/first "100" || cannot_run "no request is served"
 
 for round in $(seq "$ROUNDS"); do
-    note "round $round: a request with a long body, then a short one"
+    note "round $round: short requests at another entry host, one with a long body, short ones"
+    for k in 1 2 3 4; do
+        call 2 "$DEADLINE_MS" "POST,/record/x,a$round.$k,100,$SHORT" &
+        pids[client$k]=$!
+    done
+    for k in 1 2 3 4; do
+        wait "${pids[client$k]}"
+        unset "pids[client$k]"
+    done
     call 1 "$DEADLINE_MS" "POST,/record/long,long$round,$BODY_BYTES" \
-        "POST,/record/short,short$round,100" || true
-    sleep 1.5
+        "POST,/record/short,short$round,100,5" || true
+    sleep 1.2
 done
 
 if grep -q ' FOREIGN ' "$record"; then
