backend_link: a connection never carries the same request twice

A full server refuses request X with 503, and the other server of the service does so too; X is sent to the first one again on the same connection. The server sends a late copy of its refusal and begins to run X. The copy bears the ID of X, as it is the same for each sending, so the host takes it for the response to the second sending.

In the new tests a server plays the copy on a loopback connection.

Ruled out: a check of the ID alone, since it names the request and not the sending; avoiding the server that refused, as it may be the only one left; a rule by time, since a copy may come at any time.

Change: a connection remembers a hash of each request ID that it has carried and is not chosen for one of them again. It ends after 256 requests, so that the list stays short. This holds for retries, hedges, parts of sharded queries, delegated queries and IDs that clients use twice, as all of them choose their connections here. A response that bears an ID is no longer accepted for a request without one.

Two tests that used one ID for several requests on a connection use one ID a request; they check as much as before.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -14,6 +14,7 @@
 #include "net/address.h"
 #include "util/alloc.h"
 #include "util/clock.h"
+#include "util/map.h"
 
 #define READ_BYTES 16384
 /* Assumed idle timeout of a server that sends no timeout in Keep-Alive. */
@@ -45,6 +46,9 @@
  */
 #define STRAY_MAX_BYTES (64u << 10)
 #define INTERIM_STATUS_MAX 199 /* responses that precede the final one */
+/* A connection is closed after it has carried this many requests, as it
+ * remembers the ID of each. */
+#define REQUESTS_PER_CONNECTION_MAX 256
 
 typedef enum { CONN_CONNECTING, CONN_IDLE, CONN_BUSY, CONN_CLOSED } conn_state;
 
@@ -69,6 +73,7 @@
     size_t stray_bytes; /* received before the response to this request */
     size_t buffered;    /* bytes of the response counted in the client */
     bbl_buf request_id;
+    bbl_vec carried_ids; /* uint64_t: hashes of all IDs it has carried */
     /* NULL if no exchange runs or it was abandoned. */
     bbl_link_exchange_done done;
     void *ctx;
@@ -272,8 +277,9 @@
                                   &client->last_response};
     bbl_link_exchange_done done = c->done;
     void *ctx = c->ctx;
-    bool reusable =
-        c->message.keep_alive && !has_stray_bytes && !c->link->released;
+    bool reusable = c->message.keep_alive && !has_stray_bytes &&
+                    !c->link->released &&
+                    c->carried_ids.size < REQUESTS_PER_CONNECTION_MAX;
     bbl_usec idle = server_idle_timeout(c);
 
     client->counters.stray += has_stray_bytes;
@@ -300,7 +306,7 @@
     c->link->client->options.dialect->read_backend_head(
         &head, bbl_http_message_status(&c->message), c->message.headers.ptr,
         c->message.headers.size);
-    return c->request_id.size > 0 && head.request_id.size > 0 &&
+    return head.request_id.size > 0 &&
            !bbl_str_equal(head.request_id, bbl_buf_str(&c->request_id));
 }
 
@@ -534,6 +540,7 @@
     c->link = link;
     c->state_since = now;
     c->state = CONN_CONNECTING;
+    c->carried_ids = (bbl_vec)BBL_VEC_INIT(uint64_t);
     bbl_http_message_init(&c->message, false, client->options.response_max);
     bbl_vec_push(&link->connections, &c);
     link->preconnect_due = false;
@@ -555,16 +562,42 @@
     return c;
 }
 
-/* Returns the most recently used of the reusable connections that have been
- * idle for less than `max_idle` (0: no limit), or NULL. */
+static uint64_t
+hash_id(bbl_str request_id)
+{
+    return bbl_hash(request_id.ptr, request_id.size, 0);
+}
+
+/* Returns whether a connection has carried a request with an ID. */
+static bool
+has_carried(const conn *c, bbl_str request_id)
+{
+    uint64_t hash = hash_id(request_id);
+
+    for (size_t i = 0; request_id.size > 0 && i < c->carried_ids.size; i++) {
+        if (*BBL_VEC_AT(uint64_t, &c->carried_ids, i) == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Returns the most recently used of the reusable connections that have been
+ * idle for less than `max_idle` (0: no limit), or NULL. A connection that has
+ * carried a request is not eligible for the same one: a late copy of the first
+ * response would have the ID of the second one.
+ */
 static conn *
-find_idle(bbl_backend_link *link, bbl_usec now, bbl_usec max_idle)
+find_idle(bbl_backend_link *link, bbl_usec now, bbl_usec max_idle,
+          bbl_str request_id)
 {
     for (size_t i = link->connections.size; i > 0; i--) {
         conn *c = *BBL_VEC_AT(conn *, &link->connections, i - 1);
 
         if (c->state == CONN_IDLE && now < c->idle_until &&
-            (max_idle == 0 || now < c->state_since + max_idle)) {
+            (max_idle == 0 || now < c->state_since + max_idle) &&
+            !has_carried(c, request_id)) {
             return c;
         }
     }
@@ -598,6 +631,11 @@
     bbl_buf_append(&c->out, r->body.ptr, r->body.size);
     bbl_buf_clear(&c->request_id);
     bbl_buf_append(&c->request_id, r->request_id.ptr, r->request_id.size);
+    if (r->request_id.size > 0) {
+        uint64_t hash = hash_id(r->request_id);
+
+        bbl_vec_push(&c->carried_ids, &hash);
+    }
     c->done = r->done;
     c->ctx = r->ctx;
     c->no_body = r->no_body;
@@ -612,7 +650,7 @@
 bbl_link_exchange_start(bbl_link_exchange **out, bbl_backend_link *link,
                         bbl_usec now, const bbl_link_exchange_request *r)
 {
-    conn *c = find_idle(link, now, r->max_idle);
+    conn *c = find_idle(link, now, r->max_idle, r->request_id);
 
     *out = NULL;
     if (c == NULL && link->connections.size >= link->max_connections &&
@@ -712,7 +750,7 @@
 bool
 bbl_backend_link_has_idle(bbl_backend_link *link, bbl_usec now)
 {
-    return find_idle(link, now, 0) != NULL;
+    return find_idle(link, now, 0, (bbl_str){"", 0}) != NULL;
 }
 
 void
@@ -765,6 +803,7 @@
     bbl_http_message_free(&c->message);
     bbl_buf_free(&c->out);
     bbl_buf_free(&c->request_id);
+    bbl_vec_free(&c->carried_ids);
     free(c);
 }
 
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -4,7 +4,8 @@
  * A link is the pool of connections from this host to one backend server. A
  * client holds the links that one event loop serves. A connection carries one
  * exchange at a time; it is closed if the server sends bytes that belong to no
- * request.
+ * request. It never carries two requests with the same ID, so that a late copy
+ * of a response cannot be taken for the response to a retry.
  *
  * All functions must be called from the thread of the loop.
  */
@@ -45,7 +46,8 @@
     bbl_str head;
     bbl_str extra_fields; /* further header fields; may be empty */
     bbl_str body;
-    /* Responses with a different request ID are dropped; empty: no check. */
+    /* Responses with a different request ID are dropped, and so are those
+     * with any ID if this is empty. */
     bbl_str request_id;
     /* Maximum idle time of a connection to reuse; 0: no limit. */
     bbl_usec max_idle;
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -89,17 +89,21 @@
     close(f->listener);
 }
 
+/* Starts an exchange of the request with an ID; NULL: it has none. */
 static bbl_link_exchange *
-start_exchange_on(bbl_backend_link *link, outcome *o)
+start_request(bbl_backend_link *link, outcome *o, const char *id)
 {
-    bbl_link_exchange_request r = {
-        .head = {"GET /x HTTP/1.1\r\nHost: a\r\nRequest-Id: q1\r\n", 43},
-        .request_id = {"q1", 2},
-        .done = on_done,
-        .ctx = o,
-    };
+    char head[128];
+    bbl_link_exchange_request r = {.done = on_done, .ctx = o};
     bbl_link_exchange *x;
 
+    snprintf(head, sizeof(head), "GET /x HTTP/1.1\r\nHost: a\r\n%s%s%s",
+             id != NULL ? "Request-Id: " : "", id != NULL ? id : "",
+             id != NULL ? "\r\n" : "");
+    r.head = (bbl_str){head, strlen(head)};
+    if (id != NULL) {
+        r.request_id = (bbl_str){id, strlen(id)};
+    }
     memset(o, 0, sizeof(*o));
     ck_assert_int_eq(bbl_link_exchange_start(&x, link, bbl_clock_now(), &r),
                      0);
@@ -107,6 +111,12 @@
     return x;
 }
 
+static bbl_link_exchange *
+start_exchange_on(bbl_backend_link *link, outcome *o)
+{
+    return start_request(link, o, "q1");
+}
+
 static bbl_link_exchange *
 start_exchange(fixture *f, outcome *o)
 {
@@ -148,14 +158,19 @@
     outcome o;
     int fd;
 
+    static const char *const ids[] = {"q1", "q2", "q3"};
+
     fd = start_first_exchange(&f, &o);
     for (int i = 0; i < 3; i++) {
+        char text[128];
+
         if (i > 0) {
-            start_exchange(&f, &o);
+            start_request(f.link, &o, ids[i]);
         }
-        ck_assert_ptr_nonnull(
-            strstr(tcp_receive(f.loop, fd), "Request-Id: q1"));
-        tcp_send(fd, OK("q1", "abc", "3"));
+        snprintf(text, sizeof(text), "Request-Id: %s", ids[i]);
+        ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, fd), text));
+        snprintf(text, sizeof(text), OK("%s", "abc", "3"), ids[i]);
+        tcp_send(fd, text);
         tcp_run_loop(f.loop, 10);
         ck_assert_uint_eq(o.calls, 1);
         ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
@@ -186,6 +201,151 @@
 }
 END_TEST
 
+/*
+ * A server refuses a request, gets it again and sends a late copy of the
+ * refusal while it runs the request. Only the connection tells the copy from
+ * the response to the second sending.
+ */
+START_TEST(a_late_copy_of_a_refusal_is_not_the_response_to_a_retry)
+{
+#define REFUSAL                                                               \
+    "HTTP/1.1 503 X\r\nRequest-Id: q1\r\nNot-Executed: 1\r\n"                 \
+    "Content-Length: 0\r\n\r\n"
+    fixture f;
+    outcome o;
+    outcome other;
+    int fd;
+    int retry_fd;
+
+    fd = start_first_exchange(&f, &o);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, REFUSAL);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(o.status, 503);
+
+    start_exchange(&f, &o);
+    retry_fd = accept_connection(&f);
+    ck_assert_ptr_nonnull(
+        strstr(tcp_receive(f.loop, retry_fd), "Request-Id: q1"));
+    tcp_send(fd, REFUSAL);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(o.calls, 0);
+    tcp_send(retry_fd, OK("q1", "ran", "3"));
+    tcp_run_loop(f.loop, 10);
+    ck_assert_str_eq(o.body, "ran");
+
+    /* Other requests in between do not make it eligible again. */
+    start_request(f.link, &other, "q2");
+    ck_assert_ptr_nonnull(
+        strstr(tcp_receive(f.loop, retry_fd), "Request-Id: q2"));
+    tcp_send(retry_fd, OK("q2", "abc", "3"));
+    tcp_run_loop(f.loop, 10);
+    start_exchange(&f, &o);
+    ck_assert_ptr_nonnull(tcp_receive(f.loop, accept_connection(&f)));
+    close(fd);
+    close(retry_fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* The server of the only permitted connection is sent a request twice. */
+START_TEST(a_retry_replaces_the_connection_that_carried_the_request)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture(&f);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, OK("q1", "abc", "3"));
+    tcp_run_loop(f.loop, 10);
+    ck_assert(bbl_backend_link_has_room(f.link));
+    start_exchange(&f, &o);
+    ck_assert_str_eq(tcp_receive(f.loop, fd), "");
+    close(fd);
+    fd = accept_connection(&f);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, OK("q1", "new", "3"));
+    tcp_run_loop(f.loop, 10);
+    ck_assert_str_eq(o.body, "new");
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* A late copy of an earlier response bears an ID; the request has none. */
+START_TEST(a_response_with_an_id_is_not_for_a_request_without_one)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    fd = start_first_exchange(&f, &o);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, OK("q1", "abc", "3"));
+    tcp_run_loop(f.loop, 10);
+    start_request(f.link, &o, NULL);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, OK("q1", "abc", "3"));
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(o.calls, 0);
+    tcp_send(fd, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n");
+    for (int i = 0; i < 300 && o.calls == 0; i++) {
+        bbl_loop_run_once(f.loop, 1000);
+    }
+    ck_assert_uint_eq(o.status, 400);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* A connection remembers what it has carried, and ends before that grows. */
+START_TEST(a_connection_carries_a_limited_number_of_requests)
+{
+    enum { REQUESTS = 1000 };
+    fixture f;
+    outcome o;
+    unsigned most = 0;
+    unsigned carried = 0;
+    int fd = -1;
+
+    open_fixture(&f);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    for (int i = 0; i < REQUESTS; i++) {
+        char id[16];
+        char text[128];
+        uint64_t before = bbl_backend_client_get_counters(f.client)->connects;
+
+        snprintf(id, sizeof(id), "q%d", i);
+        start_request(f.link, &o, id);
+        if (bbl_backend_client_get_counters(f.client)->connects > before) {
+            if (fd >= 0) {
+                close(fd);
+            }
+            fd = accept_connection(&f);
+            carried = 0;
+        }
+        carried++;
+        most = carried > most ? carried : most;
+        ck_assert_ptr_nonnull(tcp_receive(f.loop, fd));
+        snprintf(text, sizeof(text), OK("%s", "abc", "3"), id);
+        tcp_send(fd, text);
+        for (int k = 0; k < 300 && o.calls == 0; k++) {
+            bbl_loop_run_once(f.loop, 1000);
+        }
+        ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
+        bbl_backend_client_tick(f.client, bbl_clock_now());
+    }
+    ck_assert_uint_gt(most, 100);
+    ck_assert_uint_lt(most, REQUESTS);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(bytes_after_a_response_close_the_connection)
 {
     fixture f;
@@ -250,12 +410,16 @@
     for (size_t cut = 0; cut < strlen(text); cut++) {
         fixture f;
         outcome o;
-        int fd = start_first_exchange(&f, &o);
+        int fd;
 
+        open_fixture(&f);
+        start_request(f.link, &o, kept ? "q0" : "q1");
+        fd = accept_connection(&f);
         tcp_receive(f.loop, fd);
         if (kept) {
-            tcp_send(fd, OK("q1", "old", "3"));
+            tcp_send(fd, OK("q0", "old", "3"));
             tcp_run_loop(f.loop, 2);
+            ck_assert_uint_eq(o.calls, 1);
             start_exchange(&f, &o);
             tcp_receive(f.loop, fd);
         }
@@ -557,6 +721,12 @@
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, a_connection_is_reused);
     tcase_add_test(tc, a_response_to_another_request_is_skipped);
+    tcase_add_test(tc,
+                   a_late_copy_of_a_refusal_is_not_the_response_to_a_retry);
+    tcase_add_test(tc,
+                   a_retry_replaces_the_connection_that_carried_the_request);
+    tcase_add_test(tc, a_response_with_an_id_is_not_for_a_request_without_one);
+    tcase_add_test(tc, a_connection_carries_a_limited_number_of_requests);
     tcase_add_test(tc, bytes_after_a_response_close_the_connection);
     tcase_add_loop_test(tc, only_complete_responses_are_accepted, 0,
                         ARRAY_SIZE(closed_responses));
