backend_link: close a connection whose request was not sent completely

A server may answer before it has read a long body, keep the connection and read on later.

Cause: conn_complete() decided on reuse by the response alone. The unsent rest of the request was dropped when the next exchange was prepared, and its bytes went out in place of that rest.

Ways weighed: sending the rest first keeps the connection but transfers bytes that nobody uses and holds the connection for as long as the server does not read; closing costs one new connection, and only after an early answer.

Change: a connection is kept only if its request was sent completely.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -277,8 +277,11 @@
                                   &client->last_response};
     bbl_link_exchange_done done = c->done;
     void *ctx = c->ctx;
-    bool reusable = c->message.keep_alive && !has_stray_bytes &&
-                    !c->link->released &&
+    /* A server may respond before it has read the whole request, and reads on
+     * later: the rest must not be replaced by another request. */
+    bool request_sent = c->sent == c->out.size;
+    bool reusable = c->message.keep_alive && request_sent &&
+                    !has_stray_bytes && !c->link->released &&
                     c->carried_ids.size < REQUESTS_PER_CONNECTION_MAX;
     bbl_usec idle = server_idle_timeout(c);
 
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -302,6 +302,127 @@
 }
 END_TEST
 
+/*
+ * Reads what is left on a connection up to its end, while the loop runs.
+ * Returns whether it was nothing but the letter 'b'.
+ */
+static bool
+is_rest_of_body(fixture *f, int fd)
+{
+    const char *text;
+
+    while ((text = tcp_receive(f->loop, fd)) != NULL && text[0] != '\0') {
+        if (text[strspn(text, "b")] != '\0') {
+            return false;
+        }
+    }
+    return text != NULL;
+}
+
+/* Statuses of a response that a server sends before it has read the body. */
+static const char *const early_statuses[] = {"200", "413", "503"};
+
+/*
+ * A server responds before it has read a long body, keeps the connection and
+ * reads on later. It must get the rest of that body or the end of the
+ * connection, not the next request.
+ */
+START_TEST(a_request_never_follows_an_incomplete_one)
+{
+    enum { BODY_BYTES = 16 << 20 };
+    static char body[BODY_BYTES];
+    fixture f;
+    outcome o;
+    outcome next;
+    bbl_link_exchange *x;
+    bbl_link_exchange_request r = {
+        .head = {"POST /x HTTP/1.1\r\nContent-Length: 16777216\r\n", 44},
+        .body = {body, BODY_BYTES},
+        .request_id = {"q1", 2},
+        .done = on_done,
+        .ctx = &o,
+    };
+    char text[128];
+    bool kept = _i % 2 == 1; /* an exchange precedes on the connection */
+    int fd = -1;
+
+    memset(body, 'b', sizeof(body));
+    open_fixture(&f);
+    if (kept) {
+        start_request(f.link, &next, "q0");
+        fd = accept_connection(&f);
+        tcp_receive(f.loop, fd);
+        tcp_send(fd, OK("q0", "abc", "3"));
+        tcp_run_loop(f.loop, 10);
+    }
+    memset(&o, 0, sizeof(o));
+    ck_assert_int_eq(bbl_link_exchange_start(&x, f.link, bbl_clock_now(), &r),
+                     0);
+    fd = kept ? fd : accept_connection(&f);
+    ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, fd), "POST /x"));
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 %s X\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n",
+             early_statuses[_i / 2]);
+    tcp_send(fd, text);
+    for (int i = 0; i < 300 && o.calls == 0; i++) {
+        bbl_loop_run_once(f.loop, 1000);
+    }
+    ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
+    start_request(f.link, &next, "q2");
+    ck_assert(is_rest_of_body(&f, fd));
+    close(fd);
+    fd = accept_connection(&f);
+    ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, fd), "Request-Id: q2"));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* The same with a response of which a part comes after the whole request. */
+START_TEST(a_connection_is_kept_if_the_request_was_sent_in_the_end)
+{
+    enum { BODY_BYTES = 4 << 20 };
+    static char body[BODY_BYTES];
+    static const char response[] = OK("q1", "abc", "3");
+    fixture f;
+    outcome o;
+    bbl_link_exchange *x;
+    bbl_link_exchange_request r = {
+        .head = {"POST /x HTTP/1.1\r\nContent-Length: 4194304\r\n", 43},
+        .body = {body, BODY_BYTES},
+        .request_id = {"q1", 2},
+        .done = on_done,
+        .ctx = &o,
+    };
+    size_t received = 0;
+    int fd;
+
+    memset(body, 'b', sizeof(body));
+    memset(&o, 0, sizeof(o));
+    open_fixture(&f);
+    ck_assert_int_eq(bbl_link_exchange_start(&x, f.link, bbl_clock_now(), &r),
+                     0);
+    fd = accept_connection(&f);
+    ck_assert_int_eq(send(fd, response, 20, MSG_NOSIGNAL), 20);
+    while (received < BODY_BYTES) {
+        const char *text = tcp_receive(f.loop, fd);
+
+        ck_assert_ptr_nonnull(text);
+        received += strlen(text);
+    }
+    tcp_send(fd, response + 20);
+    for (int i = 0; i < 300 && o.calls == 0; i++) {
+        bbl_loop_run_once(f.loop, 1000);
+    }
+    ck_assert_str_eq(o.body, "abc");
+    start_request(f.link, &o, "q2");
+    ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, fd), "Request-Id: q2"));
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->connects, 1);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 /* A connection remembers what it has carried, and ends before that grows. */
 START_TEST(a_connection_carries_a_limited_number_of_requests)
 {
@@ -727,6 +848,10 @@
                    a_retry_replaces_the_connection_that_carried_the_request);
     tcase_add_test(tc, a_response_with_an_id_is_not_for_a_request_without_one);
     tcase_add_test(tc, a_connection_carries_a_limited_number_of_requests);
+    tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0,
+                        2 * ARRAY_SIZE(early_statuses));
+    tcase_add_test(tc,
+                   a_connection_is_kept_if_the_request_was_sent_in_the_end);
     tcase_add_test(tc, bytes_after_a_response_close_the_connection);
     tcase_add_loop_test(tc, only_complete_responses_are_accepted, 0,
                         ARRAY_SIZE(closed_responses));
