--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -85,6 +85,40 @@
 }
 END_TEST
 
+/* Requests that are refused before their body has been received. */
+static const char *const early_refusals[] = {
+    "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n",
+    "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+    "Content-Length: 5000\r\n\r\n",
+    "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1000\r\n",
+    "POST /x HTTP/1.1\r\nContent-Length: 50\r\n\r\n",
+};
+
+/* The rest of the body looks like a request and must not be handled as one. */
+START_TEST(the_rest_of_a_refused_body_is_not_a_request)
+{
+    fixture f;
+    int fd;
+    const char *text;
+
+    open_fixture(&f);
+    fd = tcp_connect(f.address);
+    tcp_send(fd, early_refusals[_i]);
+    for (int i = 0; i < 10; i++) {
+        send(fd, GET, strlen(GET), MSG_NOSIGNAL);
+        tcp_run_loop(f.loop, 5);
+    }
+    text = tcp_receive(f.loop, fd);
+    ck_assert_ptr_nonnull(strstr(text, "HTTP/1.1 4"));
+    ck_assert_ptr_nonnull(strstr(text, "Connection: close\r\n"));
+    ck_assert_uint_eq(f.requests, 0);
+    ck_assert_str_eq(tcp_receive(f.loop, fd), "");
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(pipelined_requests_are_answered_in_order)
 {
     fixture f;
@@ -327,6 +361,9 @@
     TCase *tc = tcase_create("edge");
 
     tcase_add_test(tc, a_connection_is_reused);
+    tcase_add_loop_test(
+        tc, the_rest_of_a_refused_body_is_not_a_request, 0,
+        (int)(sizeof(early_refusals) / sizeof(early_refusals[0])));
     tcase_add_test(tc, pipelined_requests_are_answered_in_order);
     tcase_add_test(tc, a_disconnect_is_detected_while_a_request_is_handled);
     tcase_add_loop_test(tc, a_bad_request_is_refused_and_its_connection_closed,
--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -100,6 +100,72 @@
     return end;
 }
 
+/*
+ * A searcher responds before it has read a long body, keeps the connection and
+ * reads on later. The next request must not take the place of the rest.
+ */
+START_TEST(a_request_never_follows_an_incomplete_one)
+{
+    enum { BODY_BYTES = 16 << 20 };
+    static const char *const responses[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nno",
+    };
+    static char body[BODY_BYTES];
+    bbl_http_end end = BBL_HTTP_ABORTED;
+    bbl_http_end next_end = BBL_HTTP_ABORTED;
+    bbl_http_request r = {.timeout = BBL_USEC_PER_SEC, .response_max = 4096};
+    bbl_loop *loop;
+    bbl_http_client *http;
+    bblx_address address;
+    int listener = tcp_listen(&address);
+    char url[64];
+    void *handle;
+    const char *text = NULL;
+    size_t received = 0; /* bytes of the body */
+    int fd = -1;
+
+    memset(body, 'b', sizeof(body));
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/", address.port);
+    r.url = url;
+    r.post = true;
+    r.body = (bbl_str){body, sizeof(body)};
+    r.done = on_response;
+    r.ctx = &end;
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    ck_assert_int_eq(bbl_http_client_open(&http, loop, 0), 0);
+    ck_assert_int_eq(bbl_http_request_start(&handle, http, &r), 0);
+    for (int i = 0; i < 500 && end == BBL_HTTP_ABORTED; i++) {
+        bbl_http_client_tick(http);
+        bbl_loop_run_once(loop, 1000);
+        if (fd < 0 && (fd = accept(listener, NULL, NULL)) >= 0) {
+            text = tcp_receive(loop, fd);
+            ck_assert_ptr_nonnull(text);
+            received = strlen(strstr(text, "\r\n\r\n") + 4);
+            tcp_send(fd, responses[_i]);
+        }
+    }
+    r.body = (bbl_str){"next", 4};
+    r.ctx = &next_end;
+    ck_assert_int_eq(bbl_http_request_start(&handle, http, &r), 0);
+    for (int i = 0; i < 2000; i++) {
+        bbl_http_client_tick(http);
+        text = tcp_receive(loop, fd);
+        if (text == NULL || text[0] == '\0') {
+            break;
+        }
+        ck_assert_uint_eq(strspn(text, "b"), strlen(text));
+        received += strlen(text);
+    }
+    /* The connection has ended, or the whole body was received. */
+    ck_assert(text != NULL || received == BODY_BYTES);
+    bbl_http_client_free(http);
+    bbl_loop_free(loop);
+    close(fd);
+    close(listener);
+}
+END_TEST
+
 START_TEST(an_answer_that_ends_early_is_never_complete)
 {
     /* `tail` bytes at the end may be missing: the head and the content are
@@ -141,6 +207,7 @@
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, running_poll_is_freed_without_callback);
     tcase_add_test(tc, an_answer_that_ends_early_is_never_complete);
+    tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0, 2);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
 }
