Evacuations take effect only on the state on which they were decided

An operator withdraws an evacuation at a control host that is frozen, gets no answer, withdraws it at another host and evacuates the data centre again later. The frozen host wakes, reads the old withdrawal and has it recorded.

Cause: an evacuation has no version, so it is applied in the order of arrival. Nothing limited its age: neither in the socket, nor at the proposing host, which went on for 3 s after its operator had left, nor on its way to the leader, where the mesh sends it once a cut heals.

The new tests show each path.

Ruled out, alone: a check that the operator is still there (its FIN may be late, and the proposal is on its way); an age by a clock of the host (it does not bound the time between hosts); a new kind of message (earlier builds close the connection at kinds that they do not know).

Change: a command that may have waited over a second in the socket, which the loop knows as it measures its own absence, or whose operator has closed the connection, is refused with 503. A proposal without a version is withdrawn with its operator. It names the index that its host had applied; the leader refuses it if a later evacuation is in its log, and the host decides anew when it has applied that one, if the operator still waits. A leader of an earlier build cannot read the index and says so; it gets the plain command.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -162,6 +162,12 @@
 };
 typedef struct bblx_command bblx_command;
 
+struct bblx_conditional_command {
+	bblx_command command;
+	u_quad_t decided_at;
+};
+typedef struct bblx_conditional_command bblx_conditional_command;
+
 struct bblx_entry {
 	u_quad_t index;
 	u_quad_t term;
@@ -613,6 +619,7 @@
 extern  bool_t xdr_bblx_routing (XDR *, bblx_routing*);
 extern  bool_t xdr_bblx_evacuate (XDR *, bblx_evacuate*);
 extern  bool_t xdr_bblx_command (XDR *, bblx_command*);
+extern  bool_t xdr_bblx_conditional_command (XDR *, bblx_conditional_command*);
 extern  bool_t xdr_bblx_entry (XDR *, bblx_entry*);
 extern  bool_t xdr_bblx_change_record (XDR *, bblx_change_record*);
 extern  bool_t xdr_bblx_claim_record (XDR *, bblx_claim_record*);
@@ -668,6 +675,7 @@
 extern bool_t xdr_bblx_routing ();
 extern bool_t xdr_bblx_evacuate ();
 extern bool_t xdr_bblx_command ();
+extern bool_t xdr_bblx_conditional_command ();
 extern bool_t xdr_bblx_entry ();
 extern bool_t xdr_bblx_change_record ();
 extern bool_t xdr_bblx_claim_record ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -271,6 +271,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_conditional_command (XDR *xdrs, bblx_conditional_command *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bblx_command (xdrs, &objp->command))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->decided_at))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_entry (XDR *xdrs, bblx_entry *objp)
 {
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -128,6 +128,16 @@
     bblx_evacuate evacuate;
 };
 
+/*
+ * A proposed command without a version of its own. The leader refuses it with
+ * BBL_ECONFLICT if its log has a later command of the kind than
+ * `decided_at`; the index in the reply is the one to apply first.
+ */
+struct bblx_conditional_command {
+    bblx_command command;
+    unsigned hyper decided_at; /* index that the proposer had applied */
+};
+
 struct bblx_entry {
     unsigned hyper index;
     unsigned hyper term;
@@ -331,7 +341,8 @@
 
 struct bblx_propose {
     unsigned hyper number;
-    bblx_text data;
+    bblx_text data;           /* an encoded bblx_command or
+                                 bblx_conditional_command */
 };
 
 struct bblx_propose_reply {
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1,5 +1,6 @@
 #include "control/control_core.h"
 
+#include <endian.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -37,6 +38,11 @@
     bbl_buf data;
     bbl_usec deadline;
     bbl_usec next_try;
+    /* Sent as a bblx_conditional_command. */
+    bool conditional;
+    uint64_t decided_at; /* see bblx_conditional_command */
+    /* Index to apply before the next try, 0 if none. */
+    uint64_t awaited_index;
 } own_proposal;
 
 /* A proposal in this leader's log that is not applied yet. */
@@ -148,12 +154,21 @@
     bbl_buf_clear(&c->snapshot);
 }
 
+static void
+record_evacuation(bbl_control *c, uint64_t index)
+{
+    if (index > c->evacuations_index) {
+        c->evacuations_index = index;
+    }
+}
+
 void
 bbl_control_restart_log(bbl_control *c)
 {
     clear_feed_entries(c);
     c->lists_index = bbl_state_applied_index(c->state);
     c->public_index = c->lists_index;
+    record_evacuation(c, c->lists_index);
     c->revision++;
     c->feed_due = true;
     c->heartbeat_due = true;
@@ -173,6 +188,9 @@
         return;
     }
     bbl_state_apply(c->state, index, data, &result);
+    if (bbl_state_is_evacuation(data)) {
+        record_evacuation(c, index);
+    }
     retain_entry(c, index, data);
     c->public_index = index;
     if (bbl_state_lists_version(c->state) != version) {
@@ -184,20 +202,57 @@
 
 /* ---- proposals ---- */
 
-static void
-complete_own_proposal(bbl_control *c, const bblx_propose_reply *reply)
+/* Forgets a proposal; returns whether it was known. */
+static bool
+remove_own_proposal(bbl_control *c, uint64_t number)
 {
     for (size_t i = 0; i < c->own_proposals.size; i++) {
         own_proposal *p = bbl_vec_at(&c->own_proposals, i);
 
-        if (p->number == reply->number) {
+        if (p->number == number) {
             bbl_buf_free(&p->data);
             bbl_vec_remove(&c->own_proposals, i);
-            c->options.port.complete_proposal(c->options.port.ctx,
-                                              reply->number, reply);
-            return;
+            return true;
         }
     }
+    return false;
+}
+
+/*
+ * Handles the refusal of a conditional proposal. Returns false if it is to be
+ * reported.
+ */
+static bool
+defer_own_proposal(bbl_control *c, const bblx_propose_reply *reply)
+{
+    for (size_t i = 0; i < c->own_proposals.size; i++) {
+        own_proposal *p = bbl_vec_at(&c->own_proposals, i);
+
+        if (p->number != reply->number || !p->conditional) {
+            continue;
+        }
+        if (reply->status == BBL_ECONFLICT) {
+            p->awaited_index = reply->index;
+            return true;
+        }
+        if (reply->status == BBL_EDAMAGED) {
+            /* A leader of an earlier build cannot read the condition. */
+            p->conditional = false;
+            p->next_try = c->now;
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+complete_own_proposal(bbl_control *c, const bblx_propose_reply *reply)
+{
+    if (!defer_own_proposal(c, reply) &&
+        remove_own_proposal(c, reply->number)) {
+        c->options.port.complete_proposal(c->options.port.ctx, reply->number,
+                                          reply);
+    }
 }
 
 static void
@@ -218,18 +273,53 @@
     bbl_control_send(c, host, address, &m);
 }
 
-/* Re-encodes a proposed command; claims and outcomes get the leader's time. */
+/*
+ * Decodes the data of a proposal.
+ *
+ * @param decided_at set to the index on which a conditional command depends,
+ *                   UINT64_MAX for another command
+ */
+static int
+decode_proposal(bblx_command *command, uint64_t *decided_at, bbl_str data)
+{
+    bblx_conditional_command conditional;
+    int error;
+
+    *decided_at = UINT64_MAX;
+    memset(command, 0, sizeof(*command));
+    if (BBL_XDR_DECODE(command, bblx_command, data) == 0) {
+        return 0;
+    }
+    memset(&conditional, 0, sizeof(conditional));
+    error = BBL_XDR_DECODE(&conditional, bblx_conditional_command, data);
+    if (error == 0) {
+        *command = conditional.command;
+        *decided_at = conditional.decided_at;
+    }
+    return error;
+}
+
+/*
+ * Re-encodes a proposed command; claims and outcomes get the leader's time.
+ *
+ * @return 0; BBL_ECONFLICT if the command was decided on a state that has
+ *         changed since
+ */
 static int
 stamp_command(bbl_control *c, bbl_str data, bbl_buf *out)
 {
     bblx_command command;
-    int error;
+    uint64_t decided_at;
+    int error = decode_proposal(&command, &decided_at, data);
 
-    memset(&command, 0, sizeof(command));
-    error = BBL_XDR_DECODE(&command, bblx_command, data);
     if (error != 0) {
         return error;
     }
+    if (decided_at < c->evacuations_index) {
+        BBL_XDR_FREE(bblx_command, &command);
+        return bbl_error_set(BBL_ECONFLICT,
+                             "a later command of this kind is recorded");
+    }
     if (command.kind == BBLX_CLAIM) {
         command.bblx_command_u.claim.time_ms = c->wall_ms;
     }
@@ -276,39 +366,80 @@
                                        bbl_buf_str(&stamped));
         }
     }
-    bbl_buf_free(&stamped);
     if (error == 0) {
+        if (bbl_state_is_evacuation(bbl_buf_str(&stamped))) {
+            record_evacuation(c, w.index);
+        }
+        bbl_buf_free(&stamped);
         bbl_vec_push(&c->logged_proposals, &w);
         return;
     }
+    bbl_buf_free(&stamped);
     reply.number = number;
     reply.status = error;
+    reply.index = error == BBL_ECONFLICT ? c->evacuations_index : 0;
     reply.leader = c->leader;
     send_proposal_reply(c, host, address, &reply);
 }
 
+/* Appends what a proposal sends to the leader. */
+static void
+append_proposal_data(bbl_buf *out, const own_proposal *p)
+{
+    uint64_t decided_at = htobe64(p->decided_at);
+
+    bbl_buf_append(out, p->data.ptr, p->data.size);
+    if (p->conditional) {
+        /* The command and its index are a bblx_conditional_command. */
+        bbl_buf_append(out, &decided_at, sizeof(decided_at));
+    }
+}
+
 static void
 submit_own_proposal(bbl_control *c, own_proposal *p)
 {
     bblx_message m;
     bblx_address address;
+    bbl_buf data = BBL_BUF_INIT;
 
     p->next_try = c->now + PROPOSAL_RETRY_US;
+    append_proposal_data(&data, p);
     if (bbl_control_leads_now(c)) {
         append_proposal(c, c->options.host, c->options.control, p->number,
-                        bbl_buf_str(&p->data));
+                        bbl_buf_str(&data));
+        bbl_buf_free(&data);
         return;
     }
-    if (c->leader == 0 || c->leader == c->options.host ||
-        !bbl_control_find_address(c, c->leader, &address)) {
-        return;
+    if (c->leader != 0 && c->leader != c->options.host &&
+        bbl_control_find_address(c, c->leader, &address)) {
+        memset(&m, 0, sizeof(m));
+        m.kind = BBLX_PROPOSE;
+        m.bblx_message_u.propose.number = p->number;
+        m.bblx_message_u.propose.data =
+            bbl_wire_text_borrow(bbl_buf_str(&data));
+        bbl_control_send(c, c->leader, address, &m);
     }
-    memset(&m, 0, sizeof(m));
-    m.kind = BBLX_PROPOSE;
-    m.bblx_message_u.propose.number = p->number;
-    m.bblx_message_u.propose.data =
-        bbl_wire_text_borrow(bbl_buf_str(&p->data));
-    bbl_control_send(c, c->leader, address, &m);
+    bbl_buf_free(&data);
+}
+
+/*
+ * Returns whether a proposal is due. A refused conditional one is decided anew
+ * once this host knows the state that the leader refers to.
+ */
+static bool
+is_due(const bbl_control *c, own_proposal *p)
+{
+    uint64_t applied = bbl_state_applied_index(c->state);
+
+    if (p->awaited_index > applied) {
+        return false;
+    }
+    if (p->awaited_index != 0) {
+        p->awaited_index = 0;
+        p->decided_at = applied;
+        return true;
+    }
+    return c->now >= p->next_try;
 }
 
 static void
@@ -325,7 +456,7 @@
             complete_own_proposal(c, &reply);
             continue;
         }
-        if (c->now >= p->next_try) {
+        if (is_due(c, p)) {
             submit_own_proposal(c, p);
         }
         i++;
@@ -344,6 +475,23 @@
     return c->last_proposal_number;
 }
 
+uint64_t
+bbl_control_propose_evacuation(bbl_control *c, bbl_usec now, bbl_str command)
+{
+    uint64_t number = bbl_control_propose(c, now, command);
+    own_proposal *p = bbl_vec_at(&c->own_proposals, c->own_proposals.size - 1);
+
+    p->conditional = true;
+    p->decided_at = bbl_state_applied_index(c->state);
+    return number;
+}
+
+void
+bbl_control_withdraw_proposal(bbl_control *c, uint64_t number)
+{
+    remove_own_proposal(c, number);
+}
+
 /* ---- the port of the quorum ---- */
 
 static void
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -138,6 +138,22 @@
 uint64_t bbl_control_propose(bbl_control *control, bbl_usec now,
                              bbl_str command);
 
+/*
+ * Same as bbl_control_propose, for the evacuation or restoration of a data
+ * centre. The leader does not record it while a later command of this kind
+ * than this host has applied is in its log: the command may have been delayed
+ * on its way, and would undo a newer one. This host proposes it again once it
+ * has applied that command, unless it has been withdrawn.
+ */
+uint64_t bbl_control_propose_evacuation(bbl_control *control, bbl_usec now,
+                                        bbl_str command);
+
+/*
+ * Stops sending a proposal whose outcome nobody awaits any more. It may still
+ * be recorded if it has reached the leader.
+ */
+void bbl_control_withdraw_proposal(bbl_control *control, uint64_t number);
+
 /* Publishes this owner's report of a searcher; sets `serial` in its copy. */
 void bbl_control_report(bbl_control *control, const bblx_report *report);
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -87,7 +87,10 @@
     uint64_t report_serial;   /* serial number of the last own report */
     uint64_t revision;        /* grows with each change of state or rows */
     uint64_t seen_rows_revision;
-    uint64_t lists_index;  /* log index of the current lists */
+    uint64_t lists_index; /* log index of the current lists */
+    /* Log index, at most, of the last evacuation or restoration of a data
+     * centre that is applied or that this host appended as the leader. */
+    uint64_t evacuations_index;
     uint64_t public_index; /* last index that matters to members */
     bbl_usec next_assignment;
     bbl_usec next_publish;
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -635,6 +635,12 @@
     return s->claims.size;
 }
 
+bool
+bbl_state_is_evacuation(bbl_str data)
+{
+    return data.size >= 4 && data.ptr[3] == BBLX_EVACUATE;
+}
+
 bool
 bbl_state_is_feed_command(bbl_str data)
 {
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -104,6 +104,9 @@
 /* Returns the number of claims kept. */
 size_t bbl_state_claim_count(const bbl_state *state);
 
+/* Returns whether a command evacuates or restores a data centre. */
+bool bbl_state_is_evacuation(bbl_str data);
+
 /*
  * Returns whether the change feed carries a command to the hosts that do not
  * vote.
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -494,6 +494,7 @@
     bbl_loop_run_once(n->loop, get_loop_wait(n));
     n->now = bbl_clock_now();
     handle_notices(n);
+    bbl_operator_api_withdraw_abandoned(&n->operator_api);
     bbl_control_tick(n->control, n->now, bbl_clock_wall_ms());
     bbl_mesh_tick(n->mesh, n->now);
     publish_update(n);
--- a/src/daemon/operator_api.c
+++ b/src/daemon/operator_api.c
@@ -7,6 +7,9 @@
 #include "util/deflate.h"
 #include "util/log.h"
 
+/* Operators turn to another host if they have no response after this time. */
+#define RESPONSE_TIMEOUT_US (1000 * BBL_USEC_PER_MS)
+
 /* An operator command whose proposal has no outcome yet. */
 typedef struct {
     uint64_t number; /* of the proposal */
@@ -28,6 +31,18 @@
     return names[kind];
 }
 
+/*
+ * Withdraws the proposal of a command that has no version: it must not take
+ * effect once its operator has left and may have revoked it elsewhere.
+ */
+static void
+withdraw_unversioned(bbl_operator_api *api, const pending_proposal *p)
+{
+    if (p->kind != BBL_OPERATOR_COMMAND_PUT_ROUTING) {
+        bbl_control_withdraw_proposal(api->control, p->number);
+    }
+}
+
 void
 bbl_operator_api_init(bbl_operator_api *api, bbl_control *control,
                       const bbl_dialect *dialect, bblx_address address)
@@ -81,7 +96,10 @@
     }
     else {
         pending.number =
-            bbl_control_propose(api->control, now, bbl_buf_str(&data));
+            command->kind == BBLX_EVACUATE
+                ? bbl_control_propose_evacuation(api->control, now,
+                                                 bbl_buf_str(&data))
+                : bbl_control_propose(api->control, now, bbl_buf_str(&data));
         bbl_vec_push(&api->proposals, &pending);
     }
     bbl_buf_free(&data);
@@ -143,6 +161,19 @@
 {
     bblx_command command;
 
+    /*
+     * An evacuation has no version, so it must not take effect after the
+     * operator has given it up: it may have withdrawn it elsewhere meanwhile.
+     * The call may have waited in the socket, for example while this host was
+     * frozen.
+     */
+    if (now > call->received_at + RESPONSE_TIMEOUT_US ||
+        !bbl_edge_call_is_awaited(call)) {
+        log_command(operator_command->kind, 0, 503,
+                    "received after the operator has given it up");
+        respond(call, 503, "received too late");
+        return;
+    }
     memset(&command, 0, sizeof(command));
     command.kind = BBLX_EVACUATE;
     command.bblx_command_u.evacuate.zone =
@@ -237,13 +268,29 @@
 bbl_operator_api_cancel_call(bbl_operator_api *api, const bbl_edge_call *call)
 {
     for (size_t i = 0; i < api->proposals.size; i++) {
-        if (BBL_VEC_AT(pending_proposal, &api->proposals, i)->call == call) {
+        const pending_proposal *p = bbl_vec_at(&api->proposals, i);
+
+        if (p->call == call) {
+            withdraw_unversioned(api, p);
+            log_command(p->kind, p->version, 0, "the operator has left");
             bbl_vec_swap_remove(&api->proposals, i);
             return;
         }
     }
 }
 
+void
+bbl_operator_api_withdraw_abandoned(bbl_operator_api *api)
+{
+    for (size_t i = 0; i < api->proposals.size; i++) {
+        const pending_proposal *p = bbl_vec_at(&api->proposals, i);
+
+        if (!bbl_edge_call_is_awaited(p->call)) {
+            withdraw_unversioned(api, p);
+        }
+    }
+}
+
 void
 bbl_operator_api_complete_proposal(bbl_operator_api *api, uint64_t number,
                                    const bblx_propose_reply *reply)
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -30,10 +30,19 @@
 void bbl_operator_api_handle_call(bbl_operator_api *api, bbl_usec now,
                                   bbl_edge_call *call);
 
-/* Drops an open call whose operator has disconnected. */
+/*
+ * Drops an open call whose operator has disconnected. Its proposal is
+ * withdrawn unless it is a routing, which has a version.
+ */
 void bbl_operator_api_cancel_call(bbl_operator_api *api,
                                   const bbl_edge_call *call);
 
+/*
+ * Withdraws the proposals, other than routings, of operators that have
+ * disconnected. Call it before the control core sends proposals.
+ */
+void bbl_operator_api_withdraw_abandoned(bbl_operator_api *api);
+
 /* Answers the call that waits for the outcome of a proposal, if any. */
 void bbl_operator_api_complete_proposal(bbl_operator_api *api, uint64_t number,
                                         const bblx_propose_reply *reply);
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -202,6 +203,15 @@
     conn_write(c);
 }
 
+bool
+bbl_edge_call_is_awaited(const bbl_edge_call *call)
+{
+    const conn *c = (const conn *)((const char *)call - offsetof(conn, call));
+    struct pollfd p = {c->fd, POLLRDHUP, 0};
+
+    return poll(&p, 1, 0) == 0;
+}
+
 void
 bbl_edge_respond(bbl_edge_call *call, const bbl_edge_response *response)
 {
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -79,6 +79,10 @@
 
 void bbl_edge_set_limits(bbl_edge *edge, const bbl_caller_limits *limits);
 
+/* Returns whether the caller still waits for the response to a call, as far as
+ * the socket tells now. */
+bool bbl_edge_call_is_awaited(const bbl_edge_call *call);
+
 /* Sends the response to a call, which is invalid afterwards. */
 void bbl_edge_respond(bbl_edge_call *call, const bbl_edge_response *response);
 
--- /dev/null
+++ b/tests/test_operator_api.c
@@ -0,0 +1,503 @@
+/*
+ * Tests of operator commands on a control host: over a loopback connection to
+ * one host that leads alone, and between two simulated hosts.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbl/errors.h"
+#include "daemon/operator_api.h"
+#include "platform/dialect.h"
+#include "support/memdisk.h"
+#include "support/run.h"
+#include "support/tcp.h"
+#include "util/clock.h"
+
+#define STEP_US 1000u
+#define EVACUATE "POST /-/evacuations/dc1 HTTP/1.1\r\nHost: a\r\n\r\n"
+#define RESTORE "DELETE /-/evacuations/dc1 HTTP/1.1\r\nHost: a\r\n\r\n"
+/* Longer than an operator waits for a response. */
+#define FREEZE_US (1200 * BBL_USEC_PER_MS)
+
+/* ---- one host over loopback ---- */
+
+typedef struct {
+    bbl_loop *loop;
+    bbl_edge *edge;
+    bblx_address address;
+    memdisk disk;
+    bblx_voter seed;
+    bbl_control *control;
+    bbl_operator_api api;
+} fixture;
+
+static void
+ignore_send(void *ctx, uint32_t host, bblx_address to, const bblx_message *m)
+{
+    (void)ctx;
+    (void)host;
+    (void)to;
+    (void)m;
+}
+
+static void
+on_complete(void *ctx, uint64_t number, const bblx_propose_reply *reply)
+{
+    fixture *f = ctx;
+
+    bbl_operator_api_complete_proposal(&f->api, number, reply);
+}
+
+static void
+on_request(void *ctx, bbl_edge_call *call)
+{
+    fixture *f = ctx;
+
+    bbl_operator_api_handle_call(&f->api, bbl_clock_now(), call);
+}
+
+static void
+on_disconnect(void *ctx, bbl_edge_call *call)
+{
+    fixture *f = ctx;
+
+    bbl_operator_api_cancel_call(&f->api, call);
+}
+
+static void
+run_host(fixture *f, int ms)
+{
+    for (int i = 0; i < ms; i++) {
+        bbl_loop_run_once(f->loop, 1000);
+        bbl_operator_api_withdraw_abandoned(&f->api);
+        bbl_control_tick(f->control, bbl_clock_now(), 0);
+    }
+}
+
+static void
+open_fixture(fixture *f)
+{
+    bbl_edge_handler handler = {on_request, on_disconnect, f};
+    bbl_control_options o = BBL_CONTROL_OPTIONS_INIT;
+
+    memset(f, 0, sizeof(*f));
+    f->address = tcp_free_address();
+    ck_assert_int_eq(bbl_loop_open(&f->loop), 0);
+    ck_assert_int_eq(bbl_edge_open(&f->edge, f->loop, f->address, &handler),
+                     0);
+    memdisk_init(&f->disk);
+    f->seed = (bblx_voter){1, 1, BBLX_VOTER, {1, 1}};
+    ck_assert_int_eq(bbl_quorum_bootstrap(memdisk_open(&f->disk), 1), 0);
+    o.host = 1;
+    o.incarnation = 1;
+    bbl_name_set(&o.zone, "dc2", 3);
+    o.control = (bblx_address){1, 1};
+    o.seeds.list.list_len = 1;
+    o.seeds.list.list_val = &f->seed;
+    o.port.send = ignore_send;
+    o.port.complete_proposal = on_complete;
+    o.port.ctx = f;
+    ck_assert_int_eq(bbl_control_open(&f->control, &o, memdisk_open(&f->disk),
+                                      bbl_clock_now()),
+                     0);
+    bbl_operator_api_init(&f->api, f->control, bbl_platform_dialect(),
+                          f->address);
+    while (!bbl_control_leads(f->control, bbl_clock_now())) {
+        run_host(f, 1);
+    }
+}
+
+static void
+close_fixture(fixture *f)
+{
+    bbl_edge_free(f->edge);
+    bbl_loop_free(f->loop);
+    bbl_operator_api_free(&f->api);
+    bbl_control_free(f->control);
+    memdisk_free(&f->disk);
+}
+
+static bool
+is_evacuated(const bbl_control *control)
+{
+    return bbl_state_evacuated_zone(bbl_control_state(control), 0) != NULL;
+}
+
+/* Sends a command and waits for its response with a status. */
+static void
+command(fixture *f, const char *request, const char *status)
+{
+    int fd = tcp_connect(f->address);
+    const char *text = NULL;
+
+    tcp_send(fd, request);
+    for (int i = 0; i < 50 && text == NULL; i++) {
+        char byte;
+
+        run_host(f, 10);
+        if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+            text = tcp_receive(f->loop, fd);
+        }
+    }
+    ck_assert_ptr_nonnull(text);
+    ck_assert_msg(strncmp(text + 9, status, 3) == 0, "%s", text);
+    close(fd);
+}
+
+START_TEST(evacuations_are_recorded_and_withdrawn)
+{
+    fixture f;
+
+    open_fixture(&f);
+    command(&f, EVACUATE, "200");
+    ck_assert(is_evacuated(f.control));
+    command(&f, EVACUATE, "200");
+    command(&f, RESTORE, "200");
+    ck_assert(!is_evacuated(f.control));
+    command(&f, RESTORE, "200");
+    close_fixture(&f);
+}
+END_TEST
+
+/*
+ * A command waited in the socket of a frozen host, on a new connection or on
+ * one that the host had accepted. Its operator has turned to another host.
+ */
+START_TEST(a_command_that_waited_too_long_is_refused)
+{
+    fixture f;
+    int fd;
+    const char *text;
+
+    open_fixture(&f);
+    command(&f, EVACUATE, "200");
+    fd = tcp_connect(f.address);
+    if (_i == 1) {
+        run_host(&f, 20);
+    }
+    tcp_send(fd, RESTORE);
+    usleep(FREEZE_US);
+    run_host(&f, 50);
+    ck_assert(is_evacuated(f.control));
+    text = tcp_receive(f.loop, fd);
+    ck_assert_ptr_nonnull(strstr(text, "HTTP/1.1 503"));
+    close(fd);
+    command(&f, RESTORE, "200");
+    close_fixture(&f);
+}
+END_TEST
+
+/* An operator has closed the connection before its command is read. */
+START_TEST(a_command_of_an_operator_that_has_left_is_not_proposed)
+{
+    fixture f;
+    int fd;
+
+    open_fixture(&f);
+    command(&f, EVACUATE, "200");
+    fd = tcp_connect(f.address);
+    run_host(&f, 20);
+    tcp_send(fd, RESTORE);
+    if (_i == 0) {
+        shutdown(fd, SHUT_WR);
+    }
+    else {
+        close(fd);
+    }
+    run_host(&f, 50);
+    ck_assert(is_evacuated(f.control));
+    close_fixture(&f);
+}
+END_TEST
+
+/* ---- two hosts: host 1 leads, host 2 passes commands on ---- */
+
+typedef struct {
+    uint32_t from;
+    uint32_t to;
+    bbl_buf bytes;
+} packet;
+
+typedef struct {
+    bbl_usec now;
+    bblx_voter seed;
+    memdisk disk;
+    bbl_control *hosts[3];
+    bbl_vec packets;   /* packet */
+    bbl_vec held;      /* packet: proposals of host 2 */
+    bool hold;         /* proposals of host 2 are held back */
+    bool no_feed;      /* host 2 does not learn of changes */
+    bool old_leader;   /* host 1 cannot read conditional commands */
+    unsigned proposes; /* proposals that host 2 has sent */
+    unsigned completions;
+    int status; /* of the last completion */
+} simulation;
+
+typedef struct {
+    simulation *sim;
+    uint32_t host;
+} port_ctx;
+
+static port_ctx contexts[3];
+
+/* Answers a proposal as a build does that knows no conditional commands. */
+static bool
+refuse_as_old_leader(simulation *sim, const bblx_message *m)
+{
+    bblx_command c;
+    bblx_message reply;
+
+    memset(&c, 0, sizeof(c));
+    if (BBL_XDR_DECODE(&c, bblx_command,
+                       bbl_wire_text_str(&m->bblx_message_u.propose.data)) ==
+        0) {
+        BBL_XDR_FREE(bblx_command, &c);
+        return false;
+    }
+    memset(&reply, 0, sizeof(reply));
+    reply.kind = BBLX_PROPOSE_REPLY;
+    reply.bblx_message_u.propose_reply.number =
+        m->bblx_message_u.propose.number;
+    reply.bblx_message_u.propose_reply.status = BBL_EDAMAGED;
+    bbl_control_step(sim->hosts[2], sim->now, 1, &reply);
+    return true;
+}
+
+static void
+on_send(void *ctx, uint32_t to, bblx_address address, const bblx_message *m)
+{
+    const port_ctx *p = ctx;
+    simulation *sim = p->sim;
+    bool propose = p->host == 2 && m->kind == BBLX_PROPOSE;
+    packet *k;
+
+    (void)address;
+    if (to == 0 || to > 2 ||
+        (sim->no_feed && p->host == 1 && m->kind == BBLX_FEED)) {
+        return;
+    }
+    sim->proposes += propose;
+    k = bbl_vec_add(propose && sim->hold ? &sim->held : &sim->packets);
+    k->from = p->host;
+    k->to = to;
+    ck_assert_int_eq(BBL_XDR_ENCODE(&k->bytes, bblx_message, m), 0);
+}
+
+static void
+on_proposed(void *ctx, uint64_t number, const bblx_propose_reply *reply)
+{
+    const port_ctx *p = ctx;
+
+    (void)number;
+    p->sim->completions++;
+    p->sim->status = reply->status;
+}
+
+static void
+deliver_all(simulation *sim, bbl_vec *packets)
+{
+    while (packets->size > 0) {
+        packet k = *BBL_VEC_AT(packet, packets, 0);
+        bblx_message m;
+
+        bbl_vec_remove(packets, 0);
+        memset(&m, 0, sizeof(m));
+        ck_assert_int_eq(
+            BBL_XDR_DECODE(&m, bblx_message, bbl_buf_str(&k.bytes)), 0);
+        if (!sim->old_leader || m.kind != BBLX_PROPOSE ||
+            !refuse_as_old_leader(sim, &m)) {
+            bbl_control_step(sim->hosts[k.to], sim->now, k.from, &m);
+        }
+        BBL_XDR_FREE(bblx_message, &m);
+        bbl_buf_free(&k.bytes);
+    }
+}
+
+static void
+run_hosts(simulation *sim, unsigned ms)
+{
+    for (unsigned i = 0; i < ms; i++) {
+        sim->now += STEP_US;
+        bbl_control_tick(sim->hosts[1], sim->now, 0);
+        bbl_control_tick(sim->hosts[2], sim->now, 0);
+        deliver_all(sim, &sim->packets);
+    }
+}
+
+static void
+open_simulation(simulation *sim)
+{
+    memset(sim, 0, sizeof(*sim));
+    sim->now = BBL_USEC_PER_SEC;
+    sim->seed = (bblx_voter){1, 1, BBLX_VOTER, {1, 1}};
+    sim->packets = (bbl_vec)BBL_VEC_INIT(packet);
+    sim->held = (bbl_vec)BBL_VEC_INIT(packet);
+    memdisk_init(&sim->disk);
+    ck_assert_int_eq(bbl_quorum_bootstrap(memdisk_open(&sim->disk), 1), 0);
+    for (uint32_t h = 1; h <= 2; h++) {
+        bbl_control_options o = BBL_CONTROL_OPTIONS_INIT;
+
+        contexts[h] = (port_ctx){sim, h};
+        o.host = h;
+        o.incarnation = h;
+        bbl_name_set(&o.zone, "dc2", 3);
+        o.control = (bblx_address){h, 1};
+        o.seeds.list.list_len = 1;
+        o.seeds.list.list_val = &sim->seed;
+        o.port.send = on_send;
+        o.port.complete_proposal = on_proposed;
+        o.port.ctx = &contexts[h];
+        ck_assert_int_eq(
+            bbl_control_open(&sim->hosts[h], &o,
+                             h == 1 ? memdisk_open(&sim->disk) : NULL,
+                             sim->now),
+            0);
+    }
+    run_hosts(sim, 3000);
+    ck_assert(bbl_control_leads(sim->hosts[1], sim->now));
+}
+
+static void
+close_simulation(simulation *sim)
+{
+    for (size_t i = 0; i < sim->held.size; i++) {
+        bbl_buf_free(&BBL_VEC_AT(packet, &sim->held, i)->bytes);
+    }
+    bbl_vec_free(&sim->held);
+    bbl_vec_free(&sim->packets);
+    bbl_control_free(sim->hosts[1]);
+    bbl_control_free(sim->hosts[2]);
+    memdisk_free(&sim->disk);
+}
+
+/* Proposes to evacuate or to restore dc1 at a host. */
+static uint64_t
+propose(simulation *sim, uint32_t host, bool evacuate)
+{
+    bblx_command c;
+    bbl_buf data = BBL_BUF_INIT;
+    uint64_t number;
+
+    memset(&c, 0, sizeof(c));
+    c.kind = BBLX_EVACUATE;
+    c.bblx_command_u.evacuate.zone = (bblx_name){3, "dc1"};
+    c.bblx_command_u.evacuate.withdraw = evacuate;
+    ck_assert_int_eq(BBL_XDR_ENCODE(&data, bblx_command, &c), 0);
+    number = bbl_control_propose_evacuation(sim->hosts[host], sim->now,
+                                            bbl_buf_str(&data));
+    bbl_buf_free(&data);
+    return number;
+}
+
+/*
+ * A restoration is held up between two hosts. Meanwhile it is made by way of
+ * another host, and the data centre is evacuated again. What was held up must
+ * not undo that.
+ */
+START_TEST(a_delayed_command_does_not_undo_a_newer_one)
+{
+    simulation sim;
+
+    open_simulation(&sim);
+    propose(&sim, 1, true);
+    run_hosts(&sim, 500);
+    ck_assert(is_evacuated(sim.hosts[2]));
+    sim.hold = true;
+    propose(&sim, 2, false);
+    run_hosts(&sim, 20);
+    ck_assert_uint_ge(sim.held.size, 1);
+    if (_i == 1) {
+        propose(&sim, 1, false);
+        run_hosts(&sim, 20);
+    }
+    propose(&sim, 1, true);
+    run_hosts(&sim, 3500); /* the proposal of host 2 times out */
+    sim.hold = false;
+    deliver_all(&sim, &sim.held);
+    run_hosts(&sim, 500);
+    ck_assert(is_evacuated(sim.hosts[1]));
+    ck_assert(is_evacuated(sim.hosts[2]));
+    close_simulation(&sim);
+}
+END_TEST
+
+/* A host that does not know the last change yet proposes the next one. */
+START_TEST(a_command_is_decided_anew_on_the_present_state)
+{
+    simulation sim;
+
+    open_simulation(&sim);
+    sim.no_feed = true;
+    propose(&sim, 1, true);
+    run_hosts(&sim, 50);
+    ck_assert(is_evacuated(sim.hosts[1]));
+    propose(&sim, 2, false);
+    run_hosts(&sim, 50);
+    ck_assert(is_evacuated(sim.hosts[1]));
+    ck_assert_uint_eq(sim.completions, 1);
+    sim.no_feed = false;
+    run_hosts(&sim, 1000);
+    ck_assert(!is_evacuated(sim.hosts[1]));
+    ck_assert_uint_eq(sim.completions, 2);
+    ck_assert_int_eq(sim.status, 0);
+    close_simulation(&sim);
+}
+END_TEST
+
+/* The operator leaves while the command waits for the state or the leader. */
+START_TEST(a_withdrawn_proposal_is_not_sent_any_more)
+{
+    simulation sim;
+    uint64_t number;
+    unsigned sent;
+
+    open_simulation(&sim);
+    propose(&sim, 1, true);
+    run_hosts(&sim, 500);
+    sim.hold = true;
+    number = propose(&sim, 2, false);
+    run_hosts(&sim, 20);
+    bbl_control_withdraw_proposal(sim.hosts[2], number);
+    sent = sim.proposes;
+    sim.hold = false;
+    run_hosts(&sim, 1000);
+    ck_assert_uint_eq(sim.proposes, sent);
+    ck_assert(is_evacuated(sim.hosts[1]));
+    close_simulation(&sim);
+}
+END_TEST
+
+/* During an upgrade the leader may be an earlier build. */
+START_TEST(an_old_leader_records_commands_of_a_new_host)
+{
+    simulation sim;
+
+    open_simulation(&sim);
+    sim.old_leader = true;
+    propose(&sim, 2, true);
+    run_hosts(&sim, 100);
+    ck_assert(is_evacuated(sim.hosts[1]));
+    ck_assert_uint_eq(sim.completions, 1);
+    ck_assert_int_eq(sim.status, 0);
+    close_simulation(&sim);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("operator_api");
+    TCase *tc = tcase_create("operator_api");
+
+    tcase_set_timeout(tc, 30);
+    tcase_add_test(tc, evacuations_are_recorded_and_withdrawn);
+    tcase_add_loop_test(tc, a_command_that_waited_too_long_is_refused, 0, 2);
+    tcase_add_loop_test(
+        tc, a_command_of_an_operator_that_has_left_is_not_proposed, 0, 2);
+    tcase_add_loop_test(tc, a_delayed_command_does_not_undo_a_newer_one, 0, 2);
+    tcase_add_test(tc, a_command_is_decided_anew_on_the_present_state);
+    tcase_add_test(tc, a_withdrawn_proposal_is_not_sent_any_more);
+    tcase_add_test(tc, an_old_leader_records_commands_of_a_new_host);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
