catalog_client: drop a list that waited in the socket

A host that was frozen while it read the platform's list read the rest of it when it woke, and published it to all hosts as read at that moment; the check of the time ran only after the events of that turn. Servers that had left meanwhile would count as ready until the next read.

A page that comes later than the time for a complete list now fails the read.

--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -76,6 +76,11 @@
         fail_read(c, r->reason);
         return;
     }
+    if (bbl_clock_now() > c->started_at + READ_TIMEOUT_US) {
+        /* It may have waited in the socket while this host was frozen. */
+        fail_read(c, "the list was not read completely in time");
+        return;
+    }
     if (bbl_http_message_status(r->message) != 200) {
         fail_read(c,
                   bbl_http_reason_phrase(bbl_http_message_status(r->message)));
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -7,6 +7,7 @@
 
 #include "bbl/errors.h"
 #include "daemon/operator_api.h"
+#include "net/catalog_client.h"
 #include "platform/dialect.h"
 #include "support/memdisk.h"
 #include "support/run.h"
@@ -210,6 +211,65 @@
 }
 END_TEST
 
+/* ---- the list of servers ---- */
+
+static void
+on_list(void *ctx, const bblx_backend *backends, size_t count, size_t skipped)
+{
+    unsigned *lists = ctx;
+
+    (void)backends;
+    (void)count;
+    (void)skipped;
+    lists[0]++;
+}
+
+static void
+on_list_failure(void *ctx, const char *reason)
+{
+    unsigned *lists = ctx;
+
+    (void)reason;
+    lists[1]++;
+}
+
+/*
+ * The list waited in the socket of a frozen host. It is too old to be
+ * published: servers may have left since.
+ */
+START_TEST(a_list_that_waited_too_long_is_not_used)
+{
+    unsigned lists[2] = {0, 0};
+    bbl_catalog_client_options o = {.dialect = bbl_platform_dialect(),
+                                    .on_complete = on_list,
+                                    .on_failure = on_list_failure,
+                                    .ctx = lists};
+    bbl_catalog_client *client;
+    int listener = tcp_listen(&o.platform_address);
+    int fd = -1;
+
+    ck_assert_int_eq(bbl_loop_open(&o.loop), 0);
+    ck_assert_int_eq(bbl_catalog_client_open(&client, &o), 0);
+    ck_assert(bbl_catalog_client_start_read(client, bbl_clock_now(), 10));
+    while ((fd = accept(listener, NULL, NULL)) < 0) {
+        bbl_loop_run_once(o.loop, 1000);
+    }
+    ck_assert_ptr_nonnull(tcp_receive(o.loop, fd));
+    tcp_send(fd, "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+                 "{\"instances\":[],\"next_page_token\":null}\n");
+    if (_i == 1) {
+        usleep(FREEZE_US);
+    }
+    tcp_run_loop(o.loop, 20);
+    ck_assert_uint_eq(lists[0], _i == 1 ? 0 : 1);
+    ck_assert_uint_eq(lists[1], _i == 1 ? 1 : 0);
+    bbl_catalog_client_free(client);
+    bbl_loop_free(o.loop);
+    close(fd);
+    close(listener);
+}
+END_TEST
+
 /* ---- two hosts: host 1 leads, host 2 passes commands on ---- */
 
 typedef struct {
@@ -494,6 +554,7 @@
     tcase_add_loop_test(tc, a_command_that_waited_too_long_is_refused, 0, 2);
     tcase_add_loop_test(
         tc, a_command_of_an_operator_that_has_left_is_not_proposed, 0, 2);
+    tcase_add_loop_test(tc, a_list_that_waited_too_long_is_not_used, 0, 2);
     tcase_add_loop_test(tc, a_delayed_command_does_not_undo_a_newer_one, 0, 2);
     tcase_add_test(tc, a_command_is_decided_anew_on_the_present_state);
     tcase_add_test(tc, a_withdrawn_proposal_is_not_sent_any_more);
