One account for the memory held for callers and servers

Report of other operators: a faulty server sent bytes that were no answer, without end, and the host that had called it kept them all and ran out of memory. It could happen here.

Cause: the limit of 32 MB counted the sizes of the responses being received. Not counted were what buffers had allocated beyond their content, the tables of header fields (a head of short fields takes 18 bytes of table a byte), the buffers of closed connections until the next tick, the last response, requests, and everything at the callers' side: incomplete requests and answers that a caller does not read.

Connections to servers, to other entry hosts and to callers charge what they have allocated to one account of an eighth of the memory (setting memory-mb, else what the host reports). Beyond it the largest holder is ended: an exchange, an incomplete request (503, not run), or a caller that does not read. Buffers are freed when a connection closes. A response whose Content-Length is too large fails at its head. A server whose responses do not end gets a lower limit for responses of unknown length until it completes one, so that it stops displacing others. Metrics held_memory_bytes, held_memory_ended_total, oversized_responses_total.

--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -37,7 +37,8 @@
 void
 bbl_forward_metrics_render(bbl_buf *out, const bbl_forwarder *f,
                            const bbl_edge_counters *callers,
-                           const bbl_backend_counters *b)
+                           const bbl_backend_counters *b,
+                           const bbl_memory_account *memory)
 {
     const bbl_forward_counters *c = bbl_forwarder_get_counters(f);
 
@@ -60,6 +61,17 @@
     append_gauge(out, "servers_unreachable",
                  "backend servers that this host cannot reach",
                  bbl_forwarder_get_reach(f)->unreachable);
+    append_gauge(out, "held_memory_bytes",
+                 "allocated for requests and responses",
+                 (double)bbl_memory_account_get_used(memory));
+    append_gauge(out, "held_memory_limit_bytes", "limit of held_memory_bytes",
+                 (double)bbl_memory_account_get_limit(memory));
+    bbl_metrics_append_counter(out, "held_memory_ended_total",
+                               "exchanges and connections ended for memory",
+                               bbl_memory_account_get_ended(memory));
+    bbl_metrics_append_counter(out, "oversized_responses_total",
+                               "responses that were too long or did not end",
+                               b->oversized);
     bbl_metrics_append_counter(out, "attempts_total",
                                "attempts sent to backend servers",
                                c->attempts);
--- a/src/daemon/forward_metrics.h
+++ b/src/daemon/forward_metrics.h
@@ -9,11 +9,13 @@
 #include "forward/forwarder.h"
 #include "net/backend_link.h"
 #include "net/edge.h"
+#include "net/memory_account.h"
 
 /* Appends the metrics of a traffic thread. */
 void bbl_forward_metrics_render(bbl_buf *out, const bbl_forwarder *forwarder,
                                 const bbl_edge_counters *callers,
-                                const bbl_backend_counters *backends);
+                                const bbl_backend_counters *backends,
+                                const bbl_memory_account *memory);
 
 /*
  * Appends the metrics of a control thread.
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -1,8 +1,10 @@
 #include "daemon/gateway.h"
 
+#include <malloc.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <ck_pr.h>
 #include <sodium.h>
@@ -24,8 +26,14 @@
 /* Longer than the loss of two packets in a row delays data. */
 #define SILENCE_TIMEOUT_US (700 * BBL_USEC_PER_MS)
 #define RESPONSE_MAX_BYTES (16u << 20) /* of a response body */
-/* Of the responses of all servers together while they are received. */
-#define RESPONSES_MAX_BYTES (32u << 20)
+/* Share of the memory of the process for requests and responses; the rest is
+ * for the list of servers, the routing, connections and what sockets hold. */
+#define HELD_MEMORY_DIVISOR 8
+/* Share of that for one response body. */
+#define RESPONSE_DIVISOR 4
+#define HELD_MEMORY_MIN_BYTES (4u << 20)
+/* Larger buffers are returned to the system when they are freed. */
+#define MMAP_THRESHOLD_BYTES (128 << 10)
 /* Longest idle time of a connection that may carry a request that is not
  * idempotent: the server may be closing one that was idle for longer. */
 #define NON_IDEMPOTENT_IDLE_US (1000 * BBL_USEC_PER_MS)
@@ -63,6 +71,7 @@
     bbl_edge *peer_edge; /* delegated queries of other hosts; may be NULL */
     bbl_edge *ready_edge;
     bbl_edge *metrics_edge;
+    bbl_memory_account *memory; /* of all connections */
     bbl_backend_client *backend_client;
     bbl_backend_client *peer_client; /* for queries of this host */
     bbl_forwarder *forwarder;
@@ -755,7 +764,7 @@
 
     bbl_forward_metrics_render(
         &text, g->forwarder, bbl_edge_get_counters(g->caller_edge),
-        bbl_backend_client_get_counters(g->backend_client));
+        bbl_backend_client_get_counters(g->backend_client), g->memory);
     r.body = bbl_buf_str(&text);
     bbl_edge_respond(call, &r);
     bbl_buf_free(&text);
@@ -936,17 +945,46 @@
     return bbl_forwarder_new(&g->forwarder, &f);
 }
 
+/* Returns the memory that this process may use, in bytes. */
+static size_t
+get_memory(const bbl_node_options *options)
+{
+    long pages = sysconf(_SC_PHYS_PAGES);
+    long page_bytes = sysconf(_SC_PAGESIZE);
+
+    if (options->memory_mb != 0) {
+        return (size_t)options->memory_mb << 20;
+    }
+    return pages > 0 && page_bytes > 0 ? (size_t)pages * (size_t)page_bytes
+                                       : 0;
+}
+
+static void
+open_memory_account(bbl_gateway *g)
+{
+    size_t limit = get_memory(g->options) / HELD_MEMORY_DIVISOR;
+
+    if (limit < HELD_MEMORY_MIN_BYTES) {
+        limit = HELD_MEMORY_MIN_BYTES;
+    }
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+    g->memory = bbl_memory_account_new(limit);
+}
+
 static int
 open_clients(bbl_gateway *g, uint64_t seed)
 {
+    size_t limit = bbl_memory_account_get_limit(g->memory);
     int error;
     bbl_backend_client_options o = {
 
         .dialect = g->dialect,
         .connect_timeout = CONNECT_TIMEOUT_US,
         .tcp_user_timeout = SILENCE_TIMEOUT_US,
-        .response_max = RESPONSE_MAX_BYTES,
-        .buffered_max = RESPONSES_MAX_BYTES,
+        .response_max = limit / RESPONSE_DIVISOR < RESPONSE_MAX_BYTES
+                            ? limit / RESPONSE_DIVISOR
+                            : RESPONSE_MAX_BYTES,
+        .account = g->memory,
         .seed = seed,
         .on_connect = on_backend_connect,
         .ctx = g,
@@ -968,10 +1006,16 @@
     int error = bbl_edge_open(&g->caller_edge, g->loop,
                               g->options->caller_address, &callers);
 
+    if (error == 0) {
+        bbl_edge_set_memory_account(g->caller_edge, g->memory);
+    }
     if (error == 0 && g->options->peer_address.port != 0) {
         error = bbl_edge_open(&g->peer_edge, g->loop, g->options->peer_address,
                               &peers);
     }
+    if (error == 0 && g->peer_edge != NULL) {
+        bbl_edge_set_memory_account(g->peer_edge, g->memory);
+    }
     if (error == 0 && g->options->ready_address.port != 0) {
         error = bbl_edge_open(&g->ready_edge, g->loop,
                               g->options->ready_address, &ready);
@@ -995,6 +1039,7 @@
     g->options = options;
     g->dialect = dialect;
     g->notices = notices;
+    open_memory_account(g);
     error = bbl_loop_open(&g->loop);
     if (error == 0) {
         error = bbl_mailbox_init(&g->permits, g->loop, MAILBOX_SLOTS);
@@ -1104,6 +1149,7 @@
     bbl_forwarder_free(g->forwarder);
     bbl_backend_client_free(g->backend_client);
     bbl_backend_client_free(g->peer_client);
+    bbl_memory_account_free(g->memory);
     bbl_forward_update_free(g->update);
     bbl_mailbox_free(&g->permits, free_permits);
     bbl_loop_free(g->loop);
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -206,6 +206,13 @@
                                     text, 10, 375);
 }
 
+static int
+read_memory(void *out, const char *text)
+{
+    return bbl_setting_parse_number(&((bbl_node_options *)out)->memory_mb,
+                                    text, 0, 1u << 24);
+}
+
 static int
 read_log_lines(void *out, const char *text)
 {
@@ -274,6 +281,8 @@
      read_extra_constant},
     {"beat-ms", VARIABLE("BEAT_MS"), "200", "ms", "10 to 375",
      "time between heartbeats", read_heartbeat},
+    {"memory-mb", VARIABLE("MEMORY_MB"), "0", "MB", "0 to 16777216",
+     "memory that the process may use; 0: that of the host", read_memory},
     {"log-lines-per-s", VARIABLE("LOG_LINES_PER_S"), "400", "lines/s",
      "2 to 100000", "budget of the log; half is kept for failures",
      read_log_lines},
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -49,6 +49,13 @@
 /* A connection is closed after it has carried this many requests, as it
  * remembers the ID of each. */
 #define REQUESTS_PER_CONNECTION_MAX 256
+/* Maximum bytes in a response of unknown length, after many that did not end.
+ */
+#define UNBOUNDED_RESPONSE_MIN_BYTES (16u << 10)
+/* Bytes that the kernel buffers of a response; they use memory as well. */
+#define RECEIVE_BUFFER_BYTES (32 << 10)
+/* A request buffer that is larger is freed after the exchange. */
+#define KEPT_REQUEST_BYTES (4u << 10)
 
 typedef enum { CONN_CONNECTING, CONN_IDLE, CONN_BUSY, CONN_CLOSED } conn_state;
 
@@ -71,7 +78,7 @@
     bool served;         /* at least one exchange has completed */
     bool no_body;
     size_t stray_bytes; /* received before the response to this request */
-    size_t buffered;    /* bytes of the response counted in the client */
+    size_t charged;     /* bytes allocated, charged to the account */
     bbl_buf request_id;
     bbl_vec carried_ids; /* uint64_t: hashes of all IDs it has carried */
     /* NULL if no exchange runs or it was abandoned. */
@@ -99,6 +106,8 @@
     bool unreachable;    /* the last attempt to connect has failed */
     bool preconnect_due; /* one found no room; a tick makes up for it */
     bool released;       /* a tick frees the link once it has no connection */
+    /* Responses in a row that were too long or without an end. */
+    unsigned oversized;
     bbl_vec connections; /* conn *, most recently used last */
 };
 
@@ -110,7 +119,10 @@
     size_t next_link;
     conn *closed; /* list of closed connections; the next tick frees them */
     bbl_http_message last_response; /* passed to the latest callback */
-    size_t buffered;                /* bytes of the responses being received */
+    size_t last_charged;            /* bytes charged for it */
+    bbl_memory_account *account;
+    bool owns_account;
+    size_t buffered; /* bytes that this client has charged */
     bbl_backend_counters counters;
 };
 
@@ -133,14 +145,28 @@
     bbl_vec_remove(connections, bbl_vec_find_pointer(connections, c));
 }
 
-/* Counts the bytes of the response that a connection holds now. */
 static void
-count_buffered(conn *c, size_t bytes)
+charge(bbl_backend_client *client, size_t *charged, size_t bytes)
 {
-    bbl_backend_client *client = c->link->client;
+    client->buffered = client->buffered - *charged + bytes;
+    bbl_memory_account_charge(client->account, charged, bytes);
+}
 
-    client->buffered = client->buffered - c->buffered + bytes;
-    c->buffered = bytes;
+/* Charges what a connection has allocated now. */
+static void
+charge_conn(conn *c)
+{
+    charge(c->link->client, &c->charged,
+           bbl_http_message_get_allocated(&c->message) + c->out.cap);
+}
+
+/* Frees the buffers of a connection. */
+static void
+free_buffers(conn *c)
+{
+    bbl_http_message_free(&c->message);
+    bbl_buf_free(&c->out);
+    charge_conn(c);
 }
 
 /* Closes a connection; the next tick frees it. */
@@ -154,7 +180,7 @@
     }
     c->link->busy_count -= c->has_request;
     c->state = CONN_CLOSED;
-    count_buffered(c, 0);
+    free_buffers(c);
     if (c->fd >= 0) {
         bbl_loop_unwatch(client->loop, c->fd);
         close(c->fd);
@@ -255,6 +281,10 @@
     c->idle_until = now + (idle > IDLE_MARGIN_US ? idle - IDLE_MARGIN_US : 0);
     c->has_request = false;
     c->served = true;
+    if (c->out.cap > KEPT_REQUEST_BYTES) {
+        bbl_buf_free(&c->out);
+    }
+    charge_conn(c);
     c->link->busy_count--;
     c->any_sent = false;
     c->state = CONN_IDLE;
@@ -287,8 +317,10 @@
 
     client->counters.stray += has_stray_bytes;
     c->done = NULL;
-    count_buffered(c, 0);
+    c->link->oversized = 0;
     move_message(&client->last_response, &c->message);
+    charge(client, &client->last_charged,
+           bbl_http_message_get_allocated(&client->last_response));
     if (reusable) {
         conn_set_idle(c, idle, bbl_clock_now());
     }
@@ -298,6 +330,9 @@
     if (done != NULL) {
         done(ctx, &r);
     }
+    bbl_http_message_reset(&client->last_response);
+    charge(client, &client->last_charged,
+           bbl_http_message_get_allocated(&client->last_response));
 }
 
 /* Returns whether a response belongs to a different request. */
@@ -313,34 +348,96 @@
            !bbl_str_equal(head.request_id, bbl_buf_str(&c->request_id));
 }
 
-/*
- * Ends the exchanges with the longest responses while all of them together
- * exceed the limit: many servers may send without end at the same time.
- */
-static void
-limit_buffered(bbl_backend_client *client)
+/* ---- limits of memory ---- */
+
+/* Returns the connection that has allocated most, NULL if none has. */
+static conn *
+find_largest(const bbl_backend_client *client)
 {
-    while (client->buffered > client->options.buffered_max) {
-        conn *longest = NULL;
+    conn *largest = NULL;
 
-        for (size_t i = 0; i < client->links.size; i++) {
-            const bbl_backend_link *link =
-                *BBL_VEC_AT(bbl_backend_link *, &client->links, i);
+    for (size_t i = 0; i < client->links.size; i++) {
+        const bbl_backend_link *link =
+            *BBL_VEC_AT(bbl_backend_link *, &client->links, i);
 
-            for (size_t k = 0; k < link->connections.size; k++) {
-                conn *c = *BBL_VEC_AT(conn *, &link->connections, k);
+        for (size_t k = 0; k < link->connections.size; k++) {
+            conn *c = *BBL_VEC_AT(conn *, &link->connections, k);
 
-                if (longest == NULL || c->buffered > longest->buffered) {
-                    longest = c;
-                }
+            if (c->charged > (largest != NULL ? largest->charged : 0)) {
+                largest = c;
             }
         }
-        if (longest == NULL) {
-            return;
-        }
-        conn_fail(longest,
-                  "the responses of all servers take too much memory");
     }
+    return largest;
+}
+
+static size_t
+get_largest(void *ctx)
+{
+    const conn *largest = find_largest(ctx);
+
+    return largest != NULL ? largest->charged : 0;
+}
+
+static bool
+has_length(const conn *c)
+{
+    return c->message.head_done &&
+           c->message.parser.content_length != UINT64_MAX;
+}
+
+/* Ends an exchange whose response was too long or did not end. */
+static void
+fail_oversized(conn *c, const char *reason)
+{
+    c->link->oversized++;
+    c->link->client->counters.oversized++;
+    conn_fail(c, reason);
+}
+
+static void
+end_largest(void *ctx)
+{
+    static const char reason[] =
+        "the responses of all servers take too much memory";
+    conn *largest = find_largest(ctx);
+
+    if (largest != NULL && largest->has_request && !has_length(largest)) {
+        fail_oversized(largest, reason);
+    }
+    else if (largest != NULL) {
+        conn_fail(largest, reason);
+    }
+}
+
+/*
+ * Returns the maximum bytes in the body of the next response. A response that
+ * states its length may have all of them, also from a server whose responses
+ * did not end before.
+ */
+static size_t
+get_response_max(const conn *c)
+{
+    size_t max = c->link->client->options.response_max;
+
+    if (has_length(c)) {
+        return max;
+    }
+    for (unsigned i = 0;
+         i < c->link->oversized && max > UNBOUNDED_RESPONSE_MIN_BYTES; i++) {
+        max /= 2;
+    }
+    return max;
+}
+
+/* Returns whether a response of unknown length exceeds the server's limit. */
+static bool
+is_oversized(const conn *c)
+{
+    return c->message.too_large ||
+           (!c->message.done && !has_length(c) &&
+            bbl_http_message_get_allocated(&c->message) >
+                2 * get_response_max(c));
 }
 
 /* Parses received bytes; may complete the exchange or close `c`. */
@@ -351,16 +448,25 @@
         size_t used;
 
         if (bbl_http_message_feed(&c->message, bytes, &used) != 0) {
-            conn_fail(c, "the response is malformed or too large");
+            if (c->message.too_large) {
+                fail_oversized(c, "the response is too large");
+            }
+            else {
+                conn_fail(c, "the response is malformed or too large");
+            }
             return;
         }
         bytes.ptr += used;
         bytes.size -= used;
         c->stray_bytes += used;
         if (!c->message.done) {
-            count_buffered(c,
-                           c->message.body.size + c->message.head_text.size);
-            limit_buffered(c->link->client);
+            charge_conn(c);
+            if (is_oversized(c)) {
+                fail_oversized(c, "the response does not end");
+            }
+            else {
+                bbl_memory_account_enforce(c->link->client->account);
+            }
             return;
         }
         if (bbl_http_message_status(&c->message) <= INTERIM_STATUS_MAX ||
@@ -369,8 +475,8 @@
                 bbl_http_message_status(&c->message) > INTERIM_STATUS_MAX;
             if (c->stray_bytes >
                 c->link->client->options.response_max + STRAY_MAX_BYTES) {
-                conn_fail(c, "the server sends no response to the request but "
-                             "other bytes");
+                fail_oversized(c, "the server sends no response to the "
+                                  "request but other bytes");
                 return;
             }
             if (!c->message.keep_alive) {
@@ -536,6 +642,7 @@
     bbl_backend_client *client = link->client;
     struct sockaddr_in to = bbl_address_to_sockaddr(link->address);
     int one = 1;
+    int receive_bytes = RECEIVE_BUFFER_BYTES;
     unsigned user_timeout_ms =
         (unsigned)(client->options.tcp_user_timeout / 1000);
     conn *c = bbl_calloc(1, sizeof(*c));
@@ -553,6 +660,8 @@
         c->deferred_failure = "no file descriptor is available";
         return c;
     }
+    setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
     setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     setsockopt(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
                sizeof(user_timeout_ms));
@@ -647,6 +756,7 @@
     c->has_request = true;
     c->link->busy_count++;
     c->any_sent = false;
+    charge_conn(c);
 }
 
 int
@@ -784,16 +894,25 @@
                         const bbl_backend_client_options *options)
 {
     bbl_backend_client *client;
+    bbl_memory_holder holder = {get_largest, end_largest, NULL};
 
     *out = NULL;
-    if (options->buffered_max < options->response_max) {
+    if ((options->account != NULL
+             ? bbl_memory_account_get_limit(options->account)
+             : options->buffered_max) < options->response_max) {
         return bbl_error_set(BBL_EINVAL, "no room for one whole response");
     }
     client = bbl_calloc(1, sizeof(*client));
+    holder.ctx = client;
     client->loop = loop;
     client->options = *options;
     client->links = (bbl_vec)BBL_VEC_INIT(bbl_backend_link *);
     client->next_link = options->seed;
+    client->owns_account = options->account == NULL;
+    client->account = client->owns_account
+                          ? bbl_memory_account_new(options->buffered_max)
+                          : options->account;
+    bbl_memory_account_add_holder(client->account, &holder);
     bbl_http_message_init(&client->last_response, false,
                           options->response_max);
     *out = client;
@@ -914,6 +1033,11 @@
     }
     free_closed(client);
     bbl_http_message_free(&client->last_response);
+    charge(client, &client->last_charged, 0);
+    bbl_memory_account_remove_holder(client->account, client);
+    if (client->owns_account) {
+        bbl_memory_account_free(client->account);
+    }
     bbl_vec_free(&client->links);
     free(client);
 }
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -7,6 +7,9 @@
  * request. It never carries two requests with the same ID, so that a late copy
  * of a response cannot be taken for the response to a retry.
  *
+ * A server whose responses do not end gets a lower limit for responses of
+ * unknown length, until it completes a response.
+ *
  * All functions must be called from the thread of the loop.
  */
 #ifndef BBL_BACKEND_LINK_H
@@ -14,6 +17,7 @@
 
 #include "net/http_message.h"
 #include "net/loop.h"
+#include "net/memory_account.h"
 
 typedef struct bbl_backend_client bbl_backend_client;
 typedef struct bbl_backend_link bbl_backend_link;
@@ -61,6 +65,7 @@
     uint64_t connect_failures;
     uint64_t exchanges; /* exchanges started */
     uint64_t broken;    /* exchanges that ended with BBL_LINK_BROKEN */
+    uint64_t oversized; /* responses that were too long or without an end */
     uint64_t stray;     /* responses or bytes that belonged to no request */
     uint64_t abandoned; /* calls of bbl_link_exchange_abandon */
 } bbl_backend_counters;
@@ -73,9 +78,10 @@
      * (TCP_USER_TIMEOUT). */
     bbl_usec tcp_user_timeout;
     size_t response_max; /* maximum bytes in a response body */
-    /* Maximum bytes of all responses that are being received, at least
-     * `response_max`. Beyond it, the exchange with the longest of them fails.
+    /* Charged for requests and responses, and borrowed; its limit is at least
+     * `response_max`. NULL: the client has one with the limit `buffered_max`.
      */
+    bbl_memory_account *account;
     size_t buffered_max;
     /* Selects the link that is preconnected first. Hosts use different values
      * so that they connect to the backend servers in different orders. */
@@ -107,7 +113,7 @@
  */
 void bbl_backend_client_tick(bbl_backend_client *client, bbl_usec now);
 
-/* Returns the bytes of all responses that are being received. */
+/* Returns the bytes allocated for all requests and responses. */
 size_t bbl_backend_client_get_buffered(const bbl_backend_client *client);
 
 const bbl_backend_counters *
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -15,6 +15,8 @@
 #include "util/clock.h"
 
 #define READ_BYTES 16384
+/* A buffer that has grown beyond this is freed once it is empty. */
+#define KEPT_BUFFER_BYTES 4096
 #define PIPELINED_MAX_BYTES 65536 /* buffered while a request is handled */
 #define BACKLOG 1024
 #define ACCEPTS_PER_EVENT 64
@@ -42,6 +44,7 @@
     bbl_buf in;         /* received bytes that are not parsed yet */
     bbl_buf out;        /* the response */
     size_t sent;        /* bytes of `out` sent so far */
+    size_t charged;     /* bytes allocated, charged to the account */
     bool close_after;   /* close the connection after the response */
     bool input_ended;   /* the caller has closed its side */
     bool continue_sent; /* "100 Continue" was sent for this request */
@@ -62,8 +65,9 @@
     bbl_edge_handler handler;
     bbl_caller_limits limits;
     bool draining;
-    conn *connections; /* open connections, the newest first */
-    conn *closed;      /* freed by the next tick */
+    bbl_memory_account *account; /* NULL: nothing is charged */
+    conn *connections;           /* open connections, the newest first */
+    conn *closed;                /* freed by the next tick */
     size_t connection_count;
     size_t open_call_count;
     bbl_edge_counters counters;
@@ -88,6 +92,35 @@
     c->state_since = bbl_clock_now();
 }
 
+/* Charges what a connection has allocated now. */
+static void
+charge_conn(conn *c)
+{
+    if (c->edge->account != NULL) {
+        bbl_memory_account_charge(c->edge->account, &c->charged,
+                                  bbl_http_message_get_allocated(&c->message) +
+                                      c->in.cap + c->out.cap);
+    }
+}
+
+/* Frees an empty buffer that is large. */
+static void
+trim_buffer(bbl_buf *buf)
+{
+    if (buf->size == 0 && buf->cap > KEPT_BUFFER_BYTES) {
+        bbl_buf_free(buf);
+    }
+}
+
+static void
+free_buffers(conn *c)
+{
+    bbl_http_message_free(&c->message);
+    bbl_buf_free(&c->in);
+    bbl_buf_free(&c->out);
+    charge_conn(c);
+}
+
 /* Closes a connection; the next tick frees it. */
 static void
 conn_close(conn *c)
@@ -120,15 +153,7 @@
             e->handler.on_disconnect(e->handler.ctx, &c->call);
         }
     }
-}
-
-static void
-conn_free(conn *c)
-{
-    bbl_http_message_free(&c->message);
-    bbl_buf_free(&c->in);
-    bbl_buf_free(&c->out);
-    free(c);
+    free_buffers(c);
 }
 
 /* ---- output ---- */
@@ -137,6 +162,9 @@
 complete_response(conn *c)
 {
     bbl_buf_clear(&c->out);
+    trim_buffer(&c->out);
+    bbl_http_message_reset(&c->message);
+    charge_conn(c);
     c->sent = 0;
     if (c->close_after) {
         /* Only the sending side is shut down, so that the caller reads the
@@ -146,7 +174,6 @@
         watch(c, EPOLLIN | EPOLLRDHUP);
         return;
     }
-    bbl_http_message_reset(&c->message);
     c->request_started = 0;
     c->continue_sent = false;
     set_state(c, CONN_READING);
@@ -199,6 +226,7 @@
     if (!c->message.done || c->message.parser.method != (unsigned)HTTP_HEAD) {
         bbl_buf_append(&c->out, r->body.ptr, r->body.size);
     }
+    charge_conn(c);
     set_state(c, CONN_WRITING);
     conn_write(c);
 }
@@ -338,6 +366,14 @@
     return true;
 }
 
+/* Returns whether requests that are being handled take all the memory. */
+static bool
+is_memory_exhausted(const bbl_edge *e)
+{
+    return e->account != NULL && bbl_memory_account_get_used(e->account) >
+                                     bbl_memory_account_get_limit(e->account);
+}
+
 /* Parses `in` up to the end of one request, and handles that request. */
 static void
 parse_request(conn *c)
@@ -369,7 +405,11 @@
     if (c->message.head_done && !had_head && !check_head(c)) {
         return;
     }
-    if (c->message.done) {
+    charge_conn(c);
+    if (c->message.done && is_memory_exhausted(c->edge)) {
+        refuse_request(c, 503, "too much memory is in use\n");
+    }
+    else if (c->message.done) {
         dispatch_call(c);
     }
     else if (c->input_ended) {
@@ -382,8 +422,8 @@
 static bool
 conn_read(conn *c)
 {
-    char *end = bbl_buf_reserve(&c->in, READ_BYTES);
-    ssize_t n = recv(c->fd, end, READ_BYTES, MSG_DONTWAIT);
+    char bytes[READ_BYTES];
+    ssize_t n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
 
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return true;
@@ -391,7 +431,8 @@
     if (n <= 0) {
         return false;
     }
-    c->in.size += (size_t)n;
+    bbl_buf_append(&c->in, bytes, (size_t)n);
+    charge_conn(c);
     c->readable_since = bbl_loop_get_ready_since(c->edge->loop);
     if (c->readable_since <= c->accepted_at) {
         /* They may have waited as long as the connection. */
@@ -412,6 +453,13 @@
     if (c->in.size > before) {
         parse_request(c);
     }
+    if (c->state != CONN_CLOSED) {
+        trim_buffer(&c->in);
+        charge_conn(c);
+    }
+    if (c->edge->account != NULL) {
+        bbl_memory_account_enforce(c->edge->account);
+    }
 }
 
 /*
@@ -559,7 +607,7 @@
         conn *c = e->closed;
 
         e->closed = c->next;
-        conn_free(c);
+        free(c);
     }
 }
 
@@ -584,6 +632,9 @@
     }
     free_closed(e);
     close_listener(e);
+    if (e->account != NULL) {
+        bbl_memory_account_remove_holder(e->account, e);
+    }
     free(e);
 }
 
@@ -593,6 +644,53 @@
     e->limits = *limits;
 }
 
+/* Returns the connection that has allocated most of those that can be ended,
+ * or NULL. */
+static conn *
+find_largest(const bbl_edge *e)
+{
+    conn *largest = NULL;
+
+    for (conn *c = e->connections; c != NULL; c = c->next) {
+        if (c->state != CONN_WAITING &&
+            c->charged > (largest != NULL ? largest->charged : 0)) {
+            largest = c;
+        }
+    }
+    return largest;
+}
+
+static size_t
+get_largest(void *ctx)
+{
+    const conn *largest = find_largest(ctx);
+
+    return largest != NULL ? largest->charged : 0;
+}
+
+static void
+end_largest(void *ctx)
+{
+    conn *c = find_largest(ctx);
+
+    if (c != NULL && c->state == CONN_READING && c->request_started != 0) {
+        bbl_buf_free(&c->in);
+        refuse_request(c, 503, "too much memory is in use\n");
+    }
+    else if (c != NULL) {
+        conn_close(c);
+    }
+}
+
+void
+bbl_edge_set_memory_account(bbl_edge *e, bbl_memory_account *account)
+{
+    bbl_memory_holder holder = {get_largest, end_largest, e};
+
+    e->account = account;
+    bbl_memory_account_add_holder(account, &holder);
+}
+
 void
 bbl_edge_drain(bbl_edge *e)
 {
@@ -672,6 +770,9 @@
         next = c->next;
         check_timeouts(c, now);
     }
+    if (e->account != NULL) {
+        bbl_memory_account_enforce(e->account);
+    }
     free_closed(e);
 }
 
--- a/src/net/edge.h
+++ b/src/net/edge.h
@@ -14,6 +14,7 @@
 #include "bbl/routing.h"
 #include "net/http_message.h"
 #include "net/loop.h"
+#include "net/memory_account.h"
 
 typedef struct bbl_edge bbl_edge;
 typedef struct bbl_edge_call bbl_edge_call;
@@ -79,6 +80,14 @@
 
 void bbl_edge_set_limits(bbl_edge *edge, const bbl_caller_limits *limits);
 
+/*
+ * Charges the buffers of all connections to an account, which is borrowed. An
+ * incomplete request that is ended for it is refused with 503; a caller that
+ * is slow to read its response loses the connection. A request that the
+ * handler has is not ended.
+ */
+void bbl_edge_set_memory_account(bbl_edge *edge, bbl_memory_account *account);
+
 /* Returns whether the caller still waits for the response to a call, as far as
  * the socket tells now. */
 bool bbl_edge_call_is_awaited(const bbl_edge_call *call);
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -8,8 +8,10 @@
 /* For any message; the limit for the requests of callers is smaller. */
 #define HEAD_MAX_BYTES (1u << 20)
 #define TRAILERS_MAX_BYTES (64u << 10)
+/* Header fields of a response. Those of a request are limited by its size. */
+#define RESPONSE_FIELDS_MAX 1000
 /* A buffer that has grown beyond this is freed before the next message. */
-#define KEPT_BUFFER_BYTES (64u << 10)
+#define KEPT_BUFFER_BYTES (4u << 10)
 
 /* The place of one field in `head_text`. */
 typedef struct {
@@ -53,6 +55,10 @@
         return drop_trailer(m, size);
     }
     if (s == NULL || s->has_value) {
+        if (p->type == HTTP_RESPONSE &&
+            m->field_spans.size >= RESPONSE_FIELDS_MAX) {
+            return 1;
+        }
         s = bbl_vec_add(&m->field_spans);
         s->name = m->head_text.size;
     }
@@ -106,7 +112,15 @@
         h->value =
             trim_end((bbl_str){m->head_text.ptr + s->value, s->value_size});
     }
-    return m->no_body ? 1 : 0;
+    if (m->no_body) {
+        return 1; /* there is no body whatever the fields say */
+    }
+    if (p->type == HTTP_RESPONSE && p->content_length != UINT64_MAX &&
+        p->content_length > m->body_max) {
+        m->too_large = true;
+        return -1;
+    }
+    return 0;
 }
 
 static int
@@ -171,6 +185,23 @@
     bbl_buf_clear(buf);
 }
 
+static void
+empty_vec(bbl_vec *vec)
+{
+    if (vec->cap * vec->item_size > KEPT_BUFFER_BYTES) {
+        bbl_vec_free(vec);
+    }
+    vec->size = 0;
+}
+
+size_t
+bbl_http_message_get_allocated(const bbl_http_message *m)
+{
+    return m->head_text.cap + m->body.cap +
+           m->field_spans.cap * m->field_spans.item_size +
+           m->headers.cap * m->headers.item_size;
+}
+
 void
 bbl_http_message_reset(bbl_http_message *m)
 {
@@ -178,8 +209,8 @@
     m->parser.data = m;
     empty_buffer(&m->head_text);
     empty_buffer(&m->body);
-    m->field_spans.size = 0;
-    m->headers.size = 0;
+    empty_vec(&m->field_spans);
+    empty_vec(&m->headers);
     m->target_size = 0;
     m->head_size = 0;
     m->trailers_size = 0;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -50,11 +50,16 @@
 /* Frees the contents of a message, not the structure itself. */
 void bbl_http_message_free(bbl_http_message *message);
 
-/* Discards the message, to parse the next one on the same connection. */
+/* Discards the message, to parse the next one on the same connection. Frees
+ * what is large. */
 void bbl_http_message_reset(bbl_http_message *message);
 
+/* Returns the bytes that a message has allocated. */
+size_t bbl_http_message_get_allocated(const bbl_http_message *message);
+
 /*
- * Parses bytes up to the end of the message.
+ * Parses bytes up to the end of the message. A response whose stated length
+ * exceeds `body_max` fails at the end of its head.
  *
  * @param used set to the number of bytes that were parsed; the others belong
  *             to the next message
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -2,6 +2,7 @@
  * Tests of the connections to a backend server. The test plays the server on a
  * loopback socket.
  */
+#include <malloc.h>
 #include <string.h>
 
 #include "bbl/errors.h"
@@ -319,6 +320,9 @@
     return text != NULL;
 }
 
+/* Room for long requests. */
+#define ROOM_BYTES (64u << 20)
+
 /* Statuses of a response that a server sends before it has read the body. */
 static const char *const early_statuses[] = {"200", "413", "503"};
 
@@ -347,7 +351,7 @@
     int fd = -1;
 
     memset(body, 'b', sizeof(body));
-    open_fixture(&f);
+    open_fixture_with(&f, 200, ROOM_BYTES);
     if (kept) {
         start_request(f.link, &next, "q0");
         fd = accept_connection(&f);
@@ -399,7 +403,7 @@
 
     memset(body, 'b', sizeof(body));
     memset(&o, 0, sizeof(o));
-    open_fixture(&f);
+    open_fixture_with(&f, 200, ROOM_BYTES);
     ck_assert_int_eq(bbl_link_exchange_start(&x, f.link, bbl_clock_now(), &r),
                      0);
     fd = accept_connection(&f);
@@ -407,7 +411,7 @@
     while (received < BODY_BYTES) {
         const char *text = tcp_receive(f.loop, fd);
 
-        ck_assert_ptr_nonnull(text);
+        ck_assert(text != NULL && text[0] != '\0');
         received += strlen(text);
     }
     tcp_send(fd, response + 20);
@@ -765,6 +769,104 @@
 }
 END_TEST
 
+/* Returns the bytes that the process has allocated on the heap. */
+static size_t
+get_allocated(void)
+{
+    struct mallinfo2 m = mallinfo2();
+
+    return m.uordblks + m.hblkhd;
+}
+
+/* Responses without end: a body, chunks, and a head of short fields. */
+static const struct {
+    const char *start;
+    const char *more;
+} endless_kinds[] = {
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n\r\n", "0123456789abcdef"},
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n",
+     "20\r\n0123456789abcdef0123456789abcdef\r\n"},
+    {"HTTP/1.1 200 OK\r\n", "a:b\r\n"},
+};
+
+/*
+ * As many servers as a large deployment has send without end, and their
+ * requests are sent again as soon as they fail. The limit holds for what is
+ * allocated, including buffers that have grown beyond their content and those
+ * of connections that were just closed.
+ */
+START_TEST(endless_responses_are_bounded_in_allocated_bytes)
+{
+    enum {
+        SERVERS = 400,
+        RESPONSE_MAX = 1 << 20,
+        LIMIT = 4 << 20,
+        CONNECTION_BYTES = 2048 /* of a connection, besides its buffers */
+    };
+    static char more[8192];
+    static outcome o[SERVERS];
+    static bbl_backend_link *links[SERVERS];
+    static int listeners[SERVERS];
+    static int fds[SERVERS];
+    fixture f;
+    size_t before;
+    size_t most = 0;
+    size_t size = strlen(endless_kinds[_i].more);
+
+    for (size_t i = 0; i + size <= sizeof(more); i += size) {
+        memcpy(more + i, endless_kinds[_i].more, size);
+    }
+    open_fixture_with(&f, RESPONSE_MAX, LIMIT);
+    for (int i = 0; i < SERVERS; i++) {
+        bblx_address address;
+
+        listeners[i] = tcp_listen(&address);
+        links[i] = bbl_backend_link_new(f.client, address, &f);
+        fds[i] = -1;
+        o[i].calls = 1;
+    }
+    before = get_allocated();
+    for (int round = 0; round < 400; round++) {
+        for (int i = 0; i < SERVERS; i++) {
+            if (o[i].calls > 0) {
+                start_exchange_on(links[i], &o[i]);
+                if (fds[i] >= 0) {
+                    close(fds[i]);
+                }
+                fds[i] = -1;
+            }
+            if (fds[i] < 0 && (fds[i] = accept4(listeners[i], NULL, NULL,
+                                                SOCK_NONBLOCK)) >= 0) {
+                send(fds[i], endless_kinds[_i].start,
+                     strlen(endless_kinds[_i].start), MSG_NOSIGNAL);
+            }
+            else if (fds[i] >= 0) {
+                send(fds[i], more, sizeof(more) / size * size, MSG_NOSIGNAL);
+            }
+        }
+        for (int k = 0; k < 8; k++) {
+            size_t allocated;
+
+            bbl_loop_run_once(f.loop, 0);
+            allocated = get_allocated() - before;
+            most = allocated > most ? allocated : most;
+        }
+        if (round % 20 == 0) {
+            bbl_backend_client_tick(f.client, bbl_clock_now());
+        }
+    }
+    ck_assert_uint_le(most, LIMIT + RESPONSE_MAX + SERVERS * CONNECTION_BYTES);
+    for (int i = 0; i < SERVERS; i++) {
+        if (fds[i] >= 0) {
+            close(fds[i]);
+        }
+        close(listeners[i]);
+    }
+    close_fixture(&f);
+}
+END_TEST
+
 /* With less room than for one response, none that comes in pieces gets in. */
 START_TEST(a_client_needs_room_for_one_response)
 {
@@ -864,6 +966,8 @@
     tcase_add_loop_test(tc, bytes_without_end_close_the_connection, 0,
                         ARRAY_SIZE(endless));
     tcase_add_test(tc, endless_bodies_of_many_servers_are_bounded);
+    tcase_add_loop_test(tc, endless_responses_are_bounded_in_allocated_bytes,
+                        0, ARRAY_SIZE(endless_kinds));
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, preconnects_per_tick_are_limited);
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -1,4 +1,6 @@
 /* Tests of the HTTP server for callers, over loopback sockets. */
+#include <errno.h>
+#include <malloc.h>
 #include <string.h>
 
 #include "net/edge.h"
@@ -119,6 +121,103 @@
 }
 END_TEST
 
+static size_t
+get_allocated(void)
+{
+    struct mallinfo2 m = mallinfo2();
+
+    return m.uordblks + m.hblkhd;
+}
+
+#define RESPONSE_BYTES (4u << 20) /* more than the sockets take */
+
+/* What many callers do that makes the host hold memory for each of them. */
+static const struct {
+    size_t body; /* bytes of the body that are sent, of 100,000 */
+} memory_uses[] = {
+    {90000}, /* a request that does not end */
+    {100000} /* a whole one, whose long response is not read */
+};
+
+static void
+answer_long(void *ctx, bbl_edge_call *call)
+{
+    static char text[RESPONSE_BYTES];
+    fixture *f = ctx;
+    bbl_edge_response r = {200, {"", 0}, {text, sizeof(text)}, false};
+
+    f->requests++;
+    bbl_edge_respond(call, &r);
+}
+
+/*
+ * Many callers send long requests without their end, or do not read long
+ * responses. What is allocated for them stays within the account, and another
+ * caller is served.
+ */
+START_TEST(memory_for_many_callers_is_bounded)
+{
+    enum { CALLERS = 300, BODY_BYTES = 100000, LIMIT = 16 << 20 };
+    static char body[BODY_BYTES];
+    bbl_caller_limits limits = {1000, BODY_BYTES, 60000, 60000};
+    bbl_edge_handler handler = {answer_long, on_disconnect, NULL};
+    bbl_memory_account *account = bbl_memory_account_new(LIMIT);
+    int small = 4096;
+    int fds[CALLERS];
+    fixture f;
+    size_t before;
+    size_t most = 0;
+    const char *text;
+    int fd;
+
+    memset(&f, 0, sizeof(f));
+    handler.ctx = &f;
+    f.address = tcp_free_address();
+    ck_assert_int_eq(bbl_loop_open(&f.loop), 0);
+    ck_assert_int_eq(bbl_edge_open(&f.edge, f.loop, f.address, &handler), 0);
+    bbl_edge_set_limits(f.edge, &limits);
+    bbl_edge_set_memory_account(f.edge, account);
+    before = get_allocated();
+    for (int i = 0; i < CALLERS; i++) {
+        size_t sent = 0;
+
+        fds[i] = tcp_connect(f.address);
+        setsockopt(fds[i], SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+        tcp_send(fds[i], "POST /x HTTP/1.1\r\nHost: a\r\n"
+                         "Content-Length: 100000\r\n\r\n");
+        while (sent < memory_uses[_i].body) {
+            ssize_t n = send(fds[i], body, memory_uses[_i].body - sent,
+                             MSG_NOSIGNAL | MSG_DONTWAIT);
+            size_t allocated;
+
+            if (n < 0 && errno != EAGAIN) {
+                break; /* refused */
+            }
+            sent += n > 0 ? (size_t)n : 0;
+            bbl_loop_run_once(f.loop, 0);
+            allocated = get_allocated() - before;
+            most = allocated > most ? allocated : most;
+        }
+        tcp_run_loop(f.loop, 2);
+        bbl_edge_tick(f.edge, bbl_clock_now());
+    }
+    ck_assert_uint_gt(bbl_memory_account_get_ended(account), 0);
+    ck_assert_uint_le(most, LIMIT + 2 * RESPONSE_BYTES + CALLERS * 2048);
+    ck_assert_uint_le(bbl_memory_account_get_used(account), LIMIT);
+    fd = tcp_connect(f.address);
+    tcp_send(fd, GET);
+    text = tcp_receive(f.loop, fd);
+    ck_assert_ptr_nonnull(strstr(text, "HTTP/1.1 200 OK\r\n"));
+    close(fd);
+    for (int i = 0; i < CALLERS; i++) {
+        close(fds[i]);
+    }
+    close_fixture(&f);
+    ck_assert_uint_eq(bbl_memory_account_get_used(account), 0);
+    bbl_memory_account_free(account);
+}
+END_TEST
+
 START_TEST(pipelined_requests_are_answered_in_order)
 {
     fixture f;
@@ -364,6 +463,8 @@
     tcase_add_loop_test(
         tc, the_rest_of_a_refused_body_is_not_a_request, 0,
         (int)(sizeof(early_refusals) / sizeof(early_refusals[0])));
+    tcase_add_loop_test(tc, memory_for_many_callers_is_bounded, 0,
+                        (int)(sizeof(memory_uses) / sizeof(memory_uses[0])));
     tcase_add_test(tc, pipelined_requests_are_answered_in_order);
     tcase_add_test(tc, a_disconnect_is_detected_while_a_request_is_handled);
     tcase_add_loop_test(tc, a_bad_request_is_refused_and_its_connection_closed,
