control: a host whose disk is full at its start follows the others

Change: if the disk is full or fails at the start and can be reopened, the host starts without its part in the quorum and takes the same path.

The simulation can fill a disk, freeze a host and reopen disks.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -957,6 +957,13 @@
         c->quorum_state = bbl_state_new();
         error = open_quorum(c, disk, now);
     }
+    if (options->port.reopen_disk != NULL &&
+        (error == BBL_ENOSPACE || error == BBL_EIO)) {
+        /* This host follows the others until its disk works. */
+        c->reopening = true;
+        c->next_reopen = now + REOPEN_INTERVAL_US;
+        error = 0;
+    }
     if (error != 0) {
         bbl_control_free(c);
         return error;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -112,7 +112,8 @@
  * Creates the core.
  *
  * @param disk  NULL on a host that does not vote; the core takes ownership,
- *              also on failure
+ *              also on failure. If it is full or fails and the port can reopen
+ *              it, the host does not vote until that succeeds.
  * @return 0, or a negative error with `*out` set to NULL
  */
 int bbl_control_open(bbl_control **out, const bbl_control_options *options,
--- a/tests/support/memdisk.c
+++ b/tests/support/memdisk.c
@@ -40,6 +40,9 @@
 inject_failure(memdisk *m)
 {
     m->calls++;
+    if (m->full) {
+        return bbl_error_set(BBL_ENOSPACE, "the disk is full");
+    }
     if (m->fail_at != 0 && m->calls == m->fail_at) {
         return bbl_error_set(m->fail_code, "failure injected by the test");
     }
--- a/tests/support/memdisk.h
+++ b/tests/support/memdisk.h
@@ -32,6 +32,7 @@
     unsigned calls;   /* calls so far that write, sync, rename or remove */
     unsigned fail_at; /* number of the call that fails; 0: none */
     int fail_code;    /* BBL_EIO or BBL_ENOSPACE */
+    bool full;        /* each write fails with BBL_ENOSPACE */
     bool fail_with_partial_write; /* a failing append writes the first half */
 } memdisk;
 
--- a/tests/test_control_join.c
+++ b/tests/test_control_join.c
@@ -28,6 +28,7 @@
     bbl_control *control;
     memdisk disk;
     bool disconnected;
+    bbl_usec frozen_until;
     uint64_t proposal; /* number of the last proposal */
     int outcome;
     bool answered;
@@ -40,6 +41,7 @@
     bbl_vec packets;
     u_int seed_count;
     bblx_voter seeds[3];
+    uint32_t compact_entries; /* 0: the default */
 } simulation;
 
 typedef struct {
@@ -73,6 +75,15 @@
     }
 }
 
+static int
+on_reopen(void *ctx, bbl_disk **out)
+{
+    const port_ctx *p = ctx;
+
+    *out = memdisk_open(&p->sim->hosts[p->host].disk);
+    return 0;
+}
+
 static void
 start_host(simulation *sim, uint32_t h, bool bootstraps)
 {
@@ -89,6 +100,10 @@
     o.seeds.list.list_val = sim->seeds;
     o.voters_wanted = 5;
     o.copies = 3;
+    if (sim->compact_entries != 0) {
+        o.compact_entries = sim->compact_entries;
+    }
+    o.port.reopen_disk = on_reopen;
     o.port.send = on_send;
     o.port.complete_proposal = on_proposed;
     o.port.ctx = &contexts[h];
@@ -167,6 +182,12 @@
     bbl_buf_free(&k->bytes);
 }
 
+static bool
+is_frozen(const simulation *sim, uint32_t h)
+{
+    return sim->now < sim->hosts[h].frozen_until;
+}
+
 static void
 run_for(simulation *sim, bbl_usec duration)
 {
@@ -176,11 +197,18 @@
 
         sim->packets = (bbl_vec)BBL_VEC_INIT(packet);
         for (size_t i = 0; i < due.size; i++) {
-            deliver(sim, bbl_vec_at(&due, i));
+            packet *k = bbl_vec_at(&due, i);
+
+            if (is_frozen(sim, k->to)) {
+                bbl_vec_push(&sim->packets, k); /* it waits in the socket */
+            }
+            else {
+                deliver(sim, k);
+            }
         }
         bbl_vec_free(&due);
         for (uint32_t h = 1; h <= HOSTS; h++) {
-            if (sim->hosts[h].control != NULL) {
+            if (sim->hosts[h].control != NULL && !is_frozen(sim, h)) {
                 bbl_control_tick(sim->hosts[h].control, sim->now,
                                  sim->now / 1000);
             }
@@ -188,10 +216,9 @@
     }
 }
 
-/* Proposes a routing version at a host; returns whether it is acknowledged. */
-static bool
-propose_routing(simulation *sim, uint32_t h, uint64_t version,
-                const char *text)
+/* Proposes a routing version at a host. */
+static void
+submit_routing(simulation *sim, uint32_t h, uint64_t version, const char *text)
 {
     bblx_command c;
     bbl_buf data = BBL_BUF_INIT;
@@ -211,8 +238,16 @@
         bbl_control_propose(x->control, sim->now, bbl_buf_str(&data));
     bbl_buf_free(&data);
     bbl_buf_free(&packed);
+}
+
+/* Proposes a routing version at a host; returns whether it is acknowledged. */
+static bool
+propose_routing(simulation *sim, uint32_t h, uint64_t version,
+                const char *text)
+{
+    submit_routing(sim, h, version, text);
     run_for(sim, SEC);
-    return x->answered && x->outcome == 0;
+    return sim->hosts[h].answered && sim->hosts[h].outcome == 0;
 }
 
 static uint64_t
@@ -553,6 +588,34 @@
 }
 END_TEST
 
+/* A host that starts while its disk is full follows the others meanwhile. */
+START_TEST(a_host_starts_on_a_full_disk)
+{
+    simulation *sim = open_grown_simulation();
+
+    if (_i == 0) {
+        sim->hosts[6].disk.full = true;
+        start_host(sim, 6, false);
+    }
+    else {
+        /* It wrote a part of a record before it was stopped. */
+        sim->hosts[5].disk.full = true;
+        sim->hosts[5].disk.fail_with_partial_write = true;
+        propose_routing(sim, 1, 4, "four");
+        stop_host(sim, 5);
+        start_host(sim, 5, false);
+    }
+    ck_assert(propose_routing(sim, 1, 5, "five"));
+    run_for(sim, 2 * SEC);
+    ck_assert_uint_eq(routing_version_at(sim, 6 - (uint32_t)_i), 5);
+    sim->hosts[6 - _i].disk.full = false;
+    run_for(sim, 3 * SEC);
+    ck_assert_ptr_nonnull(bbl_control_quorum(sim->hosts[6 - _i].control));
+    ck_assert(propose_routing(sim, 6 - (uint32_t)_i, 6, "six"));
+    close_simulation(sim);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -570,6 +633,7 @@
     tcase_add_loop_test(
         tc, what_was_acknowledged_outlives_two_disks_and_a_loss_of_power, 0,
         20);
+    tcase_add_loop_test(tc, a_host_starts_on_a_full_disk, 0, 2);
     tcase_add_loop_test(tc, hosts_that_are_joined_again_follow_in_time, 0, 40);
     tcase_add_test(tc, a_host_that_is_cut_off_loses_its_lease);
     tcase_add_test(tc, a_list_of_backend_servers_reaches_every_host);
