control: a host that no longer leads does not name itself as the leader

Callers saw: orders sent to one control host time out, however long the others have a leader; entry hosts that ask this host are told that it leads.

Cause: `leader` was set to the own host while it led and only ever replaced by another leader that this host hears of. A former leader that is cut off, frozen or without its disk, and replaced by another voter, asks one parent; if that parent is lost meanwhile, no other is chosen, since the leader counts as known: itself.

Change: a host that has no part in the quorum as its leader forgets that it led, and looks for the leader among the voters and seeds as others do.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1063,6 +1063,27 @@
     }
 }
 
+/*
+ * Forgets that this host led. It would else name itself to its children, and
+ * never look for the leader of a group that has gone on without it.
+ */
+static void
+forget_own_leadership(bbl_control *c)
+{
+    bbl_quorum_status s;
+
+    if (c->leader != c->options.host) {
+        return;
+    }
+    if (c->quorum != NULL) {
+        bbl_quorum_get_status(c->quorum, &s);
+        if (s.role == BBL_ROLE_LEADER) {
+            return;
+        }
+    }
+    c->leader = 0;
+}
+
 void
 bbl_control_tick(bbl_control *c, bbl_usec now, uint64_t wall_ms)
 {
@@ -1079,6 +1100,7 @@
         }
         tick_leader(c);
     }
+    forget_own_leadership(c);
     tick_heartbeat(c);
     tick_own_proposals(c);
     bbl_permits_tick(c);
--- a/tests/test_control_join.c
+++ b/tests/test_control_join.c
@@ -616,6 +616,134 @@
 }
 END_TEST
 
+/*
+ * A leader is cut off and replaced, and the host that it asks for the new
+ * leader is lost. It must ask others once it is joined again.
+ */
+START_TEST(a_former_leader_finds_the_group_that_has_replaced_it)
+{
+    simulation *sim = open_grown_simulation();
+    uint32_t old = find_leader(sim);
+    bbl_control_status s;
+
+    start_host(sim, 6, false);
+    sim->hosts[old].disconnected = true;
+    run_for(sim, 4 * SEC);
+    ck_assert_uint_ne(find_leader(sim), 0);
+    ck_assert_uint_ne(find_leader(sim), old);
+    bbl_control_get_status(sim->hosts[old].control, sim->now, &s);
+    ck_assert_uint_ne(s.parent, 0);
+    stop_host(sim, s.parent);
+    sim->hosts[old].disconnected = false;
+    run_for(sim, 5 * SEC);
+    ck_assert_uint_ne(find_leader(sim), 0);
+    ck_assert(propose_routing(sim, old, 5, "five"));
+    ck_assert_uint_eq(routing_version_at(sim, old), 5);
+    close_simulation(sim);
+}
+END_TEST
+
+/* What happens to another host while a disk is full. */
+typedef enum {
+    TROUBLE_NONE,
+    TROUBLE_FREEZE,
+    TROUBLE_DISCONNECT,
+    TROUBLE_REPLACE, /* it is lost, and an empty host takes its place */
+    TROUBLE_RESTART,
+    TROUBLE_KINDS
+} trouble_kind;
+
+static void
+cause_trouble(simulation *sim, trouble_kind kind, uint32_t h, bbl_rng *rng)
+{
+    host *x = &sim->hosts[h];
+
+    switch (kind) {
+    case TROUBLE_FREEZE:
+        x->frozen_until =
+            sim->now + (500 + bbl_rng_below(rng, 7000)) * BBL_USEC_PER_MS;
+        break;
+    case TROUBLE_DISCONNECT:
+        x->disconnected = true;
+        break;
+    case TROUBLE_REPLACE:
+        if (sim->hosts[6].control == NULL) {
+            stop_host(sim, h);
+            wipe_disk(sim, h);
+            start_host(sim, 6, false);
+        }
+        break;
+    case TROUBLE_RESTART:
+        stop_host(sim, h);
+        start_host(sim, h, false);
+        break;
+    default:
+        break;
+    }
+}
+
+/*
+ * The disks of the hosts are full one after another, never two at once, while
+ * the routing changes and the journals are compacted. Once the last disk has
+ * room again, every host acknowledges changes.
+ */
+START_TEST(full_disks_in_turn_leave_a_quorum)
+{
+    enum { ROUNDS = 8 };
+    bbl_rng rng = {(uint64_t)_i + 1};
+    simulation *sim = open_simulation();
+    uint64_t version = 1;
+
+    sim->compact_entries = _i % 2 == 0 ? 8 : 0;
+    for (uint32_t h = 1; h <= HOSTS; h++) {
+        if (h != 6) {
+            start_host(sim, h, true);
+        }
+    }
+    /* Some begin while the quorum still grows. */
+    run_for(sim, _i % 4 == 3 ? 300 * BBL_USEC_PER_MS : 4 * SEC);
+    for (int round = 0; round < ROUNDS; round++) {
+        uint32_t full = 1 + (uint32_t)bbl_rng_below(&rng, 6);
+        uint32_t other = 1 + (uint32_t)bbl_rng_below(&rng, 5);
+        trouble_kind kind = (trouble_kind)bbl_rng_below(&rng, TROUBLE_KINDS);
+        bbl_usec end =
+            sim->now + (300 + bbl_rng_below(&rng, 5000)) * BBL_USEC_PER_MS;
+
+        sim->hosts[full].disk.full = true;
+        sim->hosts[full].disk.fail_with_partial_write =
+            bbl_rng_below(&rng, 2) == 0;
+        if (_i % 5 != 0 && other != full &&
+            sim->hosts[other].control != NULL) {
+            cause_trouble(sim, kind, other, &rng);
+        }
+        while (sim->now < end) {
+            uint32_t at = 1 + (uint32_t)bbl_rng_below(&rng, 5);
+
+            if (sim->hosts[at].control != NULL && !is_frozen(sim, at)) {
+                submit_routing(sim, at, ++version, "some text");
+            }
+            run_for(sim, (50 + bbl_rng_below(&rng, 400)) * BBL_USEC_PER_MS);
+        }
+        sim->hosts[full].disk.full = false;
+        for (uint32_t h = 1; h <= HOSTS; h++) {
+            sim->hosts[h].disconnected = false;
+        }
+        run_for(sim, bbl_rng_below(&rng, 2000) * BBL_USEC_PER_MS);
+    }
+    for (uint32_t h = 1; h <= HOSTS; h++) {
+        sim->hosts[h].frozen_until = 0;
+    }
+    run_for(sim, 5 * SEC);
+    ck_assert_msg(find_leader(sim) != 0, "no leader, seed %d", _i);
+    for (uint32_t h = 1; h <= 6; h++) {
+        ck_assert_msg(sim->hosts[h].control == NULL ||
+                          propose_routing(sim, h, ++version, "the last"),
+                      "host %u acknowledges no change, seed %d", h, _i);
+    }
+    close_simulation(sim);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -634,6 +762,8 @@
         tc, what_was_acknowledged_outlives_two_disks_and_a_loss_of_power, 0,
         20);
     tcase_add_loop_test(tc, a_host_starts_on_a_full_disk, 0, 2);
+    tcase_add_test(tc, a_former_leader_finds_the_group_that_has_replaced_it);
+    tcase_add_loop_test(tc, full_disks_in_turn_leave_a_quorum, 0, 200);
     tcase_add_loop_test(tc, hosts_that_are_joined_again_follow_in_time, 0, 40);
     tcase_add_test(tc, a_host_that_is_cut_off_loses_its_lease);
     tcase_add_test(tc, a_list_of_backend_servers_reaches_every_host);
