searcher_client: a late copy of a response is not taken for the next one

The next query got the records of another one.

Cause: the interface of searchers had nothing that names the request of a response.

A response to another exchange fails the request as possibly run, and libcurl closes the connection. Searchers that do not return the field are not checked, as before.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -30,6 +30,7 @@
      * received: libcurl reports a response that ends before it as complete. */
     bool head_complete;
     bool aborted;
+    uint64_t expected_exchange; /* see bbl_http_request; 0: no check */
     bbl_http_response response;
 } exchange;
 
@@ -146,6 +147,11 @@
         snprintf(x->response.reason, sizeof(x->response.reason), "%.31s",
                  value);
     }
+    else if ((value = header_value(text, bytes, "X-Exchange: ")) != NULL &&
+             x->expected_exchange != 0 &&
+             strtoull(value, NULL, 16) != x->expected_exchange) {
+        return 0; /* a late response to an earlier request */
+    }
     else if ((value = header_value(text, bytes, "Retry-After: ")) != NULL) {
         x->response.retry_after_s = read_seconds(value);
     }
@@ -376,6 +382,7 @@
     x->done = r->done;
     x->ctx = r->ctx;
     x->response_body_max = r->response_max;
+    x->expected_exchange = r->exchange;
     bbl_buf_append(&x->request_body, r->body.ptr, r->body.size);
     bbl_vec_push(&http->running, &x);
     set_options(http, x, r);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -43,6 +43,10 @@
     bbl_usec timeout;      /* until the complete response */
     size_t response_max;   /* maximum bytes in the response body */
     bool fresh_connection; /* open a new connection for this request */
+    /* The value that a response must have if it has a field X-Exchange; a
+     * response to another request fails this one and ends the connection. 0:
+     * no check. */
+    uint64_t exchange;
     bbl_http_done done;
     void *ctx;
 } bbl_http_request;
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -23,7 +23,8 @@
 /* Number of exchanges that avoid the pooled connections after a silence. */
 #define FRESH_EXCHANGES 32
 #define STATUS_CANCELLED 499
-#define URL_MAX_BYTES 192
+#define PATH_MAX_BYTES 192
+#define URL_MAX_BYTES 256
 
 /* The state of the connections to one searcher. */
 typedef struct {
@@ -181,7 +182,7 @@
     open_exchange *x = bbl_calloc(1, sizeof(*x));
     searcher_state *to = get_searcher_state(c, e->searcher);
     bbl_http_request r;
-    char path[128];
+    char path[PATH_MAX_BYTES];
     char url[URL_MAX_BYTES];
 
     x->client = c;
@@ -195,9 +196,11 @@
              (unsigned long long)e->query.incarnation & 0xffffffffull,
              (unsigned long long)e->query.seq, e->sub_number);
     snprintf(path, sizeof(path),
-             "search?id=%s&shard=%u&index=%llu&deadline_us=%llu%s",
+             "search?id=%s&shard=%u&index=%llu&deadline_us=%llu"
+             "&exchange=%llx%s",
              x->request_id, e->shard, (unsigned long long)e->version,
              (unsigned long long)(e->deadline - now),
+             (unsigned long long)e->exchange_id,
              e->repeatable ? "" : "&once=1");
     format_url(url, sizeof(url), e->address, path);
     memset(&r, 0, sizeof(r));
@@ -207,6 +210,7 @@
     r.timeout = e->deadline - now + c->response_grace;
     r.response_max = BBL_RESULT_MAX_BYTES;
     r.fresh_connection = to->fresh_exchanges > 0;
+    r.exchange = e->exchange_id;
     r.done = on_exchange_response;
     r.ctx = x;
     if (to->fresh_exchanges > 0) {
--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -166,6 +166,81 @@
 }
 END_TEST
 
+static void
+keep_response(void *ctx, const bbl_http_response *r)
+{
+    char *text = ctx;
+
+    snprintf(text, 64, "%d %.*s", (int)r->end, (int)r->body.size,
+             r->body.ptr ? r->body.ptr : "");
+}
+
+/*
+ * A searcher sends a second copy of a response, late, on a connection that is
+ * in use again. It must not be taken for the response to the next request.
+ */
+START_TEST(a_late_copy_is_not_the_response_to_the_next_request)
+{
+#define RESPONSE(exchange, body)                                              \
+    "HTTP/1.1 200 OK\r\nX-Exchange: " exchange                                \
+    "\r\nContent-Length: 3\r\n\r\n" body
+    static const char *const answers[][2] = {
+        {RESPONSE("a1", "old"), ""},
+        {RESPONSE("a1", "old"), RESPONSE("a2", "new")},
+    };
+    char text[64] = "";
+    bbl_http_request r = {.timeout = 300 * BBL_USEC_PER_MS,
+                          .response_max = 4096,
+                          .done = keep_response,
+                          .ctx = text};
+    bbl_loop *loop;
+    bbl_http_client *http;
+    bblx_address address;
+    int listener = tcp_listen(&address);
+    char url[64];
+    void *handle;
+    int fd = -1;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/", address.port);
+    r.url = url;
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    ck_assert_int_eq(bbl_http_client_open(&http, loop, 0), 0);
+    for (int request = 0; request < 2; request++) {
+        bool sent = false;
+
+        r.exchange = request == 0 ? 0xa1 : 0xa2;
+        text[0] = '\0';
+        ck_assert_int_eq(bbl_http_request_start(&handle, http, &r), 0);
+        for (int i = 0; i < 500 && text[0] == '\0'; i++) {
+            char head[1024];
+
+            bbl_http_client_tick(http);
+            bbl_loop_run_once(loop, 1000);
+            if (fd < 0) {
+                fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+            }
+            if (fd >= 0 && !sent && recv(fd, head, sizeof(head), 0) > 0) {
+                sent = true;
+                tcp_send(fd, request == 0 ? RESPONSE("a1", "old")
+                                          : answers[_i][0]);
+                if (request == 1) {
+                    tcp_send(fd, answers[_i][1]);
+                }
+            }
+        }
+        if (request == 0) {
+            ck_assert_str_eq(text, "0 old");
+        }
+    }
+    ck_assert_ptr_null(strstr(text, "old"));
+    ck_assert_uint_eq(bbl_http_client_connect_count(http), 1);
+    bbl_http_client_free(http);
+    bbl_loop_free(loop);
+    close(fd);
+    close(listener);
+}
+END_TEST
+
 START_TEST(an_answer_that_ends_early_is_never_complete)
 {
     /* `tail` bytes at the end may be missing: the head and the content are
@@ -207,6 +282,8 @@
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, running_poll_is_freed_without_callback);
     tcase_add_test(tc, an_answer_that_ends_early_is_never_complete);
+    tcase_add_loop_test(
+        tc, a_late_copy_is_not_the_response_to_the_next_request, 0, 2);
     tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0, 2);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
--- a/tools/standin.c
+++ b/tools/standin.c
@@ -277,6 +277,7 @@
     struct MHD_Response *response = MHD_create_response_from_buffer(
         body->size, body->ptr ? body->ptr : "", MHD_RESPMEM_MUST_COPY);
     enum MHD_Result result;
+    const char *exchange;
     char text[32];
 
     if (boot != 0) {
@@ -290,6 +291,11 @@
     if (reason != NULL) {
         MHD_add_response_header(response, "X-Reason", reason);
     }
+    exchange = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
+                                           "exchange");
+    if (exchange != NULL) {
+        MHD_add_response_header(response, "X-Exchange", exchange);
+    }
     result = MHD_queue_response(connection, status, response);
     MHD_destroy_response(response);
     return result;
