Tests: all connections between two hosts go silent for good

It passes on this code; with an acknowledgement timeout of 60 s, which is as good as none, it fails, and so do the two other tests of silent connections.

--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -267,6 +267,97 @@
 }
 END_TEST
 
+/* A relay between a host and its peer: connection i of the host ends at
+ * `from[i]`, and its bytes are passed on through `to[i]`. */
+typedef struct {
+    int from[16];
+    int to[16];
+    int count;
+    int silent; /* connections below this one carry nothing any more */
+} relay;
+
+static void
+pass_on(int from, int to)
+{
+    char bytes[4096];
+    ssize_t n = recv(from, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+    if (n > 0) {
+        ck_assert_int_eq(send(to, bytes, (size_t)n, MSG_NOSIGNAL), n);
+    }
+}
+
+static void
+run_relay(relay *r, int listener, bblx_address to)
+{
+    int fd = accept(listener, NULL, NULL);
+
+    if (fd >= 0) {
+        ck_assert_int_lt(r->count, 16);
+        r->from[r->count] = fd;
+        r->to[r->count] = tcp_connect(to);
+        ck_assert_int_ge(r->to[r->count], 0);
+        r->count++;
+    }
+    for (int i = r->silent; i < r->count; i++) {
+        pass_on(r->from[i], r->to[i]);
+        pass_on(r->to[i], r->from[i]);
+    }
+}
+
+/*
+ * All open connections go silent for good, without a reset, while new ones
+ * work. What is sent from then on arrives in time, and once: a host that only
+ * waits for the other end would go on with an old list of servers.
+ */
+START_TEST(messages_arrive_after_all_connections_have_gone_silent)
+{
+    enum { MESSAGES = 5, LIMIT_MS = 2000 };
+    bbl_loop *loop;
+    peer a;
+    peer b;
+    bblx_address to;
+    bblx_address proxy;
+    int listener = tcp_listen(&proxy);
+    relay r = {.count = 0};
+    bbl_usec end;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    open_peer(&a, loop, 1);
+    to = open_peer(&b, loop, 2);
+    send_message(&a, 2, proxy, BBLX_FEED);
+    end = bbl_clock_now() + LIMIT_MS * BBL_USEC_PER_MS;
+    while (b.feeds < 1 && bbl_clock_now() < end) {
+        run_relay(&r, listener, to);
+        run(&a, &b, 1);
+    }
+    ck_assert_uint_eq(b.feeds, 1);
+    r.silent = r.count;
+    for (int i = 0; i < MESSAGES; i++) {
+        send_message(&a, 2, proxy, BBLX_FEED);
+        run(&a, &b, 1);
+    }
+    end = bbl_clock_now() + LIMIT_MS * BBL_USEC_PER_MS;
+    while (b.feeds < 1 + MESSAGES && bbl_clock_now() < end) {
+        run_relay(&r, listener, to);
+        run(&a, &b, 1);
+    }
+    for (int i = 0; i < 50; i++) {
+        run_relay(&r, listener, to);
+        run(&a, &b, 1);
+    }
+    ck_assert_uint_eq(b.feeds, 1 + MESSAGES);
+    for (int i = 0; i < r.count; i++) {
+        close(r.from[i]);
+        close(r.to[i]);
+    }
+    close(listener);
+    bbl_mesh_free(a.mesh);
+    bbl_mesh_free(b.mesh);
+    bbl_loop_free(loop);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -281,6 +372,7 @@
     tcase_add_test(tc, a_delayed_thread_keeps_its_connections);
     tcase_add_test(
         tc, a_thread_that_is_often_delayed_replaces_a_silent_connection);
+    tcase_add_test(tc, messages_arrive_after_all_connections_have_gone_silent);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
