platform: an entry of the list without a version names no server

Cause: an entry counts only with all its fields, but `version`, which is not used here, was not looked for, and a `born` of another type was taken as absent.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -161,7 +161,17 @@
 }
 END_TEST
 
+#define WITHOUT_VERSION(more)                                                 \
+    "{\"service\":\"s1\",\"address\":\"10.1.2.3:8080\",\"zone\":\"z1\","      \
+    "\"slots\":2,\"id\":\"good\"" more READY "}"
+
 static const char *const bad_entries[] = {
+    WITHOUT_VERSION(""),
+    WITHOUT_VERSION(",\"version\":1"),
+    WITHOUT_VERSION(",\"version\":null"),
+    ENTRY("good", READY ",\"born\":\"1700\""),
+    ENTRY("good", READY ",\"born\":1.5"),
+    ENTRY("good", READY ",\"born\":null"),
     "3",
     "{}",
     ENTRY("i", ",\"state\":\"odd\",\"warmup_left_ms\":0"),
