forwarder: unsound responses are not relayed

Not on record, but shown by the new test: a server that has run a request and answers 503 without saying "not run" had its 503 relayed, which promises that it has not run (REFUSED).

Cause: a failed attempt at a single server is relayed unchanged when no other one may follow. Encoded bodies were the only exception.

Change: a success without a signature and the statuses 408, 421, 429 and 503 without the statement that the request did not run are failures and not relayed. The caller gets 502, which promises nothing.

Tests that failed before: unsound_responses_are_not_relayed, 4 of 4 (200 and 503 in place of 502), non_idempotent_requests_run_once with such a server ("89%: Checks: 49, Failures: 5").

--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -257,6 +257,22 @@
     RESULT_FINAL    /* a response to relay unchanged */
 } result_class;
 
+/* Returns whether a status tells callers that their request has not run. */
+static bool
+promises_not_run(unsigned status)
+{
+    return status == BBL_STATUS_REQUEST_TIMEOUT ||
+           status == BBL_STATUS_MISDIRECTED ||
+           status == BBL_STATUS_TOO_MANY_REQUESTS ||
+           status == BBL_STATUS_UNAVAILABLE;
+}
+
+static bool
+is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 static result_class
 classify_result(const bbl_forwarder *f, const bbl_attempt_result *r,
                 bbl_backend_head *head)
@@ -274,10 +290,10 @@
     if (head->not_run) {
         return RESULT_NOT_RUN;
     }
-    if (r->status >= 500 || head->encoded) {
+    if (r->status >= 500 || head->encoded || promises_not_run(r->status)) {
         return RESULT_FAILURE;
     }
-    if (r->status >= 200 && r->status < 300) {
+    if (is_success(r->status)) {
         return head->signature.size > 0 ? RESULT_USABLE : RESULT_FAILURE;
     }
     return RESULT_FINAL;
@@ -412,6 +428,18 @@
     bbl_backend_report_state(f, now, b, before);
 }
 
+/*
+ * Returns whether the response of a failed attempt may be relayed: a success
+ * that nobody signed and a refusal that the server does not vouch for would
+ * both tell the caller something that is not known.
+ */
+static bool
+is_relayable(const bbl_attempt_result *r, const bbl_backend_head *head)
+{
+    return r->outcome == BBL_ATTEMPT_RESPONSE && !head->encoded &&
+           !is_success(r->status) && !promises_not_run(r->status);
+}
+
 static const char *
 describe_failure(const bbl_attempt_result *r, const bbl_backend_head *head)
 {
@@ -496,8 +524,7 @@
         s->state = BBL_SHARD_PENDING; /* the delegation decides */
         return;
     }
-    if (single && r->outcome == BBL_ATTEMPT_RESPONSE && m != RESULT_NOT_RUN &&
-        !head->encoded &&
+    if (single && m != RESULT_NOT_RUN && is_relayable(r, head) &&
         (m == RESULT_FINAL || !q->route->idempotent ||
          s->attempts_maybe_run >= q->route->max_attempts ||
          bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now) <=
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -515,6 +515,9 @@
     case SERVER_FAILS:
         r.status = 500;
         break;
+    case SERVER_DENIES:
+        r.status = 503;
+        break;
     case SERVER_BREAKS:
         r.outcome = BBL_ATTEMPT_BROKEN;
         break;
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -21,7 +21,8 @@
     SERVER_BREAKS,   /* runs it, the connection breaks */
     SERVER_REFUSES,  /* refuses connections */
     SERVER_REPLACED, /* another incarnation has the address */
-    SERVER_UNSIGNED  /* responds without a signature */
+    SERVER_UNSIGNED, /* responds without a signature */
+    SERVER_DENIES    /* runs it, responds 503 without saying that it did not */
 } server_mode;
 
 /* State of the links from the host to all servers. */
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -459,8 +459,8 @@
 
 /* All failure modes in which a server does not stay silent. */
 static const server_mode failure_modes[] = {
-    SERVER_SHEDS,   SERVER_FAILS,    SERVER_BREAKS,
-    SERVER_REFUSES, SERVER_REPLACED, SERVER_UNSIGNED,
+    SERVER_SHEDS,    SERVER_FAILS,    SERVER_BREAKS, SERVER_REFUSES,
+    SERVER_REPLACED, SERVER_UNSIGNED, SERVER_DENIES,
 };
 
 START_TEST(idempotent_requests_are_retried_at_another_server)
@@ -504,6 +504,29 @@
 }
 END_TEST
 
+/* Responses of servers that have run the request but do not say so soundly. */
+static const server_mode unsound_modes[] = {SERVER_UNSIGNED, SERVER_DENIES};
+
+/*
+ * A success without a signature and a refusal that does not say "not run" must
+ * not reach the caller: the request may have run, and nobody vouches for it.
+ */
+START_TEST(unsound_responses_are_not_relayed)
+{
+    static const char *const paths[] = {"/once/1", "/one/1"};
+    fixture f;
+    const forward_sim_call *c;
+
+    init_fixture(&f);
+    f.one[0]->mode = unsound_modes[_i / 2];
+    f.one[1]->mode = unsound_modes[_i / 2];
+    c = send_and_wait(&f, paths[_i % 2]);
+    ck_assert_uint_ge(c->runs, 1);
+    ck_assert_uint_eq(c->status, 502);
+    free_fixture(&f);
+}
+END_TEST
+
 START_TEST(refused_requests_are_retried_at_another_server)
 {
     fixture f;
@@ -865,6 +888,8 @@
                         0, ARRAY_SIZE(failure_modes));
     tcase_add_loop_test(tc, non_idempotent_requests_run_once, 0,
                         ARRAY_SIZE(failure_modes));
+    tcase_add_loop_test(tc, unsound_responses_are_not_relayed, 0,
+                        2 * ARRAY_SIZE(unsound_modes));
     tcase_add_test(tc, refused_requests_are_retried_at_another_server);
     tcase_add_test(tc, non_idempotent_requests_are_not_hedged);
     tcase_add_test(tc, attempts_are_abandoned_after_their_caller_left);
