--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -115,6 +115,12 @@
         "http://127.60.1.$2:8106/-/config"
 }
 
+# change_evacuation METHOD HOST: evacuates data centre z1 (POST) or restores it
+# (DELETE) by way of a control host.
+change_evacuation() {
+    curl -sf -m 4 -X "$1" "http://127.60.1.$2:8106/-/evacuations/z1"
+}
+
 # is_in_force VERSION: succeeds if all entry hosts serve the route that came with
 # this version within 3 s.
 is_in_force() {
@@ -187,6 +193,12 @@
 grep -q 'baobablatch_requests_total{outcome="ok"}' "$dir/metrics" || fail "no counter of successful requests in the metrics"
 put_routing 2 1 >/dev/null || fail "an older version was not acknowledged"
 has_routing 3 || fail "an older version changed the routing"
+# Each host passes on what the one before may only just have recorded.
+for n in 1 2 3 4 5; do
+    change_evacuation POST "$n" >/dev/null || fail "no evacuation by way of control host $n"
+    change_evacuation DELETE $((n % 5 + 1)) >/dev/null || fail "no restoration by way of control host $((n % 5 + 1))"
+done
+wait_until send_request 1 /one/x || fail "a request was not forwarded after the evacuations"
 [ "$(echo '{"version":9' | curl -s -m 3 -X PUT --data-binary @- -o /dev/null \
     -w '%{http_code}' http://127.60.1.2:8106/-/config)" = 400 ] ||
     fail "an invalid routing was not refused"
