--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -2,12 +2,12 @@
  * Tests of the connections to a backend server. The test plays the server on a
  * loopback socket.
  */
-#include <malloc.h>
 #include <string.h>
 
 #include "bbl/errors.h"
 #include "net/backend_link.h"
 #include "platform/dialect.h"
+#include "support/heap.h"
 #include "support/run.h"
 #include "support/tcp.h"
 #include "util/clock.h"
@@ -769,15 +769,6 @@
 }
 END_TEST
 
-/* Returns the bytes that the process has allocated on the heap. */
-static size_t
-get_allocated(void)
-{
-    struct mallinfo2 m = mallinfo2();
-
-    return m.uordblks + m.hblkhd;
-}
-
 /* Responses without end: a body, chunks, and a head of short fields. */
 static const struct {
     const char *start;
@@ -826,7 +817,7 @@
         fds[i] = -1;
         o[i].calls = 1;
     }
-    before = get_allocated();
+    before = heap_get_allocated();
     for (int round = 0; round < 400; round++) {
         for (int i = 0; i < SERVERS; i++) {
             if (o[i].calls > 0) {
@@ -849,7 +840,7 @@
             size_t allocated;
 
             bbl_loop_run_once(f.loop, 0);
-            allocated = get_allocated() - before;
+            allocated = heap_get_allocated() - before;
             most = allocated > most ? allocated : most;
         }
         if (round % 20 == 0) {
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -1,9 +1,9 @@
 /* Tests of the HTTP server for callers, over loopback sockets. */
 #include <errno.h>
-#include <malloc.h>
 #include <string.h>
 
 #include "net/edge.h"
+#include "support/heap.h"
 #include "support/run.h"
 #include "support/tcp.h"
 #include "util/clock.h"
@@ -121,14 +121,6 @@
 }
 END_TEST
 
-static size_t
-get_allocated(void)
-{
-    struct mallinfo2 m = mallinfo2();
-
-    return m.uordblks + m.hblkhd;
-}
-
 #define RESPONSE_BYTES (4u << 20) /* more than the sockets take */
 
 /* What many callers do that makes the host hold memory for each of them. */
@@ -177,7 +169,7 @@
     ck_assert_int_eq(bbl_edge_open(&f.edge, f.loop, f.address, &handler), 0);
     bbl_edge_set_limits(f.edge, &limits);
     bbl_edge_set_memory_account(f.edge, account);
-    before = get_allocated();
+    before = heap_get_allocated();
     for (int i = 0; i < CALLERS; i++) {
         size_t sent = 0;
 
@@ -195,7 +187,7 @@
             }
             sent += n > 0 ? (size_t)n : 0;
             bbl_loop_run_once(f.loop, 0);
-            allocated = get_allocated() - before;
+            allocated = heap_get_allocated() - before;
             most = allocated > most ? allocated : most;
         }
         tcp_run_loop(f.loop, 2);
