Tests: the simulation accepts a host that starts without its quorum

Cause: the simulation fails one of the next disk calls of a host, and took for granted that a host that has started has a quorum; since a host whose disk fails at its start goes on without, there is none (backtrace: start_host, bbl_quorum_get_status with NULL). The product checks for it at each use.

No invariant changes.

--- a/tests/support/control_sim.c
+++ b/tests/support/control_sim.c
@@ -331,6 +331,19 @@
     return 0;
 }
 
+/* A host whose disk failed at its start has no journal until it is reopened.
+ */
+static void
+read_journal_id(host *x)
+{
+    bbl_quorum_status s;
+
+    if (bbl_control_quorum(x->control) != NULL) {
+        bbl_quorum_get_status(bbl_control_quorum(x->control), &s);
+        x->journal_id = s.disk_id;
+    }
+}
+
 static void
 start_host(control_sim *sim, uint32_t h)
 {
@@ -375,12 +388,7 @@
         x->disk.fail_at = 0;
         return;
     }
-    if (x->has_disk) {
-        bbl_quorum_status s;
-
-        bbl_quorum_get_status(bbl_control_quorum(x->control), &s);
-        x->journal_id = s.disk_id;
-    }
+    read_journal_id(x);
 }
 
 static void
@@ -595,6 +603,7 @@
     bbl_quorum_status s;
 
     bbl_control_tick(x->control, local_time(sim, h), sim->now / 1000);
+    read_journal_id(x);
     hand_over_searchers(sim, h);
     bbl_control_confirm_applied(
         x->control, bbl_state_applied_index(bbl_control_state(x->control)));
