Tests: soaks and forward tests reserve a loopback network each

Change: a soak takes the first of 30 /16 networks whose mark it can bind; the forward test locks one by a file. Both are released when the process ends.

--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -17,7 +17,16 @@
 other=${2:-$binary}
 declare -A starts
 dir=$(mktemp -d)
-seeds=127.60.1.1:1,127.60.1.2:1,127.60.1.3:1
+# Reserves a loopback network, so that several runs can share a machine. The
+# lock ends with this script and its processes.
+for number in $(seq 91 120); do
+    net=127.$number
+    exec 9>"${TMPDIR:-/tmp}/baobablatch-net-$number.lock"
+    if flock -n 9; then break; fi
+    net=""
+done
+[ -n "$net" ] || { echo "forward-test: all loopback networks are in use" >&2; exit 1; }
+seeds=$net.1.1:1,$net.1.2:1,$net.1.3:1
 declare -A pids
 declare -A loads
 standin_pid=0
@@ -49,8 +58,8 @@
 start_control() {
     select_binary "c$1" "$1"
     "$program" forward --data-centre "z$1" --seeds $seeds \
-        --control-address "127.60.1.$1:7380" --order-address "127.60.1.$1:8106" \
-        --catalog-address 127.60.4.1:8102 --data-dir "$dir/c$1" --found "$2" \
+        --control-address "$net.1.$1:7380" --order-address "$net.1.$1:8106" \
+        --catalog-address $net.4.1:8102 --data-dir "$dir/c$1" --found "$2" \
         --lost-disks 2 >>"$dir/control$1.log" 2>&1 &
     pids[c$1]=$!
 }
@@ -60,11 +69,11 @@
     local peer=()
     select_binary "e$1" "$1"
     # Earlier builds do not have the setting.
-    if [ "$program" = "$binary" ]; then peer=(--peer-address "127.60.2.$1:7381"); fi
+    if [ "$program" = "$binary" ]; then peer=(--peer-address "$net.2.$1:7381"); fi
     "$program" forward --data-centre "z$1" --seeds $seeds \
-        --control-address "127.60.2.$1:7380" --caller-address "127.60.2.$1:8104" \
-        --ready-address "127.60.2.$1:8108" --metrics-address "127.60.2.$1:9100" \
-        "${peer[@]}" --catalog-address 127.60.4.1:8102 --grace-s 5 >>"$dir/entry$1.log" 2>&1 &
+        --control-address "$net.2.$1:7380" --caller-address "$net.2.$1:8104" \
+        --ready-address "$net.2.$1:8108" --metrics-address "$net.2.$1:9100" \
+        "${peer[@]}" --catalog-address $net.4.1:8102 --grace-s 5 >>"$dir/entry$1.log" 2>&1 &
     pids[e$1]=$!
 }
 
@@ -90,11 +99,11 @@
     return 1
 }
 
-is_ready() { curl -sf -m 1 "http://127.60.2.$1:8108/-/readyz"; }
+is_ready() { curl -sf -m 1 "http://$net.2.$1:8108/-/readyz"; }
 
 is_draining() {
     [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' \
-        "http://127.60.2.$1:8108/-/readyz")" = 503 ]
+        "http://$net.2.$1:8108/-/readyz")" = 503 ]
 }
 
 # print_routing VERSION: prints a routing document.
@@ -112,13 +121,13 @@
 # put_routing VERSION HOST: sends a routing to a control host.
 put_routing() {
     print_routing "$1" | curl -sfL -m 4 -X PUT --data-binary @- \
-        "http://127.60.1.$2:8106/-/config"
+        "http://$net.1.$2:8106/-/config"
 }
 
 # change_evacuation METHOD HOST: evacuates data centre z1 (POST) or restores it
 # (DELETE) by way of a control host.
 change_evacuation() {
-    curl -sf -m 4 -X "$1" "http://127.60.1.$2:8106/-/evacuations/z1"
+    curl -sf -m 4 -X "$1" "http://$net.1.$2:8106/-/evacuations/z1"
 }
 
 # is_in_force VERSION: succeeds if all entry hosts serve the route that came with
@@ -138,7 +147,7 @@
     local host
     for host in 1 2 3 4 5; do
         # Not a pipe to grep -q, which would fail curl under pipefail.
-        if curl -sfL -m 2 -o "$dir/routing" "http://127.60.1.$host:8106/-/config" &&
+        if curl -sfL -m 2 -o "$dir/routing" "http://$net.1.$host:8106/-/config" &&
             grep -q "\"version\":$1," "$dir/routing"; then return 0; fi
     done
     return 1
@@ -149,7 +158,7 @@
 send_request() {
     curl -sf -m 3 -H 'Host: a.example' -H "Request-Id: r$RANDOM" \
         -H 'Deadline-Ms: 2000' -D "$dir/head" -o "$dir/body" \
-        "http://127.60.2.$1:8104$2"
+        "http://$net.2.$1:8104$2"
 }
 
 # start_standin OPTION...: starts the stand-in servers, in place of those that run.
@@ -158,8 +167,8 @@
         kill "$standin_pid"
         wait "$standin_pid" 2>/dev/null || true
     fi
-    "$build/tools/platform_standin" --list 127.60.4.1:8102 "$@" \
-        s1=127.60.3.1:8080,127.60.3.2:8080 s2=127.60.3.3:8080,127.60.3.4:8080 \
+    "$build/tools/platform_standin" --list $net.4.1:8102 "$@" \
+        s1=$net.3.1:8080,$net.3.2:8080 s2=$net.3.3:8080,$net.3.4:8080 \
         >"$dir/standin.log" 2>&1 &
     standin_pid=$!
 }
@@ -171,7 +180,7 @@
     while [ "$SECONDS" -lt "$until" ]; do
         curl -s -m 3 -o /dev/null -w '%{http_code}\n' -H 'Host: a.example' \
             -H "Request-Id: l$RANDOM$RANDOM" -H 'Deadline-Ms: 2000' \
-            "http://127.60.2.$2:8104/one/$RANDOM" || true
+            "http://$net.2.$2:8104/one/$RANDOM" || true
     done
 }
 
@@ -187,9 +196,9 @@
 grep -qi '^Missing-Parts: 0' "$dir/head" || fail "a part is missing from the merged answer"
 [ "$(stat -c %s "$dir/body")" -eq 112 ] || fail "the body is not 112 bytes, the 7 greatest records"
 [ "$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Host: a.example' \
-    "http://127.60.2.1:8104/none")" = 404 ] || fail "a request without a route was not answered with 404"
+    "http://$net.2.1:8104/none")" = 404 ] || fail "a request without a route was not answered with 404"
 # Not a pipe: grep ends at the first match, and curl would fail to write on.
-curl -sf -m 2 -o "$dir/metrics" http://127.60.2.1:9100/metrics || fail "no metrics"
+curl -sf -m 2 -o "$dir/metrics" http://$net.2.1:9100/metrics || fail "no metrics"
 grep -q 'baobablatch_requests_total{outcome="ok"}' "$dir/metrics" || fail "no counter of successful requests in the metrics"
 put_routing 2 1 >/dev/null || fail "an older version was not acknowledged"
 has_routing 3 || fail "an older version changed the routing"
@@ -200,7 +209,7 @@
 done
 wait_until send_request 1 /one/x || fail "a request was not forwarded after the evacuations"
 [ "$(echo '{"version":9' | curl -s -m 3 -X PUT --data-binary @- -o /dev/null \
-    -w '%{http_code}' http://127.60.1.2:8106/-/config)" = 400 ] ||
+    -w '%{http_code}' http://$net.1.2:8106/-/config)" = 400 ] ||
     fail "an invalid routing was not refused"
 
 # Kills each control host in turn, the leader among them.
@@ -259,7 +268,7 @@
 delegated='Baobablatch-Delegated: host=1 elapsed_us=1000 round_trip_us=100 attempts=0 routing=15'
 send_delegated() { # HEADER
     curl -s -m 3 -o "$dir/body" -D "$dir/head" -H 'Host: a.example' -H 'Request-Id: rd' \
-        -H 'Deadline-Ms: 2000' -H "$1" http://127.60.2.2:7381/all/delegated
+        -H 'Deadline-Ms: 2000' -H "$1" http://$net.2.2:7381/all/delegated
 }
 send_delegated "$delegated"
 grep -q '^HTTP/1.1 200' "$dir/head" || fail "a delegated query was not answered"
--- a/tools/soak/callers.c
+++ b/tools/soak/callers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "net/address.h"
+#include "soak/network.h"
 #include "util/alloc.h"
 
 #define CONNECTIONS_PER_HOST 8
@@ -477,7 +478,7 @@
     bblx_address address;
     bbl_backend_link *link;
 
-    snprintf(text, sizeof(text), "127.61.2.%u:%u", n, port);
+    soak_network_format(text, sizeof(text), SOAK_NET_ENTRY, n, port);
     bbl_address_parse(&address, text);
     link = bbl_backend_link_new(client, address, NULL);
     bbl_backend_link_set_limit(link, limit, false);
--- a/tools/soak/fleet.c
+++ b/tools/soak/fleet.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "bbl/errors.h"
+#include "soak/network.h"
 
 #define TEXT_MAX 256
 #define ARGS_MAX 32
@@ -29,45 +30,64 @@
              fleet->hosts[host].name);
 }
 
+/* Formats the addresses of the first three control hosts. */
+static void
+format_seeds(char *out, size_t size)
+{
+    char address[TEXT_MAX];
+
+    out[0] = '\0';
+    for (unsigned n = 1; n <= 3; n++) {
+        size_t used = strlen(out);
+
+        soak_network_format(address, sizeof(address), SOAK_NET_CONTROL, n, 1);
+        snprintf(out + used, size - used, "%s%s", n > 1 ? "," : "", address);
+    }
+}
+
 int
 soak_fleet_start(soak_fleet *fleet, unsigned host, bool bootstrap)
 {
     soak_host *h = &fleet->hosts[host];
     bool control = soak_fleet_is_control(host);
+    unsigned group = control ? SOAK_NET_CONTROL : SOAK_NET_ENTRY;
     unsigned n = control ? host + 1 : host - SOAK_CONTROL_HOSTS + 1;
+    char seeds[3 * TEXT_MAX];
+    char catalog_address[TEXT_MAX];
     char zone[TEXT_MAX];
     char control_address[TEXT_MAX];
     char serving_address[TEXT_MAX];
     char data_or_ready[TEXT_MAX];
     char peer_address[TEXT_MAX];
     char log_path[TEXT_MAX];
-    char *args[ARGS_MAX] = {
-        "baobablatch",       "forward",
-        "--seeds",           "127.61.1.1:1,127.61.1.2:1,127.61.1.3:1",
-        "--catalog-address", "127.61.4.2:8102",
-        "--lost-disks",      "2",
-        "--grace-s",         "6",
-        "--data-centre",     zone,
-        "--control-address", control_address};
+    char *args[ARGS_MAX] = {"baobablatch",       "forward",
+                            "--seeds",           seeds,
+                            "--catalog-address", catalog_address,
+                            "--lost-disks",      "2",
+                            "--grace-s",         "6",
+                            "--data-centre",     zone,
+                            "--control-address", control_address};
     size_t count = 14;
     posix_spawn_file_actions_t actions;
     int error;
 
     snprintf(h->name, sizeof(h->name), "%c%u", control ? 'c' : 'e', n % 10);
     snprintf(zone, TEXT_MAX, "z%u", n % 3 + 1);
-    snprintf(control_address, TEXT_MAX, "127.61.%d.%u:7380", control ? 1 : 2,
-             n);
+    format_seeds(seeds, sizeof(seeds));
+    soak_network_format(catalog_address, TEXT_MAX, SOAK_NET_LIST,
+                        SOAK_LIST_PROXY, SOAK_LIST_PORT);
+    soak_network_format(control_address, TEXT_MAX, group, n, 7380);
     snprintf(log_path, TEXT_MAX, "%s/%s.log", fleet->folder, h->name);
     args[count++] = control ? "--order-address" : "--caller-address";
-    snprintf(serving_address, TEXT_MAX, "127.61.%d.%u:%d", control ? 1 : 2, n,
-             control ? 8106 : 8104);
+    soak_network_format(serving_address, TEXT_MAX, group, n,
+                        control ? 8106 : 8104);
     args[count++] = serving_address;
     args[count++] = control ? "--data-dir" : "--ready-address";
     if (control) {
         format_data_folder(data_or_ready, fleet, host);
     }
     else {
-        snprintf(data_or_ready, TEXT_MAX, "127.61.2.%u:8108", n);
+        soak_network_format(data_or_ready, TEXT_MAX, group, n, 8108);
     }
     args[count++] = data_or_ready;
     if (control) {
@@ -75,7 +95,7 @@
         args[count++] = bootstrap ? "true" : "false";
     }
     else {
-        snprintf(peer_address, TEXT_MAX, "127.61.2.%u:7381", n);
+        soak_network_format(peer_address, TEXT_MAX, group, n, 7381);
         args[count++] = "--peer-address";
         args[count++] = peer_address;
     }
--- a/tools/soak/operator.c
+++ b/tools/soak/operator.c
@@ -6,6 +6,7 @@
 
 #include "net/address.h"
 #include "soak/callers.h"
+#include "soak/network.h"
 #include "util/alloc.h"
 #include "util/map.h"
 
@@ -112,8 +113,9 @@
 
     snprintf(text, sizeof(text), "%.*s", (int)location.size,
              location.ptr ? location.ptr : "");
-    if (sscanf(text, "http://127.61.1.%u:", &host) != 1 || host < 1 ||
-        host > SOAK_CONTROL_HOSTS || j->redirects >= REDIRECTS_MAX) {
+    host = soak_network_parse_url(text, SOAK_NET_CONTROL);
+    if (host < 1 || host > SOAK_CONTROL_HOSTS ||
+        j->redirects >= REDIRECTS_MAX) {
         return false;
     }
     j->redirects++;
@@ -301,7 +303,8 @@
         char text[32];
         bblx_address address;
 
-        snprintf(text, sizeof(text), "127.61.1.%u:%d", i + 1, COMMAND_PORT);
+        soak_network_format(text, sizeof(text), SOAK_NET_CONTROL, i + 1,
+                            COMMAND_PORT);
         bbl_address_parse(&address, text);
         op->links[i] = bbl_backend_link_new(client, address, NULL);
         bbl_backend_link_set_limit(op->links[i], 4, false);
--- a/tools/soak/servers.c
+++ b/tools/soak/servers.c
@@ -8,6 +8,7 @@
 #include "net/address.h"
 #include "net/edge.h"
 #include "odd_entries.h"
+#include "soak/network.h"
 #include "util/alloc.h"
 #include "util/map.h"
 #include "util/vec.h"
@@ -15,7 +16,6 @@
 #define SERVICE_MAX 16
 #define ADDRESS_MAX 32
 #define VIOLATION_MAX 256
-#define LIST_PORT 8102
 #define SERVER_PORT 8080
 
 typedef struct {
@@ -297,9 +297,10 @@
     snprintf(s->service, sizeof(s->service), "s%u",
              i / servers->options.servers_per_service);
     assign_server_id(s);
-    snprintf(text, sizeof(text), "127.61.3.%u:%d", i + 1, SERVER_PORT);
-    snprintf(s->listed_address, sizeof(s->listed_address), "127.61.5.%u:%d",
-             i + 1, SERVER_PORT);
+    soak_network_format(text, sizeof(text), SOAK_NET_SERVERS, i + 1,
+                        SERVER_PORT);
+    soak_network_format(s->listed_address, sizeof(s->listed_address),
+                        SOAK_NET_PROXIES, i + 1, SERVER_PORT);
     error = bbl_address_parse(&server_endpoint, text);
     if (error == 0) {
         error = bbl_address_parse(&proxy_endpoint, s->listed_address);
@@ -324,9 +325,10 @@
     char text[ADDRESS_MAX];
     int error;
 
-    snprintf(text, sizeof(text), "127.61.4.1:%d", LIST_PORT);
+    soak_network_format(text, sizeof(text), SOAK_NET_LIST, 1, SOAK_LIST_PORT);
     error = bbl_address_parse(&server_endpoint, text);
-    snprintf(text, sizeof(text), "127.61.4.2:%d", LIST_PORT);
+    soak_network_format(text, sizeof(text), SOAK_NET_LIST, SOAK_LIST_PROXY,
+                        SOAK_LIST_PORT);
     if (error == 0) {
         error = bbl_address_parse(&proxy_endpoint, text);
     }
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -18,6 +18,7 @@
 #include "bbl/errors.h"
 #include "platform/dialect.h"
 #include "soak/callers.h"
+#include "soak/network.h"
 #include "soak/operator.h"
 #include "soak/schedule.h"
 #include "util/clock.h"
@@ -498,7 +499,7 @@
     signal(SIGTERM, on_signal);
     s.fleet.program = program;
     s.fleet.folder = folder;
-    if (open_soak(&s, (uint64_t)seed) != 0) {
+    if (soak_network_reserve() != 0 || open_soak(&s, (uint64_t)seed) != 0) {
         fprintf(stderr, "bbl-soak: %s\n", bbl_error_last());
         close_soak(&s);
         return 2;
