Tests: early responses in every form leave no connection free

Change: a regression test for the whole class: nine forms of the response with two sizes of the server's receive buffer.

--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -382,6 +382,112 @@
 }
 END_TEST
 
+/*
+ * Forms of a response that a server sends before it has read a body, and how
+ * much of the request it has read by then.
+ */
+static const struct {
+    const char *response;
+    size_t read; /* bytes of the request; 0: none */
+} early_responses[] = {
+    {"HTTP/1.1 413 X\r\nRequest-Id: q1\r\nContent-Length: 3\r\n\r\nabc", 0},
+    {"HTTP/1.1 413 X\r\nRequest-Id: q1\r\nContent-Length: 3\r\n\r\nabc", 4096},
+    {"HTTP/1.1 413 X\r\nRequest-Id: q1\r\nContent-Length: 3\r\n\r\nabc",
+     1 << 20},
+    {"HTTP/1.1 100 Continue\r\n\r\n"
+     "HTTP/1.1 413 X\r\nRequest-Id: q1\r\nContent-Length: 3\r\n\r\nabc",
+     4096},
+    {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+     "HTTP/1.1 200 X\r\nRequest-Id: q1\r\nContent-Length: 3\r\n\r\nabc",
+     0},
+    {"HTTP/1.1 413 X\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "3\r\nabc\r\n0\r\n\r\n",
+     4096},
+    {"HTTP/1.1 413 X\r\nRequest-Id: q1\r\nKeep-Alive: timeout=9\r\n"
+     "Connection: keep-alive\r\nContent-Length: 3\r\n\r\nabc",
+     0},
+    {"HTTP/1.1 503 X\r\nRequest-Id: q1\r\nRetry-After: 1\r\n"
+     "Content-Length: 3\r\n\r\nabc",
+     4096},
+    {"HTTP/1.1 204 X\r\nRequest-Id: q1\r\n\r\n", 0},
+};
+
+/* Receive buffers of a server, from smaller than a segment to large. */
+static const int receive_buffers[] = {2048, 1 << 20};
+
+#define EARLY_FORMS (sizeof(early_responses) / sizeof(early_responses[0]))
+#define BUFFER_SIZES (sizeof(receive_buffers) / sizeof(receive_buffers[0]))
+
+/* Reads `size` bytes of a request while the loop runs. */
+static void
+skip_request(fixture *f, int fd, size_t size)
+{
+    char bytes[4096];
+
+    while (size > 0) {
+        ssize_t n =
+            recv(fd, bytes, size < sizeof(bytes) ? size : sizeof(bytes),
+                 MSG_DONTWAIT);
+
+        if (n > 0) {
+            size -= (size_t)n;
+        }
+        else {
+            bbl_loop_run_once(f->loop, 1000);
+        }
+    }
+}
+
+/*
+ * A connection is free only when both directions are at an end, whatever form
+ * an early response has, however much the server has read before it, and
+ * however much of the request the kernel of the server holds.
+ */
+START_TEST(no_early_response_frees_a_connection)
+{
+    enum { BODY_BYTES = 16 << 20 };
+    static char body[BODY_BYTES];
+    fixture f;
+    outcome o;
+    outcome next;
+    bbl_link_exchange *x;
+    bbl_link_exchange_request r = {
+        .head = {"POST /x HTTP/1.1\r\nContent-Length: 16777216\r\n", 44},
+        .body = {body, BODY_BYTES},
+        .request_id = {"q1", 2},
+        .done = on_done,
+        .ctx = &o,
+    };
+    int form = _i / (int)BUFFER_SIZES;
+    int buffer = receive_buffers[_i % (int)BUFFER_SIZES];
+    int fd;
+
+    memset(body, 'b', sizeof(body));
+    memset(&o, 0, sizeof(o));
+    open_fixture_with(&f, 200, ROOM_BYTES);
+    setsockopt(f.listener, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+    ck_assert_int_eq(bbl_link_exchange_start(&x, f.link, bbl_clock_now(), &r),
+                     0);
+    fd = accept_connection(&f);
+    skip_request(&f, fd, early_responses[form].read);
+    tcp_send(fd, early_responses[form].response);
+    for (int i = 0; i < 300 && o.calls == 0; i++) {
+        bbl_loop_run_once(f.loop, 1000);
+    }
+    ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
+    start_request(f.link, &next, "q2");
+    if (early_responses[form].read < sizeof("POST") - 1) {
+        skip_request(&f, fd, r.head.size + r.extra_fields.size + 2);
+    }
+    ck_assert(is_rest_of_body(&f, fd));
+    close(fd);
+    fd = accept_connection(&f);
+    ck_assert_ptr_nonnull(strstr(tcp_receive(f.loop, fd), "Request-Id: q2"));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 /* The same with a response of which a part comes after the whole request. */
 START_TEST(a_connection_is_kept_if_the_request_was_sent_in_the_end)
 {
@@ -941,6 +1047,8 @@
                    a_retry_replaces_the_connection_that_carried_the_request);
     tcase_add_test(tc, a_response_with_an_id_is_not_for_a_request_without_one);
     tcase_add_test(tc, a_connection_carries_a_limited_number_of_requests);
+    tcase_add_loop_test(tc, no_early_response_frees_a_connection, 0,
+                        EARLY_FORMS * BUFFER_SIZES);
     tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0,
                         2 * ARRAY_SIZE(early_statuses));
     tcase_add_test(tc,
