backend_link: a chunked response does not state its length

Callers saw nothing of it by itself, but a server that sends chunks without end was allowed the full size of a response each time, while one without a stated length is allowed half as much after each failure. Cause: the HTTP parser keeps the size of the present chunk in the field of the stated length, so has_length() took every chunk for a stated length. Change: a chunked response counts as one of unknown length. Measured: a_server_that_sends_without_end_is_allowed_less fails before for chunks (1,049,280 bytes at the fourth attempt, allowed 262,320), and passes.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -382,7 +382,9 @@
 static bool
 has_length(const conn *c)
 {
+    /* For a chunked response the parser keeps the size of a chunk there. */
     return c->message.head_done &&
+           (c->message.parser.flags & F_CHUNKED) == 0 &&
            c->message.parser.content_length != UINT64_MAX;
 }
 
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -964,6 +964,55 @@
 }
 END_TEST
 
+/* Fills `out` with whole copies of a text. */
+static void
+fill_repeated(char *out, size_t size, const char *text)
+{
+    size_t n = strlen(text);
+
+    out[0] = '\0';
+    for (size_t used = 0; used + n < size; used += n) {
+        memcpy(out + used, text, n + 1);
+    }
+}
+
+/*
+ * A server that sends without end again and again is allowed less each time,
+ * also if it sends chunks, which state no length of the whole.
+ */
+START_TEST(a_server_that_sends_without_end_is_allowed_less)
+{
+    enum { RESPONSE_MAX = 1 << 20, ATTEMPTS = 4 };
+    static char more[8192];
+    fixture f;
+    outcome o;
+    size_t peaks[ATTEMPTS] = {0};
+
+    fill_repeated(more, sizeof(more), endless_kinds[_i].more);
+    open_fixture_with(&f, RESPONSE_MAX, 8 * RESPONSE_MAX);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    for (int i = 0; i < ATTEMPTS; i++) {
+        int fd;
+
+        start_exchange(&f, &o);
+        fd = accept_connection(&f);
+        tcp_receive(f.loop, fd);
+        tcp_send(fd, endless_kinds[_i].start);
+        for (int k = 0; k < 100000 && o.calls == 0; k++) {
+            size_t buffered = bbl_backend_client_get_buffered(f.client);
+
+            peaks[i] = buffered > peaks[i] ? buffered : peaks[i];
+            send(fd, more, strlen(more), MSG_NOSIGNAL | MSG_DONTWAIT);
+            bbl_loop_run_once(f.loop, 0);
+        }
+        ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
+        close(fd);
+    }
+    ck_assert_uint_le(peaks[ATTEMPTS - 1], peaks[0] / 4);
+    close_fixture(&f);
+}
+END_TEST
+
 /* With less room than for one response, none that comes in pieces gets in. */
 START_TEST(a_client_needs_room_for_one_response)
 {
@@ -1067,6 +1116,8 @@
     tcase_add_test(tc, endless_bodies_of_many_servers_are_bounded);
     tcase_add_loop_test(tc, endless_responses_are_bounded_in_allocated_bytes,
                         0, ARRAY_SIZE(endless_kinds));
+    tcase_add_loop_test(tc, a_server_that_sends_without_end_is_allowed_less, 0,
+                        2);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, preconnects_per_tick_are_limited);
