Forward: ratings of bad servers that hosts share, as a pure module

Each of 85 hosts sends to a shard once in two seconds, so a host that learns alone meets a late part at each server that has turned slow. server_health.c decides what a host tells the others of a server (suspect, bad, well), what counts (a second host, at least 300 ms later; a host that finds most servers bad says nothing; 20 rows a second) and what the rating means. placement.c takes it as the least expected time, hedge.c hedges sooner away from a server that is rated as bad. Nothing calls it yet.

--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -121,6 +121,13 @@
     b->rated_at = now;
 }
 
+void
+bbl_backend_forget_ratings(bbl_backend *b)
+{
+    b->slowness = 0;
+    b->failure_rate = 0;
+}
+
 /*
  * Returns whether the process last seen at the address is surely still
  * running.
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -9,6 +9,7 @@
 #include "bbl/types.h"
 #include "forward/backoff.h"
 #include "forward/rate_limit.h"
+#include "forward/server_health.h"
 #include "model/codec.h"
 
 /* Whether a server may get work, and if not, why. */
@@ -62,6 +63,7 @@
     bbl_backoff backoff;
     bbl_rate_limit limit;
     uint64_t limit_serial; /* of the last observation of another host */
+    bbl_server_health health;
 
     void *link;     /* handle of the driver */
     void *attempts; /* bbl_attempt, the oldest one in flight */
@@ -90,6 +92,9 @@
 void bbl_backend_record_result(bbl_backend *backend, bbl_usec now,
                                double slowness, bool failed);
 
+/* Sets the ratings to those of a healthy server. */
+void bbl_backend_forget_ratings(bbl_backend *backend);
+
 /*
  * Return the ratings at `now`. Without new results they decay to those of a
  * healthy server.
--- a/src/forward/hedge.c
+++ b/src/forward/hedge.c
@@ -5,6 +5,7 @@
 #define DELAY_FULL_BUDGET 2.0 /* service times to wait with a full budget */
 #define DELAY_LOW_BUDGET 4.0  /* with a low budget */
 #define DELAY_STALLED 1.4     /* if the server has stalled */
+#define DELAY_RATED_BAD 1.2   /* if the hosts have rated the server as bad */
 #define LOW_BUDGET_SHARE 0.3  /* a budget below this share is low */
 /*
  * Share of the budget that hedges leave for retries: without a retry a refused
@@ -32,7 +33,8 @@
 {
     double service = (double)in->service_time;
     double budget = (in->budget_left - RETRY_RESERVE) / (1 - RETRY_RESERVE);
-    double units = in->stalled                 ? DELAY_STALLED
+    double units = in->rated_bad               ? DELAY_RATED_BAD
+                   : in->stalled               ? DELAY_STALLED
                    : budget < LOW_BUDGET_SHARE ? DELAY_LOW_BUDGET
                                                : DELAY_FULL_BUDGET;
     double target_margin =
--- a/src/forward/hedge.h
+++ b/src/forward/hedge.h
@@ -22,6 +22,8 @@
     bbl_usec target_left; /* time until the target; 0 if it has passed */
     bool stalled;         /* the first server has stalled */
     double budget_left;   /* share of the budget that is left, 0 to 1 */
+    /* The hosts have rated the first server as bad, and another one not. */
+    bool rated_bad;
 } bbl_hedge_input;
 
 /*
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -29,10 +29,13 @@
 
 /*
  * Returns the expected time of a request in microseconds, penalties included.
+ *
+ * @param rated whether the ratings by which hosts tell each other of bad
+ *              servers count
  */
 static double
 expected_time(const bbl_placement_input *in, const bbl_backend *b,
-              bbl_usec now, bbl_room room)
+              bbl_usec now, bbl_room room, bool rated)
 {
     double opening =
         room == BBL_ROOM_READY ? 0 : bbl_backend_get_connect_time(b);
@@ -43,19 +46,48 @@
                                REMOTE_ZONE_TARGET_SHARE * (double)in->target);
     double penalty_unit = fmax((double)in->service_time,
                                PENALTY_TARGET_SHARE * (double)in->target);
-    double penalties = FAILURE_COST * bbl_backend_get_failure_rate(b, now);
+    double slowness = bbl_backend_get_slowness(b, now);
+    double failures = bbl_backend_get_failure_rate(b, now);
+    double penalties;
 
+    if (rated) {
+        slowness =
+            fmax(slowness, bbl_server_health_get_slowness(&b->health, now));
+        failures = fmax(failures, bbl_server_health_get_loss(&b->health, now));
+    }
+    penalties = FAILURE_COST * failures;
     if (bbl_backend_is_stalled(b, now, in->stall_timeout)) {
         penalties += STALL_COST;
     }
     if (b->full_until > now) {
         penalties += FULL_COST;
     }
-    return bbl_backend_get_slowness(b, now) * (1 + b->in_flight / slots) *
-               (double)in->service_time +
+    return slowness * (1 + b->in_flight / slots) * (double)in->service_time +
            penalties * penalty_unit + (b->same_zone ? 0 : detour) + opening;
 }
 
+static bool
+is_rated_bad(const bbl_backend *b, bbl_usec now)
+{
+    return bbl_server_health_get_level(&b->health, now) == BBL_HEALTH_BAD;
+}
+
+bool
+bbl_placement_has_choice_of_health(bbl_backend *const *backends, size_t count,
+                                   bbl_usec now)
+{
+    bool bad = false;
+    bool other = false;
+
+    for (size_t i = 0; i < count; i++) {
+        if (bbl_backend_get_state(backends[i], now) == BBL_BACKEND_USABLE) {
+            bad = bad || is_rated_bad(backends[i], now);
+            other = other || !is_rated_bad(backends[i], now);
+        }
+    }
+    return bad && other;
+}
+
 bool
 bbl_placement_is_eligible(const bbl_placement_input *in, const bbl_backend *b,
                           bbl_usec now)
@@ -71,13 +103,18 @@
                      bbl_placement_counts *counts)
 {
     bbl_backend *best = NULL;
+    bbl_backend *best_unrated = NULL;
     double best_cost = 0;
+    double best_unrated_cost = 0;
 
-    *counts = (bbl_placement_counts){0, 0};
+    *counts = (bbl_placement_counts){0, 0, false};
     for (size_t i = 0; i < count; i++) {
         bbl_backend *b = backends[i];
         bbl_room free_room;
+        double spread;
         double cost;
+        double unrated_cost;
+        bool bad;
 
         if (!bbl_placement_is_eligible(in, b, now)) {
             continue;
@@ -92,12 +129,25 @@
             (in->hedge && bbl_backend_is_stalled(b, now, in->stall_timeout))) {
             continue;
         }
-        cost = expected_time(in, b, now, free_room) *
-               (1 + TIE_SPREAD * bbl_rng_unit(rng));
+        bad = is_rated_bad(b, now);
+        spread = bbl_rng_unit(rng);
+        cost = expected_time(in, b, now, free_room, bad) *
+               (1 + TIE_SPREAD * spread);
+        unrated_cost = bad ? expected_time(in, b, now, free_room, false) *
+                                 (1 + TIE_SPREAD * spread)
+                           : cost;
+        if (in->probe && bad) {
+            cost = -spread; /* any one of them */
+        }
         if (best == NULL || cost < best_cost) {
             best = b;
             best_cost = cost;
         }
+        if (best_unrated == NULL || unrated_cost < best_unrated_cost) {
+            best_unrated = b;
+            best_unrated_cost = unrated_cost;
+        }
     }
+    counts->moved = best != best_unrated && !in->probe;
     return best;
 }
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -7,7 +7,8 @@
  * between data centres is charged by the byte, so a server in another data
  * centre must save a share of the target time. Hosts with few requests per
  * second keep one connection per service, so the time to open a connection to
- * another server counts as well.
+ * another server counts as well. A server that hosts have rated as bad
+ * (server_health.h) is expected to take as long as they say.
  */
 #ifndef BBL_PLACEMENT_H
 #define BBL_PLACEMENT_H
@@ -23,6 +24,9 @@
     size_t tried_count;
     bool hedge;      /* for a hedge, stalled servers are excluded */
     bbl_usec target; /* latency target of the answer */
+    /* Prefers a server that is rated as bad, if another one is not: so its
+     * recovery is noticed. */
+    bool probe;
 } bbl_placement_input;
 
 /* How the driver could send to a server now. */
@@ -40,6 +44,9 @@
 typedef struct {
     size_t usable;  /* with or without capacity */
     size_t limited; /* of these, without a permit that they need */
+    /* Whether another server would be chosen without the ratings by which
+     * hosts tell each other of bad servers. */
+    bool moved;
 } bbl_placement_counts;
 
 /*
@@ -53,6 +60,13 @@
                                   void *room_ctx, bbl_rng *rng,
                                   bbl_placement_counts *counts);
 
+/*
+ * Returns whether some servers of a pool are rated as bad by the hosts and
+ * others, which may get work, are not.
+ */
+bool bbl_placement_has_choice_of_health(bbl_backend *const *backends,
+                                        size_t count, bbl_usec now);
+
 /* Returns whether a server may get this attempt, apart from its capacity. */
 bool bbl_placement_is_eligible(const bbl_placement_input *in,
                                const bbl_backend *backend, bbl_usec now);
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -85,7 +85,7 @@
 
 START_TEST(a_low_budget_delays_hedges)
 {
-    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, false, 1.0, false};
     bbl_usec full = bbl_hedge_get_delay(&in);
 
     in.budget_left = 0.4;
@@ -104,7 +104,8 @@
 START_TEST(no_hedge_while_responses_come_one_after_the_other)
 {
     /* The missing response is likely to be queued behind the others. */
-    bbl_hedge_input in = {15 * MS, 32 * MS, MS / 2, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {15 * MS, 32 * MS, MS / 2, 100 * MS,
+                          false,   1.0,     false};
 
     ck_assert_uint_gt(bbl_hedge_get_delay(&in), 0);
     ck_assert_uint_le(bbl_hedge_get_delay(&in), 2 * MS);
@@ -119,7 +120,7 @@
 
 START_TEST(a_stalled_server_is_hedged_sooner)
 {
-    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, false, 1.0, false};
     bbl_usec usual = bbl_hedge_get_delay(&in);
 
     in.stalled = true;
@@ -135,7 +136,7 @@
      * A delay of twice the service time would leave the second server too
      * little time.
      */
-    bbl_hedge_input in = {100 * MS, 0, SEC, 260 * MS, false, 1.0};
+    bbl_hedge_input in = {100 * MS, 0, SEC, 260 * MS, false, 1.0, false};
 
     ck_assert_uint_le(bbl_hedge_get_delay(&in), 130 * MS);
     ck_assert_uint_ge(bbl_hedge_get_delay(&in), 100 * MS);
@@ -149,7 +150,7 @@
      * time is long, and twice that would leave the second server too little
      * time.
      */
-    bbl_hedge_input in = {30 * MS, 0, SEC, 100 * MS, false, 1.0};
+    bbl_hedge_input in = {30 * MS, 0, SEC, 100 * MS, false, 1.0, false};
 
     ck_assert_uint_le(bbl_hedge_get_delay(&in), 40 * MS);
     ck_assert_uint_ge(bbl_hedge_get_delay(&in), 30 * MS);
@@ -201,7 +202,7 @@
 static unsigned
 count_first(pair *p, bbl_usec now, bool second)
 {
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0, false};
     unsigned n = 0;
     bbl_placement_counts usable;
 
@@ -227,7 +228,7 @@
 START_TEST(an_open_connection_is_preferred_at_equal_speed)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, false};
     bbl_placement_counts usable;
 
     init_pair(&p);
@@ -317,7 +318,7 @@
 START_TEST(only_usable_servers_are_chosen)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, false};
     bbl_placement_counts usable;
 
     init_pair(&p);
