--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -282,6 +282,7 @@
 	BBLX_RELEASED = 5,
 	BBLX_RATE_LIMIT = 6,
 	BBLX_CRASH = 7,
+	BBLX_HEALTH = 8,
 };
 typedef enum bblx_phase bblx_phase;
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -229,7 +229,8 @@
     BBLX_DOWN = 4,
     BBLX_RELEASED = 5,        /* its owner has handed it over */
     BBLX_RATE_LIMIT = 6,      /* a backend server's rate limit, see below */
-    BBLX_CRASH = 7            /* a request ended a server, see below */
+    BBLX_CRASH = 7,           /* a request ended a server, see below */
+    BBLX_HEALTH = 8           /* a backend server has turned bad, see below */
 };
 
 struct bblx_index {
@@ -250,6 +251,13 @@
  * With phase BBLX_CRASH a server has ended while it ran a request: boot is the
  * fingerprint of the request, limit its generation, searcher a hash of both,
  * serial the wall clock in ms. With limit 0 a server has answered the request.
+ *
+ * With phase BBLX_HEALTH it is what any host has observed of the health of a
+ * backend server: boot is the key of the server, searcher a hash of it, serial
+ * the wall clock in ms. limit holds, from the lowest bit on: the level (2
+ * bits), the cause (3), the slowness (7) and a hash of the host (16); see
+ * forward/server_health.h.
+ *
  * Hosts that do not know a phase pass such a report on.
  */
 struct bblx_report {
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1051,6 +1051,7 @@
     if (c->quorum != NULL) {
         bbl_quorum_flush(c->quorum, c->now);
     }
+    bbl_health_flush(c);
     if (c->heartbeat_due) {
         tick_heartbeat(c);
     }
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -178,6 +178,16 @@
 void bbl_control_report_crash(bbl_control *control, uint64_t fingerprint,
                               uint32_t generation);
 
+/*
+ * Publishes what this host has observed of the health of a backend server.
+ * Such reports are passed on a few times a second only, together with others.
+ *
+ * @param server key of the server, see bbl_backend_get_key()
+ * @param health as in bblx_report.limit
+ */
+void bbl_control_report_health(bbl_control *control, bbl_usec now,
+                               uint64_t server, uint32_t health);
+
 /*
  * Requests permits for servers that limit their request rate from one of the
  * hosts that grant them, each time from another one. The answer may be lost.
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -55,6 +55,9 @@
     bbl_vec children;           /* bbl_feed_child */
     bbl_vec relayed_heartbeats; /* bbl_relayed_heartbeat */
     bool feed_due;              /* send changes to the children at once */
+    bool health_due;            /* the same for reports of health */
+    bool health_pending;        /* some of them are for the parent */
+    bbl_usec next_health;       /* no message only for these before */
     bool feed_behind;           /* some child lacks entries or rows */
     size_t first_child;         /* where the next push begins */
     size_t bytes_in_flight;     /* to children that acknowledge them */
@@ -165,6 +168,20 @@
 /* Notes the grantors that have not answered in time. */
 void bbl_permits_tick(bbl_control *c);
 
+/* ---- observations.c ---- */
+
+/*
+ * Lets a report that has just changed be passed on to the children. One of the
+ * health of a server waits for others.
+ *
+ * @param pending whether it is for the parent as well
+ */
+void bbl_control_mark_report(bbl_control *c, const bblx_report *report,
+                             bool pending);
+
+/* Lets the reports of health be sent, unless some were sent just before. */
+void bbl_health_flush(bbl_control *c);
+
 /* ---- feed.c ---- */
 
 /* Sends each child the entries and rows that it lacks. */
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -398,7 +398,7 @@
 
         if (bbl_rows_update_report(&c->rows, r, true,
                                    !bbl_control_leads_now(c))) {
-            c->feed_due = true;
+            bbl_control_mark_report(c, r, !bbl_control_leads_now(c));
         }
     }
     k = update_child(c, from, h);
@@ -523,7 +523,7 @@
 
         bbl_rows_confirm_report(&c->rows, r);
         if (bbl_rows_update_report(&c->rows, r, false, false)) {
-            c->feed_due = true;
+            bbl_control_mark_report(c, r, false);
         }
     }
     for (u_int i = 0; i < f->members.members_len; i++) {
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -9,6 +9,9 @@
 #define STALE_CHANGES_MIN 64
 /* The platform rounds the end of a cold start. */
 #define COLD_TOLERANCE_US (250 * BBL_USEC_PER_MS)
+/* Calls of bbl_rows_expire_reports that a report of health outlasts: ratings
+ * lapse within 2 s, and the later calls only keep its serial number. */
+#define HEALTH_ROUNDS_MAX 1
 /* Rows of servers marked as gone that are kept without pruning. */
 #define GONE_BACKENDS_MAX 4096
 
@@ -476,9 +479,10 @@
 
     while ((row = bbl_map_next(&rows->reports, &pos)) != NULL) {
         uint64_t key = row->report.searcher;
+        unsigned max =
+            row->report.phase == BBLX_HEALTH ? HEALTH_ROUNDS_MAX : rounds_max;
 
-        if (row->report.phase >= BBLX_RATE_LIMIT &&
-            ++row->rounds > rounds_max) {
+        if (row->report.phase >= BBLX_RATE_LIMIT && ++row->rounds > max) {
             bbl_vec_push(&keys, &key);
         }
     }
--- a/src/control/rows.h
+++ b/src/control/rows.h
@@ -119,7 +119,8 @@
 
 /*
  * Removes the reports of BBLX_RATE_LIMIT and later phases that have not
- * changed during the last `rounds_max` calls: nobody withdraws them.
+ * changed during the last `rounds_max` calls: nobody withdraws them. Those of
+ * BBLX_HEALTH go with the second call.
  */
 void bbl_rows_expire_reports(bbl_rows *rows, unsigned rounds_max);
 
--- a/tests/test_control_feed.c
+++ b/tests/test_control_feed.c
@@ -526,6 +526,79 @@
 }
 END_TEST
 
+#define HEALTH_HOSTS 30 /* entry hosts of each of two data centres */
+
+/* Returns how many entry hosts hold a report of the health of a server. */
+static unsigned
+count_hosts_with_health(const simulation *sim, uint64_t server)
+{
+    unsigned count = 0;
+
+    for (uint32_t h = 2; h <= 2 * HEALTH_HOSTS + 1; h++) {
+        const bblx_report *r;
+        uint64_t revision;
+        size_t pos = 0;
+
+        while (
+            (r = bbl_rows_next_report(bbl_control_rows(sim->hosts[h].control),
+                                      &pos, &revision)) != NULL) {
+            count += r->phase == BBLX_HEALTH && r->boot == server;
+        }
+    }
+    return count;
+}
+
+/*
+ * Load pattern: pauses of servers let the hosts of a large fleet report over a
+ * hundred changes of health a second. All hosts know of each one soon, and no
+ * host gets a message for each.
+ */
+START_TEST(test_health_reports_spread_fast_in_few_messages)
+{
+    simulation *sim = open_simulation();
+    uint32_t relay = CHILDREN + 2;
+    bbl_control_status before;
+    bbl_control_status after;
+    bbl_usec longest = 0;
+    bbl_usec from;
+
+    start_host(sim, 1, "dc1", true, 4);
+    start_host(sim, relay, "dc2", true, 4);
+    for (uint32_t h = 2; h <= 2 * HEALTH_HOSTS + 1; h++) {
+        start_host(sim, h, h % 2 ? "dc1" : "dc2", false, 4);
+    }
+    run_for(sim, 5 * SEC);
+    bbl_control_get_status(sim->hosts[3].control, sim->now, &before);
+    from = sim->now;
+    for (uint64_t n = 1; n <= 240; n++) { /* one each 8 ms */
+        uint32_t h = 2 + (uint32_t)(n * 7 % (2 * HEALTH_HOSTS));
+
+        bbl_control_report_health(sim->hosts[h].control, sim->now, n, 1);
+        if (n % 24 != 0) {
+            run_for(sim, 8 * STEP_US);
+            continue;
+        }
+        for (unsigned ms = 0;
+             count_hosts_with_health(sim, n) < 2 * HEALTH_HOSTS; ms++) {
+            ck_assert_uint_lt(ms, 150);
+            run_for(sim, STEP_US);
+            longest =
+                (ms + 1) * STEP_US > longest ? (ms + 1) * STEP_US : longest;
+        }
+    }
+    bbl_control_get_status(sim->hosts[3].control, sim->now, &after);
+    printf("a report reaches all hosts within %u ms; %.0f feeds a second\n",
+           (unsigned)(longest / BBL_USEC_PER_MS),
+           (double)(after.feeds_received - before.feeds_received) * SEC /
+               (double)(sim->now - from));
+    /* 5 grants a second, and 33 messages with reports. */
+    ck_assert_uint_le((after.feeds_received - before.feeds_received) * SEC /
+                          (sim->now - from),
+                      45);
+    close_simulation(sim);
+}
+END_TEST
+
 static Suite *
 control_feed_suite(void)
 {
@@ -542,6 +615,7 @@
     tcase_add_test(t, test_entry_hosts_take_turns_to_read_a_long_list);
     tcase_add_test(t, test_few_hosts_read_a_short_list_soon);
     tcase_add_test(t, test_relay_is_host_with_disk);
+    tcase_add_test(t, test_health_reports_spread_fast_in_few_messages);
     suite_add_tcase(s, t);
     return s;
 }
