Forward: evidence of bad servers is counted once, and only for sent attempts

A host connects to a server that is down three times a second. Each failure counted as bad evidence, so that a host with some tens of unreachable servers was not believed any more; only the first one counts now. An attempt that waits for its connection says nothing of the server's speed; failures to connect are evidence of their own. explain shows BBL4010 with the changes of servers.

Tests: hosts with narrow links rate no server, hosts without links send no row; hedges, probes and the least bad server.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -158,8 +158,8 @@
     for (size_t i = 0; i < lines->size; i++) {
         const log_line *l = bbl_vec_at(lines, i);
 
-        if (l->event != BBL_EV_BACKEND || l->time_ms > until ||
-            l->time_ms + CONTEXT_WINDOW_MS < until) {
+        if ((l->event != BBL_EV_BACKEND && l->event != BBL_EV_SERVER_HEALTH) ||
+            l->time_ms > until || l->time_ms + CONTEXT_WINDOW_MS < until) {
             continue;
         }
         copy_value(l->text, "service", named, sizeof(named));
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -424,7 +424,7 @@
         if (m == RESULT_FAILURE) {
             bbl_health_evidence e = {BBL_HEALTH_FAILING, 0, a->sent_at};
 
-            bbl_backend_record_bad(f, now, b, &e);
+            bbl_backend_record_bad(f, now, b, &e, a->late);
         }
     }
     if (m == RESULT_NOT_RUN && r->outcome != BBL_ATTEMPT_UNSENT) {
@@ -617,7 +617,7 @@
                                          : BBL_HEALTH_SILENT,
                                      0, now - duration};
 
-            bbl_backend_record_bad(f, now, b, &e);
+            bbl_backend_record_bad(f, now, b, &e, before == BBL_BACKEND_DOWN);
         }
     }
     bbl_backend_report_state(f, now, b, before);
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -166,9 +166,15 @@
                                 const bbl_observed_health *observed,
                                 size_t count);
 
-/* Records own evidence that a server is bad, and tells the others of it. */
+/*
+ * Records own evidence that a server is bad, and tells the others of it.
+ *
+ * @param repeated whether it is no new one, such as the next failure to
+ *                 connect to a server that is down
+ */
 void bbl_backend_record_bad(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
-                            const bbl_health_evidence *evidence);
+                            const bbl_health_evidence *evidence,
+                            bool repeated);
 
 /* Records the response of a server to an attempt. */
 void bbl_backend_record_response(bbl_forwarder *f, bbl_usec now,
--- a/src/forward/health.c
+++ b/src/forward/health.c
@@ -89,10 +89,12 @@
 
 void
 bbl_backend_record_bad(bbl_forwarder *f, bbl_usec now, bbl_backend *b,
-                       const bbl_health_evidence *e)
+                       const bbl_health_evidence *e, bool repeated)
 {
     if (bbl_forwarder_shares_health(f)) {
-        bbl_health_witness_count(&f->witness, now, false);
+        if (!repeated) {
+            bbl_health_witness_count(&f->witness, now, false);
+        }
         judge_bad(f, now, b, e);
     }
 }
@@ -142,8 +144,8 @@
 }
 
 /*
- * Returns whether an attempt has no answer in time, though this host has got
- * another response since, and not for queues at all servers.
+ * Returns whether an attempt has no answer in time, though it was sent and
+ * this host has got another response since, and not for queues at all servers.
  */
 static bool
 is_late(const bbl_forwarder *f, bbl_usec now, const bbl_attempt *a)
@@ -151,7 +153,8 @@
     return f->reach.contact_at > a->sent_at && !a->load_limit->congested &&
            (a->query == NULL || now >= a->query->responded_at + QUIET_US) &&
            get_watched(f, now, a) >=
-               bbl_health_get_late_time(a->timing->service_time);
+               bbl_health_get_late_time(a->timing->service_time) &&
+           f->options.port.is_sent(f->options.port.ctx, a);
 }
 
 /* Counts the late attempts first, so that many of them at once tell nothing.
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -130,6 +130,23 @@
 }
 END_TEST
 
+/* Other hosts have found that it answers late, so little is to be waited for.
+ */
+START_TEST(a_server_that_is_rated_as_bad_is_hedged_sooner)
+{
+    bbl_hedge_input in = {15 * MS, 0, SEC, 100 * MS, true, 1.0, false};
+    bbl_usec stalled = bbl_hedge_get_delay(&in);
+
+    in.stalled = false;
+    in.rated_bad = true;
+    ck_assert_uint_lt(bbl_hedge_get_delay(&in), stalled);
+    /* Most attempts at a server that has recovered are answered by then. */
+    ck_assert_uint_ge(bbl_hedge_get_delay(&in), 18 * MS);
+    in.budget_left = 0.2;
+    ck_assert_uint_eq(bbl_hedge_get_delay(&in), UINT64_MAX);
+}
+END_TEST
+
 START_TEST(a_hedge_starts_early_enough_for_the_target)
 {
     /*
@@ -315,6 +332,94 @@
 }
 END_TEST
 
+static void
+rate(bbl_backend *b, bbl_usec now, bbl_health_level level,
+     bbl_health_cause cause, unsigned slowness)
+{
+    bbl_observed_health o = {0, 0, level, cause, slowness, 1};
+
+    bbl_server_health_apply(&b->health, now, &o);
+}
+
+/* What two hosts have seen counts at a host that has seen nothing. */
+START_TEST(servers_that_hosts_rate_as_bad_are_avoided)
+{
+    pair p;
+
+    init_pair(&p);
+    rate(&p.servers[0], SEC, BBL_HEALTH_SUSPECT, BBL_HEALTH_SLOW, 3);
+    ck_assert_uint_gt(count_first(&p, SEC, false), 25);
+    rate(&p.servers[0], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 3);
+    ck_assert_uint_eq(count_first(&p, SEC, false), 0);
+    ck_assert_uint_eq(count_first(&p, SEC, true), 0);
+    /* The rating lapses. */
+    ck_assert_uint_gt(count_first(&p, 3 * SEC, false), 25);
+    rate(&p.servers[0], 4 * SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 9);
+    rate(&p.servers[0], 4 * SEC, BBL_HEALTH_WELL, BBL_HEALTH_SLOW, 0);
+    ck_assert_uint_gt(count_first(&p, 4 * SEC, false), 25);
+}
+END_TEST
+
+/* If all servers are rated as bad, the least bad one gets the work. */
+START_TEST(the_least_bad_server_is_chosen)
+{
+    pair p;
+    bbl_placement_input in = {
+        .service_time = 15 * MS, .stall_timeout = 30 * MS, .target = 200 * MS};
+    bbl_placement_counts counts;
+
+    init_pair(&p);
+    rate(&p.servers[0], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SILENT, 0);
+    rate(&p.servers[1], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 12);
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, room_except_ctx,
+                                          NULL, &p.rng, &counts),
+                     p.list[1]);
+    rate(&p.servers[0], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 8);
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, room_except_ctx,
+                                          NULL, &p.rng, &counts),
+                     p.list[0]);
+}
+END_TEST
+
+/* A probe reaches a bad server, but only if the part can be sent elsewhere. */
+START_TEST(probes_reach_servers_that_are_rated_as_bad)
+{
+    pair p;
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, true};
+    bbl_placement_counts counts;
+
+    init_pair(&p);
+    ck_assert(!bbl_placement_has_choice_of_health(p.list, 2, SEC));
+    rate(&p.servers[0], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 9);
+    ck_assert(bbl_placement_has_choice_of_health(p.list, 2, SEC));
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, room_except_ctx,
+                                          NULL, &p.rng, &counts),
+                     p.list[0]);
+    ck_assert(!counts.moved);
+    rate(&p.servers[1], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 9);
+    ck_assert(!bbl_placement_has_choice_of_health(p.list, 2, SEC));
+}
+END_TEST
+
+START_TEST(parts_that_ratings_move_are_counted)
+{
+    pair p;
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, false};
+    bbl_placement_counts counts;
+
+    init_pair(&p);
+    p.servers[1].same_zone = false;
+    bbl_placement_choose(&in, p.list, 2, SEC, room_except_ctx, NULL, &p.rng,
+                         &counts);
+    ck_assert(!counts.moved);
+    rate(&p.servers[0], SEC, BBL_HEALTH_BAD, BBL_HEALTH_SLOW, 9);
+    ck_assert_ptr_eq(bbl_placement_choose(&in, p.list, 2, SEC, room_except_ctx,
+                                          NULL, &p.rng, &counts),
+                     p.list[1]);
+    ck_assert(counts.moved);
+}
+END_TEST
+
 START_TEST(only_usable_servers_are_chosen)
 {
     pair p;
@@ -689,6 +794,7 @@
     tcase_add_test(tc, a_stalled_server_is_hedged_sooner);
     tcase_add_test(tc, no_hedge_while_responses_come_one_after_the_other);
     tcase_add_test(tc, a_hedge_starts_early_enough_for_the_target);
+    tcase_add_test(tc, a_server_that_is_rated_as_bad_is_hedged_sooner);
     tcase_add_test(tc, a_full_budget_hedges_earlier_before_the_target);
     tcase_add_test(tc, equal_servers_share_the_work);
     tcase_add_test(tc, an_open_connection_is_preferred_at_equal_speed);
@@ -696,6 +802,10 @@
     tcase_add_test(tc, a_stalled_server_gets_no_new_requests);
     tcase_add_test(
         tc, slow_and_failing_servers_are_avoided_until_the_rating_decays);
+    tcase_add_test(tc, servers_that_hosts_rate_as_bad_are_avoided);
+    tcase_add_test(tc, the_least_bad_server_is_chosen);
+    tcase_add_test(tc, probes_reach_servers_that_are_rated_as_bad);
+    tcase_add_test(tc, parts_that_ratings_move_are_counted);
     tcase_add_test(tc, only_usable_servers_are_chosen);
     tcase_add_test(tc, a_server_that_answered_lately_is_full_and_not_down);
     tcase_add_test(tc, an_unsure_server_waits_for_a_newer_list);
--- a/tests/test_shared_health.c
+++ b/tests/test_shared_health.c
@@ -142,6 +142,28 @@
             ck_assert_uint_eq(forward_fleet_count_rated_bad(f, k), 0);
         }
     }
+    ck_assert_uint_eq(forward_fleet_count_health_rows(f), 0);
+    forward_fleet_free(f);
+}
+END_TEST
+
+/*
+ * The responses queue on the narrow links of some hosts, so that the last ones
+ * come late, from any server.
+ */
+START_TEST(hosts_with_narrow_links_rate_no_server)
+{
+    forward_fleet *f = open_fleet(HOSTS);
+
+    for (unsigned i = 0; i < 4; i++) {
+        forward_sim_set_receive_time(forward_fleet_get_host(f, i), 30 * MS);
+    }
+    for (unsigned i = 0; i < 20; i++) {
+        forward_fleet_run(f, 500 * MS, PER_S, "/g/x");
+        for (unsigned k = 0; k < SHARDS * COPIES; k++) {
+            ck_assert_uint_eq(forward_fleet_count_rated_bad(f, k), 0);
+        }
+    }
     forward_fleet_free(f);
 }
 END_TEST
@@ -195,6 +217,7 @@
                         0, sizeof(bad_modes) / sizeof(bad_modes[0]));
     tcase_add_test(tc, a_server_that_fails_one_host_is_not_rated);
     tcase_add_test(tc, hosts_without_links_say_nothing);
+    tcase_add_test(tc, hosts_with_narrow_links_rate_no_server);
     tcase_add_test(tc, a_shard_without_a_sound_server_is_served);
     tcase_add_test(tc, small_fleets_share_nothing);
     suite_add_tcase(s, tc);
