Routing: organisations with keys, and public routes

Callers are to be identified by keys that the routing document lists per organisation. Nothing read these parts of the document yet.

Change: bbl_routing holds organisations (name, priority, rate, burst) and finds one by a key or by its name; platform/routing.c reads `tenants` and `public`. A key of two organisations, an empty one or one of over 256 bytes makes the document invalid; the message names the organisations. The JSON parser quotes the document in its messages, which are logged, so that part is cut off. A query has `organisation` and `priority`, still those of no organisation and of the route: the check at the edge follows.

--- a/include/bbl/routing.h
+++ b/include/bbl/routing.h
@@ -1,6 +1,7 @@
 /*
  * routing.h - one version of the routing: the services that requests are sent
- * to, selected by host name and path, and the limits for callers.
+ * to, selected by host name and path, the organisations whose keys callers
+ * present, and the limits for callers.
  *
  * A routing is filled with the _add_ functions and validated once with
  * bbl_routing_check. It must not change after that; any number of threads may
@@ -13,6 +14,9 @@
 
 #define BBL_ROUTING_ROUTES_MAX 100000
 #define BBL_ROUTING_SERVICES_MAX 65536
+#define BBL_ROUTING_ORGANISATIONS_MAX 65536
+#define BBL_ORGANISATION_NAME_MAX 127 /* bytes */
+#define BBL_ORGANISATION_KEY_MAX 256  /* bytes */
 
 /* How a route selects backend servers for a request. */
 typedef enum {
@@ -32,6 +36,7 @@
     bbl_str hostname;
     bbl_str path_prefix; /* starts and ends with a slash */
     bbl_route_kind kind;
+    bool is_public;             /* callers need no key */
     bool idempotent;            /* requests may be executed more than once */
     uint32_t timeout_ms;        /* maximum time until the caller is answered */
     uint32_t target_latency_ms; /* desired maximum time until the answer */
@@ -51,6 +56,15 @@
     double warmup_per_s;      /* requests per second during the warm-up */
 } bbl_service;
 
+/* A customer of the operator. Its callers present one of its keys. */
+typedef struct {
+    bbl_str name;
+    bool has_priority;
+    uint32_t priority; /* instead of that of the route; 0 is the most urgent */
+    double rate_per_s; /* requests per second at all hosts; 0: no limit */
+    double burst;      /* requests */
+} bbl_organisation;
+
 /* Limits for the connections and requests of callers. */
 typedef struct {
     uint32_t max_header_bytes;
@@ -98,6 +112,26 @@
 int bbl_routing_add_target(bbl_routing *routing, bbl_str service,
                            uint32_t weight);
 
+/*
+ * Adds an organisation without keys. Copies the name.
+ *
+ * @return 0, or BBL_EINVAL if the name is empty, longer than
+ *         BBL_ORGANISATION_NAME_MAX, a duplicate, or cannot be the value of a
+ *         header field, or if there are BBL_ROUTING_ORGANISATIONS_MAX already
+ */
+int bbl_routing_add_organisation(bbl_routing *routing,
+                                 const bbl_organisation *organisation);
+
+/*
+ * Adds a key to the organisation that was added last; there must be one. Only
+ * a hash of the key is kept.
+ *
+ * @return 0, or BBL_EINVAL if the key is empty, longer than
+ *         BBL_ORGANISATION_KEY_MAX, or belongs to another organisation. The
+ *         message names the organisations, but not the key.
+ */
+int bbl_routing_add_key(bbl_routing *routing, bbl_str key);
+
 void bbl_routing_set_limits(bbl_routing *routing,
                             const bbl_caller_limits *limits);
 
@@ -115,6 +149,24 @@
 const bbl_route *bbl_routing_route(const bbl_routing *routing, size_t i);
 const bbl_service *bbl_routing_service(const bbl_routing *routing, size_t i);
 
+/* Returns organisation `i`, or NULL past the last one. */
+const bbl_organisation *bbl_routing_organisation(const bbl_routing *routing,
+                                                 size_t i);
+
+/* Returns whether callers need a key, except for public routes. */
+bool bbl_routing_has_organisations(const bbl_routing *routing);
+
+/* Returns the number of keys of all organisations. */
+size_t bbl_routing_key_count(const bbl_routing *routing);
+
+/* Returns the organisation of a key, or NULL if the key is unknown. */
+const bbl_organisation *bbl_routing_find_key(const bbl_routing *routing,
+                                             bbl_str key);
+
+/* Returns the organisation of a name, or NULL. */
+const bbl_organisation *
+bbl_routing_find_organisation(const bbl_routing *routing, bbl_str name);
+
 /* Returns the index of `route`, which must belong to this routing. */
 size_t bbl_routing_route_index(const bbl_routing *routing,
                                const bbl_route *route);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -627,6 +627,7 @@
     q->table = f->table;
     q->table->ref_count++;
     q->route = route;
+    q->priority = route->priority;
     q->attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
     q->signatures = (bbl_vec){NULL, 0, 0, 2 * sizeof(size_t)};
     q->record.request_id = request->request_id;
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -77,6 +77,10 @@
     bbl_forward_request request;
     bbl_route_table *table;
     const bbl_route *route;
+    /* That calls, in the routing of `table`; NULL if none has to. */
+    const bbl_organisation *organisation;
+    /* That of the organisation, or of the route if it has none. */
+    uint32_t priority;
     bbl_route_timing *timing;
     bbl_load_limit *load_limit; /* load limit of its servers, borrowed */
     /*
--- a/src/model/routing.c
+++ b/src/model/routing.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "bbl/errors.h"
+#include "identity/key_index.h"
 #include "util/alloc.h"
 #include "util/map.h"
 #include "util/vec.h"
@@ -15,11 +16,14 @@
 
 struct bbl_routing {
     uint64_t version;
-    GStringChunk *text;       /* owns all strings */
-    bbl_vec routes;           /* bbl_route; owns their targets */
-    bbl_vec services;         /* bbl_service */
-    bbl_map services_by_name; /* name hash -> index + 1 */
-    bbl_map routes_by_prefix; /* hash_route -> index + 1 */
+    GStringChunk *text;            /* owns all strings */
+    bbl_vec routes;                /* bbl_route; owns their targets */
+    bbl_vec services;              /* bbl_service */
+    bbl_map services_by_name;      /* name hash -> index + 1 */
+    bbl_map routes_by_prefix;      /* hash_route -> index + 1 */
+    bbl_vec organisations;         /* bbl_organisation */
+    bbl_map organisations_by_name; /* name hash -> index + 1 */
+    bbl_key_index keys;            /* owner: index of the organisation */
     bbl_caller_limits limits;
 };
 
@@ -66,6 +70,7 @@
     r->text = g_string_chunk_new(4096);
     r->routes = (bbl_vec)BBL_VEC_INIT(bbl_route);
     r->services = (bbl_vec)BBL_VEC_INIT(bbl_service);
+    r->organisations = (bbl_vec)BBL_VEC_INIT(bbl_organisation);
     return r;
 }
 
@@ -82,6 +87,9 @@
     bbl_vec_free(&r->services);
     bbl_map_free(&r->services_by_name);
     bbl_map_free(&r->routes_by_prefix);
+    bbl_vec_free(&r->organisations);
+    bbl_map_free(&r->organisations_by_name);
+    bbl_key_index_free(&r->keys);
     g_string_chunk_free(r->text);
     free(r);
 }
@@ -163,6 +171,85 @@
     return 0;
 }
 
+/* ---- organisations ---- */
+
+/* Returns whether a name may stand in a header field and in a log line. */
+static bool
+is_valid_name(bbl_str name)
+{
+    if (name.size == 0 || name.size > BBL_ORGANISATION_NAME_MAX ||
+        name.ptr[0] == ' ' || name.ptr[name.size - 1] == ' ') {
+        return false;
+    }
+    for (size_t i = 0; i < name.size; i++) {
+        if (iscntrl((unsigned char)name.ptr[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const bbl_organisation *
+bbl_routing_find_organisation(const bbl_routing *r, bbl_str name)
+{
+    size_t at =
+        (size_t)bbl_map_get(&r->organisations_by_name, hash_name(name));
+    const bbl_organisation *o = bbl_routing_organisation(r, at - 1);
+
+    return o != NULL && bbl_str_equal(o->name, name) ? o : NULL;
+}
+
+int
+bbl_routing_add_organisation(bbl_routing *r, const bbl_organisation *o)
+{
+    bbl_organisation *added;
+
+    if (!is_valid_name(o->name) ||
+        bbl_routing_find_organisation(r, o->name) != NULL) {
+        return bbl_error_set(BBL_EINVAL,
+                             "organisation %zu: its name is empty, too long, "
+                             "a duplicate, or has control characters",
+                             r->organisations.size);
+    }
+    if (r->organisations.size >= BBL_ROUTING_ORGANISATIONS_MAX) {
+        return bbl_error_set(BBL_EINVAL, "more than %d organisations",
+                             BBL_ROUTING_ORGANISATIONS_MAX);
+    }
+    added = bbl_vec_add(&r->organisations);
+    *added = *o;
+    added->name = copy_string(r, o->name);
+    bbl_map_set(&r->organisations_by_name, hash_name(added->name),
+                (void *)r->organisations.size);
+    return 0;
+}
+
+int
+bbl_routing_add_key(bbl_routing *r, bbl_str key)
+{
+    uint32_t last = (uint32_t)r->organisations.size - 1;
+    const bbl_organisation *o = bbl_vec_at(&r->organisations, last);
+    const bbl_organisation *other;
+    uint32_t owner = last;
+
+    if (key.size == 0 || key.size > BBL_ORGANISATION_KEY_MAX) {
+        return bbl_error_set(BBL_EINVAL,
+                             "organisation \"%.*s\": a key is empty or longer "
+                             "than %d bytes",
+                             (int)o->name.size, o->name.ptr,
+                             BBL_ORGANISATION_KEY_MAX);
+    }
+    if (bbl_key_index_add(&r->keys, key, last) ||
+        !bbl_key_index_find(&owner, &r->keys, key) || owner == last) {
+        return 0;
+    }
+    other = bbl_routing_organisation(r, owner);
+    return bbl_error_set(BBL_EINVAL,
+                         "organisations \"%.*s\" and \"%.*s\" have the same "
+                         "key",
+                         (int)other->name.size, other->name.ptr,
+                         (int)o->name.size, o->name.ptr);
+}
+
 void
 bbl_routing_set_limits(bbl_routing *r, const bbl_caller_limits *limits)
 {
@@ -305,6 +392,35 @@
     return (size_t)(route - (const bbl_route *)r->routes.ptr);
 }
 
+const bbl_organisation *
+bbl_routing_organisation(const bbl_routing *r, size_t i)
+{
+    return i < r->organisations.size ? bbl_vec_at(&r->organisations, i) : NULL;
+}
+
+bool
+bbl_routing_has_organisations(const bbl_routing *r)
+{
+    return r->organisations.size > 0;
+}
+
+size_t
+bbl_routing_key_count(const bbl_routing *r)
+{
+    return r->keys.size;
+}
+
+const bbl_organisation *
+bbl_routing_find_key(const bbl_routing *r, bbl_str key)
+{
+    uint32_t owner;
+
+    return key.size > 0 && key.size <= BBL_ORGANISATION_KEY_MAX &&
+                   bbl_key_index_find(&owner, &r->keys, key)
+               ? bbl_routing_organisation(r, owner)
+               : NULL;
+}
+
 const bbl_service *
 bbl_routing_service(const bbl_routing *r, size_t i)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -75,6 +75,80 @@
 }
 END_TEST
 
+#define TENANTS(list)                                                         \
+    "{\"version\":7,\"routes\":[" ROUTE "]," SERVICES ",\"tenants\":[" list   \
+    "]}"
+#define TENANT(name, rest) "{\"name\":\"" name "\"," rest "}"
+
+START_TEST(organisations_are_decoded)
+{
+    bbl_routing *r;
+    const bbl_organisation *o;
+
+    ck_assert_msg(
+        bbl_platform_dialect()->read_routing(
+            &r, str(TENANTS(TENANT("ant",
+                                   "\"api_keys\":[\"k1\",\"k2\"],\"priority\":"
+                                   "0,"
+                                   "\"rate_per_s\":2.5,\"burst\":7,\"later\":{"
+                                   "}") "," TENANT("bee", "\"api_keys\":["
+                                                          "\"k3\"]")))) == 0,
+        "%s", bbl_error_last());
+    ck_assert_int_eq(bbl_routing_check(r), 0);
+    o = bbl_routing_find_key(r, str("k2"));
+    ck_assert(equals(o->name, "ant"));
+    ck_assert(o->has_priority);
+    ck_assert_uint_eq(o->priority, 0);
+    ck_assert(o->rate_per_s > 2.4 && o->rate_per_s < 2.6);
+    ck_assert(o->burst > 6.9 && o->burst < 7.1);
+    o = bbl_routing_find_key(r, str("k3"));
+    ck_assert(equals(o->name, "bee"));
+    ck_assert(!o->has_priority);
+    ck_assert(o->rate_per_s <= 0 && o->burst <= 0);
+    bbl_routing_free(r);
+}
+END_TEST
+
+START_TEST(public_routes_are_decoded)
+{
+    bbl_routing *r;
+
+    ck_assert_int_eq(
+        bbl_platform_dialect()->read_routing(
+            &r, str("{\"version\":7,\"routes\":[" SPLIT ","
+                    "{\"public\":true,\"name\":\"p\",\"service\":\"s1\"},"
+                    "{\"public\":false,\"name\":\"q\",\"service\":\"s1\"}]"
+                    "," SERVICES "}")),
+        0);
+    ck_assert(!bbl_routing_route(r, 0)->is_public);
+    ck_assert(bbl_routing_route(r, 1)->is_public);
+    ck_assert(!bbl_routing_route(r, 2)->is_public);
+    bbl_routing_free(r);
+}
+END_TEST
+
+/* An error message is logged; a document that is cut off within its keys must
+ * not bring one of them there. */
+START_TEST(no_error_message_contains_a_key)
+{
+    static const char *const documents[] = {
+        TENANTS(TENANT("ant", "\"api_keys\":[\"hidden\" \"hidden\"]")),
+        TENANTS(TENANT("ant", "\"api_keys\":[\"hidden")),
+        TENANTS(TENANT("ant", "\"api_keys\":[hidden]")),
+        TENANTS(TENANT("ant", "\"api_keys\":\"hidden\"")),
+        TENANTS(TENANT("ant", "\"api_keys\":{\"hidden\":1}")),
+        TENANTS(TENANT("ant", "\"api_keys\":[\"hidden\"]") "," TENANT(
+            "bee", "\"api_keys\":[\"hidden\"]")),
+    };
+    bbl_routing *r;
+
+    ck_assert_int_eq(
+        bbl_platform_dialect()->read_routing(&r, str(documents[_i])),
+        BBL_EINVAL);
+    ck_assert_ptr_null(strstr(bbl_error_last(), "hidden"));
+}
+END_TEST
+
 static const char *const bad_documents[] = {
     "",
     "{\"version\":7,\"routes\":[" ROUTE "]," SERVICES, /* truncated */
@@ -100,6 +174,20 @@
     "{\"name\":\"a\"}]}",
     "{\"version\":7,\"routes\":[]," SERVICES
     ",\"limits\":{\"max_body_bytes\":true}}",
+    "{\"version\":7,\"routes\":[]," SERVICES ",\"tenants\":{}}",
+    TENANTS("3"),
+    TENANTS("{}"),
+    TENANTS(TENANT("ant", "\"api_keys\":{}")),
+    TENANTS(TENANT("ant", "\"api_keys\":[1]")),
+    TENANTS(TENANT("ant", "\"api_keys\":[\"\"]")),
+    TENANTS(TENANT("ant", "\"priority\":-1")),
+    TENANTS(TENANT("ant", "\"rate_per_s\":-1")),
+    TENANTS(TENANT("ant", "\"burst\":\"7\"")),
+    TENANTS(TENANT("ant", "\"burst\":1") "," TENANT("ant", "\"burst\":1")),
+    TENANTS(TENANT("ant", "\"api_keys\":[\"k\"]") "," TENANT(
+        "bee", "\"api_keys\":[\"k\"]")),
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"public\":1,"
+    "\"service\":\"s1\"}]," SERVICES "}",
 };
 
 START_TEST(a_bad_document_is_refused)
@@ -480,6 +568,9 @@
     TCase *tc = tcase_create("platform");
 
     tcase_add_test(tc, a_routing_document_is_decoded);
+    tcase_add_test(tc, organisations_are_decoded);
+    tcase_add_test(tc, public_routes_are_decoded);
+    tcase_add_loop_test(tc, no_error_message_contains_a_key, 0, 6);
     tcase_add_loop_test(tc, a_bad_document_is_refused, 0,
                         ARRAY_SIZE(bad_documents));
     tcase_add_test(tc, a_page_of_the_list_is_decoded);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -162,6 +162,91 @@
 }
 END_TEST
 
+/* Adds an organisation, which must be valid. */
+static void
+add_organisation(bbl_routing *r, const char *name)
+{
+    bbl_organisation o = {.name = str(name), .rate_per_s = 2, .burst = 5};
+
+    ck_assert_int_eq(bbl_routing_add_organisation(r, &o), 0);
+}
+
+START_TEST(a_key_is_found_with_its_organisation)
+{
+    bbl_routing *r = new_routing();
+
+    ck_assert(!bbl_routing_has_organisations(r));
+    ck_assert_ptr_null(bbl_routing_find_key(r, str("k1")));
+    add_organisation(r, "ant");
+    ck_assert_int_eq(bbl_routing_add_key(r, str("k1")), 0);
+    ck_assert_int_eq(bbl_routing_add_key(r, str("k2")), 0);
+    add_organisation(r, "bee");
+    ck_assert_int_eq(bbl_routing_add_key(r, str("k3")), 0);
+    ck_assert(bbl_routing_has_organisations(r));
+    ck_assert_uint_eq(bbl_routing_key_count(r), 3);
+    ck_assert_ptr_eq(bbl_routing_find_key(r, str("k2")),
+                     bbl_routing_organisation(r, 0));
+    ck_assert_ptr_eq(bbl_routing_find_key(r, str("k3")),
+                     bbl_routing_find_organisation(r, str("bee")));
+    ck_assert_ptr_null(bbl_routing_find_key(r, str("K1")));
+    ck_assert_ptr_null(bbl_routing_find_key(r, str("k")));
+    ck_assert_ptr_null(bbl_routing_find_key(r, str("")));
+    ck_assert_ptr_null(bbl_routing_find_organisation(r, str("Ant")));
+    ck_assert_ptr_null(bbl_routing_organisation(r, 2));
+    bbl_routing_free(r);
+}
+END_TEST
+
+/* Two organisations with one key would each be billed for the other; the
+ * message goes to a log, so it must not contain the key. */
+START_TEST(a_key_of_two_organisations_is_rejected_without_naming_it)
+{
+    bbl_routing *r = new_routing();
+
+    add_organisation(r, "ant");
+    ck_assert_int_eq(bbl_routing_add_key(r, str("hidden")), 0);
+    ck_assert_int_eq(bbl_routing_add_key(r, str("hidden")), 0);
+    add_organisation(r, "bee");
+    ck_assert_int_eq(bbl_routing_add_key(r, str("hidden")), BBL_EINVAL);
+    ck_assert_ptr_nonnull(strstr(bbl_error_last(), "\"ant\""));
+    ck_assert_ptr_nonnull(strstr(bbl_error_last(), "\"bee\""));
+    ck_assert_ptr_null(strstr(bbl_error_last(), "hidden"));
+    bbl_routing_free(r);
+}
+END_TEST
+
+START_TEST(empty_and_oversized_keys_are_rejected)
+{
+    bbl_routing *r = new_routing();
+    char text[BBL_ORGANISATION_KEY_MAX + 1];
+
+    memset(text, 'k', sizeof(text));
+    add_organisation(r, "ant");
+    ck_assert_int_eq(bbl_routing_add_key(r, str("")), BBL_EINVAL);
+    ck_assert_ptr_nonnull(strstr(bbl_error_last(), "\"ant\""));
+    ck_assert_int_eq(bbl_routing_add_key(r, (bbl_str){text, sizeof(text)}),
+                     BBL_EINVAL);
+    ck_assert_int_eq(bbl_routing_add_key(r, (bbl_str){text, sizeof(text) - 1}),
+                     0);
+    bbl_routing_free(r);
+}
+END_TEST
+
+static const char *const bad_names[] = {"",       " ant", "ant ",
+                                        "a\r\nb", "a\tb", "ant"};
+
+/* A name is the value of a header field, which it must not be able to end. */
+START_TEST(a_bad_name_of_an_organisation_is_rejected)
+{
+    bbl_routing *r = new_routing();
+    bbl_organisation o = {.name = str(bad_names[_i])};
+
+    add_organisation(r, "ant");
+    ck_assert_int_eq(bbl_routing_add_organisation(r, &o), BBL_EINVAL);
+    bbl_routing_free(r);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -174,6 +259,12 @@
     tcase_add_test(tc, duplicate_service_is_rejected);
     tcase_add_loop_test(tc, error_names_the_invalid_route, 0, 7);
     tcase_add_test(tc, duplicate_shard_is_rejected);
+    tcase_add_test(tc, a_key_is_found_with_its_organisation);
+    tcase_add_test(tc,
+                   a_key_of_two_organisations_is_rejected_without_naming_it);
+    tcase_add_test(tc, empty_and_oversized_keys_are_rejected);
+    tcase_add_loop_test(tc, a_bad_name_of_an_organisation_is_rejected, 0,
+                        sizeof(bad_names) / sizeof(bad_names[0]));
     suite_add_tcase(suite, tc);
     return run_suite(suite);
 }
