Requests need the key of an organisation, if the routing has any

Any caller could use every route, and servers believed whatever a caller wrote into the field with the name of its organisation.

Change: forward/caller_identity.c decides on whose behalf a request runs: its key must be one of the active routing, else it gets 401 (reason `unauthorized`, no retry time, connection kept), or 503 `unconfirmed` while the routing is not known to be the newest. The caller's identity fields are then dropped, and servers get the organisation's name. Without organisations nothing changes. The priority of an organisation replaces that of its route in the order of the open queries, in the load limit and in requests for permits.

A delegated query carries the name of its organisation. Its version of the routing goes along as `org_routing`, beside `routing=0`: an earlier build refuses it as unconfirmed, since no routing has version 0. A query that such a build delegates has its caller's key and is checked by it; a bad one gets 503, as that build takes an unknown reason for a run that broke.

The log has `org=` in the line of a request and BBL2019 when organisations come into force; explain names the organisation; the metrics count the outcome and the keys.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -182,9 +182,12 @@
         {"failed", "the server's own failure was passed on"},
         {"no-routing", "the host had not received any routing yet"},
         {"no-route", "no route of this version matches the host and path"},
-        {"unconfirmed",
-         "no route matches, and this host could not tell whether its routing "
-         "was the newest; it has not run"},
+        {"unconfirmed", "no route matches or no organisation has its key, and "
+                        "this host could not tell whether its routing "
+                        "was the newest; it has not run"},
+        {"unauthorized",
+         "the route needs the key of an organisation, and the request had "
+         "none, several or an unknown one; it has not run"},
         {"unavailable", "too few shards had a usable server"},
         {"busy", "no connection to a usable server was free in time"},
         {"broken", "it was sent, but no usable response came back"},
@@ -198,16 +201,21 @@
     char service[128];
     char server[32];
     char detail[128];
+    char organisation[128];
 
     copy_value(text, "outcome", outcome, sizeof(outcome));
     copy_value(text, "service", service, sizeof(service));
     copy_value(text, "server", server, sizeof(server));
     copy_value(text, "detail", detail, sizeof(detail));
+    copy_value(text, "org", organisation, sizeof(organisation));
     for (size_t i = 0; i < sizeof(causes) / sizeof(causes[0]); i++) {
         if (strcmp(causes[i].outcome, outcome) == 0) {
             printf("cause: %s", causes[i].sentence);
         }
     }
+    if (organisation[0] != '\0') {
+        printf("; sent by organisation %s", organisation);
+    }
     if (service[0] != '\0') {
         printf("; at service %s", service);
     }
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -41,6 +41,7 @@
                            const bbl_memory_account *memory)
 {
     const bbl_forward_counters *c = bbl_forwarder_get_counters(f);
+    const bbl_routing *routing = bbl_forwarder_get_routing(f);
 
     bbl_buf_append_cstr(out,
                         "# HELP " PREFIX
@@ -56,6 +57,9 @@
                  (double)bbl_forwarder_count_open(f));
     append_gauge(out, "routing_version", "version of the routing in force",
                  (double)bbl_forwarder_get_routing_version(f));
+    append_gauge(out, "organisation_keys",
+                 "keys of callers in the routing in force; 0: none is needed",
+                 routing != NULL ? (double)bbl_routing_key_count(routing) : 0);
     append_gauge(out, "servers_usable", "backend servers that may get work",
                  bbl_forwarder_get_reach(f)->usable);
     append_gauge(out, "servers_unreachable",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -48,7 +48,7 @@
  * that the last answers are still written. */
 #define EXIT_MARGIN_US (750 * BBL_USEC_PER_MS)
 /* Bytes that a delegating host adds to the header of a request. */
-#define DELEGATED_HEADER_BYTES 512
+#define DELEGATED_HEADER_BYTES 1024
 /* Connections from this host to one other entry host. */
 #define PEER_CONNECTIONS_MAX 256
 #define FLUSH_US (150 * BBL_USEC_PER_MS)
@@ -81,6 +81,7 @@
     bbl_buf request_head;
     bbl_str request_id;
     bbl_buf scratch_fields;
+    bool had_organisations; /* the routing that was in use before */
     /* Whether the connection limits of the servers may have changed. */
     bool resize_links;
     bbl_usec next_service_at;
@@ -145,7 +146,8 @@
  * every shard.
  */
 static void
-render_request_head(bbl_gateway *g, const bbl_edge_call *call)
+render_request_head(bbl_gateway *g, const bbl_edge_call *call,
+                    const bbl_identity_fields *identity)
 {
     const bbl_http_message *m = call->message;
     bbl_buf *out = &g->request_head;
@@ -167,10 +169,14 @@
 
         if (!bbl_http_is_hop_by_hop(m, h->name) &&
             !g->dialect->is_own_field(h->name) &&
+            !(identity->replaced && g->dialect->is_identity_field(h->name)) &&
             !bbl_delegation_is_field(h->name)) {
             append_field(out, h);
         }
     }
+    if (identity->organisation.size > 0) {
+        g->dialect->append_organisation(out, identity->organisation);
+    }
     if (m->body.size > 0 ||
         bbl_http_message_field_count(m, "Content-Length") > 0) {
         bbl_buf_printf(out, "Content-Length: %zu\r\n", m->body.size);
@@ -188,7 +194,7 @@
     bbl_usec now = bbl_clock_now();
     int error;
 
-    render_request_head(g, call);
+    render_request_head(g, call, &request->identity);
     bbl_buf_clear(&g->scratch_fields);
     g->dialect->append_attempt_fields(&g->scratch_fields,
                                       request->time_left_ms,
@@ -269,7 +275,7 @@
     int error;
 
     delegated.host = g->options->control_address.ip;
-    render_request_head(g, call);
+    render_request_head(g, call, &request->identity);
     bbl_buf_clear(&g->scratch_fields);
     g->dialect->append_attempt_fields(&g->scratch_fields,
                                       request->time_left_ms, (bbl_str){"", 0});
@@ -403,7 +409,7 @@
         "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
         "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
         "usable=%u server=%s fingerprint=%016llx delegate=%u "
-        "delegated_by=%u detail=\"%s\"",
+        "delegated_by=%u org=%.*s detail=\"%s\"",
         (int)r->request_id.size, r->request_id.ptr,
         bbl_forward_reason_name(r->reason), r->status,
         r->route ? (int)r->route->name.size : 0,
@@ -417,7 +423,8 @@
         r->usable_servers,
         r->service.size > 0 ? bbl_backend_state_name(r->unusable_state) : "",
         (unsigned long long)r->fingerprint, r->delegate, r->delegated_by,
-        detail);
+        (int)r->organisation.size,
+        r->organisation.ptr ? r->organisation.ptr : "", detail);
 }
 
 static void
@@ -442,6 +449,26 @@
             (unsigned long long)version, (unsigned long long)current);
 }
 
+/* Logs how many organisations are in force, if there are or were any. */
+static void
+log_organisations(bbl_gateway *g)
+{
+    const bbl_routing *r = bbl_forwarder_get_routing(g->forwarder);
+    bool any = bbl_routing_has_organisations(r);
+    size_t count = 0;
+
+    while (bbl_routing_organisation(r, count) != NULL) {
+        count++;
+    }
+    if (any || g->had_organisations) {
+        bbl_log(BBL_EV_ORGANISATIONS,
+                "version=%llu organisations=%zu keys=%zu",
+                (unsigned long long)bbl_routing_version(r), count,
+                bbl_routing_key_count(r));
+    }
+    g->had_organisations = any;
+}
+
 static void
 on_routing_activated(void *ctx, uint64_t version, bbl_usec waited)
 {
@@ -451,6 +478,7 @@
     bbl_log(BBL_EV_ROUTING_IN_USE, "version=%llu held_ms=%llu",
             (unsigned long long)version,
             (unsigned long long)(waited / BBL_USEC_PER_MS));
+    log_organisations(g);
     bbl_edge_set_limits(g->caller_edge, limits);
     if (g->peer_edge != NULL) {
         bbl_caller_limits peer_limits = *limits;
@@ -669,6 +697,8 @@
     r->time_left_ms = head.time_left_ms;
     r->arrived_at = call->received_at;
     r->round_trip = call->round_trip;
+    r->key = head.key;
+    r->key_count = head.key_count;
 }
 
 static void
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -156,7 +156,7 @@
     bbl_attempt *a = bbl_calloc(1, sizeof(*a));
     bbl_attempt_request r = {q->request.request_handle,
                              (uint32_t)((q->deadline - now) / BBL_USEC_PER_MS),
-                             q->route->idempotent};
+                             q->route->idempotent, bbl_query_get_identity(q)};
 
     a->query = q;
     a->shard = s;
--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -137,6 +137,8 @@
     r->request_handle = in->request_handle;
     r->time_left_ms = (uint32_t)((q->deadline - now) / BBL_USEC_PER_MS);
     r->idempotent = q->route->idempotent;
+    r->identity = bbl_query_get_identity(q);
+    r->delegated.organisation = r->identity.organisation;
     r->delegated.elapsed = now - in->arrived_at;
     r->delegated.round_trip =
         in->first_on_connection ? 2 * round_trip : round_trip;
--- a/src/forward/delegate.h
+++ b/src/forward/delegate.h
@@ -38,14 +38,25 @@
     uint64_t routing_version;
     /* The service that was chosen for it; empty if none was. */
     bbl_str service;
+    /* Name of the organisation that calls; empty if none has to. */
+    bbl_str organisation;
 } bbl_delegated;
 
+/* What the driver sends on instead of the caller's identity fields; see
+ * bbl_dialect. */
+typedef struct {
+    /* Whether it drops the caller's fields: the routing has organisations. */
+    bool replaced;
+    bbl_str organisation; /* name to send instead; empty for none */
+} bbl_identity_fields;
+
 /* What the driver needs to delegate a query. */
 typedef struct {
     void *request_handle;
     bbl_peer *peer;
     uint32_t time_left_ms;
     bool idempotent;
+    bbl_identity_fields identity;
     bbl_delegated delegated; /* without the host */
 } bbl_delegation_request;
 
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -23,6 +23,9 @@
     bbl_str request_id;
     bool has_time_left;
     uint32_t time_left_ms; /* how long the caller will wait */
+    /* Key of the caller's organisation, the first one of several. */
+    bbl_str key;
+    unsigned key_count; /* number of fields with a key */
 } bbl_caller_head;
 
 /* The header fields that a backend server sends with its response. */
@@ -72,6 +75,14 @@
                               const bbl_header *headers, size_t count);
     /* Returns whether the tier sets this request field itself. */
     bool (*is_own_field)(bbl_str name);
+    /*
+     * Returns whether a request field tells whose request it is: the key of an
+     * organisation, or its name. Where a routing has organisations, the tier
+     * sets these fields itself.
+     */
+    bool (*is_identity_field)(bbl_str name);
+    /* Appends the field with the name of the organisation that calls. */
+    void (*append_organisation)(bbl_buf *out, bbl_str name);
     /*
      * Appends the fields of one attempt: the time left, and the only
      * incarnation that may run it, empty if any may.
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bbl/errors.h"
+#include "forward/caller_identity.h"
 #include "forward/drain_plan.h"
 #include "forward/hedge.h"
 #include "util/alloc.h"
@@ -49,10 +50,10 @@
 bbl_forward_reason_name(bbl_forward_reason reason)
 {
     static const char *const names[BBL_FORWARD_REASONS] = {
-        "ok",       "partial",     "failed",      "no-routing",
-        "no-route", "unconfirmed", "unavailable", "busy",
-        "broken",   "timeout",     "left",        "overload",
-        "expired",  "limited",     "crashes",     "draining",
+        "ok",          "partial",      "failed",  "no-routing", "no-route",
+        "unconfirmed", "unavailable",  "busy",    "broken",     "timeout",
+        "left",        "overload",     "expired", "limited",    "crashes",
+        "draining",    "unauthorized",
     };
 
     return names[reason];
@@ -538,8 +539,8 @@
 
     bbl_vec_push(&f->queries, &q);
     while (at > 0 &&
-           (*BBL_VEC_AT(bbl_query *, &f->queries, at - 1))->route->priority >
-               q->route->priority) {
+           (*BBL_VEC_AT(bbl_query *, &f->queries, at - 1))->priority >
+               q->priority) {
         *BBL_VEC_AT(bbl_query *, &f->queries, at) =
             *BBL_VEC_AT(bbl_query *, &f->queries, at - 1);
         at--;
@@ -579,11 +580,52 @@
     f->routing_confirmed_until = until;
 }
 
+/* Returns whether the active routing is known to be the newest one. */
+static bool
+is_routing_confirmed(const bbl_forwarder *f, bbl_usec now)
+{
+    return f->next_routing == NULL && now < f->routing_confirmed_until;
+}
+
+/*
+ * Finds the organisation that sends a request, which may be none. Returns
+ * false if the request was refused.
+ */
+static bool
+identify_caller(const bbl_organisation **organisation, bbl_forwarder *f,
+                bbl_usec now, const bbl_forward_request *request,
+                const bbl_route *route)
+{
+    bbl_caller_identity_input in = {
+        .routing = f->table->routing,
+        .route = route,
+        .key = request->key,
+        .key_count = request->key_count,
+        .confirmed = is_routing_confirmed(f, now),
+        .delegated = request->delegated.host != 0,
+        .delegated_organisation = request->delegated.organisation,
+    };
+
+    switch (bbl_caller_identify(organisation, &in)) {
+    case BBL_CALLER_UNAUTHORIZED:
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNAUTHORIZED,
+                             BBL_STATUS_UNAUTHORIZED, 0);
+        return false;
+    case BBL_CALLER_UNCONFIRMED:
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
+                             BBL_STATUS_UNAVAILABLE, 0);
+        return false;
+    default:
+        return true;
+    }
+}
+
 void
 bbl_forwarder_receive_request(bbl_forwarder *f, bbl_usec now,
                               const bbl_forward_request *request)
 {
     const bbl_route *route;
+    const bbl_organisation *organisation;
     bbl_usec refused;
     bbl_delegation_cause cause;
     bbl_query *q;
@@ -605,7 +647,7 @@
     route =
         bbl_routing_match(f->table->routing, request->hostname, request->path);
     if (route == NULL) {
-        if (f->next_routing != NULL || now >= f->routing_confirmed_until) {
+        if (!is_routing_confirmed(f, now)) {
             bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
                                  BBL_STATUS_UNAVAILABLE, 0);
         }
@@ -615,6 +657,9 @@
         }
         return;
     }
+    if (!identify_caller(&organisation, f, now, request, route)) {
+        return;
+    }
     refused = bbl_crash_ledger_get_refused(&f->crash_ledger, now,
                                            request->fingerprint);
     if (refused > 0) {
@@ -627,7 +672,8 @@
     q->table = f->table;
     q->table->ref_count++;
     q->route = route;
-    q->priority = route->priority;
+    q->organisation = organisation;
+    q->priority = bbl_caller_get_priority(route, organisation);
     q->attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
     q->signatures = (bbl_vec){NULL, 0, 0, 2 * sizeof(size_t)};
     q->record.request_id = request->request_id;
@@ -638,6 +684,7 @@
     q->canary = route->kind == BBL_ROUTE_GATHER && route->target_count > 1 &&
                 bbl_crash_alert_is_raised(&f->crash_alert, now);
     q->record.route = route;
+    q->record.organisation = bbl_query_get_identity(q).organisation;
     q->record.routing_version = bbl_routing_version(f->table->routing);
     bbl_top_records_init(&q->top_records, route->top_k);
     set_deadlines(f, q);
@@ -667,8 +714,7 @@
         return;
     }
     if (!bbl_load_limit_admit(q->load_limit, now, q->timing->uncongested_time,
-                              route->priority <=
-                                  q->table->most_urgent_priority)) {
+                              q->priority <= q->table->most_urgent_priority)) {
         bbl_query_fail(f, now, q, BBL_FORWARD_OVERLOAD,
                        BBL_STATUS_UNAVAILABLE);
         return;
@@ -926,6 +972,12 @@
     return f->table != NULL ? bbl_routing_limits(f->table->routing) : NULL;
 }
 
+const bbl_routing *
+bbl_forwarder_get_routing(const bbl_forwarder *f)
+{
+    return f->table != NULL ? f->table->routing : NULL;
+}
+
 uint64_t
 bbl_forwarder_get_routing_version(const bbl_forwarder *f)
 {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -63,6 +63,8 @@
     bbl_usec arrived_at;
     /* Measured round trip time to the caller; 0 if it is not known. */
     bbl_usec round_trip;
+    bbl_str key; /* see bbl_caller_head */
+    unsigned key_count;
     bbl_delegated delegated; /* set if another host has delegated it */
 } bbl_forward_request;
 
@@ -71,6 +73,7 @@
     void *request_handle;
     uint32_t time_left_ms; /* time until the deadline of the request */
     bool idempotent;
+    bbl_identity_fields identity; /* the same for all attempts of a request */
 } bbl_attempt_request;
 
 /* How an attempt ended. */
@@ -125,6 +128,8 @@
     BBL_FORWARD_CRASHES,
     /* Not run: this host ends before it could be served. */
     BBL_FORWARD_DRAINING,
+    /* Not run: the route needs a key, and the request has no valid one. */
+    BBL_FORWARD_UNAUTHORIZED,
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
@@ -160,6 +165,7 @@
     bbl_forward_reason reason;
     unsigned status;
     const bbl_route *route; /* NULL if no route matched */
+    bbl_str organisation;   /* that calls; empty if none has to */
     uint64_t routing_version;
     /* Age of the list of servers; UINT64_MAX if none was read yet. */
     bbl_usec list_age;
@@ -420,7 +426,8 @@
 /*
  * Records until when the active routing is known to be the newest one that was
  * in force everywhere. After that time, or while a newer routing waits, a
- * request without a route is refused as unconfirmed instead of not found.
+ * request without a route or a valid key is refused as unconfirmed instead of
+ * not found or unauthorized.
  *
  * @param until a time, microseconds; 0 if it is not known
  */
@@ -503,6 +510,10 @@
 const bbl_caller_limits *
 bbl_forwarder_get_limits(const bbl_forwarder *forwarder);
 
+/* Returns the active routing, or NULL. It stays valid until the next update or
+ * tick. */
+const bbl_routing *bbl_forwarder_get_routing(const bbl_forwarder *forwarder);
+
 /* Returns the version of the active routing, or 0 if there is none. */
 uint64_t bbl_forwarder_get_routing_version(const bbl_forwarder *forwarder);
 
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -13,6 +13,7 @@
 #include "forward/query.h"
 #include "util/rng.h"
 
+#define BBL_STATUS_UNAUTHORIZED 401
 #define BBL_STATUS_NOT_FOUND 404
 #define BBL_STATUS_REQUEST_TIMEOUT 408
 #define BBL_STATUS_MISDIRECTED 421
--- a/src/forward/permit.c
+++ b/src/forward/permit.c
@@ -154,7 +154,7 @@
         now + (timeout < REPLY_TIMEOUT_US ? timeout : REPLY_TIMEOUT_US);
     bbl_vec_push(&f->permit_requests, &open);
     r.number = open.number;
-    r.urgent = q->route->priority <= q->table->most_urgent_priority;
+    r.urgent = q->priority <= q->table->most_urgent_priority;
     r.needed = count_needed(q);
     r.items = f->permit_items.ptr;
     r.item_count = f->permit_items.size;
--- a/src/forward/query.c
+++ b/src/forward/query.c
@@ -20,6 +20,18 @@
     free(q);
 }
 
+bbl_identity_fields
+bbl_query_get_identity(const bbl_query *q)
+{
+    bbl_identity_fields fields = {
+        .replaced = bbl_routing_has_organisations(q->table->routing)};
+
+    if (q->organisation != NULL) {
+        fields.organisation = q->organisation->name;
+    }
+    return fields;
+}
+
 void
 bbl_query_add_part(bbl_query *q, bbl_str signature, bbl_str body)
 {
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -41,7 +41,7 @@
     bbl_split *splits;          /* by route index */
     bbl_route_timing **timings; /* by route index, borrowed */
     size_t route_count;
-    uint32_t most_urgent_priority; /* lowest priority number of any route */
+    uint32_t most_urgent_priority; /* lowest priority number of any query */
     unsigned ref_count; /* one for each query, and one while active */
 } bbl_route_table;
 
@@ -153,6 +153,9 @@
 
 void bbl_query_free(bbl_query *query);
 
+/* Returns what the servers of a query are told of its caller. */
+bbl_identity_fields bbl_query_get_identity(const bbl_query *query);
+
 /* Adds the usable response of one shard to the answer. */
 void bbl_query_add_part(bbl_query *query, bbl_str signature, bbl_str body);
 
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "forward/caller_identity.h"
 #include "forward/subset.h"
 #include "util/alloc.h"
 
@@ -84,13 +85,10 @@
         t->pools[i] = bbl_pools_get(&f->pools, s->name);
         t->pools[i]->connection_limit = s->max_connections;
     }
-    t->most_urgent_priority = UINT32_MAX;
+    t->most_urgent_priority = bbl_caller_get_most_urgent_priority(routing);
     for (size_t i = 0; i < t->route_count; i++) {
         const bbl_route *r = bbl_routing_route(routing, i);
 
-        t->most_urgent_priority = r->priority < t->most_urgent_priority
-                                      ? r->priority
-                                      : t->most_urgent_priority;
         bbl_split_init(&t->splits[i], r, bbl_rng_next(&f->rng));
         t->timings[i] = get_timing(f, r);
     }
--- a/src/net/delegation_field.c
+++ b/src/net/delegation_field.c
@@ -5,6 +5,15 @@
 
 #include "bbl/errors.h"
 
+/*
+ * Hosts that know no organisations run a query only if their routing has the
+ * version of the key "routing", and no routing has version 0. The version of a
+ * query of an organisation therefore has a key of its own.
+ */
+#define ROUTING_KEY "routing"
+#define ORGANISATION_ROUTING_KEY "org_routing"
+#define ORGANISATION_KEY "org"
+
 static bool
 equals_nocase(bbl_str name, const char *field)
 {
@@ -43,6 +52,27 @@
     return (bbl_str){"", 0};
 }
 
+/*
+ * Splits off the name of the organisation, which may contain spaces and
+ * therefore comes last. Returns an empty string if there is none.
+ */
+static bbl_str
+take_organisation(bbl_str *text)
+{
+    static const char start[] = " " ORGANISATION_KEY "=";
+    size_t n = sizeof(start) - 1;
+    const char *at =
+        text->size > n ? memmem(text->ptr, text->size, start, n) : NULL;
+    bbl_str name = {"", 0};
+
+    if (at != NULL) {
+        name.ptr = at + n;
+        name.size = text->size - (size_t)(name.ptr - text->ptr);
+        text->size = (size_t)(at - text->ptr);
+    }
+    return name;
+}
+
 /* Parses the unsigned number of a pair; at most `max`. */
 static int
 read_number(uint64_t *out, bbl_str text, const char *key, uint64_t max)
@@ -70,17 +100,27 @@
 void
 bbl_delegated_append(bbl_buf *out, const bbl_delegated *d)
 {
-    bbl_buf_printf(out,
-                   BBL_DELEGATED_FIELD
-                   ": host=%u elapsed_us=%llu round_trip_us=%llu attempts=%u "
-                   "routing=%llu",
-                   d->host, (unsigned long long)d->elapsed,
-                   (unsigned long long)d->round_trip, d->attempts,
-                   (unsigned long long)d->routing_version);
+    bbl_buf_printf(
+        out,
+        BBL_DELEGATED_FIELD
+        ": host=%u elapsed_us=%llu round_trip_us=%llu attempts=%u " ROUTING_KEY
+        "=%llu",
+        d->host, (unsigned long long)d->elapsed,
+        (unsigned long long)d->round_trip, d->attempts,
+        d->organisation.size > 0 ? 0ull
+                                 : (unsigned long long)d->routing_version);
+    if (d->organisation.size > 0) {
+        bbl_buf_printf(out, " " ORGANISATION_ROUTING_KEY "=%llu",
+                       (unsigned long long)d->routing_version);
+    }
     if (d->service.size > 0) {
         bbl_buf_printf(out, " service=%.*s", (int)d->service.size,
                        d->service.ptr);
     }
+    if (d->organisation.size > 0) {
+        bbl_buf_printf(out, " " ORGANISATION_KEY "=%.*s",
+                       (int)d->organisation.size, d->organisation.ptr);
+    }
     bbl_buf_append_cstr(out, "\r\n");
 }
 
@@ -93,6 +133,7 @@
     int error;
 
     memset(out, 0, sizeof(*out));
+    out->organisation = take_organisation(&text);
     error = read_number(&host, text, "host", UINT32_MAX);
     if (error == 0 && host == 0) {
         error =
@@ -110,7 +151,10 @@
     }
     if (error == 0) {
         error =
-            read_number(&out->routing_version, text, "routing", UINT64_MAX);
+            read_number(&out->routing_version, text,
+                        out->organisation.size > 0 ? ORGANISATION_ROUTING_KEY
+                                                   : ROUTING_KEY,
+                        UINT64_MAX);
     }
     out->host = (uint32_t)host;
     out->attempts = (unsigned)attempts;
--- a/src/net/delegation_field.h
+++ b/src/net/delegation_field.h
@@ -23,7 +23,7 @@
 /*
  * Parses the field of a request.
  *
- * @param out `service` is borrowed from the message
+ * @param out `service` and `organisation` are borrowed from the message
  * @return 0, or BBL_EDAMAGED if the field is missing or malformed
  */
 int bbl_delegated_read(bbl_delegated *out, const bbl_http_message *request);
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -62,6 +62,8 @@
       "this host sends its heartbeats to another host from now on")           \
     X(ROUTING_OLDER, 2016, WARN, "routing-older",                             \
       "an older routing than one received before is not used")                \
+    X(ORGANISATIONS, 2019, INFO, "organisations",                             \
+      "callers need a key from now on, or the organisations have changed")    \
     X(PEER_REFUSED, 3001, WARN, "peer-refused",                               \
       "a peer with a wrong key, cluster or version was rejected")             \
     X(PEER_SILENT, 3002, WARN, "peer-silent",                                 \
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -1,5 +1,6 @@
 #include "support/forward_fleet.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -51,6 +52,7 @@
     unsigned delegated_call; /* at `to`; NO_CALL until it has arrived */
     uint32_t time_left_ms;
     bbl_delegated delegated;
+    char organisation[32]; /* of `delegated` */
 } fleet_delegation;
 
 /* One request of a caller. */
@@ -196,6 +198,11 @@
     d->time_left_ms = request->time_left_ms;
     d->delegated = request->delegated;
     d->delegated.host = d->from + 1;
+    snprintf(d->organisation, sizeof(d->organisation), "%.*s",
+             (int)request->delegated.organisation.size,
+             request->delegated.organisation.size > 0
+                 ? request->delegated.organisation.ptr
+                 : "");
     return 0;
 }
 
@@ -255,6 +262,8 @@
             continue;
         }
         if (d->delegated_call == NO_CALL) {
+            d->delegated.organisation =
+                (bbl_str){d->organisation, strlen(d->organisation)};
             d->delegated_call = forward_sim_send_delegated(
                 f->hosts[d->to],
                 forward_sim_get_call(f->hosts[d->from], d->call)->path,
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -57,7 +57,9 @@
     forward_sim_control control;
     forward_sim_peers peers;
     forward_sim_links links;
-    bool simulates_links;      /* see forward_sim_set_links */
+    bool simulates_links; /* see forward_sim_set_links */
+    const char *key;      /* of further requests; NULL if they have none */
+    unsigned key_count;
     const char *crash_path;    /* NULL if no request ends its servers */
     const char *repeated_path; /* see forward_sim_set_repeated_path; or NULL */
 };
@@ -119,6 +121,24 @@
     return true;
 }
 
+/* Records what a server or peer is told of the caller of a request. */
+static void
+record_identity(forward_sim *sim, forward_sim_call *c,
+                const bbl_identity_fields *identity)
+{
+    bbl_str before = {c->organisation, strlen(c->organisation)};
+
+    require(sim,
+            before.size == 0 || bbl_str_equal(before, identity->organisation),
+            "a request is sent on behalf of two organisations");
+    require(sim, identity->replaced || identity->organisation.size == 0,
+            "a field of the caller is sent beside that of the host");
+    snprintf(c->organisation, sizeof(c->organisation), "%.*s",
+             (int)identity->organisation.size,
+             identity->organisation.ptr ? identity->organisation.ptr : "");
+    c->identity_replaced = identity->replaced;
+}
+
 /* ---- the port ---- */
 
 static int
@@ -141,6 +161,7 @@
             "a request is sent to a cold server");
     require(sim, request->time_left_ms > 0,
             "a request is sent with no time left");
+    record_identity(sim, &sim->calls[call], &request->identity);
     if (start_failing_exchange(sim, attempt, s, call)) {
         return 0;
     }
@@ -252,8 +273,8 @@
     if (answer->relayed == NULL) {
         read_header_lines(c, answer->header_lines);
     }
-    require(sim, c->status != 503 || c->runs == 0,
-            "status 503 for a request that has run");
+    require(sim, (c->status != 503 && c->status != 401) || c->runs == 0,
+            "status 503 or 401 for a request that has run");
 }
 
 static void
@@ -265,6 +286,13 @@
         if (strlen(sim->ids[i]) == r->request_id.size &&
             memcmp(sim->ids[i], r->request_id.ptr, r->request_id.size) == 0) {
             sim->calls[i].reason = r->reason;
+            require(sim,
+                    sim->calls[i].organisation[0] == '\0' ||
+                        bbl_str_equal(
+                            r->organisation,
+                            (bbl_str){sim->calls[i].organisation,
+                                      strlen(sim->calls[i].organisation)}),
+                    "the log names another organisation than the servers");
         }
     }
 }
@@ -405,6 +433,11 @@
             "a query is delegated with no time left");
     require(sim, request->idempotent || sim->calls[call].runs == 0,
             "a request that is not idempotent is delegated after a run");
+    record_identity(sim, &sim->calls[call], &request->identity);
+    require(sim,
+            bbl_str_equal(request->identity.organisation,
+                          request->delegated.organisation),
+            "a query is delegated for another organisation");
     return sim->peers.delegate(sim->peers.ctx, sim, delegation, request);
 }
 
@@ -752,6 +785,13 @@
     bbl_forwarder_update(sim->forwarder, sim->now, u);
 }
 
+void
+forward_sim_set_key(forward_sim *sim, const char *key, unsigned count)
+{
+    sim->key = key;
+    sim->key_count = count;
+}
+
 unsigned
 forward_sim_send_request(forward_sim *sim, const char *path,
                          uint32_t time_left_ms)
@@ -792,6 +832,8 @@
     r.arrived_at = sim->now - delay;
     r.round_trip = sim->round_trip;
     r.delegated = *delegated;
+    r.key = (bbl_str){sim->key, sim->key != NULL ? strlen(sim->key) : 0};
+    r.key_count = sim->key_count;
     bbl_forwarder_receive_request(sim->forwarder, sim->now, &r);
     return n;
 }
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -75,6 +75,9 @@
     unsigned runs;             /* runs of this request, on all servers */
     uint32_t time_left_max_ms; /* greatest time left that a server was given */
     bbl_forward_reason reason;
+    /* As servers, the peers and the log are told; empty if none is. */
+    char organisation[32];
+    bool identity_replaced;      /* the caller's fields are not sent on */
     unsigned attempts_maybe_run; /* as the host states */
     uint64_t leaving;            /* the same */
 } forward_sim_call;
@@ -121,6 +124,14 @@
 unsigned forward_sim_send_request(forward_sim *sim, const char *path,
                                   uint32_t time_left_ms);
 
+/*
+ * Sets the key that further requests present; at first they have none.
+ *
+ * @param key   of the first field, borrowed
+ * @param count number of fields with a key
+ */
+void forward_sim_set_key(forward_sim *sim, const char *key, unsigned count);
+
 /* The same for a request that has waited unread for `delay` microseconds. */
 unsigned forward_sim_send_delayed_request(forward_sim *sim, const char *path,
                                           uint32_t time_left_ms,
--- a/tests/test_delegation_field.c
+++ b/tests/test_delegation_field.c
@@ -24,9 +24,16 @@
     ck_assert(m->done);
 }
 
+static const bbl_str names[] = {
+    {"", 0},
+    {"ant", 3},
+    {"a service=x org=y", 17},
+};
+
 START_TEST(a_delegated_query_is_read_as_it_was_written)
 {
-    bbl_delegated in = {167837735, 12345, 6789, 1, 1ull << 60, {"shard-7", 7}};
+    bbl_delegated in = {167837735,  12345,          6789,     1,
+                        1ull << 60, {"shard-7", 7}, names[_i]};
     bbl_delegated out;
     bbl_buf line = BBL_BUF_INIT;
     bbl_http_message m;
@@ -40,11 +47,36 @@
     ck_assert_uint_eq(out.attempts, in.attempts);
     ck_assert_uint_eq(out.routing_version, in.routing_version);
     ck_assert(bbl_str_equal(out.service, in.service));
+    ck_assert(bbl_str_equal(out.organisation, in.organisation));
     bbl_http_message_free(&m);
     bbl_buf_free(&line);
 }
 END_TEST
 
+/*
+ * Hosts that know no organisations run a query only if "routing" is the
+ * version of their routing. They must not run one without its organisation;
+ * without one the field must be as they know it.
+ */
+START_TEST(earlier_builds_refuse_a_query_of_an_organisation)
+{
+    bbl_delegated d = {1, 2, 3, 0, 7, {"s", 1}, {"ant", 3}};
+    bbl_buf line = BBL_BUF_INIT;
+
+    bbl_delegated_append(&line, &d);
+    ck_assert_str_eq(line.ptr, BBL_DELEGATED_FIELD
+                     ": host=1 elapsed_us=2 round_trip_us=3 attempts=0 "
+                     "routing=0 org_routing=7 service=s org=ant\r\n");
+    bbl_buf_clear(&line);
+    d.organisation.size = 0;
+    bbl_delegated_append(&line, &d);
+    ck_assert_str_eq(line.ptr, BBL_DELEGATED_FIELD
+                     ": host=1 elapsed_us=2 round_trip_us=3 attempts=0 "
+                     "routing=7 service=s\r\n");
+    bbl_buf_free(&line);
+}
+END_TEST
+
 START_TEST(an_outcome_is_read_as_it_was_written)
 {
     for (int reason = 0; reason < BBL_FORWARD_REASONS; reason++) {
@@ -81,6 +113,8 @@
     BBL_DELEGATED_FIELD
     ": host=1 elapsed_us=99999999999999999999999 round_trip_us=1 "
     "attempts=0\r\n",
+    BBL_DELEGATED_FIELD
+    ": host=1 elapsed_us=1 round_trip_us=1 attempts=0 routing=0 org=ant\r\n",
     BBL_OUTCOME_FIELD ": reason=none reach=most attempts=0\r\n",
     BBL_OUTCOME_FIELD ": reason=ok reach=all attempts=0\r\n",
     BBL_OUTCOME_FIELD ": reason=ok reach=most\r\n",
@@ -120,7 +154,9 @@
     Suite *s = suite_create("delegation field");
     TCase *t = tcase_create("delegation field");
 
-    tcase_add_test(t, a_delegated_query_is_read_as_it_was_written);
+    tcase_add_loop_test(t, a_delegated_query_is_read_as_it_was_written, 0,
+                        ARRAY_SIZE(names));
+    tcase_add_test(t, earlier_builds_refuse_a_query_of_an_organisation);
     tcase_add_test(t, an_outcome_is_read_as_it_was_written);
     tcase_add_loop_test(t, malformed_fields_are_refused, 0,
                         ARRAY_SIZE(invalid));
