Tests: schedules with keys, versions of organisations and unsure hosts

The random schedules of the forwarder knew no keys.

Change: their routings have organisations in three versions of four, one of them in odd versions only; callers present one of five keys, and the host may not know whether its routing is the newest. Each call is refused with 401 or 503 exactly if the routing at its arrival says so, has not run then, and otherwise runs for the organisation of its key.

--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -9,6 +9,7 @@
 #include "bbl/routing.h"
 #include "control/journal.h"
 #include "control/state.h"
+#include "forward/caller_identity.h"
 #include "forward/dialect.h"
 #include "net/delegation_field.h"
 #include "net/http_message.h"
@@ -114,7 +115,10 @@
     bbl_routing *routing;
 
     if (bbl_platform_dialect()->read_routing(&routing, bytes) == 0) {
-        bbl_routing_check(routing);
+        if (bbl_routing_check(routing) == 0) {
+            bbl_caller_get_most_urgent_priority(routing);
+            bbl_routing_find_key(routing, bytes);
+        }
         bbl_routing_free(routing);
     }
 }
--- a/tests/property/forward_property.cc
+++ b/tests/property/forward_property.cc
@@ -27,6 +27,8 @@
         {1, FORWARD_ZONE},
         {1, FORWARD_ROUTING},
         {2, FORWARD_LEAVE},
+        {2, FORWARD_KEY},
+        {1, FORWARD_CONFIRM},
     });
 
     return rc::gen::build<forward_op>(
--- a/tests/support/forward_schedule.c
+++ b/tests/support/forward_schedule.c
@@ -28,8 +28,27 @@
 static const char *const paths[CALL_KINDS] = {"/g/x", "/a/x", "/one/x",
                                               "/once/x"};
 
+/* The keys of callers. */
+typedef enum {
+    KEY_ALWAYS, /* of an organisation in each routing that has any */
+    KEY_ODD,    /* of another one in odd versions only */
+    KEY_UNKNOWN,
+    KEY_TWICE,
+    KEY_NONE,
+    KEYS
+} call_key;
+
+static const char *const key_texts[KEYS] = {"k-always", "k-odd", "unknown",
+                                            "k-always", NULL};
+static const unsigned key_counts[KEYS] = {1, 1, 1, 2, 0};
+static const char *const key_owners[KEYS] = {"always", "odd", "", "", ""};
+
 typedef struct {
     call_kind kind;
+    /* By the routing at the time when it was sent: the status with which it is
+     * refused at once, or 0, and the organisation that servers are told. */
+    unsigned refused_with;
+    const char *organisation;
     bbl_usec sent_at;
     uint32_t time_left_ms;
     unsigned missing_max; /* under any routing until the answer */
@@ -41,12 +60,29 @@
     expected_call calls[FORWARD_SIM_CALLS_MAX];
     unsigned count;
     unsigned version;
+    call_key key;
+    bool unconfirmed;
     bool evacuated;
 } schedule;
 
+/* Returns whether a version has organisations; one in four has none. */
+static bool
+has_organisations(unsigned version)
+{
+    return version % 4 != 0;
+}
+
 static void
 install(schedule *s)
 {
+    const char *organisations =
+        !has_organisations(s->version) ? ""
+        : s->version % 2 == 1
+            ? ",\"tenants\":[{\"name\":\"always\",\"api_keys\":[\"k-always\"]}"
+              ","
+              "{\"name\":\"odd\",\"api_keys\":[\"k-odd\"],\"priority\":0}]"
+            : ",\"tenants\":[{\"name\":\"always\",\"api_keys\":[\"k-always\"],"
+              "\"priority\":3}]";
     /* Odd versions require three of the four shards, even versions all. */
     const char *min_coverage = s->version % 2 == 1 ? "0.75" : "1.0";
     char text[2048];
@@ -76,11 +112,25 @@
         "{\"name\":\"s1\",\"max_connections\":26},"
         "{\"name\":\"s2\",\"max_connections\":26},"
         "{\"name\":\"s3\",\"max_connections\":26},"
-        "{\"name\":\"one\",\"max_connections\":26}]}",
-        s->version, min_coverage);
+        "{\"name\":\"one\",\"max_connections\":26}]%s}",
+        s->version, min_coverage, organisations);
     forward_sim_install_routing(s->sim, text);
 }
 
+static void
+set_key(schedule *s, call_key key)
+{
+    s->key = key;
+    forward_sim_set_key(s->sim, key_texts[key], key_counts[key]);
+}
+
+static void
+set_unconfirmed(schedule *s, bool unconfirmed)
+{
+    s->unconfirmed = unconfirmed;
+    forward_sim_confirm_routing(s->sim, unconfirmed ? 0 : UINT64_MAX);
+}
+
 static void
 init_schedule(schedule *s)
 {
@@ -97,6 +147,26 @@
             forward_sim_add_server(s->sim, id, service, i % 2 ? "z2" : "z1");
     }
     install(s);
+    set_key(s, KEY_ALWAYS);
+}
+
+/* Fills what the active routing says of the key of a call. */
+static void
+expect_identity(const schedule *s, expected_call *c)
+{
+    uint64_t active = forward_sim_get_routing_version(s->sim);
+
+    c->refused_with = 0;
+    c->organisation = "";
+    if (!has_organisations((unsigned)active)) {
+        return;
+    }
+    if (s->key == KEY_ALWAYS || (s->key == KEY_ODD && active % 2 == 1)) {
+        c->organisation = key_owners[s->key];
+    }
+    else {
+        c->refused_with = active == s->version && !s->unconfirmed ? 401 : 503;
+    }
 }
 
 static void
@@ -108,6 +178,7 @@
         c->kind = kind;
         c->sent_at = forward_sim_get_time(s->sim);
         c->time_left_ms = time_left_ms;
+        expect_identity(s, c);
         s->count++;
         forward_sim_send_request(s->sim, paths[kind], time_left_ms);
     }
@@ -187,6 +258,12 @@
         s->version++;
         install(s);
         break;
+    case FORWARD_CONFIRM:
+        set_unconfirmed(s, op->value % 2 == 0);
+        break;
+    case FORWARD_KEY:
+        set_key(s, op->value % KEYS);
+        break;
     default:
         cancel_call(s, op->value % 64);
         break;
@@ -206,6 +283,16 @@
     bbl_usec until = sent->sent_at + (limit_ms + ANSWER_DELAY_MAX_MS) * MS;
     bool gather = sent->kind == CALL_GATHER || sent->kind == CALL_GATHER_HALF;
 
+    if (sent->refused_with != 0 &&
+        (c->status != sent->refused_with || c->runs > 0)) {
+        return "a request without a valid key is not refused as it should be";
+    }
+    if (sent->refused_with == 0 && c->status == 401) {
+        return "a request with a valid key is refused";
+    }
+    if (c->runs > 0 && strcmp(c->organisation, sent->organisation) != 0) {
+        return "a server is told another organisation than the caller's";
+    }
     if (sent->kind == CALL_ONCE && c->runs > 1) {
         return "a request that is not idempotent ran twice";
     }
@@ -273,6 +360,8 @@
         server->connections = 0;
     }
     s->evacuated = false;
+    set_key(s, KEY_ALWAYS);
+    set_unconfirmed(s, false);
     update_list(s);
     for (unsigned i = 0; i < HEAL_MS / 50; i++) {
         send_call(s, i % CALL_KINDS, TIMEOUT_MS);
@@ -320,8 +409,9 @@
 }
 
 static const char *const names[FORWARD_OPS] = {
-    "run",  "send", "burst",  "treat",   "pause", "slow",    "leaving",
-    "cold", "gone", "narrow", "connect", "zone",  "routing", "leave",
+    "run",     "send",  "burst", "treat",   "pause",   "slow",
+    "leaving", "cold",  "gone",  "narrow",  "connect", "zone",
+    "routing", "leave", "key",   "confirm",
 };
 
 const char *
--- a/tests/support/forward_schedule.h
+++ b/tests/support/forward_schedule.h
@@ -27,10 +27,16 @@
     FORWARD_CONNECT, /* connect to server `target`; fails if `value` is odd */
     /* Evacuate data centre z1, or restore it if `value` is odd. */
     FORWARD_ZONE,
-    /* Install the next routing, which has another minimum coverage. */
+    /* Install the next routing, which has another minimum coverage and other
+     * organisations. */
     FORWARD_ROUTING,
     /* The caller of the last request but value % 64 leaves. */
     FORWARD_LEAVE,
+    FORWARD_KEY, /* further requests present key `value` % 5, of no one or of
+                  * an organisation */
+    /* The host no longer knows whether its routing is the newest one, or knows
+     * it again if `value` is odd. */
+    FORWARD_CONFIRM,
     FORWARD_OPS
 } forward_op_kind;
 
