--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -6,7 +6,8 @@
 # the loss of two disks, that a drain interrupts no request, that delegated
 # queries are answered, that rate limits of servers and the rest that they ask for
 # are kept, that a leaving server gets at most one more request a host, and that a
-# request does not end one server after another. Hosts with an even number run
+# request does not end one server after another, and that the keys of organisations
+# are accepted while the routing in force has them. Hosts with an even number run
 # OTHER-BINARY if it is given, and the other one after a restart: a fleet is
 # upgraded host by host. At last all are upgraded, with a change after each that has
 # to be in force in time. Ends only processes that it started.
@@ -15,6 +16,7 @@
 build=${1:-build}
 binary=$build/baobablatch
 other=${2:-$binary}
+tenants='' # further fields of the routing documents
 declare -A starts
 dir=$(mktemp -d)
 seeds=127.60.1.1:1,127.60.1.2:1,127.60.1.3:1
@@ -105,7 +107,7 @@
 {"name":"one","hostname":"a.example","path_prefix":"/one/","route_type":"safe","timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":"s1","max_attempts":2},
 {"name":"all","hostname":"a.example","path_prefix":"/all/","route_type":"safe","timeout_ms":2000,"target_latency_ms":500,"priority":0,"gather":["s1","s2"],"max_attempts":2,"top_k":7,"min_coverage":0.9}],
 "services":[{"name":"s1","health_path":"/h","max_connections":26},{"name":"s2","health_path":"/h","max_connections":26}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
+"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}$tenants}
 J
 }
 
@@ -152,6 +154,31 @@
         "http://127.60.2.$1:8104$2"
 }
 
+# is_answered STATUS KEY: succeeds if all entry hosts answer a request with this
+# key, or without one, with this status within 3 s.
+is_answered() {
+    local n end=$(($(date +%s%N) + 3000000000))
+    for n in 1 2 3; do
+        until [ "$(curl -s -m 3 -o /dev/null -D "$dir/head" -w '%{http_code}' \
+            -H 'Host: a.example' -H "Request-Id: k$RANDOM" -H 'Deadline-Ms: 2000' \
+            ${2:+-H "Key: $2"} "http://127.60.2.$n:8104/one/key")" = "$1" ]; do
+            if [ "$(date +%s%N)" -gt "$end" ]; then return 1; fi
+            sleep 0.05
+        done
+    done
+}
+
+# print_tenants: prints 10,000 organisations with 10 keys each.
+print_tenants() {
+    awk 'BEGIN {
+        for (i = 0; i < 10000; i++) {
+            printf "%s{\"name\":\"organisation-%05d\",\"rate_per_s\":0,\"api_keys\":[", i ? "," : "", i
+            for (k = 0; k < 10; k++) printf "%s\"key-%05d-%d-0123456789abcdefghijk\"", k ? "," : "", i, k
+            printf "]}"
+        }
+    }'
+}
+
 # start_standin OPTION...: starts the stand-in servers, in place of those that run.
 start_standin() {
     if [ "$standin_pid" -gt 0 ]; then
@@ -311,4 +338,31 @@
 [ "$(grep -c '^200$' "$dir/statuses1")" -ge 20 ] || fail "no service beside a server that leaves"
 [ "$(grep -c "^i-s1-0 gets a request although it is leaving" "$dir/standin.log" || true)" -le 3 ] ||
     fail "a server that is leaving gets more than one request from each host"
+
+# Keys are accepted and refused as the routing in force says.
+start_standin
+wait_until send_request 1 /one/calm || fail "no answer after the servers that leave"
+tenants=',"tenants":[{"name":"ant","api_keys":["key-of-ant"]},{"name":"bee","api_keys":["key-of-bee"]}]'
+wait_until put_routing 100 1 || fail "no routing with organisations"
+is_answered 401 "" || fail "a request without a key is not refused within 3 s"
+if grep -qi '^Retry-After' "$dir/head"; then fail "a request that is unauthorized gets a retry time"; fi
+is_answered 200 key-of-ant || fail "a known key is not accepted"
+is_answered 401 key-of-cat || fail "an unknown key is not refused"
+tenants=',"tenants":[{"name":"bee","api_keys":["key-of-bee"]},{"name":"cat","api_keys":["key-of-cat"]}]'
+wait_until put_routing 101 2 || fail "no routing with other keys"
+is_answered 401 key-of-ant || fail "a key that was removed is accepted after 3 s"
+is_answered 200 key-of-cat || fail "a key that was added is not accepted within 3 s"
+is_answered 200 key-of-bee || fail "a key that stays is not accepted"
+tenants=',"tenants":[{"name":"bee","api_keys":["key-of-bee"]},{"name":"cat","api_keys":["key-of-bee"]}]'
+[ "$(print_routing 102 | curl -sL -m 3 -X PUT --data-binary @- -o /dev/null \
+    -w '%{http_code}' http://127.60.1.2:8106/-/config)" = 400 ] ||
+    fail "a routing with a key of two organisations was not refused"
+grep -q 'organisations .*bee.* and .*cat.* have the same key' "$dir"/control2.log ||
+    fail "the log does not name the organisations with the same key"
+tenants=",\"tenants\":[$(print_tenants)]"
+wait_until put_routing 103 3 || fail "no routing with 100,000 keys"
+is_answered 200 key-09999-9-0123456789abcdefghijk || fail "one of 100,000 keys is not accepted within 3 s"
+is_answered 401 key-of-bee || fail "a key is not refused beside 100,000 others"
+grep -q 'BBL5001 .*org=ant ' "$dir/entry1.log" || fail "the log does not name the organisation"
+if grep -l 'key-of-\|key-09999' "$dir"/*.log; then fail "a key is in a log"; fi
 echo "forward-test: all checks passed"
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -623,6 +623,10 @@
     return bbl_catalog_client_open(&n->catalog_client, &c);
 }
 
+/* A routing with 10,000 organisations and 100,000 keys has 4.2 MB. */
+static const bbl_caller_limits operator_limits = {16384, 16u << 20, 3000,
+                                                  15000};
+
 static int
 open_edges(node *n)
 {
@@ -637,6 +641,9 @@
         error = bbl_edge_open(&n->operator_edge, n->loop,
                               n->options->operator_address, &operators);
     }
+    if (n->operator_edge != NULL) {
+        bbl_edge_set_limits(n->operator_edge, &operator_limits);
+    }
     if (error == 0 && n->options->metrics_address.port != 0 &&
         n->gateway == NULL) {
         error = bbl_edge_open(&n->metrics_edge, n->loop,
