A host with an undecodable newest routing denies nothing by an older one

A host of an earlier build checks no keys and records a document in which two organisations have the same key. Hosts of this build log BBL2007 and keep the routing before, but took it for the newest: they would answer 401 and 404 where the others serve.

Change: such a host does not confirm its routing, so that it answers 503 (unconfirmed) until a valid document comes.

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -499,8 +499,10 @@
     bbl_mesh_tick(n->mesh, n->now);
     publish_update(n);
     if (n->gateway != NULL) {
-        bbl_gateway_confirm_routing(n->gateway,
-                                    bbl_control_lease_until(n->control));
+        bbl_gateway_confirm_routing(
+            n->gateway, bbl_publisher_has_newest_routing(n->publisher)
+                            ? bbl_control_lease_until(n->control)
+                            : 0);
     }
     bbl_control_confirm_applied(n->control, get_applied_index(n));
     service_connections(n);
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -25,6 +25,7 @@
     bbl_usec list_read_at;
     uint64_t peers; /* hash of the peers */
     uint64_t routing_version;
+    bool routing_refused; /* this version is invalid */
 } publication_marks;
 
 struct bbl_publisher {
@@ -114,6 +115,7 @@
     if (version == p->marks.routing_version) {
         return;
     }
+    p->marks.routing_refused = false;
     if (bbl_operator_api_inflate_document(&document, state) != 0 ||
         p->options.dialect->read_routing(&u->routing,
                                          bbl_buf_str(&document)) != 0 ||
@@ -122,6 +124,7 @@
                 (unsigned long long)version, bbl_error_last());
         bbl_routing_free(u->routing);
         u->routing = NULL;
+        p->marks.routing_refused = true;
     }
     else if (version != p->logged_routing_version) {
         p->logged_routing_version = version;
@@ -310,6 +313,12 @@
     return p->marks.routing_version;
 }
 
+bool
+bbl_publisher_has_newest_routing(const bbl_publisher *p)
+{
+    return !p->marks.routing_refused;
+}
+
 unsigned
 bbl_publisher_get_entry_hosts(const bbl_publisher *p)
 {
--- a/src/daemon/publisher.h
+++ b/src/daemon/publisher.h
@@ -44,6 +44,12 @@
 /* Returns the routing version of the last update that had one; 0 if none. */
 uint64_t bbl_publisher_get_routing_version(const bbl_publisher *publisher);
 
+/*
+ * Returns whether the newest routing could be decoded. A host of a build with
+ * other rules may have recorded one that this build finds invalid.
+ */
+bool bbl_publisher_has_newest_routing(const bbl_publisher *publisher);
+
 /* Returns the number of entry hosts, as counted for the last update. */
 unsigned bbl_publisher_get_entry_hosts(const bbl_publisher *publisher);
 
--- a/tests/test_publisher.c
+++ b/tests/test_publisher.c
@@ -87,9 +87,9 @@
 }
 
 static void
-install_routing(fixture *f, unsigned version)
+install_document(fixture *f, unsigned version, const char *fields)
 {
-    char document[256];
+    char document[512];
     bbl_buf packed = BBL_BUF_INIT;
     bbl_buf data = BBL_BUF_INIT;
     bblx_command command;
@@ -100,8 +100,8 @@
                         "\"target_latency_ms\":120,\"priority\":1,"
                         "\"service\":\"s\",\"max_attempts\":2}],"
                         "\"services\":[{\"name\":\"s\","
-                        "\"max_connections\":9}]}",
-                        version);
+                        "\"max_connections\":9}]%s}",
+                        version, fields);
 
     memset(&command, 0, sizeof(command));
     ck_assert_int_eq(bbl_deflate(&packed, (bbl_str){document, (size_t)size}),
@@ -118,6 +118,12 @@
     bbl_buf_free(&data);
 }
 
+static void
+install_routing(fixture *f, unsigned version)
+{
+    install_document(f, version, "");
+}
+
 static void
 set_list(fixture *f, const char *id)
 {
@@ -168,6 +174,46 @@
 }
 END_TEST
 
+/*
+ * A host of an earlier build records a document that this build finds invalid.
+ * This host keeps the routing before it, which it must not take for the newest
+ * one: it would deny what the other hosts allow.
+ */
+START_TEST(an_invalid_routing_leaves_the_one_before_unconfirmed)
+{
+    fixture f;
+    bbl_forward_update *u;
+
+    open_fixture(&f);
+    install_routing(&f, 7);
+    u = bbl_publisher_make_update(f.publisher, f.now);
+    ck_assert_ptr_nonnull(u->routing);
+    bbl_forward_update_free(u);
+    ck_assert(bbl_publisher_has_newest_routing(f.publisher));
+    install_document(&f, 8,
+                     ",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"]},"
+                     "{\"name\":\"b\",\"api_keys\":[\"k\"]}]");
+    for (int i = 0; i < 3; i++) {
+        u = bbl_publisher_make_update(f.publisher, f.now);
+        ck_assert_ptr_null(u->routing);
+        ck_assert(!bbl_publisher_has_newest_routing(f.publisher));
+        if (i == 0) {
+            bbl_publisher_take_back(f.publisher, u);
+        }
+        else {
+            bbl_forward_update_free(u);
+        }
+        f.now += 300 * MS;
+    }
+    install_routing(&f, 9);
+    u = bbl_publisher_make_update(f.publisher, f.now);
+    ck_assert_ptr_nonnull(u->routing);
+    ck_assert(bbl_publisher_has_newest_routing(f.publisher));
+    bbl_forward_update_free(u);
+    close_fixture(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -175,6 +221,7 @@
     TCase *tc = tcase_create("updates");
 
     tcase_add_test(tc, an_update_that_was_not_taken_loses_nothing);
+    tcase_add_test(tc, an_invalid_routing_leaves_the_one_before_unconfirmed);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
