--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -115,10 +115,11 @@
 {
     return event == BBL_EV_START || event == BBL_EV_DRAIN ||
            event == BBL_EV_ROUTING || event == BBL_EV_ROUTING_IN_USE ||
-           event == BBL_EV_EVACUATION || event == BBL_EV_CONTROL_LOST ||
-           event == BBL_EV_CONTROL_FOUND || event == BBL_EV_LEADER ||
-           event == BBL_EV_CATALOG_FAILED || event == BBL_EV_CATALOG ||
-           event == BBL_EV_REACH || event == BBL_EV_LOST_LINES;
+           event == BBL_EV_ORGANISATIONS || event == BBL_EV_EVACUATION ||
+           event == BBL_EV_CONTROL_LOST || event == BBL_EV_CONTROL_FOUND ||
+           event == BBL_EV_LEADER || event == BBL_EV_CATALOG_FAILED ||
+           event == BBL_EV_CATALOG || event == BBL_EV_REACH ||
+           event == BBL_EV_LOST_LINES;
 }
 
 /* Prints the newest line of each state event of a host up to a time. */
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -401,6 +401,11 @@
 {
     bool ok = r->reason == BBL_FORWARD_OK;
     const char *detail = r->failure_reason != NULL ? r->failure_reason : "";
+    const char *quote =
+        r->organisation.size > 0 &&
+                memchr(r->organisation.ptr, ' ', r->organisation.size) != NULL
+            ? "\""
+            : "";
 
     (void)ctx;
     bbl_log(
@@ -409,7 +414,7 @@
         "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
         "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
         "usable=%u server=%s fingerprint=%016llx delegate=%u "
-        "delegated_by=%u org=%.*s detail=\"%s\"",
+        "delegated_by=%u org=%s%.*s%s detail=\"%s\"",
         (int)r->request_id.size, r->request_id.ptr,
         bbl_forward_reason_name(r->reason), r->status,
         r->route ? (int)r->route->name.size : 0,
@@ -423,8 +428,8 @@
         r->usable_servers,
         r->service.size > 0 ? bbl_backend_state_name(r->unusable_state) : "",
         (unsigned long long)r->fingerprint, r->delegate, r->delegated_by,
-        (int)r->organisation.size,
-        r->organisation.ptr ? r->organisation.ptr : "", detail);
+        quote, (int)r->organisation.size,
+        r->organisation.ptr ? r->organisation.ptr : "", quote, detail);
 }
 
 static void
