--- a/tests/test_organisations.c
+++ b/tests/test_organisations.c
@@ -280,6 +280,42 @@
 }
 END_TEST
 
+/* Sends requests with a key in each of two organisations; returns how many of
+ * the second were refused by the load limit, less those of the first. */
+static int
+compare_overload(fixture *f, const char *first, const char *second)
+{
+    int refused[2] = {0, 0};
+
+    for (int i = 0; i < 1600; i++) {
+        unsigned n;
+
+        forward_sim_set_key(f->sim, i % 2 ? second : first, 1);
+        n = forward_sim_send_request(f->sim, "/one/x", 800);
+        forward_sim_run(f->sim, 3 * MS);
+        refused[i % 2] +=
+            forward_sim_get_call(f->sim, n)->reason == BBL_FORWARD_OVERLOAD;
+    }
+    ck_assert_int_gt(refused[1], 0);
+    return refused[1] - refused[0];
+}
+
+/* The share of the limit that is kept for urgent requests is for those of
+ * urgent organisations, although all use one route. */
+START_TEST(the_load_limit_keeps_room_for_an_urgent_organisation)
+{
+    fixture f;
+
+    init_fixture(&f, URGENT "," BATCH);
+    for (int i = 0; i < 500; i++) {
+        send_with_key(&f, "/one/x", i % 2 ? "k-batch" : "k-urgent");
+    }
+    f.one->work = 60 * MS; /* as if its queue were full */
+    ck_assert_int_gt(compare_overload(&f, "k-urgent", "k-batch"), 100);
+    forward_sim_free(f.sim);
+}
+END_TEST
+
 /* ---- delegation ---- */
 
 /* Returns a fleet of two hosts; the first has no links to the servers. */
@@ -368,6 +404,7 @@
     tcase_add_test(t, the_request_of_an_urgent_organisation_goes_first);
     tcase_add_test(
         t, permits_are_requested_with_the_priority_of_the_organisation);
+    tcase_add_test(t, the_load_limit_keeps_room_for_an_urgent_organisation);
     tcase_add_test(t, a_delegated_query_runs_for_its_organisation);
     tcase_add_test(t, a_delegated_query_without_an_organisation_needs_a_key);
     suite_add_tcase(s, t);
