Messages: admission of queries, and the announcement of message kinds

Cause: entry hosts have to ask grantors for the admission of queries (docs/design/load-tenants-rollouts.md, section 3), and a host of an earlier build closes a connection that carries a message kind unknown to it. The announcement in the challenge tells only that kinds up to 15 are known.

Change: kinds 16 to 18 (request, reply, report). After its challenge a host announces the greatest kind that it accepts, in the form of an acknowledgement of frames that were not sent; earlier builds ignore it. To add a kind, KIND_MAX in mesh.c is raised.

Result: test_mesh passes, with a peer of the build before and one that announces a smaller kind than this build.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -547,6 +547,72 @@
 };
 typedef struct bblx_permit_reply bblx_permit_reply;
 
+enum bblx_admission_subject {
+	BBLX_ADMISSION_QUOTA = 1,
+	BBLX_ADMISSION_LOAD = 2,
+};
+typedef enum bblx_admission_subject bblx_admission_subject;
+
+struct bblx_admission_quota {
+	u_quad_t organisation;
+	double rate;
+	double burst;
+	u_quad_t routing;
+};
+typedef struct bblx_admission_quota bblx_admission_quota;
+
+struct bblx_admission_load {
+	u_quad_t resource;
+	u_int slots;
+	u_int priority;
+	u_quad_t work_us;
+	u_int target_us;
+	u_int deadline_us;
+	u_int wait_us;
+};
+typedef struct bblx_admission_load bblx_admission_load;
+
+struct bblx_admission_item {
+	bblx_admission_subject subject;
+	union {
+		bblx_admission_quota quota;
+		bblx_admission_load load;
+	} bblx_admission_item_u;
+};
+typedef struct bblx_admission_item bblx_admission_item;
+
+struct bblx_admission_request {
+	u_quad_t number;
+	bblx_address control;
+	bblx_admission_item item;
+};
+typedef struct bblx_admission_request bblx_admission_request;
+
+enum bblx_admission_outcome {
+	BBLX_ADMITTED = 0,
+	BBLX_OVER_QUOTA = 1,
+	BBLX_OVERLOAD = 2,
+};
+typedef enum bblx_admission_outcome bblx_admission_outcome;
+
+struct bblx_admission_reply {
+	u_quad_t number;
+	bblx_admission_outcome outcome;
+	u_int wait_us;
+	u_int ask_us;
+};
+typedef struct bblx_admission_reply bblx_admission_reply;
+
+struct bblx_admission_report {
+	u_quad_t number;
+	u_quad_t resource;
+	u_int parts_sent;
+	u_int parts_refused;
+	u_int time_us;
+	u_quad_t organisation;
+};
+typedef struct bblx_admission_report bblx_admission_report;
+
 enum bblx_kind {
 	BBLX_VOTE_REQUEST = 1,
 	BBLX_VOTE_REPLY = 2,
@@ -563,6 +629,9 @@
 	BBLX_TRANSFER = 13,
 	BBLX_PERMIT_REQUEST = 14,
 	BBLX_PERMIT_REPLY = 15,
+	BBLX_ADMISSION_REQUEST = 16,
+	BBLX_ADMISSION_REPLY = 17,
+	BBLX_ADMISSION_REPORT = 18,
 };
 typedef enum bblx_kind bblx_kind;
 
@@ -584,6 +653,9 @@
 		bblx_transfer transfer;
 		bblx_permit_request permit_request;
 		bblx_permit_reply permit_reply;
+		bblx_admission_request admission_request;
+		bblx_admission_reply admission_reply;
+		bblx_admission_report admission_report;
 	} bblx_message_u;
 };
 typedef struct bblx_message bblx_message;
@@ -653,6 +725,14 @@
 extern  bool_t xdr_bblx_permit_request (XDR *, bblx_permit_request*);
 extern  bool_t xdr_bblx_permit_result (XDR *, bblx_permit_result*);
 extern  bool_t xdr_bblx_permit_reply (XDR *, bblx_permit_reply*);
+extern  bool_t xdr_bblx_admission_subject (XDR *, bblx_admission_subject*);
+extern  bool_t xdr_bblx_admission_quota (XDR *, bblx_admission_quota*);
+extern  bool_t xdr_bblx_admission_load (XDR *, bblx_admission_load*);
+extern  bool_t xdr_bblx_admission_item (XDR *, bblx_admission_item*);
+extern  bool_t xdr_bblx_admission_request (XDR *, bblx_admission_request*);
+extern  bool_t xdr_bblx_admission_outcome (XDR *, bblx_admission_outcome*);
+extern  bool_t xdr_bblx_admission_reply (XDR *, bblx_admission_reply*);
+extern  bool_t xdr_bblx_admission_report (XDR *, bblx_admission_report*);
 extern  bool_t xdr_bblx_kind (XDR *, bblx_kind*);
 extern  bool_t xdr_bblx_message (XDR *, bblx_message*);
 extern  bool_t xdr_bblx_frame (XDR *, bblx_frame*);
@@ -709,6 +789,14 @@
 extern bool_t xdr_bblx_permit_request ();
 extern bool_t xdr_bblx_permit_result ();
 extern bool_t xdr_bblx_permit_reply ();
+extern bool_t xdr_bblx_admission_subject ();
+extern bool_t xdr_bblx_admission_quota ();
+extern bool_t xdr_bblx_admission_load ();
+extern bool_t xdr_bblx_admission_item ();
+extern bool_t xdr_bblx_admission_request ();
+extern bool_t xdr_bblx_admission_outcome ();
+extern bool_t xdr_bblx_admission_reply ();
+extern bool_t xdr_bblx_admission_report ();
 extern bool_t xdr_bblx_kind ();
 extern bool_t xdr_bblx_message ();
 extern bool_t xdr_bblx_frame ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1223,6 +1223,183 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_admission_subject (XDR *xdrs, bblx_admission_subject *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_quota (XDR *xdrs, bblx_admission_quota *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->rate))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->burst))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->routing))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_load (XDR *xdrs, bblx_admission_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->resource))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->work_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_item (XDR *xdrs, bblx_admission_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bblx_admission_subject (xdrs, &objp->subject))
+		 return FALSE;
+	switch (objp->subject) {
+	case BBLX_ADMISSION_QUOTA:
+		 if (!xdr_bblx_admission_quota (xdrs, &objp->bblx_admission_item_u.quota))
+			 return FALSE;
+		break;
+	case BBLX_ADMISSION_LOAD:
+		 if (!xdr_bblx_admission_load (xdrs, &objp->bblx_admission_item_u.load))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_request (XDR *xdrs, bblx_admission_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bblx_address (xdrs, &objp->control))
+		 return FALSE;
+	 if (!xdr_bblx_admission_item (xdrs, &objp->item))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_outcome (XDR *xdrs, bblx_admission_outcome *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_reply (XDR *xdrs, bblx_admission_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bblx_admission_outcome (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ask_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_admission_report (XDR *xdrs, bblx_admission_report *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->resource))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->parts_sent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts_refused))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->time_us))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->parts_sent);
+		IXDR_PUT_U_LONG(buf, objp->parts_refused);
+		IXDR_PUT_U_LONG(buf, objp->time_us);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->resource))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->parts_sent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts_refused))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->time_us))
+				 return FALSE;
+
+		} else {
+		objp->parts_sent = IXDR_GET_U_LONG(buf);
+		objp->parts_refused = IXDR_GET_U_LONG(buf);
+		objp->time_us = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->resource))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts_sent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts_refused))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->time_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_kind (XDR *xdrs, bblx_kind *objp)
 {
@@ -1301,6 +1478,18 @@
 		 if (!xdr_bblx_permit_reply (xdrs, &objp->bblx_message_u.permit_reply))
 			 return FALSE;
 		break;
+	case BBLX_ADMISSION_REQUEST:
+		 if (!xdr_bblx_admission_request (xdrs, &objp->bblx_message_u.admission_request))
+			 return FALSE;
+		break;
+	case BBLX_ADMISSION_REPLY:
+		 if (!xdr_bblx_admission_reply (xdrs, &objp->bblx_message_u.admission_reply))
+			 return FALSE;
+		break;
+	case BBLX_ADMISSION_REPORT:
+		 if (!xdr_bblx_admission_report (xdrs, &objp->bblx_message_u.admission_report))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -455,6 +455,67 @@
     bblx_permit_result results<BBLX_ROWS_MAX>;
 };
 
+/* ---- admission of queries: quotas of organisations, and load ---- */
+
+/* What a request for admission asks for. */
+enum bblx_admission_subject {
+    BBLX_ADMISSION_QUOTA = 1,
+    BBLX_ADMISSION_LOAD = 2
+};
+
+struct bblx_admission_quota {
+    unsigned hyper organisation;  /* hash of its name */
+    double rate;                  /* requests per second, of all hosts */
+    double burst;                 /* requests */
+    unsigned hyper routing;       /* version that states rate and burst */
+};
+
+struct bblx_admission_load {
+    unsigned hyper resource;      /* the set of shards */
+    unsigned int slots;           /* of one shard, all its servers */
+    unsigned int priority;        /* 0 is the most urgent */
+    unsigned hyper work_us;       /* parts x expected time */
+    unsigned int target_us;       /* time left when sent */
+    unsigned int deadline_us;     /* time left when sent */
+    unsigned int wait_us;         /* longest wait for the reply */
+};
+
+union bblx_admission_item switch (bblx_admission_subject subject) {
+case BBLX_ADMISSION_QUOTA:
+    bblx_admission_quota quota;
+case BBLX_ADMISSION_LOAD:
+    bblx_admission_load load;
+};
+
+struct bblx_admission_request {
+    unsigned hyper number;        /* unique among the requests of a host */
+    bblx_address control;         /* of the sender, for the reply */
+    bblx_admission_item item;
+};
+
+enum bblx_admission_outcome {
+    BBLX_ADMITTED = 0,
+    BBLX_OVER_QUOTA = 1,
+    BBLX_OVERLOAD = 2
+};
+
+struct bblx_admission_reply {
+    unsigned hyper number;
+    bblx_admission_outcome outcome;
+    unsigned int wait_us;         /* before the next try, if refused */
+    unsigned int ask_us;          /* the host asks for load for so long */
+};
+
+/* How a query ended that was admitted. It has no reply. */
+struct bblx_admission_report {
+    unsigned hyper number;        /* of the request that was admitted */
+    unsigned hyper resource;      /* for load; otherwise 0 */
+    unsigned int parts_sent;
+    unsigned int parts_refused;
+    unsigned int time_us;         /* that the query took */
+    unsigned hyper organisation;  /* whose token is returned; 0: none */
+};
+
 enum bblx_kind {
     BBLX_VOTE_REQUEST = 1,
     BBLX_VOTE_REPLY = 2,
@@ -471,7 +532,10 @@
     BBLX_TRANSFER = 13,
     /* Only for hosts that announce the kinds above BBLX_TRANSFER, see mesh.c. */
     BBLX_PERMIT_REQUEST = 14,
-    BBLX_PERMIT_REPLY = 15
+    BBLX_PERMIT_REPLY = 15,
+    BBLX_ADMISSION_REQUEST = 16,
+    BBLX_ADMISSION_REPLY = 17,
+    BBLX_ADMISSION_REPORT = 18
 };
 
 union bblx_message switch (bblx_kind kind) {
@@ -505,6 +569,12 @@
     bblx_permit_request permit_request;
 case BBLX_PERMIT_REPLY:
     bblx_permit_reply permit_reply;
+case BBLX_ADMISSION_REQUEST:
+    bblx_admission_request admission_request;
+case BBLX_ADMISSION_REPLY:
+    bblx_admission_reply admission_reply;
+case BBLX_ADMISSION_REPORT:
+    bblx_admission_report admission_report;
 };
 
 struct bblx_frame {
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -42,11 +42,21 @@
 #define EXTENDED_KINDS_MARK "bblx-k15"
 #define EXTENDED_KINDS_MARK_BYTES 8
 #define BASE_KIND_MAX BBLX_TRANSFER
+#define EXTENDED_KIND_MAX BBLX_PERMIT_REPLY
+/*
+ * After its challenge, the receiver announces the greatest message kind that it
+ * accepts, in the form of an acknowledgement: the mark in the upper half, the
+ * kind in the lower one. Builds that know no announcement ignore an
+ * acknowledgement of frames that they have not sent. To add a kind, raise
+ * KIND_MAX.
+ */
+#define KIND_MARK 0xbb1c0000u
+#define KIND_MAX BBLX_ADMISSION_REPORT
 
 /* A frame that the peer has not acknowledged. */
 typedef struct {
     bbl_usec queued_at;
-    bool extended; /* only for a peer that accepts extended kinds */
+    uint32_t kind; /* only for a peer that accepts this kind */
     bbl_buf bytes;
 } unacked_frame;
 
@@ -61,7 +71,7 @@
     bblx_address address;
     int fd;           /* -1: no connection */
     bool established; /* the challenge of the peer was received */
-    bool extended;    /* the peer accepts extended kinds; if established */
+    uint32_t kind_max; /* greatest kind that the peer accepts; if established */
     uint8_t challenge[CHALLENGE_BYTES];
     bbl_buf input;
     bbl_buf output;
@@ -236,7 +246,7 @@
     while (l->established && l->unacked_written < l->unacked.size) {
         unacked_frame *f = bbl_vec_at(&l->unacked, l->unacked_written);
 
-        if (f->extended && !l->extended) {
+        if (f->kind > l->kind_max) {
             drop_unwritten_frame(l, l->unacked_written);
             continue;
         }
@@ -264,22 +274,6 @@
     }
 }
 
-static void
-read_challenge(outgoing_link *l)
-{
-    memcpy(l->challenge, l->input.ptr, CHALLENGE_BYTES);
-    bbl_buf_consume(&l->input, CHALLENGE_BYTES);
-    l->established = true;
-    l->extended = memcmp(l->challenge, EXTENDED_KINDS_MARK,
-                         EXTENDED_KINDS_MARK_BYTES) == 0;
-    bbl_log(
-        BBL_EV_PEER_CONNECTED,
-        "peer=%u connect_ms=%llu failed_before=%llu waiting=%zu", l->host,
-        (unsigned long long)((l->now - l->connect_started) / BBL_USEC_PER_MS),
-        (unsigned long long)l->failed_connections, l->unacked.size);
-    append_unwritten_frames(l);
-}
-
 static void
 read_acks(outgoing_link *l)
 {
@@ -288,6 +282,10 @@
 
         memcpy(&acked, l->input.ptr, ACK_BYTES);
         bbl_buf_consume(&l->input, ACK_BYTES);
+        if (acked >> 32 == KIND_MARK) {
+            l->kind_max = (uint32_t)acked;
+            continue;
+        }
         if (acked > l->acked_count && acked <= l->next_seq) {
             remove_oldest_frames(l, (size_t)(acked - l->acked_count));
             l->acked_count = acked;
@@ -297,6 +295,25 @@
     }
 }
 
+static void
+read_challenge(outgoing_link *l)
+{
+    memcpy(l->challenge, l->input.ptr, CHALLENGE_BYTES);
+    bbl_buf_consume(&l->input, CHALLENGE_BYTES);
+    l->established = true;
+    l->kind_max = memcmp(l->challenge, EXTENDED_KINDS_MARK,
+                         EXTENDED_KINDS_MARK_BYTES) == 0
+                      ? EXTENDED_KIND_MAX
+                      : BASE_KIND_MAX;
+    read_acks(l); /* the announcement arrives with the challenge */
+    bbl_log(
+        BBL_EV_PEER_CONNECTED,
+        "peer=%u connect_ms=%llu failed_before=%llu waiting=%zu", l->host,
+        (unsigned long long)((l->now - l->connect_started) / BBL_USEC_PER_MS),
+        (unsigned long long)l->failed_connections, l->unacked.size);
+    append_unwritten_frames(l);
+}
+
 static void
 outgoing_ready(void *ctx, int fd, uint32_t events)
 {
@@ -384,7 +401,7 @@
               const bblx_message *message)
 {
     outgoing_link *l = get_outgoing_link(mesh, host, to, now);
-    unacked_frame f = {now, message->kind > BASE_KIND_MAX, BBL_BUF_INIT};
+    unacked_frame f = {now, (uint32_t)message->kind, BBL_BUF_INIT};
     bblx_frame frame;
 
     memset(&frame, 0, sizeof(frame));
@@ -654,6 +671,8 @@
 {
     bbl_mesh *mesh = ctx;
     incoming_link *l;
+    uint8_t greeting[CHALLENGE_BYTES + ACK_BYTES];
+    uint64_t announced = (uint64_t)KIND_MARK << 32 | KIND_MAX;
     int peer = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
     (void)events;
@@ -667,8 +686,10 @@
     l->number = ++mesh->accepted;
     randombytes_buf(l->challenge, CHALLENGE_BYTES);
     memcpy(l->challenge, EXTENDED_KINDS_MARK, EXTENDED_KINDS_MARK_BYTES);
-    if (send(peer, l->challenge, CHALLENGE_BYTES, MSG_NOSIGNAL) !=
-            CHALLENGE_BYTES ||
+    memcpy(greeting, l->challenge, CHALLENGE_BYTES);
+    memcpy(greeting + CHALLENGE_BYTES, &announced, ACK_BYTES);
+    if (send(peer, greeting, sizeof(greeting), MSG_NOSIGNAL) !=
+            (ssize_t)sizeof(greeting) ||
         bbl_loop_watch(mesh->loop, peer, EPOLLIN, incoming_ready, l) != 0) {
         close(peer);
         free(l);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -62,6 +62,9 @@
 
     memset(&m, 0, sizeof(m));
     m.kind = kind;
+    if (kind == BBLX_ADMISSION_REQUEST) {
+        m.bblx_message_u.admission_request.item.subject = BBLX_ADMISSION_QUOTA;
+    }
     bbl_mesh_send(p->mesh, bbl_clock_now(), host, to, &m);
 }
 
@@ -100,6 +103,69 @@
 }
 END_TEST
 
+/*
+ * The build before the announcement of the greatest kind accepts permits only;
+ * the next one announces the greatest kind that it knows. A frame of a later
+ * kind would close the connection.
+ */
+START_TEST(a_peer_gets_only_the_kinds_that_it_announces)
+{
+    static const char challenge[CHALLENGE_BYTES] = "bblx-k15abcdefgh";
+    bool announces = _i == 1;
+    uint64_t announced = 0xbb1c0000ull << 32 | BBLX_ADMISSION_REQUEST;
+    bbl_loop *loop;
+    peer a;
+    bblx_address to;
+    int listener = tcp_listen(&to);
+    int fd;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    open_peer(&a, loop, 1);
+    send_message(&a, 2, to, BBLX_PERMIT_REQUEST);
+    send_message(&a, 2, to, BBLX_ADMISSION_REQUEST);
+    send_message(&a, 2, to, BBLX_ADMISSION_REPORT);
+    run(&a, NULL, 2);
+    fd = accept(listener, NULL, NULL);
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(send(fd, challenge, CHALLENGE_BYTES, MSG_MORE),
+                     CHALLENGE_BYTES);
+    ck_assert_int_eq(send(fd, &announced, announces ? sizeof(announced) : 0, 0),
+                     announces ? (int)sizeof(announced) : 0);
+    run(&a, NULL, 10);
+    ck_assert_uint_eq(bbl_mesh_get_counters(a.mesh)->frames_sent,
+                      announces ? 2 : 1);
+    ck_assert_uint_eq(bbl_mesh_get_counters(a.mesh)->dropped_frames,
+                      announces ? 1 : 2);
+    close(fd);
+    close(listener);
+    bbl_mesh_free(a.mesh);
+    bbl_loop_free(loop);
+}
+END_TEST
+
+/* Taken for an acknowledgement, the announcement would drop frames that the
+ * peer has not received, or keep all of them for ever. */
+START_TEST(the_announcement_is_no_acknowledgement)
+{
+    bbl_loop *loop;
+    peer a;
+    peer b;
+    bblx_address to;
+
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    open_peer(&a, loop, 1);
+    to = open_peer(&b, loop, 2);
+    send_message(&a, 2, to, BBLX_ADMISSION_REQUEST);
+    send_message(&a, 2, to, BBLX_ADMISSION_REPORT);
+    run(&a, &b, 10);
+    ck_assert_uint_eq(bbl_mesh_get_counters(b.mesh)->frames_received, 2);
+    ck_assert_uint_eq(bbl_mesh_get_backlog(a.mesh, 2), 0);
+    bbl_mesh_free(a.mesh);
+    bbl_mesh_free(b.mesh);
+    bbl_loop_free(loop);
+}
+END_TEST
+
 /*
  * An earlier build would close the connection, and with it lose the heartbeats
  * that it carries.
@@ -366,6 +432,9 @@
 
     tcase_add_test(tc, extended_kinds_reach_a_peer_that_announces_them);
     tcase_add_test(tc, extended_kinds_are_not_sent_to_earlier_builds);
+    tcase_add_loop_test(tc, a_peer_gets_only_the_kinds_that_it_announces, 0,
+                        2);
+    tcase_add_test(tc, the_announcement_is_no_acknowledgement);
     tcase_add_test(tc, a_host_restarted_with_its_clock_set_back_is_heard);
     tcase_add_test(tc,
                    an_idle_host_replaces_a_connection_that_has_gone_silent);
