Admission: one token bucket for shares of a rate

Cause: the quotas of organisations divide a rate between grantors as the permits of limited servers do.

Change: the bucket, its refill, the wait and the start of a young book move from permit_book.c to admission/share_bucket.c.

Result: test_permit_book and test_rate_limit pass unchanged.

--- a/src/control/permit_book.c
+++ b/src/control/permit_book.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "admission/share_bucket.h"
 #include "util/alloc.h"
 
 /* Share of the server's rate; the rest is for hosts not told of it yet. */
@@ -29,24 +30,18 @@
  * one may have been restarted, and its predecessor may just have given one.
  */
 #define NEW_BOOK_US (6 * BBL_USEC_PER_SEC)
-/* Longest time to which a refused caller is told to wait. */
-#define WAIT_MAX_SECONDS 10.0
 #define BUCKETS_MAX 16384
 #define IDLE_BUCKET_US (60 * BBL_USEC_PER_SEC)
 
 /* The state of one server at this grantor. */
 typedef struct {
     uint64_t server;
-    double rate; /* of this grantor, permits per second */
-    double tokens;
+    bbl_share_bucket share;
     double less_urgent_tokens;
     /* Of the next token; at 1 it is for a less urgent request only. */
     double reserved;
     bbl_usec less_urgent_refused_at;
     double urgent_rate; /* urgent requests per second, decaying mean */
-    /* Permits that refused requests will come back for. */
-    double expected;
-    bbl_usec filled_at;
 } bucket;
 
 void
@@ -86,7 +81,7 @@
         return;
     }
     while ((b = bbl_map_next(&book->buckets, &pos)) != NULL) {
-        if (b->filled_at + IDLE_BUCKET_US < now) {
+        if (b->share.filled_at + IDLE_BUCKET_US < now) {
             free(b);
         }
         else {
@@ -100,23 +95,19 @@
 static void
 refill(bucket *b, bbl_usec now)
 {
-    double seconds = (double)(now - b->filled_at) / BBL_USEC_PER_SEC;
-    double tokens_max = 1 + BURST_SECONDS * b->rate;
+    double seconds = bbl_share_bucket_refill(&b->share, now);
+    double rate = b->share.rate;
     double urgent_share =
-        b->rate > 0 ? fmin(b->urgent_rate / b->rate, 1 - LESS_URGENT_SHARE)
-                    : 1;
+        rate > 0 ? fmin(b->urgent_rate / rate, 1 - LESS_URGENT_SHARE) : 1;
 
-    b->tokens = fmin(b->tokens + b->rate * seconds, tokens_max);
     b->less_urgent_tokens =
-        fmin(b->less_urgent_tokens + b->rate * (1 - urgent_share) * seconds,
-             tokens_max);
+        fmin(b->less_urgent_tokens + rate * (1 - urgent_share) * seconds,
+             b->share.capacity);
     b->reserved =
         now < b->less_urgent_refused_at + LESS_URGENT_WAITS_US
-            ? fmin(b->reserved + LESS_URGENT_SHARE * b->rate * seconds, 1)
+            ? fmin(b->reserved + LESS_URGENT_SHARE * rate * seconds, 1)
             : 0;
-    b->expected = fmax(b->expected - b->rate * seconds, 0);
     b->urgent_rate *= exp(-seconds / URGENT_RATE_SECONDS);
-    b->filled_at = now;
 }
 
 /* Returns the bucket of a server, with the tokens of this moment. */
@@ -125,27 +116,26 @@
            const bblx_permit_item *item)
 {
     bucket *b = bbl_map_get(&book->buckets, item->server);
+    double rate = bbl_permit_rate(item->rate / 1000.0) / grantors;
 
     if (b == NULL) {
         prune_buckets(book, now);
         b = bbl_calloc(1, sizeof(*b));
         b->server = item->server;
-        b->filled_at = now;
-        if (now >= book->started_at + NEW_BOOK_US) {
-            b->tokens = 1;
-            b->less_urgent_tokens = 1;
-        }
+        bbl_share_bucket_init(&b->share, now, now - book->started_at,
+                              NEW_BOOK_US, 1, 0);
+        b->less_urgent_tokens = b->share.tokens;
         bbl_map_set(&book->buckets, item->server, b);
     }
     refill(b, now);
-    b->rate = bbl_permit_rate(item->rate / 1000.0) / grantors;
+    bbl_share_bucket_set_rate(&b->share, rate, 1 + BURST_SECONDS * rate);
     return b;
 }
 
 static bool
 has_permit(const bucket *b, bool urgent)
 {
-    return b->tokens >= 1 &&
+    return b->share.tokens >= 1 &&
            (urgent ? b->reserved < 1
                    : b->reserved >= 1 || b->less_urgent_tokens >= 1);
 }
@@ -157,7 +147,7 @@
 static uint32_t
 get_wait(const bucket *b, bool urgent)
 {
-    double missing = fmax(1 - b->tokens, 0);
+    double missing = fmax(1 - b->share.tokens, 0);
 
     if (!urgent) {
         missing = fmax(missing, fmin(1 - b->less_urgent_tokens,
@@ -166,9 +156,7 @@
     else if (b->reserved >= 1) {
         missing += 1; /* the next token is for a less urgent request */
     }
-    missing += b->expected;
-    return 1 + (uint32_t)(fmin(missing / b->rate, WAIT_MAX_SECONDS) *
-                          BBL_USEC_PER_SEC);
+    return bbl_share_bucket_get_wait(&b->share, missing);
 }
 
 /* Returns the number of items in the group that begins at `first`. */
@@ -234,22 +222,20 @@
         if (groups < r->needed) {
             out[i].granted = FALSE;
         }
-        if (out[i].granted && b->tokens >= 1) {
-            b->tokens -= 1;
+        /* An earlier item may have taken the token. */
+        out[i].granted = out[i].granted && bbl_share_bucket_take(&b->share);
+        if (out[i].granted) {
             if (!r->urgent) {
                 b->less_urgent_tokens = fmax(b->less_urgent_tokens - 1, 0);
                 b->reserved = fmax(b->reserved - 1, 0);
             }
         }
-        else {
-            out[i].granted = FALSE; /* an earlier item took the token */
-        }
         if (out[i].wait_us > 0 && !r->urgent) {
             b->less_urgent_refused_at = now;
         }
         if (out[i].wait_us > 0) {
             /* The request is repeated at other grantors and servers. */
-            b->expected += 1.0 / BBL_PERMIT_ASKED_MAX / group_size;
+            b->share.expected += 1.0 / BBL_PERMIT_ASKED_MAX / group_size;
         }
         book->granted += out[i].granted;
         book->refused += !out[i].granted;
