Admission: quota book of a grantor, and its messages in the control core

Cause: an organisation has a rate and a burst over all hosts together.

The grantors are those of the permits.

--- /dev/null
+++ b/src/admission/quota_book.c
@@ -0,0 +1,274 @@
+#include "admission/quota_book.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "util/alloc.h"
+
+/*
+ * Parts of window x overrun, the time by which tokens may be late. The second
+ * one leaves a host that refuses a request at its last moment the time to
+ * return the token; both stay below 1 for the time of a message.
+ */
+#define TOKEN_TIME_SHARE 0.6
+#define RETURN_TIME_SHARE 0.9
+/* Part of the slack by which the buckets of all grantors are larger. */
+#define CAPACITY_SLACK_DIVISOR 4
+/* Part of the slack that all grantors give after a restart. */
+#define RESTART_SLACK_DIVISOR 2
+/*
+ * Refused requests that count as coming back, in the tokens of this time: of
+ * a caller that sends far more than its limit, many do not come back, and the
+ * later ones should not be told to wait for long after it has stopped.
+ */
+#define EXPECTED_SECONDS 1.0
+/* Buckets above which those that are full are freed: a new one is the same. */
+#define BUCKETS_MAX 16384
+
+/* An organisation at this grantor. */
+typedef struct {
+    uint64_t organisation;
+    bbl_share_bucket share;
+    uint64_t routing; /* newest version that was seen */
+    double rate;      /* of all grantors, as that version states it */
+    double burst;
+} bucket;
+
+/* A token that was given and may be returned. */
+typedef struct {
+    uint64_t key;
+    uint64_t organisation;
+    bbl_usec at;
+} grant;
+
+static bbl_usec
+get_time_share(const bbl_quota_limits *l, double share)
+{
+    return (bbl_usec)((double)l->window * l->overrun * share);
+}
+
+bbl_usec
+bbl_quota_get_token_time(const bbl_quota_limits *l)
+{
+    return get_time_share(l, TOKEN_TIME_SHARE);
+}
+
+bbl_usec
+bbl_quota_get_return_time(const bbl_quota_limits *l)
+{
+    return get_time_share(l, RETURN_TIME_SHARE);
+}
+
+void
+bbl_quota_book_init(bbl_quota_book *book, bbl_usec now,
+                    const bbl_quota_limits *limits)
+{
+    memset(book, 0, sizeof(*book));
+    book->limits = *limits;
+    book->by_age = (bbl_vec)BBL_VEC_INIT(grant *);
+    book->started_at = now;
+}
+
+void
+bbl_quota_book_free(bbl_quota_book *book)
+{
+    bucket *b;
+    size_t pos = 0;
+
+    while ((b = bbl_map_next(&book->buckets, &pos)) != NULL) {
+        free(b);
+    }
+    bbl_map_free(&book->buckets);
+    for (size_t i = book->forgotten; i < book->by_age.size; i++) {
+        free(*BBL_VEC_AT(grant *, &book->by_age, i));
+    }
+    bbl_vec_free(&book->by_age);
+    bbl_map_free(&book->grants);
+}
+
+/* ---- tokens that may be returned ---- */
+
+static uint64_t
+get_key(uint32_t from, uint64_t number)
+{
+    return bbl_hash(&number, sizeof(number), from);
+}
+
+/* Forgets the tokens that are too old to be returned. */
+static void
+forget_grants(bbl_quota_book *book, bbl_usec now)
+{
+    bbl_usec time = bbl_quota_get_return_time(&book->limits);
+    bbl_vec *v = &book->by_age;
+
+    while (book->forgotten < v->size) {
+        grant *g = *BBL_VEC_AT(grant *, v, book->forgotten);
+
+        if (now <= g->at + time) {
+            break;
+        }
+        if (bbl_map_get(&book->grants, g->key) == g) {
+            bbl_map_remove(&book->grants, g->key);
+        }
+        free(g);
+        book->forgotten++;
+    }
+    if (book->forgotten > v->size / 2) {
+        v->size -= book->forgotten;
+        memmove(v->ptr, (grant **)v->ptr + book->forgotten,
+                v->size * v->item_size);
+        book->forgotten = 0;
+    }
+}
+
+static void
+add_grant(bbl_quota_book *book, bbl_usec now, uint64_t key,
+          uint64_t organisation)
+{
+    grant *g = bbl_calloc(1, sizeof(*g));
+
+    *g = (grant){key, organisation, now};
+    bbl_map_set(&book->grants, key, g);
+    bbl_vec_push(&book->by_age, &g);
+}
+
+/* ---- buckets ---- */
+
+/* Returns the capacity of a bucket, tokens. */
+static double
+get_capacity(const bbl_quota_limits *l, double burst, unsigned grantors)
+{
+    /*
+     * An unused bucket holds up to one token more than its share of the burst:
+     * tokens are whole, and the buckets of five grantors may each have a part
+     * of one left that together are several requests within the limit.
+     */
+    double more = fmin(l->slack / CAPACITY_SLACK_DIVISOR / grantors, 1);
+
+    return fmax(burst * (1 + l->overrun) / grantors + more, 1);
+}
+
+/* Frees the buckets that are full, once there are too many. */
+static void
+prune_buckets(bbl_quota_book *book, bbl_usec now)
+{
+    bbl_map kept = BBL_MAP_INIT;
+    bucket *b;
+    size_t pos = 0;
+
+    if (book->buckets.size < BUCKETS_MAX) {
+        return;
+    }
+    while ((b = bbl_map_next(&book->buckets, &pos)) != NULL) {
+        bbl_share_bucket_refill(&b->share, now);
+        if (b->share.tokens >= b->share.capacity) {
+            free(b);
+        }
+        else {
+            bbl_map_set(&kept, b->organisation, b);
+        }
+    }
+    bbl_map_free(&book->buckets);
+    book->buckets = kept;
+}
+
+static bucket *
+new_bucket(bbl_quota_book *book, bbl_usec now, unsigned grantors,
+           const bblx_admission_quota *q)
+{
+    bucket *b = bbl_calloc(1, sizeof(*b));
+    double rate = q->rate / grantors;
+    double capacity = get_capacity(&book->limits, q->burst, grantors);
+    double age = (double)(now - book->started_at) / BBL_USEC_PER_SEC;
+    double reduced =
+        book->limits.slack / RESTART_SLACK_DIVISOR / grantors + rate * age;
+
+    /* The bucket has as many tokens as if it had existed from the start. */
+    b->organisation = q->organisation;
+    bbl_share_bucket_init(&b->share, now, now - book->started_at,
+                          reduced < capacity ? UINT64_MAX : 0, capacity,
+                          reduced);
+    return b;
+}
+
+/* Returns the bucket of an organisation, with the tokens of this moment. */
+static bucket *
+get_bucket(bbl_quota_book *book, bbl_usec now, unsigned grantors,
+           const bblx_admission_quota *q)
+{
+    bucket *b = bbl_map_get(&book->buckets, q->organisation);
+    double capacity;
+
+    if (b == NULL) {
+        prune_buckets(book, now);
+        b = new_bucket(book, now, grantors, q);
+        bbl_map_set(&book->buckets, q->organisation, b);
+    }
+    else {
+        bbl_share_bucket_refill(&b->share, now);
+    }
+    if (q->routing > b->routing || b->rate <= 0) {
+        b->routing = q->routing;
+        b->rate = q->rate;
+        b->burst = q->burst;
+    }
+    capacity = get_capacity(&book->limits, b->burst, grantors);
+    bbl_share_bucket_set_rate(&b->share, b->rate / grantors, capacity);
+    /* A lowered limit holds at once, not from the next refill on. */
+    b->share.tokens = fmin(b->share.tokens, capacity);
+    return b;
+}
+
+bool
+bbl_quota_book_take(uint32_t *wait_us, bbl_quota_book *book, bbl_usec now,
+                    unsigned grantors, uint32_t from, uint64_t number,
+                    const bblx_admission_quota *q)
+{
+    uint64_t key = get_key(from, number);
+    bucket *b;
+
+    *wait_us = 0;
+    forget_grants(book, now);
+    if (bbl_map_get(&book->grants, key) != NULL) {
+        return true;
+    }
+    /* A host asks for no organisation without a limit. */
+    if (grantors == 0 || !(q->rate > 0) || !(q->burst >= 0)) {
+        *wait_us = BBL_SHARE_WAIT_MAX_US;
+        return false;
+    }
+    b = get_bucket(book, now, grantors, q);
+    if (bbl_share_bucket_take(&b->share)) {
+        add_grant(book, now, key, q->organisation);
+        book->granted++;
+        return true;
+    }
+    *wait_us = bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens);
+    /* All grantors refuse the request, and it comes back to one of them. */
+    b->share.expected =
+        fmin(b->share.expected + 1.0 / grantors,
+             fmax(EXPECTED_SECONDS * b->share.rate, 1.0 / grantors));
+    book->refused++;
+    return false;
+}
+
+void
+bbl_quota_book_put_back(bbl_quota_book *book, bbl_usec now, uint32_t from,
+                        uint64_t number)
+{
+    const grant *g;
+    bucket *b;
+
+    forget_grants(book, now);
+    g = bbl_map_remove(&book->grants, get_key(from, number));
+    if (g == NULL) {
+        return;
+    }
+    b = bbl_map_get(&book->buckets, g->organisation);
+    if (b != NULL) {
+        bbl_share_bucket_refill(&b->share, now);
+        bbl_share_bucket_put_back(&b->share);
+        book->returned++;
+    }
+}
--- /dev/null
+++ b/src/admission/quota_book.h
@@ -0,0 +1,79 @@
+/*
+ * quota_book.h - the shares of one grantor in the quotas of organisations. An
+ * organisation may send a rate of requests per second and a burst, over all
+ * hosts together; each grantor owns an equal part of both. The book makes no
+ * system call; time and requests are arguments.
+ *
+ * In any window W at most (rate x W + burst) x (1 + overrun) + slack requests
+ * of an organisation run, whatever is lost, late, doubled, restarted or cut
+ * off. With n grantors this is made up of:
+ *
+ * - rate x W, and n x capacity <= burst x (1 + overrun) + slack / 4, or n if
+ *   that is more: what the buckets earn and hold;
+ * - rate x bbl_quota_get_return_time(): tokens that were taken before the
+ *   window and are used or returned in it, less than rate x W x overrun;
+ * - n x slack / (2 x n): one restart of each grantor.
+ */
+#ifndef BBL_QUOTA_BOOK_H
+#define BBL_QUOTA_BOOK_H
+
+#include "admission/share_bucket.h"
+#include "model/codec.h"
+#include "util/map.h"
+#include "util/vec.h"
+
+typedef struct {
+    bbl_usec window;
+    double overrun; /* share of the limit; 0.1 or so */
+    double slack;   /* requests */
+} bbl_quota_limits;
+
+#define BBL_QUOTA_LIMITS_INIT                                                 \
+    {                                                                         \
+        5 * BBL_USEC_PER_SEC, 0.1, 20                                         \
+    }
+
+typedef struct {
+    bbl_quota_limits limits;
+    bbl_map buckets;  /* hash of the organisation -> bucket, private */
+    bbl_map grants;   /* host and number -> grant, private */
+    bbl_vec by_age;   /* grant *, oldest first; the first ones are forgotten */
+    size_t forgotten; /* grants at the beginning of by_age */
+    bbl_usec started_at;
+    uint64_t granted;
+    uint64_t refused;
+    uint64_t returned;
+} bbl_quota_book;
+
+/* Returns how long after its request a token may be used by a host. */
+bbl_usec bbl_quota_get_token_time(const bbl_quota_limits *limits);
+
+/* Returns how long after it was given a grantor takes a token back. */
+bbl_usec bbl_quota_get_return_time(const bbl_quota_limits *limits);
+
+void bbl_quota_book_init(bbl_quota_book *book, bbl_usec now,
+                         const bbl_quota_limits *limits);
+void bbl_quota_book_free(bbl_quota_book *book);
+
+/*
+ * Takes a token for a request. The same request again, which was doubled on
+ * its way, gets the same answer and takes no second token.
+ *
+ * @param wait_us  set to the time until there is a token, if refused
+ * @param grantors number of grantors, this one included
+ * @param from     host that sent the request
+ * @param number   of the request
+ * @return whether a token was taken
+ */
+bool bbl_quota_book_take(uint32_t *wait_us, bbl_quota_book *book, bbl_usec now,
+                         unsigned grantors, uint32_t from, uint64_t number,
+                         const bblx_admission_quota *quota);
+
+/*
+ * Puts the token of a request back that has not run and will not. Does nothing
+ * if it was put back before, is too old or was given by an earlier process.
+ */
+void bbl_quota_book_put_back(bbl_quota_book *book, bbl_usec now, uint32_t from,
+                             uint64_t number);
+
+#endif
--- /dev/null
+++ b/src/control/admissions.c
@@ -0,0 +1,162 @@
+/*
+ * Admission of queries: the decisions of this host as a grantor, and the
+ * messages between an entry host and the grantors. The entry host's traffic
+ * thread chooses the grantor (forward/admission_ask.c).
+ */
+#include "control/control_core.h"
+
+#include <string.h>
+
+void
+bbl_admissions_init(bbl_control *c)
+{
+    bbl_quota_book_init(&c->quotas, c->now, &c->options.quota_limits);
+}
+
+void
+bbl_admissions_free(bbl_control *c)
+{
+    bbl_quota_book_free(&c->quotas);
+}
+
+/* ---- this host as a grantor ---- */
+
+/*
+ * Returns whether this host is a grantor. One that has just become one begins
+ * like one that was restarted: what its predecessor gave is not known.
+ */
+static bool
+grants(bbl_control *c)
+{
+    bool before = c->grants_admission;
+
+    c->grants_admission = bbl_permits_is_grantor(c);
+    if (c->grants_admission && !before && c->was_no_grantor) {
+        bbl_quota_book_free(&c->quotas);
+        bbl_admissions_init(c);
+    }
+    c->was_no_grantor = !c->grants_admission;
+    return c->grants_admission;
+}
+
+/*
+ * Decides on a request. Load is not limited here: a request for it is
+ * admitted.
+ */
+static void
+decide(bblx_admission_reply *out, bbl_control *c, uint32_t from,
+       const bblx_admission_request *r)
+{
+    out->number = r->number;
+    out->outcome = BBLX_ADMITTED;
+    if (r->item.subject == BBLX_ADMISSION_QUOTA &&
+        !bbl_quota_book_take(&out->wait_us, &c->quotas, c->now,
+                             bbl_control_count_grantors(c), from, r->number,
+                             &r->item.bblx_admission_item_u.quota)) {
+        out->outcome = BBLX_OVER_QUOTA;
+    }
+}
+
+static void
+receive_request(bbl_control *c, uint32_t from, const bblx_admission_request *r)
+{
+    bblx_message m;
+
+    if (!grants(c)) {
+        return;
+    }
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPLY;
+    decide(&m.bblx_message_u.admission_reply, c, from, r);
+    if (from == c->options.host) {
+        bbl_admissions_receive(c, from, &m);
+    }
+    else {
+        bbl_control_send(c, from, r->control, &m);
+    }
+}
+
+static void
+receive_report(bbl_control *c, uint32_t from, const bblx_admission_report *r)
+{
+    if (r->organisation != 0) {
+        bbl_quota_book_put_back(&c->quotas, c->now, from, r->number);
+    }
+}
+
+void
+bbl_admissions_receive(bbl_control *c, uint32_t from, const bblx_message *m)
+{
+    switch (m->kind) {
+    case BBLX_ADMISSION_REQUEST:
+        receive_request(c, from, &m->bblx_message_u.admission_request);
+        break;
+    case BBLX_ADMISSION_REPLY:
+        if (c->options.port.admission_received != NULL) {
+            c->options.port.admission_received(
+                c->options.port.ctx, from, &m->bblx_message_u.admission_reply);
+        }
+        break;
+    default:
+        receive_report(c, from, &m->bblx_message_u.admission_report);
+        break;
+    }
+}
+
+/* ---- requests of this host ---- */
+
+void
+bbl_control_send_admission(bbl_control *c, bbl_usec now, uint32_t grantor,
+                           const bblx_message *message)
+{
+    bbl_control_grantor known[BBL_PERMIT_GRANTORS_MAX];
+    unsigned count = bbl_control_get_grantors(known, c);
+    bblx_message m = *message;
+
+    c->now = now;
+    if (m.kind == BBLX_ADMISSION_REQUEST) {
+        m.bblx_message_u.admission_request.control = c->options.control;
+    }
+    if (grantor == c->options.host) {
+        bbl_admissions_receive(c, grantor, &m);
+        return;
+    }
+    for (unsigned i = 0; i < count; i++) {
+        if (known[i].host == grantor) {
+            bbl_control_send(c, grantor, known[i].control, &m);
+        }
+    }
+}
+
+/* Returns whether a host is in the data centre of this one. */
+static bool
+is_near(const bbl_control *c, uint32_t host)
+{
+    const bblx_member_row *m;
+    size_t pos = 0;
+
+    while ((m = bbl_rows_next_member(&c->rows, &pos)) != NULL) {
+        if (m->host == host) {
+            bbl_name zone;
+
+            bbl_name_from_wire(&zone, &m->zone);
+            return bbl_name_equal(&zone, &c->options.zone);
+        }
+    }
+    return host == c->options.host;
+}
+
+unsigned
+bbl_control_get_grantors(bbl_control_grantor out[BBL_PERMIT_GRANTORS_MAX],
+                         const bbl_control *c)
+{
+    const bblx_voter *found[BBL_PERMIT_GRANTORS_MAX];
+    unsigned count = bbl_permits_find_grantors(c, found);
+
+    for (unsigned i = 0; i < count; i++) {
+        out[i].host = found[i]->host;
+        out[i].control = found[i]->control;
+        out[i].near = is_near(c, found[i]->host);
+    }
+    return count;
+}
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -947,6 +947,7 @@
     c->logged_proposals = (bbl_vec)BBL_VEC_INIT(logged_proposal);
     c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
     bbl_permits_init(c);
+    bbl_admissions_init(c);
     c->members = (bbl_vec)BBL_VEC_INIT(bblx_member_row);
     c->assigns = (bbl_vec)BBL_VEC_INIT(bblx_assign);
     c->backends = (bbl_vec)BBL_VEC_INIT(bblx_backend);
@@ -996,6 +997,7 @@
     bbl_vec_free(&c->logged_proposals);
     bbl_vec_free(&c->reports);
     bbl_permits_free(c);
+    bbl_admissions_free(c);
     bbl_vec_free(&c->members);
     bbl_vec_free(&c->assigns);
     bbl_vec_free(&c->backends);
@@ -1164,6 +1166,11 @@
     case BBLX_PERMIT_REPLY:
         bbl_permits_receive_reply(c, from, &m->bblx_message_u.permit_reply);
         break;
+    case BBLX_ADMISSION_REQUEST:
+    case BBLX_ADMISSION_REPLY:
+    case BBLX_ADMISSION_REPORT:
+        bbl_admissions_receive(c, from, m);
+        break;
     default:
         if (c->quorum != NULL) {
             bbl_quorum_receive(c->quorum, now, from, m);
@@ -1315,6 +1322,9 @@
     out->voter_changes = c->voter_changes;
     out->permits_granted = c->permits.granted;
     out->permits_withheld = c->permits.refused;
+    out->quota_granted = c->quotas.granted;
+    out->quota_refused = c->quotas.refused;
+    out->quota_returned = c->quotas.returned;
 }
 
 uint64_t
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -9,6 +9,8 @@
 #ifndef BBL_CONTROL_H
 #define BBL_CONTROL_H
 
+#include "admission/quota_book.h"
+#include "control/permit_book.h"
 #include "control/quorum.h"
 #include "control/registry.h"
 #include "control/rows.h"
@@ -28,6 +30,10 @@
                               const bblx_propose_reply *reply);
     /* Passes on the answer to a request for permits; may be NULL. */
     void (*permits_received)(void *ctx, const bblx_permit_reply *reply);
+    /* Passes on a grantor's reply about the admission of a query; may be
+     * NULL. */
+    void (*admission_received)(void *ctx, uint32_t grantor,
+                               const bblx_admission_reply *reply);
     /* Reopens the disk after a failure. If NULL, a host whose disk failed
      * takes no part in the quorum until it is restarted. */
     int (*reopen_disk)(void *ctx, bbl_disk **out);
@@ -55,6 +61,7 @@
     uint32_t voters_wanted;
     uint32_t copies; /* disks that store a command before it is committed */
     bbl_usec proposal_timeout;
+    bbl_quota_limits quota_limits; /* of the quotas of organisations */
     bbl_control_port port;
 } bbl_control_options;
 
@@ -65,7 +72,8 @@
         .lease = 1500 * BBL_USEC_PER_MS,                                      \
         .takeover_delay = 1000 * BBL_USEC_PER_MS, .clock_ppm = 1000,          \
         .relay_members = 16, .compact_entries = 1024,                         \
-        .proposal_timeout = 3000 * BBL_USEC_PER_MS                            \
+        .proposal_timeout = 3000 * BBL_USEC_PER_MS,                           \
+        .quota_limits = BBL_QUOTA_LIMITS_INIT                                 \
     }
 
 /* Why a daemon accepts no new work; BBL_READY if it does. */
@@ -103,6 +111,9 @@
     uint64_t voter_changes;      /* proposed while this host led */
     uint64_t permits_granted;    /* for servers that limit their rate */
     uint64_t permits_withheld;   /* servers without a permit left */
+    uint64_t quota_granted;      /* requests admitted by this grantor */
+    uint64_t quota_refused;      /* requests over the limit */
+    uint64_t quota_returned;     /* tokens of requests that did not run */
     bbl_usec parent_answered_at; /* last grant or change of parent */
 } bbl_control_status;
 
@@ -187,6 +198,29 @@
 void bbl_control_request_permits(bbl_control *control, bbl_usec now,
                                  const bblx_permit_request *request);
 
+/* A host that grants permits and admission. */
+typedef struct {
+    uint32_t host;
+    bblx_address control;
+    bool near; /* in the data centre of this host */
+} bbl_control_grantor;
+
+/* Fills the grantors, in an order on which all hosts agree. Returns their
+ * number, 0 if none is known. */
+unsigned
+bbl_control_get_grantors(bbl_control_grantor out[BBL_PERMIT_GRANTORS_MAX],
+                         const bbl_control *control);
+
+/*
+ * Sends a grantor a request for the admission of a query, or the report of one
+ * that was admitted. It may be lost, and so may the reply.
+ *
+ * @param message BBLX_ADMISSION_REQUEST, without the address for the reply, or
+ *                BBLX_ADMISSION_REPORT
+ */
+void bbl_control_send_admission(bbl_control *control, bbl_usec now,
+                                uint32_t grantor, const bblx_message *message);
+
 /* Returns the number of hosts that grant permits, 0 if none is known. */
 unsigned bbl_control_count_grantors(const bbl_control *control);
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -6,8 +6,9 @@
 #ifndef BBL_CONTROL_CORE_H
 #define BBL_CONTROL_CORE_H
 
-#include "control/permit_book.h"
+#include "admission/quota_book.h"
 #include "control/control.h"
+#include "control/permit_book.h"
 
 #define BBL_HEARTBEAT_TIMES 64 /* heartbeats whose send time is stored */
 
@@ -110,6 +111,10 @@
     bbl_map silent_grantors; /* host -> bbl_usec, silent until then */
     size_t next_grantor;
 
+    bbl_quota_book quotas; /* shares that this host grants */
+    bool grants_admission; /* this host is a grantor */
+    bool was_no_grantor;   /* it was none when that was last checked */
+
     uint64_t heartbeats_sent;
     uint64_t heartbeats_relayed;
     uint64_t feeds_sent;
@@ -155,6 +160,17 @@
 void bbl_permits_init(bbl_control *c);
 void bbl_permits_free(bbl_control *c);
 
+/*
+ * Fills the voters that grant permits and admission: those with the lowest
+ * host ids, so that all hosts agree on them. Returns their number.
+ */
+unsigned
+bbl_permits_find_grantors(const bbl_control *c,
+                          const bblx_voter *out[BBL_PERMIT_GRANTORS_MAX]);
+
+/* Returns whether this host is one of them. */
+bool bbl_permits_is_grantor(const bbl_control *c);
+
 /* Answers a request for permits, if this host grants them. */
 void bbl_permits_receive_request(bbl_control *c, uint32_t from,
                                  const bblx_permit_request *r);
@@ -165,6 +181,15 @@
 /* Notes the grantors that have not answered in time. */
 void bbl_permits_tick(bbl_control *c);
 
+/* ---- admissions.c ---- */
+
+void bbl_admissions_init(bbl_control *c);
+void bbl_admissions_free(bbl_control *c);
+
+/* Processes a message about the admission of a query. */
+void bbl_admissions_receive(bbl_control *c, uint32_t from,
+                            const bblx_message *m);
+
 /* ---- feed.c ---- */
 
 /* Sends each child the entries and rows that it lacks. */
--- a/src/control/permits.c
+++ b/src/control/permits.c
@@ -43,13 +43,9 @@
     bbl_permit_book_free(&c->permits);
 }
 
-/*
- * Fills the voters that grant permits: those with the lowest host ids, so that
- * all hosts agree on them. Returns their number.
- */
-static unsigned
-find_grantors(const bbl_control *c,
-              const bblx_voter *out[BBL_PERMIT_GRANTORS_MAX])
+unsigned
+bbl_permits_find_grantors(const bbl_control *c,
+                          const bblx_voter *out[BBL_PERMIT_GRANTORS_MAX])
 {
     const bblx_voters *voters = bbl_control_known_voters(c);
     unsigned n = 0;
@@ -80,7 +76,21 @@
 {
     const bblx_voter *grantors[BBL_PERMIT_GRANTORS_MAX];
 
-    return find_grantors(c, grantors);
+    return bbl_permits_find_grantors(c, grantors);
+}
+
+bool
+bbl_permits_is_grantor(const bbl_control *c)
+{
+    const bblx_voter *grantors[BBL_PERMIT_GRANTORS_MAX];
+    unsigned count = bbl_permits_find_grantors(c, grantors);
+
+    for (unsigned i = 0; i < count; i++) {
+        if (grantors[i]->host == c->options.host) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* ---- grants ---- */
@@ -89,16 +99,10 @@
 bbl_permits_receive_request(bbl_control *c, uint32_t from,
                             const bblx_permit_request *r)
 {
-    const bblx_voter *grantors[BBL_PERMIT_GRANTORS_MAX];
-    unsigned count = find_grantors(c, grantors);
-    bool grants = false;
     bblx_message m;
     bblx_permit_reply *reply = &m.bblx_message_u.permit_reply;
 
-    for (unsigned i = 0; i < count; i++) {
-        grants = grants || grantors[i]->host == c->options.host;
-    }
-    if (!grants || r->items.items_len == 0) {
+    if (!bbl_permits_is_grantor(c) || r->items.items_len == 0) {
         return;
     }
     memset(&m, 0, sizeof(m));
@@ -108,7 +112,7 @@
     reply->results.results_val =
         bbl_calloc(r->items.items_len, sizeof(bblx_permit_result));
     bbl_permit_book_grant(reply->results.results_val, &c->permits, c->now,
-                          count, r);
+                          bbl_control_count_grantors(c), r);
     if (from == c->options.host) {
         bbl_permits_receive_reply(c, from, reply);
     }
@@ -145,7 +149,7 @@
 choose_grantor(bbl_control *c)
 {
     const bblx_voter *grantors[BBL_PERMIT_GRANTORS_MAX];
-    unsigned count = find_grantors(c, grantors);
+    unsigned count = bbl_permits_find_grantors(c, grantors);
 
     for (unsigned i = 0; i < count; i++) {
         const bblx_voter *v = grantors[(c->next_grantor + i) % count];
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -163,6 +163,15 @@
     bbl_metrics_append_counter(out, "permits_withheld_total",
                                "servers for which no permit was granted",
                                s->permits_withheld);
+    bbl_metrics_append_counter(out, "quota_granted_total",
+                               "requests of organisations admitted",
+                               s->quota_granted);
+    bbl_metrics_append_counter(out, "quota_refused_total",
+                               "requests over the limit of an organisation",
+                               s->quota_refused);
+    bbl_metrics_append_counter(out, "quota_returned_total",
+                               "admitted requests that did not run",
+                               s->quota_returned);
     bbl_metrics_append_counter(out, "feeds_received_total",
                                "feeds from the parent", s->feeds_received);
     bbl_metrics_append_counter(out, "feeds_ignored_total",
