--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -193,6 +193,12 @@
         {"expired",
          "this host read it too late to answer in time; it has not run"},
         {"overload", "callers sent more than the servers can process"},
+        {"quota",
+         "its organisation was over its limit at all hosts together; it has "
+         "not run"},
+        {"unadmitted",
+         "no control host that grants admission answered this host; it has "
+         "not run"},
     };
     char outcome[32];
     char service[128];
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -104,6 +104,25 @@
     bbl_metrics_append_counter(out, "permits_refused_total",
                                "servers for which no permit was left",
                                c->permits_refused);
+    bbl_metrics_append_counter(out, "admission_requests_total",
+                               "requests to grantors for admission",
+                               c->admission_requests);
+    bbl_metrics_append_counter(out, "admission_replies_total",
+                               "replies of grantors to these",
+                               c->admission_replies);
+    bbl_metrics_append_counter(out, "admission_refusals_total",
+                               "replies that did not admit the request",
+                               c->admission_refusals);
+    bbl_metrics_append_counter(out, "admission_timeouts_total",
+                               "requests that were not answered in time",
+                               c->admission_timeouts);
+    bbl_metrics_append_counter(out, "admission_returns_total",
+                               "tokens returned unused",
+                               c->admission_returns);
+    bbl_metrics_append_counter(out, "quota_refused_locally_total",
+                               "requests over the limit of an organisation "
+                               "refused without asking a grantor",
+                               c->quota_refused_locally);
     bbl_metrics_append_counter(out, "delegations_total",
                                "requests passed on to another entry host",
                                c->delegations);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -65,7 +65,8 @@
     bbl_loop *loop;
     /* The update that the traffic thread has not taken yet, by ck_pr. */
     bbl_forward_update *update;
-    bbl_mailbox permits; /* bbl_permit_reply * */
+    bbl_mailbox permits;    /* bbl_permit_reply * */
+    bbl_mailbox admissions; /* bbl_admission_notice * */
     bbl_mailbox *notices;
     bbl_edge *caller_edge;
     bbl_edge *peer_edge; /* delegated queries of other hosts; may be NULL */
@@ -587,6 +588,21 @@
     send_notice(ctx, bbl_notice_new_permit_request(request));
 }
 
+static void
+send_admission(void *ctx, uint32_t grantor, const bblx_message *message)
+{
+    send_notice(ctx, bbl_notice_new_admission(grantor, message));
+}
+
+static void
+log_quota(void *ctx, const bbl_quota_record *r)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_OVER_QUOTA, "org=%.*s refused=%u asked=%u in_ms=%llu",
+            (int)r->organisation.size, r->organisation.ptr, r->refused,
+            r->asked, (unsigned long long)(r->in / BBL_USEC_PER_MS));
+}
+
 static void
 on_backend_connect(void *ctx, void *owner, bool ok, bbl_usec took)
 {
@@ -791,6 +807,7 @@
 {
     bbl_forward_update *u;
     bbl_permit_reply *reply;
+    bbl_admission_notice *admission;
     /* Read before the update, which was sent before it was set. */
     bbl_usec confirmed_until = ck_pr_load_64(&g->routing_confirmed_until);
 
@@ -807,6 +824,11 @@
         bbl_forwarder_receive_permits(g->forwarder, bbl_clock_now(), reply);
         bbl_permit_reply_free(reply);
     }
+    while ((admission = bbl_mailbox_dequeue(&g->admissions)) != NULL) {
+        bbl_forwarder_receive_admission(g->forwarder, bbl_clock_now(),
+                                        admission->grantor, &admission->reply);
+        free(admission);
+    }
     if (g->resize_links) {
         g->resize_links = false;
         bbl_forwarder_each_backend(g->forwarder, g, set_link_limit);
@@ -940,7 +962,10 @@
     f.port.request_barred = on_request_barred;
     f.port.publish_rate_limit = publish_rate_limit;
     f.port.request_permits = request_permits;
+    f.port.send_admission = send_admission;
+    f.port.report_quota = log_quota;
     f.permit_ttl = BBL_PERMIT_TTL_US;
+    f.token_time = bbl_quota_get_token_time(&o->quota_limits);
     f.port.ctx = g;
     return bbl_forwarder_new(&g->forwarder, &f);
 }
@@ -1044,6 +1069,9 @@
     if (error == 0) {
         error = bbl_mailbox_init(&g->permits, g->loop, MAILBOX_SLOTS);
     }
+    if (error == 0) {
+        error = bbl_mailbox_init(&g->admissions, g->loop, MAILBOX_SLOTS);
+    }
     if (error == 0) {
         error = open_forwarder(g, seed);
     }
@@ -1098,6 +1126,18 @@
     }
 }
 
+void
+bbl_gateway_send_admission(bbl_gateway *g, uint32_t grantor,
+                           const bblx_admission_reply *reply)
+{
+    bbl_admission_notice *n = bbl_calloc(1, sizeof(*n));
+
+    *n = (bbl_admission_notice){grantor, *reply};
+    if (!bbl_mailbox_enqueue(&g->admissions, n)) {
+        free(n);
+    }
+}
+
 void
 bbl_gateway_confirm_routing(bbl_gateway *g, bbl_usec until)
 {
@@ -1152,6 +1192,7 @@
     bbl_memory_account_free(g->memory);
     bbl_forward_update_free(g->update);
     bbl_mailbox_free(&g->permits, free_permits);
+    bbl_mailbox_free(&g->admissions, free);
     bbl_loop_free(g->loop);
     bbl_buf_free(&g->request_head);
     bbl_buf_free(&g->scratch_fields);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -55,6 +55,11 @@
  */
 void bbl_gateway_send_permits(bbl_gateway *gateway, bbl_permit_reply *reply);
 
+/* Sends a grantor's reply about the admission of a query to the thread; it is
+ * dropped if too many replies are queued. */
+void bbl_gateway_send_admission(bbl_gateway *gateway, uint32_t grantor,
+                                const bblx_admission_reply *reply);
+
 /*
  * Sets until when the last update holds the newest routing; see
  * bbl_forwarder_confirm_routing. Called from the control thread.
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -113,6 +113,10 @@
             bbl_control_report_crash(n->control, notice->fingerprint,
                                      notice->generation);
         }
+        else if (notice->kind == BBL_NOTICE_ADMISSION) {
+            bbl_control_send_admission(n->control, n->now, notice->grantor,
+                                       &notice->admission);
+        }
         else {
             bbl_control_request_permits(n->control, n->now,
                                         &notice->permit_request);
@@ -131,6 +135,17 @@
     }
 }
 
+static void
+on_admission_received(void *ctx, uint32_t grantor,
+                      const bblx_admission_reply *reply)
+{
+    node *n = ctx;
+
+    if (n->gateway != NULL) {
+        bbl_gateway_send_admission(n->gateway, grantor, reply);
+    }
+}
+
 /* ---- list of backend servers ---- */
 
 static void
@@ -570,7 +585,9 @@
     c.port.send = send_mesh_message;
     c.port.backlog = get_mesh_backlog;
     c.port.complete_proposal = on_proposal_complete;
+    c.quota_limits = o->quota_limits;
     c.port.permits_received = on_permits_received;
+    c.port.admission_received = on_admission_received;
     c.port.reopen_disk = reopen_disk;
     c.port.ctx = n;
     if (o->data_dir != NULL && o->bootstrap) {
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -199,6 +199,30 @@
         &((bbl_node_options *)out)->extra_constant, text, 0, 1e6);
 }
 
+static int
+read_quota_window(void *out, const char *text)
+{
+    uint32_t ms = 0;
+    int error = read_seconds(&ms, text, 1, 3600);
+
+    ((bbl_node_options *)out)->quota_limits.window = ms * BBL_USEC_PER_MS;
+    return error;
+}
+
+static int
+read_quota_overrun(void *out, const char *text)
+{
+    return bbl_setting_parse_fraction(
+        &((bbl_node_options *)out)->quota_limits.overrun, text, 0.01, 1);
+}
+
+static int
+read_quota_slack(void *out, const char *text)
+{
+    return bbl_setting_parse_fraction(
+        &((bbl_node_options *)out)->quota_limits.slack, text, 0, 1e6);
+}
+
 static int
 read_heartbeat(void *out, const char *text)
 {
@@ -279,6 +303,13 @@
     {"extra-constant", VARIABLE("EXTRA_CONSTANT"), "50", "requests",
      "0 to 1000000", "allowed besides in a window, of all hosts",
      read_extra_constant},
+    {"quota-window-s", VARIABLE("QUOTA_WINDOW_S"), "5", "s", "1 to 3600",
+     "window in which the requests of an organisation are counted",
+     read_quota_window},
+    {"quota-overrun", VARIABLE("QUOTA_OVERRUN"), "0.1", "", "0.01 to 1",
+     "part of its limit by which they may exceed it", read_quota_overrun},
+    {"quota-slack", VARIABLE("QUOTA_SLACK"), "20", "requests", "0 to 1000000",
+     "allowed besides in a window, of all hosts", read_quota_slack},
     {"beat-ms", VARIABLE("BEAT_MS"), "200", "ms", "10 to 375",
      "time between heartbeats", read_heartbeat},
     {"memory-mb", VARIABLE("MEMORY_MB"), "0", "MB", "0 to 16777216",
--- a/src/daemon/node_options.h
+++ b/src/daemon/node_options.h
@@ -5,6 +5,7 @@
 #ifndef BBL_DAEMON_NODE_OPTIONS_H
 #define BBL_DAEMON_NODE_OPTIONS_H
 
+#include "admission/quota_book.h"
 #include "daemon/settings.h"
 #include "model/codec.h"
 #include "util/log.h"
@@ -38,6 +39,7 @@
     double extra_ratio;
     uint32_t extra_window_ms;
     double extra_constant;
+    bbl_quota_limits quota_limits; /* bound on the requests of organisations */
     uint32_t heartbeat_ms; /* interval of a member's heartbeats */
     uint32_t memory_mb;    /* that this process may use; 0: all of the host */
     uint32_t log_lines_per_s;
--- a/src/daemon/notice.c
+++ b/src/daemon/notice.c
@@ -60,6 +60,17 @@
     return n;
 }
 
+bbl_notice *
+bbl_notice_new_admission(uint32_t grantor, const bblx_message *message)
+{
+    bbl_notice *n = bbl_calloc(1, sizeof(*n));
+
+    n->kind = BBL_NOTICE_ADMISSION;
+    n->grantor = grantor;
+    n->admission = *message;
+    return n;
+}
+
 void
 bbl_notice_free(bbl_notice *n)
 {
--- a/src/daemon/notice.h
+++ b/src/daemon/notice.h
@@ -1,7 +1,8 @@
 /*
  * notice.h - what the traffic thread of an entry host tells its control
- * thread: rate limits of backend servers that it has observed, and requests
- * for permits. The control thread sends the replies to those back.
+ * thread: rate limits of backend servers that it has observed, requests for
+ * permits, and messages to grantors about the admission of queries. The
+ * control thread sends the replies back.
  */
 #ifndef BBL_DAEMON_NOTICE_H
 #define BBL_DAEMON_NOTICE_H
@@ -14,7 +15,8 @@
 typedef enum {
     BBL_NOTICE_RATE_LIMIT,
     BBL_NOTICE_CRASH,
-    BBL_NOTICE_PERMIT_REQUEST
+    BBL_NOTICE_PERMIT_REQUEST,
+    BBL_NOTICE_ADMISSION
 } bbl_notice_kind;
 
 typedef struct {
@@ -25,15 +27,25 @@
     uint64_t fingerprint;
     uint32_t generation;
     bblx_permit_request permit_request; /* BBL_NOTICE_PERMIT_REQUEST; owned */
+    uint32_t grantor;                   /* BBL_NOTICE_ADMISSION: host id */
+    bblx_message admission; /* the same; points to no other memory */
 } bbl_notice;
 
 bbl_notice *bbl_notice_new_rate_limit(const bbl_backend *backend);
 bbl_notice *bbl_notice_new_crash(uint64_t fingerprint, uint32_t generation);
 bbl_notice *bbl_notice_new_permit_request(const bbl_permit_request *request);
+bbl_notice *bbl_notice_new_admission(uint32_t grantor,
+                                     const bblx_message *message);
 
 /* Frees a notice; NULL is allowed. */
 void bbl_notice_free(bbl_notice *notice);
 
+/* A grantor's reply about the admission of a query; freed with free(). */
+typedef struct {
+    uint32_t grantor;
+    bblx_admission_reply reply;
+} bbl_admission_notice;
+
 /* Copies a reply, to be freed with bbl_permit_reply_free. */
 bbl_permit_reply *bbl_permit_reply_new(const bblx_permit_reply *reply);
 void bbl_permit_reply_free(bbl_permit_reply *reply);
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -167,7 +167,22 @@
     u->limit_count = limits.size;
     u->crashes = crashes.ptr;
     u->crash_count = crashes.size;
-    u->grantors = bbl_control_count_grantors(p->options.control);
+}
+
+/* Fills the hosts that grant permits and admission. */
+static void
+fill_grantors(const bbl_publisher *p, bbl_forward_update *u)
+{
+    bbl_control_grantor known[BBL_PERMIT_GRANTORS_MAX];
+    unsigned count = bbl_control_get_grantors(known, p->options.control);
+
+    u->grantors = count;
+    u->has_grantors = true;
+    u->listed_grantor_count = count;
+    for (unsigned i = 0; i < count; i++) {
+        u->listed_grantors[i] =
+            (bbl_listed_grantor){known[i].host, known[i].near};
+    }
 }
 
 /*
@@ -283,6 +298,7 @@
         fill_routing(p, u);
         fill_changed_backends(p, u);
         fill_observations(p, u);
+        fill_grantors(p, u);
         fill_peers(p, u);
     }
     p->marks.revision = revision;
--- /dev/null
+++ b/src/forward/admission_ask.c
@@ -0,0 +1,542 @@
+#include "forward/admission_ask.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward/forwarder_core.h"
+#include "util/alloc.h"
+
+/* How long a grantor that did not answer is not asked. */
+#define SILENT_GRANTOR_US (1 * BBL_USEC_PER_SEC)
+/* Requests are remembered for so long, to return a token that arrives late; a
+ * grantor would not take it back after that. */
+#define OPEN_REQUEST_US (1 * BBL_USEC_PER_SEC)
+/* Seed of the hash of an organisation's name; the same on all hosts. */
+#define ORGANISATION_SEED 0x6f7267
+/* Interval of the reports about an organisation that is over its limit. */
+#define REPORT_INTERVAL_US (10 * BBL_USEC_PER_SEC)
+/* Refused requests that count as coming back: those of this time. */
+#define COMING_BACK_US (1 * BBL_USEC_PER_SEC)
+/* Limits of organisations above which those not in use are forgotten. */
+#define LIMITS_MAX 1024
+/* Random part of a retry time: one in this many. */
+#define RETRY_SPREAD 8
+
+/* A request that a grantor has not answered yet. */
+typedef struct {
+    uint64_t number;
+    bbl_query *query; /* NULL once the query does not await the reply */
+    bbl_admit_subject subject;
+    uint32_t grantor;
+    unsigned position; /* of the grantor when it was asked */
+    bbl_usec asked_at;
+} open_request;
+
+/* An organisation that was over its limit. */
+typedef struct {
+    uint64_t organisation;
+    bbl_usec told_until;    /* when the grantors expect a token */
+    bbl_usec refused_until; /* its requests are refused without asking */
+    unsigned refused;       /* without asking, since the grantors were asked */
+    /* Since the last report. */
+    unsigned unreported;
+    unsigned unreported_asked;
+    bbl_usec reported_at; /* 0: never */
+} local_limit;
+
+void
+bbl_admission_asks_init(bbl_admission_asks *asks, uint64_t seed)
+{
+    memset(asks, 0, sizeof(*asks));
+    asks->by_age = (bbl_vec)BBL_VEC_INIT(open_request *);
+    /* Numbers of an earlier process of this host must not come again while a
+     * grantor remembers them. */
+    asks->last_number = bbl_hash(&seed, sizeof(seed), ORGANISATION_SEED);
+    asks->turn = seed;
+}
+
+void
+bbl_admission_asks_free(bbl_admission_asks *asks)
+{
+    local_limit *l;
+    size_t pos = 0;
+
+    for (size_t i = 0; i < asks->by_age.size; i++) {
+        free(*BBL_VEC_AT(open_request *, &asks->by_age, i));
+    }
+    bbl_vec_free(&asks->by_age);
+    bbl_map_free(&asks->open);
+    while ((l = bbl_map_next(&asks->limits, &pos)) != NULL) {
+        free(l);
+    }
+    bbl_map_free(&asks->limits);
+}
+
+static bbl_admission_grantor *
+find_grantor(bbl_admission_asks *asks, uint32_t host)
+{
+    for (unsigned i = 0; i < asks->grantor_count; i++) {
+        if (asks->grantors[i].listed.host == host) {
+            return &asks->grantors[i];
+        }
+    }
+    return NULL;
+}
+
+void
+bbl_admission_asks_set_grantors(bbl_admission_asks *asks,
+                                const bbl_listed_grantor *listed,
+                                unsigned count)
+{
+    bbl_admission_grantor grantors[BBL_ADMIT_GRANTORS_MAX];
+
+    memset(grantors, 0, sizeof(grantors));
+    count = count < BBL_ADMIT_GRANTORS_MAX ? count : BBL_ADMIT_GRANTORS_MAX;
+    for (unsigned i = 0; i < count; i++) {
+        const bbl_admission_grantor *known =
+            find_grantor(asks, listed[i].host);
+
+        if (known != NULL) {
+            grantors[i] = *known;
+        }
+        grantors[i].listed = listed[i];
+    }
+    memcpy(asks->grantors, grantors, sizeof(grantors));
+    asks->grantor_count = count;
+}
+
+/* ---- limits of organisations at this host ---- */
+
+static uint64_t
+get_organisation_key(const bbl_query *q)
+{
+    return bbl_hash(q->organisation->name.ptr, q->organisation->name.size,
+                    ORGANISATION_SEED);
+}
+
+/* Forgets the limits that are not in use once there are too many. */
+static void
+prune_limits(bbl_admission_asks *asks, bbl_usec now)
+{
+    bbl_map kept = BBL_MAP_INIT;
+    local_limit *l;
+    size_t pos = 0;
+
+    if (asks->limits.size < LIMITS_MAX) {
+        return;
+    }
+    while ((l = bbl_map_next(&asks->limits, &pos)) != NULL) {
+        if (now > l->refused_until + REPORT_INTERVAL_US) {
+            free(l);
+        }
+        else {
+            bbl_map_set(&kept, l->organisation, l);
+        }
+    }
+    bbl_map_free(&asks->limits);
+    asks->limits = kept;
+}
+
+static local_limit *
+get_limit(bbl_admission_asks *asks, bbl_usec now, const bbl_query *q)
+{
+    uint64_t key = get_organisation_key(q);
+    local_limit *l = bbl_map_get(&asks->limits, key);
+
+    if (l == NULL) {
+        prune_limits(asks, now);
+        l = bbl_calloc(1, sizeof(*l));
+        l->organisation = key;
+        bbl_map_set(&asks->limits, key, l);
+    }
+    return l;
+}
+
+static void
+report_refusals(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+                local_limit *l)
+{
+    bbl_quota_record r = {q->organisation->name, l->unreported,
+                          l->unreported_asked,
+                          l->reported_at != 0 ? now - l->reported_at : 0};
+
+    if (l->reported_at != 0 && now < l->reported_at + REPORT_INTERVAL_US) {
+        return;
+    }
+    l->reported_at = now;
+    l->unreported = 0;
+    l->unreported_asked = 0;
+    f->options.port.report_quota(f->options.port.ctx, &r);
+}
+
+/* Refuses a query whose organisation is over its limit. */
+static void
+refuse(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_usec retry_after)
+{
+    const bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
+    local_limit *l = get_limit(&f->asks, now, q);
+
+    if (a->asked != 0) {
+        l->told_until = now + a->wait;
+        l->refused_until = now + bbl_admit_get_local_refusal(a->wait);
+        l->refused = 0;
+        l->unreported_asked++;
+    }
+    else {
+        l->refused++;
+        f->counters.quota_refused_locally++;
+    }
+    l->unreported++;
+    report_refusals(f, now, q, l);
+    bbl_query_refuse(
+        f, now, q, BBL_FORWARD_QUOTA, BBL_STATUS_TOO_MANY_REQUESTS,
+        retry_after + bbl_rng_below(&f->rng, retry_after / RETRY_SPREAD + 1));
+}
+
+/* ---- decisions ---- */
+
+/* Describes what this host refuses of the query's organisation itself. */
+static void
+fill_local_limit(bbl_admit_subject_facts *out, const bbl_forwarder *f,
+                 bbl_usec now, const bbl_query *q)
+{
+    const local_limit *l;
+    bbl_usec more;
+
+    if (!out->needed || out->admitted ||
+        (l = bbl_map_get(&f->asks.limits, get_organisation_key(q))) == NULL ||
+        now >= l->refused_until) {
+        return;
+    }
+    out->refused_for = l->refused_until - now;
+    out->retry_after = out->refused_for;
+    if (l->told_until > l->refused_until) {
+        out->retry_after = l->told_until - now;
+    }
+    /* Those refused before come back earlier. */
+    more = (bbl_usec)(l->refused * (double)BBL_USEC_PER_SEC /
+                      q->organisation->rate_per_s);
+    out->retry_after += more < COMING_BACK_US ? more : COMING_BACK_US;
+}
+
+static void
+fill_facts(bbl_admit_facts *out, const bbl_forwarder *f, bbl_usec now,
+           const bbl_query *q)
+{
+    memset(out, 0, sizeof(*out));
+    out->now = now;
+    out->arrived_at = q->request.arrived_at;
+    out->target = q->route->target_latency_ms * BBL_USEC_PER_MS;
+    out->last_host = !bbl_query_may_delegate(f, now, q);
+    out->grantors = f->asks.grantor_count;
+    for (unsigned i = 0; i < f->asks.grantor_count; i++) {
+        out->silent |= (unsigned)(now < f->asks.grantors[i].silent_until) << i;
+    }
+    for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
+        const bbl_query_admission *a = &q->admission[i];
+        bbl_admit_subject_facts *s = &out->subjects[i];
+
+        s->needed = a->needed;
+        s->admitted = a->admitted;
+        s->asked = a->asked;
+        s->refused = a->refused;
+        s->asked_again = a->asked_again;
+        s->awaits_reply = a->awaits_reply;
+        s->asked_at = a->asked_at;
+        s->wait = a->wait;
+        s->first = a->first;
+    }
+    fill_local_limit(&out->subjects[BBL_ADMIT_QUOTA], f, now, q);
+}
+
+/* Marks the grantor asked last as silent, unless it has replied since. */
+static void
+mark_silent(bbl_forwarder *f, bbl_usec now, bbl_query_admission *a)
+{
+    bbl_admission_grantor *g = find_grantor(&f->asks, a->grantor);
+
+    a->awaits_reply = false;
+    f->counters.admission_timeouts++;
+    if (g != NULL && g->replied_at <= a->asked_at) {
+        g->silent_until = now + SILENT_GRANTOR_US;
+    }
+}
+
+static void
+fill_request(bblx_message *out, const bbl_query *q, bbl_admit_subject subject,
+             uint64_t number)
+{
+    bblx_admission_request *r = &out->bblx_message_u.admission_request;
+    bblx_admission_quota *quota = &r->item.bblx_admission_item_u.quota;
+
+    memset(out, 0, sizeof(*out));
+    out->kind = BBLX_ADMISSION_REQUEST;
+    r->number = number;
+    if (subject == BBL_ADMIT_QUOTA) {
+        r->item.subject = BBLX_ADMISSION_QUOTA;
+        quota->organisation = get_organisation_key(q);
+        quota->rate = q->organisation->rate_per_s;
+        quota->burst = q->organisation->burst;
+        quota->routing = bbl_routing_version(q->table->routing);
+    }
+    else {
+        r->item.subject = BBLX_ADMISSION_LOAD;
+    }
+}
+
+/* Asks a grantor. */
+static void
+ask(bbl_forwarder *f, bbl_usec now, bbl_query *q, const bbl_admit_decision *d)
+{
+    bbl_query_admission *a = &q->admission[d->subject];
+    bbl_admission_grantor *g = &f->asks.grantors[d->grantor];
+    open_request *r = bbl_calloc(1, sizeof(*r));
+    bblx_message m;
+
+    *r = (open_request){++f->asks.last_number, q,  d->subject, g->listed.host,
+                        d->grantor,            now};
+    bbl_map_set(&f->asks.open, r->number, r);
+    bbl_vec_push(&f->asks.by_age, &r);
+    if (g->silent_until != 0) {
+        /* Until it replies to this one, other queries are not held up. */
+        g->silent_until = now + SILENT_GRANTOR_US;
+    }
+    a->asked_again = a->asked != 0;
+    a->asked |= 1u << d->grantor;
+    a->awaits_reply = true;
+    a->asked_at = now;
+    a->number = r->number;
+    a->grantor = g->listed.host;
+    f->counters.admission_requests++;
+    fill_request(&m, q, d->subject, r->number);
+    f->options.port.send_admission(f->options.port.ctx, r->grantor, &m);
+}
+
+bbl_admission_step
+bbl_query_seek_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bbl_admit_facts facts;
+    bbl_admit_decision d;
+
+    if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
+        return BBL_ADMISSION_FINISHED;
+    }
+    fill_facts(&facts, f, now, q);
+    bbl_admit_decide(&d, &facts);
+    if (d.timed_out) {
+        mark_silent(f, now, &q->admission[d.subject]);
+    }
+    switch (d.action) {
+    case BBL_ADMIT_RUN:
+        return BBL_ADMISSION_DONE;
+    case BBL_ADMIT_ASK:
+        ask(f, now, q, &d);
+        break;
+    case BBL_ADMIT_AWAIT:
+        break;
+    case BBL_ADMIT_REFUSE:
+        refuse(f, now, q, d.retry_after);
+        return BBL_ADMISSION_FINISHED;
+    case BBL_ADMIT_UNANSWERED:
+        if (bbl_query_delegate(f, now, q, BBL_DELEGATE_UNADMITTED)) {
+            return BBL_ADMISSION_WAITS;
+        }
+        bbl_query_fail(f, now, q, BBL_FORWARD_UNADMITTED,
+                       BBL_STATUS_UNAVAILABLE);
+        return BBL_ADMISSION_FINISHED;
+    }
+    q->next_due_at = d.until < q->deadline ? d.until : q->deadline;
+    return BBL_ADMISSION_WAITS;
+}
+
+/* ---- state of a query ---- */
+
+void
+bbl_query_init_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
+    unsigned near = 0;
+
+    if (q->organisation == NULL || q->organisation->rate_per_s <= 0) {
+        return;
+    }
+    a->needed = true;
+    if (q->request.delegated.admitted) {
+        bbl_usec age = q->request.delegated.admitted_for;
+
+        a->admitted = true;
+        a->asked_at = now > age ? now - age : 0;
+    }
+    for (unsigned i = 0; i < f->asks.grantor_count; i++) {
+        near |= (unsigned)f->asks.grantors[i].listed.near << i;
+    }
+    a->first =
+        bbl_admit_choose_first(f->asks.grantor_count, near, f->asks.turn++);
+}
+
+/* Returns the token of a query to the grantor that has given it. */
+static void
+return_token(bbl_forwarder *f, uint32_t grantor, uint64_t number,
+             uint64_t organisation)
+{
+    bblx_message m;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPORT;
+    m.bblx_message_u.admission_report.number = number;
+    m.bblx_message_u.admission_report.organisation = organisation;
+    f->counters.admission_returns++;
+    f->options.port.send_admission(f->options.port.ctx, grantor, &m);
+}
+
+/* Stops to await the reply; a token that it brings is returned. */
+static void
+forget_request(bbl_forwarder *f, bbl_query_admission *a)
+{
+    open_request *r = bbl_map_get(&f->asks.open, a->number);
+
+    if (r != NULL) {
+        r->query = NULL;
+    }
+    a->awaits_reply = false;
+}
+
+/* Resets the admission for a subject, and returns a token that is held. */
+static void
+reset_subject(bbl_forwarder *f, bbl_query *q, bbl_admit_subject subject)
+{
+    bbl_query_admission *a = &q->admission[subject];
+    bbl_query_admission fresh = {.needed = a->needed, .first = a->first};
+
+    forget_request(f, a);
+    if (a->admitted && a->number != 0 && subject == BBL_ADMIT_QUOTA) {
+        return_token(f, a->grantor, a->number, get_organisation_key(q));
+    }
+    *a = fresh;
+}
+
+bool
+bbl_query_is_admitted(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
+
+    if (a->needed && a->admitted && !bbl_query_may_have_run(q) &&
+        now > a->asked_at + f->options.token_time) {
+        /* A token used this late would count in a later window than the one
+         * in which it was given. */
+        reset_subject(f, q, BBL_ADMIT_QUOTA);
+    }
+    for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
+        if (q->admission[i].needed && !q->admission[i].admitted) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+bbl_query_withdraw_asks(bbl_forwarder *f, bbl_query *q)
+{
+    for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
+        if (q->admission[i].needed && !q->admission[i].admitted) {
+            reset_subject(f, q, (bbl_admit_subject)i);
+        }
+    }
+}
+
+void
+bbl_query_end_admission(bbl_forwarder *f, bbl_query *q, bool ran)
+{
+    for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
+        bbl_query_admission *a = &q->admission[i];
+
+        if (!a->needed) {
+            continue;
+        }
+        if (a->admitted && ran) {
+            forget_request(f, a);
+        }
+        else {
+            reset_subject(f, q, (bbl_admit_subject)i);
+        }
+    }
+}
+
+/* ---- replies ---- */
+
+/* Applies a reply that its query awaits. */
+static void
+apply_reply(bbl_forwarder *f, bbl_usec now, const open_request *r,
+            const bblx_admission_reply *reply)
+{
+    bbl_query *q = r->query;
+    bbl_query_admission *a = &q->admission[r->subject];
+
+    a->awaits_reply = false;
+    if (reply->outcome == BBLX_ADMITTED) {
+        a->admitted = true;
+        a->asked_at = r->asked_at;
+    }
+    else {
+        f->counters.admission_refusals++;
+        a->refused |= 1u << r->position;
+        a->wait = a->wait == 0 || reply->wait_us < a->wait ? reply->wait_us
+                                                           : a->wait;
+    }
+    bbl_query_process(f, now, q);
+}
+
+void
+bbl_forwarder_receive_admission(bbl_forwarder *f, bbl_usec now,
+                                uint32_t grantor,
+                                const bblx_admission_reply *reply)
+{
+    open_request *r = bbl_map_get(&f->asks.open, reply->number);
+    bbl_admission_grantor *g = find_grantor(&f->asks, grantor);
+    open_request taken;
+
+    if (g != NULL) {
+        g->replied_at = now;
+        g->silent_until = 0;
+    }
+    if (r == NULL || r->grantor != grantor) {
+        return;
+    }
+    taken = *r;
+    bbl_map_remove(&f->asks.open, r->number);
+    r->query = NULL;
+    f->counters.admission_replies++;
+    if (taken.query != NULL &&
+        taken.query->admission[taken.subject].number == taken.number &&
+        now <= taken.asked_at + f->options.token_time) {
+        apply_reply(f, now, &taken, reply);
+    }
+    else if (reply->outcome == BBLX_ADMITTED &&
+             taken.subject == BBL_ADMIT_QUOTA) {
+        /* Any number but 0 tells that it is a token; the grantor knows whose. */
+        return_token(f, grantor, taken.number, UINT64_MAX);
+    }
+}
+
+void
+bbl_forwarder_forget_asks(bbl_forwarder *f, bbl_usec now)
+{
+    bbl_vec *v = &f->asks.by_age;
+    size_t old = 0;
+
+    while (old < v->size) {
+        open_request *r = *BBL_VEC_AT(open_request *, v, old);
+
+        if (now <= r->asked_at + OPEN_REQUEST_US) {
+            break;
+        }
+        if (bbl_map_get(&f->asks.open, r->number) == r) {
+            bbl_map_remove(&f->asks.open, r->number);
+        }
+        free(r);
+        old++;
+    }
+    v->size -= old;
+    memmove(v->ptr, (open_request **)v->ptr + old, v->size * v->item_size);
+}
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -118,7 +118,8 @@
 {
     memset(a, 0, sizeof(*a));
     a->status = status;
-    if (status == BBL_STATUS_UNAVAILABLE) {
+    if (status == BBL_STATUS_UNAVAILABLE ||
+        status == BBL_STATUS_TOO_MANY_REQUESTS) {
         f->options.dialect->append_retry_after(fields, retry_after_ms);
     }
     a->header_lines = bbl_buf_str(fields);
@@ -157,6 +158,20 @@
     bbl_buf_free(&fields);
 }
 
+/*
+ * Returns whether a query that is about to be answered may have run, here or
+ * at the host that has answered it.
+ */
+static bool
+may_have_run(const bbl_query *q, unsigned status)
+{
+    return bbl_query_may_have_run(q) ||
+           (q->record.delegate != 0 && status != BBL_STATUS_UNAVAILABLE &&
+            status != BBL_STATUS_TOO_MANY_REQUESTS &&
+            status != BBL_STATUS_REQUEST_TIMEOUT &&
+            status != BBL_STATUS_MISDIRECTED);
+}
+
 void
 bbl_query_finish(bbl_forwarder *f, bbl_usec now, bbl_query *q,
                  bbl_forward_reason reason, const bbl_forward_answer *answer)
@@ -181,6 +196,7 @@
     if (reason == BBL_FORWARD_OK || reason == BBL_FORWARD_PARTIAL) {
         bbl_histogram_add(&f->counters.latency, (uint32_t)r->elapsed);
     }
+    bbl_query_end_admission(f, q, may_have_run(q, r->status));
     report_and_answer(f, now, q->request.request_handle, r, answer);
     bbl_query_cancel_delegation(f, q);
     bbl_query_detach_attempts(f, q, cancel_at);
@@ -317,13 +333,35 @@
     return ms + (uint32_t)bbl_rng_below(&f->rng, ms);
 }
 
-void
-bbl_query_fail(bbl_forwarder *f, bbl_usec now, bbl_query *q,
-               bbl_forward_reason reason, unsigned status)
+/* Finishes a query with an error answer; record.retry_after_ms is set. */
+static void
+finish_with_error(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                  bbl_forward_reason reason, unsigned status)
 {
     bbl_buf fields = BBL_BUF_INIT;
     bbl_forward_answer a;
 
+    init_error_answer(f, &a, &fields, reason, status,
+                      q->record.retry_after_ms);
+    bbl_query_finish(f, now, q, reason, &a);
+    bbl_buf_free(&fields);
+}
+
+void
+bbl_query_refuse(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                 bbl_forward_reason reason, unsigned status,
+                 bbl_usec retry_after)
+{
+    /* Rounded up: a caller that comes back earlier is refused again. */
+    q->record.retry_after_ms =
+        (uint32_t)((retry_after + BBL_USEC_PER_MS - 1) / BBL_USEC_PER_MS);
+    finish_with_error(f, now, q, reason, status);
+}
+
+void
+bbl_query_fail(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+               bbl_forward_reason reason, unsigned status)
+{
     if (status == BBL_STATUS_UNAVAILABLE) {
         q->record.retry_after_ms =
             reason == BBL_FORWARD_DRAINING
@@ -331,10 +369,7 @@
                       (uint32_t)bbl_rng_below(&f->rng, ELSEWHERE_RETRY_MS)
                 : get_retry_after(f, now, q);
     }
-    init_error_answer(f, &a, &fields, reason, status,
-                      q->record.retry_after_ms);
-    bbl_query_finish(f, now, q, reason, &a);
-    bbl_buf_free(&fields);
+    finish_with_error(f, now, q, reason, status);
 }
 
 void
--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -36,7 +36,7 @@
 bbl_delegation_cause_name(bbl_delegation_cause cause)
 {
     static const char *const names[] = {"isolated", "unreached", "incomplete",
-                                        "failed"};
+                                        "failed", "unadmitted"};
 
     return names[cause];
 }
@@ -125,11 +125,19 @@
              !bbl_query_is_suspect(q)));
 }
 
+bool
+bbl_query_may_delegate(const bbl_forwarder *f, bbl_usec now,
+                       const bbl_query *q)
+{
+    return f->peers.listed.size > 0 && may_delegate(now, q);
+}
+
 static void
 fill_request(const bbl_forwarder *f, bbl_usec now, const bbl_query *q,
              bbl_delegation_request *r)
 {
     const bbl_forward_request *in = &q->request;
+    const bbl_query_admission *admission = &q->admission[BBL_ADMIT_QUOTA];
     bbl_usec round_trip =
         in->round_trip > 0 ? in->round_trip : 2 * f->options.caller_distance;
 
@@ -142,6 +150,10 @@
         in->first_on_connection ? 2 * round_trip : round_trip;
     r->delegated.attempts = bbl_query_count_attempts(q);
     r->delegated.routing_version = bbl_routing_version(q->table->routing);
+    if (admission->needed && admission->admitted) {
+        r->delegated.admitted = true;
+        r->delegated.admitted_for = now - admission->asked_at;
+    }
     if (q->route->kind == BBL_ROUTE_SPLIT) {
         r->delegated.service = bbl_buf_str(&q->shards[0].pool->name);
     }
@@ -192,6 +204,7 @@
         free(d);
         return false;
     }
+    bbl_query_withdraw_asks(f, q);
     q->timing->next_probe_at = now + PROBE_INTERVAL_US;
     r.peer->in_flight++;
     q->delegation = d;
@@ -230,6 +243,7 @@
            (reason == BBL_FORWARD_UNAVAILABLE ||
             reason == BBL_FORWARD_NO_ROUTING ||
             reason == BBL_FORWARD_UNCONFIRMED ||
+            reason == BBL_FORWARD_UNADMITTED ||
             reason == BBL_FORWARD_DRAINING || reason == BBL_FORWARD_BUSY);
 }
 
@@ -283,7 +297,8 @@
             outcome->reach != BBL_REACH_MOST) {
             peer->avoided_until = now + AVOIDED_US;
         }
-        else if (outcome->reason == BBL_FORWARD_UNAVAILABLE) {
+        else if (outcome->reason == BBL_FORWARD_UNAVAILABLE ||
+                 outcome->reason == BBL_FORWARD_UNADMITTED) {
             /* The next queries ask other peers, until all have refused. */
             peer->avoided_until = now + REFUSED_US;
         }
@@ -323,7 +338,10 @@
         bbl_query_delegate(f, now, q, cause)) {
         return;
     }
-    bbl_query_count_first(f, now, q);
+    if (bbl_query_is_admitted(f, now, q)) {
+        q->started = true;
+        bbl_query_count_first(f, now, q);
+    }
     if (!q->attempted && bbl_query_is_hopeless(f, q)) {
         bbl_query_fail_decided(f, now, q);
         return;
--- a/src/forward/delegate.h
+++ b/src/forward/delegate.h
@@ -20,7 +20,8 @@
     BBL_DELEGATE_ISOLATED,   /* no server responds to this host */
     BBL_DELEGATE_UNREACHED,  /* this host reaches too few shards */
     BBL_DELEGATE_INCOMPLETE, /* it reaches enough shards, but not all */
-    BBL_DELEGATE_FAILED      /* the attempts failed, nothing is reached now */
+    BBL_DELEGATE_FAILED,     /* the attempts failed, nothing is reached now */
+    BBL_DELEGATE_UNADMITTED  /* no grantor answers this host */
 } bbl_delegation_cause;
 
 const char *bbl_delegation_cause_name(bbl_delegation_cause cause);
@@ -38,6 +39,10 @@
     uint64_t routing_version;
     /* The service that was chosen for it; empty if none was. */
     bbl_str service;
+    /* Whether its organisation's token was taken, and how long ago. Otherwise
+     * the host that answers it has to ask for it. */
+    bool admitted;
+    bbl_usec admitted_for;
 } bbl_delegated;
 
 /* What the driver needs to delegate a query. */
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -53,6 +53,7 @@
         "no-route", "unconfirmed", "unavailable", "busy",
         "broken",   "timeout",     "left",        "overload",
         "expired",  "limited",     "crashes",     "draining",
+        "quota",    "unadmitted",
     };
 
     return names[reason];
@@ -388,6 +389,59 @@
     return true;
 }
 
+/* Returns the number of shards that have a usable server. */
+static unsigned
+count_usable_shards(const bbl_query *q, bbl_usec now)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        n += bbl_pool_has_usable(q->shards[i].pool, now);
+    }
+    return n;
+}
+
+/*
+ * Refuses a query that was read too late or that too few servers can serve.
+ * Returns whether it was refused and freed.
+ */
+static bool
+refuse_hopeless(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
+        return true;
+    }
+    if (count_usable_shards(q, now) < q->shards_needed ||
+        bbl_query_is_hopeless(f, q)) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_UNAVAILABLE,
+                       BBL_STATUS_UNAVAILABLE);
+        return true;
+    }
+    return false;
+}
+
+/*
+ * Starts an admitted query: it counts as a first request, and is refused if it
+ * cannot be served. Returns false if it was refused and freed.
+ */
+static bool
+start_query(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    q->started = true;
+    bbl_query_count_first(f, now, q);
+    if (refuse_hopeless(f, now, q)) {
+        return false;
+    }
+    if (!bbl_load_limit_admit(q->load_limit, now, q->timing->uncongested_time,
+                              q->priority <= q->table->most_urgent_priority)) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_OVERLOAD,
+                       BBL_STATUS_UNAVAILABLE);
+        return false;
+    }
+    return true;
+}
+
 bool
 bbl_query_process(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
@@ -399,6 +453,16 @@
     if (q->delegation != NULL) {
         return await_delegation(f, now, q);
     }
+    if (!bbl_query_is_admitted(f, now, q)) {
+        bbl_admission_step step = bbl_query_seek_admission(f, now, q);
+
+        if (step != BBL_ADMISSION_DONE) {
+            return step == BBL_ADMISSION_WAITS;
+        }
+    }
+    if (!q->started && !start_query(f, now, q)) {
+        return false;
+    }
     waiting = send_pending_shards(f, now, q);
     if (bbl_query_finish_if_decided(f, now, q)) {
         return false;
@@ -519,18 +583,6 @@
     q->probes_limits = bbl_rng_below(&f->rng, PROBE_INTERVAL) == 0;
 }
 
-/* Returns the number of shards that have a usable server. */
-static unsigned
-count_usable_shards(const bbl_query *q, bbl_usec now)
-{
-    unsigned n = 0;
-
-    for (unsigned i = 0; i < q->shard_count; i++) {
-        n += bbl_pool_has_usable(q->shards[i].pool, now);
-    }
-    return n;
-}
-
 static void
 insert_query(bbl_forwarder *f, bbl_query *q)
 {
@@ -655,23 +707,9 @@
         bbl_query_delegate(f, now, q, cause)) {
         return;
     }
-    bbl_query_count_first(f, now, q);
-    if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
-        bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
-        return;
-    }
-    if (count_usable_shards(q, now) < q->shards_needed ||
-        bbl_query_is_hopeless(f, q)) {
-        bbl_query_fail(f, now, q, BBL_FORWARD_UNAVAILABLE,
-                       BBL_STATUS_UNAVAILABLE);
-        return;
-    }
-    if (!bbl_load_limit_admit(q->load_limit, now, q->timing->uncongested_time,
-                              route->priority <=
-                                  q->table->most_urgent_priority)) {
-        bbl_query_fail(f, now, q, BBL_FORWARD_OVERLOAD,
-                       BBL_STATUS_UNAVAILABLE);
-        return;
+    bbl_query_init_admission(f, now, q);
+    if (!bbl_query_is_admitted(f, now, q) && refuse_hopeless(f, now, q)) {
+        return; /* no grantor is asked for it */
     }
     bbl_query_process(f, now, q);
 }
@@ -827,6 +865,7 @@
         cancel_expired_attempts(f, now);
         check_servers(f, now);
         bbl_forwarder_expire_permit_requests(f, now);
+        bbl_forwarder_forget_asks(f, now);
         bbl_pools_free_retired(&f->pools);
         bbl_peers_free_retired(&f->peers);
     }
@@ -851,6 +890,7 @@
     f->permit_requests = bbl_permit_requests_init();
     f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
     bbl_permit_book_init(&f->local_permits, 0);
+    bbl_admission_asks_init(&f->asks, options->seed);
     bbl_peers_init(&f->peers);
     f->peers.added = options->port.peer_added;
     f->peers.removed = options->port.peer_removed;
@@ -899,6 +939,7 @@
     bbl_vec_free(&f->permit_requests);
     bbl_vec_free(&f->permit_items);
     bbl_permit_book_free(&f->local_permits);
+    bbl_admission_asks_free(&f->asks);
     free(f);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -20,6 +20,7 @@
 #define BBL_FORWARDER_H
 
 #include "bbl/routing.h"
+#include "forward/admission_ask.h"
 #include "forward/backend.h"
 #include "forward/crash_ledger.h"
 #include "forward/crash_watch.h"
@@ -125,6 +126,9 @@
     BBL_FORWARD_CRASHES,
     /* Not run: this host ends before it could be served. */
     BBL_FORWARD_DRAINING,
+    BBL_FORWARD_QUOTA, /* not run: its organisation is over its limit */
+    /* Not run: no grantor that this host reaches has answered. */
+    BBL_FORWARD_UNADMITTED,
     BBL_FORWARD_REASONS
 } bbl_forward_reason;
 
@@ -302,6 +306,14 @@
      * which may be lost.
      */
     void (*request_permits)(void *ctx, const bbl_permit_request *request);
+    /*
+     * Sends a grantor a message about the admission of a query, which may be
+     * lost; bbl_forwarder_receive_admission passes on the reply to a request.
+     */
+    void (*send_admission)(void *ctx, uint32_t grantor,
+                           const bblx_message *message);
+    /* Reports that requests of an organisation over its limit are refused. */
+    void (*report_quota)(void *ctx, const bbl_quota_record *record);
     void *ctx;
 } bbl_forward_port;
 
@@ -328,6 +340,8 @@
      */
     bbl_extra_limits extra_limits;
     bbl_usec permit_ttl; /* from the request for a permit until its end */
+    /* The same for the token of an organisation; see admission/quota_book.h. */
+    bbl_usec token_time;
     const bbl_dialect *dialect;
     bbl_forward_port port;
 } bbl_forwarder_options;
@@ -339,7 +353,8 @@
         .answer_margin = 6 * BBL_USEC_PER_MS,                                 \
         .list_lag = 800 * BBL_USEC_PER_MS,                                    \
         .routing_wait_max = 1500 * BBL_USEC_PER_MS,                           \
-        .permit_ttl = 300 * BBL_USEC_PER_MS, .extra_limits = {                \
+        .permit_ttl = 300 * BBL_USEC_PER_MS,                                  \
+        .token_time = 300 * BBL_USEC_PER_MS, .extra_limits = {                \
             10 * BBL_USEC_PER_SEC,                                            \
             0.2,                                                              \
             50                                                                \
@@ -363,6 +378,12 @@
     uint64_t permit_requests;
     uint64_t permits; /* granted */
     uint64_t permits_refused;
+    uint64_t admission_requests; /* sent to grantors */
+    uint64_t admission_replies;
+    uint64_t admission_refusals;    /* of these replies */
+    uint64_t admission_timeouts;    /* requests not answered in time */
+    uint64_t admission_returns;     /* tokens returned */
+    uint64_t quota_refused_locally; /* without asking a grantor */
     uint64_t delegations;         /* queries passed on to another host */
     uint64_t delegations_refused; /* by that host, which cannot serve them */
     uint64_t delegated_requests;  /* received from other hosts */
@@ -402,6 +423,9 @@
     bbl_observed_crash *crashes;
     size_t crash_count;
     unsigned grantors; /* hosts that grant permits */
+    bool has_grantors; /* whether the next two fields are set */
+    bbl_listed_grantor listed_grantors[BBL_ADMIT_GRANTORS_MAX];
+    unsigned listed_grantor_count;
 } bbl_forward_update;
 
 void bbl_forward_update_free(bbl_forward_update *update);
@@ -463,6 +487,11 @@
 void bbl_forwarder_receive_permits(bbl_forwarder *forwarder, bbl_usec now,
                                    const bbl_permit_reply *reply);
 
+/* Processes the reply of a grantor about the admission of a query. */
+void bbl_forwarder_receive_admission(bbl_forwarder *forwarder, bbl_usec now,
+                                     uint32_t grantor,
+                                     const bblx_admission_reply *reply);
+
 /*
  * Processes the result of a delegation that has ended, and frees it.
  *
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -60,6 +60,7 @@
     unsigned permits_expired;
     bbl_usec permits_expired_since;
     bbl_permit_book local_permits; /* while no grantor replies */
+    bbl_admission_asks asks;
     bool limits_known; /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_usec servers_checked_at;
@@ -153,6 +154,41 @@
                                 const bbl_observed_limit *limits,
                                 size_t count);
 
+/* ---- admission_ask.c ---- */
+
+typedef enum {
+    BBL_ADMISSION_DONE,    /* the query is admitted */
+    BBL_ADMISSION_WAITS,   /* next_due_at is set, or it was delegated */
+    BBL_ADMISSION_FINISHED /* the query was refused and freed */
+} bbl_admission_step;
+
+/* Determines what admission a new query needs. */
+void bbl_query_init_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q);
+
+/*
+ * Returns whether a query has all the admission that it needs. Admission that
+ * was not used in time is given up.
+ */
+bool bbl_query_is_admitted(bbl_forwarder *f, bbl_usec now, bbl_query *q);
+
+/* Takes the next step towards the admission of a query. */
+bbl_admission_step bbl_query_seek_admission(bbl_forwarder *f, bbl_usec now,
+                                            bbl_query *q);
+
+/* Takes the requests of a query back, which another host is to admit. */
+void bbl_query_withdraw_asks(bbl_forwarder *f, bbl_query *q);
+
+/*
+ * Ends the admission of a query that is about to be freed.
+ *
+ * @param ran whether some server may have run a part of it; if not, its token
+ *            is returned
+ */
+void bbl_query_end_admission(bbl_forwarder *f, bbl_query *q, bool ran);
+
+/* Forgets the requests whose replies are of no use any more. */
+void bbl_forwarder_forget_asks(bbl_forwarder *f, bbl_usec now);
+
 /* ---- delegate.c ---- */
 
 /*
@@ -164,6 +200,10 @@
                                 const bbl_forwarder *f, bbl_usec now,
                                 const bbl_query *q);
 
+/* Returns whether there may be a peer to which a query can be delegated. */
+bool bbl_query_may_delegate(const bbl_forwarder *f, bbl_usec now,
+                            const bbl_query *q);
+
 /*
  * Delegates a query to a peer, if the promises to its caller allow this and a
  * peer is left to ask. Attempts in flight go on; the first answer counts.
@@ -230,6 +270,15 @@
                       bbl_forward_reason reason,
                       const bbl_forward_answer *answer);
 
+/*
+ * Finishes a query with an error answer that states when to come back.
+ *
+ * @param retry_after microseconds
+ */
+void bbl_query_refuse(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                      bbl_forward_reason reason, unsigned status,
+                      bbl_usec retry_after);
+
 /* Finishes a query with an error answer of the forwarder. */
 void bbl_query_fail(bbl_forwarder *f, bbl_usec now, bbl_query *q,
                     bbl_forward_reason reason, unsigned status);
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -6,6 +6,7 @@
 #ifndef BBL_FORWARD_QUERY_H
 #define BBL_FORWARD_QUERY_H
 
+#include "forward/admission_ask.h"
 #include "forward/forwarder.h"
 #include "forward/pools.h"
 #include "forward/receive_cost.h"
@@ -116,6 +117,9 @@
     bbl_usec canary_until; /* 0 until the attempt is sent */
     unsigned first_shard;  /* index of the shard that is sent first */
 
+    bbl_query_admission admission[BBL_ADMIT_SUBJECTS];
+    bool started; /* admitted, and checked as requests without admission are */
+
     bbl_delegation *delegation; /* in flight, or NULL */
     unsigned delegations;       /* hosts that it was delegated to */
     uint32_t delegates[BBL_DELEGATIONS_MAX];
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -272,6 +272,10 @@
         bbl_forwarder_apply_limits(f, u->limits, u->limit_count);
         apply_crashes(f, now, u);
     }
+    if (u->has_grantors) {
+        bbl_admission_asks_set_grantors(&f->asks, u->listed_grantors,
+                                        u->listed_grantor_count);
+    }
     if (u->has_peers) {
         bbl_peers_update(&f->peers, u->peers, u->peer_count);
     }
--- a/src/net/delegation_field.c
+++ b/src/net/delegation_field.c
@@ -77,6 +77,10 @@
                    d->host, (unsigned long long)d->elapsed,
                    (unsigned long long)d->round_trip, d->attempts,
                    (unsigned long long)d->routing_version);
+    if (d->admitted) {
+        bbl_buf_printf(out, " admitted_us=%llu",
+                       (unsigned long long)d->admitted_for);
+    }
     if (d->service.size > 0) {
         bbl_buf_printf(out, " service=%.*s", (int)d->service.size,
                        d->service.ptr);
@@ -112,6 +116,11 @@
         error =
             read_number(&out->routing_version, text, "routing", UINT64_MAX);
     }
+    out->admitted = find_value(text, "admitted_us").size > 0;
+    if (error == 0 && out->admitted) {
+        error =
+            read_number(&out->admitted_for, text, "admitted_us", UINT32_MAX);
+    }
     out->host = (uint32_t)host;
     out->attempts = (unsigned)attempts;
     out->service = find_value(text, "service");
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -105,7 +105,9 @@
     X(SECOND, 5003, INFO, "second",                                           \
       "a request or a sub-request was sent again")                            \
     X(DELEGATED, 5004, INFO, "delegated",                                     \
-      "a request was passed on to another entry host")
+      "a request was passed on to another entry host")                        \
+    X(OVER_QUOTA, 5005, INFO, "over-quota",                                   \
+      "requests of an organisation over its limit are refused")
 
 typedef enum {
 #define BBL_LOG_ENUM(symbol, number, level, name, meaning)                    \
