--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -600,6 +600,7 @@
 	bblx_admission_outcome outcome;
 	u_int wait_us;
 	u_int ask_us;
+	u_int left_per_1000;
 };
 typedef struct bblx_admission_reply bblx_admission_reply;
 
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1330,6 +1330,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ask_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_per_1000))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -504,6 +504,7 @@
     bblx_admission_outcome outcome;
     unsigned int wait_us;         /* before the next try, if refused */
     unsigned int ask_us;          /* the host asks for load for so long */
+    unsigned int left_per_1000;   /* of this grantor's share of the burst */
 };
 
 /* How a query ended that was admitted. It has no reply. */
--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -46,8 +46,10 @@
 static unsigned
 choose_next(const bbl_admit_facts *f, const bbl_admit_subject_facts *s)
 {
+    unsigned from = s->asked == 0 ? s->first : s->second;
+
     for (unsigned i = 0; i < f->grantors; i++) {
-        unsigned at = (s->first + i) % f->grantors;
+        unsigned at = (from + i) % f->grantors;
 
         if (((s->asked | f->silent) >> at & 1) == 0) {
             return at;
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -34,8 +34,10 @@
     bbl_usec wait;        /* shortest wait that a refusal has stated */
     bbl_usec refused_for; /* local refusal: time left of it; 0 if none */
     bbl_usec retry_after; /* local refusal: time to come back */
-    /* Position of the grantor to ask first. */
+    /* Position of the grantor to ask first, and of the next one if that was
+     * not asked yet; those that follow it come after that. */
     unsigned first;
+    unsigned second;
 } bbl_admit_subject_facts;
 
 typedef struct {
--- a/src/admission/quota_book.c
+++ b/src/admission/quota_book.c
@@ -14,7 +14,7 @@
 #define TOKEN_TIME_SHARE 0.6
 #define RETURN_TIME_SHARE 0.9
 /* Part of the slack by which the buckets of all grantors are larger. */
-#define CAPACITY_SLACK_DIVISOR 4
+#define CAPACITY_SLACK_SHARE 0.4
 /* Part of the slack that all grantors give after a restart. */
 #define RESTART_SLACK_DIVISOR 2
 /*
@@ -22,7 +22,7 @@
  * a caller that sends far more than its limit, many do not come back, and the
  * later ones should not be told to wait for long after it has stopped.
  */
-#define EXPECTED_SECONDS 1.0
+#define EXPECTED_SECONDS 0.5
 /* Buckets above which those that are full are freed: a new one is the same. */
 #define BUCKETS_MAX 16384
 
@@ -140,11 +140,11 @@
 get_capacity(const bbl_quota_limits *l, double burst, unsigned grantors)
 {
     /*
-     * An unused bucket holds up to one token more than its share of the burst:
-     * tokens are whole, and the buckets of five grantors may each have a part
-     * of one left that together are several requests within the limit.
+     * An unused bucket holds more than its share of the burst: tokens are
+     * whole, so the parts of one that are left in the buckets of several
+     * grantors are lost, and requests do not spread evenly over the grantors.
      */
-    double more = fmin(l->slack / CAPACITY_SLACK_DIVISOR / grantors, 1);
+    double more = CAPACITY_SLACK_SHARE * l->slack / grantors;
 
     return fmax(burst * (1 + l->overrun) / grantors + more, 1);
 }
@@ -220,37 +220,39 @@
     return b;
 }
 
-bool
-bbl_quota_book_take(uint32_t *wait_us, bbl_quota_book *book, bbl_usec now,
+void
+bbl_quota_book_take(bbl_quota_answer *out, bbl_quota_book *book, bbl_usec now,
                     unsigned grantors, uint32_t from, uint64_t number,
                     const bblx_admission_quota *q)
 {
     uint64_t key = get_key(from, number);
     bucket *b;
 
-    *wait_us = 0;
+    *out = (bbl_quota_answer){true, 0, 0};
     forget_grants(book, now);
     if (bbl_map_get(&book->grants, key) != NULL) {
-        return true;
+        return;
     }
     /* A host asks for no organisation without a limit. */
     if (grantors == 0 || !(q->rate > 0) || !(q->burst >= 0)) {
-        *wait_us = BBL_SHARE_WAIT_MAX_US;
-        return false;
+        *out = (bbl_quota_answer){false, BBL_SHARE_WAIT_MAX_US, 0};
+        return;
     }
     b = get_bucket(book, now, grantors, q);
-    if (bbl_share_bucket_take(&b->share)) {
+    out->taken = bbl_share_bucket_take(&b->share);
+    out->left_per_1000 =
+        (uint32_t)(1000 * b->share.tokens / b->share.capacity);
+    if (out->taken) {
         add_grant(book, now, key, q->organisation);
         book->granted++;
-        return true;
+        return;
     }
-    *wait_us = bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens);
+    out->wait_us = bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens);
     /* All grantors refuse the request, and it comes back to one of them. */
     b->share.expected =
         fmin(b->share.expected + 1.0 / grantors,
              fmax(EXPECTED_SECONDS * b->share.rate, 1.0 / grantors));
     book->refused++;
-    return false;
 }
 
 void
--- a/src/admission/quota_book.h
+++ b/src/admission/quota_book.h
@@ -55,19 +55,25 @@
                          const bbl_quota_limits *limits);
 void bbl_quota_book_free(bbl_quota_book *book);
 
+/* The answer of a grantor. */
+typedef struct {
+    bool taken;
+    uint32_t wait_us; /* until there is a token, if refused */
+    /* Tokens left, in thousandths of what an unused bucket holds. */
+    uint32_t left_per_1000;
+} bbl_quota_answer;
+
 /*
  * Takes a token for a request. The same request again, which was doubled on
  * its way, gets the same answer and takes no second token.
  *
- * @param wait_us  set to the time until there is a token, if refused
  * @param grantors number of grantors, this one included
  * @param from     host that sent the request
  * @param number   of the request
- * @return whether a token was taken
  */
-bool bbl_quota_book_take(uint32_t *wait_us, bbl_quota_book *book, bbl_usec now,
-                         unsigned grantors, uint32_t from, uint64_t number,
-                         const bblx_admission_quota *quota);
+void bbl_quota_book_take(bbl_quota_answer *out, bbl_quota_book *book,
+                         bbl_usec now, unsigned grantors, uint32_t from,
+                         uint64_t number, const bblx_admission_quota *quota);
 
 /*
  * Puts the token of a request back that has not run and will not. Does nothing
--- a/src/control/admissions.c
+++ b/src/control/admissions.c
@@ -47,14 +47,19 @@
 decide(bblx_admission_reply *out, bbl_control *c, uint32_t from,
        const bblx_admission_request *r)
 {
+    bbl_quota_answer answer;
+
     out->number = r->number;
     out->outcome = BBLX_ADMITTED;
-    if (r->item.subject == BBLX_ADMISSION_QUOTA &&
-        !bbl_quota_book_take(&out->wait_us, &c->quotas, c->now,
-                             bbl_control_count_grantors(c), from, r->number,
-                             &r->item.bblx_admission_item_u.quota)) {
-        out->outcome = BBLX_OVER_QUOTA;
+    if (r->item.subject != BBLX_ADMISSION_QUOTA) {
+        return;
     }
+    bbl_quota_book_take(&answer, &c->quotas, c->now,
+                        bbl_control_count_grantors(c), from, r->number,
+                        &r->item.bblx_admission_item_u.quota);
+    out->outcome = answer.taken ? BBLX_ADMITTED : BBLX_OVER_QUOTA;
+    out->wait_us = answer.wait_us;
+    out->left_per_1000 = answer.left_per_1000;
 }
 
 static void
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -16,12 +16,21 @@
 /* Interval of the reports about an organisation that is over its limit. */
 #define REPORT_INTERVAL_US (10 * BBL_USEC_PER_SEC)
 /* Refused requests that count as coming back: those of this time. */
-#define COMING_BACK_US (1 * BBL_USEC_PER_SEC)
+#define COMING_BACK_US (500 * BBL_USEC_PER_MS)
 /* Limits of organisations above which those not in use are forgotten. */
 #define LIMITS_MAX 1024
 /* Random part of a retry time: one in this many. */
 #define RETRY_SPREAD 8
 
+/*
+ * While a grantor has less than this left for an organisation, and for some
+ * time after, its requests ask all grantors in turn. A grantor nearby that
+ * many hosts ask would be used up while the others are full, and what a full
+ * bucket earns is lost to the organisation.
+ */
+#define SPREAD_BELOW_PER_1000 800
+#define SPREAD_US (2 * BBL_USEC_PER_SEC)
+
 /* A request that a grantor has not answered yet. */
 typedef struct {
     uint64_t number;
@@ -32,11 +41,12 @@
     bbl_usec asked_at;
 } open_request;
 
-/* An organisation that was over its limit. */
+/* An organisation that was over its limit, or near to it. */
 typedef struct {
     uint64_t organisation;
     bbl_usec told_until;    /* when the grantors expect a token */
     bbl_usec refused_until; /* its requests are refused without asking */
+    bbl_usec spread_until;  /* see SPREAD_BELOW_PER_1000 */
     unsigned refused;       /* without asking, since the grantors were asked */
     /* Since the last report. */
     unsigned unreported;
@@ -53,6 +63,7 @@
      * grantor remembers them. */
     asks->last_number = bbl_hash(&seed, sizeof(seed), ORGANISATION_SEED);
     asks->turn = seed;
+    asks->rng.state = seed;
 }
 
 void
@@ -126,7 +137,8 @@
         return;
     }
     while ((l = bbl_map_next(&asks->limits, &pos)) != NULL) {
-        if (now > l->refused_until + REPORT_INTERVAL_US) {
+        if (now > l->refused_until + REPORT_INTERVAL_US &&
+            now > l->spread_until) {
             free(l);
         }
         else {
@@ -245,17 +257,30 @@
         s->asked_at = a->asked_at;
         s->wait = a->wait;
         s->first = a->first;
+        s->second = a->second;
     }
     fill_local_limit(&out->subjects[BBL_ADMIT_QUOTA], f, now, q);
 }
 
+/* Stops to await the reply; a token that it brings is returned. */
+static void
+forget_request(bbl_forwarder *f, bbl_query_admission *a)
+{
+    open_request *r = bbl_map_get(&f->asks.open, a->number);
+
+    if (r != NULL) {
+        r->query = NULL;
+    }
+    a->awaits_reply = false;
+}
+
 /* Marks the grantor asked last as silent, unless it has replied since. */
 static void
 mark_silent(bbl_forwarder *f, bbl_usec now, bbl_query_admission *a)
 {
     bbl_admission_grantor *g = find_grantor(&f->asks, a->grantor);
 
-    a->awaits_reply = false;
+    forget_request(f, a);
     f->counters.admission_timeouts++;
     if (g != NULL && g->replied_at <= a->asked_at) {
         g->silent_until = now + SILENT_GRANTOR_US;
@@ -356,6 +381,7 @@
 bbl_query_init_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
+    const local_limit *l;
     unsigned near = 0;
 
     if (q->organisation == NULL || q->organisation->rate_per_s <= 0) {
@@ -368,11 +394,18 @@
         a->admitted = true;
         a->asked_at = now > age ? now - age : 0;
     }
+    l = bbl_map_get(&f->asks.limits, get_organisation_key(q));
     for (unsigned i = 0; i < f->asks.grantor_count; i++) {
         near |= (unsigned)f->asks.grantors[i].listed.near << i;
     }
+    if (l != NULL && now < l->spread_until) {
+        near = 0;
+    }
     a->first =
         bbl_admit_choose_first(f->asks.grantor_count, near, f->asks.turn++);
+    /* Of a burst, what the first grantor refuses is spread over the others. */
+    a->second =
+        (unsigned)bbl_rng_below(&f->asks.rng, f->asks.grantor_count);
 }
 
 /* Returns the token of a query to the grantor that has given it. */
@@ -390,24 +423,13 @@
     f->options.port.send_admission(f->options.port.ctx, grantor, &m);
 }
 
-/* Stops to await the reply; a token that it brings is returned. */
-static void
-forget_request(bbl_forwarder *f, bbl_query_admission *a)
-{
-    open_request *r = bbl_map_get(&f->asks.open, a->number);
-
-    if (r != NULL) {
-        r->query = NULL;
-    }
-    a->awaits_reply = false;
-}
-
 /* Resets the admission for a subject, and returns a token that is held. */
 static void
 reset_subject(bbl_forwarder *f, bbl_query *q, bbl_admit_subject subject)
 {
     bbl_query_admission *a = &q->admission[subject];
-    bbl_query_admission fresh = {.needed = a->needed, .first = a->first};
+    bbl_query_admission fresh = {
+        .needed = a->needed, .first = a->first, .second = a->second};
 
     forget_request(f, a);
     if (a->admitted && a->number != 0 && subject == BBL_ADMIT_QUOTA) {
@@ -474,6 +496,10 @@
     bbl_query_admission *a = &q->admission[r->subject];
 
     a->awaits_reply = false;
+    if (r->subject == BBL_ADMIT_QUOTA &&
+        reply->left_per_1000 < SPREAD_BELOW_PER_1000) {
+        get_limit(&f->asks, now, q)->spread_until = now + SPREAD_US;
+    }
     if (reply->outcome == BBLX_ADMITTED) {
         a->admitted = true;
         a->asked_at = r->asked_at;
--- a/src/forward/admission_ask.h
+++ b/src/forward/admission_ask.h
@@ -9,6 +9,7 @@
 #include "admission/admission.h"
 #include "model/codec.h"
 #include "util/map.h"
+#include "util/rng.h"
 #include "util/vec.h"
 
 /* A grantor as the driver lists it. */
@@ -26,6 +27,7 @@
     unsigned asked;   /* see bbl_admit_subject_facts */
     unsigned refused;
     unsigned first;
+    unsigned second;
     bbl_usec asked_at; /* when the grantor asked last was asked */
     bbl_usec wait;     /* shortest wait that a refusal has stated */
     uint64_t number;   /* of the request sent last; 0 before the first one */
@@ -43,6 +45,7 @@
 typedef struct {
     bbl_admission_grantor grantors[BBL_ADMIT_GRANTORS_MAX];
     unsigned grantor_count;
+    bbl_rng rng;   /* of the order of grantors */
     uint64_t turn; /* see bbl_admit_choose_first */
     uint64_t last_number;
     bbl_map open;   /* number -> open_request, private */
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -363,7 +363,7 @@
 {
     forward_fleet *f = bbl_calloc(1, sizeof(*f));
     forward_sim_control control = {on_publish_limit, on_request_permits,
-                                   on_publish_crash, f};
+                                   on_publish_crash, NULL, f};
 
     f->cut = bbl_calloc(hosts, sizeof(*f->cut));
     f->broken = bbl_calloc(hosts, sizeof(*f->broken));
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -60,6 +60,7 @@
     bool simulates_links; /* see forward_sim_set_links */
     const char *key;      /* of further requests; NULL if they have none */
     unsigned key_count;
+    unsigned quota_reports;
     const char *crash_path;    /* NULL if no request ends its servers */
     const char *repeated_path; /* see forward_sim_set_repeated_path; or NULL */
 };
@@ -273,8 +274,10 @@
     if (answer->relayed == NULL) {
         read_header_lines(c, answer->header_lines);
     }
-    require(sim, (c->status != 503 && c->status != 401) || c->runs == 0,
-            "status 503 or 401 for a request that has run");
+    require(sim,
+            (c->status != 503 && c->status != 401 && c->status != 429) ||
+                c->runs == 0,
+            "status 503, 401 or 429 for a request that has run");
 }
 
 static void
@@ -411,6 +414,26 @@
     }
 }
 
+static void
+on_send_admission(void *ctx, uint32_t grantor, const bblx_message *message)
+{
+    forward_sim *sim = ctx;
+
+    if (sim->control.send_admission != NULL) {
+        sim->control.send_admission(sim->control.ctx, sim, grantor, message);
+    }
+}
+
+static void
+on_report_quota(void *ctx, const bbl_quota_record *r)
+{
+    forward_sim *sim = ctx;
+
+    require(sim, r->refused > 0 && r->asked <= r->refused,
+            "a report of refusals does not add up");
+    sim->quota_reports++;
+}
+
 static void
 on_changed(void *ctx, bbl_backend *backend, bbl_backend_state before)
 {
@@ -687,6 +710,8 @@
     o.port.request_barred = on_request_barred;
     o.port.publish_rate_limit = on_publish_rate_limit;
     o.port.request_permits = on_request_permits;
+    o.port.send_admission = on_send_admission;
+    o.port.report_quota = on_report_quota;
     o.port.ctx = sim;
     bbl_forwarder_new(&sim->forwarder, &o);
     bbl_forwarder_confirm_routing(sim->forwarder, UINT64_MAX);
@@ -727,6 +752,12 @@
     return s;
 }
 
+forward_sim_server *
+forward_sim_get_server(forward_sim *sim, size_t i)
+{
+    return &sim->servers[i];
+}
+
 static bbl_forward_update *
 make_update(forward_sim *sim)
 {
@@ -1042,6 +1073,39 @@
     sim->receive_time = receive_time;
 }
 
+void
+forward_sim_set_grantors(forward_sim *sim, const bbl_listed_grantor *grantors,
+                         unsigned count)
+{
+    bbl_forward_update *u = bbl_calloc(1, sizeof(*u));
+
+    u->list_read_at = sim->list_read_at;
+    u->entry_hosts = sim->entry_hosts;
+    u->has_grantors = true;
+    memcpy(u->listed_grantors, grantors, count * sizeof(*grantors));
+    u->listed_grantor_count = count;
+    bbl_forwarder_update(sim->forwarder, sim->now, u);
+}
+
+void
+forward_sim_receive_admission(forward_sim *sim, uint32_t grantor,
+                              const bblx_admission_reply *reply)
+{
+    bbl_forwarder_receive_admission(sim->forwarder, sim->now, grantor, reply);
+}
+
+unsigned
+forward_sim_get_quota_reports(const forward_sim *sim)
+{
+    return sim->quota_reports;
+}
+
+void
+forward_sim_skip(forward_sim *sim, bbl_usec time)
+{
+    sim->now += time;
+}
+
 void
 forward_sim_run(forward_sim *sim, bbl_usec time)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -104,6 +104,9 @@
                                            const char *service,
                                            const char *zone);
 
+/* Returns a server by the order in which they were added. */
+forward_sim_server *forward_sim_get_server(forward_sim *sim, size_t i);
+
 /*
  * Passes a routing document and the current list of servers to the forwarder.
  */
@@ -166,9 +169,24 @@
                             const bbl_permit_request *request);
     void (*publish_crash)(void *ctx, forward_sim *sim, uint64_t fingerprint,
                           uint32_t generation);
+    /* Sends a grantor a message about the admission of a query. */
+    void (*send_admission)(void *ctx, forward_sim *sim, uint32_t grantor,
+                           const bblx_message *message);
     void *ctx;
 } forward_sim_control;
 
+/* Lists the grantors of admission to the forwarder. */
+void forward_sim_set_grantors(forward_sim *sim,
+                              const bbl_listed_grantor *grantors,
+                              unsigned count);
+
+/* Passes a grantor's reply about the admission of a query on. */
+void forward_sim_receive_admission(forward_sim *sim, uint32_t grantor,
+                                   const bblx_admission_reply *reply);
+
+/* Returns how many refusals of organisations were reported for the log. */
+unsigned forward_sim_get_quota_reports(const forward_sim *sim);
+
 /* Passes crashes that hosts have observed to the forwarder. */
 void forward_sim_update_crashes(forward_sim *sim,
                                 const bbl_observed_crash *crashes,
@@ -253,6 +271,9 @@
  */
 void forward_sim_set_receive_time(forward_sim *sim, bbl_usec receive_time);
 
+/* Lets time pass in which the host is frozen. */
+void forward_sim_skip(forward_sim *sim, bbl_usec time);
+
 /* Advances the simulated time by `time` microseconds. */
 void forward_sim_run(forward_sim *sim, bbl_usec time);
 
--- a/tests/test_organisations.c
+++ b/tests/test_organisations.c
@@ -263,7 +263,8 @@
 {
     fixture f;
     unsigned urgent = 0;
-    forward_sim_control control = {NULL, on_request_permits, NULL, &urgent};
+    forward_sim_control control = {NULL, on_request_permits, NULL, NULL,
+                                   &urgent};
 
     init_fixture(&f, URGENT "," BATCH);
     forward_sim_set_control(f.sim, &control);
