Tests: admission messages of the control core

Cause: the path between an entry host's control thread and a grantor had no test of its own.

Result: 5 tests pass: answers and returned tokens, load, no answer of a host that is no grantor, the chosen grantor, a grantor that asks itself.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -81,8 +81,8 @@
     bool is_last = f->last_host || s->refused != 0;
 
     return s->asked == 0 ||
-           f->now < f->arrived_at +
-                        f->target / (is_last ? WAIT_DIVISOR : OWN_WAIT_DIVISOR);
+           f->now < f->arrived_at + f->target / (is_last ? WAIT_DIVISOR
+                                                         : OWN_WAIT_DIVISOR);
 }
 
 /* Decides on one subject; returns false if it is admitted. */
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -121,8 +121,7 @@
                                "requests that were not answered in time",
                                c->admission_timeouts);
     bbl_metrics_append_counter(out, "admission_returns_total",
-                               "tokens returned unused",
-                               c->admission_returns);
+                               "tokens returned unused", c->admission_returns);
     bbl_metrics_append_counter(out, "quota_refused_locally_total",
                                "requests over the limit of an organisation "
                                "refused without asking a grantor",
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -318,8 +318,8 @@
     open_request *r = bbl_calloc(1, sizeof(*r));
     bblx_message m;
 
-    *r = (open_request){++f->asks.last_number, q,  d->subject, g->listed.host,
-                        d->grantor,            now};
+    *r = (open_request){++f->asks.last_number, q,          d->subject,
+                        g->listed.host,        d->grantor, now};
     bbl_map_set(&f->asks.open, r->number, r);
     bbl_vec_push(&f->asks.by_age, &r);
     if (g->silent_until != 0) {
@@ -404,8 +404,7 @@
     a->first =
         bbl_admit_choose_first(f->asks.grantor_count, near, f->asks.turn++);
     /* Of a burst, what the first grantor refuses is spread over the others. */
-    a->second =
-        (unsigned)bbl_rng_below(&f->asks.rng, f->asks.grantor_count);
+    a->second = (unsigned)bbl_rng_below(&f->asks.rng, f->asks.grantor_count);
 }
 
 /* Returns the token of a query to the grantor that has given it. */
@@ -540,7 +539,8 @@
     }
     else if (reply->outcome == BBLX_ADMITTED &&
              taken.subject == BBL_ADMIT_QUOTA) {
-        /* Any number but 0 tells that it is a token; the grantor knows whose. */
+        /* Any number but 0 tells that it is a token; the grantor knows whose.
+         */
         return_token(f, grantor, taken.number, UINT64_MAX);
     }
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -346,7 +346,8 @@
      */
     bbl_extra_limits extra_limits;
     bbl_usec permit_ttl; /* from the request for a permit until its end */
-    /* The same for the token of an organisation; see admission/quota_book.h. */
+    /* The same for the token of an organisation; see admission/quota_book.h.
+     */
     bbl_usec token_time;
     const bbl_dialect *dialect;
     bbl_forward_port port;
@@ -390,10 +391,10 @@
     uint64_t admission_timeouts;    /* requests not answered in time */
     uint64_t admission_returns;     /* tokens returned */
     uint64_t quota_refused_locally; /* without asking a grantor */
-    uint64_t delegations;         /* queries passed on to another host */
-    uint64_t delegations_refused; /* by that host, which cannot serve them */
-    uint64_t delegated_requests;  /* received from other hosts */
-    bbl_histogram latency;        /* microseconds; OK and PARTIAL only */
+    uint64_t delegations;           /* queries passed on to another host */
+    uint64_t delegations_refused;   /* by that host, which cannot serve them */
+    uint64_t delegated_requests;    /* received from other hosts */
+    bbl_histogram latency;          /* microseconds; OK and PARTIAL only */
 } bbl_forward_counters;
 
 /*
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -44,9 +44,9 @@
 #define BASE_KIND_MAX BBLX_TRANSFER
 #define EXTENDED_KIND_MAX BBLX_PERMIT_REPLY
 /*
- * After its challenge, the receiver announces the greatest message kind that it
- * accepts, in the form of an acknowledgement: the mark in the upper half, the
- * kind in the lower one. Builds that know no announcement ignore an
+ * After its challenge, the receiver announces the greatest message kind that
+ * it accepts, in the form of an acknowledgement: the mark in the upper half,
+ * the kind in the lower one. Builds that know no announcement ignore an
  * acknowledgement of frames that they have not sent. To add a kind, raise
  * KIND_MAX.
  */
@@ -71,7 +71,8 @@
     bblx_address address;
     int fd;           /* -1: no connection */
     bool established; /* the challenge of the peer was received */
-    uint32_t kind_max; /* greatest kind that the peer accepts; if established */
+    uint32_t
+        kind_max; /* greatest kind that the peer accepts; if established */
     uint8_t challenge[CHALLENGE_BYTES];
     bbl_buf input;
     bbl_buf output;
--- a/tests/property/quota_property.cc
+++ b/tests/property/quota_property.cc
@@ -1,6 +1,7 @@
-// Property test: the hard bound on the requests of an organisation, under lost,
-// late and doubled messages, grantors and hosts that are frozen, restarted or
-// cut off from each other, and routing versions that change the limit.
+// Property test: the hard bound on the requests of an organisation, under
+// lost, late and doubled messages, grantors and hosts that are frozen,
+// restarted or cut off from each other, and routing versions that change the
+// limit.
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
@@ -36,8 +37,8 @@
 };
 
 static const char *const kindNames[KINDS] = {
-    "run",    "burst",  "load",        "lose",    "double", "delay", "cut",
-    "heal",   "freeze", "freeze-host", "restart", "shed",   "leave", "version"};
+    "run",  "burst",  "load",        "lose",    "double", "delay", "cut",
+    "heal", "freeze", "freeze-host", "restart", "shed",   "leave", "version"};
 
 struct QuotaOp {
     QuotaOpKind kind;
@@ -68,7 +69,10 @@
         quota_fleet_run(&fleet, 20 * SEC); // the buckets are full
     }
 
-    ~Schedule() { quota_fleet_free(&fleet); }
+    ~Schedule()
+    {
+        quota_fleet_free(&fleet);
+    }
     Schedule(const Schedule &) = delete;
     Schedule &operator=(const Schedule &) = delete;
 
@@ -124,8 +128,8 @@
 void
 Schedule::endUnusedLimits()
 {
-    uint64_t oldest = *std::min_element(fleet.versions,
-                                        fleet.versions + HOSTS);
+    uint64_t oldest =
+        *std::min_element(fleet.versions, fleet.versions + HOSTS);
 
     for (uint64_t v = 1; v < oldest; v++) {
         limits[v - 1].until = std::min(limits[v - 1].until, fleet.now);
@@ -252,9 +256,8 @@
         if ((double)(last - first) > (rate * 5 + burst) * 1.1 + 20) {
             std::ostringstream os;
 
-            os << last - first << " requests run in 5 s from "
-               << from / MS << " ms on, with rate " << rate << " and burst "
-               << burst;
+            os << last - first << " requests run in 5 s from " << from / MS
+               << " ms on, with rate " << rate << " and burst " << burst;
             return os.str();
         }
     }
@@ -268,10 +271,20 @@
 anyOp()
 {
     auto kind = rc::gen::weightedElement<QuotaOpKind>({
-        {6, RUN},    {8, BURST},          {10, LOAD},       {2, LOSE},
-        {2, DOUBLE}, {3, DELAY},          {3, CUT},         {2, HEAL},
-        {3, SHED},   {3, FREEZE_GRANTOR}, {3, FREEZE_HOST}, {4, RESTART},
-        {2, LEAVE},  {4, VERSION},
+        {6, RUN},
+        {8, BURST},
+        {10, LOAD},
+        {2, LOSE},
+        {2, DOUBLE},
+        {3, DELAY},
+        {3, CUT},
+        {2, HEAL},
+        {3, SHED},
+        {3, FREEZE_GRANTOR},
+        {3, FREEZE_HOST},
+        {4, RESTART},
+        {2, LEAVE},
+        {4, VERSION},
     });
 
     return rc::gen::build<QuotaOp>(
--- a/tests/support/quota_fleet.c
+++ b/tests/support/quota_fleet.c
@@ -73,8 +73,8 @@
                       "\"path_prefix\":\"%s\",\"route_type\":\"unsafe\","
                       "\"timeout_ms\":1200,\"target_latency_ms\":%d,"
                       "\"max_attempts\":2,\"service\":\"%s\"}",
-                      i > 0 ? "," : "", services[i], paths[i],
-                      QUOTA_TARGET_MS, services[i]);
+                      i > 0 ? "," : "", services[i], paths[i], QUOTA_TARGET_MS,
+                      services[i]);
     }
     snprintf(text + n, sizeof(text) - (size_t)n,
              "],\"services\":[{\"name\":\"hot\"},{\"name\":\"calm\"},"
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -30,10 +30,10 @@
     unsigned doubled_per_100;
     bbl_usec delay_max; /* besides 0.5 ms */
     bbl_rng rng;
-    bbl_vec messages;     /* private */
-    uint64_t requests;    /* for admission, sent by hosts */
-    uint64_t returns;     /* of tokens */
-    uint64_t encoded;     /* bytes of all messages */
+    bbl_vec messages;                  /* private */
+    uint64_t requests;                 /* for admission, sent by hosts */
+    uint64_t returns;                  /* of tokens */
+    uint64_t encoded;                  /* bytes of all messages */
     bbl_vec runs[QUOTA_ORGANISATIONS]; /* bbl_usec, when each request ran */
 } quota_fleet;
 
--- /dev/null
+++ b/tests/test_admission_messages.c
@@ -0,0 +1,246 @@
+/*
+ * Tests the admission messages of a control core: what a grantor answers, whom
+ * it answers, and what an entry host passes on.
+ */
+#include <string.h>
+
+#include "control/control.h"
+#include "support/memdisk.h"
+#include "support/run.h"
+
+#define MS BBL_USEC_PER_MS
+#define GRANTOR 1u
+#define ENTRY 2u
+#define SENT_MAX 512
+
+typedef struct {
+    bbl_control *control;
+    memdisk disk;
+    bbl_usec now;
+    bblx_message sent[SENT_MAX]; /* of the kinds of admission */
+    uint32_t sent_to[SENT_MAX];
+    unsigned sent_count;
+    bblx_admission_reply received;
+    uint32_t received_from;
+    unsigned received_count;
+} host;
+
+static void
+on_send(void *ctx, uint32_t to, bblx_address address, const bblx_message *m)
+{
+    host *h = ctx;
+
+    (void)address;
+    if (m->kind >= BBLX_ADMISSION_REQUEST && h->sent_count < SENT_MAX) {
+        h->sent_to[h->sent_count] = to;
+        h->sent[h->sent_count++] = *m;
+    }
+}
+
+static void
+on_received(void *ctx, uint32_t grantor, const bblx_admission_reply *reply)
+{
+    host *h = ctx;
+
+    h->received = *reply;
+    h->received_from = grantor;
+    h->received_count++;
+}
+
+static void
+ignore_proposal(void *ctx, uint64_t number, const bblx_propose_reply *reply)
+{
+    (void)ctx;
+    (void)number;
+    (void)reply;
+}
+
+/* Opens a host; the only voter and grantor is host 1. */
+static void
+open_host(host *h, uint32_t id)
+{
+    static bblx_voter seed = {
+        .host = GRANTOR, .role = BBLX_VOTER, .control = {GRANTOR, 1}};
+    bbl_control_options o = BBL_CONTROL_OPTIONS_INIT;
+
+    memset(h, 0, sizeof(*h));
+    h->now = 1000 * MS;
+    memdisk_init(&h->disk);
+    o.host = id;
+    o.incarnation = id;
+    o.seed = id;
+    o.control = (bblx_address){id, 1};
+    o.seeds.list.list_len = 1;
+    o.seeds.list.list_val = &seed;
+    o.copies = 1;
+    o.port.send = on_send;
+    o.port.complete_proposal = ignore_proposal;
+    o.port.admission_received = on_received;
+    o.port.ctx = h;
+    bbl_name_set(&o.zone, "z1", 2);
+    if (id == GRANTOR) {
+        ck_assert_int_eq(bbl_quorum_bootstrap(memdisk_open(&h->disk), id), 0);
+    }
+    ck_assert_int_eq(
+        bbl_control_open(&h->control, &o,
+                         id == GRANTOR ? memdisk_open(&h->disk) : NULL,
+                         h->now),
+        0);
+    for (int i = 0; i < 3000; i++) {
+        h->now += MS;
+        bbl_control_tick(h->control, h->now, 1);
+    }
+    h->sent_count = 0;
+}
+
+static void
+close_host(host *h)
+{
+    bbl_control_free(h->control);
+    memdisk_free(&h->disk);
+}
+
+static bblx_message
+make_request(uint64_t number, bblx_admission_subject subject)
+{
+    bblx_message m;
+    bblx_admission_request *r = &m.bblx_message_u.admission_request;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REQUEST;
+    r->number = number;
+    r->item.subject = subject;
+    if (subject == BBLX_ADMISSION_QUOTA) {
+        r->item.bblx_admission_item_u.quota =
+            (bblx_admission_quota){77, 1, 10, 3};
+    }
+    return m;
+}
+
+START_TEST(a_grantor_answers_and_takes_tokens_back)
+{
+    bblx_message m = make_request(1, BBLX_ADMISSION_QUOTA);
+    bblx_admission_reply *reply;
+    bbl_control_status s;
+    host h;
+    unsigned granted = 0;
+
+    open_host(&h, GRANTOR);
+    for (unsigned i = 1; i <= 30; i++) {
+        m.bblx_message_u.admission_request.number = i;
+        bbl_control_step(h.control, h.now, ENTRY, &m);
+        reply = &h.sent[i - 1].bblx_message_u.admission_reply;
+        ck_assert_uint_eq(h.sent_count, i);
+        ck_assert_uint_eq(h.sent_to[i - 1], ENTRY);
+        ck_assert_int_eq(h.sent[i - 1].kind, BBLX_ADMISSION_REPLY);
+        ck_assert_uint_eq(reply->number, i);
+        granted += reply->outcome == BBLX_ADMITTED;
+        if (reply->outcome != BBLX_ADMITTED) {
+            ck_assert_int_eq(reply->outcome, BBLX_OVER_QUOTA);
+            ck_assert_uint_gt(reply->wait_us, 0);
+        }
+    }
+    /* 10 from the slack of a host just started, 3 s of its rate. */
+    ck_assert_uint_eq(granted, 13);
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPORT;
+    m.bblx_message_u.admission_report.number = 2;
+    m.bblx_message_u.admission_report.organisation = 77;
+    bbl_control_step(h.control, h.now, ENTRY, &m);
+    bbl_control_step(h.control, h.now, ENTRY, &m);
+    bbl_control_get_status(h.control, h.now, &s);
+    ck_assert_uint_eq(s.quota_granted, 13);
+    ck_assert_uint_eq(s.quota_refused, 17);
+    ck_assert_uint_eq(s.quota_returned, 1);
+    ck_assert_uint_eq(h.sent_count, 30);
+    close_host(&h);
+}
+END_TEST
+
+/* Load has no gate yet; a host that asks must not be held up. */
+START_TEST(a_request_for_load_is_admitted)
+{
+    bblx_message m = make_request(5, BBLX_ADMISSION_LOAD);
+    host h;
+
+    open_host(&h, GRANTOR);
+    bbl_control_step(h.control, h.now, ENTRY, &m);
+    ck_assert_uint_eq(h.sent_count, 1);
+    ck_assert_int_eq(h.sent[0].bblx_message_u.admission_reply.outcome,
+                     BBLX_ADMITTED);
+    close_host(&h);
+}
+END_TEST
+
+/* A host with an old view of the grantors would otherwise get more than the
+ * limit. */
+START_TEST(a_host_that_is_no_grantor_does_not_answer)
+{
+    bblx_message m = make_request(1, BBLX_ADMISSION_QUOTA);
+    host h;
+
+    open_host(&h, ENTRY);
+    bbl_control_step(h.control, h.now, 3, &m);
+    ck_assert_uint_eq(h.sent_count, 0);
+    close_host(&h);
+}
+END_TEST
+
+START_TEST(an_entry_host_sends_to_the_grantor_that_it_chose)
+{
+    bblx_message m = make_request(9, BBLX_ADMISSION_QUOTA);
+    bbl_control_grantor grantors[BBL_PERMIT_GRANTORS_MAX];
+    host h;
+
+    open_host(&h, ENTRY);
+    ck_assert_uint_eq(bbl_control_get_grantors(grantors, h.control), 1);
+    ck_assert_uint_eq(grantors[0].host, GRANTOR);
+    bbl_control_send_admission(h.control, h.now, GRANTOR, &m);
+    bbl_control_send_admission(h.control, h.now, 99, &m); /* not a grantor */
+    ck_assert_uint_eq(h.sent_count, 1);
+    ck_assert_uint_eq(h.sent_to[0], GRANTOR);
+    ck_assert_uint_eq(h.sent[0].bblx_message_u.admission_request.control.ip,
+                      ENTRY);
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPLY;
+    m.bblx_message_u.admission_reply.number = 9;
+    bbl_control_step(h.control, h.now, GRANTOR, &m);
+    ck_assert_uint_eq(h.received_count, 1);
+    ck_assert_uint_eq(h.received_from, GRANTOR);
+    ck_assert_uint_eq(h.received.number, 9);
+    close_host(&h);
+}
+END_TEST
+
+/* A host may be an entry host and a grantor. */
+START_TEST(a_grantor_answers_itself)
+{
+    bblx_message m = make_request(4, BBLX_ADMISSION_QUOTA);
+    bbl_control_grantor grantors[BBL_PERMIT_GRANTORS_MAX];
+    host h;
+
+    open_host(&h, GRANTOR);
+    ck_assert_uint_eq(bbl_control_get_grantors(grantors, h.control), 1);
+    ck_assert(grantors[0].near);
+    bbl_control_send_admission(h.control, h.now, GRANTOR, &m);
+    ck_assert_uint_eq(h.sent_count, 0);
+    ck_assert_uint_eq(h.received_count, 1);
+    ck_assert_uint_eq(h.received.number, 4);
+    close_host(&h);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("admission_messages");
+    TCase *tc = tcase_create("messages");
+
+    tcase_add_test(tc, a_grantor_answers_and_takes_tokens_back);
+    tcase_add_test(tc, a_request_for_load_is_admitted);
+    tcase_add_test(tc, a_host_that_is_no_grantor_does_not_answer);
+    tcase_add_test(tc, an_entry_host_sends_to_the_grantor_that_it_chose);
+    tcase_add_test(tc, a_grantor_answers_itself);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
--- a/tests/test_delegation_field.c
+++ b/tests/test_delegation_field.c
@@ -32,9 +32,8 @@
 
 START_TEST(a_delegated_query_is_read_as_it_was_written)
 {
-    bbl_delegated in = {167837735,  12345,          6789,     1,
-                        1ull << 60, {"shard-7", 7}, names[_i],
-                        _i == 1,    1234};
+    bbl_delegated in = {167837735,      12345,     6789,    1,   1ull << 60,
+                        {"shard-7", 7}, names[_i], _i == 1, 1234};
     bbl_delegated out;
     bbl_buf line = BBL_BUF_INIT;
     bbl_http_message m;
@@ -63,8 +62,7 @@
  */
 START_TEST(earlier_builds_refuse_a_query_of_an_organisation)
 {
-    bbl_delegated d = {1, 2, 3, 0, 7, {"s", 1}, {"ant", 3},
-                       false, 0};
+    bbl_delegated d = {1, 2, 3, 0, 7, {"s", 1}, {"ant", 3}, false, 0};
     bbl_buf line = BBL_BUF_INIT;
 
     bbl_delegated_append(&line, &d);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -115,9 +115,8 @@
     }
     /* The limit itself is served: 80 in 8 s and the burst of 10. */
     ck_assert_uint_ge(1600 - refused, 80);
-    ck_assert_uint_le(
-        quota_fleet_count_most(&f, HOT, 5 * SEC, 0),
-        (unsigned)((10 * 5 + 10) * 1.1 + 20));
+    ck_assert_uint_le(quota_fleet_count_most(&f, HOT, 5 * SEC, 0),
+                      (unsigned)((10 * 5 + 10) * 1.1 + 20));
     /* Hosts refuse without asking: 5 requests at most for each 50 ms and
      * host, far less than 5 for each refused request. */
     ck_assert_uint_le(requests, 4 * (8000 / 50) * 5 + 300);
@@ -168,7 +167,11 @@
         for (; n > 0 && tokens >= 1; n--) {
             unsigned at = (unsigned)bbl_rng_below(&f.rng, 10);
 
-            quota_fleet_send(&f, at < 5 ? 0 : at < 8 ? 1 : at < 9 ? 2 : 3,
+            quota_fleet_send(&f,
+                             at < 5   ? 0
+                             : at < 8 ? 1
+                             : at < 9 ? 2
+                                      : 3,
                              HOT);
             tokens -= 1;
             sent++;
