--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -168,6 +168,18 @@
     done
 }
 
+# send_as KEY COUNT: sends requests with a key to the entry hosts in turn, and
+# prints their statuses.
+send_as() {
+    local i
+    for i in $(seq "$2"); do
+        curl -s -m 3 -o /dev/null -D "$dir/head" -w '%{http_code}\n' \
+            -H 'Host: a.example' -H "Request-Id: q$RANDOM$RANDOM" \
+            -H 'Deadline-Ms: 2000' -H "Key: $1" \
+            "http://127.60.2.$((i % 3 + 1)):8104/one/quota"
+    done
+}
+
 # print_tenants: prints 10,000 organisations with 10 keys each.
 print_tenants() {
     awk 'BEGIN {
@@ -359,6 +371,35 @@
     fail "a routing with a key of two organisations was not refused"
 grep -q 'organisations .*bee.* and .*cat.* have the same key' "$dir"/control2.log ||
     fail "the log does not name the organisations with the same key"
+
+# A limit holds over all entry hosts, also without one of the control hosts that
+# grant admission; the others keep it, and other organisations notice nothing.
+tenants=',"tenants":[{"name":"bee","api_keys":["key-of-bee"],"rate_per_s":4,"burst":6},{"name":"cat","api_keys":["key-of-cat"]}]'
+wait_until put_routing 102 1 || fail "no routing with a limit"
+is_answered 200 key-of-cat || fail "no answer beside a limit"
+sleep 3.5
+for step in all killed; do
+    if [ $step = killed ]; then stop_hosts KILL c2; fi
+    begin=$(date +%s%N)
+    send_as key-of-bee 120 >"$dir/statuses1"
+    took=$((($(date +%s%N) - begin) / 1000000))
+    served=$(grep -c '^200$' "$dir/statuses1" || true)
+    [ "$served" -ge $((4 * took * 2 / 5000 + 1)) ] || fail "$served requests within a limit in $took ms ($step)"
+    [ "$served" -le $(((4 * (took > 5000 ? took : 5000) / 1000 + 6) * 11 / 10 + 20)) ] ||
+        fail "$served requests over a limit in $took ms ($step)"
+    grep -q '^429$' "$dir/statuses1" || fail "no request is refused for its limit ($step)"
+    if grep -qv '^200$\|^429$' "$dir/statuses1"; then fail "a request fails beside a limit ($step)"; fi
+done
+for _ in $(seq 200); do
+    if [ "$(send_as key-of-bee 1)" = 429 ]; then break; fi
+done
+grep -qi '^Retry-After' "$dir/head" || fail "a refusal for a limit has no retry time"
+sleep "$(tr -d '\r' <"$dir/head" | awk 'tolower($1) == "retry-after:" {print $2}')"
+[ "$(send_as key-of-bee 1)" = 200 ] || fail "a request is refused after its retry time"
+[ "$(send_as key-of-cat 30 | sort -u)" = 200 ] || fail "a request without a limit is refused"
+grep -q 'BBL5005 over-quota .*org=bee' "$dir/entry1.log" || fail "the log does not name the organisation over its limit"
+start_control 2 false
+
 tenants=",\"tenants\":[$(print_tenants)]"
 wait_until put_routing 103 3 || fail "no routing with 100,000 keys"
 is_answered 200 key-09999-9-0123456789abcdefghijk || fail "one of 100,000 keys is not accepted within 3 s"
