Admission: a new grantor begins like a restarted one

Cause: a host that replaces a voter does not know what that one gave, and its book counted as old if no request had come before.

--- a/src/admission/quota_book.c
+++ b/src/admission/quota_book.c
@@ -13,6 +13,8 @@
  */
 #define TOKEN_TIME_SHARE 0.6
 #define RETURN_TIME_SHARE 0.9
+/* Least of these times: a reply from another data centre takes 6 ms. */
+#define TIME_MIN_US (30 * BBL_USEC_PER_MS)
 /* Part of the slack by which the buckets of all grantors are larger. */
 #define CAPACITY_SLACK_SHARE 0.4
 /* Part of the slack that all grantors give after a restart. */
@@ -45,7 +47,9 @@
 static bbl_usec
 get_time_share(const bbl_quota_limits *l, double share)
 {
-    return (bbl_usec)((double)l->window * l->overrun * share);
+    bbl_usec time = (bbl_usec)((double)l->window * l->overrun * share);
+
+    return time > TIME_MIN_US ? time : TIME_MIN_US;
 }
 
 bbl_usec
--- a/src/admission/quota_book.h
+++ b/src/admission/quota_book.h
@@ -8,7 +8,7 @@
  * of an organisation run, whatever is lost, late, doubled, restarted or cut
  * off. With n grantors this is made up of:
  *
- * - rate x W, and n x capacity <= burst x (1 + overrun) + slack / 4, or n if
+ * - rate x W, and n x capacity = burst x (1 + overrun) + 0.4 x slack, or n if
  *   that is more: what the buckets earn and hold;
  * - rate x bbl_quota_get_return_time(): tokens that were taken before the
  *   window and are used or returned in it, less than rate x W x overrun;
--- a/src/control/admissions.c
+++ b/src/control/admissions.c
@@ -26,17 +26,22 @@
  * like one that was restarted: what its predecessor gave is not known.
  */
 static bool
-grants(bbl_control *c)
+is_grantor(bbl_control *c)
 {
-    bool before = c->grants_admission;
+    bool is = bbl_permits_is_grantor(c);
 
-    c->grants_admission = bbl_permits_is_grantor(c);
-    if (c->grants_admission && !before && c->was_no_grantor) {
+    if (is && c->was_no_grantor) {
         bbl_quota_book_free(&c->quotas);
         bbl_admissions_init(c);
     }
-    c->was_no_grantor = !c->grants_admission;
-    return c->grants_admission;
+    c->was_no_grantor = !is;
+    return is;
+}
+
+void
+bbl_admissions_tick(bbl_control *c)
+{
+    is_grantor(c);
 }
 
 /*
@@ -67,7 +72,7 @@
 {
     bblx_message m;
 
-    if (!grants(c)) {
+    if (!is_grantor(c)) {
         return;
     }
     memset(&m, 0, sizeof(m));
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -112,8 +112,7 @@
     size_t next_grantor;
 
     bbl_quota_book quotas; /* shares that this host grants */
-    bool grants_admission; /* this host is a grantor */
-    bool was_no_grantor;   /* it was none when that was last checked */
+    bool was_no_grantor;   /* when that was last checked */
 
     uint64_t heartbeats_sent;
     uint64_t heartbeats_relayed;
@@ -186,6 +185,9 @@
 void bbl_admissions_init(bbl_control *c);
 void bbl_admissions_free(bbl_control *c);
 
+/* Notes whether this host is a grantor. */
+void bbl_admissions_tick(bbl_control *c);
+
 /* Processes a message about the admission of a query. */
 void bbl_admissions_receive(bbl_control *c, uint32_t from,
                             const bblx_message *m);
--- a/tests/test_admission_messages.c
+++ b/tests/test_admission_messages.c
@@ -186,6 +186,28 @@
 }
 END_TEST
 
+/* What the grantor in whose place it comes gave just before is not known. */
+START_TEST(a_new_grantor_begins_like_a_restarted_one)
+{
+    bblx_voter self = {
+        .host = ENTRY, .role = BBLX_VOTER, .control = {ENTRY, 1}};
+    bblx_voters seeds = {{1, &self}};
+    bblx_message m = make_request(1, BBLX_ADMISSION_QUOTA);
+    bbl_control_status s;
+    host h;
+
+    open_host(&h, ENTRY);
+    bbl_control_set_seeds(h.control, seeds);
+    for (unsigned i = 1; i <= 30; i++) {
+        m.bblx_message_u.admission_request.number = i;
+        bbl_control_step(h.control, h.now, 3, &m);
+    }
+    bbl_control_get_status(h.control, h.now, &s);
+    ck_assert_uint_eq(s.quota_granted, 10);
+    close_host(&h);
+}
+END_TEST
+
 START_TEST(an_entry_host_sends_to_the_grantor_that_it_chose)
 {
     bblx_message m = make_request(9, BBLX_ADMISSION_QUOTA);
@@ -239,6 +261,7 @@
     tcase_add_test(tc, a_grantor_answers_and_takes_tokens_back);
     tcase_add_test(tc, a_request_for_load_is_admitted);
     tcase_add_test(tc, a_host_that_is_no_grantor_does_not_answer);
+    tcase_add_test(tc, a_new_grantor_begins_like_a_restarted_one);
     tcase_add_test(tc, an_entry_host_sends_to_the_grantor_that_it_chose);
     tcase_add_test(tc, a_grantor_answers_itself);
     suite_add_tcase(suite, tc);
