Sanitizers also run the tests of quotas

Cause: they found memmove with a null pointer and size 0 in the list of open requests.

Change: nothing is moved if nothing is forgotten.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -23,11 +23,13 @@
     for name in util lists journal gather routing platform http_message \
         forward_policy forwarder forward_schedules rate_limit permit_book repeated_crashes crash_ledger mesh searcher_client edge \
         backend_link voter_plan control_join publisher rows lost_links operator_api \
-        key_index caller_identity organisations delegation_field gateway; do
+        key_index caller_identity organisations delegation_field gateway \
+        admission admission_messages quota; do
         "$build/tests/test_$name" >>"$log" 2>&1 || failed=1
     done
     RC_PARAMS="seed=1 max_success=60" "$build/tests/property_control" >>"$log" 2>&1 || failed=1
     RC_PARAMS="seed=1 max_success=300" "$build/tests/property_traffic" >>"$log" 2>&1 || failed=1
+    RC_PARAMS="seed=1 max_success=60" "$build/tests/property_quota" >>"$log" 2>&1 || failed=1
 fi
 export TSAN_OPTIONS="log_path=$PWD/out/tsan exitcode=66 suppressions=$PWD/scripts/tsan.supp"
 export ASAN_OPTIONS="log_path=$PWD/out/asan"
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -563,6 +563,9 @@
         free(r);
         old++;
     }
+    if (old == 0) {
+        return;
+    }
     v->size -= old;
     memmove(v->ptr, (open_request **)v->ptr + old, v->size * v->item_size);
 }
