Admission: bounded time over several hosts, and true waits of small limits

Cause: a query that several hosts cannot admit could be held for longer than a fifth of its target; one that no peer takes was refused although grantors were left; and the wait of a rate of 0.1 a second was cut to 10 s.

Change: a query that comes back from another host gets no first try beyond that time, a failed delegation goes on with the grantors that are left, and the longest stated wait is a parameter, 600 s for quotas.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -80,7 +80,7 @@
     /* Once a grantor has refused, another host would be refused as well. */
     bool is_last = f->last_host || s->refused != 0;
 
-    return s->asked == 0 ||
+    return (s->asked == 0 && !f->passed_on) ||
            f->now < f->arrived_at + f->target / (is_last ? WAIT_DIVISOR
                                                          : OWN_WAIT_DIVISOR);
 }
@@ -115,6 +115,8 @@
     }
     out->action = s->refused != 0 ? BBL_ADMIT_REFUSE : BBL_ADMIT_UNANSWERED;
     out->retry_after = s->wait;
+    out->may_delegate =
+        !f->last_host && f->now < f->arrived_at + f->target / WAIT_DIVISOR;
     return true;
 }
 
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -45,6 +45,7 @@
     bbl_usec arrived_at; /* at the first host that received it */
     bbl_usec target;     /* latency target of the route */
     bool last_host;      /* no other host can be asked to run it */
+    bool passed_on;      /* another host was asked, and could not */
     unsigned grantors;   /* number of grantors known */
     unsigned silent;     /* set of those that do not answer */
     bbl_admit_subject_facts subjects[BBL_ADMIT_SUBJECTS];
@@ -64,6 +65,8 @@
     unsigned grantor;     /* position; BBL_ADMIT_ASK only */
     bbl_usec until;       /* BBL_ADMIT_AWAIT and BBL_ADMIT_ASK */
     bbl_usec retry_after; /* BBL_ADMIT_REFUSE only */
+    /* BBL_ADMIT_UNANSWERED: whether there is time left for another host. */
+    bool may_delegate;
     /* Whether the grantor asked last has not answered in time. */
     bool timed_out;
 } bbl_admit_decision;
--- a/src/admission/quota_book.c
+++ b/src/admission/quota_book.c
@@ -25,6 +25,9 @@
  * later ones should not be told to wait for long after it has stopped.
  */
 #define EXPECTED_SECONDS 0.5
+/* Longest wait that is stated. With a rate of 0.1 a second the next token may
+ * be 50 s away. */
+#define WAIT_MAX_US (600 * BBL_USEC_PER_SEC)
 /* Buckets above which those that are full are freed: a new one is the same. */
 #define BUCKETS_MAX 16384
 
@@ -239,7 +242,7 @@
     }
     /* A host asks for no organisation without a limit. */
     if (grantors == 0 || !(q->rate > 0) || !(q->burst >= 0)) {
-        *out = (bbl_quota_answer){false, BBL_SHARE_WAIT_MAX_US, 0};
+        *out = (bbl_quota_answer){false, WAIT_MAX_US, 0};
         return;
     }
     b = get_bucket(book, now, grantors, q);
@@ -251,7 +254,8 @@
         book->granted++;
         return;
     }
-    out->wait_us = bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens);
+    out->wait_us =
+        bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens, WAIT_MAX_US);
     /* All grantors refuse the request, and it comes back to one of them. */
     b->share.expected =
         fmin(b->share.expected + 1.0 / grantors,
--- a/src/admission/share_bucket.c
+++ b/src/admission/share_bucket.c
@@ -48,10 +48,10 @@
 }
 
 uint32_t
-bbl_share_bucket_get_wait(const bbl_share_bucket *b, double missing)
+bbl_share_bucket_get_wait(const bbl_share_bucket *b, double missing,
+                          uint32_t max)
 {
     double seconds = (missing + b->expected) / b->rate;
 
-    return 1 +
-           (uint32_t)fmin(seconds * BBL_USEC_PER_SEC, BBL_SHARE_WAIT_MAX_US);
+    return 1 + (uint32_t)fmin(seconds * BBL_USEC_PER_SEC, max);
 }
--- a/src/admission/share_bucket.h
+++ b/src/admission/share_bucket.h
@@ -8,9 +8,6 @@
 
 #include "bbl/types.h"
 
-/* Longest time to which a refused request is told to wait. */
-#define BBL_SHARE_WAIT_MAX_US (10 * BBL_USEC_PER_SEC)
-
 typedef struct {
     double rate;     /* of this grantor, tokens per second */
     double capacity; /* tokens of an unused bucket */
@@ -53,9 +50,10 @@
 
 /*
  * Returns the time until the bucket has earned `missing` tokens besides those
- * that earlier refused requests will come back for, microseconds; at least 1.
+ * that earlier refused requests will come back for, microseconds; at least 1
+ * and at most `max` + 1.
  */
 uint32_t bbl_share_bucket_get_wait(const bbl_share_bucket *bucket,
-                                   double missing);
+                                   double missing, uint32_t max);
 
 #endif
--- a/src/control/permit_book.c
+++ b/src/control/permit_book.c
@@ -30,6 +30,8 @@
  * one may have been restarted, and its predecessor may just have given one.
  */
 #define NEW_BOOK_US (6 * BBL_USEC_PER_SEC)
+/* Longest time to which a refused caller is told to wait. */
+#define WAIT_MAX_US (10 * BBL_USEC_PER_SEC)
 #define BUCKETS_MAX 16384
 #define IDLE_BUCKET_US (60 * BBL_USEC_PER_SEC)
 
@@ -156,7 +158,7 @@
     else if (b->reserved >= 1) {
         missing += 1; /* the next token is for a less urgent request */
     }
-    return bbl_share_bucket_get_wait(&b->share, missing);
+    return bbl_share_bucket_get_wait(&b->share, missing, WAIT_MAX_US);
 }
 
 /* Returns the number of items in the group that begins at `first`. */
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -240,6 +240,7 @@
     out->arrived_at = q->request.arrived_at;
     out->target = q->route->target_latency_ms * BBL_USEC_PER_MS;
     out->last_host = !bbl_query_may_delegate(f, now, q);
+    out->passed_on = q->delegations > 0;
     out->grantors = f->asks.grantor_count;
     for (unsigned i = 0; i < f->asks.grantor_count; i++) {
         out->silent |= (unsigned)(now < f->asks.grantors[i].silent_until) << i;
@@ -352,6 +353,15 @@
     if (d.timed_out) {
         mark_silent(f, now, &q->admission[d.subject]);
     }
+    if (d.action == BBL_ADMIT_UNANSWERED && !facts.last_host) {
+        if (d.may_delegate &&
+            bbl_query_delegate(f, now, q, BBL_DELEGATE_UNADMITTED)) {
+            return BBL_ADMISSION_WAITS;
+        }
+        facts.last_host = true; /* no peer takes it now */
+        facts.subjects[d.subject].awaits_reply = false;
+        bbl_admit_decide(&d, &facts);
+    }
     switch (d.action) {
     case BBL_ADMIT_RUN:
         return BBL_ADMISSION_DONE;
@@ -364,9 +374,6 @@
         refuse(f, now, q, d.retry_after);
         return BBL_ADMISSION_FINISHED;
     case BBL_ADMIT_UNANSWERED:
-        if (bbl_query_delegate(f, now, q, BBL_DELEGATE_UNADMITTED)) {
-            return BBL_ADMISSION_WAITS;
-        }
         bbl_query_fail(f, now, q, BBL_FORWARD_UNADMITTED,
                        BBL_STATUS_UNAVAILABLE);
         return BBL_ADMISSION_FINISHED;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -167,6 +167,7 @@
     s->asked_again = true;
     s->asked_at = ARRIVED + 20 * MS;
     ck_assert_int_eq(decide(&f).action, BBL_ADMIT_UNANSWERED);
+    ck_assert(decide(&f).may_delegate);
     /* With no other host it goes on, for a fifth of the target. */
     f.last_host = true;
     ck_assert_int_eq(decide(&f).action, BBL_ADMIT_ASK);
@@ -175,7 +176,14 @@
     s->asked = 7 << 2;
     s->asked_at = ARRIVED + 40 * MS;
     ck_assert_int_eq(decide(&f).action, BBL_ADMIT_UNANSWERED);
-    /* So does one that is silent everywhere: no time is lost. */
+    ck_assert(!decide(&f).may_delegate);
+    /* A query that comes back from another host has no first try left. */
+    f = new_facts();
+    f.now += 61 * MS;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_ASK);
+    f.passed_on = true;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_UNANSWERED);
+    /* If all grantors are silent no time is lost. */
     f = new_facts();
     f.silent = 0x1f;
     ck_assert_int_eq(decide(&f).action, BBL_ADMIT_UNANSWERED);
@@ -277,7 +285,10 @@
 
     init_grantor(&g, 0);
     ck_assert_uint_eq(take_all(&g, 1000 * SEC, 1, 0.1, 0), 1);
-    ck_assert_uint_le(g.wait_us, BBL_SHARE_WAIT_MAX_US + 1);
+    /* A token in 50 s; an unused bucket holds 1.6, of which 0.6 are left. */
+    ck_assert_uint_ge(g.wait_us, 19 * SEC);
+    ck_assert(!take(&g, 1019 * SEC, 1, 0.1, 0));
+    ck_assert(take(&g, 1000 * SEC + 20001 * MS, 1, 0.1, 0));
     bbl_quota_book_free(&g.book);
 }
 END_TEST
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -336,6 +336,7 @@
 typedef struct {
     bbl_delegation *open;
     bbl_delegated delegated;
+    bool refuses; /* has no connection left */
     bool cancelled;
 } peer;
 
@@ -348,7 +349,7 @@
     (void)sim;
     p->open = d;
     p->delegated = r->delegated;
-    return 0;
+    return p->refuses ? -1 : 0;
 }
 
 static bool
@@ -448,6 +449,28 @@
 }
 END_TEST
 
+/* The grantor that is left must not be given up for a host that is not. */
+START_TEST(without_another_host_all_grantors_are_asked)
+{
+    quota_fleet f;
+    peer p;
+
+    quota_fleet_init(&f, 1, 1, 10, 10);
+    connect_peers(&f, &p);
+    p.refuses = true;
+    f.cut[0][3] = false;
+    f.cut[0][4] = false;
+    quota_fleet_run(&f, 10 * SEC);
+    /* Three in a row may be cut off, and a fifth of the target is enough for
+     * as many; later queries find the rest. */
+    send_and_wait(&f, 0, HOT);
+    for (int i = 0; i < 4; i++) {
+        ck_assert_uint_eq(send_and_wait(&f, 0, HOT)->status, 200);
+    }
+    quota_fleet_free(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -465,6 +488,7 @@
     tcase_add_test(tc, a_request_takes_one_token);
     tcase_add_test(tc, a_frozen_host_uses_no_old_token);
     tcase_add_test(tc, a_host_without_grantors_lets_another_one_ask);
+    tcase_add_test(tc, without_another_host_all_grantors_are_asked);
     tcase_add_test(tc, a_query_that_no_host_can_admit_is_refused_as_not_run);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
