--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -6,8 +6,9 @@
 #ifndef BBL_CONTROL_CORE_H
 #define BBL_CONTROL_CORE_H
 
-#include "control/permit_book.h"
+#include "admission/quota_book.h"
 #include "control/control.h"
+#include "control/permit_book.h"
 
 #define BBL_HEARTBEAT_TIMES 64 /* heartbeats whose send time is stored */
 
@@ -113,6 +114,9 @@
     bbl_map silent_grantors; /* host -> bbl_usec, silent until then */
     size_t next_grantor;
 
+    bbl_quota_book quotas; /* shares that this host grants */
+    bool was_no_grantor;   /* when that was last checked */
+
     uint64_t heartbeats_sent;
     uint64_t heartbeats_relayed;
     uint64_t feeds_sent;
@@ -158,6 +162,17 @@
 void bbl_permits_init(bbl_control *c);
 void bbl_permits_free(bbl_control *c);
 
+/*
+ * Fills the voters that grant permits and admission: those with the lowest
+ * host ids, so that all hosts agree on them. Returns their number.
+ */
+unsigned
+bbl_permits_find_grantors(const bbl_control *c,
+                          const bblx_voter *out[BBL_PERMIT_GRANTORS_MAX]);
+
+/* Returns whether this host is one of them. */
+bool bbl_permits_is_grantor(const bbl_control *c);
+
 /* Answers a request for permits, if this host grants them. */
 void bbl_permits_receive_request(bbl_control *c, uint32_t from,
                                  const bblx_permit_request *r);
@@ -182,6 +197,18 @@
 /* Lets the reports of health be sent, unless some were sent just before. */
 void bbl_health_flush(bbl_control *c);
 
+/* ---- admissions.c ---- */
+
+void bbl_admissions_init(bbl_control *c);
+void bbl_admissions_free(bbl_control *c);
+
+/* Notes whether this host is a grantor. */
+void bbl_admissions_tick(bbl_control *c);
+
+/* Processes a message about the admission of a query. */
+void bbl_admissions_receive(bbl_control *c, uint32_t from,
+                            const bblx_message *m);
+
 /* ---- feed.c ---- */
 
 /* Sends each child the entries and rows that it lacks. */
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -118,6 +118,24 @@
                                "first attempts moved by what hosts tell of "
                                "servers",
                                c->parts_moved);
+    bbl_metrics_append_counter(out, "admission_requests_total",
+                               "requests to grantors for admission",
+                               c->admission_requests);
+    bbl_metrics_append_counter(out, "admission_replies_total",
+                               "replies of grantors to these",
+                               c->admission_replies);
+    bbl_metrics_append_counter(out, "admission_refusals_total",
+                               "replies that did not admit the request",
+                               c->admission_refusals);
+    bbl_metrics_append_counter(out, "admission_timeouts_total",
+                               "requests that were not answered in time",
+                               c->admission_timeouts);
+    bbl_metrics_append_counter(out, "admission_returns_total",
+                               "tokens returned unused", c->admission_returns);
+    bbl_metrics_append_counter(out, "quota_refused_locally_total",
+                               "requests over the limit of an organisation "
+                               "refused without asking a grantor",
+                               c->quota_refused_locally);
     bbl_metrics_append_counter(out, "delegations_total",
                                "requests passed on to another entry host",
                                c->delegations);
@@ -177,6 +195,15 @@
     bbl_metrics_append_counter(out, "permits_withheld_total",
                                "servers for which no permit was granted",
                                s->permits_withheld);
+    bbl_metrics_append_counter(out, "quota_granted_total",
+                               "requests of organisations admitted",
+                               s->quota_granted);
+    bbl_metrics_append_counter(out, "quota_refused_total",
+                               "requests over the limit of an organisation",
+                               s->quota_refused);
+    bbl_metrics_append_counter(out, "quota_returned_total",
+                               "admitted requests that did not run",
+                               s->quota_returned);
     bbl_metrics_append_counter(out, "feeds_received_total",
                                "feeds from the parent", s->feeds_received);
     bbl_metrics_append_counter(out, "feeds_ignored_total",
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -25,7 +25,7 @@
     bbl_usec list_read_at;
     uint64_t peers; /* hash of the peers */
     unsigned entry_hosts;
-    unsigned grantors;
+    uint64_t grantors; /* hash of the grantors */
     uint64_t routing_version;
     bool routing_refused; /* this version is invalid */
 } publication_marks;
@@ -178,8 +178,25 @@
     u->crash_count = crashes.size;
     u->health = health.ptr;
     u->health_count = health.size;
-    u->grantors = bbl_control_count_grantors(p->options.control);
-    p->marks.grantors = u->grantors;
+}
+
+/* Fills the hosts that grant permits and admission. */
+static void
+fill_grantors(bbl_publisher *p, bbl_forward_update *u)
+{
+    bbl_control_grantor known[BBL_PERMIT_GRANTORS_MAX];
+    unsigned count = bbl_control_get_grantors(known, p->options.control);
+
+    p->marks.grantors = 0;
+    u->grantors = count;
+    u->has_grantors = true;
+    u->listed_grantor_count = count;
+    for (unsigned i = 0; i < count; i++) {
+        u->listed_grantors[i] =
+            (bbl_listed_grantor){known[i].host, known[i].near};
+        p->marks.grantors = bbl_hash(&known[i].host, sizeof(known[i].host),
+                                     p->marks.grantors + known[i].near);
+    }
 }
 
 /*
@@ -313,6 +330,7 @@
         fill_routing(p, u);
         fill_changed_backends(p, u);
         fill_observations(p, u);
+        fill_grantors(p, u);
         fill_peers(p, u);
     }
     p->marks.revision = revision;
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -277,6 +277,10 @@
         apply_crashes(f, now, u);
         bbl_forwarder_apply_health(f, now, u->health, u->health_count);
     }
+    if (u->has_grantors) {
+        bbl_admission_asks_set_grantors(&f->asks, u->listed_grantors,
+                                        u->listed_grantor_count);
+    }
     if (u->has_peers) {
         bbl_peers_update(&f->peers, u->peers, u->peer_count);
     }
--- a/tests/support/forward_fleet.c
+++ b/tests/support/forward_fleet.c
@@ -406,8 +406,12 @@
 forward_fleet_new(unsigned hosts)
 {
     forward_fleet *f = bbl_calloc(1, sizeof(*f));
-    forward_sim_control control = {on_publish_limit, on_request_permits,
-                                   on_publish_crash, on_publish_health, f};
+    forward_sim_control control = {on_publish_limit,
+                                   on_request_permits,
+                                   on_publish_crash,
+                                   on_publish_health,
+                                   NULL,
+                                   f};
 
     f->cut = bbl_calloc(hosts, sizeof(*f->cut));
     f->broken = bbl_calloc(hosts, sizeof(*f->broken));
