Quotas: the log of refusals states the limit

An operator who reads BBL5005 had to look the limit up in the routing of that time. The event gives rate and burst as well.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -651,9 +651,11 @@
 log_quota(void *ctx, const bbl_quota_record *r)
 {
     (void)ctx;
-    bbl_log(BBL_EV_OVER_QUOTA, "org=%.*s refused=%u asked=%u in_ms=%llu",
-            (int)r->organisation.size, r->organisation.ptr, r->refused,
-            r->asked, (unsigned long long)(r->in / BBL_USEC_PER_MS));
+    bbl_log(BBL_EV_OVER_QUOTA,
+            "org=%.*s per_s=%.3f burst=%.1f refused=%u asked=%u in_ms=%llu",
+            (int)r->organisation.size, r->organisation.ptr, r->rate_per_s,
+            r->burst, r->refused, r->asked,
+            (unsigned long long)(r->in / BBL_USEC_PER_MS));
 }
 
 static void
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -168,7 +168,10 @@
 report_refusals(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
                 local_limit *l)
 {
-    bbl_quota_record r = {q->organisation->name, l->unreported,
+    bbl_quota_record r = {q->organisation->name,
+                          q->organisation->rate_per_s,
+                          q->organisation->burst,
+                          l->unreported,
                           l->unreported_asked,
                           l->reported_at != 0 ? now - l->reported_at : 0};
 
--- a/src/forward/admission_ask.h
+++ b/src/forward/admission_ask.h
@@ -56,6 +56,8 @@
 /* What this host has refused of one organisation, for the log. */
 typedef struct {
     bbl_str organisation;
+    double rate_per_s; /* its limit, over all hosts */
+    double burst;
     unsigned refused; /* since the last such report */
     unsigned asked;   /* of these, after grantors were asked */
     bbl_usec in;      /* time since that report; 0 for the first one */
