Admission: load pressure that a host sees

Cause: a host sends one or two queries a second and has to notice at once that the whole fleet is overloaded.

Hedges and retries fall with the refused share.

--- /dev/null
+++ b/src/admission/pressure.h
@@ -0,0 +1,53 @@
+/*
+ * pressure.h - the load pressure that one host sees at a set of shards.
+ *
+ * Load pattern: callers bring several times the usual work to servers with
+ * short queues. A sharded query touches every shard, so the share of its parts
+ * that servers refuse tells how loaded the whole fleet is, also to a host that
+ * sends one or two queries a second.
+ */
+#ifndef BBL_ADMISSION_PRESSURE_H
+#define BBL_ADMISSION_PRESSURE_H
+
+#include "bbl/types.h"
+
+typedef struct {
+    uint32_t sent;
+    uint32_t refused;
+} bbl_pressure_window;
+
+/* Zero-initialized. */
+typedef struct {
+    bbl_pressure_window current;
+    bbl_pressure_window previous;
+    bbl_usec started_at; /* of the current window */
+    bbl_usec sent_at;    /* when the last part was sent */
+    bbl_usec active_until;
+} bbl_pressure;
+
+/*
+ * Records parts that were sent, and parts that servers have refused.
+ *
+ * @return whether pressure has just begun
+ */
+bool bbl_pressure_record(bbl_pressure *pressure, bbl_usec now, uint32_t sent,
+                         uint32_t refused);
+
+/* Lets the pressure last until `until` at least, as a grantor has said. */
+void bbl_pressure_extend(bbl_pressure *pressure, bbl_usec until);
+
+/* Returns whether queries are to ask for admission. */
+bool bbl_pressure_is_active(const bbl_pressure *pressure, bbl_usec now);
+
+/* Returns the share of the recent parts that servers refused, 0 to 1. */
+double bbl_pressure_get_refused_share(const bbl_pressure *pressure,
+                                      bbl_usec now);
+
+/*
+ * Returns the share of its budget that a host may use for hedges and retries,
+ * 0 to 1: 1 without pressure.
+ */
+double bbl_pressure_get_extra_share(const bbl_pressure *pressure,
+                                    bbl_usec now);
+
+#endif
--- /dev/null
+++ b/tests/test_pressure.c
@@ -0,0 +1,85 @@
+#include <check.h>
+
+#include "admission/pressure.h"
+#include "support/run.h"
+
+#define MS BBL_USEC_PER_MS
+#define SEC BBL_USEC_PER_SEC
+
+/* Guards against queries that ask in calm operation. */
+START_TEST(few_refusals_are_no_pressure)
+{
+    bbl_pressure p = {.sent_at = 0};
+
+    /* One of 90 parts in each query, as a server that restarts does. */
+    for (bbl_usec now = SEC; now < 20 * SEC; now += 300 * MS) {
+        ck_assert(!bbl_pressure_record(&p, now, 90, 0));
+        ck_assert(!bbl_pressure_record(&p, now + 2 * MS, 0, 1));
+    }
+    ck_assert(bbl_pressure_get_extra_share(&p, 20 * SEC) == 1);
+}
+END_TEST
+
+/* A host with one query in two seconds has to see the pressure at once. */
+START_TEST(pressure_begins_with_one_query_and_ends_by_itself)
+{
+    bbl_pressure p = {.sent_at = 0};
+
+    bbl_pressure_record(&p, SEC, 90, 0);
+    ck_assert(!bbl_pressure_record(&p, SEC, 0, 1));
+    ck_assert(bbl_pressure_record(&p, SEC, 0, 1));
+    ck_assert(!bbl_pressure_record(&p, SEC, 0, 1)); /* it had begun */
+    ck_assert(bbl_pressure_is_active(&p, 2 * SEC));
+    ck_assert(!bbl_pressure_is_active(&p, 10 * SEC));
+    bbl_pressure_extend(&p, 12 * SEC); /* a grantor says so */
+    bbl_pressure_extend(&p, 11 * SEC);
+    ck_assert(bbl_pressure_is_active(&p, 11 * SEC));
+    ck_assert(bbl_pressure_get_extra_share(&p, 11 * SEC) == 1);
+}
+END_TEST
+
+/* Routes with few shards need several queries; two parts tell nothing. */
+START_TEST(a_few_parts_tell_nothing)
+{
+    bbl_pressure p = {.sent_at = 0};
+
+    for (unsigned i = 1; i <= 4; i++) {
+        bbl_pressure_record(&p, SEC + i * 400 * MS, 20, 0);
+        ck_assert(!bbl_pressure_record(&p, SEC + i * 400 * MS, 0, 2));
+    }
+    bbl_pressure_record(&p, 3 * SEC, 20, 0);
+    ck_assert(bbl_pressure_record(&p, 3 * SEC, 0, 1));
+}
+END_TEST
+
+/* Guards against hedges and retries that add to an overload. */
+START_TEST(extra_attempts_fall_with_the_refused_share)
+{
+    double before = 1;
+
+    for (unsigned refused = 3; refused <= 90; refused += 3) {
+        bbl_pressure p = {.sent_at = 0};
+        double share;
+
+        bbl_pressure_record(&p, SEC, 90, refused);
+        share = bbl_pressure_get_extra_share(&p, SEC);
+        ck_assert(share < before || share == 0);
+        before = share;
+    }
+    ck_assert(before == 0);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("pressure");
+    TCase *tc = tcase_create("pressure");
+
+    tcase_add_test(tc, few_refusals_are_no_pressure);
+    tcase_add_test(tc, pressure_begins_with_one_query_and_ends_by_itself);
+    tcase_add_test(tc, a_few_parts_tell_nothing);
+    tcase_add_test(tc, extra_attempts_fall_with_the_refused_share);
+    suite_add_tcase(suite, tc);
+    return run_suite(suite);
+}
