--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -41,6 +41,7 @@
                            const bbl_memory_account *memory)
 {
     const bbl_forward_counters *c = bbl_forwarder_get_counters(f);
+    const bbl_routing *routing = bbl_forwarder_get_routing(f);
 
     bbl_buf_append_cstr(out,
                         "# HELP " PREFIX
@@ -56,6 +57,9 @@
                  (double)bbl_forwarder_count_open(f));
     append_gauge(out, "routing_version", "version of the routing in force",
                  (double)bbl_forwarder_get_routing_version(f));
+    append_gauge(out, "organisation_keys",
+                 "keys of callers in the routing in force; 0: none is needed",
+                 routing != NULL ? (double)bbl_routing_key_count(routing) : 0);
     append_gauge(out, "servers_usable", "backend servers that may get work",
                  bbl_forwarder_get_reach(f)->usable);
     append_gauge(out, "servers_unreachable",
@@ -104,6 +108,25 @@
     bbl_metrics_append_counter(out, "permits_refused_total",
                                "servers for which no permit was left",
                                c->permits_refused);
+    bbl_metrics_append_counter(out, "admission_requests_total",
+                               "requests to grantors for admission",
+                               c->admission_requests);
+    bbl_metrics_append_counter(out, "admission_replies_total",
+                               "replies of grantors to these",
+                               c->admission_replies);
+    bbl_metrics_append_counter(out, "admission_refusals_total",
+                               "replies that did not admit the request",
+                               c->admission_refusals);
+    bbl_metrics_append_counter(out, "admission_timeouts_total",
+                               "requests that were not answered in time",
+                               c->admission_timeouts);
+    bbl_metrics_append_counter(out, "admission_returns_total",
+                               "tokens returned unused",
+                               c->admission_returns);
+    bbl_metrics_append_counter(out, "quota_refused_locally_total",
+                               "requests over the limit of an organisation "
+                               "refused without asking a grantor",
+                               c->quota_refused_locally);
     bbl_metrics_append_counter(out, "delegations_total",
                                "requests passed on to another entry host",
                                c->delegations);
@@ -163,6 +186,15 @@
     bbl_metrics_append_counter(out, "permits_withheld_total",
                                "servers for which no permit was granted",
                                s->permits_withheld);
+    bbl_metrics_append_counter(out, "quota_granted_total",
+                               "requests of organisations admitted",
+                               s->quota_granted);
+    bbl_metrics_append_counter(out, "quota_refused_total",
+                               "requests over the limit of an organisation",
+                               s->quota_refused);
+    bbl_metrics_append_counter(out, "quota_returned_total",
+                               "admitted requests that did not run",
+                               s->quota_returned);
     bbl_metrics_append_counter(out, "feeds_received_total",
                                "feeds from the parent", s->feeds_received);
     bbl_metrics_append_counter(out, "feeds_ignored_total",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -48,7 +48,7 @@
  * that the last answers are still written. */
 #define EXIT_MARGIN_US (750 * BBL_USEC_PER_MS)
 /* Bytes that a delegating host adds to the header of a request. */
-#define DELEGATED_HEADER_BYTES 512
+#define DELEGATED_HEADER_BYTES 1024
 /* Connections from this host to one other entry host. */
 #define PEER_CONNECTIONS_MAX 256
 #define FLUSH_US (150 * BBL_USEC_PER_MS)
@@ -65,7 +65,8 @@
     bbl_loop *loop;
     /* The update that the traffic thread has not taken yet, by ck_pr. */
     bbl_forward_update *update;
-    bbl_mailbox permits; /* bbl_permit_reply * */
+    bbl_mailbox permits;    /* bbl_permit_reply * */
+    bbl_mailbox admissions; /* bbl_admission_notice * */
     bbl_mailbox *notices;
     bbl_edge *caller_edge;
     bbl_edge *peer_edge; /* delegated queries of other hosts; may be NULL */
@@ -81,6 +82,7 @@
     bbl_buf request_head;
     bbl_str request_id;
     bbl_buf scratch_fields;
+    bool had_organisations; /* the routing that was in use before */
     /* Whether the connection limits of the servers may have changed. */
     bool resize_links;
     bbl_usec next_service_at;
@@ -145,7 +147,8 @@
  * every shard.
  */
 static void
-render_request_head(bbl_gateway *g, const bbl_edge_call *call)
+render_request_head(bbl_gateway *g, const bbl_edge_call *call,
+                    const bbl_identity_fields *identity)
 {
     const bbl_http_message *m = call->message;
     bbl_buf *out = &g->request_head;
@@ -167,10 +170,14 @@
 
         if (!bbl_http_is_hop_by_hop(m, h->name) &&
             !g->dialect->is_own_field(h->name) &&
+            !(identity->replaced && g->dialect->is_identity_field(h->name)) &&
             !bbl_delegation_is_field(h->name)) {
             append_field(out, h);
         }
     }
+    if (identity->organisation.size > 0) {
+        g->dialect->append_organisation(out, identity->organisation);
+    }
     if (m->body.size > 0 ||
         bbl_http_message_field_count(m, "Content-Length") > 0) {
         bbl_buf_printf(out, "Content-Length: %zu\r\n", m->body.size);
@@ -188,7 +195,7 @@
     bbl_usec now = bbl_clock_now();
     int error;
 
-    render_request_head(g, call);
+    render_request_head(g, call, &request->identity);
     bbl_buf_clear(&g->scratch_fields);
     g->dialect->append_attempt_fields(&g->scratch_fields,
                                       request->time_left_ms,
@@ -269,7 +276,7 @@
     int error;
 
     delegated.host = g->options->control_address.ip;
-    render_request_head(g, call);
+    render_request_head(g, call, &request->identity);
     bbl_buf_clear(&g->scratch_fields);
     g->dialect->append_attempt_fields(&g->scratch_fields,
                                       request->time_left_ms, (bbl_str){"", 0});
@@ -403,7 +410,7 @@
         "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
         "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
         "usable=%u server=%s fingerprint=%016llx delegate=%u "
-        "delegated_by=%u detail=\"%s\"",
+        "delegated_by=%u org=%.*s detail=\"%s\"",
         (int)r->request_id.size, r->request_id.ptr,
         bbl_forward_reason_name(r->reason), r->status,
         r->route ? (int)r->route->name.size : 0,
@@ -417,7 +424,8 @@
         r->usable_servers,
         r->service.size > 0 ? bbl_backend_state_name(r->unusable_state) : "",
         (unsigned long long)r->fingerprint, r->delegate, r->delegated_by,
-        detail);
+        (int)r->organisation.size,
+        r->organisation.ptr ? r->organisation.ptr : "", detail);
 }
 
 static void
@@ -442,6 +450,26 @@
             (unsigned long long)version, (unsigned long long)current);
 }
 
+/* Logs how many organisations are in force, if there are or were any. */
+static void
+log_organisations(bbl_gateway *g)
+{
+    const bbl_routing *r = bbl_forwarder_get_routing(g->forwarder);
+    bool any = bbl_routing_has_organisations(r);
+    size_t count = 0;
+
+    while (bbl_routing_organisation(r, count) != NULL) {
+        count++;
+    }
+    if (any || g->had_organisations) {
+        bbl_log(BBL_EV_ORGANISATIONS,
+                "version=%llu organisations=%zu keys=%zu",
+                (unsigned long long)bbl_routing_version(r), count,
+                bbl_routing_key_count(r));
+    }
+    g->had_organisations = any;
+}
+
 static void
 on_routing_activated(void *ctx, uint64_t version, bbl_usec waited)
 {
@@ -451,6 +479,7 @@
     bbl_log(BBL_EV_ROUTING_IN_USE, "version=%llu held_ms=%llu",
             (unsigned long long)version,
             (unsigned long long)(waited / BBL_USEC_PER_MS));
+    log_organisations(g);
     bbl_edge_set_limits(g->caller_edge, limits);
     if (g->peer_edge != NULL) {
         bbl_caller_limits peer_limits = *limits;
@@ -587,6 +616,21 @@
     send_notice(ctx, bbl_notice_new_permit_request(request));
 }
 
+static void
+send_admission(void *ctx, uint32_t grantor, const bblx_message *message)
+{
+    send_notice(ctx, bbl_notice_new_admission(grantor, message));
+}
+
+static void
+log_quota(void *ctx, const bbl_quota_record *r)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_OVER_QUOTA, "org=%.*s refused=%u asked=%u in_ms=%llu",
+            (int)r->organisation.size, r->organisation.ptr, r->refused,
+            r->asked, (unsigned long long)(r->in / BBL_USEC_PER_MS));
+}
+
 static void
 on_backend_connect(void *ctx, void *owner, bool ok, bbl_usec took)
 {
@@ -669,6 +713,8 @@
     r->time_left_ms = head.time_left_ms;
     r->arrived_at = call->received_at;
     r->round_trip = call->round_trip;
+    r->key = head.key;
+    r->key_count = head.key_count;
 }
 
 static void
@@ -791,6 +837,7 @@
 {
     bbl_forward_update *u;
     bbl_permit_reply *reply;
+    bbl_admission_notice *admission;
     /* Read before the update, which was sent before it was set. */
     bbl_usec confirmed_until = ck_pr_load_64(&g->routing_confirmed_until);
 
@@ -807,6 +854,11 @@
         bbl_forwarder_receive_permits(g->forwarder, bbl_clock_now(), reply);
         bbl_permit_reply_free(reply);
     }
+    while ((admission = bbl_mailbox_dequeue(&g->admissions)) != NULL) {
+        bbl_forwarder_receive_admission(g->forwarder, bbl_clock_now(),
+                                        admission->grantor, &admission->reply);
+        free(admission);
+    }
     if (g->resize_links) {
         g->resize_links = false;
         bbl_forwarder_each_backend(g->forwarder, g, set_link_limit);
@@ -940,7 +992,10 @@
     f.port.request_barred = on_request_barred;
     f.port.publish_rate_limit = publish_rate_limit;
     f.port.request_permits = request_permits;
+    f.port.send_admission = send_admission;
+    f.port.report_quota = log_quota;
     f.permit_ttl = BBL_PERMIT_TTL_US;
+    f.token_time = bbl_quota_get_token_time(&o->quota_limits);
     f.port.ctx = g;
     return bbl_forwarder_new(&g->forwarder, &f);
 }
@@ -1044,6 +1099,9 @@
     if (error == 0) {
         error = bbl_mailbox_init(&g->permits, g->loop, MAILBOX_SLOTS);
     }
+    if (error == 0) {
+        error = bbl_mailbox_init(&g->admissions, g->loop, MAILBOX_SLOTS);
+    }
     if (error == 0) {
         error = open_forwarder(g, seed);
     }
@@ -1098,6 +1156,18 @@
     }
 }
 
+void
+bbl_gateway_send_admission(bbl_gateway *g, uint32_t grantor,
+                           const bblx_admission_reply *reply)
+{
+    bbl_admission_notice *n = bbl_calloc(1, sizeof(*n));
+
+    *n = (bbl_admission_notice){grantor, *reply};
+    if (!bbl_mailbox_enqueue(&g->admissions, n)) {
+        free(n);
+    }
+}
+
 void
 bbl_gateway_confirm_routing(bbl_gateway *g, bbl_usec until)
 {
@@ -1152,6 +1222,7 @@
     bbl_memory_account_free(g->memory);
     bbl_forward_update_free(g->update);
     bbl_mailbox_free(&g->permits, free_permits);
+    bbl_mailbox_free(&g->admissions, free);
     bbl_loop_free(g->loop);
     bbl_buf_free(&g->request_head);
     bbl_buf_free(&g->scratch_fields);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bbl/errors.h"
+#include "forward/caller_identity.h"
 #include "forward/drain_plan.h"
 #include "forward/hedge.h"
 #include "util/alloc.h"
@@ -49,10 +50,10 @@
 bbl_forward_reason_name(bbl_forward_reason reason)
 {
     static const char *const names[BBL_FORWARD_REASONS] = {
-        "ok",       "partial",     "failed",      "no-routing",
-        "no-route", "unconfirmed", "unavailable", "busy",
-        "broken",   "timeout",     "left",        "overload",
-        "expired",  "limited",     "crashes",     "draining",
+        "ok",          "partial",      "failed",  "no-routing", "no-route",
+        "unconfirmed", "unavailable",  "busy",    "broken",     "timeout",
+        "left",        "overload",     "expired", "limited",    "crashes",
+        "draining",    "unauthorized", "quota",   "unadmitted",
     };
 
     return names[reason];
@@ -388,6 +389,59 @@
     return true;
 }
 
+/* Returns the number of shards that have a usable server. */
+static unsigned
+count_usable_shards(const bbl_query *q, bbl_usec now)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        n += bbl_pool_has_usable(q->shards[i].pool, now);
+    }
+    return n;
+}
+
+/*
+ * Refuses a query that was read too late or that too few servers can serve.
+ * Returns whether it was refused and freed.
+ */
+static bool
+refuse_hopeless(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
+        return true;
+    }
+    if (count_usable_shards(q, now) < q->shards_needed ||
+        bbl_query_is_hopeless(f, q)) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_UNAVAILABLE,
+                       BBL_STATUS_UNAVAILABLE);
+        return true;
+    }
+    return false;
+}
+
+/*
+ * Starts an admitted query: it counts as a first request, and is refused if it
+ * cannot be served. Returns false if it was refused and freed.
+ */
+static bool
+start_query(bbl_forwarder *f, bbl_usec now, bbl_query *q)
+{
+    q->started = true;
+    bbl_query_count_first(f, now, q);
+    if (refuse_hopeless(f, now, q)) {
+        return false;
+    }
+    if (!bbl_load_limit_admit(q->load_limit, now, q->timing->uncongested_time,
+                              q->priority <= q->table->most_urgent_priority)) {
+        bbl_query_fail(f, now, q, BBL_FORWARD_OVERLOAD,
+                       BBL_STATUS_UNAVAILABLE);
+        return false;
+    }
+    return true;
+}
+
 bool
 bbl_query_process(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
@@ -399,6 +453,16 @@
     if (q->delegation != NULL) {
         return await_delegation(f, now, q);
     }
+    if (!bbl_query_is_admitted(f, now, q)) {
+        bbl_admission_step step = bbl_query_seek_admission(f, now, q);
+
+        if (step != BBL_ADMISSION_DONE) {
+            return step == BBL_ADMISSION_WAITS;
+        }
+    }
+    if (!q->started && !start_query(f, now, q)) {
+        return false;
+    }
     waiting = send_pending_shards(f, now, q);
     if (bbl_query_finish_if_decided(f, now, q)) {
         return false;
@@ -519,18 +583,6 @@
     q->probes_limits = bbl_rng_below(&f->rng, PROBE_INTERVAL) == 0;
 }
 
-/* Returns the number of shards that have a usable server. */
-static unsigned
-count_usable_shards(const bbl_query *q, bbl_usec now)
-{
-    unsigned n = 0;
-
-    for (unsigned i = 0; i < q->shard_count; i++) {
-        n += bbl_pool_has_usable(q->shards[i].pool, now);
-    }
-    return n;
-}
-
 static void
 insert_query(bbl_forwarder *f, bbl_query *q)
 {
@@ -538,8 +590,8 @@
 
     bbl_vec_push(&f->queries, &q);
     while (at > 0 &&
-           (*BBL_VEC_AT(bbl_query *, &f->queries, at - 1))->route->priority >
-               q->route->priority) {
+           (*BBL_VEC_AT(bbl_query *, &f->queries, at - 1))->priority >
+               q->priority) {
         *BBL_VEC_AT(bbl_query *, &f->queries, at) =
             *BBL_VEC_AT(bbl_query *, &f->queries, at - 1);
         at--;
@@ -579,11 +631,52 @@
     f->routing_confirmed_until = until;
 }
 
+/* Returns whether the active routing is known to be the newest one. */
+static bool
+is_routing_confirmed(const bbl_forwarder *f, bbl_usec now)
+{
+    return f->next_routing == NULL && now < f->routing_confirmed_until;
+}
+
+/*
+ * Finds the organisation that sends a request, which may be none. Returns
+ * false if the request was refused.
+ */
+static bool
+identify_caller(const bbl_organisation **organisation, bbl_forwarder *f,
+                bbl_usec now, const bbl_forward_request *request,
+                const bbl_route *route)
+{
+    bbl_caller_identity_input in = {
+        .routing = f->table->routing,
+        .route = route,
+        .key = request->key,
+        .key_count = request->key_count,
+        .confirmed = is_routing_confirmed(f, now),
+        .delegated = request->delegated.host != 0,
+        .delegated_organisation = request->delegated.organisation,
+    };
+
+    switch (bbl_caller_identify(organisation, &in)) {
+    case BBL_CALLER_UNAUTHORIZED:
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNAUTHORIZED,
+                             BBL_STATUS_UNAUTHORIZED, 0);
+        return false;
+    case BBL_CALLER_UNCONFIRMED:
+        bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
+                             BBL_STATUS_UNAVAILABLE, 0);
+        return false;
+    default:
+        return true;
+    }
+}
+
 void
 bbl_forwarder_receive_request(bbl_forwarder *f, bbl_usec now,
                               const bbl_forward_request *request)
 {
     const bbl_route *route;
+    const bbl_organisation *organisation;
     bbl_usec refused;
     bbl_delegation_cause cause;
     bbl_query *q;
@@ -605,7 +698,7 @@
     route =
         bbl_routing_match(f->table->routing, request->hostname, request->path);
     if (route == NULL) {
-        if (f->next_routing != NULL || now >= f->routing_confirmed_until) {
+        if (!is_routing_confirmed(f, now)) {
             bbl_forwarder_refuse(f, now, request, BBL_FORWARD_UNCONFIRMED,
                                  BBL_STATUS_UNAVAILABLE, 0);
         }
@@ -615,6 +708,9 @@
         }
         return;
     }
+    if (!identify_caller(&organisation, f, now, request, route)) {
+        return;
+    }
     refused = bbl_crash_ledger_get_refused(&f->crash_ledger, now,
                                            request->fingerprint);
     if (refused > 0) {
@@ -627,6 +723,8 @@
     q->table = f->table;
     q->table->ref_count++;
     q->route = route;
+    q->organisation = organisation;
+    q->priority = bbl_caller_get_priority(route, organisation);
     q->attempts = (bbl_vec)BBL_VEC_INIT(bbl_attempt *);
     q->signatures = (bbl_vec){NULL, 0, 0, 2 * sizeof(size_t)};
     q->record.request_id = request->request_id;
@@ -637,6 +735,7 @@
     q->canary = route->kind == BBL_ROUTE_GATHER && route->target_count > 1 &&
                 bbl_crash_alert_is_raised(&f->crash_alert, now);
     q->record.route = route;
+    q->record.organisation = bbl_query_get_identity(q).organisation;
     q->record.routing_version = bbl_routing_version(f->table->routing);
     bbl_top_records_init(&q->top_records, route->top_k);
     set_deadlines(f, q);
@@ -645,6 +744,7 @@
         q->first_shard = (unsigned)bbl_rng_below(&f->rng, q->shard_count);
     }
     insert_query(f, q);
+    bbl_query_init_admission(f, now, q);
     if (!is_covered_by_drain(f, now, q)) {
         bbl_query_fail(f, now, q, BBL_FORWARD_DRAINING,
                        BBL_STATUS_UNAVAILABLE);
@@ -654,23 +754,8 @@
         bbl_query_delegate(f, now, q, cause)) {
         return;
     }
-    bbl_query_count_first(f, now, q);
-    if (now + BBL_TIME_LEFT_MIN_US > q->deadline) {
-        bbl_query_fail(f, now, q, BBL_FORWARD_EXPIRED, BBL_STATUS_UNAVAILABLE);
-        return;
-    }
-    if (count_usable_shards(q, now) < q->shards_needed ||
-        bbl_query_is_hopeless(f, q)) {
-        bbl_query_fail(f, now, q, BBL_FORWARD_UNAVAILABLE,
-                       BBL_STATUS_UNAVAILABLE);
-        return;
-    }
-    if (!bbl_load_limit_admit(q->load_limit, now, q->timing->uncongested_time,
-                              route->priority <=
-                                  q->table->most_urgent_priority)) {
-        bbl_query_fail(f, now, q, BBL_FORWARD_OVERLOAD,
-                       BBL_STATUS_UNAVAILABLE);
-        return;
+    if (!bbl_query_is_admitted(f, now, q) && refuse_hopeless(f, now, q)) {
+        return; /* no grantor is asked for it */
     }
     bbl_query_process(f, now, q);
 }
@@ -826,6 +911,7 @@
         cancel_expired_attempts(f, now);
         check_servers(f, now);
         bbl_forwarder_expire_permit_requests(f, now);
+        bbl_forwarder_forget_asks(f, now);
         bbl_pools_free_retired(&f->pools);
         bbl_peers_free_retired(&f->peers);
     }
@@ -850,6 +936,7 @@
     f->permit_requests = bbl_permit_requests_init();
     f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
     bbl_permit_book_init(&f->local_permits, 0);
+    bbl_admission_asks_init(&f->asks, options->seed);
     bbl_peers_init(&f->peers);
     f->peers.added = options->port.peer_added;
     f->peers.removed = options->port.peer_removed;
@@ -898,6 +985,7 @@
     bbl_vec_free(&f->permit_requests);
     bbl_vec_free(&f->permit_items);
     bbl_permit_book_free(&f->local_permits);
+    bbl_admission_asks_free(&f->asks);
     free(f);
 }
 
@@ -925,6 +1013,12 @@
     return f->table != NULL ? bbl_routing_limits(f->table->routing) : NULL;
 }
 
+const bbl_routing *
+bbl_forwarder_get_routing(const bbl_forwarder *f)
+{
+    return f->table != NULL ? f->table->routing : NULL;
+}
+
 uint64_t
 bbl_forwarder_get_routing_version(const bbl_forwarder *f)
 {
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -6,6 +6,7 @@
 #ifndef BBL_FORWARD_QUERY_H
 #define BBL_FORWARD_QUERY_H
 
+#include "forward/admission_ask.h"
 #include "forward/forwarder.h"
 #include "forward/pools.h"
 #include "forward/receive_cost.h"
@@ -41,7 +42,7 @@
     bbl_split *splits;          /* by route index */
     bbl_route_timing **timings; /* by route index, borrowed */
     size_t route_count;
-    uint32_t most_urgent_priority; /* lowest priority number of any route */
+    uint32_t most_urgent_priority; /* lowest priority number of any query */
     unsigned ref_count; /* one for each query, and one while active */
 } bbl_route_table;
 
@@ -77,6 +78,10 @@
     bbl_forward_request request;
     bbl_route_table *table;
     const bbl_route *route;
+    /* That calls, in the routing of `table`; NULL if none has to. */
+    const bbl_organisation *organisation;
+    /* That of the organisation, or of the route if it has none. */
+    uint32_t priority;
     bbl_route_timing *timing;
     bbl_load_limit *load_limit; /* load limit of its servers, borrowed */
     /*
@@ -112,6 +117,9 @@
     bbl_usec canary_until; /* 0 until the attempt is sent */
     unsigned first_shard;  /* index of the shard that is sent first */
 
+    bbl_query_admission admission[BBL_ADMIT_SUBJECTS];
+    bool started; /* admitted, and checked as requests without admission are */
+
     bbl_delegation *delegation; /* in flight, or NULL */
     unsigned delegations;       /* hosts that it was delegated to */
     uint32_t delegates[BBL_DELEGATIONS_MAX];
@@ -149,6 +157,9 @@
 
 void bbl_query_free(bbl_query *query);
 
+/* Returns what the servers of a query are told of its caller. */
+bbl_identity_fields bbl_query_get_identity(const bbl_query *query);
+
 /* Adds the usable response of one shard to the answer. */
 void bbl_query_add_part(bbl_query *query, bbl_str signature, bbl_str body);
 
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -62,6 +62,8 @@
       "this host sends its heartbeats to another host from now on")           \
     X(ROUTING_OLDER, 2016, WARN, "routing-older",                             \
       "an older routing than one received before is not used")                \
+    X(ORGANISATIONS, 2019, INFO, "organisations",                             \
+      "callers need a key from now on, or the organisations have changed")    \
     X(PEER_REFUSED, 3001, WARN, "peer-refused",                               \
       "a peer with a wrong key, cluster or version was rejected")             \
     X(PEER_SILENT, 3002, WARN, "peer-silent",                                 \
@@ -105,7 +107,9 @@
     X(SECOND, 5003, INFO, "second",                                           \
       "a request or a sub-request was sent again")                            \
     X(DELEGATED, 5004, INFO, "delegated",                                     \
-      "a request was passed on to another entry host")
+      "a request was passed on to another entry host")                        \
+    X(OVER_QUOTA, 5005, INFO, "over-quota",                                   \
+      "requests of an organisation over its limit are refused")
 
 typedef enum {
 #define BBL_LOG_ENUM(symbol, number, level, name, meaning)                    \
