--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -592,14 +592,26 @@
 	BBLX_ADMITTED = 0,
 	BBLX_OVER_QUOTA = 1,
 	BBLX_OVERLOAD = 2,
+	BBLX_WAITS = 3,
 };
 typedef enum bblx_admission_outcome bblx_admission_outcome;
 
+enum bblx_overload_reason {
+	BBLX_OVERLOAD_NONE = 0,
+	BBLX_OVERLOAD_QUEUE = 1,
+	BBLX_OVERLOAD_DEADLINE = 2,
+};
+typedef enum bblx_overload_reason bblx_overload_reason;
+
 struct bblx_admission_reply {
 	u_quad_t number;
 	bblx_admission_outcome outcome;
 	u_int wait_us;
 	u_int ask_us;
+	bblx_overload_reason reason;
+	u_int limit;
+	u_int in_flight;
+	u_int waiting;
 };
 typedef struct bblx_admission_reply bblx_admission_reply;
 
@@ -731,6 +743,7 @@
 extern  bool_t xdr_bblx_admission_item (XDR *, bblx_admission_item*);
 extern  bool_t xdr_bblx_admission_request (XDR *, bblx_admission_request*);
 extern  bool_t xdr_bblx_admission_outcome (XDR *, bblx_admission_outcome*);
+extern  bool_t xdr_bblx_overload_reason (XDR *, bblx_overload_reason*);
 extern  bool_t xdr_bblx_admission_reply (XDR *, bblx_admission_reply*);
 extern  bool_t xdr_bblx_admission_report (XDR *, bblx_admission_report*);
 extern  bool_t xdr_bblx_kind (XDR *, bblx_kind*);
@@ -795,6 +808,7 @@
 extern bool_t xdr_bblx_admission_item ();
 extern bool_t xdr_bblx_admission_request ();
 extern bool_t xdr_bblx_admission_outcome ();
+extern bool_t xdr_bblx_overload_reason ();
 extern bool_t xdr_bblx_admission_reply ();
 extern bool_t xdr_bblx_admission_report ();
 extern bool_t xdr_bblx_kind ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1317,6 +1317,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_overload_reason (XDR *xdrs, bblx_overload_reason *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_admission_reply (XDR *xdrs, bblx_admission_reply *objp)
 {
@@ -1330,6 +1340,14 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ask_us))
 		 return FALSE;
+	 if (!xdr_bblx_overload_reason (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -496,14 +496,27 @@
 enum bblx_admission_outcome {
     BBLX_ADMITTED = 0,
     BBLX_OVER_QUOTA = 1,
-    BBLX_OVERLOAD = 2
+    BBLX_OVERLOAD = 2,
+    BBLX_WAITS = 3                /* for load: a second reply follows */
+};
+
+/* Why a request is refused for load. */
+enum bblx_overload_reason {
+    BBLX_OVERLOAD_NONE = 0,
+    BBLX_OVERLOAD_QUEUE = 1,      /* its wait would be too long, or was */
+    BBLX_OVERLOAD_DEADLINE = 2    /* it could not meet its deadline */
 };
 
 struct bblx_admission_reply {
     unsigned hyper number;
     bblx_admission_outcome outcome;
-    unsigned int wait_us;         /* before the next try, if refused */
+    unsigned int wait_us;         /* before the next try, if not admitted */
     unsigned int ask_us;          /* the host asks for load for so long */
+    /* For load, to explain the outcome. */
+    bblx_overload_reason reason;
+    unsigned int limit;           /* queries in flight, of all hosts */
+    unsigned int in_flight;
+    unsigned int waiting;
 };
 
 /* How a query ended that was admitted. It has no reply. */
--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -12,6 +12,11 @@
 /* The host that received it stops to ask after this part: another host, to
  * which it is delegated then, has the rest. */
 #define OWN_WAIT_DIVISOR 10
+/* A grantor lets no query wait longer, however late its target is. */
+#define LOAD_WAIT_MAX_US (500 * BBL_USEC_PER_MS)
+/* Part of the target in which a reply arrives that was sent at the last time.
+ */
+#define REPLY_MARGIN_DIVISOR 40
 /* Bounds of the time in which a host refuses requests without asking. */
 #define LOCAL_REFUSAL_MIN_US (50 * BBL_USEC_PER_MS)
 #define LOCAL_REFUSAL_MAX_US (250 * BBL_USEC_PER_MS)
@@ -71,19 +76,45 @@
     return first || limit < until ? limit : until;
 }
 
+bbl_usec
+bbl_admit_get_load_wait(const bbl_admit_facts *f)
+{
+    bbl_usec until = f->arrived_at + f->target / WAIT_DIVISOR;
+    bbl_usec wait = until > f->now ? until - f->now : 0;
+
+    return wait < LOAD_WAIT_MAX_US ? wait : LOAD_WAIT_MAX_US;
+}
+
+/*
+ * Returns until when a query awaits the grantor that has queued it. The reply
+ * that refuses it needs some time to arrive.
+ */
+static bbl_usec
+get_queue_limit(const bbl_admit_facts *f, bbl_usec asked_at)
+{
+    bbl_usec until = f->arrived_at + f->target / WAIT_DIVISOR;
+    bbl_usec most = asked_at + LOAD_WAIT_MAX_US;
+
+    return (until < most ? until : most) + f->target / REPLY_MARGIN_DIVISOR;
+}
+
 /* Returns whether there is time to ask one more grantor. */
 static bool
-may_ask(const bbl_admit_facts *f, const bbl_admit_subject_facts *s)
+may_ask(const bbl_admit_facts *f, bbl_admit_subject subject)
 {
-    /* Once a grantor has refused, another host would be refused as well. */
-    bool is_last = f->last_host || s->refused != 0;
+    const bbl_admit_subject_facts *s = &f->subjects[subject];
+    /* Once a grantor has refused, another host would be refused as well. No
+     * query is passed on because of load. */
+    bool is_last =
+        f->last_host || s->refused != 0 || subject == BBL_ADMIT_LOAD;
 
     return s->asked == 0 ||
-           f->now < f->arrived_at +
-                        f->target / (is_last ? WAIT_DIVISOR : OWN_WAIT_DIVISOR);
+           f->now < f->arrived_at + f->target / (is_last ? WAIT_DIVISOR
+                                                         : OWN_WAIT_DIVISOR);
 }
 
-/* Decides on one subject; returns false if it is admitted. */
+/* Decides on one subject; returns false if it does not keep the query from
+ * running. */
 static bool
 decide_subject(bbl_admit_decision *out, const bbl_admit_facts *f,
                bbl_admit_subject subject)
@@ -99,18 +130,27 @@
         out->retry_after = s->retry_after;
         return true;
     }
-    out->until = get_reply_limit(f, s->asked_at, !s->asked_again);
+    out->until = s->waits ? get_queue_limit(f, s->asked_at)
+                          : get_reply_limit(f, s->asked_at, !s->asked_again);
     if (s->awaits_reply && f->now < out->until) {
         out->action = BBL_ADMIT_AWAIT;
         return true;
     }
+    if (subject == BBL_ADMIT_LOAD && (s->refused != 0 || s->waits)) {
+        out->action = BBL_ADMIT_REFUSE;
+        out->retry_after = s->wait;
+        return true;
+    }
     out->timed_out = s->awaits_reply;
     out->grantor = choose_next(f, s);
-    if (out->grantor < f->grantors && may_ask(f, s)) {
+    if (out->grantor < f->grantors && may_ask(f, subject)) {
         out->action = BBL_ADMIT_ASK;
         out->until = get_reply_limit(f, f->now, s->asked == 0);
         return true;
     }
+    if (subject == BBL_ADMIT_LOAD) {
+        return false;
+    }
     out->action = s->refused != 0 ? BBL_ADMIT_REFUSE : BBL_ADMIT_UNANSWERED;
     out->retry_after = s->wait;
     return true;
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -3,7 +3,9 @@
  * decision, from the facts about the query. Pure: no state, no clock.
  *
  * A query asks for its quota first and for load after that. It asks one
- * grantor at a time; the next one if that refuses or does not answer.
+ * grantor at a time; the next one if that does not answer or, for its quota,
+ * if that refuses. One grantor decides on the load of all hosts, so its
+ * refusal is final.
  */
 #ifndef BBL_ADMISSION_ADMISSION_H
 #define BBL_ADMISSION_ADMISSION_H
@@ -31,7 +33,8 @@
     bool asked_again;     /* more than one grantor was asked */
     bool awaits_reply;    /* the grantor asked last may still reply */
     bbl_usec asked_at;    /* when that one was asked */
-    bbl_usec wait;        /* shortest wait that a refusal has stated */
+    bbl_usec wait;        /* shortest wait that a reply has stated */
+    bool waits;           /* for load: the grantor asked last has queued it */
     bbl_usec refused_for; /* local refusal: time left of it; 0 if none */
     bbl_usec retry_after; /* local refusal: time to come back */
     /* Position of the grantor to ask first. */
@@ -49,6 +52,8 @@
 } bbl_admit_facts;
 
 typedef enum {
+    /* All that answer have admitted it. For load, it also runs if no grantor
+     * answers; the caller then limits the load by itself. */
     BBL_ADMIT_RUN,
     BBL_ADMIT_ASK,        /* `grantor` for `subject` */
     BBL_ADMIT_AWAIT,      /* the reply, until `until` */
@@ -66,6 +71,11 @@
     bool timed_out;
 } bbl_admit_decision;
 
+/*
+ * Returns how long the grantor may let a query wait that asks for load now.
+ */
+bbl_usec bbl_admit_get_load_wait(const bbl_admit_facts *facts);
+
 /* Decides what to do with a query now. */
 void bbl_admit_decide(bbl_admit_decision *out, const bbl_admit_facts *facts);
 
--- a/src/admission/load_gate.c
+++ b/src/admission/load_gate.c
@@ -103,9 +103,9 @@
     if (outcome != BBL_LOAD_ADMITTED) {
         g->binding = true;
         g->bound_at = now;
+        d.retry_after = get_retry_after(g);
     }
     if (outcome == BBL_LOAD_REFUSED) {
-        d.retry_after = get_retry_after(g);
         g->recent_refused++;
         g->counters.refused[bbl_order_get_class(q->priority)][reason]++;
     }
@@ -293,7 +293,12 @@
     }
     bbl_order_remove(&g->waiting, host, number);
     if (i < g->in_flight.size) {
-        end_query(g, i, took, refused > DECREASE_SHARE * parts);
+        if (parts == 0) {
+            bbl_vec_swap_remove(&g->in_flight, i); /* it has not run */
+        }
+        else {
+            end_query(g, i, took, refused > DECREASE_SHARE * parts);
+        }
     }
     g->parts += parts;
     g->refused += refused;
--- a/src/admission/load_gate.h
+++ b/src/admission/load_gate.h
@@ -50,8 +50,9 @@
     uint64_t number;
     bbl_load_outcome outcome;
     bbl_load_reason reason;
-    bbl_usec retry_after; /* if refused, when the caller should retry */
-    bbl_usec ask_for;     /* how long the host is to ask, from now on */
+    /* If it is not admitted, when its caller should retry. */
+    bbl_usec retry_after;
+    bbl_usec ask_for; /* how long the host is to ask, from now on */
 } bbl_load_decision;
 
 /* For metrics. */
@@ -91,10 +92,9 @@
                            const bbl_load_query *query);
 
 /*
- * Ends a query. Parts that were not sent because it was cancelled are not
- * counted.
+ * Ends a query that was admitted, or one that waits and is not to run.
  *
- * @param parts   parts sent to servers
+ * @param parts   parts sent to servers; 0 if it has not run
  * @param refused of these, refused by the servers
  */
 void bbl_load_gate_report(bbl_load_gate *gate, bbl_usec now, uint32_t host,
--- a/src/admission/share_bucket.c
+++ b/src/admission/share_bucket.c
@@ -52,6 +52,6 @@
 {
     double seconds = (missing + b->expected) / b->rate;
 
-    return 1 + (uint32_t)fmin(seconds * BBL_USEC_PER_SEC,
-                              BBL_SHARE_WAIT_MAX_US);
+    return 1 +
+           (uint32_t)fmin(seconds * BBL_USEC_PER_SEC, BBL_SHARE_WAIT_MAX_US);
 }
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -169,6 +169,37 @@
     }
 }
 
+/* Prints what the grantor said that was asked about the load of a request. */
+static void
+print_load(const char *text)
+{
+    static const struct {
+        const char *load;
+        const char *sentence;
+    } decisions[] = {
+        {"admitted", "it was admitted"},
+        {"waited", "it had to wait, and its time was over"},
+        {"queue", "the wait would have been too long, or was"},
+        {"deadline", "it could not have met its deadline"},
+    };
+    char load[32];
+    char limit[32];
+    char in_flight[32];
+    char waiting[32];
+
+    copy_value(text, "load", load, sizeof(load));
+    copy_value(text, "load_limit", limit, sizeof(limit));
+    copy_value(text, "load_in_flight", in_flight, sizeof(in_flight));
+    copy_value(text, "load_waiting", waiting, sizeof(waiting));
+    for (size_t i = 0; i < sizeof(decisions) / sizeof(decisions[0]); i++) {
+        if (strcmp(decisions[i].load, load) == 0) {
+            printf("load: %s; the limit of all hosts together was %s queries "
+                   "in flight, with %s in flight and %s waiting\n",
+                   decisions[i].sentence, limit, in_flight, waiting);
+        }
+    }
+}
+
 /* Prints one sentence about the outcome that a request's line reports. */
 static void
 print_cause(const char *text)
@@ -263,6 +294,7 @@
         }
         found = true;
         print_cause(l->text);
+        print_load(l->text);
         print_states(lines, l->host, l->time_ms);
         copy_value(l->text, "service", service, sizeof(service));
         if (service[0] != '\0') {
--- a/src/control/admissions.c
+++ b/src/control/admissions.c
@@ -11,12 +11,14 @@
 bbl_admissions_init(bbl_control *c)
 {
     bbl_quota_book_init(&c->quotas, c->now, &c->options.quota_limits);
+    bbl_load_book_init(&c->loads, c->options.host);
 }
 
 void
 bbl_admissions_free(bbl_control *c)
 {
     bbl_quota_book_free(&c->quotas);
+    bbl_load_book_free(&c->loads);
 }
 
 /* ---- this host as a grantor ---- */
@@ -32,25 +34,56 @@
 
     c->grants_admission = bbl_permits_is_grantor(c);
     if (c->grants_admission && !before && c->was_no_grantor) {
-        bbl_quota_book_free(&c->quotas);
+        bbl_admissions_free(c);
         bbl_admissions_init(c);
     }
     c->was_no_grantor = !c->grants_admission;
     return c->grants_admission;
 }
 
-/*
- * Decides on a request. Load is not limited here: a request for it is
- * admitted.
- */
 static void
-decide(bblx_admission_reply *out, bbl_control *c, uint32_t from,
-       const bblx_admission_request *r)
+send_reply(bbl_control *c, uint32_t host, bblx_address control,
+           const bblx_admission_reply *reply)
+{
+    bblx_message m;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPLY;
+    m.bblx_message_u.admission_reply = *reply;
+    if (host == c->options.host) {
+        bbl_admissions_receive(c, host, &m);
+    }
+    else {
+        bbl_control_send(c, host, control, &m);
+    }
+}
+
+/* Sends what the load gates have decided. */
+static void
+send_load_replies(bbl_control *c)
+{
+    bbl_load_reply r;
+
+    while (bbl_load_book_take_reply(&r, &c->loads)) {
+        send_reply(c, r.host, r.control, &r.reply);
+    }
+}
+
+void
+bbl_admissions_tick(bbl_control *c)
+{
+    bbl_load_book_tick(&c->loads, c->now);
+    send_load_replies(c);
+}
+
+/* Decides on a request for the quota of an organisation. */
+static void
+decide_quota(bblx_admission_reply *out, bbl_control *c, uint32_t from,
+             const bblx_admission_request *r)
 {
     out->number = r->number;
     out->outcome = BBLX_ADMITTED;
-    if (r->item.subject == BBLX_ADMISSION_QUOTA &&
-        !bbl_quota_book_take(&out->wait_us, &c->quotas, c->now,
+    if (!bbl_quota_book_take(&out->wait_us, &c->quotas, c->now,
                              bbl_control_count_grantors(c), from, r->number,
                              &r->item.bblx_admission_item_u.quota)) {
         out->outcome = BBLX_OVER_QUOTA;
@@ -60,20 +93,19 @@
 static void
 receive_request(bbl_control *c, uint32_t from, const bblx_admission_request *r)
 {
-    bblx_message m;
+    bblx_admission_reply reply;
 
     if (!grants(c)) {
         return;
     }
-    memset(&m, 0, sizeof(m));
-    m.kind = BBLX_ADMISSION_REPLY;
-    decide(&m.bblx_message_u.admission_reply, c, from, r);
-    if (from == c->options.host) {
-        bbl_admissions_receive(c, from, &m);
-    }
-    else {
-        bbl_control_send(c, from, r->control, &m);
+    if (r->item.subject == BBLX_ADMISSION_LOAD) {
+        bbl_load_book_request(&c->loads, c->now, from, r);
+        send_load_replies(c);
+        return;
     }
+    memset(&reply, 0, sizeof(reply));
+    decide_quota(&reply, c, from, r);
+    send_reply(c, from, r->control, &reply);
 }
 
 static void
@@ -82,6 +114,10 @@
     if (r->organisation != 0) {
         bbl_quota_book_put_back(&c->quotas, c->now, from, r->number);
     }
+    if (r->resource != 0) {
+        bbl_load_book_report(&c->loads, c->now, from, r);
+        send_load_replies(c);
+    }
 }
 
 void
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1106,6 +1106,7 @@
     tick_heartbeat(c);
     tick_own_proposals(c);
     bbl_permits_tick(c);
+    bbl_admissions_tick(c);
     if (now >= c->next_report_expiry) {
         c->next_report_expiry = now + REPORT_EXPIRY_INTERVAL_US;
         bbl_rows_expire_reports(&c->rows, REPORT_EXPIRY_ROUNDS);
@@ -1325,6 +1326,7 @@
     out->quota_granted = c->quotas.granted;
     out->quota_refused = c->quotas.refused;
     out->quota_returned = c->quotas.returned;
+    bbl_load_book_get_status(&out->load, &c->loads);
 }
 
 uint64_t
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -9,6 +9,7 @@
 #ifndef BBL_CONTROL_H
 #define BBL_CONTROL_H
 
+#include "admission/load_book.h"
 #include "admission/quota_book.h"
 #include "control/permit_book.h"
 #include "control/quorum.h"
@@ -114,6 +115,7 @@
     uint64_t quota_granted;      /* requests admitted by this grantor */
     uint64_t quota_refused;      /* requests over the limit */
     uint64_t quota_returned;     /* tokens of requests that did not run */
+    bbl_load_status load;        /* that this host admits as a grantor */
     bbl_usec parent_answered_at; /* last grant or change of parent */
 } bbl_control_status;
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -6,6 +6,7 @@
 #ifndef BBL_CONTROL_CORE_H
 #define BBL_CONTROL_CORE_H
 
+#include "admission/load_book.h"
 #include "admission/quota_book.h"
 #include "control/control.h"
 #include "control/permit_book.h"
@@ -112,6 +113,7 @@
     size_t next_grantor;
 
     bbl_quota_book quotas; /* shares that this host grants */
+    bbl_load_book loads;   /* load that this host admits */
     bool grants_admission; /* this host is a grantor */
     bool was_no_grantor;   /* it was none when that was last checked */
 
@@ -186,6 +188,9 @@
 void bbl_admissions_init(bbl_control *c);
 void bbl_admissions_free(bbl_control *c);
 
+/* Ends the waits of queries whose time is over. */
+void bbl_admissions_tick(bbl_control *c);
+
 /* Processes a message about the admission of a query. */
 void bbl_admissions_receive(bbl_control *c, uint32_t from,
                             const bblx_message *m);
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -121,8 +121,22 @@
                                "requests that were not answered in time",
                                c->admission_timeouts);
     bbl_metrics_append_counter(out, "admission_returns_total",
-                               "tokens returned unused",
-                               c->admission_returns);
+                               "tokens returned unused", c->admission_returns);
+    append_gauge(out, "load_pressure",
+                 "1 while servers refuse parts for their load",
+                 bbl_forwarder_is_under_pressure(f));
+    bbl_metrics_append_counter(out, "load_pressure_total",
+                               "times that load pressure has begun",
+                               c->pressure_begun);
+    bbl_metrics_append_counter(out, "load_admitted_total",
+                               "queries that a grantor has admitted",
+                               c->load_admitted);
+    bbl_metrics_append_counter(out, "load_refused_total",
+                               "queries refused for the load of all hosts",
+                               c->load_refused);
+    bbl_metrics_append_counter(out, "load_unanswered_total",
+                               "queries run as no grantor answered for load",
+                               c->load_unanswered);
     bbl_metrics_append_counter(out, "quota_refused_locally_total",
                                "requests over the limit of an organisation "
                                "refused without asking a grantor",
@@ -158,6 +172,46 @@
                                "processor time used", bbl_clock_process_cpu());
 }
 
+/* Appends what this host admits as a grantor, by priority and reason. */
+static void
+append_load(bbl_buf *out, const bbl_load_status *s)
+{
+    static const char *const reasons[BBL_LOAD_REASONS] = {"", "queue",
+                                                          "deadline"};
+
+    append_gauge(out, "load_limit", "queries of all hosts in flight, at most",
+                 s->limit);
+    append_gauge(out, "load_in_flight", "queries of all hosts in flight",
+                 (double)s->in_flight);
+    append_gauge(out, "load_waiting", "queries that wait for admission",
+                 (double)s->waiting);
+    bbl_buf_append_cstr(out,
+                        "# HELP " PREFIX
+                        "load_granted_total queries admitted\n# TYPE " PREFIX
+                        "load_granted_total counter\n");
+    for (unsigned i = 0; i < BBL_ORDER_PRIORITIES; i++) {
+        bbl_buf_printf(out,
+                       PREFIX "load_granted_total{priority=\"%u\"} %llu\n", i,
+                       (unsigned long long)s->counters.admitted[i]);
+    }
+    bbl_buf_append_cstr(out,
+                        "# HELP " PREFIX
+                        "load_withheld_total queries refused\n# TYPE " PREFIX
+                        "load_withheld_total counter\n");
+    for (unsigned i = 0; i < BBL_ORDER_PRIORITIES; i++) {
+        for (unsigned k = BBL_LOAD_REASON_QUEUE; k < BBL_LOAD_REASONS; k++) {
+            bbl_buf_printf(out,
+                           PREFIX "load_withheld_total{priority=\"%u\","
+                                  "reason=\"%s\"} %llu\n",
+                           i, reasons[k],
+                           (unsigned long long)s->counters.refused[i][k]);
+        }
+    }
+    bbl_metrics_append_counter(out, "load_reports_lost_total",
+                               "queries whose end was not reported",
+                               s->counters.reports_lost);
+}
+
 void
 bbl_control_metrics_render(bbl_buf *out, const bbl_control_status *s,
                            bbl_usec catalog_age, uint64_t catalog_calls,
@@ -195,6 +249,7 @@
     bbl_metrics_append_counter(out, "quota_returned_total",
                                "admitted requests that did not run",
                                s->quota_returned);
+    append_load(out, &s->load);
     bbl_metrics_append_counter(out, "feeds_received_total",
                                "feeds from the parent", s->feeds_received);
     bbl_metrics_append_counter(out, "feeds_ignored_total",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -397,6 +397,20 @@
     bbl_edge_respond(call, &r);
 }
 
+/* Returns the name of what a grantor has decided on the load of a request. */
+static const char *
+describe_load(const bblx_admission_reply *r)
+{
+    switch (r->outcome) {
+    case BBLX_ADMITTED:
+        return "admitted";
+    case BBLX_WAITS:
+        return "waited";
+    default:
+        return r->reason == BBLX_OVERLOAD_DEADLINE ? "deadline" : "queue";
+    }
+}
+
 static void
 log_request(void *ctx, const bbl_forward_record *r)
 {
@@ -410,7 +424,8 @@
         "list_age_ms=%lld ms=%.1f shards=%u answered=%u sent=%u "
         "hedges=%u retries=%u retry_after_ms=%u service=%.*s servers=%u "
         "usable=%u server=%s fingerprint=%016llx delegate=%u "
-        "delegated_by=%u org=%.*s detail=\"%s\"",
+        "delegated_by=%u org=%.*s load=%s load_limit=%u load_in_flight=%u "
+        "load_waiting=%u detail=\"%s\"",
         (int)r->request_id.size, r->request_id.ptr,
         bbl_forward_reason_name(r->reason), r->status,
         r->route ? (int)r->route->name.size : 0,
@@ -425,7 +440,9 @@
         r->service.size > 0 ? bbl_backend_state_name(r->unusable_state) : "",
         (unsigned long long)r->fingerprint, r->delegate, r->delegated_by,
         (int)r->organisation.size,
-        r->organisation.ptr ? r->organisation.ptr : "", detail);
+        r->organisation.ptr ? r->organisation.ptr : "",
+        r->load_asked ? describe_load(&r->load) : "", r->load.limit,
+        r->load.in_flight, r->load.waiting, detail);
 }
 
 static void
@@ -631,6 +648,14 @@
             r->asked, (unsigned long long)(r->in / BBL_USEC_PER_MS));
 }
 
+static void
+log_pressure(void *ctx, bbl_str service, bool active, double refused_share)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_PRESSURE, "service=%.*s active=%d refused_share=%.3f",
+            (int)service.size, service.ptr, active, refused_share);
+}
+
 static void
 on_backend_connect(void *ctx, void *owner, bool ok, bbl_usec took)
 {
@@ -925,6 +950,8 @@
     if (g->metrics_edge != NULL) {
         bbl_edge_tick(g->metrics_edge, now);
     }
+    bbl_backend_client_pause_preconnect(
+        g->backend_client, bbl_forwarder_is_under_pressure(g->forwarder));
     bbl_backend_client_tick(g->backend_client, now);
     bbl_backend_client_tick(g->peer_client, now);
     tick_drain(g, now);
@@ -994,6 +1021,7 @@
     f.port.request_permits = request_permits;
     f.port.send_admission = send_admission;
     f.port.report_quota = log_quota;
+    f.port.pressure_changed = log_pressure;
     f.permit_ttl = BBL_PERMIT_TTL_US;
     f.token_time = bbl_quota_get_token_time(&o->quota_limits);
     f.port.ctx = g;
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -13,6 +13,9 @@
 #define OPEN_REQUEST_US (1 * BBL_USEC_PER_SEC)
 /* Seed of the hash of an organisation's name; the same on all hosts. */
 #define ORGANISATION_SEED 0x6f7267
+/* Seed of the hash of the first service of a set of shards; the same on all
+ * hosts. */
+#define RESOURCE_SEED 0x6c6f6164
 /* Interval of the reports about an organisation that is over its limit. */
 #define REPORT_INTERVAL_US (10 * BBL_USEC_PER_SEC)
 /* Refused requests that count as coming back: those of this time. */
@@ -114,6 +117,30 @@
                     ORGANISATION_SEED);
 }
 
+static uint64_t
+get_resource_key(const bbl_query *q)
+{
+    const bbl_buf *name = &q->pressure_pool->name;
+
+    return bbl_hash(name->ptr, name->size, RESOURCE_SEED);
+}
+
+/* Returns the mean number of slots of a shard, over all its servers. */
+static uint32_t
+get_shard_slots(const bbl_query *q)
+{
+    uint64_t slots = 0;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        const bbl_vec *backends = &q->shards[i].pool->backends;
+
+        for (size_t k = 0; k < backends->size; k++) {
+            slots += (*BBL_VEC_AT(bbl_backend *, backends, k))->listed.slots;
+        }
+    }
+    return (uint32_t)(slots / q->shard_count);
+}
+
 /* Forgets the limits that are not in use once there are too many. */
 static void
 prune_limits(bbl_admission_asks *asks, bbl_usec now)
@@ -169,9 +196,20 @@
     f->options.port.report_quota(f->options.port.ctx, &r);
 }
 
+/* Refuses a query that a grantor has refused for load. The time to come back
+ * is spread by the grantor. */
+static void
+refuse_load(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_usec retry_after)
+{
+    f->counters.load_refused++;
+    bbl_query_refuse(f, now, q, BBL_FORWARD_OVERLOAD, BBL_STATUS_UNAVAILABLE,
+                     retry_after);
+}
+
 /* Refuses a query whose organisation is over its limit. */
 static void
-refuse(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_usec retry_after)
+refuse_quota(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+             bbl_usec retry_after)
 {
     const bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
     local_limit *l = get_limit(&f->asks, now, q);
@@ -244,6 +282,7 @@
         s->awaits_reply = a->awaits_reply;
         s->asked_at = a->asked_at;
         s->wait = a->wait;
+        s->waits = a->waits;
         s->first = a->first;
     }
     fill_local_limit(&out->subjects[BBL_ADMIT_QUOTA], f, now, q);
@@ -263,8 +302,24 @@
 }
 
 static void
-fill_request(bblx_message *out, const bbl_query *q, bbl_admit_subject subject,
-             uint64_t number)
+fill_load(bblx_admission_load *out, const bbl_forwarder *f, bbl_usec now,
+          const bbl_query *q)
+{
+    bbl_admit_facts facts;
+
+    fill_facts(&facts, f, now, q);
+    out->resource = get_resource_key(q);
+    out->slots = get_shard_slots(q);
+    out->priority = q->priority;
+    out->work_us = q->shard_count * q->timing->uncongested_time;
+    out->target_us = (uint32_t)(q->target_at > now ? q->target_at - now : 0);
+    out->deadline_us = (uint32_t)(q->deadline - now);
+    out->wait_us = (uint32_t)bbl_admit_get_load_wait(&facts);
+}
+
+static void
+fill_request(bblx_message *out, const bbl_forwarder *f, bbl_usec now,
+             const bbl_query *q, bbl_admit_subject subject, uint64_t number)
 {
     bblx_admission_request *r = &out->bblx_message_u.admission_request;
     bblx_admission_quota *quota = &r->item.bblx_admission_item_u.quota;
@@ -281,6 +336,7 @@
     }
     else {
         r->item.subject = BBLX_ADMISSION_LOAD;
+        fill_load(&r->item.bblx_admission_item_u.load, f, now, q);
     }
 }
 
@@ -293,8 +349,8 @@
     open_request *r = bbl_calloc(1, sizeof(*r));
     bblx_message m;
 
-    *r = (open_request){++f->asks.last_number, q,  d->subject, g->listed.host,
-                        d->grantor,            now};
+    *r = (open_request){++f->asks.last_number, q,          d->subject,
+                        g->listed.host,        d->grantor, now};
     bbl_map_set(&f->asks.open, r->number, r);
     bbl_vec_push(&f->asks.by_age, &r);
     if (g->silent_until != 0) {
@@ -304,17 +360,39 @@
     a->asked_again = a->asked != 0;
     a->asked |= 1u << d->grantor;
     a->awaits_reply = true;
+    a->waits = false;
     a->asked_at = now;
     a->number = r->number;
     a->grantor = g->listed.host;
     f->counters.admission_requests++;
-    fill_request(&m, q, d->subject, r->number);
+    fill_request(&m, f, now, q, d->subject, r->number);
     f->options.port.send_admission(f->options.port.ctx, r->grantor, &m);
 }
 
+/* Reports to the grantor asked last how a query ended, or that it will not
+ * run. */
+static void
+report_load(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+            uint32_t parts_sent, uint32_t parts_refused)
+{
+    const bbl_query_admission *a = &q->admission[BBL_ADMIT_LOAD];
+    bblx_message m;
+    bblx_admission_report *r = &m.bblx_message_u.admission_report;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPORT;
+    r->number = a->number;
+    r->resource = get_resource_key(q);
+    r->parts_sent = parts_sent;
+    r->parts_refused = parts_refused;
+    r->time_us = (uint32_t)(q->started ? now - q->started_at : 0);
+    f->options.port.send_admission(f->options.port.ctx, a->grantor, &m);
+}
+
 bbl_admission_step
 bbl_query_seek_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
+    bbl_query_admission *load = &q->admission[BBL_ADMIT_LOAD];
     bbl_admit_facts facts;
     bbl_admit_decision d;
 
@@ -326,9 +404,17 @@
     bbl_admit_decide(&d, &facts);
     if (d.timed_out) {
         mark_silent(f, now, &q->admission[d.subject]);
+        if (d.subject == BBL_ADMIT_LOAD) {
+            /* If it has admitted the query, it is not to count there. */
+            report_load(f, now, q, 0, 0);
+        }
     }
     switch (d.action) {
     case BBL_ADMIT_RUN:
+        if (load->needed && !load->admitted) {
+            load->needed = false; /* load_limit.h decides instead */
+            f->counters.load_unanswered++;
+        }
         return BBL_ADMISSION_DONE;
     case BBL_ADMIT_ASK:
         ask(f, now, q, &d);
@@ -336,7 +422,12 @@
     case BBL_ADMIT_AWAIT:
         break;
     case BBL_ADMIT_REFUSE:
-        refuse(f, now, q, d.retry_after);
+        if (d.subject == BBL_ADMIT_LOAD) {
+            refuse_load(f, now, q, d.retry_after);
+        }
+        else {
+            refuse_quota(f, now, q, d.retry_after);
+        }
         return BBL_ADMISSION_FINISHED;
     case BBL_ADMIT_UNANSWERED:
         if (bbl_query_delegate(f, now, q, BBL_DELEGATE_UNADMITTED)) {
@@ -358,6 +449,12 @@
     bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
     unsigned near = 0;
 
+    if (bbl_query_is_under_pressure(q, now) && f->asks.grantor_count > 0) {
+        /* One grantor decides for all hosts: the first one that answers. */
+        q->admission[BBL_ADMIT_LOAD].needed = true;
+        q->admission[BBL_ADMIT_LOAD].first =
+            (unsigned)(get_resource_key(q) % f->asks.grantor_count);
+    }
     if (q->organisation == NULL || q->organisation->rate_per_s <= 0) {
         return;
     }
@@ -404,11 +501,15 @@
 
 /* Resets the admission for a subject, and returns a token that is held. */
 static void
-reset_subject(bbl_forwarder *f, bbl_query *q, bbl_admit_subject subject)
+reset_subject(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+              bbl_admit_subject subject)
 {
     bbl_query_admission *a = &q->admission[subject];
     bbl_query_admission fresh = {.needed = a->needed, .first = a->first};
 
+    if (subject == BBL_ADMIT_LOAD && a->awaits_reply) {
+        report_load(f, now, q, 0, 0);
+    }
     forget_request(f, a);
     if (a->admitted && a->number != 0 && subject == BBL_ADMIT_QUOTA) {
         return_token(f, a->grantor, a->number, get_organisation_key(q));
@@ -425,7 +526,7 @@
         now > a->asked_at + f->options.token_time) {
         /* A token used this late would count in a later window than the one
          * in which it was given. */
-        reset_subject(f, q, BBL_ADMIT_QUOTA);
+        reset_subject(f, now, q, BBL_ADMIT_QUOTA);
     }
     for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
         if (q->admission[i].needed && !q->admission[i].admitted) {
@@ -436,17 +537,17 @@
 }
 
 void
-bbl_query_withdraw_asks(bbl_forwarder *f, bbl_query *q)
+bbl_query_withdraw_asks(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
         if (q->admission[i].needed && !q->admission[i].admitted) {
-            reset_subject(f, q, (bbl_admit_subject)i);
+            reset_subject(f, now, q, (bbl_admit_subject)i);
         }
     }
 }
 
 void
-bbl_query_end_admission(bbl_forwarder *f, bbl_query *q, bool ran)
+bbl_query_end_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q, bool ran)
 {
     for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
         bbl_query_admission *a = &q->admission[i];
@@ -454,17 +555,35 @@
         if (!a->needed) {
             continue;
         }
+        if (a->admitted && i == BBL_ADMIT_LOAD) {
+            report_load(f, now, q, q->record.attempt_count, q->parts_refused);
+        }
         if (a->admitted && ran) {
             forget_request(f, a);
         }
         else {
-            reset_subject(f, q, (bbl_admit_subject)i);
+            reset_subject(f, now, q, (bbl_admit_subject)i);
         }
     }
 }
 
 /* ---- replies ---- */
 
+/* Applies what a reply says about load in general. */
+static void
+apply_load_reply(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                 const bblx_admission_reply *reply)
+{
+    bbl_query_admission *a = &q->admission[BBL_ADMIT_LOAD];
+
+    a->waits = reply->outcome == BBLX_WAITS;
+    a->wait = reply->wait_us;
+    f->counters.load_admitted += reply->outcome == BBLX_ADMITTED;
+    bbl_pressure_extend(&q->pressure_pool->pressure, now + reply->ask_us);
+    q->record.load_asked = true;
+    q->record.load = *reply;
+}
+
 /* Applies a reply that its query awaits. */
 static void
 apply_reply(bbl_forwarder *f, bbl_usec now, const open_request *r,
@@ -473,7 +592,14 @@
     bbl_query *q = r->query;
     bbl_query_admission *a = &q->admission[r->subject];
 
-    a->awaits_reply = false;
+    if (r->subject == BBL_ADMIT_LOAD) {
+        apply_load_reply(f, now, q, reply);
+    }
+    a->awaits_reply = a->waits;
+    if (a->waits) {
+        q->next_due_at = now; /* it awaits the reply longer */
+        return;
+    }
     if (reply->outcome == BBLX_ADMITTED) {
         a->admitted = true;
         a->asked_at = r->asked_at;
@@ -504,17 +630,21 @@
         return;
     }
     taken = *r;
-    bbl_map_remove(&f->asks.open, r->number);
-    r->query = NULL;
+    if (reply->outcome != BBLX_WAITS) {
+        bbl_map_remove(&f->asks.open, r->number);
+        r->query = NULL;
+    }
     f->counters.admission_replies++;
     if (taken.query != NULL &&
         taken.query->admission[taken.subject].number == taken.number &&
-        now <= taken.asked_at + f->options.token_time) {
+        (taken.subject == BBL_ADMIT_LOAD ||
+         now <= taken.asked_at + f->options.token_time)) {
         apply_reply(f, now, &taken, reply);
     }
     else if (reply->outcome == BBLX_ADMITTED &&
              taken.subject == BBL_ADMIT_QUOTA) {
-        /* Any number but 0 tells that it is a token; the grantor knows whose. */
+        /* Any number but 0 tells that it is a token; the grantor knows whose.
+         */
         return_token(f, grantor, taken.number, UINT64_MAX);
     }
 }
--- a/src/forward/admission_ask.h
+++ b/src/forward/admission_ask.h
@@ -27,7 +27,8 @@
     unsigned refused;
     unsigned first;
     bbl_usec asked_at; /* when the grantor asked last was asked */
-    bbl_usec wait;     /* shortest wait that a refusal has stated */
+    bbl_usec wait;     /* shortest wait that a reply has stated */
+    bool waits;        /* for load: the grantor asked last has queued it */
     uint64_t number;   /* of the request sent last; 0 before the first one */
     uint32_t grantor;  /* host id of the grantor asked last */
 } bbl_query_admission;
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -15,6 +15,11 @@
 #define RETRY_AFTER_MIN_MS 30
 /* Random part of the retry time of a limited service: one in this many. */
 #define LIMIT_SPREAD 8
+/*
+ * Under load pressure a query with enough parts is answered after so many
+ * service times: by then nearly all parts have come that no slow server has.
+ */
+#define EARLY_ANSWER_SERVICE_TIMES 2
 /* A started host receives its first routing within about this time. */
 #define NO_ROUTING_RETRY_MS 600
 /* For requests that another host can serve at once. */
@@ -196,9 +201,12 @@
     if (reason == BBL_FORWARD_OK || reason == BBL_FORWARD_PARTIAL) {
         bbl_histogram_add(&f->counters.latency, (uint32_t)r->elapsed);
     }
-    bbl_query_end_admission(f, q, may_have_run(q, r->status));
+    bbl_query_end_admission(f, now, q, may_have_run(q, r->status));
     report_and_answer(f, now, q->request.request_handle, r, answer);
     bbl_query_cancel_delegation(f, q);
+    if (q->route->idempotent && bbl_query_is_under_pressure(q, now)) {
+        bbl_query_cancel_attempts(f, now, q, NULL);
+    }
     bbl_query_detach_attempts(f, q, cancel_at);
     bbl_query_forget_permits(f, q);
     bbl_query_remove(f, q);
@@ -475,6 +483,18 @@
     return true;
 }
 
+bbl_usec
+bbl_query_get_answer_time(const bbl_query *q, bbl_usec now)
+{
+    bbl_usec early =
+        q->started_at + EARLY_ANSWER_SERVICE_TIMES * q->timing->service_time;
+
+    return q->route->idempotent && early < q->target_at &&
+                   bbl_query_is_under_pressure(q, now)
+               ? early
+               : q->target_at;
+}
+
 bool
 bbl_query_finish_if_decided(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
@@ -484,7 +504,7 @@
         return q->shards_failed > 0 && fail_or_delegate(f, now, q);
     }
     if (q->shards_answered >= q->shards_needed && q->shards_answered > 0 &&
-        (open == 0 || now >= q->target_at)) {
+        (open == 0 || now >= bbl_query_get_answer_time(q, now))) {
         bbl_query_finish_merged(f, now, q);
         return true;
     }
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -149,6 +149,97 @@
     return s->attempts_sent > 0 || s->attempts_maybe_run > 0;
 }
 
+bool
+bbl_query_is_under_pressure(const bbl_query *q, bbl_usec now)
+{
+    return q->pressure_pool != NULL &&
+           bbl_pressure_is_active(&q->pressure_pool->pressure, now);
+}
+
+static void
+report_pressure(bbl_forwarder *f, bbl_usec now, bbl_pool *pool, bool active)
+{
+    pool->pressure_reported = active;
+    f->options.port.pressure_changed(
+        f->options.port.ctx, bbl_buf_str(&pool->name), active,
+        bbl_pressure_get_refused_share(&pool->pressure, now));
+}
+
+/* Records parts in the pressure of their shards, and reports its begin. */
+static void
+record_parts(bbl_forwarder *f, bbl_usec now, bbl_pool *pool, uint32_t sent,
+             uint32_t refused)
+{
+    if (pool != NULL &&
+        bbl_pressure_record(&pool->pressure, now, sent, refused) &&
+        !pool->pressure_reported) {
+        f->counters.pressure_begun++;
+        f->under_pressure = true;
+        report_pressure(f, now, pool, true);
+    }
+}
+
+void
+bbl_forwarder_check_pressure(bbl_forwarder *f, bbl_usec now)
+{
+    bbl_pool *pool;
+    size_t pos = 0;
+
+    f->under_pressure = false;
+    while ((pool = bbl_map_next(&f->pools.pools, &pos)) != NULL) {
+        bool active = bbl_pressure_is_active(&pool->pressure, now);
+
+        f->under_pressure = f->under_pressure || active;
+        if (pool->pressure_reported && !active) {
+            report_pressure(f, now, pool, false);
+        }
+    }
+}
+
+double
+bbl_attempt_get_extra_left(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+                           bbl_shard *s)
+{
+    bbl_extra_limits limits = f->extra_limits;
+
+    if (bbl_query_is_under_pressure(q, now)) {
+        double share =
+            bbl_pressure_get_extra_share(&q->pressure_pool->pressure, now);
+
+        limits.ratio *= share;
+        limits.constant *= share;
+    }
+    return bbl_extra_budget_get_left(&s->pool->budget, &limits, now);
+}
+
+void
+bbl_query_cancel_attempts(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                          const bbl_shard *shard)
+{
+    for (size_t i = q->attempts.size; i > 0; i--) {
+        bbl_attempt *a = *BBL_VEC_AT(bbl_attempt *, &q->attempts, i - 1);
+        double slowness = (double)(now > a->sent_at ? now - a->sent_at : 0) /
+                          (double)(a->timing->service_time + 1);
+
+        if (shard != NULL && a->shard != shard) {
+            continue;
+        }
+        a->shard->attempts_maybe_run -=
+            !f->options.port.is_sent(f->options.port.ctx, a);
+        f->options.port.cancel(f->options.port.ctx, a);
+        f->counters.attempts_cancelled++;
+        a->shard->in_flight--;
+        if (slowness > bbl_backend_get_slowness(a->backend, now)) {
+            /* It would have been rated by its response, which is at least as
+             * slow. */
+            bbl_backend_record_result(a->backend, now, slowness, false);
+        }
+        bbl_vec_swap_remove(&q->attempts, i - 1);
+        bbl_attempt_unlink(a);
+        free(a);
+    }
+}
+
 bool
 bbl_attempt_send(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_shard *s,
                  bbl_backend *b, bool hedge)
@@ -163,6 +254,7 @@
     a->backend = b;
     a->timing = q->timing;
     a->load_limit = q->load_limit;
+    a->pressure_pool = q->pressure_pool;
     a->work = (double)q->timing->uncongested_time;
     a->request_share = 1.0 / q->shard_count;
     a->fingerprint = q->request.fingerprint;
@@ -188,6 +280,7 @@
     s->state = BBL_SHARD_IN_FLIGHT;
     q->attempted = true;
     q->record.attempt_count++;
+    record_parts(f, now, q->pressure_pool, 1, 0);
     f->counters.attempts++;
     f->counters.attempts_limited += b->limit.limited;
     b->backoff.sent += bbl_backoff_is_active(&b->backoff, now);
@@ -218,8 +311,7 @@
     if (s->attempts_sent > 0 && bbl_query_is_suspect(q)) {
         return false;
     }
-    if (is_extra(s) && bbl_extra_budget_get_left(&s->pool->budget,
-                                                 &f->extra_limits, now) <= 0) {
+    if (is_extra(s) && bbl_attempt_get_extra_left(f, now, q, s) <= 0) {
         f->counters.attempts_over_budget++;
         return false;
     }
@@ -425,6 +517,13 @@
                                    ? SERVER_FULL_BACKOFF_US
                                    : REFUSED_BACKOFF_US);
     }
+    if (r->outcome == BBL_ATTEMPT_RESPONSE && head->not_run &&
+        !head->wrong_incarnation && !head->leaving && !b->limit.limited) {
+        record_parts(f, now, a->pressure_pool, 0, 1);
+        if (a->query != NULL) {
+            a->query->parts_refused++;
+        }
+    }
     bbl_backend_report_state(f, now, b, before);
 }
 
@@ -498,6 +597,10 @@
         relay_response(f, now, q, a->backend, r, BBL_FORWARD_OK);
         return;
     }
+    if (s->in_flight > 0 && q->route->idempotent &&
+        bbl_query_is_under_pressure(q, now)) {
+        bbl_query_cancel_attempts(f, now, q, s);
+    }
     bbl_query_add_part(q, head->signature, r->body);
     if (!bbl_query_finish_if_decided(f, now, q) && q->shards_answered == 1) {
         bbl_query_process(f, now, q); /* the others may wait for the first */
@@ -527,8 +630,7 @@
     if (single && m != RESULT_NOT_RUN && is_relayable(r, head) &&
         (m == RESULT_FINAL || !q->route->idempotent ||
          s->attempts_maybe_run >= q->route->max_attempts ||
-         bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now) <=
-             0)) {
+         bbl_attempt_get_extra_left(f, now, q, s) <= 0)) {
         relay_response(f, now, q, a->backend, r, BBL_FORWARD_FAILED);
         return;
     }
--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -206,7 +206,7 @@
         free(d);
         return false;
     }
-    bbl_query_withdraw_asks(f, q);
+    bbl_query_withdraw_asks(f, now, q);
     q->timing->next_probe_at = now + PROBE_INTERVAL_US;
     r.peer->in_flight++;
     q->delegation = d;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -39,6 +39,11 @@
  * unless its server is slow; one that ends breaks its connections at once.
  */
 #define CANARY_SERVICE_TIMES 2
+/*
+ * Entry hosts up to which each of them sees enough of the load by itself, so
+ * that none asks for load.
+ */
+#define SMALL_FLEET_MAX 16
 /*
  * Maximum time between two ticks. A tick also does maintenance if a quarter of
  * this time has passed since the last one: it activates a waiting routing,
@@ -310,8 +315,7 @@
         in.waited = now > s->first_sent_at ? now - s->first_sent_at : 0;
         in.quiet = now - q->responded_at;
         in.target_left = q->target_at > now ? q->target_at - now : 0;
-        in.budget_left =
-            bbl_extra_budget_get_left(&s->pool->budget, &f->extra_limits, now);
+        in.budget_left = bbl_attempt_get_extra_left(f, now, q, s);
         in.stalled = false;
         for (size_t k = 0; k < s->pool->backends.size; k++) {
             const bbl_backend *t =
@@ -429,10 +433,14 @@
 start_query(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     q->started = true;
+    q->started_at = now;
     bbl_query_count_first(f, now, q);
     if (refuse_hopeless(f, now, q)) {
         return false;
     }
+    if (q->admission[BBL_ADMIT_LOAD].admitted) {
+        return true; /* one limit decides, not two in sequence */
+    }
     if (!bbl_load_limit_admit(q->load_limit, now, q->timing->uncongested_time,
                               q->priority <= q->table->most_urgent_priority)) {
         bbl_query_fail(f, now, q, BBL_FORWARD_OVERLOAD,
@@ -446,6 +454,7 @@
 bbl_query_process(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     bool waiting;
+    bbl_usec answer_at;
     bbl_usec not_run_until =
         q->request.arrived_at +
         q->route->target_latency_ms * BBL_USEC_PER_MS / NOT_RUN_WAIT_DIVISOR;
@@ -479,8 +488,9 @@
         return false;
     }
     q->next_due_at = q->deadline;
-    if (q->target_at > now && q->target_at < q->next_due_at) {
-        q->next_due_at = q->target_at;
+    answer_at = bbl_query_get_answer_time(q, now);
+    if (answer_at > now && answer_at < q->next_due_at) {
+        q->next_due_at = answer_at;
     }
     if (waiting) {
         bbl_usec due = now + RECHECK_US;
@@ -580,6 +590,9 @@
         q->shards[i].attempts_maybe_run = q->request.delegated.attempts;
     }
     q->load_limit = &q->shards[0].pool->load_limit;
+    if (route->kind == BBL_ROUTE_GATHER && f->entry_hosts > SMALL_FLEET_MAX) {
+        q->pressure_pool = q->shards[0].pool;
+    }
     q->probes_limits = bbl_rng_below(&f->rng, PROBE_INTERVAL) == 0;
 }
 
@@ -912,6 +925,7 @@
         check_servers(f, now);
         bbl_forwarder_expire_permit_requests(f, now);
         bbl_forwarder_forget_asks(f, now);
+        bbl_forwarder_check_pressure(f, now);
         bbl_pools_free_retired(&f->pools);
         bbl_peers_free_retired(&f->peers);
     }
@@ -1025,6 +1039,12 @@
     return f->table != NULL ? bbl_routing_version(f->table->routing) : 0;
 }
 
+bool
+bbl_forwarder_is_under_pressure(const bbl_forwarder *f)
+{
+    return f->under_pressure;
+}
+
 const bbl_reach *
 bbl_forwarder_get_reach(const bbl_forwarder *f)
 {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -195,6 +195,9 @@
     bbl_backend_state unusable_state;
     /* Static string: why the last attempt at it failed; NULL if none has. */
     const char *failure_reason;
+    /* What the grantor that has decided on its load has stated. */
+    bool load_asked;
+    bblx_admission_reply load;
 } bbl_forward_record;
 
 /* An extra attempt at a shard, and the inputs of the decision to send it. */
@@ -320,6 +323,14 @@
                            const bblx_message *message);
     /* Reports that requests of an organisation over its limit are refused. */
     void (*report_quota)(void *ctx, const bbl_quota_record *record);
+    /*
+     * Reports that load pressure has begun or ended at a set of shards, named
+     * by its first service.
+     *
+     * @param refused_share share of the recent parts that servers refused
+     */
+    void (*pressure_changed)(void *ctx, bbl_str service, bool active,
+                             double refused_share);
     void *ctx;
 } bbl_forward_port;
 
@@ -346,7 +357,8 @@
      */
     bbl_extra_limits extra_limits;
     bbl_usec permit_ttl; /* from the request for a permit until its end */
-    /* The same for the token of an organisation; see admission/quota_book.h. */
+    /* The same for the token of an organisation; see admission/quota_book.h.
+     */
     bbl_usec token_time;
     const bbl_dialect *dialect;
     bbl_forward_port port;
@@ -389,11 +401,15 @@
     uint64_t admission_refusals;    /* of these replies */
     uint64_t admission_timeouts;    /* requests not answered in time */
     uint64_t admission_returns;     /* tokens returned */
+    uint64_t pressure_begun;        /* times that load pressure has begun */
+    uint64_t load_admitted;         /* queries admitted by a grantor */
+    uint64_t load_refused;          /* by a grantor */
+    uint64_t load_unanswered;       /* run without an answer of a grantor */
     uint64_t quota_refused_locally; /* without asking a grantor */
-    uint64_t delegations;         /* queries passed on to another host */
-    uint64_t delegations_refused; /* by that host, which cannot serve them */
-    uint64_t delegated_requests;  /* received from other hosts */
-    bbl_histogram latency;        /* microseconds; OK and PARTIAL only */
+    uint64_t delegations;           /* queries passed on to another host */
+    uint64_t delegations_refused;   /* by that host, which cannot serve them */
+    uint64_t delegated_requests;    /* received from other hosts */
+    bbl_histogram latency;          /* microseconds; OK and PARTIAL only */
 } bbl_forward_counters;
 
 /*
@@ -556,6 +572,9 @@
                                             bbl_usec now,
                                             const bbl_backend *backend);
 
+/* Returns whether some shards were under load pressure at the last tick. */
+bool bbl_forwarder_is_under_pressure(const bbl_forwarder *forwarder);
+
 /* Returns how many servers this host reaches. */
 const bbl_reach *bbl_forwarder_get_reach(const bbl_forwarder *forwarder);
 
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -62,7 +62,8 @@
     bbl_usec permits_expired_since;
     bbl_permit_book local_permits; /* while no grantor replies */
     bbl_admission_asks asks;
-    bool limits_known; /* whether some server limits its request rate */
+    bool under_pressure; /* some shards are; see pressure.h */
+    bool limits_known;   /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_usec servers_checked_at;
     bbl_forward_counters counters;
@@ -128,6 +129,27 @@
 bool bbl_attempt_may_send(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
                           bbl_shard *s);
 
+/*
+ * Returns the share left of the budget for extra attempts at a shard, 0 to 1.
+ * Under load pressure the whole budget is smaller.
+ */
+double bbl_attempt_get_extra_left(bbl_forwarder *f, bbl_usec now,
+                                  const bbl_query *q, bbl_shard *s);
+
+/* Returns whether the servers of a query are under load pressure. */
+bool bbl_query_is_under_pressure(const bbl_query *q, bbl_usec now);
+
+/*
+ * Cancels the attempts of a query, so that servers stop working on them.
+ *
+ * @param shard cancels only those at this shard; NULL: all of them
+ */
+void bbl_query_cancel_attempts(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                               const bbl_shard *shard);
+
+/* Reports which pressure has ended. */
+void bbl_forwarder_check_pressure(bbl_forwarder *f, bbl_usec now);
+
 /* Reports an extra attempt through the port. */
 void bbl_attempt_report_extra(bbl_forwarder *f, bbl_usec now,
                               const bbl_query *q, const bbl_shard *s,
@@ -177,15 +199,18 @@
                                             bbl_query *q);
 
 /* Takes the requests of a query back, which another host is to admit. */
-void bbl_query_withdraw_asks(bbl_forwarder *f, bbl_query *q);
+void bbl_query_withdraw_asks(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
 /*
  * Ends the admission of a query that is about to be freed.
  *
+ * Reports how it ended to the grantor that has admitted its load.
+ *
  * @param ran whether some server may have run a part of it; if not, its token
  *            is returned
  */
-void bbl_query_end_admission(bbl_forwarder *f, bbl_query *q, bool ran);
+void bbl_query_end_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                             bool ran);
 
 /* Forgets the requests whose replies are of no use any more. */
 void bbl_forwarder_forget_asks(bbl_forwarder *f, bbl_usec now);
@@ -293,9 +318,15 @@
 /* Finishes a query with the merged parts that the shards have answered. */
 void bbl_query_finish_merged(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
+/*
+ * Returns when a query with enough parts is answered at the latest. Under load
+ * pressure that is early: the missing parts would delay those of others.
+ */
+bbl_usec bbl_query_get_answer_time(const bbl_query *q, bbl_usec now);
+
 /*
  * Finishes a query if its outcome is decided: a sharded query that is
- * complete, can no longer succeed, or has reached target_at with enough
+ * complete, can no longer succeed, or has reached its answer time with enough
  * shards; a query with one shard that can no longer succeed.
  *
  * @return whether the query was finished
--- a/src/forward/pools.h
+++ b/src/forward/pools.h
@@ -6,6 +6,7 @@
 #ifndef BBL_FORWARD_POOLS_H
 #define BBL_FORWARD_POOLS_H
 
+#include "admission/pressure.h"
 #include "forward/backend.h"
 #include "forward/extra_budget.h"
 #include "forward/load_limit.h"
@@ -18,6 +19,8 @@
     bbl_vec backends; /* bbl_backend * */
     bbl_extra_budget budget;
     bbl_load_limit load_limit; /* for routes whose first service this is */
+    bbl_pressure pressure;     /* the same */
+    bool pressure_reported;    /* its begin, but not its end yet */
     /*
      * Connections that one server accepts from all hosts together; 0 if
      * unknown.
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -84,6 +84,9 @@
     uint32_t priority;
     bbl_route_timing *timing;
     bbl_load_limit *load_limit; /* load limit of its servers, borrowed */
+    /* Pool that holds the pressure of its shards, borrowed; NULL if this host
+     * does not ask for load, see bbl_query_is_under_pressure(). */
+    bbl_pool *pressure_pool;
     /*
      * When the answer should be sent: an incomplete answer with enough shards
      * is not delayed further.
@@ -119,6 +122,8 @@
 
     bbl_query_admission admission[BBL_ADMIT_SUBJECTS];
     bool started; /* admitted, and checked as requests without admission are */
+    bbl_usec started_at;    /* when that was */
+    unsigned parts_refused; /* attempts that servers refused for their load */
 
     bbl_delegation *delegation; /* in flight, or NULL */
     unsigned delegations;       /* hosts that it was delegated to */
@@ -141,8 +146,9 @@
     bbl_backend *backend;
     bbl_route_timing *timing;
     bbl_load_limit *load_limit;
-    void *handle; /* the driver's handle of the attempt */
-    void *ctx;    /* ctx of the port */
+    bbl_pool *pressure_pool; /* of its query */
+    void *handle;            /* the driver's handle of the attempt */
+    void *ctx;               /* ctx of the port */
     bbl_usec sent_at;
     uint64_t fingerprint;      /* of the request */
     unsigned crash_generation; /* that was known when the query began */
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -123,6 +123,7 @@
     bbl_memory_account *account;
     bool owns_account;
     size_t buffered; /* bytes that this client has charged */
+    bool preconnect_paused;
     bbl_backend_counters counters;
 };
 
@@ -987,7 +988,8 @@
                         client->next_link++ % client->links.size);
 
         if (link->connections.size == 0 && !link->released &&
-            (link->keep_open || link->unreachable || link->preconnect_due)) {
+            ((link->keep_open && !client->preconnect_paused) ||
+             link->unreachable || link->preconnect_due)) {
             bbl_backend_link_preconnect(link, now);
         }
         if (client->counters.connects >=
@@ -997,6 +999,12 @@
     }
 }
 
+void
+bbl_backend_client_pause_preconnect(bbl_backend_client *client, bool paused)
+{
+    client->preconnect_paused = paused;
+}
+
 void
 bbl_backend_client_tick(bbl_backend_client *client, bbl_usec now)
 {
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -113,6 +113,14 @@
  */
 void bbl_backend_client_tick(bbl_backend_client *client, bbl_usec now);
 
+/*
+ * Pauses or resumes opening connections that are kept open while idle, for
+ * servers that are under load. Connections that check whether a server can be
+ * reached are still opened.
+ */
+void bbl_backend_client_pause_preconnect(bbl_backend_client *client,
+                                         bool paused);
+
 /* Returns the bytes allocated for all requests and responses. */
 size_t bbl_backend_client_get_buffered(const bbl_backend_client *client);
 
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -109,7 +109,9 @@
     X(DELEGATED, 5004, INFO, "delegated",                                     \
       "a request was passed on to another entry host")                        \
     X(OVER_QUOTA, 5005, INFO, "over-quota",                                   \
-      "requests of an organisation over its limit are refused")
+      "requests of an organisation over its limit are refused")               \
+    X(PRESSURE, 5006, WARN, "pressure",                                       \
+      "servers refuse parts of queries for their load, or no longer do")
 
 typedef enum {
 #define BBL_LOG_ENUM(symbol, number, level, name, meaning)                    \
