--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -608,6 +608,7 @@
 	bblx_admission_outcome outcome;
 	u_int wait_us;
 	u_int ask_us;
+	u_int left_per_1000;
 	bblx_overload_reason reason;
 	u_int limit;
 	u_int in_flight;
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1332,6 +1332,79 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_bblx_admission_outcome (xdrs, &objp->outcome))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ask_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->left_per_1000))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->wait_us);
+		IXDR_PUT_U_LONG(buf, objp->ask_us);
+		IXDR_PUT_U_LONG(buf, objp->left_per_1000);
+		}
+		 if (!xdr_bblx_overload_reason (xdrs, &objp->reason))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->limit))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->limit);
+			IXDR_PUT_U_LONG(buf, objp->in_flight);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_bblx_admission_outcome (xdrs, &objp->outcome))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ask_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->left_per_1000))
+				 return FALSE;
+
+		} else {
+		objp->wait_us = IXDR_GET_U_LONG(buf);
+		objp->ask_us = IXDR_GET_U_LONG(buf);
+		objp->left_per_1000 = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bblx_overload_reason (xdrs, &objp->reason))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->limit))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+		} else {
+			objp->limit = IXDR_GET_U_LONG(buf);
+			objp->in_flight = IXDR_GET_U_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
 	 if (!xdr_bblx_admission_outcome (xdrs, &objp->outcome))
@@ -1340,6 +1413,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ask_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_per_1000))
+		 return FALSE;
 	 if (!xdr_bblx_overload_reason (xdrs, &objp->reason))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->limit))
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -512,6 +512,7 @@
     bblx_admission_outcome outcome;
     unsigned int wait_us;         /* before the next try, if not admitted */
     unsigned int ask_us;          /* the host asks for load for so long */
+    unsigned int left_per_1000;   /* of this grantor's share of the burst */
     /* For load, to explain the outcome. */
     bblx_overload_reason reason;
     unsigned int limit;           /* queries in flight, of all hosts */
