Tests: decisions on load at entry hosts and grantors

Cause: a refusal for load is final, a missing answer is not, and a grantor serves several sets of shards.

--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -82,6 +82,42 @@
 }
 END_TEST
 
+/* The state of the load is at one grantor: another one would admit what that
+ * has refused. If none answers, servers that could serve it are not idle. */
+START_TEST(one_grantor_decides_on_load)
+{
+    bbl_admit_facts f = new_facts();
+    bbl_admit_subject_facts *s = &f.subjects[BBL_ADMIT_LOAD];
+
+    f.subjects[BBL_ADMIT_QUOTA].admitted = true;
+    s->needed = true;
+    s->asked = 1;
+    s->asked_at = ARRIVED;
+    s->awaits_reply = true;
+    f.now = ARRIVED + 20 * MS;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_ASK); /* it is silent */
+    ck_assert(decide(&f).timed_out);
+    f.now = ARRIVED + 60 * MS;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_RUN);
+    s->waits = true; /* it has said that the query waits there */
+    s->wait = 400 * MS;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_AWAIT);
+    ck_assert_uint_le(decide(&f).until, ARRIVED + 75 * MS);
+    f.now = ARRIVED + 75 * MS;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_REFUSE);
+    ck_assert_uint_eq(decide(&f).retry_after, 400 * MS);
+    f.now = ARRIVED + 1 * MS;
+    s->waits = false;
+    s->awaits_reply = false;
+    s->refused = 1;
+    ck_assert_int_eq(decide(&f).action, BBL_ADMIT_REFUSE);
+    f.now = ARRIVED + 50 * MS;
+    ck_assert_uint_eq(bbl_admit_get_load_wait(&f), 10 * MS);
+    f.now = ARRIVED + 70 * MS;
+    ck_assert_uint_eq(bbl_admit_get_load_wait(&f), 0);
+}
+END_TEST
+
 START_TEST(a_short_target_shortens_the_wait_for_a_reply)
 {
     bbl_admit_facts f = new_facts();
@@ -388,6 +424,7 @@
 
     tcase_add_test(host, a_query_that_needs_nothing_runs);
     tcase_add_test(host, the_quota_is_asked_for_before_load);
+    tcase_add_test(host, one_grantor_decides_on_load);
     tcase_add_test(host, a_short_target_shortens_the_wait_for_a_reply);
     tcase_add_test(host, a_grantor_that_does_not_reply_costs_one_timeout);
     tcase_add_test(host,
