--- a/src/admission/quota_book.c
+++ b/src/admission/quota_book.c
@@ -13,6 +13,8 @@
  */
 #define TOKEN_TIME_SHARE 0.6
 #define RETURN_TIME_SHARE 0.9
+/* Least of these times: a reply from another data centre takes 6 ms. */
+#define TIME_MIN_US (30 * BBL_USEC_PER_MS)
 /* Part of the slack by which the buckets of all grantors are larger. */
 #define CAPACITY_SLACK_SHARE 0.4
 /* Part of the slack that all grantors give after a restart. */
@@ -23,6 +25,9 @@
  * later ones should not be told to wait for long after it has stopped.
  */
 #define EXPECTED_SECONDS 0.5
+/* Longest wait that is stated. With a rate of 0.1 a second the next token may
+ * be 50 s away. */
+#define WAIT_MAX_US (600 * BBL_USEC_PER_SEC)
 /* Buckets above which those that are full are freed: a new one is the same. */
 #define BUCKETS_MAX 16384
 
@@ -45,7 +50,9 @@
 static bbl_usec
 get_time_share(const bbl_quota_limits *l, double share)
 {
-    return (bbl_usec)((double)l->window * l->overrun * share);
+    bbl_usec time = (bbl_usec)((double)l->window * l->overrun * share);
+
+    return time > TIME_MIN_US ? time : TIME_MIN_US;
 }
 
 bbl_usec
@@ -235,7 +242,7 @@
     }
     /* A host asks for no organisation without a limit. */
     if (grantors == 0 || !(q->rate > 0) || !(q->burst >= 0)) {
-        *out = (bbl_quota_answer){false, BBL_SHARE_WAIT_MAX_US, 0};
+        *out = (bbl_quota_answer){false, WAIT_MAX_US, 0};
         return;
     }
     b = get_bucket(book, now, grantors, q);
@@ -247,7 +254,8 @@
         book->granted++;
         return;
     }
-    out->wait_us = bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens);
+    out->wait_us =
+        bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens, WAIT_MAX_US);
     /* All grantors refuse the request, and it comes back to one of them. */
     b->share.expected =
         fmin(b->share.expected + 1.0 / grantors,
--- a/src/control/admissions.c
+++ b/src/control/admissions.c
@@ -28,17 +28,16 @@
  * like one that was restarted: what its predecessor gave is not known.
  */
 static bool
-grants(bbl_control *c)
+is_grantor(bbl_control *c)
 {
-    bool before = c->grants_admission;
+    bool is = bbl_permits_is_grantor(c);
 
-    c->grants_admission = bbl_permits_is_grantor(c);
-    if (c->grants_admission && !before && c->was_no_grantor) {
+    if (is && c->was_no_grantor) {
         bbl_admissions_free(c);
         bbl_admissions_init(c);
     }
-    c->was_no_grantor = !c->grants_admission;
-    return c->grants_admission;
+    c->was_no_grantor = !is;
+    return is;
 }
 
 static void
@@ -72,6 +71,7 @@
 void
 bbl_admissions_tick(bbl_control *c)
 {
+    is_grantor(c);
     bbl_load_book_tick(&c->loads, c->now);
     send_load_replies(c);
 }
@@ -97,7 +97,7 @@
 {
     bblx_admission_reply reply;
 
-    if (!grants(c)) {
+    if (!is_grantor(c)) {
         return;
     }
     if (r->item.subject == BBLX_ADMISSION_LOAD) {
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -114,8 +114,7 @@
 
     bbl_quota_book quotas; /* shares that this host grants */
     bbl_load_book loads;   /* load that this host admits */
-    bool grants_admission; /* this host is a grantor */
-    bool was_no_grantor;   /* it was none when that was last checked */
+    bool was_no_grantor;   /* when that was last checked */
 
     uint64_t heartbeats_sent;
     uint64_t heartbeats_relayed;
@@ -188,7 +187,8 @@
 void bbl_admissions_init(bbl_control *c);
 void bbl_admissions_free(bbl_control *c);
 
-/* Ends the waits of queries whose time is over. */
+/* Notes whether this host is a grantor, and ends the waits of queries whose
+ * time is over. */
 void bbl_admissions_tick(bbl_control *c);
 
 /* Processes a message about the admission of a query. */
--- a/tests/property/quota_property.cc
+++ b/tests/property/quota_property.cc
@@ -1,6 +1,7 @@
-// Property test: the hard bound on the requests of an organisation, under lost,
-// late and doubled messages, grantors and hosts that are frozen, restarted or
-// cut off from each other, and routing versions that change the limit.
+// Property test: the hard bound on the requests of an organisation, under
+// lost, late and doubled messages, grantors and hosts that are frozen,
+// restarted or cut off from each other, and routing versions that change the
+// limit.
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
@@ -36,8 +37,8 @@
 };
 
 static const char *const kindNames[KINDS] = {
-    "run",    "burst",  "load",        "lose",    "double", "delay", "cut",
-    "heal",   "freeze", "freeze-host", "restart", "shed",   "leave", "version"};
+    "run",  "burst",  "load",        "lose",    "double", "delay", "cut",
+    "heal", "freeze", "freeze-host", "restart", "shed",   "leave", "version"};
 
 struct QuotaOp {
     QuotaOpKind kind;
@@ -68,7 +69,10 @@
         quota_fleet_run(&fleet, 20 * SEC); // the buckets are full
     }
 
-    ~Schedule() { quota_fleet_free(&fleet); }
+    ~Schedule()
+    {
+        quota_fleet_free(&fleet);
+    }
     Schedule(const Schedule &) = delete;
     Schedule &operator=(const Schedule &) = delete;
 
@@ -81,6 +85,7 @@
     static const unsigned HOSTS = 3;
 
     void send(unsigned host);
+    void burst(unsigned host, unsigned requests);
     void runUnderLoad(unsigned ms, unsigned perSecond);
     void changeVersion(unsigned host, unsigned value);
     void endUnusedLimits();
@@ -101,6 +106,14 @@
     }
 }
 
+void
+Schedule::burst(unsigned host, unsigned requests)
+{
+    for (unsigned i = 0; i < requests; i++) {
+        send(host + (host % 2 ? i : 0));
+    }
+}
+
 void
 Schedule::runUnderLoad(unsigned ms, unsigned perSecond)
 {
@@ -115,8 +128,8 @@
 void
 Schedule::endUnusedLimits()
 {
-    uint64_t oldest = *std::min_element(fleet.versions,
-                                        fleet.versions + HOSTS);
+    uint64_t oldest =
+        *std::min_element(fleet.versions, fleet.versions + HOSTS);
 
     for (uint64_t v = 1; v < oldest; v++) {
         limits[v - 1].until = std::min(limits[v - 1].until, fleet.now);
@@ -132,7 +145,8 @@
     }
     if (fleet.versions[host] == limits.size()) {
         limits.push_back({(double)(value % 25 + 1) / (value % 3 + 1),
-                          (double)(value % 31), fleet.now, UINT64_MAX});
+                          (double)(value % 31 * (value % 2 ? 1 : 6)),
+                          fleet.now, UINT64_MAX});
     }
     quota_fleet_install(&fleet, host, limits.size(), limits.back().rate,
                         limits.back().burst);
@@ -150,9 +164,7 @@
         quota_fleet_run(&fleet, op.value * 5 * MS);
         break;
     case BURST:
-        for (unsigned i = 0; i < op.value / 2; i++) {
-            send(op.target + (op.target % 2 ? i : 0));
-        }
+        burst(op.target, op.value);
         break;
     case LOAD:
         runUnderLoad(op.value * 10, 10 + op.target * 6);
@@ -164,7 +176,7 @@
         fleet.doubled_per_100 = op.value % 100;
         break;
     case DELAY:
-        fleet.delay_max = op.target % 3 ? op.value % 8 * MS : op.value * MS;
+        fleet.delay_max = op.value % 8 * MS * (op.target % 3 ? 1 : 100);
         break;
     case CUT:
         fleet.cut[host][op.value % QUOTA_GRANTORS] = true;
@@ -177,18 +189,24 @@
         fleet.grantor_frozen_until[grantor] = fleet.now + op.value * 5 * MS;
         break;
     case FREEZE_HOST:
+        // Replies arrive while it is frozen.
+        burst(host, op.value);
         fleet.host_frozen_until[host] = fleet.now + op.value * 5 * MS;
         break;
     case RESTART:
         // The slack covers one restart of each grantor in a window.
-        if (fleet.now > restartedAt[grantor] + WINDOW) {
-            restartedAt[grantor] = fleet.now;
-            quota_fleet_restart_grantor(&fleet, grantor);
+        for (unsigned i = 0; i < QUOTA_GRANTORS; i++) {
+            if ((i == grantor || op.value % 3 == 0) &&
+                fleet.now > restartedAt[i] + WINDOW) {
+                restartedAt[i] = fleet.now;
+                quota_fleet_restart_grantor(&fleet, i);
+            }
         }
         break;
     case SHED:
         forward_sim_get_server(fleet.hosts[host], 0)->mode =
             op.value % 2 ? SERVER_SHEDS : SERVER_OK;
+        burst(host, op.value);
         break;
     case LEAVE:
         if (fleet.now >= fleet.host_frozen_until[host]) {
@@ -238,9 +256,8 @@
         if ((double)(last - first) > (rate * 5 + burst) * 1.1 + 20) {
             std::ostringstream os;
 
-            os << last - first << " requests run in 5 s from "
-               << from / MS << " ms on, with rate " << rate << " and burst "
-               << burst;
+            os << last - first << " requests run in 5 s from " << from / MS
+               << " ms on, with rate " << rate << " and burst " << burst;
             return os.str();
         }
     }
@@ -254,10 +271,20 @@
 anyOp()
 {
     auto kind = rc::gen::weightedElement<QuotaOpKind>({
-        {6, RUN},    {8, BURST},          {10, LOAD},       {2, LOSE},
-        {2, DOUBLE}, {3, DELAY},          {3, CUT},         {2, HEAL},
-        {3, SHED},   {3, FREEZE_GRANTOR}, {3, FREEZE_HOST}, {4, RESTART},
-        {2, LEAVE},  {4, VERSION},
+        {6, RUN},
+        {8, BURST},
+        {10, LOAD},
+        {2, LOSE},
+        {2, DOUBLE},
+        {3, DELAY},
+        {3, CUT},
+        {2, HEAL},
+        {3, SHED},
+        {3, FREEZE_GRANTOR},
+        {3, FREEZE_HOST},
+        {4, RESTART},
+        {2, LEAVE},
+        {4, VERSION},
     });
 
     return rc::gen::build<QuotaOp>(
@@ -272,7 +299,7 @@
     bool ok = rc::check("an organisation stays within its hard bound", [] {
         auto seed = *rc::gen::arbitrary<uint64_t>();
         auto rate = *rc::gen::inRange(1u, 60u);
-        auto burst = *rc::gen::inRange(0u, 40u);
+        auto burst = *rc::gen::element(0u, 1u, 5u, 20u, 40u, 150u);
         auto ops = *rc::gen::container<std::vector<QuotaOp>>(anyOp());
         Schedule schedule(seed, rate / 2.0, burst);
         std::string violation;
