Admission: slow servers alone do not limit the load

Cause: with 15% of the servers 10 times slower and the usual load, servers refuse over 2% of the parts.

Change: a gate always admits 0.3 of the work that the slots can do. A host saves work only after a grantor has told that the load is limited, or while servers refuse over 10% of its parts. The model cancels and rates as the hosts do.

--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -565,6 +565,7 @@
 	u_quad_t resource;
 	u_int slots;
 	u_int priority;
+	u_int shards;
 	u_quad_t work_us;
 	u_int target_us;
 	u_int deadline_us;
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -1254,12 +1254,83 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->resource))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shards))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->shards);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->work_us))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_us))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->target_us);
+			IXDR_PUT_U_LONG(buf, objp->deadline_us);
+			IXDR_PUT_U_LONG(buf, objp->wait_us);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->resource))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shards))
+				 return FALSE;
+
+		} else {
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->shards = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->work_us))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_us))
+				 return FALSE;
+		} else {
+			objp->target_us = IXDR_GET_U_LONG(buf);
+			objp->deadline_us = IXDR_GET_U_LONG(buf);
+			objp->wait_us = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->resource))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->shards))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->work_us))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->target_us))
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -474,7 +474,8 @@
     unsigned hyper resource;      /* the set of shards */
     unsigned int slots;           /* of one shard, all its servers */
     unsigned int priority;        /* 0 is the most urgent */
-    unsigned hyper work_us;       /* parts x expected time */
+    unsigned int shards;
+    unsigned hyper work_us;       /* shards x expected time of a part */
     unsigned int target_us;       /* time left when sent */
     unsigned int deadline_us;     /* time left when sent */
     unsigned int wait_us;         /* longest wait for the reply */
--- a/src/admission/load_gate.c
+++ b/src/admission/load_gate.c
@@ -15,6 +15,14 @@
 /* Range of the limit, as multiples of the slots of a shard. */
 #define LIMIT_MIN (1.0 / 3)
 #define LIMIT_MAX 4.0
+/*
+ * Share of the work that the slots can do that is always admitted. It is less
+ * than what the servers bear with 15% of them 2.5 times slower (0.46 on the
+ * model), and more than the usual load.
+ */
+#define FLOOR_SHARE 0.3
+/* Time whose share may be admitted at once. */
+#define FLOOR_BURST_US (50.0 * BBL_USEC_PER_MS)
 /* Query time that is assumed before the first report. */
 #define QUERY_TIME_INITIAL_US (50.0 * BBL_USEC_PER_MS)
 #define QUERY_TIME_WEIGHT 0.05 /* of one report */
@@ -115,6 +123,19 @@
     bbl_vec_push(&g->decisions, &d);
 }
 
+static void
+refill_floor(bbl_load_gate *g, bbl_usec now)
+{
+    double most = FLOOR_SHARE * g->slots * FLOOR_BURST_US;
+
+    if (now > g->floor_filled_at) {
+        g->floor_tokens +=
+            FLOOR_SHARE * g->slots * (double)(now - g->floor_filled_at);
+    }
+    g->floor_filled_at = now;
+    g->floor_tokens = fmin(fmax(g->floor_tokens, -most), most);
+}
+
 static void
 admit(bbl_load_gate *g, bbl_usec now, const bbl_order_query *q)
 {
@@ -122,6 +143,7 @@
 
     bbl_vec_push(&g->in_flight, &a);
     decide(g, now, q, BBL_LOAD_ADMITTED, BBL_LOAD_REASON_NONE);
+    g->floor_tokens -= q->part_work;
     g->recent_admitted++;
     g->counters.admitted[bbl_order_get_class(q->priority)]++;
 }
@@ -129,7 +151,7 @@
 static bool
 has_room(const bbl_load_gate *g)
 {
-    return (double)g->in_flight.size + 1 <= g->limit;
+    return (double)g->in_flight.size + 1 <= g->limit || g->floor_tokens > 0;
 }
 
 static void
@@ -149,6 +171,7 @@
 {
     bbl_order_query q;
 
+    refill_floor(g, now);
     refuse_expired(g, now);
     while (has_room(g) && bbl_order_take_next(&q, &g->waiting, now)) {
         admit(g, now, &q);
@@ -195,6 +218,7 @@
         .wait_until = now + r->wait_max,
         .expected = (bbl_usec)(g->work_factor * r->work),
         .work = r->work,
+        .part_work = r->work / (r->shards > 0 ? r->shards : 1),
     };
     bbl_order_query displaced;
     double wait;
--- a/src/admission/load_gate.h
+++ b/src/admission/load_gate.h
@@ -8,8 +8,10 @@
  * the query, and the work of its other parts is lost with it. One control
  * host admits the queries of all hosts: its limit of queries in flight rises
  * slowly while servers refuse hardly anything and falls by a factor when they
- * refuse more. The other queries wait for a part of their target (order.h), or
- * are refused at once if the predicted wait is longer.
+ * refuse more. A part of the work that the slots can do is always admitted, as
+ * slow servers refuse parts at the usual load as well, and a limit would then
+ * idle the others. The other queries wait for a part of their target
+ * (order.h), or are refused at once if the predicted wait is longer.
  *
  * A gate has no clock and sends nothing: its decisions are collected with
  * bbl_load_gate_take_decision.
@@ -26,7 +28,8 @@
     uint64_t number; /* unique at the host */
     uint32_t slots;  /* of one shard, over all its servers */
     uint32_t priority;
-    double work; /* parts x expected time of one, microseconds */
+    uint32_t shards;
+    double work; /* shards x expected time of a part, microseconds */
     bbl_usec target_left;
     bbl_usec deadline_left;
     bbl_usec wait_max;
@@ -72,6 +75,10 @@
     double parts;
     double refused;
     bbl_usec window_start;
+    /* Work of one shard that may be admitted beyond the limit, microseconds;
+     * negative if more was admitted. See FLOOR_SHARE. */
+    double floor_tokens;
+    bbl_usec floor_filled_at;
     bool binding;       /* a query had to wait since then */
     bbl_usec bound_at;  /* when one had to last; 0 if never */
     double query_time;  /* mean time from grant to report, microseconds */
--- a/src/admission/order.h
+++ b/src/admission/order.h
@@ -30,6 +30,7 @@
     bbl_usec wait_until; /* refused if it was not granted by then */
     bbl_usec expected;   /* time from its start to its answer */
     double work;         /* of servers, microseconds */
+    double part_work;    /* of one shard */
 } bbl_order_query;
 
 /* A zeroed order is not valid; see bbl_order_init. */
--- a/src/admission/pressure.c
+++ b/src/admission/pressure.c
@@ -14,6 +14,11 @@
 #define REFUSED_SHARE 0.02
 /* How long pressure lasts after the last sign of it. */
 #define ACTIVE_US (3 * BBL_USEC_PER_SEC)
+/*
+ * Share of refused parts above which a host does not wait for a grantor to save
+ * work: until the grantor has limited the load, most queries fail.
+ */
+#define SAVE_SHARE 0.1
 /*
  * Share of refused parts at which no extra attempt is sent: most would meet
  * full queues, and take the slots of first attempts. Below it extra attempts
@@ -52,16 +57,26 @@
     if (refused > 0 &&
         bbl_pressure_get_refused_share(p, now) > REFUSED_SHARE) {
         p->active_until = now + ACTIVE_US;
+        if (bbl_pressure_get_refused_share(p, now) > SAVE_SHARE) {
+            bbl_pressure_set_limited(p, now + ACTIVE_US);
+        }
     }
     return !before && bbl_pressure_is_active(p, now);
 }
 
 void
-bbl_pressure_extend(bbl_pressure *p, bbl_usec until)
+bbl_pressure_set_limited(bbl_pressure *p, bbl_usec until)
 {
+    p->limited_until = until > p->limited_until ? until : p->limited_until;
     p->active_until = until > p->active_until ? until : p->active_until;
 }
 
+bool
+bbl_pressure_is_limited(const bbl_pressure *p, bbl_usec now)
+{
+    return now < p->limited_until;
+}
+
 bool
 bbl_pressure_is_active(const bbl_pressure *p, bbl_usec now)
 {
@@ -89,7 +104,7 @@
 {
     double refused = bbl_pressure_get_refused_share(p, now);
 
-    if (!bbl_pressure_is_active(p, now)) {
+    if (!bbl_pressure_is_limited(p, now)) {
         return 1;
     }
     return refused < NO_EXTRA_SHARE ? 1 - refused / NO_EXTRA_SHARE : 0;
--- a/src/admission/pressure.h
+++ b/src/admission/pressure.h
@@ -4,7 +4,9 @@
  * Load pattern: callers bring several times the usual work to servers with
  * short queues. A sharded query touches every shard, so the share of its parts
  * that servers refuse tells how loaded the whole fleet is, also to a host that
- * sends one or two queries a second.
+ * sends one or two queries a second. Slow servers refuse parts as well, at the
+ * usual load; so a host only asks then, and saves work once a grantor has told
+ * that the load of all hosts is limited.
  */
 #ifndef BBL_ADMISSION_PRESSURE_H
 #define BBL_ADMISSION_PRESSURE_H
@@ -23,6 +25,7 @@
     bbl_usec started_at; /* of the current window */
     bbl_usec sent_at;    /* when the last part was sent */
     bbl_usec active_until;
+    bbl_usec limited_until;
 } bbl_pressure;
 
 /*
@@ -33,8 +36,14 @@
 bool bbl_pressure_record(bbl_pressure *pressure, bbl_usec now, uint32_t sent,
                          uint32_t refused);
 
-/* Lets the pressure last until `until` at least, as a grantor has said. */
-void bbl_pressure_extend(bbl_pressure *pressure, bbl_usec until);
+/*
+ * Records that the load of all hosts is limited until `until` at least, as a
+ * grantor has said. The pressure lasts as long.
+ */
+void bbl_pressure_set_limited(bbl_pressure *pressure, bbl_usec until);
+
+/* Returns whether the host is to save work of the servers. */
+bool bbl_pressure_is_limited(const bbl_pressure *pressure, bbl_usec now);
 
 /* Returns whether queries are to ask for admission. */
 bool bbl_pressure_is_active(const bbl_pressure *pressure, bbl_usec now);
@@ -45,7 +54,7 @@
 
 /*
  * Returns the share of its budget that a host may use for hedges and retries,
- * 0 to 1: 1 without pressure.
+ * 0 to 1: 1 while the load is not limited.
  */
 double bbl_pressure_get_extra_share(const bbl_pressure *pressure,
                                     bbl_usec now);
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -125,6 +125,9 @@
     append_gauge(out, "load_pressure",
                  "1 while servers refuse parts for their load",
                  bbl_forwarder_is_under_pressure(f));
+    append_gauge(out, "load_limited",
+                 "1 while a grantor limits the load of all hosts",
+                 bbl_forwarder_is_limited(f));
     bbl_metrics_append_counter(out, "load_pressure_total",
                                "times that load pressure has begun",
                                c->pressure_begun);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -955,7 +955,7 @@
         bbl_edge_tick(g->metrics_edge, now);
     }
     bbl_backend_client_pause_preconnect(
-        g->backend_client, bbl_forwarder_is_under_pressure(g->forwarder));
+        g->backend_client, bbl_forwarder_is_limited(g->forwarder));
     bbl_backend_client_tick(g->backend_client, now);
     bbl_backend_client_tick(g->peer_client, now);
     tick_drain(g, now);
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -16,6 +16,8 @@
 /* Seed of the hash of the first service of a set of shards; the same on all
  * hosts. */
 #define RESOURCE_SEED 0x6c6f6164
+/* How long a host saves work of the servers after no grantor has answered. */
+#define UNANSWERED_US (1 * BBL_USEC_PER_SEC)
 /* Interval of the reports about an organisation that is over its limit. */
 #define REPORT_INTERVAL_US (10 * BBL_USEC_PER_SEC)
 /* Refused requests that count as coming back: those of this time. */
@@ -337,6 +339,7 @@
     out->resource = get_resource_key(q);
     out->slots = get_shard_slots(q);
     out->priority = q->priority;
+    out->shards = q->shard_count;
     out->work_us = q->shard_count * q->timing->uncongested_time;
     out->target_us = (uint32_t)(q->target_at > now ? q->target_at - now : 0);
     out->deadline_us = (uint32_t)(q->deadline - now);
@@ -449,6 +452,8 @@
         if (load->needed && !load->admitted) {
             load->needed = false; /* load_limit.h decides instead */
             f->counters.load_unanswered++;
+            bbl_pressure_set_limited(&q->pressure_pool->pressure,
+                                     now + UNANSWERED_US);
         }
         return BBL_ADMISSION_DONE;
     case BBL_ADMIT_ASK:
@@ -609,7 +614,10 @@
     a->waits = reply->outcome == BBLX_WAITS;
     a->wait = reply->wait_us;
     f->counters.load_admitted += reply->outcome == BBLX_ADMITTED;
-    bbl_pressure_extend(&q->pressure_pool->pressure, now + reply->ask_us);
+    if (reply->ask_us > 0) {
+        bbl_pressure_set_limited(&q->pressure_pool->pressure,
+                                 now + reply->ask_us);
+    }
     q->record.load_asked = true;
     q->record.load = *reply;
 }
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -204,7 +204,7 @@
     bbl_query_end_admission(f, now, q, may_have_run(q, r->status));
     report_and_answer(f, now, q->request.request_handle, r, answer);
     bbl_query_cancel_delegation(f, q);
-    if (q->route->idempotent && bbl_query_is_under_pressure(q, now)) {
+    if (q->route->idempotent && bbl_query_is_limited(q, now)) {
         bbl_query_cancel_attempts(f, now, q, NULL);
     }
     bbl_query_detach_attempts(f, q, cancel_at);
@@ -490,7 +490,7 @@
         q->started_at + EARLY_ANSWER_SERVICE_TIMES * q->timing->service_time;
 
     return q->route->idempotent && early < q->target_at &&
-                   bbl_query_is_under_pressure(q, now)
+                   bbl_query_is_limited(q, now)
                ? early
                : q->target_at;
 }
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -149,6 +149,13 @@
     return s->attempts_sent > 0 || s->attempts_maybe_run > 0;
 }
 
+bool
+bbl_query_is_limited(const bbl_query *q, bbl_usec now)
+{
+    return q->pressure_pool != NULL &&
+           bbl_pressure_is_limited(&q->pressure_pool->pressure, now);
+}
+
 bool
 bbl_query_is_under_pressure(const bbl_query *q, bbl_usec now)
 {
@@ -186,10 +193,13 @@
     size_t pos = 0;
 
     f->under_pressure = false;
+    f->limited = false;
     while ((pool = bbl_map_next(&f->pools.pools, &pos)) != NULL) {
         bool active = bbl_pressure_is_active(&pool->pressure, now);
 
         f->under_pressure = f->under_pressure || active;
+        f->limited =
+            f->limited || bbl_pressure_is_limited(&pool->pressure, now);
         if (pool->pressure_reported && !active) {
             report_pressure(f, now, pool, false);
         }
@@ -202,7 +212,7 @@
 {
     bbl_extra_limits limits = f->extra_limits;
 
-    if (bbl_query_is_under_pressure(q, now)) {
+    if (q->pressure_pool != NULL) {
         double share =
             bbl_pressure_get_extra_share(&q->pressure_pool->pressure, now);
 
@@ -598,7 +608,7 @@
         return;
     }
     if (s->in_flight > 0 && q->route->idempotent &&
-        bbl_query_is_under_pressure(q, now)) {
+        bbl_query_is_limited(q, now)) {
         bbl_query_cancel_attempts(f, now, q, s);
     }
     bbl_query_add_part(q, head->signature, r->body);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -1039,6 +1039,12 @@
     return f->table != NULL ? bbl_routing_version(f->table->routing) : 0;
 }
 
+bool
+bbl_forwarder_is_limited(const bbl_forwarder *f)
+{
+    return f->limited;
+}
+
 bool
 bbl_forwarder_is_under_pressure(const bbl_forwarder *f)
 {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -572,7 +572,11 @@
                                             bbl_usec now,
                                             const bbl_backend *backend);
 
-/* Returns whether some shards were under load pressure at the last tick. */
+/* Returns whether the load of all hosts was limited at the last maintenance,
+ * at some shards. */
+bool bbl_forwarder_is_limited(const bbl_forwarder *forwarder);
+
+/* Returns whether some shards were under load pressure then. */
 bool bbl_forwarder_is_under_pressure(const bbl_forwarder *forwarder);
 
 /* Returns how many servers this host reaches. */
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -62,8 +62,10 @@
     bbl_usec permits_expired_since;
     bbl_permit_book local_permits; /* while no grantor replies */
     bbl_admission_asks asks;
-    bool under_pressure; /* some shards are; see pressure.h */
-    bool limits_known;   /* whether some server limits its request rate */
+    /* At the last maintenance, for some shards; see pressure.h. */
+    bool under_pressure;
+    bool limited;
+    bool limits_known; /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_usec servers_checked_at;
     bbl_forward_counters counters;
@@ -131,11 +133,15 @@
 
 /*
  * Returns the share left of the budget for extra attempts at a shard, 0 to 1.
- * Under load pressure the whole budget is smaller.
+ * While the load of all hosts is limited, the whole budget is smaller.
  */
 double bbl_attempt_get_extra_left(bbl_forwarder *f, bbl_usec now,
                                   const bbl_query *q, bbl_shard *s);
 
+/* Returns whether the load of all hosts on the servers of a query is limited,
+ * so that this host is to save their work. */
+bool bbl_query_is_limited(const bbl_query *q, bbl_usec now);
+
 /* Returns whether the servers of a query are under load pressure. */
 bool bbl_query_is_under_pressure(const bbl_query *q, bbl_usec now);
 
@@ -319,8 +325,9 @@
 void bbl_query_finish_merged(bbl_forwarder *f, bbl_usec now, bbl_query *q);
 
 /*
- * Returns when a query with enough parts is answered at the latest. Under load
- * pressure that is early: the missing parts would delay those of others.
+ * Returns when a query with enough parts is answered at the latest. While the
+ * load of all hosts is limited that is early: the missing parts would delay
+ * those of others.
  */
 bbl_usec bbl_query_get_answer_time(const bbl_query *q, bbl_usec now);
 
--- a/tests/test_admission_messages.c
+++ b/tests/test_admission_messages.c
@@ -172,7 +172,8 @@
     r->item.bblx_admission_item_u.load =
         (bblx_admission_load){.resource = 9,
                               .slots = 2,
-                              .work_us = 1000,
+                              .shards = 1,
+                              .work_us = 1000 * MS,
                               .target_us = 300 * MS,
                               .deadline_us = 1200 * MS,
                               .wait_us = 60 * MS};
--- a/tests/test_load_book.c
+++ b/tests/test_load_book.c
@@ -21,7 +21,8 @@
     r.item.subject = BBLX_ADMISSION_LOAD;
     *load = (bblx_admission_load){.resource = resource,
                                   .slots = 1,
-                                  .work_us = 1000,
+                                  .shards = 1,
+                                  .work_us = 1 * SEC,
                                   .target_us = 300 * MS,
                                   .deadline_us = 1200 * MS,
                                   .wait_us = 60 * MS};
--- a/tests/test_load_gate.c
+++ b/tests/test_load_gate.c
@@ -183,6 +183,29 @@
 }
 END_TEST
 
+/* Slow servers refuse parts at the usual load. A limit that fell for them
+ * would refuse what the other servers could serve. */
+START_TEST(a_part_of_what_the_slots_can_do_is_always_admitted)
+{
+    gate.slots = SLOTS;
+    gate.limit = SLOTS / 3.0;
+    for (bbl_usec now = SEC; now < 5 * SEC; now += 25 * MS) {
+        bbl_load_query q = make_query(0);
+        bbl_load_decision d;
+
+        q.shards = 90;
+        q.work = 90 * 30 * MS; /* 40 a second: 1.2 of 6 slots */
+        bbl_load_gate_request(&gate, now, &q);
+        d = take();
+        ck_assert_int_eq(d.outcome, BBL_LOAD_ADMITTED);
+        ck_assert_uint_eq(d.ask_for, 0);
+        bbl_load_gate_report(&gate, now + 2 * MS, 1, q.number, 95, 8,
+                             300 * MS);
+    }
+    ck_assert(gate.limit < SLOTS / 2.0);
+}
+END_TEST
+
 /* Guards against a gate that stays shut when hosts end without a report. */
 START_TEST(a_query_without_a_report_ends_at_its_deadline)
 {
@@ -224,6 +247,7 @@
     tcase_add_test(tc, what_would_wait_too_long_is_refused_at_once);
     tcase_add_test(tc, what_cannot_meet_its_deadline_is_not_started);
     tcase_add_test(tc, the_limit_rises_slowly_and_falls_with_refusals);
+    tcase_add_test(tc, a_part_of_what_the_slots_can_do_is_always_admitted);
     tcase_add_test(tc, a_query_without_a_report_ends_at_its_deadline);
     tcase_add_test(tc, a_query_ended_by_refusals_counts_for_the_usual_time);
     suite_add_tcase(suite, tc);
--- a/tests/test_load_model.c
+++ b/tests/test_load_model.c
@@ -238,15 +238,20 @@
 {
     unsigned s = a->server;
     bool due = now >= a->next_at;
-    /* Under admission control, parts of ended queries are cancelled, and under
-     * pressure the other attempts at a shard that has answered. Their
-     * connections are closed. */
-    bool cancelled =
-        admission && a->state <= RUNNING &&
-        (a->q->ended || (a->q->done[a->shard] &&
-                         bbl_pressure_is_active(&pressure[a->q->host], now)));
+    /* While the load is limited, attempts whose query has ended or whose shard
+     * has answered are cancelled. Their connections are closed. */
+    bool cancelled = admission && a->state <= RUNNING &&
+                     (a->q->ended || a->q->done[a->shard]) &&
+                     bbl_pressure_is_limited(&pressure[a->q->host], now);
 
     if (cancelled) {
+        bbl_backend *b = &backends[a->q->host][s];
+        double slowness =
+            (double)(now - b->oldest_sent_at) / service_time[a->q->class];
+
+        if (slowness > bbl_backend_get_slowness(b, now)) {
+            bbl_backend_record_result(b, now, slowness, false);
+        }
         closed[a->q->host][s] = true;
         busy[s] -= a->state == RUNNING;
     }
@@ -318,14 +323,15 @@
 static void
 receive_query(query *q)
 {
-    bbl_load_query r = {q->host,
-                        (uintptr_t)q,
-                        3 * SLOTS,
-                        q->class,
-                        SHARDS * work_us[q->class],
-                        target_us[q->class],
-                        deadline_us[q->class],
-                        target_us[q->class] / 5};
+    bbl_load_query r = {.host = q->host,
+                        .number = (uintptr_t)q,
+                        .slots = 3 * SLOTS,
+                        .priority = q->class,
+                        .shards = SHARDS,
+                        .work = SHARDS * work_us[q->class],
+                        .target_left = target_us[q->class],
+                        .deadline_left = deadline_us[q->class],
+                        .wait_max = target_us[q->class] / 5};
 
     out.requests += is_loaded(now);
     out.brought[q->class] += is_loaded(now) && !q->repeated;
@@ -343,9 +349,9 @@
 advance_query(query *q)
 {
     bbl_usec took = now - q->arrived_at;
-    /* Under pressure, enough parts are answered after two service times. */
+    /* Then enough parts are answered after two service times. */
     bool enough = admission &&
-                  bbl_pressure_is_active(&pressure[q->host], now) &&
+                  bbl_pressure_is_limited(&pressure[q->host], now) &&
                   (double)(now - q->started_at) > 2 * service_time[q->class];
 
     if (q->answered >= NEEDED && (q->answered + q->lost == SHARDS || enough ||
@@ -373,7 +379,9 @@
     while (bbl_load_gate_take_decision(&d, &gate)) {
         query *q = (query *)(uintptr_t)d.number;
 
-        bbl_pressure_extend(&pressure[q->host], now + d.ask_for);
+        if (d.ask_for > 0) {
+            bbl_pressure_set_limited(&pressure[q->host], now + d.ask_for);
+        }
         if (d.outcome == BBL_LOAD_ADMITTED) {
             start_query(q);
         }
--- a/tests/test_load_pressure.c
+++ b/tests/test_load_pressure.c
@@ -149,17 +149,17 @@
     return forward_sim_get_call(x->sim, call);
 }
 
-/* Brings the host under pressure: servers of four shards refuse a query. */
+/* Brings the host under pressure: servers of some shards refuse a query. */
 static void
-begin_pressure(fixture *x)
+begin_pressure(fixture *x, unsigned shards)
 {
     for (unsigned i = 0; i < 5; i++) {
         ck_assert_uint_eq(send_query(x, 100 * MS)->status, 200);
     }
     ck_assert_uint_eq(x->requests, 0); /* in calm operation it does not ask */
-    set_mode(x, 0, 4, SERVER_SHEDS);
+    set_mode(x, 0, shards, SERVER_SHEDS);
     send_query(x, 1300 * MS);
-    set_mode(x, 0, 4, SERVER_OK);
+    set_mode(x, 0, shards, SERVER_OK);
 }
 
 START_TEST(a_query_asks_under_pressure_and_its_end_is_reported)
@@ -167,7 +167,7 @@
     fixture x;
 
     init(&x, 85);
-    begin_pressure(&x);
+    begin_pressure(&x, 4);
     ck_assert(forward_sim_is_under_pressure(x.sim));
     ck_assert_uint_eq(send_query(&x, 200 * MS)->status, 200);
     ck_assert_uint_eq(x.requests, 1);
@@ -198,7 +198,7 @@
     fixture x;
 
     init(&x, 16);
-    begin_pressure(&x);
+    begin_pressure(&x, 4);
     ck_assert(!forward_sim_is_under_pressure(x.sim));
     ck_assert_uint_eq(send_query(&x, 200 * MS)->status, 200);
     ck_assert_uint_eq(x.requests, 0);
@@ -215,7 +215,7 @@
     unsigned refused = 0;
 
     init(&x, 85);
-    begin_pressure(&x);
+    begin_pressure(&x, 4);
     for (unsigned i = 0; i < 60; i++) {
         calls[i] = forward_sim_send_request(x.sim, "/g/1", 0);
         pass_replies(&x);
@@ -247,7 +247,7 @@
     const forward_sim_call *c;
 
     init(&x, 85);
-    begin_pressure(&x);
+    begin_pressure(&x, 4);
     x.silent = true;
     for (unsigned i = 0; i < 2; i++) {
         c = send_query(&x, 300 * MS);
@@ -267,7 +267,7 @@
     const forward_sim_call *c;
 
     init(&x, 85);
-    begin_pressure(&x);
+    begin_pressure(&x, 10);              /* the load is limited then */
     set_mode(&x, 10, 14, SERVER_SILENT); /* it has enough parts without */
     c = send_query(&x, 200 * MS);
     ck_assert_uint_eq(c->status, 200);
@@ -282,16 +282,14 @@
 }
 END_TEST
 
-/* Without pressure an answer waits for its parts until the target. */
-START_TEST(in_calm_operation_an_answer_waits_for_its_parts)
+/* Servers that refuse at the usual load are no reason to answer early. */
+START_TEST(without_a_limit_an_answer_waits_for_its_parts)
 {
     fixture x;
     const forward_sim_call *c;
 
     init(&x, 85);
-    for (unsigned i = 0; i < 5; i++) {
-        send_query(&x, 100 * MS);
-    }
+    begin_pressure(&x, 4);
     set_mode(&x, 10, 14, SERVER_SILENT);
     c = send_query(&x, 400 * MS);
     ck_assert_uint_eq(c->status, 200);
@@ -313,7 +311,7 @@
         tc, refused_queries_are_answered_within_a_quarter_of_their_target);
     tcase_add_test(tc, without_an_answer_queries_run_soon);
     tcase_add_test(tc, decided_queries_leave_no_work_at_servers);
-    tcase_add_test(tc, in_calm_operation_an_answer_waits_for_its_parts);
+    tcase_add_test(tc, without_a_limit_an_answer_waits_for_its_parts);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
 }
--- a/tests/test_pressure.c
+++ b/tests/test_pressure.c
@@ -31,13 +31,28 @@
     ck_assert(!bbl_pressure_record(&p, SEC, 0, 1)); /* it had begun */
     ck_assert(bbl_pressure_is_active(&p, 2 * SEC));
     ck_assert(!bbl_pressure_is_active(&p, 10 * SEC));
-    bbl_pressure_extend(&p, 12 * SEC); /* a grantor says so */
-    bbl_pressure_extend(&p, 11 * SEC);
+    bbl_pressure_set_limited(&p, 12 * SEC); /* a grantor says so */
+    bbl_pressure_set_limited(&p, 11 * SEC);
     ck_assert(bbl_pressure_is_active(&p, 11 * SEC));
     ck_assert(bbl_pressure_get_extra_share(&p, 11 * SEC) == 1);
 }
 END_TEST
 
+/* Slow servers refuse parts at the usual load; saving work would then cost
+ * parts for nothing. */
+START_TEST(a_host_saves_work_only_while_the_load_is_limited)
+{
+    bbl_pressure p = {.sent_at = 0};
+
+    bbl_pressure_record(&p, SEC, 90, 8);
+    ck_assert(bbl_pressure_is_active(&p, SEC));
+    ck_assert(!bbl_pressure_is_limited(&p, SEC));
+    ck_assert(bbl_pressure_get_extra_share(&p, SEC) == 1);
+    bbl_pressure_record(&p, SEC, 0, 2); /* over 10%: no grantor is awaited */
+    ck_assert(bbl_pressure_is_limited(&p, SEC));
+}
+END_TEST
+
 /* Routes with few shards need several queries; two parts tell nothing. */
 START_TEST(a_few_parts_tell_nothing)
 {
@@ -62,6 +77,7 @@
         double share;
 
         bbl_pressure_record(&p, SEC, 90, refused);
+        bbl_pressure_set_limited(&p, 2 * SEC);
         share = bbl_pressure_get_extra_share(&p, SEC);
         ck_assert(share < before || share == 0);
         before = share;
@@ -78,6 +94,7 @@
 
     tcase_add_test(tc, few_refusals_are_no_pressure);
     tcase_add_test(tc, pressure_begins_with_one_query_and_ends_by_itself);
+    tcase_add_test(tc, a_host_saves_work_only_while_the_load_is_limited);
     tcase_add_test(tc, a_few_parts_tell_nothing);
     tcase_add_test(tc, extra_attempts_fall_with_the_refused_share);
     suite_add_tcase(suite, tc);
