--- a/proto/wire.x
+++ b/proto/wire.x
@@ -482,7 +482,8 @@
     unsigned hyper resource;      /* the set of shards */
     unsigned int slots;           /* of one shard, all its servers */
     unsigned int priority;        /* 0 is the most urgent */
-    unsigned hyper work_us;       /* parts x expected time */
+    unsigned int shards;
+    unsigned hyper work_us;       /* shards x expected time of a part */
     unsigned int target_us;       /* time left when sent */
     unsigned int deadline_us;     /* time left when sent */
     unsigned int wait_us;         /* longest wait for the reply */
@@ -504,15 +505,28 @@
 enum bblx_admission_outcome {
     BBLX_ADMITTED = 0,
     BBLX_OVER_QUOTA = 1,
-    BBLX_OVERLOAD = 2
+    BBLX_OVERLOAD = 2,
+    BBLX_WAITS = 3                /* for load: a second reply follows */
+};
+
+/* Why a request is refused for load. */
+enum bblx_overload_reason {
+    BBLX_OVERLOAD_NONE = 0,
+    BBLX_OVERLOAD_QUEUE = 1,      /* its wait would be too long, or was */
+    BBLX_OVERLOAD_DEADLINE = 2    /* it could not meet its deadline */
 };
 
 struct bblx_admission_reply {
     unsigned hyper number;
     bblx_admission_outcome outcome;
-    unsigned int wait_us;         /* before the next try, if refused */
+    unsigned int wait_us;         /* before the next try, if not admitted */
     unsigned int ask_us;          /* the host asks for load for so long */
     unsigned int left_per_1000;   /* of this grantor's share of the burst */
+    /* For load, to explain the outcome. */
+    bblx_overload_reason reason;
+    unsigned int limit;           /* queries in flight, of all hosts */
+    unsigned int in_flight;
+    unsigned int waiting;
 };
 
 /* How a query ended that was admitted. It has no reply. */
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1327,6 +1327,7 @@
     out->quota_granted = c->quotas.granted;
     out->quota_refused = c->quotas.refused;
     out->quota_returned = c->quotas.returned;
+    bbl_load_book_get_status(&out->load, &c->loads);
 }
 
 uint64_t
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -6,6 +6,7 @@
 #ifndef BBL_CONTROL_CORE_H
 #define BBL_CONTROL_CORE_H
 
+#include "admission/load_book.h"
 #include "admission/quota_book.h"
 #include "control/control.h"
 #include "control/permit_book.h"
@@ -115,6 +116,7 @@
     size_t next_grantor;
 
     bbl_quota_book quotas; /* shares that this host grants */
+    bbl_load_book loads;   /* load that this host admits */
     bool was_no_grantor;   /* when that was last checked */
 
     uint64_t heartbeats_sent;
@@ -202,7 +204,8 @@
 void bbl_admissions_init(bbl_control *c);
 void bbl_admissions_free(bbl_control *c);
 
-/* Notes whether this host is a grantor. */
+/* Notes whether this host is a grantor, and ends the waits of queries whose
+ * time is over. */
 void bbl_admissions_tick(bbl_control *c);
 
 /* Processes a message about the admission of a query. */
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -13,6 +13,11 @@
 #define OPEN_REQUEST_US (1 * BBL_USEC_PER_SEC)
 /* Seed of the hash of an organisation's name; the same on all hosts. */
 #define ORGANISATION_SEED 0x6f7267
+/* Seed of the hash of the first service of a set of shards; the same on all
+ * hosts. */
+#define RESOURCE_SEED 0x6c6f6164
+/* How long a host saves work of the servers after no grantor has answered. */
+#define UNANSWERED_US (1 * BBL_USEC_PER_SEC)
 /* Interval of the reports about an organisation that is over its limit. */
 #define REPORT_INTERVAL_US (10 * BBL_USEC_PER_SEC)
 /* Refused requests that count as coming back: those of this time. */
@@ -125,6 +130,30 @@
                     ORGANISATION_SEED);
 }
 
+static uint64_t
+get_resource_key(const bbl_query *q)
+{
+    const bbl_buf *name = &q->pressure_pool->name;
+
+    return bbl_hash(name->ptr, name->size, RESOURCE_SEED);
+}
+
+/* Returns the mean number of slots of a shard, over all its servers. */
+static uint32_t
+get_shard_slots(const bbl_query *q)
+{
+    uint64_t slots = 0;
+
+    for (unsigned i = 0; i < q->shard_count; i++) {
+        const bbl_vec *backends = &q->shards[i].pool->backends;
+
+        for (size_t k = 0; k < backends->size; k++) {
+            slots += (*BBL_VEC_AT(bbl_backend *, backends, k))->listed.slots;
+        }
+    }
+    return (uint32_t)(slots / q->shard_count);
+}
+
 /* Forgets the limits that are not in use once there are too many. */
 static void
 prune_limits(bbl_admission_asks *asks, bbl_usec now)
@@ -184,9 +213,20 @@
     f->options.port.report_quota(f->options.port.ctx, &r);
 }
 
+/* Refuses a query that a grantor has refused for load. The time to come back
+ * is spread by the grantor. */
+static void
+refuse_load(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_usec retry_after)
+{
+    f->counters.load_refused++;
+    bbl_query_refuse(f, now, q, BBL_FORWARD_OVERLOAD, BBL_STATUS_UNAVAILABLE,
+                     retry_after);
+}
+
 /* Refuses a query whose organisation is over its limit. */
 static void
-refuse(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_usec retry_after)
+refuse_quota(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+             bbl_usec retry_after)
 {
     const bbl_query_admission *a = &q->admission[BBL_ADMIT_QUOTA];
     local_limit *l = get_limit(&f->asks, now, q);
@@ -260,6 +300,7 @@
         s->awaits_reply = a->awaits_reply;
         s->asked_at = a->asked_at;
         s->wait = a->wait;
+        s->waits = a->waits;
         s->first = a->first;
         s->second = a->second;
     }
@@ -292,8 +333,25 @@
 }
 
 static void
-fill_request(bblx_message *out, const bbl_query *q, bbl_admit_subject subject,
-             uint64_t number)
+fill_load(bblx_admission_load *out, const bbl_forwarder *f, bbl_usec now,
+          const bbl_query *q)
+{
+    bbl_admit_facts facts;
+
+    fill_facts(&facts, f, now, q);
+    out->resource = get_resource_key(q);
+    out->slots = get_shard_slots(q);
+    out->priority = q->priority;
+    out->shards = q->shard_count;
+    out->work_us = q->shard_count * q->timing->uncongested_time;
+    out->target_us = (uint32_t)(q->target_at > now ? q->target_at - now : 0);
+    out->deadline_us = (uint32_t)(q->deadline - now);
+    out->wait_us = (uint32_t)bbl_admit_get_load_wait(&facts);
+}
+
+static void
+fill_request(bblx_message *out, const bbl_forwarder *f, bbl_usec now,
+             const bbl_query *q, bbl_admit_subject subject, uint64_t number)
 {
     bblx_admission_request *r = &out->bblx_message_u.admission_request;
     bblx_admission_quota *quota = &r->item.bblx_admission_item_u.quota;
@@ -310,6 +368,7 @@
     }
     else {
         r->item.subject = BBLX_ADMISSION_LOAD;
+        fill_load(&r->item.bblx_admission_item_u.load, f, now, q);
     }
 }
 
@@ -333,17 +392,39 @@
     a->asked_again = a->asked != 0;
     a->asked |= 1u << d->grantor;
     a->awaits_reply = true;
+    a->waits = false;
     a->asked_at = now;
     a->number = r->number;
     a->grantor = g->listed.host;
     f->counters.admission_requests++;
-    fill_request(&m, q, d->subject, r->number);
+    fill_request(&m, f, now, q, d->subject, r->number);
     f->options.port.send_admission(f->options.port.ctx, r->grantor, &m);
 }
 
+/* Reports to the grantor asked last how a query ended, or that it will not
+ * run. */
+static void
+report_load(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+            uint32_t parts_sent, uint32_t parts_refused)
+{
+    const bbl_query_admission *a = &q->admission[BBL_ADMIT_LOAD];
+    bblx_message m;
+    bblx_admission_report *r = &m.bblx_message_u.admission_report;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_ADMISSION_REPORT;
+    r->number = a->number;
+    r->resource = get_resource_key(q);
+    r->parts_sent = parts_sent;
+    r->parts_refused = parts_refused;
+    r->time_us = (uint32_t)(q->started ? now - q->started_at : 0);
+    f->options.port.send_admission(f->options.port.ctx, a->grantor, &m);
+}
+
 bbl_admission_step
 bbl_query_seek_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
+    bbl_query_admission *load = &q->admission[BBL_ADMIT_LOAD];
     bbl_admit_facts facts;
     bbl_admit_decision d;
 
@@ -355,6 +436,10 @@
     bbl_admit_decide(&d, &facts);
     if (d.timed_out) {
         mark_silent(f, now, &q->admission[d.subject]);
+        if (d.subject == BBL_ADMIT_LOAD) {
+            /* If it has admitted the query, it is not to count there. */
+            report_load(f, now, q, 0, 0);
+        }
     }
     if (d.action == BBL_ADMIT_UNANSWERED && !facts.last_host) {
         if (d.may_delegate &&
@@ -367,6 +452,12 @@
     }
     switch (d.action) {
     case BBL_ADMIT_RUN:
+        if (load->needed && !load->admitted) {
+            load->needed = false; /* load_limit.h decides instead */
+            f->counters.load_unanswered++;
+            bbl_pressure_set_limited(&q->pressure_pool->pressure,
+                                     now + UNANSWERED_US);
+        }
         return BBL_ADMISSION_DONE;
     case BBL_ADMIT_ASK:
         ask(f, now, q, &d);
@@ -374,7 +465,12 @@
     case BBL_ADMIT_AWAIT:
         break;
     case BBL_ADMIT_REFUSE:
-        refuse(f, now, q, d.retry_after);
+        if (d.subject == BBL_ADMIT_LOAD) {
+            refuse_load(f, now, q, d.retry_after);
+        }
+        else {
+            refuse_quota(f, now, q, d.retry_after);
+        }
         return BBL_ADMISSION_FINISHED;
     case BBL_ADMIT_UNANSWERED:
         bbl_query_fail(f, now, q, BBL_FORWARD_UNADMITTED,
@@ -394,6 +490,14 @@
     const local_limit *l;
     unsigned near = 0;
 
+    if (bbl_query_is_under_pressure(q, now) && f->asks.grantor_count > 0) {
+        /* One grantor decides for all hosts: the first one that answers. */
+        q->admission[BBL_ADMIT_LOAD].needed = true;
+        q->admission[BBL_ADMIT_LOAD].first =
+            (unsigned)(get_resource_key(q) % f->asks.grantor_count);
+        q->admission[BBL_ADMIT_LOAD].second =
+            (q->admission[BBL_ADMIT_LOAD].first + 1) % f->asks.grantor_count;
+    }
     if (q->organisation == NULL || q->organisation->rate_per_s <= 0) {
         return;
     }
@@ -434,12 +538,16 @@
 
 /* Resets the admission for a subject, and returns a token that is held. */
 static void
-reset_subject(bbl_forwarder *f, bbl_query *q, bbl_admit_subject subject)
+reset_subject(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+              bbl_admit_subject subject)
 {
     bbl_query_admission *a = &q->admission[subject];
     bbl_query_admission fresh = {
         .needed = a->needed, .first = a->first, .second = a->second};
 
+    if (subject == BBL_ADMIT_LOAD && a->awaits_reply) {
+        report_load(f, now, q, 0, 0);
+    }
     forget_request(f, a);
     if (a->admitted && a->number != 0 && subject == BBL_ADMIT_QUOTA) {
         return_token(f, a->grantor, a->number, get_organisation_key(q));
@@ -456,7 +564,7 @@
         now > a->asked_at + f->options.token_time) {
         /* A token used this late would count in a later window than the one
          * in which it was given. */
-        reset_subject(f, q, BBL_ADMIT_QUOTA);
+        reset_subject(f, now, q, BBL_ADMIT_QUOTA);
     }
     for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
         if (q->admission[i].needed && !q->admission[i].admitted) {
@@ -467,17 +575,17 @@
 }
 
 void
-bbl_query_withdraw_asks(bbl_forwarder *f, bbl_query *q)
+bbl_query_withdraw_asks(bbl_forwarder *f, bbl_usec now, bbl_query *q)
 {
     for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
         if (q->admission[i].needed && !q->admission[i].admitted) {
-            reset_subject(f, q, (bbl_admit_subject)i);
+            reset_subject(f, now, q, (bbl_admit_subject)i);
         }
     }
 }
 
 void
-bbl_query_end_admission(bbl_forwarder *f, bbl_query *q, bool ran)
+bbl_query_end_admission(bbl_forwarder *f, bbl_usec now, bbl_query *q, bool ran)
 {
     for (int i = 0; i < BBL_ADMIT_SUBJECTS; i++) {
         bbl_query_admission *a = &q->admission[i];
@@ -485,17 +593,38 @@
         if (!a->needed) {
             continue;
         }
+        if (a->admitted && i == BBL_ADMIT_LOAD) {
+            report_load(f, now, q, q->record.attempt_count, q->parts_refused);
+        }
         if (a->admitted && ran) {
             forget_request(f, a);
         }
         else {
-            reset_subject(f, q, (bbl_admit_subject)i);
+            reset_subject(f, now, q, (bbl_admit_subject)i);
         }
     }
 }
 
 /* ---- replies ---- */
 
+/* Applies what a reply says about load in general. */
+static void
+apply_load_reply(bbl_forwarder *f, bbl_usec now, bbl_query *q,
+                 const bblx_admission_reply *reply)
+{
+    bbl_query_admission *a = &q->admission[BBL_ADMIT_LOAD];
+
+    a->waits = reply->outcome == BBLX_WAITS;
+    a->wait = reply->wait_us;
+    f->counters.load_admitted += reply->outcome == BBLX_ADMITTED;
+    if (reply->ask_us > 0) {
+        bbl_pressure_set_limited(&q->pressure_pool->pressure,
+                                 now + reply->ask_us);
+    }
+    q->record.load_asked = true;
+    q->record.load = *reply;
+}
+
 /* Applies a reply that its query awaits. */
 static void
 apply_reply(bbl_forwarder *f, bbl_usec now, const open_request *r,
@@ -504,7 +633,14 @@
     bbl_query *q = r->query;
     bbl_query_admission *a = &q->admission[r->subject];
 
-    a->awaits_reply = false;
+    if (r->subject == BBL_ADMIT_LOAD) {
+        apply_load_reply(f, now, q, reply);
+    }
+    a->awaits_reply = a->waits;
+    if (a->waits) {
+        q->next_due_at = now; /* it awaits the reply longer */
+        return;
+    }
     if (r->subject == BBL_ADMIT_QUOTA &&
         reply->left_per_1000 < SPREAD_BELOW_PER_1000) {
         get_limit(&f->asks, now, q)->spread_until = now + SPREAD_US;
@@ -539,12 +675,15 @@
         return;
     }
     taken = *r;
-    bbl_map_remove(&f->asks.open, r->number);
-    r->query = NULL;
+    if (reply->outcome != BBLX_WAITS) {
+        bbl_map_remove(&f->asks.open, r->number);
+        r->query = NULL;
+    }
     f->counters.admission_replies++;
     if (taken.query != NULL &&
         taken.query->admission[taken.subject].number == taken.number &&
-        now <= taken.asked_at + f->options.token_time) {
+        (taken.subject == BBL_ADMIT_LOAD ||
+         now <= taken.asked_at + f->options.token_time)) {
         apply_reply(f, now, &taken, reply);
     }
     else if (reply->outcome == BBLX_ADMITTED &&
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -197,6 +197,9 @@
     bbl_backend_state unusable_state;
     /* Static string: why the last attempt at it failed; NULL if none has. */
     const char *failure_reason;
+    /* What the grantor that has decided on its load has stated. */
+    bool load_asked;
+    bblx_admission_reply load;
 } bbl_forward_record;
 
 /* An extra attempt at a shard, and the inputs of the decision to send it. */
@@ -329,6 +332,14 @@
                            const bblx_message *message);
     /* Reports that requests of an organisation over its limit are refused. */
     void (*report_quota)(void *ctx, const bbl_quota_record *record);
+    /*
+     * Reports that load pressure has begun or ended at a set of shards, named
+     * by its first service.
+     *
+     * @param refused_share share of the recent parts that servers refused
+     */
+    void (*pressure_changed)(void *ctx, bbl_str service, bool active,
+                             double refused_share);
     void *ctx;
 } bbl_forward_port;
 
@@ -401,6 +412,10 @@
     uint64_t admission_refusals;    /* of these replies */
     uint64_t admission_timeouts;    /* requests not answered in time */
     uint64_t admission_returns;     /* tokens returned */
+    uint64_t pressure_begun;        /* times that load pressure has begun */
+    uint64_t load_admitted;         /* queries admitted by a grantor */
+    uint64_t load_refused;          /* by a grantor */
+    uint64_t load_unanswered;       /* run without an answer of a grantor */
     uint64_t quota_refused_locally; /* without asking a grantor */
     uint64_t delegations;           /* queries passed on to another host */
     uint64_t delegations_refused;   /* by that host, which cannot serve them */
@@ -575,6 +590,13 @@
                                             bbl_usec now,
                                             const bbl_backend *backend);
 
+/* Returns whether the load of all hosts was limited at the last maintenance,
+ * at some shards. */
+bool bbl_forwarder_is_limited(const bbl_forwarder *forwarder);
+
+/* Returns whether some shards were under load pressure then. */
+bool bbl_forwarder_is_under_pressure(const bbl_forwarder *forwarder);
+
 /* Returns how many servers this host reaches. */
 const bbl_reach *bbl_forwarder_get_reach(const bbl_forwarder *forwarder);
 
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -44,6 +44,7 @@
     unsigned call_count;
     char ids[FORWARD_SIM_CALLS_MAX][16];
     unsigned entry_hosts;
+    bool under_pressure; /* as reported */
     bbl_usec list_read_at;
     bbl_usec receive_time; /* of one response; 0: the link is fast */
     bbl_usec link_free_at;
@@ -440,6 +441,20 @@
     }
 }
 
+static void
+on_pressure_changed(void *ctx, bbl_str service, bool active,
+                    double refused_share)
+{
+    forward_sim *sim = ctx;
+
+    require(sim, service.size > 0, "pressure at no service");
+    require(sim, refused_share >= 0 && refused_share <= 1,
+            "the refused share is not between 0 and 1");
+    require(sim, active != sim->under_pressure,
+            "pressure is reported that has begun or ended before");
+    sim->under_pressure = active;
+}
+
 static void
 on_report_quota(void *ctx, const bbl_quota_record *r)
 {
@@ -736,6 +751,7 @@
     o.port.request_permits = on_request_permits;
     o.port.send_admission = on_send_admission;
     o.port.report_quota = on_report_quota;
+    o.port.pressure_changed = on_pressure_changed;
     o.port.ctx = sim;
     bbl_forwarder_new(&sim->forwarder, &o);
     bbl_forwarder_confirm_routing(sim->forwarder, UINT64_MAX);
@@ -1133,6 +1149,12 @@
     bbl_forwarder_receive_admission(sim->forwarder, sim->now, grantor, reply);
 }
 
+bool
+forward_sim_is_under_pressure(const forward_sim *sim)
+{
+    return sim->under_pressure;
+}
+
 unsigned
 forward_sim_get_quota_reports(const forward_sim *sim)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -194,6 +194,9 @@
 void forward_sim_receive_admission(forward_sim *sim, uint32_t grantor,
                                    const bblx_admission_reply *reply);
 
+/* Returns whether load pressure at the one set of shards was reported. */
+bool forward_sim_is_under_pressure(const forward_sim *sim);
+
 /* Returns how many refusals of organisations were reported for the log. */
 unsigned forward_sim_get_quota_reports(const forward_sim *sim);
 
--- a/tests/test_admission_messages.c
+++ b/tests/test_admission_messages.c
@@ -157,17 +157,46 @@
 }
 END_TEST
 
-/* Load has no gate yet; a host that asks must not be held up. */
-START_TEST(a_request_for_load_is_admitted)
+/* A query that waits gets its second reply by the report of another one, or
+ * by the time that it may wait; neither may be lost between the modules. */
+START_TEST(a_request_for_load_is_admitted_or_waits)
 {
     bblx_message m = make_request(5, BBLX_ADMISSION_LOAD);
+    bblx_admission_request *r = &m.bblx_message_u.admission_request;
+    bblx_message report = {.kind = BBLX_ADMISSION_REPORT};
+    bblx_admission_report *end = &report.bblx_message_u.admission_report;
+    bbl_control_status s;
     host h;
 
     open_host(&h, GRANTOR);
-    bbl_control_step(h.control, h.now, ENTRY, &m);
-    ck_assert_uint_eq(h.sent_count, 1);
-    ck_assert_int_eq(h.sent[0].bblx_message_u.admission_reply.outcome,
+    r->item.bblx_admission_item_u.load =
+        (bblx_admission_load){.resource = 9,
+                              .slots = 2,
+                              .shards = 1,
+                              .work_us = 1000 * MS,
+                              .target_us = 300 * MS,
+                              .deadline_us = 1200 * MS,
+                              .wait_us = 60 * MS};
+    for (unsigned i = 0; i < 4; i++, r->number++) {
+        bbl_control_step(h.control, h.now, ENTRY, &m);
+        ck_assert_uint_eq(h.sent_count, i + 1);
+        ck_assert_int_eq(h.sent[i].bblx_message_u.admission_reply.outcome,
+                         i < 2 ? BBLX_ADMITTED : BBLX_WAITS);
+    }
+    *end = (bblx_admission_report){
+        .number = 5, .resource = 9, .parts_sent = 3, .time_us = 10 * MS};
+    bbl_control_step(h.control, h.now + 10 * MS, ENTRY, &report);
+    ck_assert_uint_eq(h.sent_count, 5);
+    ck_assert_uint_eq(h.sent[4].bblx_message_u.admission_reply.number, 7);
+    ck_assert_int_eq(h.sent[4].bblx_message_u.admission_reply.outcome,
                      BBLX_ADMITTED);
+    bbl_control_get_status(h.control, h.now, &s);
+    ck_assert_uint_eq(s.load.in_flight, 2);
+    ck_assert_uint_eq(s.load.waiting, 1);
+    bbl_control_tick(h.control, h.now + 60 * MS, 1);
+    ck_assert_uint_eq(h.sent[5].bblx_message_u.admission_reply.number, 8);
+    ck_assert_int_eq(h.sent[5].bblx_message_u.admission_reply.outcome,
+                     BBLX_OVERLOAD);
     close_host(&h);
 }
 END_TEST
@@ -259,7 +288,7 @@
     TCase *tc = tcase_create("messages");
 
     tcase_add_test(tc, a_grantor_answers_and_takes_tokens_back);
-    tcase_add_test(tc, a_request_for_load_is_admitted);
+    tcase_add_test(tc, a_request_for_load_is_admitted_or_waits);
     tcase_add_test(tc, a_host_that_is_no_grantor_does_not_answer);
     tcase_add_test(tc, a_new_grantor_begins_like_a_restarted_one);
     tcase_add_test(tc, an_entry_host_sends_to_the_grantor_that_it_chose);
