Admission: servers without known slots count as one slot

Cause: a gate for servers whose list states no slots would start at one query.

Change: each server counts as one slot at least, as in placement.

--- a/src/admission/pressure.c
+++ b/src/admission/pressure.c
@@ -15,8 +15,8 @@
 /* How long pressure lasts after the last sign of it. */
 #define ACTIVE_US (3 * BBL_USEC_PER_SEC)
 /*
- * Share of refused parts above which a host does not wait for a grantor to save
- * work: until the grantor has limited the load, most queries fail.
+ * Share of refused parts above which a host does not wait for a grantor to
+ * save work: until the grantor has limited the load, most queries fail.
  */
 #define SAVE_SHARE 0.1
 /*
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -148,7 +148,10 @@
         const bbl_vec *backends = &q->shards[i].pool->backends;
 
         for (size_t k = 0; k < backends->size; k++) {
-            slots += (*BBL_VEC_AT(bbl_backend *, backends, k))->listed.slots;
+            uint32_t listed =
+                (*BBL_VEC_AT(bbl_backend *, backends, k))->listed.slots;
+
+            slots += listed > 0 ? listed : 1;
         }
     }
     return (uint32_t)(slots / q->shard_count);
