--- a/src/admission/load_gate.c
+++ b/src/admission/load_gate.c
@@ -6,9 +6,13 @@
 #define DECREASE_SHARE 0.02
 /* Share of refused parts below which it may rise. */
 #define INCREASE_SHARE 0.005
-/* Factor of a decrease. */
+/*
+ * Factor of a decrease, and increase in each usual query time as a share of
+ * the slots of a shard. On the model, smaller steps than 0.1 gave 5 to 10%
+ * fewer answers in time in the first 12 s; factors from 0.7 to 0.9 made no
+ * difference.
+ */
 #define DECREASE_FACTOR 0.8
-/* Increase in each usual query time, as a share of the slots of a shard. */
 #define INCREASE_STEP 0.2
 /* Parts that a change of the limit is based on, at least: one query to 90. */
 #define PARTS_MIN 90
--- a/src/admission/order.c
+++ b/src/admission/order.c
@@ -97,10 +97,9 @@
 }
 
 /*
- * Returns the priority class whose least share is due: that which has been
- * passed over longest of those that have to be granted now, else
- * BBL_ORDER_PRIORITIES. All due classes are served one after the other, so
- * each begins early enough for those passed over as often.
+ * Returns the priority class that is to get the next grant for its least
+ * share, else BBL_ORDER_PRIORITIES. Several classes may be due one after the
+ * other, so a class is due earlier by one grant for each class that waits.
  */
 static unsigned
 find_due_class(const bbl_order *o)
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -16,8 +16,9 @@
 /* Random part of the retry time of a limited service: one in this many. */
 #define LIMIT_SPREAD 8
 /*
- * Under load pressure a query with enough parts is answered after so many
- * service times: by then nearly all parts have come that no slow server has.
+ * While the load of all hosts is limited, a query with enough parts is
+ * answered after so many service times: the parts that are missing then are
+ * mostly at slow servers.
  */
 #define EARLY_ANSWER_SERVICE_TIMES 2
 /* A started host receives its first routing within about this time. */
