--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -901,6 +901,29 @@
 }
 END_TEST
 
+/* While servers are overloaded, a connection without a request would occupy
+ * one of their slots. */
+START_TEST(a_paused_client_opens_no_connection_in_advance)
+{
+    fixture f;
+    outcome o;
+
+    open_fixture(&f);
+    bbl_backend_client_pause_preconnect(f.client, true);
+    bbl_backend_client_tick(f.client, bbl_clock_now());
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->connects, 0);
+    start_exchange(&f, &o);
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->connects, 1);
+    close_fixture(&f);
+    open_fixture(&f);
+    bbl_backend_client_pause_preconnect(f.client, true);
+    bbl_backend_client_pause_preconnect(f.client, false);
+    bbl_backend_client_tick(f.client, bbl_clock_now());
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->connects, 1);
+    close_fixture(&f);
+}
+END_TEST
+
 START_TEST(preconnects_per_tick_are_limited)
 {
     /* Without a limit, a host that starts would connect to all servers at
@@ -961,6 +984,7 @@
                         0, ARRAY_SIZE(endless_kinds));
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
+    tcase_add_test(tc, a_paused_client_opens_no_connection_in_advance);
     tcase_add_test(tc, preconnects_per_tick_are_limited);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
