--- a/proto/gen/wire.h
+++ b/proto/gen/wire.h
@@ -70,6 +70,7 @@
 	BBLX_VOTERS = 5,
 	BBLX_ROUTING = 6,
 	BBLX_EVACUATE = 7,
+	BBLX_ROLLOUT = 8,
 };
 typedef enum bblx_command_kind bblx_command_kind;
 
@@ -148,6 +149,34 @@
 };
 typedef struct bblx_evacuate bblx_evacuate;
 
+enum bblx_rollout_state {
+	BBLX_ROLLOUT_RUNNING = 0,
+	BBLX_ROLLOUT_COMPLETED = 1,
+	BBLX_ROLLOUT_ROLLED_BACK = 2,
+	BBLX_ROLLOUT_FORGOTTEN = 3,
+};
+typedef enum bblx_rollout_state bblx_rollout_state;
+
+struct bblx_rollout {
+	bblx_label service;
+	bblx_label target;
+	u_quad_t order;
+	bblx_rollout_state state;
+	u_int share;
+	u_quad_t time_ms;
+	u_int left_ms;
+	u_int duration_ms;
+};
+typedef struct bblx_rollout bblx_rollout;
+
+struct bblx_rollouts {
+	struct {
+		u_int list_len;
+		bblx_rollout *list_val;
+	} list;
+};
+typedef struct bblx_rollouts bblx_rollouts;
+
 struct bblx_command {
 	bblx_command_kind kind;
 	union {
@@ -158,6 +187,7 @@
 		bblx_voters voters;
 		bblx_routing routing;
 		bblx_evacuate evacuate;
+		bblx_rollout rollout;
 	} bblx_command_u;
 };
 typedef struct bblx_command bblx_command;
@@ -282,6 +312,7 @@
 	BBLX_RELEASED = 5,
 	BBLX_RATE_LIMIT = 6,
 	BBLX_CRASH = 7,
+	BBLX_VERSION = 9,
 };
 typedef enum bblx_phase bblx_phase;
 
@@ -297,6 +328,13 @@
 };
 typedef struct bblx_index bblx_index;
 
+enum bblx_server_version {
+	BBLX_VERSION_UNKNOWN = 0,
+	BBLX_VERSION_OTHER = 1,
+	BBLX_VERSION_TARGET = 2,
+};
+typedef enum bblx_server_version bblx_server_version;
+
 struct bblx_report {
 	u_int searcher;
 	u_quad_t epoch;
@@ -613,6 +651,30 @@
 };
 typedef struct bblx_admission_report bblx_admission_report;
 
+struct bblx_rollout_count {
+	u_quad_t order;
+	u_quad_t route;
+	bool_t target;
+	u_quad_t ended;
+	u_quad_t failed;
+	u_quad_t slow;
+	u_quad_t refused;
+};
+typedef struct bblx_rollout_count bblx_rollout_count;
+
+struct bblx_rollout_counts {
+	u_quad_t incarnation;
+	struct {
+		u_int orders_len;
+		u_quad_t *orders_val;
+	} orders;
+	struct {
+		u_int rows_len;
+		bblx_rollout_count *rows_val;
+	} rows;
+};
+typedef struct bblx_rollout_counts bblx_rollout_counts;
+
 enum bblx_kind {
 	BBLX_VOTE_REQUEST = 1,
 	BBLX_VOTE_REPLY = 2,
@@ -632,6 +694,7 @@
 	BBLX_ADMISSION_REQUEST = 16,
 	BBLX_ADMISSION_REPLY = 17,
 	BBLX_ADMISSION_REPORT = 18,
+	BBLX_ROLLOUT_COUNTS = 19,
 };
 typedef enum bblx_kind bblx_kind;
 
@@ -656,6 +719,7 @@
 		bblx_admission_request admission_request;
 		bblx_admission_reply admission_reply;
 		bblx_admission_report admission_report;
+		bblx_rollout_counts rollout_counts;
 	} bblx_message_u;
 };
 typedef struct bblx_message bblx_message;
@@ -690,6 +754,9 @@
 extern  bool_t xdr_bblx_outcome (XDR *, bblx_outcome*);
 extern  bool_t xdr_bblx_routing (XDR *, bblx_routing*);
 extern  bool_t xdr_bblx_evacuate (XDR *, bblx_evacuate*);
+extern  bool_t xdr_bblx_rollout_state (XDR *, bblx_rollout_state*);
+extern  bool_t xdr_bblx_rollout (XDR *, bblx_rollout*);
+extern  bool_t xdr_bblx_rollouts (XDR *, bblx_rollouts*);
 extern  bool_t xdr_bblx_command (XDR *, bblx_command*);
 extern  bool_t xdr_bblx_conditional_command (XDR *, bblx_conditional_command*);
 extern  bool_t xdr_bblx_entry (XDR *, bblx_entry*);
@@ -704,6 +771,7 @@
 extern  bool_t xdr_bblx_snapshot (XDR *, bblx_snapshot*);
 extern  bool_t xdr_bblx_phase (XDR *, bblx_phase*);
 extern  bool_t xdr_bblx_index (XDR *, bblx_index*);
+extern  bool_t xdr_bblx_server_version (XDR *, bblx_server_version*);
 extern  bool_t xdr_bblx_report (XDR *, bblx_report*);
 extern  bool_t xdr_bblx_member_heartbeat (XDR *, bblx_member_heartbeat*);
 extern  bool_t xdr_bblx_heartbeat (XDR *, bblx_heartbeat*);
@@ -733,6 +801,8 @@
 extern  bool_t xdr_bblx_admission_outcome (XDR *, bblx_admission_outcome*);
 extern  bool_t xdr_bblx_admission_reply (XDR *, bblx_admission_reply*);
 extern  bool_t xdr_bblx_admission_report (XDR *, bblx_admission_report*);
+extern  bool_t xdr_bblx_rollout_count (XDR *, bblx_rollout_count*);
+extern  bool_t xdr_bblx_rollout_counts (XDR *, bblx_rollout_counts*);
 extern  bool_t xdr_bblx_kind (XDR *, bblx_kind*);
 extern  bool_t xdr_bblx_message (XDR *, bblx_message*);
 extern  bool_t xdr_bblx_frame (XDR *, bblx_frame*);
@@ -754,6 +824,9 @@
 extern bool_t xdr_bblx_outcome ();
 extern bool_t xdr_bblx_routing ();
 extern bool_t xdr_bblx_evacuate ();
+extern bool_t xdr_bblx_rollout_state ();
+extern bool_t xdr_bblx_rollout ();
+extern bool_t xdr_bblx_rollouts ();
 extern bool_t xdr_bblx_command ();
 extern bool_t xdr_bblx_conditional_command ();
 extern bool_t xdr_bblx_entry ();
@@ -768,6 +841,7 @@
 extern bool_t xdr_bblx_snapshot ();
 extern bool_t xdr_bblx_phase ();
 extern bool_t xdr_bblx_index ();
+extern bool_t xdr_bblx_server_version ();
 extern bool_t xdr_bblx_report ();
 extern bool_t xdr_bblx_member_heartbeat ();
 extern bool_t xdr_bblx_heartbeat ();
@@ -797,6 +871,8 @@
 extern bool_t xdr_bblx_admission_outcome ();
 extern bool_t xdr_bblx_admission_reply ();
 extern bool_t xdr_bblx_admission_report ();
+extern bool_t xdr_bblx_rollout_count ();
+extern bool_t xdr_bblx_rollout_counts ();
 extern bool_t xdr_bblx_kind ();
 extern bool_t xdr_bblx_message ();
 extern bool_t xdr_bblx_frame ();
--- a/proto/gen/wire_xdr.c
+++ b/proto/gen/wire_xdr.c
@@ -227,6 +227,51 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_rollout_state (XDR *xdrs, bblx_rollout_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_rollout (XDR *xdrs, bblx_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bblx_label (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_bblx_label (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_bblx_rollout_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->share))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->time_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->duration_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_rollouts (XDR *xdrs, bblx_rollouts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 256,
+		sizeof (bblx_rollout), (xdrproc_t) xdr_bblx_rollout))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_command (XDR *xdrs, bblx_command *objp)
 {
@@ -265,6 +310,10 @@
 		 if (!xdr_bblx_evacuate (xdrs, &objp->bblx_command_u.evacuate))
 			 return FALSE;
 		break;
+	case BBLX_ROLLOUT:
+		 if (!xdr_bblx_rollout (xdrs, &objp->bblx_command_u.rollout))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -536,6 +585,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_server_version (XDR *xdrs, bblx_server_version *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_report (XDR *xdrs, bblx_report *objp)
 {
@@ -1400,6 +1459,44 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bblx_rollout_count (XDR *xdrs, bblx_rollout_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ended))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->failed))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->slow))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->refused))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bblx_rollout_counts (XDR *xdrs, bblx_rollout_counts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->orders.orders_val, (u_int *) &objp->orders.orders_len, 256,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 8192,
+		sizeof (bblx_rollout_count), (xdrproc_t) xdr_bblx_rollout_count))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bblx_kind (XDR *xdrs, bblx_kind *objp)
 {
@@ -1490,6 +1587,10 @@
 		 if (!xdr_bblx_admission_report (xdrs, &objp->bblx_message_u.admission_report))
 			 return FALSE;
 		break;
+	case BBLX_ROLLOUT_COUNTS:
+		 if (!xdr_bblx_rollout_counts (xdrs, &objp->bblx_message_u.rollout_counts))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/proto/wire.x
+++ b/proto/wire.x
@@ -45,7 +45,8 @@
     BBLX_OUTCOME = 4,
     BBLX_VOTERS = 5,
     BBLX_ROUTING = 6,
-    BBLX_EVACUATE = 7
+    BBLX_EVACUATE = 7,
+    BBLX_ROLLOUT = 8          /* earlier builds cannot decode it */
 };
 
 struct bblx_lists {
@@ -109,6 +110,33 @@
     bool withdraw;            /* false restores the data centre */
 };
 
+enum bblx_rollout_state {
+    BBLX_ROLLOUT_RUNNING = 0,
+    BBLX_ROLLOUT_COMPLETED = 1,
+    BBLX_ROLLOUT_ROLLED_BACK = 2,
+    BBLX_ROLLOUT_FORGOTTEN = 3 /* removes the record of one that has ended */
+};
+
+/*
+ * An order to move the requests of a service to servers of a version, or one
+ * step of it. Wall clock times are those of the leader that recorded them.
+ */
+struct bblx_rollout {
+    bblx_label service;
+    bblx_label target;        /* version of the servers */
+    unsigned hyper order;     /* log index of the order; 0 in the order */
+    bblx_rollout_state state;
+    unsigned int share;       /* of the target, in 1/10000 */
+    unsigned hyper time_ms;   /* wall clock when it was recorded */
+    unsigned int left_ms;     /* until the deadline, at that time */
+    unsigned int duration_ms; /* of the whole order */
+};
+
+/* Follows a bblx_state in a snapshot if there is any rollout. */
+struct bblx_rollouts {
+    bblx_rollout list<256>;
+};
+
 union bblx_command switch (bblx_command_kind kind) {
 case BBLX_NOOP:
     void;
@@ -126,6 +154,8 @@
     bblx_routing routing;
 case BBLX_EVACUATE:
     bblx_evacuate evacuate;
+case BBLX_ROLLOUT:
+    bblx_rollout rollout;
 };
 
 /*
@@ -229,7 +259,8 @@
     BBLX_DOWN = 4,
     BBLX_RELEASED = 5,        /* its owner has handed it over */
     BBLX_RATE_LIMIT = 6,      /* a backend server's rate limit, see below */
-    BBLX_CRASH = 7            /* a request ended a server, see below */
+    BBLX_CRASH = 7,           /* a request ended a server, see below */
+    BBLX_VERSION = 9          /* the version of a server, see below */
 };
 
 struct bblx_index {
@@ -240,6 +271,12 @@
     unsigned int shards<4096>;
 };
 
+enum bblx_server_version {
+    BBLX_VERSION_UNKNOWN = 0, /* the list contradicts itself */
+    BBLX_VERSION_OTHER = 1,
+    BBLX_VERSION_TARGET = 2
+};
+
 /*
  * What a host has observed of a searcher that it owns.
  *
@@ -250,6 +287,10 @@
  * With phase BBLX_CRASH a server has ended while it ran a request: boot is the
  * fingerprint of the request, limit its generation, searcher a hash of both,
  * serial the wall clock in ms. With limit 0 a server has answered the request.
+ *
+ * With phase BBLX_VERSION it is what the leader has read of a backend server
+ * of a service under a rollout: boot is the key of the server, searcher a hash
+ * of it, epoch the order of the rollout, limit a bblx_server_version.
  * Hosts that do not know a phase pass such a report on.
  */
 struct bblx_report {
@@ -516,6 +557,26 @@
     unsigned hyper organisation;  /* whose token is returned; 0: none */
 };
 
+/* ---- rollouts ---- */
+
+/* First attempts at the servers of one service, by route and version. */
+struct bblx_rollout_count {
+    unsigned hyper order;     /* of the rollout */
+    unsigned hyper route;     /* hash of the name */
+    bool target;              /* at servers of the target version */
+    unsigned hyper ended;     /* attempts that were run */
+    unsigned hyper failed;
+    unsigned hyper slow;
+    unsigned hyper refused;   /* not in `ended` */
+};
+
+/* What an entry host has counted since its start, for the leader. */
+struct bblx_rollout_counts {
+    unsigned hyper incarnation;
+    unsigned hyper orders<256>; /* of the rollouts that the host applies */
+    bblx_rollout_count rows<8192>;
+};
+
 enum bblx_kind {
     BBLX_VOTE_REQUEST = 1,
     BBLX_VOTE_REPLY = 2,
@@ -535,7 +596,8 @@
     BBLX_PERMIT_REPLY = 15,
     BBLX_ADMISSION_REQUEST = 16,
     BBLX_ADMISSION_REPLY = 17,
-    BBLX_ADMISSION_REPORT = 18
+    BBLX_ADMISSION_REPORT = 18,
+    BBLX_ROLLOUT_COUNTS = 19
 };
 
 union bblx_message switch (bblx_kind kind) {
@@ -575,6 +637,8 @@
     bblx_admission_reply admission_reply;
 case BBLX_ADMISSION_REPORT:
     bblx_admission_report admission_report;
+case BBLX_ROLLOUT_COUNTS:
+    bblx_rollout_counts rollout_counts;
 };
 
 struct bblx_frame {
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -155,10 +155,19 @@
 }
 
 static void
-record_evacuation(bbl_control *c, uint64_t index)
+raise_index(uint64_t *known, uint64_t index)
 {
-    if (index > c->evacuations_index) {
-        c->evacuations_index = index;
+    *known = index > *known ? index : *known;
+}
+
+void
+bbl_control_record_decision(bbl_control *c, uint64_t index, bbl_str data)
+{
+    if (bbl_state_is_evacuation(data)) {
+        raise_index(&c->evacuations_index, index);
+    }
+    if (bbl_state_is_rollout(data)) {
+        raise_index(&c->rollouts_index, index);
     }
 }
 
@@ -168,7 +177,8 @@
     clear_feed_entries(c);
     c->lists_index = bbl_state_applied_index(c->state);
     c->public_index = c->lists_index;
-    record_evacuation(c, c->lists_index);
+    raise_index(&c->evacuations_index, c->lists_index);
+    raise_index(&c->rollouts_index, c->lists_index);
     c->revision++;
     c->feed_due = true;
     c->heartbeat_due = true;
@@ -188,9 +198,7 @@
         return;
     }
     bbl_state_apply(c->state, index, data, &result);
-    if (bbl_state_is_evacuation(data)) {
-        record_evacuation(c, index);
-    }
+    bbl_control_record_decision(c, index, data);
     retain_entry(c, index, data);
     c->public_index = index;
     if (bbl_state_lists_version(c->state) != version) {
@@ -299,14 +307,23 @@
     return error;
 }
 
+/* Returns the index of the last command that a command depends on. */
+static uint64_t
+get_decision_index(const bbl_control *c, const bblx_command *command)
+{
+    return command->kind == BBLX_ROLLOUT ? c->rollouts_index
+                                         : c->evacuations_index;
+}
+
 /*
  * Re-encodes a proposed command; claims and outcomes get the leader's time.
  *
+ * @param awaited set to the index to apply before the next try
  * @return 0; BBL_ECONFLICT if the command was decided on a state that has
  *         changed since
  */
 static int
-stamp_command(bbl_control *c, bbl_str data, bbl_buf *out)
+stamp_command(bbl_control *c, bbl_str data, bbl_buf *out, uint64_t *awaited)
 {
     bblx_command command;
     uint64_t decided_at;
@@ -315,7 +332,8 @@
     if (error != 0) {
         return error;
     }
-    if (decided_at < c->evacuations_index) {
+    *awaited = get_decision_index(c, &command);
+    if (decided_at < *awaited) {
         BBL_XDR_FREE(bblx_command, &command);
         return bbl_error_set(BBL_ECONFLICT,
                              "a later command of this kind is recorded");
@@ -326,6 +344,9 @@
     else if (command.kind == BBLX_OUTCOME) {
         command.bblx_command_u.outcome.time_ms = c->wall_ms;
     }
+    else if (command.kind == BBLX_ROLLOUT) {
+        error = bbl_rollouts_stamp_order(c, &command.bblx_command_u.rollout);
+    }
     else if (command.kind != BBLX_LISTS && command.kind != BBLX_ROUTING &&
              command.kind != BBLX_EVACUATE) {
         error = bbl_error_set(BBL_EINVAL,
@@ -356,20 +377,19 @@
     bblx_propose_reply reply;
     logged_proposal w = {0, 0, number, host, address};
     bbl_buf stamped = BBL_BUF_INIT;
+    uint64_t awaited = 0;
     int error = BBL_ENOTLEADER;
 
     memset(&reply, 0, sizeof(reply));
     if (bbl_control_leads_now(c) && has_enough_members(c)) {
-        error = stamp_command(c, data, &stamped);
+        error = stamp_command(c, data, &stamped, &awaited);
         if (error == 0) {
             error = bbl_quorum_propose(c->quorum, &w.index, &w.term,
                                        bbl_buf_str(&stamped));
         }
     }
     if (error == 0) {
-        if (bbl_state_is_evacuation(bbl_buf_str(&stamped))) {
-            record_evacuation(c, w.index);
-        }
+        bbl_control_record_decision(c, w.index, bbl_buf_str(&stamped));
         bbl_buf_free(&stamped);
         bbl_vec_push(&c->logged_proposals, &w);
         return;
@@ -377,7 +397,7 @@
     bbl_buf_free(&stamped);
     reply.number = number;
     reply.status = error;
-    reply.index = error == BBL_ECONFLICT ? c->evacuations_index : 0;
+    reply.index = error == BBL_ECONFLICT ? awaited : 0;
     reply.leader = c->leader;
     send_proposal_reply(c, host, address, &reply);
 }
@@ -475,8 +495,9 @@
     return c->last_proposal_number;
 }
 
-uint64_t
-bbl_control_propose_evacuation(bbl_control *c, bbl_usec now, bbl_str command)
+/* Proposes a command that is decided on the state that this host applies. */
+static uint64_t
+propose_conditional(bbl_control *c, bbl_usec now, bbl_str command)
 {
     uint64_t number = bbl_control_propose(c, now, command);
     own_proposal *p = bbl_vec_at(&c->own_proposals, c->own_proposals.size - 1);
@@ -486,6 +507,31 @@
     return number;
 }
 
+uint64_t
+bbl_control_propose_evacuation(bbl_control *c, bbl_usec now, bbl_str command)
+{
+    return propose_conditional(c, now, command);
+}
+
+uint64_t
+bbl_control_propose_rollout(bbl_control *c, bbl_usec now,
+                            const bblx_rollout *order)
+{
+    bblx_command command;
+    bbl_buf data = BBL_BUF_INIT;
+    uint64_t number;
+
+    memset(&command, 0, sizeof(command));
+    command.kind = BBLX_ROLLOUT;
+    command.bblx_command_u.rollout = *order;
+    if (BBL_XDR_ENCODE(&data, bblx_command, &command) != 0) {
+        abort(); /* the labels are of bounded size */
+    }
+    number = propose_conditional(c, now, bbl_buf_str(&data));
+    bbl_buf_free(&data);
+    return number;
+}
+
 void
 bbl_control_withdraw_proposal(bbl_control *c, uint64_t number)
 {
@@ -890,6 +936,7 @@
         /* The registry stays valid for the whole of one term. */
         c->registry_term = s.term;
         bbl_registry_reset(&c->registry, bbl_quorum_leader_since(c->quorum));
+        bbl_rollouts_reset(c);
         c->next_assignment = 0;
         c->heartbeat_due = true;
     }
@@ -903,6 +950,7 @@
         c->next_assignment = c->now + ASSIGN_INTERVAL_US;
         propose_assignments(c);
     }
+    bbl_rollouts_tick(c);
 }
 
 /* ---- the core ---- */
@@ -947,6 +995,7 @@
     c->logged_proposals = (bbl_vec)BBL_VEC_INIT(logged_proposal);
     c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
     bbl_permits_init(c);
+    bbl_rollouts_init(c);
     c->members = (bbl_vec)BBL_VEC_INIT(bblx_member_row);
     c->assigns = (bbl_vec)BBL_VEC_INIT(bblx_assign);
     c->backends = (bbl_vec)BBL_VEC_INIT(bblx_backend);
@@ -996,6 +1045,7 @@
     bbl_vec_free(&c->logged_proposals);
     bbl_vec_free(&c->reports);
     bbl_permits_free(c);
+    bbl_rollouts_free(c);
     bbl_vec_free(&c->members);
     bbl_vec_free(&c->assigns);
     bbl_vec_free(&c->backends);
@@ -1164,6 +1214,10 @@
     case BBLX_PERMIT_REPLY:
         bbl_permits_receive_reply(c, from, &m->bblx_message_u.permit_reply);
         break;
+    case BBLX_ROLLOUT_COUNTS:
+        bbl_rollouts_receive_counts(c, from,
+                                    &m->bblx_message_u.rollout_counts);
+        break;
     default:
         if (c->quorum != NULL) {
             bbl_quorum_receive(c->quorum, now, from, m);
@@ -1199,10 +1253,12 @@
 
 void
 bbl_control_replace_catalog(bbl_control *c, bbl_usec now,
-                            const bblx_backend *backends, size_t count)
+                            const bblx_backend *backends,
+                            const uint64_t *versions, size_t count)
 {
     c->now = now;
     c->catalog_read_at = now;
+    bbl_rollouts_read_list(c, backends, versions, count);
     if (bbl_rows_replace_catalog(&c->rows, backends, count, now)) {
         c->feed_due = true;
     }
@@ -1315,6 +1371,11 @@
     out->voter_changes = c->voter_changes;
     out->permits_granted = c->permits.granted;
     out->permits_withheld = c->permits.refused;
+    out->rollout_counts = bbl_rollouts_get_received(c);
+    for (size_t i = 0; bbl_state_rollout(c->state, i) != NULL; i++) {
+        out->rollouts_running +=
+            bbl_state_rollout(c->state, i)->state == BBLX_ROLLOUT_RUNNING;
+    }
 }
 
 uint64_t
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -13,9 +13,26 @@
 #include "control/registry.h"
 #include "control/rows.h"
 #include "control/state.h"
+#include "rollout/judge.h"
 
 #define BBL_CONTROL_OPTIONS_VERSION 1
 
+/* What the leader has decided on a rollout, and from what; see
+ * rollout/plan.h. */
+typedef struct {
+    const bblx_rollout *rollout; /* before the decision */
+    bblx_rollout_state state;    /* after it */
+    uint32_t share;              /* after it, in 1/10000 */
+    const char *reason;          /* static string */
+    bbl_verdict verdict;
+    double evidence; /* see bbl_judge_get_evidence */
+    bbl_judge_sample old_sum;
+    bbl_judge_sample target_sum;
+    unsigned target_slots;
+    unsigned other_slots;
+    bbl_usec left; /* until the deadline */
+} bbl_rollout_decision;
+
 typedef struct {
     /* Sends a message, which may be lost. */
     void (*send)(void *ctx, uint32_t host, bblx_address to,
@@ -28,6 +45,11 @@
                               const bblx_propose_reply *reply);
     /* Passes on the answer to a request for permits; may be NULL. */
     void (*permits_received)(void *ctx, const bblx_permit_reply *reply);
+    /* Returns whether a host has announced that it accepts a message kind;
+     * NULL if all do. */
+    bool (*accepts_kind)(void *ctx, uint32_t host, bblx_kind kind);
+    /* Reports a decision on a rollout, on the leader; may be NULL. */
+    void (*rollout_decided)(void *ctx, const bbl_rollout_decision *decision);
     /* Reopens the disk after a failure. If NULL, a host whose disk failed
      * takes no part in the quorum until it is restarted. */
     int (*reopen_disk)(void *ctx, bbl_disk **out);
@@ -100,9 +122,11 @@
     uint64_t grants_received;
     uint64_t grants_ignored; /* not for a recent heartbeat of this process */
     uint64_t snapshots_sent;
-    uint64_t voter_changes;      /* proposed while this host led */
-    uint64_t permits_granted;    /* for servers that limit their rate */
-    uint64_t permits_withheld;   /* servers without a permit left */
+    uint64_t voter_changes;    /* proposed while this host led */
+    uint64_t permits_granted;  /* for servers that limit their rate */
+    uint64_t permits_withheld; /* servers without a permit left */
+    size_t rollouts_running;
+    uint64_t rollout_counts; /* messages with counts received as the leader */
     bbl_usec parent_answered_at; /* last grant or change of parent */
 } bbl_control_status;
 
@@ -149,6 +173,18 @@
 uint64_t bbl_control_propose_evacuation(bbl_control *control, bbl_usec now,
                                         bbl_str command);
 
+/*
+ * Same as bbl_control_propose_evacuation, for the order of a rollout, of which
+ * the leader sets the times. It is refused with BBL_EEXISTS while a rollout of
+ * the service to another version runs.
+ */
+uint64_t bbl_control_propose_rollout(bbl_control *control, bbl_usec now,
+                                     const bblx_rollout *order);
+
+/* Sends what this entry host has counted for rollouts to the leader. */
+void bbl_control_send_rollout_counts(bbl_control *control, bbl_usec now,
+                                     const bblx_rollout_counts *counts);
+
 /*
  * Stops sending a proposal whose outcome nobody awaits any more. It may still
  * be recorded if it has reached the leader.
@@ -194,9 +230,15 @@
 void bbl_control_set_places(bbl_control *control, const bblx_place *places,
                             size_t count);
 
-/* Replaces the list of backend servers with the one read at `now`. */
+/*
+ * Replaces the list of backend servers with the one read at `now`.
+ *
+ * @param versions hash of the version of each server, see bbl_version_hash();
+ *                 NULL if they are not known
+ */
 void bbl_control_replace_catalog(bbl_control *control, bbl_usec now,
-                                 const bblx_backend *backends, size_t count);
+                                 const bblx_backend *backends,
+                                 const uint64_t *versions, size_t count);
 
 /* Returns the age of the list in use, UINT64_MAX if there is none. */
 bbl_usec bbl_control_catalog_age(const bbl_control *control, bbl_usec now);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -33,6 +33,8 @@
     bblx_member_heartbeat member; /* zone owned */
 } bbl_relayed_heartbeat;
 
+typedef struct bbl_rollouts bbl_rollouts;
+
 struct bbl_control {
     bbl_control_options options;
     bbl_usec now;
@@ -50,6 +52,7 @@
 
     bbl_buf snapshot; /* of `state` at snapshot_index; may be empty */
     uint64_t snapshot_index;
+    size_t snapshot_known_size; /* what builds without rollouts can load */
 
     uint64_t feed_boot;         /* incarnation of this host's row revisions */
     bbl_vec children;           /* bbl_feed_child */
@@ -91,7 +94,8 @@
     /* Log index, at most, of the last evacuation or restoration of a data
      * centre that is applied or that this host appended as the leader. */
     uint64_t evacuations_index;
-    uint64_t public_index; /* last index that matters to members */
+    uint64_t rollouts_index; /* the same for rollouts and their steps */
+    uint64_t public_index;   /* last index that matters to members */
     bbl_usec next_assignment;
     bbl_usec next_publish;
     bbl_usec next_voter_check;
@@ -105,6 +109,8 @@
     bbl_vec members;          /* scratch: bblx_member_row */
     bbl_vec assigns;          /* scratch: bblx_assign */
 
+    bbl_rollouts *rollouts; /* see rollouts.c */
+
     bbl_permit_book permits; /* that this host grants */
     bbl_vec permit_requests; /* open_permit_request, see permits.c */
     bbl_map silent_grantors; /* host -> bbl_usec, silent until then */
@@ -138,6 +144,10 @@
  */
 void bbl_control_restart_log(bbl_control *c);
 
+/* Notes that an entry was appended that later conditional commands depend on,
+ * if it is one. */
+void bbl_control_record_decision(bbl_control *c, uint64_t index, bbl_str data);
+
 /*
  * Applies a committed entry to the followed state. An entry may arrive from
  * both the quorum and the feed; the second copy is ignored.
@@ -165,8 +175,40 @@
 /* Notes the grantors that have not answered in time. */
 void bbl_permits_tick(bbl_control *c);
 
+/* ---- rollouts.c ---- */
+
+void bbl_rollouts_init(bbl_control *c);
+void bbl_rollouts_free(bbl_control *c);
+
+/* Decides on the running rollouts. Called on the leader only. */
+void bbl_rollouts_tick(bbl_control *c);
+
+/* Forgets what an earlier leadership of this host knew. */
+void bbl_rollouts_reset(bbl_control *c);
+
+/* Records the versions of the servers in the platform's list. */
+void bbl_rollouts_read_list(bbl_control *c, const bblx_backend *backends,
+                            const uint64_t *versions, size_t count);
+
+void bbl_rollouts_receive_counts(bbl_control *c, uint32_t from,
+                                 const bblx_rollout_counts *counts);
+
+/*
+ * Sets the times of an order that this leader is about to record.
+ *
+ * @return 0; BBL_EINVAL if it is no order; BBL_EFULL if some voter is not
+ *         known to decode it
+ */
+int bbl_rollouts_stamp_order(bbl_control *c, bblx_rollout *order);
+
+/* Returns the messages with counts that were received. */
+uint64_t bbl_rollouts_get_received(const bbl_control *c);
+
 /* ---- feed.c ---- */
 
+/* Returns whether a host is known to decode rollouts. */
+bool bbl_control_knows_rollouts(const bbl_control *c, uint32_t host);
+
 /* Sends each child the entries and rows that it lacks. */
 void bbl_feed_push(bbl_control *c);
 
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -76,18 +76,34 @@
     return at;
 }
 
-/* Returns a snapshot of the followed state, encoded once for each state. */
+bool
+bbl_control_knows_rollouts(const bbl_control *c, uint32_t host)
+{
+    return host == c->options.host || c->options.port.accepts_kind == NULL ||
+           c->options.port.accepts_kind(c->options.port.ctx, host,
+                                        BBLX_ROLLOUT_COUNTS);
+}
+
+/*
+ * Returns a snapshot of the followed state for a child, encoded once for each
+ * state. Builds that know no rollouts get it without these.
+ */
 static bbl_str
-get_snapshot(bbl_control *c)
+get_snapshot(bbl_control *c, uint32_t child)
 {
     uint64_t applied = bbl_state_applied_index(c->state);
+    bbl_str snapshot;
 
     if (c->snapshot_index != applied || c->snapshot.size == 0) {
         bbl_buf_clear(&c->snapshot);
-        bbl_state_save(c->state, false, &c->snapshot);
+        c->snapshot_known_size = bbl_state_save(c->state, false, &c->snapshot);
         c->snapshot_index = applied;
     }
-    return bbl_buf_str(&c->snapshot);
+    snapshot = bbl_buf_str(&c->snapshot);
+    if (!bbl_control_knows_rollouts(c, child)) {
+        snapshot.size = c->snapshot_known_size;
+    }
+    return snapshot;
 }
 
 /*
@@ -96,11 +112,11 @@
  * the one before, so a host that joins needs only the last one.
  */
 static bool
-needs_snapshot(bbl_control *c, uint64_t applied, size_t first)
+needs_snapshot(bbl_control *c, const bbl_feed_child *k, size_t first)
 {
     size_t bytes = 0;
 
-    if (applied < c->feed_floor) {
+    if (k->applied < c->feed_floor) {
         return true;
     }
     if (c->feed_entries.size - first < 2) {
@@ -109,21 +125,22 @@
     for (size_t i = first; i < c->feed_entries.size; i++) {
         bytes += BBL_VEC_AT(bbl_feed_entry, &c->feed_entries, i)->data.size;
     }
-    return bytes > ENTRIES_MIN_BYTES && bytes > get_snapshot(c).size;
+    return bytes > ENTRIES_MIN_BYTES && bytes > get_snapshot(c, k->host).size;
 }
 
 /*
- * Adds the entries after `applied`, or a snapshot if that is better. Returns
- * the index that the child then reaches.
+ * Adds the entries that a child lacks, or a snapshot if that is better.
+ * Returns the index that the child then reaches.
  */
 static uint64_t
-fill_entries(bbl_control *c, bblx_feed *f, uint64_t applied, bblx_entry *space)
+fill_entries(bbl_control *c, bblx_feed *f, const bbl_feed_child *k,
+             bblx_entry *space)
 {
-    size_t first = find_entry_after(c, applied);
+    size_t first = find_entry_after(c, k->applied);
 
-    if (needs_snapshot(c, applied, first)) {
+    if (needs_snapshot(c, k, first)) {
         f->snapshot_set = TRUE;
-        f->snapshot = bbl_wire_text_borrow(get_snapshot(c));
+        f->snapshot = bbl_wire_text_borrow(get_snapshot(c, k->host));
         c->snapshots_sent++;
         return bbl_state_applied_index(c->state);
     }
@@ -215,7 +232,7 @@
     f->revision = k->revision;
     f->catalog_age_ms = CATALOG_UNKNOWN;
     if (may_send_changes(c, k)) {
-        f->applied = fill_entries(c, f, k->applied, space);
+        f->applied = fill_entries(c, f, k, space);
         fill_rows(c, f, k->revision);
         if (is_behind(c, k)) {
             k->sent_at = c->now;
--- a/src/control/rows.c
+++ b/src/control/rows.c
@@ -11,6 +11,8 @@
 #define COLD_TOLERANCE_US (250 * BBL_USEC_PER_MS)
 /* Rows of servers marked as gone that are kept without pruning. */
 #define GONE_BACKENDS_MAX 4096
+#define KEY_SEED 61
+#define VERSION_HASH_SEED 67
 
 typedef enum { ROW_REPORT, ROW_MEMBER, ROW_BACKEND } row_kind;
 
@@ -333,6 +335,22 @@
     return changed;
 }
 
+uint64_t
+bbl_backend_get_key(const bblx_backend *listed)
+{
+    return bbl_hash(listed->id.bblx_label_val, listed->id.bblx_label_len,
+                    KEY_SEED) ^
+           bbl_hash(&listed->born, sizeof(listed->born), KEY_SEED);
+}
+
+uint64_t
+bbl_version_hash(bbl_str version)
+{
+    uint64_t hash = bbl_hash(version.ptr, version.size, VERSION_HASH_SEED);
+
+    return hash != 0 ? hash : 1;
+}
+
 void
 bbl_backend_copy(bblx_backend *to, const bblx_backend *from)
 {
--- a/src/control/rows.h
+++ b/src/control/rows.h
@@ -76,6 +76,15 @@
 bool bbl_rows_replace_catalog(bbl_rows *rows, const bblx_backend *backends,
                               size_t count, bbl_usec now);
 
+/*
+ * Returns the key of an incarnation of a server, equal on all hosts. A server
+ * that restarts under its id has another key.
+ */
+uint64_t bbl_backend_get_key(const bblx_backend *listed);
+
+/* Returns a hash of the version of servers, equal on all hosts; never 0. */
+uint64_t bbl_version_hash(bbl_str version);
+
 /* Makes a deep copy of a backend server; the caller owns its strings. */
 void bbl_backend_copy(bblx_backend *to, const bblx_backend *from);
 
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -39,6 +39,7 @@
     bblx_voters voters;
     bblx_routing routing; /* owned */
     bbl_vec evacuated;    /* of bblx_name, owned */
+    bbl_vec rollouts;     /* of bblx_rollout, owned, in the order of arrival */
 };
 
 bbl_state *
@@ -48,6 +49,7 @@
 
     s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
     s->evacuated = (bbl_vec)BBL_VEC_INIT(bblx_name);
+    s->rollouts = (bbl_vec)BBL_VEC_INIT(bblx_rollout);
     return s;
 }
 
@@ -95,6 +97,10 @@
         BBL_XDR_FREE(bblx_name, bbl_vec_at(&s->evacuated, i));
     }
     bbl_vec_free(&s->evacuated);
+    for (size_t i = 0; i < s->rollouts.size; i++) {
+        BBL_XDR_FREE(bblx_rollout, bbl_vec_at(&s->rollouts, i));
+    }
+    bbl_vec_free(&s->rollouts);
 }
 
 void
@@ -396,6 +402,110 @@
     }
 }
 
+/* ---- rollouts ---- */
+
+/* Returns the position of the rollout of a service, or -1. */
+static long
+find_rollout(const bbl_state *s, bbl_str service)
+{
+    for (size_t i = 0; i < s->rollouts.size; i++) {
+        const bblx_rollout *r = bbl_vec_at(&s->rollouts, i);
+
+        if (bbl_str_equal(bbl_wire_label_str(&r->service), service)) {
+            return (long)i;
+        }
+    }
+    return -1;
+}
+
+static void
+remove_rollout(bbl_state *s, size_t at)
+{
+    BBL_XDR_FREE(bblx_rollout, bbl_vec_at(&s->rollouts, at));
+    bbl_vec_remove(&s->rollouts, at);
+}
+
+/* Removes the oldest rollout that has ended; returns whether there was one. */
+static bool
+remove_ended_rollout(bbl_state *s)
+{
+    for (size_t i = 0; i < s->rollouts.size; i++) {
+        if (BBL_VEC_AT(bblx_rollout, &s->rollouts, i)->state !=
+            BBLX_ROLLOUT_RUNNING) {
+            remove_rollout(s, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+copy_label(bblx_label *to, const bblx_label *from)
+{
+    to->bblx_label_len = from->bblx_label_len;
+    to->bblx_label_val =
+        bbl_memdup(from->bblx_label_val, from->bblx_label_len);
+}
+
+static void
+apply_rollout_order(bbl_state *s, uint64_t index, const bblx_rollout *c,
+                    bbl_state_result *result)
+{
+    long at = find_rollout(s, bbl_wire_label_str(&c->service));
+    const bblx_rollout *known =
+        at >= 0 ? bbl_vec_at(&s->rollouts, (size_t)at) : NULL;
+    bblx_rollout *row;
+
+    if (known != NULL) {
+        bool same = bbl_str_equal(bbl_wire_label_str(&known->target),
+                                  bbl_wire_label_str(&c->target));
+
+        if (known->state == BBLX_ROLLOUT_RUNNING ||
+            (same && c->time_ms < known->time_ms + BBL_ROLLOUT_REPEAT_MS)) {
+            result->status = same ? BBL_OK : BBL_EEXISTS;
+            return;
+        }
+        remove_rollout(s, (size_t)at);
+    }
+    if (s->rollouts.size >= BBL_ROLLOUTS_MAX && !remove_ended_rollout(s)) {
+        result->status = BBL_EFULL;
+        return;
+    }
+    row = bbl_vec_add(&s->rollouts);
+    *row = *c;
+    copy_label(&row->service, &c->service);
+    copy_label(&row->target, &c->target);
+    row->order = index;
+    row->state = BBLX_ROLLOUT_RUNNING;
+    row->share = 0;
+}
+
+static void
+apply_rollout(bbl_state *s, uint64_t index, const bblx_rollout *c,
+              bbl_state_result *result)
+{
+    long at = find_rollout(s, bbl_wire_label_str(&c->service));
+    bblx_rollout *row = at >= 0 ? bbl_vec_at(&s->rollouts, (size_t)at) : NULL;
+    bool running = row != NULL && row->state == BBLX_ROLLOUT_RUNNING;
+
+    if (c->order == 0) {
+        apply_rollout_order(s, index, c, result);
+    }
+    else if (row == NULL || row->order != c->order ||
+             running != (c->state != BBLX_ROLLOUT_FORGOTTEN)) {
+        result->status = BBL_ENOTFOUND;
+    }
+    else if (c->state == BBLX_ROLLOUT_FORGOTTEN) {
+        remove_rollout(s, (size_t)at);
+    }
+    else {
+        row->state = c->state;
+        row->share = c->share;
+        row->time_ms = c->time_ms;
+        row->left_ms = c->left_ms;
+    }
+}
+
 /* ---- commands ---- */
 
 static void
@@ -450,15 +560,31 @@
     case BBLX_EVACUATE:
         apply_evacuate(s, &c.bblx_command_u.evacuate, result);
         break;
+    case BBLX_ROLLOUT:
+        apply_rollout(s, index, &c.bblx_command_u.rollout, result);
+        break;
     }
     BBL_XDR_FREE(bblx_command, &c);
 }
 
 /* ---- snapshots ---- */
 
-void
+/* Appends the rollouts, if there are any. */
+static void
+save_rollouts(const bbl_state *s, bbl_buf *out)
+{
+    bblx_rollouts w = {{(u_int)s->rollouts.size, s->rollouts.ptr}};
+
+    if (s->rollouts.size > 0 && BBL_XDR_ENCODE(out, bblx_rollouts, &w) != 0) {
+        abort();
+    }
+}
+
+size_t
 bbl_state_save(const bbl_state *s, bool claims, bbl_buf *out)
 {
+    size_t before = out->size;
+    size_t known;
     bblx_state w;
     size_t pos = 0;
     u_int n = 0;
@@ -499,6 +625,9 @@
     }
     free(w.assigns.assigns_val);
     free(w.claims.claims_val);
+    known = out->size - before;
+    save_rollouts(s, out);
+    return known;
 }
 
 /* Moves the rows of a decoded snapshot into the empty state `s`. */
@@ -532,15 +661,35 @@
     free(w->evacuated.evacuated_val);
 }
 
+/* Decodes a snapshot; the rollouts may be missing. */
+static int
+decode_snapshot(bblx_state *w, bblx_rollouts *rollouts, bbl_str data)
+{
+    size_t used;
+    int error;
+
+    memset(w, 0, sizeof(*w));
+    memset(rollouts, 0, sizeof(*rollouts));
+    error = bbl_xdr_decode_first(w, &used, (xdrproc_t)xdr_bblx_state, data);
+    if (error == 0 && used < data.size) {
+        bbl_str rest = {data.ptr + used, data.size - used};
+
+        error = BBL_XDR_DECODE(rollouts, bblx_rollouts, rest);
+        if (error != 0) {
+            BBL_XDR_FREE(bblx_state, w);
+        }
+    }
+    return error;
+}
+
 int
 bbl_state_load(bbl_state *s, bbl_str data)
 {
     bbl_lists *lists = NULL;
+    bblx_rollouts rollouts;
     bblx_state w;
-    int error;
+    int error = decode_snapshot(&w, &rollouts, data);
 
-    memset(&w, 0, sizeof(w));
-    error = BBL_XDR_DECODE(&w, bblx_state, data);
     if (error != 0) {
         return error;
     }
@@ -550,6 +699,7 @@
     }
     if (error != 0) {
         BBL_XDR_FREE(bblx_state, &w);
+        BBL_XDR_FREE(bblx_rollouts, &rollouts);
         return bbl_error_set(BBL_EDAMAGED,
                              "the lists in the snapshot are not valid");
     }
@@ -557,6 +707,7 @@
     memset(s, 0, sizeof(*s));
     s->changes = (bbl_vec)BBL_VEC_INIT(bblx_change_record);
     s->evacuated = (bbl_vec)BBL_VEC_INIT(bblx_name);
+    s->rollouts = (bbl_vec)BBL_VEC_INIT(bblx_rollout);
     s->applied_index = w.applied;
     s->lists_version = w.lists_version;
     s->latest_time_ms = w.clock_ms;
@@ -564,6 +715,10 @@
     s->allowances = w.allowances;
     s->lists = lists;
     take_snapshot_rows(s, &w);
+    for (u_int i = 0; i < rollouts.list.list_len; i++) {
+        bbl_vec_push(&s->rollouts, &rollouts.list.list_val[i]);
+    }
+    free(rollouts.list.list_val);
     return 0;
 }
 
@@ -629,6 +784,20 @@
     return i < s->evacuated.size ? bbl_vec_at(&s->evacuated, i) : NULL;
 }
 
+const bblx_rollout *
+bbl_state_rollout(const bbl_state *s, size_t i)
+{
+    return i < s->rollouts.size ? bbl_vec_at(&s->rollouts, i) : NULL;
+}
+
+const bblx_rollout *
+bbl_state_find_rollout(const bbl_state *s, bbl_str service)
+{
+    long at = find_rollout(s, service);
+
+    return at >= 0 ? bbl_vec_at(&s->rollouts, (size_t)at) : NULL;
+}
+
 size_t
 bbl_state_claim_count(const bbl_state *s)
 {
@@ -641,11 +810,18 @@
     return data.size >= 4 && data.ptr[3] == BBLX_EVACUATE;
 }
 
+bool
+bbl_state_is_rollout(bbl_str data)
+{
+    return data.size >= 4 && data.ptr[3] == BBLX_ROLLOUT;
+}
+
 bool
 bbl_state_is_feed_command(bbl_str data)
 {
     char kind = data.size >= 4 ? data.ptr[3] : 0;
 
     return kind == BBLX_LISTS || kind == BBLX_ASSIGN || kind == BBLX_VOTERS ||
-           kind == BBLX_ROUTING || kind == BBLX_EVACUATE;
+           kind == BBLX_ROUTING || kind == BBLX_EVACUATE ||
+           kind == BBLX_ROLLOUT;
 }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -1,8 +1,8 @@
 /*
  * state.h - the replicated state machine: the lists of plans and allowances
  * and their version, the assignment of searchers to owners, the claims of
- * requests that must not run twice, the voters, the routing document and the
- * evacuated data centres.
+ * requests that must not run twice, the voters, the routing document, the
+ * evacuated data centres and the rollouts.
  *
  * It is deterministic: the same commands give the same state on every host.
  */
@@ -18,6 +18,10 @@
 #define BBL_CHANGE_IDS_MAX 4096
 /* Data centres evacuated at the same time. */
 #define BBL_EVACUATED_MAX 64
+/* Rollouts recorded at the same time; one that has ended gives way. */
+#define BBL_ROLLOUTS_MAX 256
+/* The same order again does not start a rollout anew so soon after its end. */
+#define BBL_ROLLOUT_REPEAT_MS 10000
 #define BBL_CLAIMS_MAX 1000000
 #define BBL_CLAIM_RETENTION_MS (24ull * 3600 * 1000)
 /* A longer answer is not recorded; its claim is only marked as done. */
@@ -49,8 +53,11 @@
 /*
  * Writes a snapshot of the state. With `claims` false the claims and the
  * change ids are left out.
+ *
+ * @return the number of bytes appended before the rollouts. Builds that know
+ *         no rollouts can load so much of it, and nothing longer.
  */
-void bbl_state_save(const bbl_state *state, bool claims, bbl_buf *out);
+size_t bbl_state_save(const bbl_state *state, bool claims, bbl_buf *out);
 
 /*
  * Replaces the state by a snapshot.
@@ -101,12 +108,22 @@
 /* Returns the `i`-th evacuated data centre, or NULL past the last. */
 const bblx_name *bbl_state_evacuated_zone(const bbl_state *state, size_t i);
 
+/* Returns the `i`-th rollout, or NULL past the last. */
+const bblx_rollout *bbl_state_rollout(const bbl_state *state, size_t i);
+
+/* Returns the rollout of a service that was ordered last, or NULL. */
+const bblx_rollout *bbl_state_find_rollout(const bbl_state *state,
+                                           bbl_str service);
+
 /* Returns the number of claims kept. */
 size_t bbl_state_claim_count(const bbl_state *state);
 
 /* Returns whether a command evacuates or restores a data centre. */
 bool bbl_state_is_evacuation(bbl_str data);
 
+/* Returns whether a command orders a rollout or is a step of one. */
+bool bbl_state_is_rollout(bbl_str data);
+
 /*
  * Returns whether the change feed carries a command to the hosts that do not
  * vote.
--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -104,6 +104,12 @@
     bbl_metrics_append_counter(out, "permits_refused_total",
                                "servers for which no permit was left",
                                c->permits_refused);
+    bbl_metrics_append_counter(out, "rollout_requests_total",
+                               "first attempts at services under a rollout",
+                               c->rollout_first);
+    bbl_metrics_append_counter(out, "rollout_target_attempts_total",
+                               "attempts at new versions of these services",
+                               c->rollout_target);
     bbl_metrics_append_counter(out, "delegations_total",
                                "requests passed on to another entry host",
                                c->delegations);
@@ -163,6 +169,11 @@
     bbl_metrics_append_counter(out, "permits_withheld_total",
                                "servers for which no permit was granted",
                                s->permits_withheld);
+    append_gauge(out, "rollouts_running", "rollouts that have not ended",
+                 (double)s->rollouts_running);
+    bbl_metrics_append_counter(out, "rollout_counts_total",
+                               "messages with counts for rollouts received",
+                               s->rollout_counts);
     bbl_metrics_append_counter(out, "feeds_received_total",
                                "feeds from the parent", s->feeds_received);
     bbl_metrics_append_counter(out, "feeds_ignored_total",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -581,6 +581,12 @@
     send_notice(ctx, bbl_notice_new_rate_limit(b));
 }
 
+static void
+report_rollouts(void *ctx, const bbl_rollout_tally *tally)
+{
+    send_notice(ctx, bbl_notice_new_rollout_counts(tally));
+}
+
 static void
 request_permits(void *ctx, const bbl_permit_request *request)
 {
@@ -940,6 +946,7 @@
     f.port.request_barred = on_request_barred;
     f.port.publish_rate_limit = publish_rate_limit;
     f.port.request_permits = request_permits;
+    f.port.report_rollouts = report_rollouts;
     f.permit_ttl = BBL_PERMIT_TTL_US;
     f.port.ctx = g;
     return bbl_forwarder_new(&g->forwarder, &f);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -41,6 +41,7 @@
  * had time to transfer the leadership, and no later than EXIT_MAX_US. */
 #define EXIT_MAX_US (1500 * BBL_USEC_PER_MS)
 #define EXIT_MIN_US (250 * BBL_USEC_PER_MS)
+#define SHARE_UNITS 10000.0 /* of the shares in bblx_rollout */
 
 typedef struct {
     const bbl_node_options *options;
@@ -76,6 +77,7 @@
     bool control_lost;
     bool journal_failed;
     uint64_t logged_voters_hash;
+    uint64_t logged_rollouts[BBL_ROLLOUTS_MAX]; /* hashes, as recorded */
     bbl_usec stopping_since; /* when the shutdown began; 0 if it did not */
     bool leadership_transferred;
     bool done;
@@ -113,6 +115,11 @@
             bbl_control_report_crash(n->control, notice->fingerprint,
                                      notice->generation);
         }
+        else if (notice->kind == BBL_NOTICE_ROLLOUT_COUNTS) {
+            notice->rollout_counts.incarnation = n->incarnation;
+            bbl_control_send_rollout_counts(n->control, n->now,
+                                            &notice->rollout_counts);
+        }
         else {
             bbl_control_request_permits(n->control, n->now,
                                         &notice->permit_request);
@@ -131,11 +138,50 @@
     }
 }
 
+/* ---- rollouts ---- */
+
+static const char *
+get_rollout_state_name(bblx_rollout_state state)
+{
+    static const char *const names[] = {"running", "completed", "rolled-back",
+                                        "forgotten"};
+
+    return names[state];
+}
+
+/* Logs the rollouts that are not as when they were logged last. */
+static void
+log_rollouts(node *n)
+{
+    const bblx_rollout *r;
+
+    for (size_t i = 0;
+         (r = bbl_state_rollout(bbl_control_state(n->control), i)) != NULL;
+         i++) {
+        uint64_t parts[] = {r->order, (uint64_t)r->state, r->share};
+        uint64_t hash = bbl_hash(parts, sizeof(parts), 53);
+
+        if (n->logged_rollouts[i] == hash) {
+            continue;
+        }
+        n->logged_rollouts[i] = hash;
+        bbl_log(BBL_EV_ROLLOUT,
+                "service=%.*s target=%.*s state=%s share=%.4f order=%llu "
+                "applied=%llu",
+                (int)r->service.bblx_label_len, r->service.bblx_label_val,
+                (int)r->target.bblx_label_len, r->target.bblx_label_val,
+                get_rollout_state_name(r->state), r->share / SHARE_UNITS,
+                (unsigned long long)r->order,
+                (unsigned long long)bbl_state_applied_index(
+                    bbl_control_state(n->control)));
+    }
+}
+
 /* ---- list of backend servers ---- */
 
 static void
-on_catalog_complete(void *ctx, const bblx_backend *backends, size_t count,
-                    size_t skipped)
+on_catalog_complete(void *ctx, const bblx_backend *backends,
+                    const uint64_t *versions, size_t count, size_t skipped)
 {
     node *n = ctx;
 
@@ -144,7 +190,8 @@
     }
     n->catalog_failing = false;
     n->catalog_skipped = skipped;
-    bbl_control_replace_catalog(n->control, bbl_clock_now(), backends, count);
+    bbl_control_replace_catalog(n->control, bbl_clock_now(), backends,
+                                versions, count);
 }
 
 static void
@@ -225,6 +272,40 @@
     return bbl_mesh_get_backlog(n->mesh, host);
 }
 
+static bool
+accepts_kind(void *ctx, uint32_t host, bblx_kind kind)
+{
+    const node *n = ctx;
+
+    return bbl_mesh_accepts_kind(n->mesh, host, kind);
+}
+
+static void
+on_rollout_decided(void *ctx, const bbl_rollout_decision *d)
+{
+    (void)ctx;
+    bbl_log(BBL_EV_ROLLOUT_DECISION,
+            "service=%.*s target=%.*s to=%s share=%.4f why=\"%s\" verdict=%s "
+            "evidence=%.1f old=%llu old_failed=%llu old_slow=%llu "
+            "old_refused=%llu new=%llu new_failed=%llu new_slow=%llu "
+            "new_refused=%llu new_slots=%u old_slots=%u left_ms=%llu",
+            (int)d->rollout->service.bblx_label_len,
+            d->rollout->service.bblx_label_val,
+            (int)d->rollout->target.bblx_label_len,
+            d->rollout->target.bblx_label_val,
+            get_rollout_state_name(d->state), d->share / SHARE_UNITS,
+            d->reason, bbl_verdict_name(d->verdict), d->evidence,
+            (unsigned long long)d->old_sum.ended,
+            (unsigned long long)d->old_sum.failed,
+            (unsigned long long)d->old_sum.slow,
+            (unsigned long long)d->old_sum.refused,
+            (unsigned long long)d->target_sum.ended,
+            (unsigned long long)d->target_sum.failed,
+            (unsigned long long)d->target_sum.slow,
+            (unsigned long long)d->target_sum.refused, d->target_slots,
+            d->other_slots, (unsigned long long)(d->left / BBL_USEC_PER_MS));
+}
+
 static void
 on_proposal_complete(void *ctx, uint64_t number,
                      const bblx_propose_reply *reply)
@@ -359,6 +440,7 @@
         n->journal_failed = s.quorum.failed;
     }
     log_voters(n);
+    log_rollouts(n);
 }
 
 /* ---- settings and signals ---- */
@@ -571,6 +653,8 @@
     c.port.backlog = get_mesh_backlog;
     c.port.complete_proposal = on_proposal_complete;
     c.port.permits_received = on_permits_received;
+    c.port.accepts_kind = accepts_kind;
+    c.port.rollout_decided = on_rollout_decided;
     c.port.reopen_disk = reopen_disk;
     c.port.ctx = n;
     if (o->data_dir != NULL && o->bootstrap) {
--- a/src/daemon/notice.c
+++ b/src/daemon/notice.c
@@ -60,10 +60,21 @@
     return n;
 }
 
+bbl_notice *
+bbl_notice_new_rollout_counts(const bbl_rollout_tally *tally)
+{
+    bbl_notice *n = bbl_calloc(1, sizeof(*n));
+
+    n->kind = BBL_NOTICE_ROLLOUT_COUNTS;
+    bbl_rollout_tally_write(tally, &n->rollout_counts);
+    return n;
+}
+
 void
 bbl_notice_free(bbl_notice *n)
 {
     if (n != NULL) {
+        BBL_XDR_FREE(bblx_rollout_counts, &n->rollout_counts);
         free(n->permit_request.items.items_val);
         free(n);
     }
@@ -110,3 +121,11 @@
     out->limited = r->limit != NO_LIMIT;
     out->rate = r->limit / RATE_UNITS;
 }
+
+void
+bbl_known_version_read(bbl_known_version *out, const bblx_report *r)
+{
+    out->server = r->boot;
+    out->order = r->epoch;
+    out->version = (bblx_server_version)r->limit;
+}
--- a/src/daemon/notice.h
+++ b/src/daemon/notice.h
@@ -9,12 +9,15 @@
 #include "forward/backend.h"
 #include "forward/crash_ledger.h"
 #include "forward/permit.h"
+#include "forward/rollout_tally.h"
+#include "forward/rollout_view.h"
 #include "model/codec.h"
 
 typedef enum {
     BBL_NOTICE_RATE_LIMIT,
     BBL_NOTICE_CRASH,
-    BBL_NOTICE_PERMIT_REQUEST
+    BBL_NOTICE_PERMIT_REQUEST,
+    BBL_NOTICE_ROLLOUT_COUNTS
 } bbl_notice_kind;
 
 typedef struct {
@@ -25,11 +28,14 @@
     uint64_t fingerprint;
     uint32_t generation;
     bblx_permit_request permit_request; /* BBL_NOTICE_PERMIT_REQUEST; owned */
+    /* BBL_NOTICE_ROLLOUT_COUNTS; owned, without the incarnation */
+    bblx_rollout_counts rollout_counts;
 } bbl_notice;
 
 bbl_notice *bbl_notice_new_rate_limit(const bbl_backend *backend);
 bbl_notice *bbl_notice_new_crash(uint64_t fingerprint, uint32_t generation);
 bbl_notice *bbl_notice_new_permit_request(const bbl_permit_request *request);
+bbl_notice *bbl_notice_new_rollout_counts(const bbl_rollout_tally *tally);
 
 /* Frees a notice; NULL is allowed. */
 void bbl_notice_free(bbl_notice *notice);
@@ -42,6 +48,9 @@
 void bbl_observed_crash_read(bbl_observed_crash *out,
                              const bblx_report *report);
 
+/* Decodes a report with phase BBLX_VERSION. */
+void bbl_known_version_read(bbl_known_version *out, const bblx_report *report);
+
 /* Decodes a report with phase BBLX_RATE_LIMIT. */
 void bbl_observed_limit_read(bbl_observed_limit *out,
                              const bblx_report *report);
--- a/src/daemon/operator_api.c
+++ b/src/daemon/operator_api.c
@@ -24,8 +24,8 @@
 get_kind_name(bbl_operator_command_kind kind)
 {
     static const char *const names[] = {
-        "unknown",     "ready",    "put-routing",
-        "get-routing", "evacuate", "restore",
+        "unknown",  "ready",   "put-routing", "get-routing",
+        "evacuate", "restore", "roll-out",    "get-rollout",
     };
 
     return names[kind];
@@ -155,23 +155,33 @@
     bbl_routing_free(routing);
 }
 
+/*
+ * Refuses a command without a version that its operator has given up: it must
+ * not take effect any more, as the operator may have withdrawn it elsewhere
+ * meanwhile. The call may have waited in the socket, for example while this
+ * host was frozen. Returns whether it was refused.
+ */
+static bool
+refuse_given_up(bbl_usec now, bbl_edge_call *call,
+                const bbl_operator_command *operator_command)
+{
+    if (now <= call->received_at + RESPONSE_TIMEOUT_US &&
+        bbl_edge_call_is_awaited(call)) {
+        return false;
+    }
+    log_command(operator_command->kind, 0, 503,
+                "received after the operator has given it up");
+    respond(call, 503, "received too late");
+    return true;
+}
+
 static void
 handle_evacuation(bbl_operator_api *api, bbl_usec now, bbl_edge_call *call,
                   const bbl_operator_command *operator_command)
 {
     bblx_command command;
 
-    /*
-     * An evacuation has no version, so it must not take effect after the
-     * operator has given it up: it may have withdrawn it elsewhere meanwhile.
-     * The call may have waited in the socket, for example while this host was
-     * frozen.
-     */
-    if (now > call->received_at + RESPONSE_TIMEOUT_US ||
-        !bbl_edge_call_is_awaited(call)) {
-        log_command(operator_command->kind, 0, 503,
-                    "received after the operator has given it up");
-        respond(call, 503, "received too late");
+    if (refuse_given_up(now, call, operator_command)) {
         return;
     }
     memset(&command, 0, sizeof(command));
@@ -238,6 +248,110 @@
     bbl_buf_free(&document);
 }
 
+/* ---- rollouts ---- */
+
+static bblx_label
+borrow_label(const bbl_buf *text)
+{
+    return (bblx_label){(u_int)text->size, text->ptr};
+}
+
+/* Returns whether the routing in effect has a service. */
+static bool
+has_service(const bbl_operator_api *api, bbl_str name)
+{
+    const bbl_state *state = bbl_control_state(api->control);
+    const bbl_service *service;
+    bbl_buf document = BBL_BUF_INIT;
+    bbl_routing *routing = NULL;
+    bool found = false;
+
+    if (bbl_state_routing(state)->number != 0 &&
+        bbl_operator_api_inflate_document(&document, state) == 0 &&
+        api->dialect->read_routing(&routing, bbl_buf_str(&document)) == 0) {
+        for (size_t i = 0;
+             !found && (service = bbl_routing_service(routing, i)) != NULL;
+             i++) {
+            found = bbl_str_equal(service->name, name);
+        }
+    }
+    bbl_routing_free(routing);
+    bbl_buf_free(&document);
+    return found;
+}
+
+/* Proposes an order; the call is answered when its outcome is known. */
+static void
+propose_rollout(bbl_operator_api *api, bbl_usec now, bbl_edge_call *call,
+                const bbl_rollout_order *order)
+{
+    pending_proposal pending = {0, call, BBL_OPERATOR_COMMAND_ROLL_OUT, 0};
+    bblx_rollout r;
+
+    memset(&r, 0, sizeof(r));
+    r.service = borrow_label(&order->service);
+    r.target = borrow_label(&order->target);
+    r.duration_ms = order->duration_ms;
+    pending.number = bbl_control_propose_rollout(api->control, now, &r);
+    bbl_vec_push(&api->proposals, &pending);
+}
+
+static void
+handle_roll_out(bbl_operator_api *api, bbl_usec now, bbl_edge_call *call,
+                const bbl_operator_command *operator_command)
+{
+    bbl_rollout_order order;
+
+    if (refuse_given_up(now, call, operator_command)) {
+        return;
+    }
+    if (api->dialect->read_rollout_order(
+            &order, bbl_buf_str(&call->message->body)) != 0) {
+        log_command(operator_command->kind, 0, 400, bbl_error_last());
+        respond(call, 400, "the order is invalid");
+        return;
+    }
+    if (has_service(api, bbl_buf_str(&order.service))) {
+        propose_rollout(api, now, call, &order);
+    }
+    else if (bbl_control_leads(api->control, now)) {
+        log_command(operator_command->kind, 0, 400, "unknown service");
+        respond(call, 400, "unknown service");
+    }
+    else {
+        redirect_to_leader(api, now, call); /* it has the newest routing */
+    }
+    bbl_buf_free(&order.service);
+    bbl_buf_free(&order.target);
+}
+
+static void
+handle_get_rollout(bbl_operator_api *api, bbl_usec now, bbl_edge_call *call,
+                   const bbl_operator_command *operator_command)
+{
+    bbl_edge_response r = {200, {"", 0}, {"", 0}, false};
+    const bblx_rollout *rollout;
+    bbl_buf text = BBL_BUF_INIT;
+
+    if (!bbl_control_leads(api->control, now)) {
+        redirect_to_leader(api, now, call);
+        return;
+    }
+    rollout = bbl_state_find_rollout(bbl_control_state(api->control),
+                                     operator_command->service);
+    if (rollout == NULL) {
+        respond(call, 404, "no such rollout");
+        return;
+    }
+    api->dialect->append_rollout(&text, rollout);
+    r.fields = json_field;
+    r.body = bbl_buf_str(&text);
+    bbl_edge_respond(call, &r);
+    bbl_buf_free(&text);
+}
+
+/* ---- calls ---- */
+
 void
 bbl_operator_api_handle_call(bbl_operator_api *api, bbl_usec now,
                              bbl_edge_call *call)
@@ -258,6 +372,12 @@
     case BBL_OPERATOR_COMMAND_RESTORE:
         handle_evacuation(api, now, call, &operator_command);
         break;
+    case BBL_OPERATOR_COMMAND_ROLL_OUT:
+        handle_roll_out(api, now, call, &operator_command);
+        break;
+    case BBL_OPERATOR_COMMAND_GET_ROLLOUT:
+        handle_get_rollout(api, now, call, &operator_command);
+        break;
     default:
         respond(call, 404, "no such order");
         break;
@@ -291,6 +411,16 @@
     }
 }
 
+/* Returns the status of the response to a command with this outcome. */
+static unsigned
+get_outcome_status(bbl_operator_command_kind kind, int error)
+{
+    if (kind == BBL_OPERATOR_COMMAND_ROLL_OUT && error == BBL_EEXISTS) {
+        return 409;
+    }
+    return error == 0 ? 200 : 503;
+}
+
 void
 bbl_operator_api_complete_proposal(bbl_operator_api *api, uint64_t number,
                                    const bblx_propose_reply *reply)
@@ -298,12 +428,14 @@
     for (size_t i = 0; i < api->proposals.size; i++) {
         pending_proposal pending =
             *BBL_VEC_AT(pending_proposal, &api->proposals, i);
-        unsigned status = reply->status == 0 ? 200 : 503;
+        unsigned status = get_outcome_status(pending.kind, reply->status);
 
         if (pending.number == number) {
             bbl_vec_swap_remove(&api->proposals, i);
             respond(pending.call, status,
-                    status == 200 ? "recorded" : "not known to be recorded");
+                    status == 200   ? "recorded"
+                    : status == 409 ? "another rollout is running"
+                                    : "not known to be recorded");
             log_command(pending.kind, pending.version, status,
                         bbl_error_name(reply->status));
             return;
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -1,8 +1,9 @@
 /*
  * operator_api.h - executes operator commands on the control thread of a host
  * that forwards requests: it installs a new routing, returns the present one,
- * and withdraws data centres from service. A command is acknowledged once it
- * is durable; it may be sent again to any host at any time.
+ * withdraws data centres from service, and orders rollouts. A command is
+ * acknowledged once it is durable; it may be sent again to any host at any
+ * time.
  */
 #ifndef BBL_DAEMON_OPERATOR_API_H
 #define BBL_DAEMON_OPERATOR_API_H
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -102,6 +102,29 @@
     }
 }
 
+static void
+fill_rollouts(bbl_publisher *p, bbl_forward_update *u)
+{
+    const bbl_state *state = bbl_control_state(p->options.control);
+    const bblx_rollout *r;
+    size_t count = 0;
+
+    while (bbl_state_rollout(state, count) != NULL) {
+        count++;
+    }
+    u->rollouts = bbl_calloc(count, sizeof(*u->rollouts));
+    u->rollout_count = count;
+    for (size_t i = 0; (r = bbl_state_rollout(state, i)) != NULL; i++) {
+        bbl_known_rollout *out = &u->rollouts[i];
+
+        out->order = r->order;
+        out->state = r->state;
+        out->share = r->share;
+        bbl_buf_append(&out->service, r->service.bblx_label_val,
+                       r->service.bblx_label_len);
+    }
+}
+
 /* Decodes a new version of the routing, which was validated when an operator
  * sent it. */
 static void
@@ -138,7 +161,8 @@
 
 /*
  * Fills what hosts have observed of servers since the last update: rate
- * limits, and requests under which servers have ended.
+ * limits, requests under which servers have ended, and versions of servers
+ * under a rollout.
  */
 static void
 fill_observations(bbl_publisher *p, bbl_forward_update *u)
@@ -147,6 +171,7 @@
     const bblx_report *report;
     bbl_vec limits = BBL_VEC_INIT(bbl_observed_limit);
     bbl_vec crashes = BBL_VEC_INIT(bbl_observed_crash);
+    bbl_vec versions = BBL_VEC_INIT(bbl_known_version);
     uint64_t revision;
     size_t pos = 0;
 
@@ -160,6 +185,9 @@
         else if (report->phase == BBLX_CRASH) {
             bbl_observed_crash_read(bbl_vec_add(&crashes), report);
         }
+        else if (report->phase == BBLX_VERSION) {
+            bbl_known_version_read(bbl_vec_add(&versions), report);
+        }
     }
     p->marks.reports = rows->revision;
     u->has_observations = true;
@@ -167,6 +195,8 @@
     u->limit_count = limits.size;
     u->crashes = crashes.ptr;
     u->crash_count = crashes.size;
+    u->versions = versions.ptr;
+    u->version_count = versions.size;
     u->grantors = bbl_control_count_grantors(p->options.control);
 }
 
@@ -292,6 +322,7 @@
         bbl_state_applied_index(bbl_control_state(p->options.control));
     u->entry_hosts = count_entry_hosts(p, now);
     fill_evacuated(p, u);
+    fill_rollouts(p, u);
     return u;
 }
 
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "forward/placement.h"
+#include "rollout/plan.h"
 #include "util/alloc.h"
 
 /* The service time of a route is this quantile of the recent attempts. */
@@ -31,6 +32,12 @@
  * How long a server is avoided after it refused a request because of its load,
  * or because it accepts no further connection.
  */
+/*
+ * An answer is slow for the judgement of a rollout if it takes this many times
+ * the service time of the route at the other versions.
+ */
+#define SLOW_SERVICE_TIMES 2.5
+#define ROUTE_SEED 97
 #define REFUSED_BACKOFF_US (10 * BBL_USEC_PER_MS)
 #define SERVER_FULL_BACKOFF_US (200 * BBL_USEC_PER_MS)
 
@@ -114,6 +121,23 @@
     bbl_backend_report_state(f, now, b, before);
 }
 
+/*
+ * Returns the version that the next attempt at a shard is for. Only the first
+ * attempt may go to the target version while a rollout divides the requests.
+ */
+static bblx_server_version
+get_wanted_version(const bbl_shard *s)
+{
+    const bbl_pool_rollout *r = &s->pool->rollout;
+
+    if (r->order == 0 || r->state != BBLX_ROLLOUT_RUNNING || r->share == 0 ||
+        r->share >= BBL_SHARE_ALL) {
+        return BBLX_VERSION_UNKNOWN;
+    }
+    return s->to_target && s->attempts_sent == 0 ? BBLX_VERSION_TARGET
+                                                 : BBLX_VERSION_OTHER;
+}
+
 void
 bbl_attempt_fill_placement(bbl_placement_input *in, const bbl_query *q,
                            const bbl_shard *s, bool hedge)
@@ -124,6 +148,7 @@
     in->tried_count = s->attempts_sent;
     in->hedge = hedge;
     in->target = q->route->target_latency_ms * BBL_USEC_PER_MS;
+    in->version = get_wanted_version(s);
 }
 
 bbl_backend *
@@ -149,6 +174,23 @@
     return s->attempts_sent > 0 || s->attempts_maybe_run > 0;
 }
 
+/* Notes the rollout for which an attempt counts that is about to be sent. */
+static void
+set_rollout(bbl_attempt *a, const bbl_query *q, const bbl_shard *s)
+{
+    const bbl_pool_rollout *r = &s->pool->rollout;
+
+    if (r->order == 0 || r->state != BBLX_ROLLOUT_RUNNING) {
+        return;
+    }
+    a->to_target = a->backend->version == BBLX_VERSION_TARGET;
+    if (!is_extra(s)) {
+        a->rollout = r->order;
+        a->route =
+            bbl_hash(q->route->name.ptr, q->route->name.size, ROUTE_SEED);
+    }
+}
+
 bool
 bbl_attempt_send(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_shard *s,
                  bbl_backend *b, bool hedge)
@@ -170,6 +212,7 @@
     a->ctx = f->options.port.ctx;
     a->sent_at = now;
     a->hedge = hedge;
+    set_rollout(a, q, s);
     if (f->options.port.send(f->options.port.ctx, a, b, &r) != 0) {
         free(a);
         return false;
@@ -189,6 +232,8 @@
     q->attempted = true;
     q->record.attempt_count++;
     f->counters.attempts++;
+    f->counters.rollout_first += a->rollout != 0;
+    f->counters.rollout_target += a->to_target;
     f->counters.attempts_limited += b->limit.limited;
     b->backoff.sent += bbl_backoff_is_active(&b->backoff, now);
     bbl_rate_limit_spend(&b->limit, now);
@@ -401,7 +446,9 @@
                     : 1,
                 a->work, a->request_share);
         }
-        update_timing(a->timing, duration, a->load_limit->congested);
+        if (!a->to_target) {
+            update_timing(a->timing, duration, a->load_limit->congested);
+        }
     }
     else if (head->wrong_incarnation) {
         b->replaced = true;
@@ -542,6 +589,49 @@
     bbl_query_process(f, now, q);
 }
 
+/* Counts an attempt that has ended for the rollout of its service. */
+static void
+count_for_rollout(bbl_forwarder *f, bbl_usec now, const bbl_attempt *a,
+                  const bbl_attempt_result *r, const bbl_backend_head *head,
+                  result_class m)
+{
+    bbl_judge_sample *sample =
+        a->rollout != 0 ? bbl_rollout_tally_get(&f->tally, a->rollout,
+                                                a->route, a->to_target)
+                        : NULL;
+
+    if (sample == NULL || r->outcome == BBL_ATTEMPT_UNSENT ||
+        head->wrong_incarnation) {
+        return;
+    }
+    if (m == RESULT_NOT_RUN) {
+        sample->refused++;
+        return;
+    }
+    sample->ended++;
+    sample->failed += m == RESULT_FAILURE;
+    sample->slow += m == RESULT_USABLE &&
+                    (double)get_server_time(a, now, r) >
+                        SLOW_SERVICE_TIMES * (double)a->timing->service_time;
+}
+
+void
+bbl_attempt_count_cancelled(bbl_forwarder *f, bbl_usec now,
+                            const bbl_attempt *a)
+{
+    bbl_judge_sample *sample =
+        a->rollout != 0 ? bbl_rollout_tally_get(&f->tally, a->rollout,
+                                                a->route, a->to_target)
+                        : NULL;
+
+    if (sample != NULL &&
+        (double)(now - a->sent_at) >
+            SLOW_SERVICE_TIMES * (double)a->timing->service_time) {
+        sample->ended++;
+        sample->slow++;
+    }
+}
+
 void
 bbl_forwarder_complete_attempt(bbl_forwarder *f, bbl_usec now, bbl_attempt *a,
                                const bbl_attempt_result *r)
@@ -551,6 +641,7 @@
     result_class m = classify_result(f, r, &head);
 
     bbl_attempt_unlink(a);
+    count_for_rollout(f, now, a, r, &head, m);
     update_server(f, now, a, r, &head, m);
     if (r->outcome == BBL_ATTEMPT_BROKEN && a->fingerprint != 0) {
         bbl_crash_watch_add(&f->crash_watch, now, a->backend->key,
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -4,7 +4,6 @@
 
 #include "util/map.h"
 
-#define KEY_SEED 61
 /*
  * Half-life of a rating. Servers turn slow for seconds, so older results say
  * little.
@@ -32,14 +31,6 @@
 /* How long a server is avoided when its queue of connections is full. */
 #define FULL_BACKOFF_US (200 * BBL_USEC_PER_MS)
 
-uint64_t
-bbl_backend_get_key(const bblx_backend *listed)
-{
-    return bbl_hash(listed->id.bblx_label_val, listed->id.bblx_label_len,
-                    KEY_SEED) ^
-           bbl_hash(&listed->born, sizeof(listed->born), KEY_SEED);
-}
-
 bool
 bbl_backend_is_leaving(const bbl_backend *b)
 {
@@ -58,6 +49,9 @@
     if (b->evacuated) {
         return BBL_BACKEND_EVACUATED;
     }
+    if (b->withheld || (b->needs_lease && now >= b->lease_until)) {
+        return BBL_BACKEND_WITHHELD;
+    }
     if (b->replaced) {
         return BBL_BACKEND_REPLACED;
     }
@@ -78,7 +72,7 @@
 {
     static const char *const names[] = {
         "usable", "gone",   "leaving",  "evacuated", "cold",
-        "down",   "unsure", "replaced", "backoff",
+        "down",   "unsure", "replaced", "backoff",   "withheld",
     };
 
     return names[state];
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -7,6 +7,7 @@
 #define BBL_FORWARD_BACKEND_H
 
 #include "bbl/types.h"
+#include "control/rows.h"
 #include "forward/backoff.h"
 #include "forward/rate_limit.h"
 #include "model/codec.h"
@@ -21,7 +22,8 @@
     BBL_BACKEND_DOWN,      /* no connection to it can be opened */
     BBL_BACKEND_UNSURE,    /* reconnected; it may have restarted cold */
     BBL_BACKEND_REPLACED,  /* another incarnation uses its address */
-    BBL_BACKEND_BACKOFF    /* it has asked for a time without requests */
+    BBL_BACKEND_BACKOFF,   /* it has asked for a time without requests */
+    BBL_BACKEND_WITHHELD   /* a rollout gives it no request of this host */
 } bbl_backend_state;
 
 typedef struct bbl_backend {
@@ -29,6 +31,13 @@
     uint64_t key;        /* see bbl_backend_get_key() */
     bbl_usec cold_until;
     bool evacuated;
+    bbl_usec added_at; /* when this host first knew it */
+    /* What a rollout of its service makes of it, see rollout_view.h. */
+    bblx_server_version version;
+    bool withheld;
+    bool needs_lease; /* it gets requests until lease_until only */
+    bbl_usec lease_until;
+    uint64_t predates_order; /* the last order that it predates; 0: none */
     bool same_zone; /* whether it is in the data centre of this host */
     /*
      * Another incarnation answered at its address. Reset once a later list
@@ -67,12 +76,6 @@
     void *attempts; /* bbl_attempt, the oldest one in flight */
 } bbl_backend;
 
-/*
- * Returns the key of an incarnation of a server, equal on all hosts. A server
- * that restarts under its id has another key.
- */
-uint64_t bbl_backend_get_key(const bblx_backend *listed);
-
 /* Returns whether a server is leaving, by the list or its own word. */
 bool bbl_backend_is_leaving(const bbl_backend *backend);
 
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -54,15 +54,28 @@
     BBL_OPERATOR_COMMAND_READY,       /* queries readiness */
     BBL_OPERATOR_COMMAND_PUT_ROUTING, /* the body is a routing document */
     BBL_OPERATOR_COMMAND_GET_ROUTING,
-    BBL_OPERATOR_COMMAND_EVACUATE, /* evacuates data centre `zone` */
-    BBL_OPERATOR_COMMAND_RESTORE   /* returns it to service */
+    BBL_OPERATOR_COMMAND_EVACUATE,   /* evacuates data centre `zone` */
+    BBL_OPERATOR_COMMAND_RESTORE,    /* returns it to service */
+    BBL_OPERATOR_COMMAND_ROLL_OUT,   /* the body is the order of a rollout */
+    BBL_OPERATOR_COMMAND_GET_ROLLOUT /* of `service` */
 } bbl_operator_command_kind;
 
 typedef struct {
     bbl_operator_command_kind kind;
     bbl_name zone;
+    bbl_str service; /* borrowed from the path */
 } bbl_operator_command;
 
+/* The order to move the requests of a service to servers of a version. */
+typedef struct {
+    bbl_buf service; /* owned */
+    bbl_buf target;  /* owned; the version */
+    uint32_t duration_ms;
+} bbl_rollout_order;
+
+/* Longest time that a rollout may take. */
+#define BBL_ROLLOUT_DURATION_MAX_MS (7u * 24 * 3600 * 1000)
+
 typedef struct {
     /* Reads the fields of a caller's request. */
     void (*read_caller_head)(bbl_caller_head *out, const bbl_header *headers,
@@ -100,15 +113,26 @@
      *
      * @param backends vector of bblx_backend, to which the entries are
      *                 appended; the caller owns them
+     * @param versions vector of uint64_t, to which the bbl_version_hash() of
+     *                 the version of each entry is appended
      * @param next set to the token of the next page, empty after the last page
      * @param skipped incremented for each entry that is skipped
      * @return 0, or BBL_EDAMAGED if the page itself cannot be decoded
      */
-    int (*read_catalog)(bbl_vec *backends, bbl_buf *next, size_t *skipped,
-                        bbl_str page);
+    int (*read_catalog)(bbl_vec *backends, bbl_vec *versions, bbl_buf *next,
+                        size_t *skipped, bbl_str page);
     /* Decodes an operator command from the method and path of a request. */
     void (*read_operator_command)(bbl_operator_command *out, bbl_str method,
                                   bbl_str path);
+    /*
+     * Decodes the order of a rollout.
+     *
+     * @param out its strings are freed by the caller; empty on failure
+     * @return 0 or BBL_EINVAL
+     */
+    int (*read_rollout_order)(bbl_rollout_order *out, bbl_str body);
+    /* Appends the text that tells operators the state of a rollout. */
+    void (*append_rollout)(bbl_buf *out, const bblx_rollout *rollout);
 } bbl_dialect;
 
 #endif
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -7,6 +7,7 @@
 #include "bbl/errors.h"
 #include "forward/drain_plan.h"
 #include "forward/hedge.h"
+#include "rollout/plan.h"
 #include "util/alloc.h"
 
 /*
@@ -44,6 +45,10 @@
  * cancels expired attempts, marks silent servers and frees removed ones.
  */
 #define TICK_INTERVAL_MAX_US (200 * BBL_USEC_PER_MS)
+/* Between two reports of what was counted for rollouts; twice as long in a
+ * large fleet, whose leader would else receive thousands in a second. */
+#define TALLY_INTERVAL_US (250 * BBL_USEC_PER_MS)
+#define LARGE_FLEET 64
 
 const char *
 bbl_forward_reason_name(bbl_forward_reason reason)
@@ -111,6 +116,41 @@
     }
 }
 
+/* Decides whether the first attempt at a shard goes to the target version. */
+static void
+draw_version(bbl_forwarder *f, bbl_shard *s)
+{
+    bbl_pool_rollout *r = &s->pool->rollout;
+
+    if (r->order == 0 || s->version_drawn || s->state != BBL_SHARD_PENDING ||
+        r->state != BBLX_ROLLOUT_RUNNING || r->share == 0 ||
+        r->share >= BBL_SHARE_ALL) {
+        return;
+    }
+    s->version_drawn = true;
+    s->to_target =
+        s->attempts_maybe_run == 0 && s->attempts_sent == 0 &&
+        bbl_gate_draw(&r->gate, (double)r->share / BBL_SHARE_ALL, &f->rng);
+}
+
+/*
+ * Returns the server for the next attempt at a pending shard, or NULL. A first
+ * attempt that no server of the target version can take goes to another one.
+ */
+static bbl_backend *
+choose_backend(bbl_forwarder *f, bbl_usec now, const bbl_query *q,
+               bbl_shard *s, bbl_placement_counts *eligible)
+{
+    bbl_backend *b = bbl_attempt_choose_backend(f, now, q, s, false, eligible);
+
+    if (b == NULL && s->to_target && s->attempts_sent == 0) {
+        s->to_target = false;
+        bbl_gate_return(&s->pool->rollout.gate);
+        b = bbl_attempt_choose_backend(f, now, q, s, false, eligible);
+    }
+    return b;
+}
+
 /* Sends an attempt to a pending shard, if a server has capacity now. */
 static void
 send_pending_shard(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_shard *s)
@@ -131,7 +171,7 @@
         q->shards_failed++;
         return;
     }
-    b = bbl_attempt_choose_backend(f, now, q, s, false, &eligible);
+    b = choose_backend(f, now, q, s, &eligible);
     if (q->probes_limits && eligible.limited > 0 &&
         may_ask_for_permit(now, q, s)) {
         s->permit_wish = BBL_PERMIT_USEFUL;
@@ -270,6 +310,10 @@
         !bbl_query_awaits_permits(q, now)) {
         q->probes_limits = false;
     }
+    for (unsigned i = 0; f->rollouts.pools.size > 0 && i < q->shard_count;
+         i++) {
+        draw_version(f, &q->shards[i]);
+    }
     release_slow_canary(now, q);
     if (hold_for_permits(f, now, q) || hold_suspect(q)) {
         return true;
@@ -550,7 +594,7 @@
 uint64_t
 bbl_forwarder_get_applied_index(const bbl_forwarder *f)
 {
-    return f->applied_index;
+    return f->settled_index;
 }
 
 void
@@ -577,6 +621,7 @@
 bbl_forwarder_confirm_routing(bbl_forwarder *f, bbl_usec until)
 {
     f->routing_confirmed_until = until;
+    bbl_rollout_view_set_lease(&f->rollouts, until);
 }
 
 void
@@ -719,6 +764,7 @@
             bbl_vec_swap_remove(&f->detached_attempts, i - 1);
             f->options.port.cancel(f->options.port.ctx, a);
             f->counters.attempts_cancelled++;
+            bbl_attempt_count_cancelled(f, now, a);
             if (a->backend->answered_at < a->sent_at) {
                 bbl_backend_record_result(a->backend, now, 0, true);
             }
@@ -807,6 +853,30 @@
     }
 }
 
+/* Confirms the state once no attempt is in flight that a rollout ends. */
+static void
+settle_index(bbl_forwarder *f)
+{
+    if (f->settled_index != f->applied_index &&
+        !bbl_rollout_view_has_strays(&f->rollouts)) {
+        f->settled_index = f->applied_index;
+    }
+}
+
+/* Reports what was counted for rollouts, while any runs. */
+static void
+report_rollouts(bbl_forwarder *f, bbl_usec now)
+{
+    if (f->tally.orders.size == 0 || now < f->next_tally_at ||
+        f->options.port.report_rollouts == NULL) {
+        return;
+    }
+    f->next_tally_at =
+        now + (f->entry_hosts > LARGE_FLEET ? 2 * TALLY_INTERVAL_US
+                                            : TALLY_INTERVAL_US);
+    f->options.port.report_rollouts(f->options.port.ctx, &f->tally);
+}
+
 bbl_usec
 bbl_forwarder_tick(bbl_forwarder *f, bbl_usec now)
 {
@@ -825,6 +895,8 @@
         bbl_forwarder_activate_routing(f, now);
         cancel_expired_attempts(f, now);
         check_servers(f, now);
+        settle_index(f);
+        report_rollouts(f, now);
         bbl_forwarder_expire_permit_requests(f, now);
         bbl_pools_free_retired(&f->pools);
         bbl_peers_free_retired(&f->peers);
@@ -850,6 +922,8 @@
     f->permit_requests = bbl_permit_requests_init();
     f->permit_items = (bbl_vec)BBL_VEC_INIT(bbl_permit_item);
     bbl_permit_book_init(&f->local_permits, 0);
+    bbl_rollout_view_init(&f->rollouts);
+    bbl_rollout_tally_init(&f->tally);
     bbl_peers_init(&f->peers);
     f->peers.added = options->port.peer_added;
     f->peers.removed = options->port.peer_removed;
@@ -898,6 +972,8 @@
     bbl_vec_free(&f->permit_requests);
     bbl_vec_free(&f->permit_items);
     bbl_permit_book_free(&f->local_permits);
+    bbl_rollout_view_free(&f->rollouts);
+    bbl_rollout_tally_free(&f->tally);
     free(f);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -29,6 +29,8 @@
 #include "forward/permit.h"
 #include "forward/placement.h"
 #include "forward/reach.h"
+#include "forward/rollout_tally.h"
+#include "forward/rollout_view.h"
 #include "util/histogram.h"
 
 #define BBL_FORWARDER_OPTIONS_VERSION 1
@@ -295,6 +297,9 @@
     void (*suspect_answered)(void *ctx, uint64_t fingerprint);
     /* Reports that a request is refused from now on; see crash_ledger.h. */
     void (*request_barred)(void *ctx, uint64_t fingerprint);
+    /* Sends what this host has counted for rollouts to the leader; may be
+     * NULL. */
+    void (*report_rollouts)(void *ctx, const bbl_rollout_tally *tally);
     /* Tells the other hosts what a server states now. */
     void (*publish_rate_limit)(void *ctx, const bbl_backend *backend);
     /*
@@ -363,7 +368,9 @@
     uint64_t permit_requests;
     uint64_t permits; /* granted */
     uint64_t permits_refused;
-    uint64_t delegations;         /* queries passed on to another host */
+    uint64_t rollout_first;  /* first attempts to services under a rollout */
+    uint64_t rollout_target; /* attempts at the target version, all kinds */
+    uint64_t delegations;    /* queries passed on to another host */
     uint64_t delegations_refused; /* by that host, which cannot serve them */
     uint64_t delegated_requests;  /* received from other hosts */
     bbl_histogram latency;        /* microseconds; OK and PARTIAL only */
@@ -381,6 +388,8 @@
     size_t backend_count;
     bbl_name *evacuated_zones; /* data centres whose servers get no request */
     size_t evacuated_zone_count;
+    bbl_known_rollout *rollouts; /* all of them */
+    size_t rollout_count;
     /* When the platform's list was read; 0 if never. */
     bbl_usec list_read_at;
     /* Index of the state that the update holds; see
@@ -401,6 +410,8 @@
     size_t limit_count;
     bbl_observed_crash *crashes;
     size_t crash_count;
+    bbl_known_version *versions; /* of servers under a rollout */
+    size_t version_count;
     unsigned grantors; /* hosts that grant permits */
 } bbl_forward_update;
 
@@ -442,7 +453,9 @@
 
 /*
  * Returns the index of the state that requests are handled by: that of the
- * last update, or an earlier one while a newer routing waits for servers.
+ * last update, or an earlier one while a newer routing waits for servers, or
+ * while attempts are in flight at servers that a rollout has taken the
+ * requests from.
  */
 uint64_t bbl_forwarder_get_applied_index(const bbl_forwarder *forwarder);
 
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -11,6 +11,8 @@
 #include "forward/crash_alert.h"
 #include "forward/placement.h"
 #include "forward/query.h"
+#include "forward/rollout_tally.h"
+#include "forward/rollout_view.h"
 #include "util/rng.h"
 
 #define BBL_STATUS_NOT_FOUND 404
@@ -37,8 +39,9 @@
     bbl_routing *next_routing;
     /* When the first version since the last activation arrived. */
     bbl_usec next_routing_received_at;
-    uint64_t received_index;          /* of the state, in the last update */
-    uint64_t applied_index;           /* see bbl_forwarder_get_applied_index */
+    uint64_t received_index; /* of the state, in the last update */
+    uint64_t settled_index;  /* not ahead of attempts that a rollout ends */
+    uint64_t applied_index;  /* see bbl_forwarder_get_applied_index */
     bbl_usec routing_confirmed_until; /* see bbl_forwarder_confirm_routing */
     bbl_usec ends_at;                 /* see bbl_forwarder_set_end; 0: never */
     bbl_usec list_read_at;
@@ -63,6 +66,9 @@
     bool limits_known; /* whether some server limits its request rate */
     bbl_usec next_maintenance_at; /* see TICK_INTERVAL_MAX_US */
     bbl_usec servers_checked_at;
+    bbl_rollout_view rollouts;
+    bbl_rollout_tally tally;
+    bbl_usec next_tally_at;
     bbl_forward_counters counters;
 };
 
@@ -131,6 +137,10 @@
                               const bbl_query *q, const bbl_shard *s,
                               const bbl_backend *b, bool hedge, bool stalled);
 
+/* Counts an attempt that was cancelled for the rollout of its service. */
+void bbl_attempt_count_cancelled(bbl_forwarder *f, bbl_usec now,
+                                 const bbl_attempt *a);
+
 /* ---- permit.c ---- */
 
 /* Returns an empty list of open requests. */
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -61,6 +61,8 @@
                           bbl_usec now)
 {
     return bbl_backend_get_state(b, now) == BBL_BACKEND_USABLE &&
+           (in->version == BBLX_VERSION_UNKNOWN ||
+            in->version == b->version) &&
            !was_tried(in, b);
 }
 
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -23,6 +23,9 @@
     size_t tried_count;
     bool hedge;      /* for a hedge, stalled servers are excluded */
     bbl_usec target; /* latency target of the answer */
+    /* The version that its servers must have while a rollout divides the
+     * requests, else BBLX_VERSION_UNKNOWN. */
+    bblx_server_version version;
 } bbl_placement_input;
 
 /* How the driver could send to a server now. */
--- a/src/forward/pools.c
+++ b/src/forward/pools.c
@@ -103,12 +103,13 @@
 }
 
 static bbl_backend *
-add_backend(bbl_pools *p, bblx_backend *listed)
+add_backend(bbl_pools *p, bbl_usec now, bblx_backend *listed)
 {
     bbl_backend *b = bbl_calloc(1, sizeof(*b));
     bbl_pool *pool = bbl_pools_get(p, bbl_wire_label_str(&listed->service));
 
     b->listed = *listed;
+    b->added_at = now;
     b->key = bbl_backend_get_key(listed);
     b->same_zone = bbl_str_equal(bbl_wire_name_str(&b->listed.zone),
                                  bbl_name_str(&p->zone));
@@ -137,7 +138,7 @@
         return;
     }
     if (b == NULL) {
-        b = add_backend(p, listed);
+        b = add_backend(p, now, listed);
         before = BBL_BACKEND_GONE;
     }
     else {
--- a/src/forward/pools.h
+++ b/src/forward/pools.h
@@ -9,9 +9,19 @@
 #include "forward/backend.h"
 #include "forward/extra_budget.h"
 #include "forward/load_limit.h"
+#include "rollout/gate.h"
 #include "util/map.h"
 #include "util/vec.h"
 
+/* The rollout of a service, see rollout_view.h. */
+typedef struct {
+    uint64_t order; /* 0: there is none */
+    bblx_rollout_state state;
+    uint32_t share; /* of the target version, in 1/10000 */
+    bool listed;    /* private to rollout_view.c */
+    bbl_gate gate;
+} bbl_pool_rollout;
+
 /* The servers of one service. */
 typedef struct {
     bbl_buf name;
@@ -23,7 +33,7 @@
      * unknown.
      */
     uint32_t connection_limit;
-
+    bbl_pool_rollout rollout;
 } bbl_pool;
 
 typedef struct {
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -68,6 +68,10 @@
     unsigned attempts_sent;
     unsigned attempts_maybe_run; /* attempts that a server may have run */
     unsigned in_flight;
+    /* Whether it was decided if its first attempt goes to the target version
+     * of a rollout, and whether it does. */
+    bool version_drawn;
+    bool to_target;
     /* Servers of the attempts sent so far; compared, never dereferenced. */
     const bbl_backend *tried[BBL_ATTEMPTS_MAX];
     const char *failure_reason; /* of the last failed attempt, or NULL */
@@ -143,6 +147,11 @@
     /* When to cancel the attempt; set once its query is finished. */
     bbl_usec cancel_at;
     bool hedge;
+    /* The running rollout for which it counts, or 0, and whether it went to a
+     * server of the target version. */
+    uint64_t rollout;
+    bool to_target;
+    uint64_t route;           /* hash of the route's name, if it counts */
     struct bbl_attempt *prev; /* attempts at the same server, oldest first */
     struct bbl_attempt *next;
 };
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -113,6 +113,11 @@
     free(u->peers);
     free(u->limits);
     free(u->crashes);
+    for (size_t i = 0; i < u->rollout_count; i++) {
+        bbl_buf_free(&u->rollouts[i].service);
+    }
+    free(u->rollouts);
+    free(u->versions);
     free(u);
 }
 
@@ -252,6 +257,18 @@
     f->next_routing = routing;
 }
 
+/* Decides which servers get requests under the rollouts. */
+static void
+apply_rollouts(bbl_forwarder *f, bbl_usec now)
+{
+    bbl_vec running = BBL_VEC_INIT(uint64_t);
+
+    bbl_rollout_view_apply(&f->rollouts, &f->pools, now);
+    bbl_rollout_view_get_running(&f->rollouts, &running);
+    bbl_rollout_tally_set_orders(&f->tally, &running);
+    bbl_vec_free(&running);
+}
+
 void
 bbl_forwarder_update(bbl_forwarder *f, bbl_usec now, bbl_forward_update *u)
 {
@@ -263,6 +280,8 @@
         receive_routing(f, now, u->routing);
         u->routing = NULL;
     }
+    bbl_rollout_view_set_rollouts(&f->rollouts, &f->pools, u->rollouts,
+                                  u->rollout_count);
     bbl_pools_update(&f->pools, now, u->backends, u->cold_until,
                      u->backend_count, u->evacuated_zones,
                      u->evacuated_zone_count);
@@ -271,7 +290,10 @@
         f->grantors = u->grantors;
         bbl_forwarder_apply_limits(f, u->limits, u->limit_count);
         apply_crashes(f, now, u);
+        bbl_rollout_view_add_versions(&f->rollouts, u->versions,
+                                      u->version_count);
     }
+    apply_rollouts(f, now);
     if (u->has_peers) {
         bbl_peers_update(&f->peers, u->peers, u->peer_count);
     }
@@ -282,6 +304,9 @@
     if (f->next_routing == NULL) {
         f->applied_index = f->received_index;
     }
+    if (!bbl_rollout_view_has_strays(&f->rollouts)) {
+        f->settled_index = f->applied_index;
+    }
     bbl_forward_update_free(u);
 }
 
--- a/src/model/codec.c
+++ b/src/model/codec.c
@@ -32,22 +32,34 @@
 }
 
 int
-bbl_xdr_decode(void *value, xdrproc_t proc, bbl_str bytes)
+bbl_xdr_decode_first(void *value, size_t *used, xdrproc_t proc, bbl_str bytes)
 {
     XDR xdrs;
     bool_t ok;
-    u_int used;
 
     xdrmem_create(&xdrs, (char *)bytes.ptr, (u_int)bytes.size, XDR_DECODE);
     ok = proc(&xdrs, value);
-    used = xdr_getpos(&xdrs);
+    *used = xdr_getpos(&xdrs);
     xdr_destroy(&xdrs);
-    if (!ok || used != bytes.size) {
+    if (!ok) {
+        bbl_xdr_free(proc, value);
+        return bbl_error_set(BBL_EDAMAGED, "the bytes are no valid XDR value");
+    }
+    return 0;
+}
+
+int
+bbl_xdr_decode(void *value, xdrproc_t proc, bbl_str bytes)
+{
+    size_t used;
+    int error = bbl_xdr_decode_first(value, &used, proc, bytes);
+
+    if (error == 0 && used != bytes.size) {
         bbl_xdr_free(proc, value);
         return bbl_error_set(BBL_EDAMAGED,
                              "the bytes are not one valid XDR value");
     }
-    return 0;
+    return error;
 }
 
 void
--- a/src/model/codec.h
+++ b/src/model/codec.h
@@ -27,6 +27,14 @@
  */
 int bbl_xdr_decode(void *value, xdrproc_t proc, bbl_str bytes);
 
+/*
+ * Decodes the value at the start of `bytes`, as bbl_xdr_decode does.
+ *
+ * @param used set to the size of its encoding
+ */
+int bbl_xdr_decode_first(void *value, size_t *used, xdrproc_t proc,
+                         bbl_str bytes);
+
 /* Frees the memory that a decoded value owns, not `value` itself. */
 void bbl_xdr_free(xdrproc_t proc, void *value);
 
--- a/src/net/catalog_client.c
+++ b/src/net/catalog_client.c
@@ -18,6 +18,7 @@
     bbl_link_exchange *exchange; /* running one, or NULL */
     bbl_usec started_at;
     bbl_vec backends;  /* bblx_backend, owned */
+    bbl_vec versions;  /* uint64_t, one for each of them */
     bbl_buf next_page; /* page to read next, empty after the last one */
     size_t skipped;
     unsigned page_count;      /* read so far */
@@ -33,6 +34,7 @@
         BBL_XDR_FREE(bblx_backend, bbl_vec_at(&c->backends, i));
     }
     c->backends.size = 0;
+    c->versions.size = 0;
     c->skipped = 0;
     c->page_count = 0;
     bbl_buf_clear(&c->next_page);
@@ -87,7 +89,7 @@
         return;
     }
     if (c->options.dialect->read_catalog(
-            &c->backends, &c->next_page, &c->skipped,
+            &c->backends, &c->versions, &c->next_page, &c->skipped,
             bbl_buf_str(&r->message->body)) != 0) {
         fail_read(c, bbl_error_last());
         return;
@@ -102,8 +104,8 @@
         return;
     }
     c->last_page_count = c->page_count;
-    c->options.on_complete(c->options.ctx, c->backends.ptr, c->backends.size,
-                           c->skipped);
+    c->options.on_complete(c->options.ctx, c->backends.ptr, c->versions.ptr,
+                           c->backends.size, c->skipped);
     reset_read(c);
 }
 
@@ -134,6 +136,7 @@
 
     c->options = *options;
     c->backends = (bbl_vec)BBL_VEC_INIT(bblx_backend);
+    c->versions = (bbl_vec)BBL_VEC_INIT(uint64_t);
     c->last_page_count = 1;
     error = bbl_backend_client_open(&c->client, options->loop, &o);
     if (error != 0) {
@@ -153,6 +156,7 @@
     bbl_backend_client_free(c->client);
     reset_read(c);
     bbl_vec_free(&c->backends);
+    bbl_vec_free(&c->versions);
     bbl_buf_free(&c->next_page);
     free(c);
 }
--- a/src/net/catalog_client.h
+++ b/src/net/catalog_client.h
@@ -12,9 +12,11 @@
 
     bblx_address platform_address;
     const bbl_dialect *dialect;
-    /* A list was read completely; `backends` is borrowed. `skipped` entries
+    /* A list was read completely; `backends` is borrowed, and so
+     * are `versions`, the bbl_version_hash() of each. `skipped` entries
      * were invalid and are left out. */
-    void (*on_complete)(void *ctx, const bblx_backend *backends, size_t count,
+    void (*on_complete)(void *ctx, const bblx_backend *backends,
+                        const uint64_t *versions, size_t count,
                         size_t skipped);
     /* A read failed; `reason` is valid in the call. */
     void (*on_failure)(void *ctx, const char *reason);
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -44,14 +44,14 @@
 #define BASE_KIND_MAX BBLX_TRANSFER
 #define EXTENDED_KIND_MAX BBLX_PERMIT_REPLY
 /*
- * After its challenge, the receiver announces the greatest message kind that it
- * accepts, in the form of an acknowledgement: the mark in the upper half, the
- * kind in the lower one. Builds that know no announcement ignore an
+ * After its challenge, the receiver announces the greatest message kind that
+ * it accepts, in the form of an acknowledgement: the mark in the upper half,
+ * the kind in the lower one. Builds that know no announcement ignore an
  * acknowledgement of frames that they have not sent. To add a kind, raise
  * KIND_MAX.
  */
 #define KIND_MARK 0xbb1c0000u
-#define KIND_MAX BBLX_ADMISSION_REPORT
+#define KIND_MAX BBLX_ROLLOUT_COUNTS
 
 /* A frame that the peer has not acknowledged. */
 typedef struct {
@@ -71,7 +71,8 @@
     bblx_address address;
     int fd;           /* -1: no connection */
     bool established; /* the challenge of the peer was received */
-    uint32_t kind_max; /* greatest kind that the peer accepts; if established */
+    uint32_t
+        kind_max; /* greatest kind that the peer accepts; if established */
     uint8_t challenge[CHALLENGE_BYTES];
     bbl_buf input;
     bbl_buf output;
@@ -822,6 +823,14 @@
     return l != NULL ? l->unacked_bytes : 0;
 }
 
+bool
+bbl_mesh_accepts_kind(const bbl_mesh *mesh, uint32_t host, bblx_kind kind)
+{
+    const outgoing_link *l = bbl_map_get(&mesh->outgoing, host);
+
+    return l != NULL && (uint32_t)kind <= l->kind_max;
+}
+
 const bbl_mesh_counters *
 bbl_mesh_get_counters(const bbl_mesh *mesh)
 {
--- a/src/net/mesh.h
+++ b/src/net/mesh.h
@@ -76,6 +76,13 @@
 /* Returns the bytes of the frames that a host has not acknowledged. */
 size_t bbl_mesh_get_backlog(const bbl_mesh *mesh, uint32_t host);
 
+/*
+ * Returns whether a host has announced, on the last connection to it that was
+ * established, that it accepts a message kind.
+ */
+bool bbl_mesh_accepts_kind(const bbl_mesh *mesh, uint32_t host,
+                           bblx_kind kind);
+
 /* Writes queued frames, and replaces silent connections. */
 void bbl_mesh_tick(bbl_mesh *mesh, bbl_usec now);
 
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -62,6 +62,10 @@
       "this host sends its heartbeats to another host from now on")           \
     X(ROUTING_OLDER, 2016, WARN, "routing-older",                             \
       "an older routing than one received before is not used")                \
+    X(ROLLOUT, 2017, INFO, "rollout",                                         \
+      "the state or the share of a rollout has changed")                      \
+    X(ROLLOUT_DECISION, 2018, INFO, "rollout-decision",                       \
+      "this leader has decided on a step of a rollout")                       \
     X(PEER_REFUSED, 3001, WARN, "peer-refused",                               \
       "a peer with a wrong key, cluster or version was rejected")             \
     X(PEER_SILENT, 3002, WARN, "peer-silent",                                 \
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -123,14 +123,17 @@
 fuzz_catalog(bbl_str bytes)
 {
     bbl_vec backends = BBL_VEC_INIT(bblx_backend);
+    bbl_vec versions = BBL_VEC_INIT(uint64_t);
     bbl_buf next = {0};
     size_t skipped;
 
-    bbl_platform_dialect()->read_catalog(&backends, &next, &skipped, bytes);
+    bbl_platform_dialect()->read_catalog(&backends, &versions, &next, &skipped,
+                                         bytes);
     for (size_t i = 0; i < backends.size; i++) {
         BBL_XDR_FREE(bblx_backend, bbl_vec_at(&backends, i));
     }
     bbl_vec_free(&backends);
+    bbl_vec_free(&versions);
     bbl_buf_free(&next);
 }
 
--- a/tests/test_control_feed.c
+++ b/tests/test_control_feed.c
@@ -264,7 +264,7 @@
     start_host(sim, 1, "dc1", true, UINT32_MAX);
     run_for(sim, 2 * SEC);
     bbl_control_replace_catalog(sim->hosts[1].control, sim->now, sim->servers,
-                                SERVERS);
+                                NULL, SERVERS);
     for (uint32_t h = 2; h <= CHILDREN + 1; h++) {
         start_host(sim, h, "dc1", false, UINT32_MAX);
     }
--- a/tests/test_control_join.c
+++ b/tests/test_control_join.c
@@ -518,7 +518,7 @@
         b[i].cold_ms = 500;
     }
     bbl_control_replace_catalog(sim->hosts[find_leader(sim)].control, sim->now,
-                                b, 2);
+                                b, NULL, 2);
     run_for(sim, SEC);
     ck_assert_uint_le(bbl_control_catalog_age(sim->hosts[8].control, sim->now),
                       SEC + STEP_US);
@@ -528,7 +528,7 @@
     }
     /* A server that is missing from the next list is marked as gone. */
     bbl_control_replace_catalog(sim->hosts[find_leader(sim)].control, sim->now,
-                                b, 1);
+                                b, NULL, 1);
     run_for(sim, SEC);
     pos = 0;
     while ((row = bbl_rows_next_backend(
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -201,7 +201,7 @@
 static unsigned
 count_first(pair *p, bbl_usec now, bool second)
 {
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0, 0};
     unsigned n = 0;
     bbl_placement_counts usable;
 
@@ -227,7 +227,7 @@
 START_TEST(an_open_connection_is_preferred_at_equal_speed)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, 0};
     bbl_placement_counts usable;
 
     init_pair(&p);
@@ -317,7 +317,7 @@
 START_TEST(only_usable_servers_are_chosen)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0};
+    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, 0};
     bbl_placement_counts usable;
 
     init_pair(&p);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -110,9 +110,10 @@
  */
 START_TEST(a_peer_gets_only_the_kinds_that_it_announces)
 {
-    static const char challenge[CHALLENGE_BYTES] = "bblx-k15abcdefgh";
+    char greeting[CHALLENGE_BYTES + 8] = "bblx-k15abcdefgh";
     bool announces = _i == 1;
     uint64_t announced = 0xbb1c0000ull << 32 | BBLX_ADMISSION_REQUEST;
+    int size = CHALLENGE_BYTES + (announces ? 8 : 0);
     bbl_loop *loop;
     peer a;
     bblx_address to;
@@ -127,10 +128,8 @@
     run(&a, NULL, 2);
     fd = accept(listener, NULL, NULL);
     ck_assert_int_ge(fd, 0);
-    ck_assert_int_eq(send(fd, challenge, CHALLENGE_BYTES, MSG_MORE),
-                     CHALLENGE_BYTES);
-    ck_assert_int_eq(send(fd, &announced, announces ? sizeof(announced) : 0, 0),
-                     announces ? (int)sizeof(announced) : 0);
+    memcpy(greeting + CHALLENGE_BYTES, &announced, sizeof(announced));
+    ck_assert_int_eq(send(fd, greeting, (size_t)size, 0), size);
     run(&a, NULL, 10);
     ck_assert_uint_eq(bbl_mesh_get_counters(a.mesh)->frames_sent,
                       announces ? 2 : 1);
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -214,11 +214,13 @@
 /* ---- the list of servers ---- */
 
 static void
-on_list(void *ctx, const bblx_backend *backends, size_t count, size_t skipped)
+on_list(void *ctx, const bblx_backend *backends, const uint64_t *versions,
+        size_t count, size_t skipped)
 {
     unsigned *lists = ctx;
 
     (void)backends;
+    (void)versions;
     (void)count;
     (void)skipped;
     lists[0]++;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -130,13 +130,14 @@
 START_TEST(a_page_of_the_list_is_decoded)
 {
     bbl_vec list = BBL_VEC_INIT(bblx_backend);
+    bbl_vec versions = BBL_VEC_INIT(uint64_t);
     bbl_buf next = BBL_BUF_INIT;
     size_t skipped = 0;
     const bblx_backend *b;
 
     ck_assert_int_eq(
         bbl_platform_dialect()->read_catalog(
-            &list, &next, &skipped,
+            &list, &versions, &next, &skipped,
             str("{\"instances\":[" ENTRY(
                 "i1", READY
                 ",\"born\":1700") "," ENTRY("i2",
@@ -157,6 +158,7 @@
     ck_assert(((const bblx_backend *)bbl_vec_at(&list, 1))->leaving);
     ck_assert(equals(bbl_buf_str(&next), "p-50"));
     free_backends(&list);
+    bbl_vec_free(&versions);
     bbl_buf_free(&next);
 }
 END_TEST
@@ -193,6 +195,7 @@
 START_TEST(a_bad_entry_is_skipped_and_counted)
 {
     bbl_vec list = BBL_VEC_INIT(bblx_backend);
+    bbl_vec versions = BBL_VEC_INIT(uint64_t);
     bbl_buf next = BBL_BUF_INIT;
     bbl_buf page = BBL_BUF_INIT;
     size_t skipped = 0;
@@ -202,13 +205,15 @@
                                                               "\"next_page_"
                                                               "token\":null}",
                    bad_entries[_i]);
-    ck_assert_int_eq(bbl_platform_dialect()->read_catalog(
-                         &list, &next, &skipped, bbl_buf_str(&page)),
+    ck_assert_int_eq(bbl_platform_dialect()->read_catalog(&list, &versions,
+                                                          &next, &skipped,
+                                                          bbl_buf_str(&page)),
                      0);
     ck_assert_uint_eq(skipped, 1);
     ck_assert_uint_eq(list.size, 1);
     ck_assert_uint_eq(next.size, 0);
     free_backends(&list);
+    bbl_vec_free(&versions);
     bbl_buf_free(&next);
     bbl_buf_free(&page);
 }
@@ -242,6 +247,7 @@
     more[count - 1] = deep.ptr;
     for (size_t i = 0; i < count; i++) {
         bbl_vec list = BBL_VEC_INIT(bblx_backend);
+        bbl_vec versions = BBL_VEC_INIT(uint64_t);
         bbl_buf next = BBL_BUF_INIT;
         bbl_buf page = BBL_BUF_INIT;
         size_t skipped = 0;
@@ -253,13 +259,15 @@
             "{\"service\":\"s1\",\"zone\":\"z1\",\"slots\":2,"
             "\"id\":\"good1\"" READY,
             more[i]);
-        ck_assert_int_eq(bbl_platform_dialect()->read_catalog(
-                             &list, &next, &skipped, bbl_buf_str(&page)),
-                         0);
+        ck_assert_int_eq(
+            bbl_platform_dialect()->read_catalog(&list, &versions, &next,
+                                                 &skipped, bbl_buf_str(&page)),
+            0);
         ck_assert_uint_eq(skipped, 1);
         ck_assert_uint_eq(list.size, 2);
         ck_assert(equals(bbl_buf_str(&next), "p"));
         free_backends(&list);
+        bbl_vec_free(&versions);
         bbl_buf_free(&next);
         bbl_buf_free(&page);
     }
@@ -310,16 +318,18 @@
                                         "{\"instances\":[],"
                                         "\"next_page_token\":3}"};
     bbl_vec list = BBL_VEC_INIT(bblx_backend);
+    bbl_vec versions = BBL_VEC_INIT(uint64_t);
     bbl_buf next = BBL_BUF_INIT;
     size_t skipped = 0;
 
     for (size_t i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
         ck_assert_int_eq(bbl_platform_dialect()->read_catalog(
-                             &list, &next, &skipped, str(pages[i])),
+                             &list, &versions, &next, &skipped, str(pages[i])),
                          BBL_EDAMAGED);
     }
     ck_assert_uint_eq(list.size, 0);
     bbl_vec_free(&list);
+    bbl_vec_free(&versions);
     bbl_buf_free(&next);
 }
 END_TEST
--- a/tests/test_publisher.c
+++ b/tests/test_publisher.c
@@ -128,7 +128,7 @@
     b.id.bblx_label_len = (u_int)strlen(id);
     b.service = b.id;
     b.slots = 1;
-    bbl_control_replace_catalog(f->control, f->now, &b, 1);
+    bbl_control_replace_catalog(f->control, f->now, &b, NULL, 1);
 }
 
 /* The traffic thread may be slow, and then gets one update for several. */
