--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1154,6 +1154,7 @@
     tick_heartbeat(c);
     tick_own_proposals(c);
     bbl_permits_tick(c);
+    bbl_rollouts_check_lease(c);
     if (now >= c->next_report_expiry) {
         c->next_report_expiry = now + REPORT_EXPIRY_INTERVAL_US;
         bbl_rows_expire_reports(&c->rows, REPORT_EXPIRY_ROUNDS);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -240,6 +240,14 @@
                                  const bblx_backend *backends,
                                  const uint64_t *versions, size_t count);
 
+/*
+ * Returns the keys of the servers of versions that this host did not know when
+ * its lease ended, borrowed until the next call. They may belong to a rollout
+ * that it was not told of; none once it has a lease.
+ */
+const uint64_t *bbl_control_get_unproven(const bbl_control *control,
+                                         size_t *count);
+
 /* Returns the age of the list in use, UINT64_MAX if there is none. */
 bbl_usec bbl_control_catalog_age(const bbl_control *control, bbl_usec now);
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -190,6 +190,9 @@
 void bbl_rollouts_read_list(bbl_control *c, const bblx_backend *backends,
                             const uint64_t *versions, size_t count);
 
+/* Trusts all servers again once this host has a lease. */
+void bbl_rollouts_check_lease(bbl_control *c);
+
 void bbl_rollouts_receive_counts(bbl_control *c, uint32_t from,
                                  const bblx_rollout_counts *counts);
 
--- a/src/control/rollouts.c
+++ b/src/control/rollouts.c
@@ -75,8 +75,9 @@
 struct bbl_rollouts {
     bbl_vec servers; /* listed_server */
     bbl_usec listed_at;
-    bbl_map runs;  /* order -> run */
-    bbl_map hosts; /* host -> counting_host */
+    bbl_map runs;     /* order -> run */
+    bbl_map hosts;    /* host -> counting_host */
+    bbl_vec unproven; /* uint64_t, see bbl_control_next_unproven */
     bbl_usec next_tick;
     uint64_t received;
 };
@@ -134,6 +135,7 @@
 {
     c->rollouts = bbl_calloc(1, sizeof(*c->rollouts));
     c->rollouts->servers = (bbl_vec)BBL_VEC_INIT(listed_server);
+    c->rollouts->unproven = (bbl_vec)BBL_VEC_INIT(uint64_t);
 }
 
 void
@@ -141,6 +143,7 @@
 {
     bbl_rollouts_reset(c);
     bbl_vec_free(&c->rollouts->servers);
+    bbl_vec_free(&c->rollouts->unproven);
     free(c->rollouts);
 }
 
@@ -183,6 +186,93 @@
     servers->size = kept;
 }
 
+const uint64_t *
+bbl_control_get_unproven(const bbl_control *c, size_t *count)
+{
+    *count = c->rollouts->unproven.size;
+    return c->rollouts->unproven.ptr;
+}
+
+static bool
+is_unproven(const bbl_rollouts *s, uint64_t key)
+{
+    for (size_t i = 0; i < s->unproven.size; i++) {
+        if (*BBL_VEC_AT(uint64_t, &s->unproven, i) == key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adds the servers that this host knew before it read the list to `out`. */
+static void
+add_known_servers(const bbl_control *c, bbl_map *out)
+{
+    const bbl_backend_row *row;
+    size_t pos = 0;
+
+    while ((row = bbl_rows_next_backend(&c->rows, &pos)) != NULL) {
+        uint64_t key = bbl_backend_get_key(&row->backend);
+
+        if (!row->backend.gone && !is_unproven(c->rollouts, key)) {
+            bbl_map_set(out, key, (void *)row);
+        }
+    }
+}
+
+/* Returns the hash of a service, and of one version of it. */
+static uint64_t
+hash_version(const listed_server *server)
+{
+    return bbl_hash(&server->version, sizeof(server->version),
+                    server->service);
+}
+
+/*
+ * Finds the servers of versions that this host did not know when its lease
+ * ended: they may be those of a rollout that it was not told of.
+ */
+static void
+find_unproven(bbl_control *c)
+{
+    bbl_rollouts *s = c->rollouts;
+    bbl_map known = BBL_MAP_INIT;
+    bbl_map versions = BBL_MAP_INIT;
+    bbl_map services = BBL_MAP_INIT;
+
+    add_known_servers(c, &known);
+    for (size_t i = 0; i < s->servers.size; i++) {
+        listed_server *server = bbl_vec_at(&s->servers, i);
+
+        if (bbl_map_get(&known, server->key) != NULL) {
+            bbl_map_set(&versions, hash_version(server), server);
+            bbl_map_set(&services, server->service, server);
+        }
+    }
+    s->unproven.size = 0;
+    for (size_t i = 0; i < s->servers.size; i++) {
+        const listed_server *server = bbl_vec_at(&s->servers, i);
+
+        if (bbl_map_get(&services, server->service) != NULL &&
+            bbl_map_get(&versions, hash_version(server)) == NULL) {
+            bbl_vec_push(&s->unproven, &server->key);
+        }
+    }
+    bbl_map_free(&known);
+    bbl_map_free(&versions);
+    bbl_map_free(&services);
+}
+
+void
+bbl_rollouts_check_lease(bbl_control *c)
+{
+    if (c->rollouts->unproven.size > 0 &&
+        bbl_control_lease_until(c) > c->now) {
+        c->rollouts->unproven.size = 0; /* the rollouts are known now */
+        c->revision++;
+    }
+}
+
 void
 bbl_rollouts_read_list(bbl_control *c, const bblx_backend *backends,
                        const uint64_t *versions, size_t count)
@@ -208,6 +298,9 @@
     }
     merge_entries(&s->servers);
     s->next_tick = 0;
+    if (bbl_control_lease_until(c) <= c->now) {
+        find_unproven(c);
+    }
 }
 
 static bool
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -1,6 +1,7 @@
 #include "daemon/publisher.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "bbl/errors.h"
 #include "daemon/notice.h"
@@ -125,6 +126,20 @@
     }
 }
 
+static void
+fill_unproven(bbl_publisher *p, bbl_forward_update *u)
+{
+    size_t count;
+    const uint64_t *keys =
+        bbl_control_get_unproven(p->options.control, &count);
+
+    if (count > 0) {
+        u->unproven = bbl_calloc(count, sizeof(*keys));
+        memcpy(u->unproven, keys, count * sizeof(*keys));
+        u->unproven_count = count;
+    }
+}
+
 /* Decodes a new version of the routing, which was validated when an operator
  * sent it. */
 static void
@@ -323,6 +338,7 @@
     u->entry_hosts = count_entry_hosts(p, now);
     fill_evacuated(p, u);
     fill_rollouts(p, u);
+    fill_unproven(p, u);
     return u;
 }
 
--- a/src/forward/backend.c
+++ b/src/forward/backend.c
@@ -49,7 +49,8 @@
     if (b->evacuated) {
         return BBL_BACKEND_EVACUATED;
     }
-    if (b->withheld || (b->needs_lease && now >= b->lease_until)) {
+    if (b->withheld || b->unproven ||
+        (b->needs_lease && now >= b->lease_until)) {
         return BBL_BACKEND_WITHHELD;
     }
     if (b->replaced) {
--- a/src/forward/backend.h
+++ b/src/forward/backend.h
@@ -35,6 +35,7 @@
     /* What a rollout of its service makes of it, see rollout_view.h. */
     bblx_server_version version;
     bool withheld;
+    bool unproven;    /* see bbl_rollout_view_set_unproven */
     bool needs_lease; /* it gets requests until lease_until only */
     bbl_usec lease_until;
     uint64_t predates_order; /* the last order that it predates; 0: none */
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -390,6 +390,8 @@
     size_t evacuated_zone_count;
     bbl_known_rollout *rollouts; /* all of them */
     size_t rollout_count;
+    uint64_t *unproven; /* servers, see bbl_control_get_unproven() */
+    size_t unproven_count;
     /* When the platform's list was read; 0 if never. */
     bbl_usec list_read_at;
     /* Index of the state that the update holds; see
--- a/src/forward/rollout_view.c
+++ b/src/forward/rollout_view.c
@@ -9,7 +9,8 @@
 bbl_rollout_view_init(bbl_rollout_view *v)
 {
     *v = (bbl_rollout_view){.versions = BBL_MAP_INIT,
-                            .pools = BBL_VEC_INIT(bbl_pool *)};
+                            .pools = BBL_VEC_INIT(bbl_pool *),
+                            .unproven = BBL_VEC_INIT(uint64_t)};
 }
 
 void
@@ -23,6 +24,7 @@
     }
     bbl_map_free(&v->versions);
     bbl_vec_free(&v->pools);
+    bbl_vec_free(&v->unproven);
 }
 
 static bbl_pool *
@@ -182,6 +184,62 @@
     }
 }
 
+static void
+set_unproven(bbl_pools *pools, bbl_usec now, uint64_t key, bool unproven)
+{
+    bbl_backend *b = bbl_map_get(&pools->keys, key);
+    bbl_backend_state before;
+
+    if (b != NULL && b->unproven != unproven) {
+        before = bbl_backend_get_state(b, now);
+        b->unproven = unproven;
+        pools->changed(pools->ctx, b, before);
+    }
+}
+
+/* Returns whether a service has a server that is listed, not leaving and of a
+ * version that is known. */
+static bool
+has_proven(bbl_pools *pools, const bbl_backend *unproven)
+{
+    const bbl_pool *pool =
+        bbl_pools_get(pools, bbl_wire_label_str(&unproven->listed.service));
+
+    for (size_t i = 0; i < pool->backends.size; i++) {
+        const bbl_backend *b = *BBL_VEC_AT(bbl_backend *, &pool->backends, i);
+
+        if (!b->unproven && !bbl_backend_is_leaving(b)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+bbl_rollout_view_set_unproven(bbl_rollout_view *v, bbl_pools *pools,
+                              bbl_usec now, const uint64_t *keys, size_t count)
+{
+    if (count == 0 && v->unproven.size == 0) {
+        return;
+    }
+    for (size_t i = 0; i < v->unproven.size; i++) {
+        set_unproven(pools, now, *BBL_VEC_AT(uint64_t, &v->unproven, i),
+                     false);
+    }
+    v->unproven.size = 0;
+    for (size_t i = 0; i < count; i++) {
+        bbl_vec_push(&v->unproven, &keys[i]);
+        set_unproven(pools, now, keys[i], true);
+    }
+    for (size_t i = 0; i < count; i++) {
+        const bbl_backend *b = bbl_map_get(&pools->keys, keys[i]);
+
+        if (b != NULL && !has_proven(pools, b)) {
+            set_unproven(pools, now, keys[i], false);
+        }
+    }
+}
+
 void
 bbl_rollout_view_set_lease(bbl_rollout_view *v, bbl_usec until)
 {
--- a/src/forward/rollout_view.h
+++ b/src/forward/rollout_view.h
@@ -31,6 +31,7 @@
 typedef struct {
     bbl_map versions; /* key of the server -> bbl_known_version, owned */
     bbl_vec pools;    /* bbl_pool *, under a rollout */
+    bbl_vec unproven; /* uint64_t: keys of servers */
     bbl_usec lease_until;
     bbl_usec confirmed_until; /* latest end of any lease so far */
 } bbl_rollout_view;
@@ -56,6 +57,17 @@
 void bbl_rollout_view_apply(bbl_rollout_view *view, bbl_pools *pools,
                             bbl_usec now);
 
+/*
+ * Withholds servers of versions that were unknown when the lease of this host
+ * ended, as long as their service has another server. Replaces those of the
+ * last call.
+ *
+ * @param keys see bbl_control_get_unproven()
+ */
+void bbl_rollout_view_set_unproven(bbl_rollout_view *view, bbl_pools *pools,
+                                   bbl_usec now, const uint64_t *keys,
+                                   size_t count);
+
 /* Sets until when this host has a lease; 0 if it has none. */
 void bbl_rollout_view_set_lease(bbl_rollout_view *view, bbl_usec until);
 
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -117,6 +117,7 @@
         bbl_buf_free(&u->rollouts[i].service);
     }
     free(u->rollouts);
+    free(u->unproven);
     free(u->versions);
     free(u);
 }
@@ -294,6 +295,8 @@
                                       u->version_count);
     }
     apply_rollouts(f, now);
+    bbl_rollout_view_set_unproven(&f->rollouts, &f->pools, now, u->unproven,
+                                  u->unproven_count);
     if (u->has_peers) {
         bbl_peers_update(&f->peers, u->peers, u->peer_count);
     }
--- a/src/rollout/plan.c
+++ b/src/rollout/plan.c
@@ -22,6 +22,9 @@
 #define FULL_MIN_S 1.2
 #define FULL_MAX_S 2.5
 #define FULL_DURATION_SHARE (1.0 / 15)
+/* Share of that time that is kept for the record of the end. Before, all
+ * requests are a test of the version under the whole load. */
+#define END_SHARE 0.4
 /* Share of the slots of the old servers that the warm new ones must have to
  * get as large a share of the requests. */
 #define CAPACITY_SHARE 0.6
@@ -29,9 +32,8 @@
  * an earlier build, which sends to all servers alike. */
 #define UNREPORTED_MAX_US (5 * BBL_USEC_PER_SEC)
 /* A rollout that was held up, for example without a leader, ends this long
- * after the deadline, or later if the last step was made. */
+ * after the deadline. */
 #define OVERDUE_MAX_US (15 * BBL_USEC_PER_SEC)
-#define LAST_OVERDUE_MAX_US (30 * BBL_USEC_PER_SEC)
 
 /* When the steps are due, as seconds before the deadline. */
 typedef struct {
@@ -113,10 +115,15 @@
 static bbl_plan_result
 decide_last(const bbl_plan_input *in)
 {
+    schedule s = get_schedule(in->duration);
+
     if (in->in_force && in->stable) {
-        return decide(BBL_PLAN_COMPLETE, in->share, "in force everywhere");
+        return (double)in->left > END_SHARE * s.full * BBL_USEC_PER_SEC
+                   ? decide(BBL_PLAN_WAIT, in->share, "the end is not due")
+                   : decide(BBL_PLAN_COMPLETE, in->share,
+                            "in force everywhere");
     }
-    if (in->overdue > LAST_OVERDUE_MAX_US) {
+    if (in->overdue > OVERDUE_MAX_US) {
         return decide(BBL_PLAN_ROLL_BACK, 0, "the last step is not in force");
     }
     return decide(BBL_PLAN_WAIT, in->share, "the last step is not in force");
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -17,6 +17,14 @@
 #define STEP_US 1000u
 #define EVACUATE "POST /-/evacuations/dc1 HTTP/1.1\r\nHost: a\r\n\r\n"
 #define RESTORE "DELETE /-/evacuations/dc1 HTTP/1.1\r\nHost: a\r\n\r\n"
+#define POST_ROLLOUT(body, size)                                              \
+    "POST /-/rollouts HTTP/1.1\r\nHost: a\r\nContent-Length: " size           \
+    "\r\n\r\n" body
+#define ROLL_OUT(service, version, seconds)                                   \
+    "{\"service\":\"" service "\",\"target_version\":\"" version              \
+    "\",\"duration_s\":" seconds "}"
+#define ROLL_OUT_S_V2 POST_ROLLOUT(ROLL_OUT("s", "v2", "60"), "53")
+#define GET_ROLLOUT_S "GET /-/rollouts/s HTTP/1.1\r\nHost: a\r\n\r\n"
 /* Longer than an operator waits for a response. */
 #define FREEZE_US (1200 * BBL_USEC_PER_MS)
 
@@ -211,6 +219,123 @@
 }
 END_TEST
 
+/* ---- rollouts ---- */
+
+static bool
+has_rollout(const bbl_control *control)
+{
+    return bbl_state_rollout(bbl_control_state(control), 0) != NULL;
+}
+
+/* Installs a routing with service "s". */
+static void
+install_routing(fixture *f)
+{
+    static const char document[] =
+        "{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":"
+        "\"a.example\",\"path_prefix\":\"/r/\",\"route_type\":\"safe\","
+        "\"timeout_ms\":800,\"target_latency_ms\":120,\"priority\":1,"
+        "\"service\":\"s\",\"max_attempts\":2}],\"services\":[{\"name\":"
+        "\"s\",\"max_connections\":9}]}";
+    bbl_buf request = BBL_BUF_INIT;
+
+    bbl_buf_printf(&request,
+                   "PUT /-/config HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                   "%zu\r\n\r\n%s",
+                   sizeof(document) - 1, document);
+    command(f, request.ptr, "200");
+    bbl_buf_free(&request);
+}
+
+/* Sends an order of which the size of the body is known here only. */
+static void
+roll_out(fixture *f, const char *body, const char *status)
+{
+    bbl_buf request = BBL_BUF_INIT;
+
+    bbl_buf_printf(&request,
+                   "POST /-/rollouts HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                   "%zu\r\n\r\n%s",
+                   strlen(body), body);
+    command(f, request.ptr, status);
+    bbl_buf_free(&request);
+}
+
+START_TEST(a_rollout_is_ordered_once)
+{
+    fixture f;
+    int fd;
+
+    open_fixture(&f);
+    install_routing(&f);
+    command(&f, GET_ROLLOUT_S, "404");
+    command(&f, ROLL_OUT_S_V2, "200");
+    ck_assert(has_rollout(f.control));
+    command(&f, ROLL_OUT_S_V2, "200");
+    roll_out(&f, ROLL_OUT("s", "v3", "60"), "409");
+    fd = tcp_connect(f.address);
+    tcp_send(fd, GET_ROLLOUT_S);
+    run_host(&f, 50);
+    ck_assert_ptr_nonnull(
+        strstr(tcp_receive(f.loop, fd),
+               "{\"state\":\"running\",\"target_version\":\"v2\"}"));
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+static const char *const bad_orders[] = {
+    ROLL_OUT("unknown", "v2", "60"),
+    ROLL_OUT("s", "v2", "0"),
+    ROLL_OUT("s", "v2", "-5"),
+    ROLL_OUT("s", "v2", "\"60\""),
+    ROLL_OUT("s", "v2", "1e12"),
+    ROLL_OUT("s", "", "60"),
+    ROLL_OUT("", "v2", "60"),
+    "{\"service\":\"s\",\"target_version\":\"v2\"}",
+    "{\"service\":\"s\",\"duration_s\":60}",
+    "{\"service\":\"s\",\"target_version\":7,\"duration_s\":60}",
+    "[1]",
+    "no JSON",
+};
+
+START_TEST(an_invalid_order_is_refused)
+{
+    fixture f;
+
+    open_fixture(&f);
+    install_routing(&f);
+    roll_out(&f, bad_orders[_i], "400");
+    ck_assert(!has_rollout(f.control));
+    close_fixture(&f);
+}
+END_TEST
+
+/* As an evacuation, it must not take effect once it is given up. */
+START_TEST(an_order_of_a_rollout_that_was_given_up_is_not_recorded)
+{
+    fixture f;
+    int fd;
+
+    open_fixture(&f);
+    install_routing(&f);
+    fd = tcp_connect(f.address);
+    run_host(&f, 20);
+    tcp_send(fd, ROLL_OUT_S_V2);
+    if (_i == 0) {
+        usleep(FREEZE_US);
+    }
+    else {
+        shutdown(fd, SHUT_WR);
+    }
+    run_host(&f, 100);
+    ck_assert(!has_rollout(f.control));
+    close(fd);
+    command(&f, ROLL_OUT_S_V2, "200");
+    close_fixture(&f);
+}
+END_TEST
+
 /* ---- the list of servers ---- */
 
 static void
@@ -290,6 +415,7 @@
     bool hold;         /* proposals of host 2 are held back */
     bool no_feed;      /* host 2 does not learn of changes */
     bool old_leader;   /* host 1 cannot read conditional commands */
+    bool old_voter;    /* host 2 is not known to decode rollouts */
     unsigned proposes; /* proposals that host 2 has sent */
     unsigned completions;
     int status; /* of the last completion */
@@ -345,6 +471,15 @@
     ck_assert_int_eq(BBL_XDR_ENCODE(&k->bytes, bblx_message, m), 0);
 }
 
+static bool
+on_accepts_kind(void *ctx, uint32_t host, bblx_kind kind)
+{
+    const port_ctx *p = ctx;
+
+    (void)kind;
+    return host != 2 || !p->sim->old_voter;
+}
+
 static void
 on_proposed(void *ctx, uint64_t number, const bblx_propose_reply *reply)
 {
@@ -380,8 +515,8 @@
 {
     for (unsigned i = 0; i < ms; i++) {
         sim->now += STEP_US;
-        bbl_control_tick(sim->hosts[1], sim->now, 0);
-        bbl_control_tick(sim->hosts[2], sim->now, 0);
+        bbl_control_tick(sim->hosts[1], sim->now, sim->now / BBL_USEC_PER_MS);
+        bbl_control_tick(sim->hosts[2], sim->now, sim->now / BBL_USEC_PER_MS);
         deliver_all(sim, &sim->packets);
     }
 }
@@ -408,6 +543,7 @@
         o.seeds.list.list_val = &sim->seed;
         o.port.send = on_send;
         o.port.complete_proposal = on_proposed;
+        o.port.accepts_kind = on_accepts_kind;
         o.port.ctx = &contexts[h];
         ck_assert_int_eq(
             bbl_control_open(&sim->hosts[h], &o,
@@ -529,6 +665,71 @@
 }
 END_TEST
 
+static uint64_t
+propose_rollout(simulation *sim, uint32_t host)
+{
+    bblx_rollout r;
+
+    memset(&r, 0, sizeof(r));
+    r.service = (bblx_label){1, "s"};
+    r.target = (bblx_label){2, "v2"};
+    r.duration_ms = 60000;
+    return bbl_control_propose_rollout(sim->hosts[host], sim->now, &r);
+}
+
+/* The journal of an earlier build would refuse the command. */
+START_TEST(a_rollout_is_refused_while_a_voter_may_not_decode_it)
+{
+    simulation sim;
+
+    open_simulation(&sim);
+    ck_assert_int_eq(bbl_quorum_add_learner(bbl_control_quorum(sim.hosts[1]),
+                                            2, (bblx_address){2, 1}),
+                     0);
+    run_hosts(&sim, 100);
+    sim.old_voter = true;
+    propose_rollout(&sim, 2);
+    run_hosts(&sim, 100);
+    ck_assert_uint_eq(sim.completions, 1);
+    ck_assert_int_eq(sim.status, BBL_EFULL);
+    ck_assert(!has_rollout(sim.hosts[1]));
+    sim.old_voter = false;
+    propose_rollout(&sim, 2);
+    run_hosts(&sim, 100);
+    ck_assert_int_eq(sim.status, 0);
+    ck_assert(has_rollout(sim.hosts[1]));
+    close_simulation(&sim);
+}
+END_TEST
+
+/* The order is held up; meanwhile the rollout runs by way of another host and
+ * ends. What was held up must not start it anew. */
+START_TEST(a_delayed_order_starts_no_rollout_anew)
+{
+    simulation sim;
+    uint64_t first;
+
+    open_simulation(&sim);
+    sim.hold = true;
+    propose_rollout(&sim, 2);
+    run_hosts(&sim, 20);
+    ck_assert_uint_ge(sim.held.size, 1);
+    propose_rollout(&sim, 1);
+    run_hosts(&sim, 62000); /* without servers it is rolled back */
+    first = bbl_state_rollout(bbl_control_state(sim.hosts[1]), 0)->order;
+    ck_assert_int_eq(
+        bbl_state_rollout(bbl_control_state(sim.hosts[1]), 0)->state,
+        BBLX_ROLLOUT_ROLLED_BACK);
+    run_hosts(&sim, 12000);
+    sim.hold = false;
+    deliver_all(&sim, &sim.held);
+    run_hosts(&sim, 500);
+    ck_assert_uint_eq(
+        bbl_state_rollout(bbl_control_state(sim.hosts[1]), 0)->order, first);
+    close_simulation(&sim);
+}
+END_TEST
+
 /* During an upgrade the leader may be an earlier build. */
 START_TEST(an_old_leader_records_commands_of_a_new_host)
 {
@@ -556,6 +757,13 @@
     tcase_add_loop_test(tc, a_command_that_waited_too_long_is_refused, 0, 2);
     tcase_add_loop_test(
         tc, a_command_of_an_operator_that_has_left_is_not_proposed, 0, 2);
+    tcase_add_test(tc, a_rollout_is_ordered_once);
+    tcase_add_loop_test(tc, an_invalid_order_is_refused, 0,
+                        sizeof(bad_orders) / sizeof(bad_orders[0]));
+    tcase_add_loop_test(
+        tc, an_order_of_a_rollout_that_was_given_up_is_not_recorded, 0, 2);
+    tcase_add_test(tc, a_rollout_is_refused_while_a_voter_may_not_decode_it);
+    tcase_add_test(tc, a_delayed_order_starts_no_rollout_anew);
     tcase_add_loop_test(tc, a_list_that_waited_too_long_is_not_used, 0, 2);
     tcase_add_loop_test(tc, a_delayed_command_does_not_undo_a_newer_one, 0, 2);
     tcase_add_test(tc, a_command_is_decided_anew_on_the_present_state);
