--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -152,6 +152,8 @@
         "http://127.60.2.$1:8104$2"
 }
 
+old_servers=s1=127.60.3.1:8080,127.60.3.2:8080
+
 # start_standin OPTION...: starts the stand-in servers, in place of those that run.
 start_standin() {
     if [ "$standin_pid" -gt 0 ]; then
@@ -159,7 +161,7 @@
         wait "$standin_pid" 2>/dev/null || true
     fi
     "$build/tools/platform_standin" --list 127.60.4.1:8102 "$@" \
-        s1=127.60.3.1:8080,127.60.3.2:8080 s2=127.60.3.3:8080,127.60.3.4:8080 \
+        $old_servers s2=127.60.3.3:8080,127.60.3.4:8080 \
         >"$dir/standin.log" 2>&1 &
     standin_pid=$!
 }
@@ -311,4 +313,51 @@
 [ "$(grep -c '^200$' "$dir/statuses1")" -ge 20 ] || fail "no service beside a server that leaves"
 [ "$(grep -c "^i-s1-0 gets a request although it is leaving" "$dir/standin.log" || true)" -le 3 ] ||
     fail "a server that is leaving gets more than one request from each host"
+
+# order_rollout VERSION SECONDS: orders a rollout of s1; prints the status.
+order_rollout() {
+    curl -s -L -m 4 -X POST -o /dev/null -w '%{http_code}' \
+        --data "{\"service\":\"s1\",\"target_version\":\"$1\",\"duration_s\":$2}" \
+        http://127.60.1.2:8106/-/rollouts
+}
+
+# is_rollout STATE VERSION: succeeds if this is the state of the rollout of s1.
+is_rollout() {
+    curl -sfL -m 2 -o "$dir/rollout" http://127.60.1.3:8106/-/rollouts/s1 &&
+        grep -q "\"state\":\"$1\",\"target_version\":\"$2\"" "$dir/rollout"
+}
+
+# A version that fails is rolled back, and its failures reach no caller.
+start_standin
+for n in 1 2 3; do wait_until send_request "$n" /one/before || fail "no answer before the rollout"; done
+[ "$(order_rollout v2 0)" = 400 ] || fail "a rollout within 0 s is not refused"
+[ "$(order_rollout v2 14)" = 200 ] || fail "a rollout is not recorded"
+[ "$(order_rollout v2 14)" = 200 ] || fail "the same order again is not acknowledged"
+[ "$(order_rollout v3 14)" = 409 ] || fail "a rollout to another version is not refused"
+is_rollout running v2 || fail "the rollout does not run"
+start_standin --failing 100 s1@v2=127.60.3.5:8080,127.60.3.6:8080
+for n in 1 2 3; do wait_until send_request "$n" /one/during || fail "no answer during the rollout"; done
+for n in 1 2 3; do send_for 14 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+for n in 1 2 3; do wait "${loads[$n]}"; done
+is_rollout rolled_back v2 || fail "a version that fails is not rolled back: $(cat "$dir/rollout")"
+[ "$(grep -c " fails$" "$dir/standin.log")" -le 50 ] || fail "a version that fails gets more than 50 requests"
+[ "$(cat "$dir"/statuses? | grep -c -v '^200$')" -le 2 ] || fail "callers notice a version that fails"
+
+# A good version is completed by its deadline, and the old servers stop at once.
+[ "$(order_rollout v3 14)" = 200 ] || fail "the next rollout is not recorded"
+ordered=$(date +%s%N)
+start_standin s1@v3=127.60.3.7:8080,127.60.3.8:8080
+for n in 1 2 3; do wait_until send_request "$n" /one/during || fail "no answer during the second rollout"; done
+for n in 1 2 3; do send_for 14 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+until is_rollout completed v3; do
+    [ "$(date +%s%N)" -lt $((ordered + 14000000000)) ] || fail "a good version is not completed by its deadline: $(cat "$dir/rollout")"
+    sleep 0.05
+done
+for n in 1 2 3; do wait "${loads[$n]}"; done
+[ "$(cat "$dir"/statuses? | grep -c -v '^200$')" -eq 0 ] || fail "callers notice a rollout"
+old_servers=s1@v3=127.60.3.7:8080,127.60.3.8:8080
+start_standin
+for n in 1 2 3; do wait_until send_request "$n" /one/after || fail "no answer after the rollout"; done
+send_for 3 1 >"$dir/statuses1"
+[ "$(grep -c -v '^200$' "$dir/statuses1")" -eq 0 ] || fail "requests fail after the rollout"
 echo "forward-test: all checks passed"
--- a/src/control/rollouts.c
+++ b/src/control/rollouts.c
@@ -19,8 +19,6 @@
 #define ROW_REFRESH_MS 100000
 /* An older list says nothing of the servers that are warm now. */
 #define LIST_MAX_AGE_US (5 * BBL_USEC_PER_SEC)
-/* A host that has reported within this time applies the rollout. */
-#define REPORTED_US (3 * BBL_USEC_PER_SEC)
 /* A new leader takes the time that is left from the last record, if the clock
  * was set back, so that this is renewed. */
 #define CHECKPOINT_US (30 * BBL_USEC_PER_SEC)
@@ -66,7 +64,6 @@
 /* What an entry host has counted. */
 typedef struct {
     uint64_t incarnation;
-    bbl_usec received_at;
     bbl_vec orders;  /* uint64_t: rollouts that it applies */
     bbl_map counted; /* hash of order, route and version ->
                         bblx_rollout_count: last values */
@@ -483,7 +480,6 @@
         return;
     }
     h = get_counting_host(s, from, counts->incarnation);
-    h->received_at = c->now;
     h->orders.size = 0;
     for (u_int i = 0; i < counts->orders.orders_len; i++) {
         uint64_t order = counts->orders.orders_val[i];
@@ -496,13 +492,17 @@
     s->received++;
 }
 
-/* Returns whether an entry host has told that it applies a rollout. */
+/*
+ * Returns whether this process of an entry host has told that it applies a
+ * rollout. That it applies each step is known by its applied index, also while
+ * its messages do not reach the leader.
+ */
 static bool
 has_reported(const bbl_control *c, const bblx_member_row *m, uint64_t order)
 {
     const counting_host *h = bbl_map_get(&c->rollouts->hosts, m->host);
 
-    if (h == NULL || c->now > h->received_at + REPORTED_US) {
+    if (h == NULL || h->incarnation != m->incarnation) {
         return false;
     }
     for (size_t i = 0; i < h->orders.size; i++) {
@@ -756,7 +756,7 @@
 tick_ended(bbl_control *c, const bblx_rollout *r)
 {
     run *n = bbl_map_remove(&c->rollouts->runs, r->order);
-    bbl_plan_input unused;
+    bbl_plan_input unused = {0};
 
     if (n != NULL) {
         free_run(n);
--- a/tests/support/rollout_sim.c
+++ b/tests/support/rollout_sim.c
@@ -70,6 +70,7 @@
     bbl_publisher *publisher; /* of an entry host */
     bbl_forwarder *forwarder;
     memdisk disk;
+    uint64_t incarnation;
     bbl_usec paused_until;
     int64_t clock_rate_ppm;
     bbl_usec clock_offset;
@@ -490,7 +491,7 @@
     host *h = ctx;
     bbl_notice *notice = bbl_notice_new_rollout_counts(tally);
 
-    notice->rollout_counts.incarnation = h->sim->last_incarnation;
+    notice->rollout_counts.incarnation = h->incarnation;
     bbl_control_send_rollout_counts(h->control, local_time(h),
                                     &notice->rollout_counts);
     bbl_notice_free(notice);
@@ -542,6 +543,7 @@
 
     o.host = h->id;
     o.incarnation = ++sim->last_incarnation;
+    h->incarnation = o.incarnation;
     o.seed = bbl_rng_next(&sim->rng);
     bbl_name_set(&o.zone, "z1", 2);
     o.control = (bblx_address){h->id, h->id};
--- a/tools/platform_standin.c
+++ b/tools/platform_standin.c
@@ -6,7 +6,8 @@
  * pauses at random times. It may state a rate limit, and then counts the
  * requests over it; a request may end each server that runs it; and the first
  * server of each service may turn requests away and ask for a time without
- * any, or say that it is leaving.
+ * any, or say that it is leaving. Servers of a second version of a service may
+ * answer some requests with failures.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -35,6 +36,7 @@
 
 typedef struct {
     char service[64];
+    char version[32]; /* "v1" unless another one is given */
     char id[128];
     char zone[32];
     bblx_address address;
@@ -66,6 +68,7 @@
     int pause_every_ms; /* mean time between pauses of a server */
     double rate_limit;  /* that each server states; 0 for none */
     bbl_usec rate_limit_since;
+    int failing;      /* per cent of the requests to other versions than v1 */
     int rest_s;       /* time that first servers ask for; 0: they serve */
     bool leaving;     /* whether first servers say that they are leaving */
     char *crash_path; /* requests of it end their server; NULL for none */
@@ -99,9 +102,10 @@
         bbl_buf_printf(&body,
                        "%s{\"service\":\"%s\",\"id\":\"%s\",\"zone\":\"%s\","
                        "\"slots\":2,\"state\":\"ready\","
-                       "\"warmup_left_ms\":0,\"version\":\"v1\","
+                       "\"warmup_left_ms\":0,\"version\":\"%s\","
                        "\"address\":\"",
-                       listed++ > 0 ? "," : "", s->service, s->id, s->zone);
+                       listed++ > 0 ? "," : "", s->service, s->id, s->zone,
+                       s->version);
         bbl_address_append(&body, s->address);
         bbl_buf_append_cstr(&body, "\"}");
     }
@@ -239,6 +243,13 @@
     bbl_edge_response r = {200, {"", 0}, {records, sizeof(records)}, false};
 
     request->server->response_count++;
+    if (strcmp(request->server->version, "v1") != 0 &&
+        (int)bbl_rng_below(&self.rng, 100) < self.failing) {
+        printf("%s fails\n", request->server->id);
+        fflush(stdout);
+        bbl_edge_respond_text(request->call, 500, "", "");
+        return;
+    }
     for (size_t i = 0; i < sizeof(records); i++) {
         records[i] = (char)('a' + bbl_rng_below(&self.rng, 26));
     }
@@ -332,14 +343,15 @@
 /* ---- start ---- */
 
 /*
- * Starts the servers of "SERVICE=ADDRESS,ADDRESS...", alternately in zones z1
- * and z2.
+ * Starts the servers of "SERVICE=ADDRESS,ADDRESS..." or of a version by
+ * "SERVICE@VERSION=...", alternately in zones z1 and z2.
  */
 static int
 add_service(const char *text)
 {
     char **halves = g_strsplit(text, "=", 2);
     char **addresses = halves[1] ? g_strsplit(halves[1], ",", -1) : NULL;
+    char **names = g_strsplit(halves[0], "@", 2);
     int error =
         addresses ? 0 : bbl_error_set(BBL_EINVAL, "SERVICE=ADDRESS,..");
 
@@ -347,7 +359,9 @@
         standin_server *s = bbl_calloc(1, sizeof(*s));
 
         s->arrivals = (bbl_vec)BBL_VEC_INIT(bbl_usec);
-        snprintf(s->service, sizeof(s->service), "%s", halves[0]);
+        snprintf(s->service, sizeof(s->service), "%s", names[0]);
+        snprintf(s->version, sizeof(s->version), "%s",
+                 names[1] != NULL ? names[1] : "v1");
         snprintf(s->id, sizeof(s->id), "i-%s-%d", halves[0], i);
         snprintf(s->zone, sizeof(s->zone), "z%d", i % 2 + 1);
         s->first = i == 0;
@@ -357,6 +371,7 @@
         }
         bbl_vec_push(&self.servers, &s);
     }
+    g_strfreev(names);
     g_strfreev(addresses);
     g_strfreev(halves);
     return error;
@@ -387,6 +402,8 @@
          "the first server of each service turns requests away and asks for "
          "this time without any",
          "S"},
+        {"failing", 'f', 0, G_OPTION_ARG_INT, &self.failing,
+         "requests to other versions than v1 that fail", "PER CENT"},
         {"leaving", 'v', 0, G_OPTION_ARG_NONE, &leaving,
          "the first server of each service says that it is leaving", NULL},
         {"odd-entries", 'o', 0, G_OPTION_ARG_NONE, &self.odd_entries,
