Test of rollouts with real processes: wait for the old servers

Cause: the stand-in restarts the old servers when it starts the new ones; for about a second only the new version was usable, and requests beyond its share were refused as not run (62 of 1,553), as the requirements state.

Change: forward-test.sh waits 2 s after it.

--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -331,26 +331,28 @@
 start_standin
 for n in 1 2 3; do wait_until send_request "$n" /one/before || fail "no answer before the rollout"; done
 [ "$(order_rollout v2 0)" = 400 ] || fail "a rollout within 0 s is not refused"
-[ "$(order_rollout v2 14)" = 200 ] || fail "a rollout is not recorded"
-[ "$(order_rollout v2 14)" = 200 ] || fail "the same order again is not acknowledged"
-[ "$(order_rollout v3 14)" = 409 ] || fail "a rollout to another version is not refused"
+[ "$(order_rollout v2 16)" = 200 ] || fail "a rollout is not recorded"
+[ "$(order_rollout v2 16)" = 200 ] || fail "the same order again is not acknowledged"
+[ "$(order_rollout v3 16)" = 409 ] || fail "a rollout to another version is not refused"
 is_rollout running v2 || fail "the rollout does not run"
 start_standin --failing 100 s1@v2=127.60.3.5:8080,127.60.3.6:8080
 for n in 1 2 3; do wait_until send_request "$n" /one/during || fail "no answer during the rollout"; done
-for n in 1 2 3; do send_for 14 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+sleep 2 # the old servers have restarted with the stand-in, and count as cold
+for n in 1 2 3; do send_for 15 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
 for n in 1 2 3; do wait "${loads[$n]}"; done
 is_rollout rolled_back v2 || fail "a version that fails is not rolled back: $(cat "$dir/rollout")"
 [ "$(grep -c " fails$" "$dir/standin.log")" -le 50 ] || fail "a version that fails gets more than 50 requests"
 [ "$(cat "$dir"/statuses? | grep -c -v '^200$')" -le 2 ] || fail "callers notice a version that fails"
 
 # A good version is completed by its deadline, and the old servers stop at once.
-[ "$(order_rollout v3 14)" = 200 ] || fail "the next rollout is not recorded"
+[ "$(order_rollout v3 16)" = 200 ] || fail "the next rollout is not recorded"
 ordered=$(date +%s%N)
 start_standin s1@v3=127.60.3.7:8080,127.60.3.8:8080
 for n in 1 2 3; do wait_until send_request "$n" /one/during || fail "no answer during the second rollout"; done
-for n in 1 2 3; do send_for 14 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+sleep 2 # the old servers have restarted with the stand-in, and count as cold
+for n in 1 2 3; do send_for 15 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
 until is_rollout completed v3; do
-    [ "$(date +%s%N)" -lt $((ordered + 14000000000)) ] || fail "a good version is not completed by its deadline: $(cat "$dir/rollout")"
+    [ "$(date +%s%N)" -lt $((ordered + 16000000000)) ] || fail "a good version is not completed by its deadline: $(cat "$dir/rollout")"
     sleep 0.05
 done
 for n in 1 2 3; do wait "${loads[$n]}"; done
