Test of rollouts: the simulated list wrote one version beyond its end

Result: 60 cases of property_rollout pass with -fsanitize=address,undefined, and so do test_rollout_view, test_rollout_state, test_operator_api, test_publisher, test_forwarder, test_platform and test_mesh.

--- a/tests/support/rollout_sim.c
+++ b/tests/support/rollout_sim.c
@@ -613,13 +613,8 @@
         b->slots = 4;
         b->leaving = at >= s->leaving_at;
         b->cold_ms = at < s->warm_at ? (u_int)((s->warm_at - at) / MS) : 0;
-        versions[count++] = is_new(i) ? 2 : 1;
-    }
-    versions[count] = 0;
-    /* The simulated versions are the hashes of their names. */
-    for (size_t i = 0; i < count; i++) {
-        versions[i] = versions[i] == 2 ? bbl_version_hash((bbl_str){"v2", 2})
-                                       : bbl_version_hash((bbl_str){"v1", 2});
+        versions[count++] =
+            bbl_version_hash((bbl_str){is_new(i) ? "v2" : "v1", 2});
     }
     bbl_control_replace_catalog(h->control, local_time(h), list, versions,
                                 count);
