Tests of rollouts at the forwarder and the publisher

Cause: the property test does not cover old servers that leave, a new version that is cold or refuses, and updates that are taken back.

--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -752,6 +752,29 @@
     bbl_forwarder_update(sim->forwarder, sim->now, u);
 }
 
+void
+forward_sim_update_rollout(forward_sim *sim, const char *service,
+                           bblx_rollout_state state, uint32_t share)
+{
+    bbl_forward_update *u = make_update(sim);
+
+    u->rollouts = bbl_calloc(1, sizeof(*u->rollouts));
+    u->rollout_count = 1;
+    u->rollouts->order = 1;
+    u->rollouts->state = state;
+    u->rollouts->share = share;
+    bbl_buf_append_cstr(&u->rollouts->service, service);
+    u->has_observations = true;
+    u->versions = bbl_calloc(sim->server_count, sizeof(*u->versions));
+    for (size_t i = 0; i < sim->server_count; i++) {
+        u->versions[u->version_count++] = (bbl_known_version){
+            bbl_backend_get_key(&u->backends[i]), 1,
+            strncmp(sim->servers[i].id, "new", 3) == 0 ? BBLX_VERSION_TARGET
+                                                       : BBLX_VERSION_OTHER};
+    }
+    bbl_forwarder_update(sim->forwarder, sim->now, u);
+}
+
 unsigned
 forward_sim_send_request(forward_sim *sim, const char *path,
                          uint32_t time_left_ms)
@@ -1019,6 +1042,12 @@
     return sim->routings_ignored;
 }
 
+void
+forward_sim_raise_index(forward_sim *sim)
+{
+    sim->applied++;
+}
+
 uint64_t
 forward_sim_get_unapplied(const forward_sim *sim)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -233,6 +233,15 @@
 void forward_sim_record_connect(forward_sim *sim, forward_sim_server *server,
                                 bool ok);
 
+/*
+ * Passes a rollout of a service to the forwarder, with the versions of all its
+ * servers: those of which the id starts with "new" are of the target version.
+ *
+ * @param share in 1/10000
+ */
+void forward_sim_update_rollout(forward_sim *sim, const char *service,
+                                bblx_rollout_state state, uint32_t share);
+
 /* See bbl_forwarder_confirm_routing; at first the routing is confirmed. */
 void forward_sim_confirm_routing(forward_sim *sim, bbl_usec until);
 
@@ -257,6 +266,9 @@
  * index that the forwarder reports. */
 uint64_t forward_sim_get_unapplied(const forward_sim *sim);
 
+/* Raises the index of the state for the next update. */
+void forward_sim_raise_index(forward_sim *sim);
+
 /* Returns the version of the active routing. */
 uint64_t forward_sim_get_routing_version(const forward_sim *sim);
 
--- a/tests/test_publisher.c
+++ b/tests/test_publisher.c
@@ -118,9 +118,11 @@
     bbl_buf_free(&data);
 }
 
+/* Sets a list of one server, of version v2. */
 static void
 set_list(fixture *f, const char *id)
 {
+    uint64_t version = bbl_version_hash((bbl_str){"v2", 2});
     bblx_backend b;
 
     memset(&b, 0, sizeof(b));
@@ -128,7 +130,7 @@
     b.id.bblx_label_len = (u_int)strlen(id);
     b.service = b.id;
     b.slots = 1;
-    bbl_control_replace_catalog(f->control, f->now, &b, NULL, 1);
+    bbl_control_replace_catalog(f->control, f->now, &b, &version, 1);
 }
 
 /* The traffic thread may be slow, and then gets one update for several. */
@@ -168,6 +170,36 @@
 }
 END_TEST
 
+/* The versions of servers come with the rollouts, and are not lost either. */
+START_TEST(an_update_holds_the_rollouts_and_versions)
+{
+    fixture f;
+    bbl_forward_update *u;
+    bblx_rollout r;
+
+    open_fixture(&f);
+    install_routing(&f, 7);
+    memset(&r, 0, sizeof(r));
+    r.service = (bblx_label){2, "i1"};
+    r.target = (bblx_label){2, "v2"};
+    r.duration_ms = 60000;
+    bbl_control_propose_rollout(f.control, f.now, &r);
+    run(&f, 50);
+    set_list(&f, "i1");
+    run(&f, 200);
+    for (int i = 0; i < 3; i++) {
+        u = bbl_publisher_make_update(f.publisher, f.now);
+        ck_assert_uint_eq(u->rollout_count, 1);
+        ck_assert_int_eq(u->rollouts[0].state, BBLX_ROLLOUT_RUNNING);
+        ck_assert_uint_eq(u->version_count, 1);
+        ck_assert_int_eq(u->versions[0].version, BBLX_VERSION_TARGET);
+        ck_assert_uint_eq(u->versions[0].order, u->rollouts[0].order);
+        bbl_publisher_take_back(f.publisher, u);
+    }
+    close_fixture(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -175,6 +207,7 @@
     TCase *tc = tcase_create("updates");
 
     tcase_add_test(tc, an_update_that_was_not_taken_loses_nothing);
+    tcase_add_test(tc, an_update_holds_the_rollouts_and_versions);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
