Rollouts: the leader keeps the versions of servers under a rollout only

Cause: each read of the platform's list built and sorted a table of all servers, also where there never is a rollout.

Change: only servers of services with a recorded rollout are kept; a host that is cut off keeps all, to find versions that it did not know.

--- a/src/control/rollouts.c
+++ b/src/control/rollouts.c
@@ -167,6 +167,9 @@
 {
     size_t kept = 0;
 
+    if (servers->size < 2) {
+        return;
+    }
     qsort(servers->ptr, servers->size, sizeof(listed_server), compare_servers);
     for (size_t i = 0; i < servers->size; i++) {
         const listed_server *next = bbl_vec_at(servers, i);
@@ -190,31 +193,22 @@
     return c->rollouts->unproven.ptr;
 }
 
-static bool
-is_unproven(const bbl_rollouts *s, uint64_t key)
-{
-    for (size_t i = 0; i < s->unproven.size; i++) {
-        if (*BBL_VEC_AT(uint64_t, &s->unproven, i) == key) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Adds the servers that this host knew before it read the list to `out`. */
+/* Adds the servers that this host knew before it was cut off to `out`. */
 static void
 add_known_servers(const bbl_control *c, bbl_map *out)
 {
+    const bbl_vec *unproven = &c->rollouts->unproven;
     const bbl_backend_row *row;
     size_t pos = 0;
 
     while ((row = bbl_rows_next_backend(&c->rows, &pos)) != NULL) {
-        uint64_t key = bbl_backend_get_key(&row->backend);
-
-        if (!row->backend.gone && !is_unproven(c->rollouts, key)) {
-            bbl_map_set(out, key, (void *)row);
+        if (!row->backend.gone) {
+            bbl_map_set(out, bbl_backend_get_key(&row->backend), (void *)row);
         }
     }
+    for (size_t i = 0; i < unproven->size; i++) {
+        bbl_map_remove(out, *BBL_VEC_AT(uint64_t, unproven, i));
+    }
 }
 
 /* Returns the hash of a service, and of one version of it. */
@@ -270,32 +264,52 @@
     }
 }
 
+/* Adds the hashes of the services under a rollout to `out`. */
+static void
+add_services(const bbl_control *c, bbl_map *out)
+{
+    const bblx_rollout *r;
+
+    for (size_t i = 0; (r = bbl_state_rollout(c->state, i)) != NULL; i++) {
+        bbl_map_set(out, hash_label(&r->service), (void *)r);
+    }
+}
+
 void
 bbl_rollouts_read_list(bbl_control *c, const bblx_backend *backends,
                        const uint64_t *versions, size_t count)
 {
     bbl_rollouts *s = c->rollouts;
+    bool cut_off = bbl_control_lease_until(c) <= c->now;
+    bbl_map services = BBL_MAP_INIT;
 
     if (versions == NULL) {
         return;
     }
     s->servers.size = 0;
     s->listed_at = c->now;
-    for (size_t i = 0; i < count; i++) {
+    s->next_tick = 0;
+    add_services(c, &services);
+    for (size_t i = 0; (cut_off || services.size > 0) && i < count; i++) {
         const bblx_backend *b = &backends[i];
-        listed_server *server = bbl_vec_add(&s->servers);
+        uint64_t service = hash_label(&b->service);
+        listed_server *server;
 
+        if (!cut_off && bbl_map_get(&services, service) == NULL) {
+            continue;
+        }
+        server = bbl_vec_add(&s->servers);
         server->key = bbl_backend_get_key(b);
-        server->service = hash_label(&b->service);
+        server->service = service;
         server->version = versions[i];
         bbl_name_from_wire(&server->zone, &b->zone);
         server->slots = b->slots;
         server->leaving = b->leaving;
         server->cold_until = c->now + b->cold_ms * BBL_USEC_PER_MS;
     }
+    bbl_map_free(&services);
     merge_entries(&s->servers);
-    s->next_tick = 0;
-    if (bbl_control_lease_until(c) <= c->now) {
+    if (cut_off) {
         find_unproven(c);
     }
 }
