Rollouts: orders of what runs already, and hosts without a leader

Cause: an order of the version that all servers of a service have, sent again later than 10 s after its end, would refuse most requests until its deadline, as no other server is usable. And a host that is cut off would give nothing to servers that start, also old ones, within the hour after a rollback.

Change: without servers of another version in the list the rollout is completed at once, before any share. A host that is cut off and reads the platform's list classifies the servers by itself.

--- a/src/control/rollouts.c
+++ b/src/control/rollouts.c
@@ -19,6 +19,8 @@
 #define ROW_REFRESH_MS 100000
 /* An older list says nothing of the servers that are warm now. */
 #define LIST_MAX_AGE_US (5 * BBL_USEC_PER_SEC)
+/* The platform's list may lag behind by so much. */
+#define LIST_LAG_US (1500 * BBL_USEC_PER_MS)
 /* A new leader takes the time that is left from the last record, if the clock
  * was set back, so that this is renewed. */
 #define CHECKPOINT_US (30 * BBL_USEC_PER_SEC)
@@ -264,56 +266,6 @@
     }
 }
 
-/* Adds the hashes of the services under a rollout to `out`. */
-static void
-add_services(const bbl_control *c, bbl_map *out)
-{
-    const bblx_rollout *r;
-
-    for (size_t i = 0; (r = bbl_state_rollout(c->state, i)) != NULL; i++) {
-        bbl_map_set(out, hash_label(&r->service), (void *)r);
-    }
-}
-
-void
-bbl_rollouts_read_list(bbl_control *c, const bblx_backend *backends,
-                       const uint64_t *versions, size_t count)
-{
-    bbl_rollouts *s = c->rollouts;
-    bool cut_off = bbl_control_lease_until(c) <= c->now;
-    bbl_map services = BBL_MAP_INIT;
-
-    if (versions == NULL) {
-        return;
-    }
-    s->servers.size = 0;
-    s->listed_at = c->now;
-    s->next_tick = 0;
-    add_services(c, &services);
-    for (size_t i = 0; (cut_off || services.size > 0) && i < count; i++) {
-        const bblx_backend *b = &backends[i];
-        uint64_t service = hash_label(&b->service);
-        listed_server *server;
-
-        if (!cut_off && bbl_map_get(&services, service) == NULL) {
-            continue;
-        }
-        server = bbl_vec_add(&s->servers);
-        server->key = bbl_backend_get_key(b);
-        server->service = service;
-        server->version = versions[i];
-        bbl_name_from_wire(&server->zone, &b->zone);
-        server->slots = b->slots;
-        server->leaving = b->leaving;
-        server->cold_until = c->now + b->cold_ms * BBL_USEC_PER_MS;
-    }
-    bbl_map_free(&services);
-    merge_entries(&s->servers);
-    if (cut_off) {
-        find_unproven(c);
-    }
-}
-
 static bool
 is_evacuated(const bbl_control *c, const listed_server *server)
 {
@@ -369,6 +321,7 @@
     const bbl_rollouts *s = c->rollouts;
     uint64_t service = hash_label(&r->service);
     uint64_t target = hash_label(&r->target);
+    unsigned others = 0;
     bool recent = s->listed_at != 0 && c->now < s->listed_at + LIST_MAX_AGE_US;
 
     for (size_t i = 0; i < s->servers.size; i++) {
@@ -378,6 +331,7 @@
         if (server->service != service) {
             continue;
         }
+        others += !is_target;
         publish_version(c, server, r->order,
                         server->version == 0 ? BBLX_VERSION_UNKNOWN
                         : is_target          ? BBLX_VERSION_TARGET
@@ -388,6 +342,77 @@
                 server->slots;
         }
     }
+    in->alone = in->target_slots > 0 && others == 0;
+}
+
+/*
+ * Publishes the versions of all servers of services under a rollout that does
+ * not let servers of an unknown version have requests. A host that is cut off
+ * does it for itself: nobody else tells it of servers that start.
+ */
+static void
+classify_all(bbl_control *c)
+{
+    const bblx_rollout *r;
+
+    for (size_t i = 0; (r = bbl_state_rollout(c->state, i)) != NULL; i++) {
+        bbl_plan_input unused = {0};
+
+        if (r->state != BBLX_ROLLOUT_COMPLETED) {
+            classify_servers(c, r, &unused);
+        }
+    }
+}
+
+/* Adds the hashes of the services under a rollout to `out`. */
+static void
+add_services(const bbl_control *c, bbl_map *out)
+{
+    const bblx_rollout *r;
+
+    for (size_t i = 0; (r = bbl_state_rollout(c->state, i)) != NULL; i++) {
+        bbl_map_set(out, hash_label(&r->service), (void *)r);
+    }
+}
+
+void
+bbl_rollouts_read_list(bbl_control *c, const bblx_backend *backends,
+                       const uint64_t *versions, size_t count)
+{
+    bbl_rollouts *s = c->rollouts;
+    bool cut_off = bbl_control_lease_until(c) <= c->now;
+    bbl_map services = BBL_MAP_INIT;
+
+    if (versions == NULL) {
+        return;
+    }
+    s->servers.size = 0;
+    s->listed_at = c->now;
+    s->next_tick = 0;
+    add_services(c, &services);
+    for (size_t i = 0; (cut_off || services.size > 0) && i < count; i++) {
+        const bblx_backend *b = &backends[i];
+        uint64_t service = hash_label(&b->service);
+        listed_server *server;
+
+        if (!cut_off && bbl_map_get(&services, service) == NULL) {
+            continue;
+        }
+        server = bbl_vec_add(&s->servers);
+        server->key = bbl_backend_get_key(b);
+        server->service = service;
+        server->version = versions[i];
+        bbl_name_from_wire(&server->zone, &b->zone);
+        server->slots = b->slots;
+        server->leaving = b->leaving;
+        server->cold_until = c->now + b->cold_ms * BBL_USEC_PER_MS;
+    }
+    bbl_map_free(&services);
+    merge_entries(&s->servers);
+    if (cut_off) {
+        find_unproven(c);
+        classify_all(c);
+    }
 }
 
 /* ---- counts of hosts ---- */
@@ -738,6 +763,8 @@
     memset(&in, 0, sizeof(in));
     fill_plan_input(c, n, r, &in);
     classify_servers(c, r, &in);
+    in.alone =
+        in.alone && c->rollouts->listed_at > n->started_at + LIST_LAG_US;
     worst = judge_routes(c, n, &in);
     bbl_plan_next(&result, &in);
     switch (result.action) {
--- a/src/rollout/plan.c
+++ b/src/rollout/plan.c
@@ -134,6 +134,10 @@
 {
     uint32_t next = get_next_share(in);
 
+    if (in->share == 0 && in->alone && in->in_force && in->stable) {
+        /* Any share would only refuse requests. */
+        return decide(BBL_PLAN_COMPLETE, 0, "no other version is listed");
+    }
     if (in->share >= get_due_share(in)) {
         return decide(BBL_PLAN_WAIT, in->share, "no step is due");
     }
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -30,6 +30,9 @@
     /* Slots of the warm servers of the new version, and of all others. */
     unsigned target_slots;
     unsigned other_slots;
+    /* Whether the list, read well after the order, has warm servers of the new
+     * version and none of any other. */
+    bool alone;
     /* How long some live entry host has not told that it applies the rollout;
      * 0 if all have. */
     bbl_usec unreported;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -361,6 +361,24 @@
 }
 END_TEST
 
+/* An operator orders the version that runs already: until the deadline all
+ * requests beyond a share would be refused. */
+START_TEST(without_another_version_the_rollout_is_completed_at_once)
+{
+    bbl_plan_input in = usual_input(60 * SEC);
+    bbl_plan_result r;
+
+    in.other_slots = 0;
+    in.alone = true;
+    bbl_plan_next(&r, &in);
+    ck_assert_int_eq(r.action, BBL_PLAN_COMPLETE);
+    /* Once there was a share, the old servers may have failed all together. */
+    in.share = 400;
+    bbl_plan_next(&r, &in);
+    ck_assert_int_eq(r.action, BBL_PLAN_WAIT);
+}
+END_TEST
+
 /* An earlier build among the entry hosts sends to all servers alike. */
 START_TEST(a_host_that_does_not_report_ends_the_rollout)
 {
@@ -449,6 +467,8 @@
     tcase_add_test(tc, a_share_is_not_raised_beyond_what_the_servers_can_take);
     tcase_add_loop_test(tc, no_step_is_made_before_the_last_one_is_in_force, 0,
                         2);
+    tcase_add_test(tc,
+                   without_another_version_the_rollout_is_completed_at_once);
     tcase_add_test(tc, a_host_that_does_not_report_ends_the_rollout);
     tcase_add_loop_test(tc, a_bad_verdict_ends_the_rollout_at_any_share, 0, 4);
     tcase_add_test(tc, hosts_with_few_requests_keep_to_the_share_together);
