Rollouts: states that no build records are refused; fuzzing of orders

Cause: the state of a step is a number on the wire; an unknown one would be used as an index for its name in the log.

Result: test_rollout_state passes; the fuzz program compiles (clang -fsyntax-only), it was not run.

--- a/src/control/state.c
+++ b/src/control/state.c
@@ -488,7 +488,10 @@
     bblx_rollout *row = at >= 0 ? bbl_vec_at(&s->rollouts, (size_t)at) : NULL;
     bool running = row != NULL && row->state == BBLX_ROLLOUT_RUNNING;
 
-    if (c->order == 0) {
+    if ((unsigned)c->state > BBLX_ROLLOUT_FORGOTTEN) {
+        result->status = BBL_EDAMAGED;
+    }
+    else if (c->order == 0) {
         apply_rollout_order(s, index, c, result);
     }
     else if (row == NULL || row->order != c->order ||
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -146,7 +146,8 @@
     static const char *const names[] = {"running", "completed", "rolled-back",
                                         "forgotten"};
 
-    return names[state];
+    return (unsigned)state <= BBLX_ROLLOUT_FORGOTTEN ? names[state]
+                                                     : "unknown";
 }
 
 /* Logs the rollouts that are not as when they were logged last. */
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -122,6 +122,7 @@
 static void
 fuzz_catalog(bbl_str bytes)
 {
+    bbl_rollout_order order; /* JSON as well */
     bbl_vec backends = BBL_VEC_INIT(bblx_backend);
     bbl_vec versions = BBL_VEC_INIT(uint64_t);
     bbl_buf next = {0};
@@ -134,6 +135,10 @@
     }
     bbl_vec_free(&backends);
     bbl_vec_free(&versions);
+    if (bbl_platform_dialect()->read_rollout_order(&order, bytes) == 0) {
+        bbl_buf_free(&order.service);
+        bbl_buf_free(&order.target);
+    }
     bbl_buf_free(&next);
 }
 
--- a/tests/test_rollout_state.c
+++ b/tests/test_rollout_state.c
@@ -98,6 +98,8 @@
     ck_assert_int_eq(
         apply(s, "a", "v2", first + 5, BBLX_ROLLOUT_RUNNING, 1100),
         BBL_ENOTFOUND);
+    ck_assert_int_eq(apply(s, "a", "v2", first, (bblx_rollout_state)77, 1100),
+                     BBL_EDAMAGED);
     ck_assert_uint_eq(find(s, "a")->share, 0);
     ck_assert_int_eq(apply(s, "a", "v2", first, BBLX_ROLLOUT_RUNNING, 1100),
                      0);
