--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -170,7 +170,7 @@
     for n in 1 2 3; do
         until [ "$(curl -s -m 3 -o /dev/null -D "$dir/head" -w '%{http_code}' \
             -H 'Host: a.example' -H "Request-Id: k$RANDOM" -H 'Deadline-Ms: 2000' \
-            ${2:+-H "Key: $2"} "http://127.60.2.$n:8104/one/key")" = "$1" ]; do
+            ${2:+-H "Key: $2"} "http://$net.2.$n:8104/one/key")" = "$1" ]; do
             if [ "$(date +%s%N)" -gt "$end" ]; then return 1; fi
             sleep 0.05
         done
@@ -185,7 +185,7 @@
         curl -s -m 3 -o /dev/null -D "$dir/head" -w '%{http_code}\n' \
             -H 'Host: a.example' -H "Request-Id: q$RANDOM$RANDOM" \
             -H 'Deadline-Ms: 2000' -H "Key: $1" \
-            "http://127.60.2.$((i % 3 + 1)):8104/one/quota"
+            "http://$net.2.$((i % 3 + 1)):8104/one/quota"
     done
 }
 
@@ -200,6 +200,8 @@
     }'
 }
 
+old_servers=s1=$net.3.1:8080,$net.3.2:8080
+
 # start_standin OPTION...: starts the stand-in servers, in place of those that run.
 start_standin() {
     if [ "$standin_pid" -gt 0 ]; then
@@ -207,7 +209,7 @@
         wait "$standin_pid" 2>/dev/null || true
     fi
     "$build/tools/platform_standin" --list $net.4.1:8102 "$@" \
-        s1=$net.3.1:8080,$net.3.2:8080 s2=$net.3.3:8080,$net.3.4:8080 \
+        $old_servers s2=$net.3.3:8080,$net.3.4:8080 \
         >"$dir/standin.log" 2>&1 &
     standin_pid=$!
 }
@@ -376,7 +378,7 @@
 is_answered 200 key-of-bee || fail "a key that stays is not accepted"
 tenants=',"tenants":[{"name":"bee","api_keys":["key-of-bee"]},{"name":"cat","api_keys":["key-of-bee"]}]'
 [ "$(print_routing 102 | curl -sL -m 3 -X PUT --data-binary @- -o /dev/null \
-    -w '%{http_code}' http://127.60.1.2:8106/-/config)" = 400 ] ||
+    -w '%{http_code}' http://$net.1.2:8106/-/config)" = 400 ] ||
     fail "a routing with a key of two organisations was not refused"
 grep -q 'organisations .*bee.* and .*cat.* have the same key' "$dir"/control2.log ||
     fail "the log does not name the organisations with the same key"
@@ -415,4 +417,53 @@
 is_answered 401 key-of-bee || fail "a key is not refused beside 100,000 others"
 grep -q 'BBL5001 .*org=ant ' "$dir/entry1.log" || fail "the log does not name the organisation"
 if grep -l 'key-of-\|key-09999' "$dir"/*.log; then fail "a key is in a log"; fi
+
+# order_rollout VERSION SECONDS: orders a rollout of s1; prints the status.
+order_rollout() {
+    curl -s -L -m 4 -X POST -o /dev/null -w '%{http_code}' \
+        --data "{\"service\":\"s1\",\"target_version\":\"$1\",\"duration_s\":$2}" \
+        http://$net.1.2:8106/-/rollouts
+}
+
+# is_rollout STATE VERSION: succeeds if this is the state of the rollout of s1.
+is_rollout() {
+    curl -sfL -m 2 -o "$dir/rollout" http://$net.1.3:8106/-/rollouts/s1 &&
+        grep -q "\"state\":\"$1\",\"target_version\":\"$2\"" "$dir/rollout"
+}
+
+# A version that fails is rolled back, and its failures reach no caller.
+start_standin
+for n in 1 2 3; do wait_until send_request "$n" /one/before || fail "no answer before the rollout"; done
+[ "$(order_rollout v2 0)" = 400 ] || fail "a rollout within 0 s is not refused"
+[ "$(order_rollout v2 16)" = 200 ] || fail "a rollout is not recorded"
+[ "$(order_rollout v2 16)" = 200 ] || fail "the same order again is not acknowledged"
+[ "$(order_rollout v3 16)" = 409 ] || fail "a rollout to another version is not refused"
+is_rollout running v2 || fail "the rollout does not run"
+start_standin --failing 100 s1@v2=$net.3.5:8080,$net.3.6:8080
+for n in 1 2 3; do wait_until send_request "$n" /one/during || fail "no answer during the rollout"; done
+sleep 2 # the old servers have restarted with the stand-in, and count as cold
+for n in 1 2 3; do send_for 15 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+for n in 1 2 3; do wait "${loads[$n]}"; done
+is_rollout rolled_back v2 || fail "a version that fails is not rolled back: $(cat "$dir/rollout")"
+[ "$(grep -c " fails$" "$dir/standin.log")" -le 50 ] || fail "a version that fails gets more than 50 requests"
+[ "$(cat "$dir"/statuses? | grep -c -v '^200$')" -le 2 ] || fail "callers notice a version that fails"
+
+# A good version is completed by its deadline, and the old servers stop at once.
+[ "$(order_rollout v3 16)" = 200 ] || fail "the next rollout is not recorded"
+ordered=$(date +%s%N)
+start_standin s1@v3=$net.3.7:8080,$net.3.8:8080
+for n in 1 2 3; do wait_until send_request "$n" /one/during || fail "no answer during the second rollout"; done
+sleep 2 # the old servers have restarted with the stand-in, and count as cold
+for n in 1 2 3; do send_for 15 "$n" >"$dir/statuses$n" & loads[$n]=$!; done
+until is_rollout completed v3; do
+    [ "$(date +%s%N)" -lt $((ordered + 16000000000)) ] || fail "a good version is not completed by its deadline: $(cat "$dir/rollout")"
+    sleep 0.05
+done
+for n in 1 2 3; do wait "${loads[$n]}"; done
+[ "$(cat "$dir"/statuses? | grep -c -v '^200$')" -eq 0 ] || fail "callers notice a rollout"
+old_servers=s1@v3=$net.3.7:8080,$net.3.8:8080
+start_standin
+for n in 1 2 3; do wait_until send_request "$n" /one/after || fail "no answer after the rollout"; done
+send_for 3 1 >"$dir/statuses1"
+[ "$(grep -c -v '^200$' "$dir/statuses1")" -eq 0 ] || fail "requests fail after the rollout"
 echo "forward-test: all checks passed"
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -651,6 +651,12 @@
     send_notice(ctx, bbl_notice_new_health(o));
 }
 
+static void
+report_rollouts(void *ctx, const bbl_rollout_tally *tally)
+{
+    send_notice(ctx, bbl_notice_new_rollout_counts(tally));
+}
+
 static void
 request_permits(void *ctx, const bbl_permit_request *request)
 {
@@ -1049,6 +1055,7 @@
     f.port.send_admission = send_admission;
     f.port.report_quota = log_quota;
     f.port.pressure_changed = log_pressure;
+    f.port.report_rollouts = report_rollouts;
     f.permit_ttl = BBL_PERMIT_TTL_US;
     f.token_time = bbl_quota_get_token_time(&o->quota_limits);
     f.port.ctx = g;
--- a/src/daemon/notice.h
+++ b/src/daemon/notice.h
@@ -10,6 +10,8 @@
 #include "forward/backend.h"
 #include "forward/crash_ledger.h"
 #include "forward/permit.h"
+#include "forward/rollout_tally.h"
+#include "forward/rollout_view.h"
 #include "model/codec.h"
 
 typedef enum {
@@ -17,7 +19,8 @@
     BBL_NOTICE_CRASH,
     BBL_NOTICE_HEALTH,
     BBL_NOTICE_PERMIT_REQUEST,
-    BBL_NOTICE_ADMISSION
+    BBL_NOTICE_ADMISSION,
+    BBL_NOTICE_ROLLOUT_COUNTS
 } bbl_notice_kind;
 
 typedef struct {
@@ -31,6 +34,8 @@
     bblx_permit_request permit_request; /* BBL_NOTICE_PERMIT_REQUEST; owned */
     uint32_t grantor;                   /* BBL_NOTICE_ADMISSION: host id */
     bblx_message admission; /* the same; points to no other memory */
+    /* BBL_NOTICE_ROLLOUT_COUNTS; owned, without the incarnation */
+    bblx_rollout_counts rollout_counts;
 } bbl_notice;
 
 bbl_notice *bbl_notice_new_rate_limit(const bbl_backend *backend);
@@ -39,6 +44,7 @@
 bbl_notice *bbl_notice_new_permit_request(const bbl_permit_request *request);
 bbl_notice *bbl_notice_new_admission(uint32_t grantor,
                                      const bblx_message *message);
+bbl_notice *bbl_notice_new_rollout_counts(const bbl_rollout_tally *tally);
 
 /* Frees a notice; NULL is allowed. */
 void bbl_notice_free(bbl_notice *notice);
@@ -61,6 +67,9 @@
 void bbl_observed_health_read(bbl_observed_health *out,
                               const bblx_report *report);
 
+/* Decodes a report with phase BBLX_VERSION. */
+void bbl_known_version_read(bbl_known_version *out, const bblx_report *report);
+
 /* Decodes a report with phase BBLX_RATE_LIMIT. */
 void bbl_observed_limit_read(bbl_observed_limit *out,
                              const bblx_report *report);
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -1,6 +1,7 @@
 #include "daemon/publisher.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "bbl/errors.h"
 #include "daemon/notice.h"
@@ -26,6 +27,7 @@
     uint64_t peers; /* hash of the peers */
     unsigned entry_hosts;
     uint64_t grantors; /* hash of the grantors */
+    size_t unproven;   /* servers, see bbl_control_get_unproven */
     uint64_t routing_version;
     bool routing_refused; /* this version is invalid */
 } publication_marks;
@@ -105,6 +107,43 @@
     }
 }
 
+static void
+fill_rollouts(bbl_publisher *p, bbl_forward_update *u)
+{
+    const bbl_state *state = bbl_control_state(p->options.control);
+    const bblx_rollout *r;
+    size_t count = 0;
+
+    while (bbl_state_rollout(state, count) != NULL) {
+        count++;
+    }
+    u->rollouts = bbl_calloc(count, sizeof(*u->rollouts));
+    u->rollout_count = count;
+    for (size_t i = 0; (r = bbl_state_rollout(state, i)) != NULL; i++) {
+        bbl_known_rollout *out = &u->rollouts[i];
+
+        out->order = r->order;
+        out->state = r->state;
+        out->share = r->share;
+        bbl_buf_append(&out->service, r->service.bblx_label_val,
+                       r->service.bblx_label_len);
+    }
+}
+
+static void
+fill_unproven(bbl_publisher *p, bbl_forward_update *u)
+{
+    size_t count;
+    const uint64_t *keys =
+        bbl_control_get_unproven(p->options.control, &count);
+
+    if (count > 0) {
+        u->unproven = bbl_calloc(count, sizeof(*keys));
+        memcpy(u->unproven, keys, count * sizeof(*keys));
+        u->unproven_count = count;
+    }
+}
+
 /* Decodes a new version of the routing, which was validated when an operator
  * sent it. */
 static void
@@ -143,7 +182,8 @@
 
 /*
  * Fills what hosts have observed of servers since the last update: rate
- * limits, requests under which servers have ended, and their health.
+ * limits, requests under which servers have ended, their health, and versions
+ * of servers under a rollout.
  */
 static void
 fill_observations(bbl_publisher *p, bbl_forward_update *u)
@@ -153,6 +193,7 @@
     bbl_vec limits = BBL_VEC_INIT(bbl_observed_limit);
     bbl_vec crashes = BBL_VEC_INIT(bbl_observed_crash);
     bbl_vec health = BBL_VEC_INIT(bbl_observed_health);
+    bbl_vec versions = BBL_VEC_INIT(bbl_known_version);
     uint64_t revision;
     size_t pos = 0;
 
@@ -169,6 +210,9 @@
         else if (report->phase == BBLX_HEALTH) {
             bbl_observed_health_read(bbl_vec_add(&health), report);
         }
+        else if (report->phase == BBLX_VERSION) {
+            bbl_known_version_read(bbl_vec_add(&versions), report);
+        }
     }
     p->marks.reports = rows->revision;
     u->has_observations = true;
@@ -176,6 +220,8 @@
     u->limit_count = limits.size;
     u->crashes = crashes.ptr;
     u->crash_count = crashes.size;
+    u->versions = versions.ptr;
+    u->version_count = versions.size;
     u->health = health.ptr;
     u->health_count = health.size;
 }
@@ -309,8 +355,9 @@
 has_only_health(const bbl_publisher *p, const bbl_forward_update *u)
 {
     return u->health_count > 0 && u->limit_count == 0 && u->crash_count == 0 &&
-           u->routing == NULL && !u->has_peers &&
-           p->marks.backends == p->marks_before.backends &&
+           u->version_count == 0 && u->unproven_count == 0 &&
+           p->marks_before.unproven == 0 && u->routing == NULL &&
+           !u->has_peers && p->marks.backends == p->marks_before.backends &&
            p->marks.applied == p->marks_before.applied &&
            u->applied == p->marks_before.applied &&
            p->marks.entry_hosts == p->marks_before.entry_hosts &&
@@ -341,6 +388,9 @@
     u->entry_hosts = count_entry_hosts(p, now);
     p->marks.entry_hosts = u->entry_hosts;
     fill_evacuated(p, u);
+    fill_rollouts(p, u);
+    fill_unproven(p, u);
+    p->marks.unproven = u->unproven_count;
     u->only_health = has_only_health(p, u);
     if (u->only_health) {
         p->marks.list_read_at = p->marks_before.list_read_at;
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -27,6 +27,9 @@
     /* Prefers a server that is rated as bad, if another one is not: so its
      * recovery is noticed. */
     bool probe;
+    /* The version that its servers must have while a rollout divides the
+     * requests, else BBLX_VERSION_UNKNOWN. */
+    bblx_server_version version;
 } bbl_placement_input;
 
 /* How the driver could send to a server now. */
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -69,6 +69,10 @@
     unsigned attempts_sent;
     unsigned attempts_maybe_run; /* attempts that a server may have run */
     unsigned in_flight;
+    /* Whether it was decided if its first attempt goes to the target version
+     * of a rollout, and whether it does. */
+    bool version_drawn;
+    bool to_target;
     /* Servers of the attempts sent so far; compared, never dereferenced. */
     const bbl_backend *tried[BBL_ATTEMPTS_MAX];
     const char *failure_reason; /* of the last failed attempt, or NULL */
@@ -158,6 +162,11 @@
     bbl_usec cancel_at;
     bool hedge;
     bool late; /* counted as bad evidence, see server_health.h */
+    /* The running rollout for which it counts, or 0, and whether it went to a
+     * server of the target version. */
+    uint64_t rollout;
+    bool to_target;
+    uint64_t route;           /* hash of the route's name, if it counts */
     struct bbl_attempt *prev; /* attempts at the same server, oldest first */
     struct bbl_attempt *next;
 };
--- a/src/net/mesh.c
+++ b/src/net/mesh.c
@@ -51,7 +51,7 @@
  * KIND_MAX.
  */
 #define KIND_MARK 0xbb1c0000u
-#define KIND_MAX BBLX_ADMISSION_REPORT
+#define KIND_MAX BBLX_ROLLOUT_COUNTS
 
 /* A frame that the peer has not acknowledged. */
 typedef struct {
@@ -823,6 +823,14 @@
     return l != NULL ? l->unacked_bytes : 0;
 }
 
+bool
+bbl_mesh_accepts_kind(const bbl_mesh *mesh, uint32_t host, bblx_kind kind)
+{
+    const outgoing_link *l = bbl_map_get(&mesh->outgoing, host);
+
+    return l != NULL && (uint32_t)kind <= l->kind_max;
+}
+
 const bbl_mesh_counters *
 bbl_mesh_get_counters(const bbl_mesh *mesh)
 {
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -126,15 +126,23 @@
 static void
 fuzz_catalog(bbl_str bytes)
 {
+    bbl_rollout_order order; /* JSON as well */
     bbl_vec backends = BBL_VEC_INIT(bblx_backend);
+    bbl_vec versions = BBL_VEC_INIT(uint64_t);
     bbl_buf next = {0};
     size_t skipped;
 
-    bbl_platform_dialect()->read_catalog(&backends, &next, &skipped, bytes);
+    bbl_platform_dialect()->read_catalog(&backends, &versions, &next, &skipped,
+                                         bytes);
     for (size_t i = 0; i < backends.size; i++) {
         BBL_XDR_FREE(bblx_backend, bbl_vec_at(&backends, i));
     }
     bbl_vec_free(&backends);
+    bbl_vec_free(&versions);
+    if (bbl_platform_dialect()->read_rollout_order(&order, bytes) == 0) {
+        bbl_buf_free(&order.service);
+        bbl_buf_free(&order.target);
+    }
     bbl_buf_free(&next);
 }
 
--- a/tests/test_forward_policy.c
+++ b/tests/test_forward_policy.c
@@ -219,7 +219,8 @@
 static unsigned
 count_first(pair *p, bbl_usec now, bool second)
 {
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, second, 0, false};
+    bbl_placement_input in = {
+        .service_time = 15 * MS, .stall_timeout = 30 * MS, .hedge = second};
     unsigned n = 0;
     bbl_placement_counts usable;
 
@@ -245,7 +246,8 @@
 START_TEST(an_open_connection_is_preferred_at_equal_speed)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, false};
+    bbl_placement_input in = {.service_time = 15 * MS,
+                              .stall_timeout = 30 * MS};
     bbl_placement_counts usable;
 
     init_pair(&p);
@@ -385,7 +387,8 @@
 START_TEST(probes_reach_servers_that_are_rated_as_bad)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, true};
+    bbl_placement_input in = {
+        .service_time = 15 * MS, .stall_timeout = 30 * MS, .probe = true};
     bbl_placement_counts counts;
 
     init_pair(&p);
@@ -404,7 +407,8 @@
 START_TEST(parts_that_ratings_move_are_counted)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, false};
+    bbl_placement_input in = {.service_time = 15 * MS,
+                              .stall_timeout = 30 * MS};
     bbl_placement_counts counts;
 
     init_pair(&p);
@@ -423,7 +427,8 @@
 START_TEST(only_usable_servers_are_chosen)
 {
     pair p;
-    bbl_placement_input in = {15 * MS, 30 * MS, NULL, 0, false, 0, false};
+    bbl_placement_input in = {.service_time = 15 * MS,
+                              .stall_timeout = 30 * MS};
     bbl_placement_counts usable;
 
     init_pair(&p);
--- a/tests/test_publisher.c
+++ b/tests/test_publisher.c
@@ -126,9 +126,11 @@
     install_document(f, version, "");
 }
 
+/* Sets a list of one server, of version v2. */
 static void
 set_list(fixture *f, const char *id)
 {
+    uint64_t version = bbl_version_hash((bbl_str){"v2", 2});
     bblx_backend b;
 
     memset(&b, 0, sizeof(b));
@@ -136,7 +138,7 @@
     b.id.bblx_label_len = (u_int)strlen(id);
     b.service = b.id;
     b.slots = 1;
-    bbl_control_replace_catalog(f->control, f->now, &b, 1);
+    bbl_control_replace_catalog(f->control, f->now, &b, &version, 1);
 }
 
 /* The traffic thread may be slow, and then gets one update for several. */
@@ -199,7 +201,7 @@
         list[i].service = list[i].id;
         list[i].slots = 2;
     }
-    bbl_control_replace_catalog(f->control, f->now, list, LISTED);
+    bbl_control_replace_catalog(f->control, f->now, list, NULL, LISTED);
 }
 
 /* Reports the health of a server as the traffic thread does. */
@@ -394,6 +396,36 @@
 }
 END_TEST
 
+/* The versions of servers come with the rollouts, and are not lost either. */
+START_TEST(an_update_holds_the_rollouts_and_versions)
+{
+    fixture f;
+    bbl_forward_update *u;
+    bblx_rollout r;
+
+    open_fixture(&f);
+    install_routing(&f, 7);
+    memset(&r, 0, sizeof(r));
+    r.service = (bblx_label){2, "i1"};
+    r.target = (bblx_label){2, "v2"};
+    r.duration_ms = 60000;
+    bbl_control_propose_rollout(f.control, f.now, &r);
+    run(&f, 50);
+    set_list(&f, "i1");
+    run(&f, 200);
+    for (int i = 0; i < 3; i++) {
+        u = bbl_publisher_make_update(f.publisher, f.now);
+        ck_assert_uint_eq(u->rollout_count, 1);
+        ck_assert_int_eq(u->rollouts[0].state, BBLX_ROLLOUT_RUNNING);
+        ck_assert_uint_eq(u->version_count, 1);
+        ck_assert_int_eq(u->versions[0].version, BBLX_VERSION_TARGET);
+        ck_assert_uint_eq(u->versions[0].order, u->rollouts[0].order);
+        bbl_publisher_take_back(f.publisher, u);
+    }
+    close_fixture(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -407,6 +439,7 @@
     tcase_add_test(tc, health_replaces_no_row_of_another_kind);
     tcase_add_test(tc, rows_of_health_expire_soon);
     tcase_add_test(tc, an_update_of_health_only_is_cheap);
+    tcase_add_test(tc, an_update_holds_the_rollouts_and_versions);
     suite_add_tcase(s, tc);
     return run_suite(s);
 }
