Soak: organisations with keys, and one far over its limit

The soak knew nothing of the new parts. Servers check name, key and the bound for any 5 s. Rollouts and load beyond what fits are not played in the soak yet.

--- a/tools/soak/callers.c
+++ b/tools/soak/callers.c
@@ -36,7 +36,8 @@
     soak_request_record *record;
     bbl_link_exchange *exchange;
     route_kind route;
-    unsigned entry; /* index of the entry host */
+    const char *organisation; /* NULL: its key is unknown */
+    unsigned entry;           /* index of the entry host */
     bbl_usec sent_at;
 } caller_request;
 
@@ -61,6 +62,22 @@
     soak_request_counts counts;
 };
 
+/*
+ * Appends the organisations. The key of "bee" that is not used comes and goes
+ * with the versions.
+ */
+static void
+append_organisations(bbl_buf *out, uint64_t version)
+{
+    bbl_buf_printf(out,
+                   "\"tenants\":[{\"name\":\"ant\",\"api_keys\":[\"k-ant\"],"
+                   "\"priority\":0},{\"name\":\"bee\",\"api_keys\":["
+                   "\"k-bee\",\"k-%llu\"]},{\"name\":\"%s\",\"api_keys\":["
+                   "\"k-%s\"],\"rate_per_s\":%d,\"burst\":%d}]}",
+                   (unsigned long long)version, SOAK_LIMITED, SOAK_LIMITED,
+                   SOAK_LIMIT_PER_S, SOAK_LIMIT_BURST);
+}
+
 void
 soak_routing_append(bbl_buf *out, uint64_t version, unsigned service_count)
 {
@@ -108,7 +125,8 @@
     bbl_buf_append_cstr(out,
                         "],\"limits\":{\"max_header_bytes\":16384,"
                         "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
-                        "\"idle_timeout_ms\":15000}}");
+                        "\"idle_timeout_ms\":15000},");
+    append_organisations(out, version);
 }
 
 /* ---- checks ---- */
@@ -224,6 +242,14 @@
             check_single(c, m);
         }
     }
+    else if (status == 429 && c->organisation != NULL &&
+             strcmp(c->organisation, SOAK_LIMITED) == 0) {
+        callers->counts.sent--; /* over its limit: neither served nor owed */
+        c->record->refused = true;
+    }
+    else if (status == 401 && c->organisation == NULL) {
+        callers->counts.sent--;
+    }
     else if (status == 503 || status == 429) {
         callers->counts.refused++;
         c->record->refused = true;
@@ -283,6 +309,22 @@
     free(c);
 }
 
+/*
+ * Chooses the organisation of a request: the one with a limit sends several
+ * times that, and some requests have an unknown key. Requests that look for a
+ * version always have a known one.
+ */
+static const char *
+choose_organisation(soak_callers *callers, route_kind kind)
+{
+    unsigned n = (unsigned)bbl_rng_below(&callers->rng, 100);
+
+    if (kind == ROUTE_VERSION || n < 40) {
+        return "ant";
+    }
+    return n < 86 ? "bee" : n < 98 ? SOAK_LIMITED : NULL;
+}
+
 static void
 send_request(soak_callers *callers, bbl_usec now, unsigned entry,
              route_kind kind, uint64_t version)
@@ -298,8 +340,9 @@
     c->route = kind;
     c->entry = entry;
     c->sent_at = now;
-    c->record = soak_servers_register_request(callers->servers, id,
-                                              kind == ROUTE_ONCE);
+    c->organisation = choose_organisation(callers, kind);
+    c->record = soak_servers_register_request(
+        callers->servers, id, kind == ROUTE_ONCE, c->organisation);
     bbl_buf_printf(&head, "%s /%s", kind == ROUTE_ONCE ? "POST" : "GET",
                    paths[kind]);
     if (kind == ROUTE_VERSION) {
@@ -307,8 +350,9 @@
     }
     bbl_buf_printf(&head,
                    "/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
-                   "Deadline-Ms: %d\r\n%s",
+                   "Deadline-Ms: %d\r\nKey: k-%s\r\nTenant-Id: dog\r\n%s",
                    id, DEADLINE_MS,
+                   c->organisation != NULL ? c->organisation : "unknown",
                    kind == ROUTE_ONCE ? "Content-Length: 4\r\n" : "");
     memset(&r, 0, sizeof(r));
     r.head = bbl_buf_str(&head);
--- a/tools/soak/servers.c
+++ b/tools/soak/servers.c
@@ -15,6 +15,10 @@
 
 #define SERVICE_MAX 16
 #define ADDRESS_MAX 32
+#define LIMIT_WINDOW_US (5 * BBL_USEC_PER_SEC)
+/* The bound of the default settings: a tenth and 20 requests over the limit.
+ */
+#define LIMIT_BOUND ((SOAK_LIMIT_PER_S * 5 + SOAK_LIMIT_BURST) * 1.1 + 20)
 #define VIOLATION_MAX 256
 #define SERVER_PORT 8080
 
@@ -47,6 +51,7 @@
     bbl_edge *list_edge;
     soak_proxy *list_proxy;
     bbl_map request_records; /* hash of the ID -> soak_request_record * */
+    bbl_vec limited_runs;    /* bbl_usec, first runs of SOAK_LIMITED */
     char violation[VIOLATION_MAX];
 };
 
@@ -76,12 +81,14 @@
 }
 
 soak_request_record *
-soak_servers_register_request(soak_servers *servers, const char *id, bool once)
+soak_servers_register_request(soak_servers *servers, const char *id, bool once,
+                              const char *organisation)
 {
     soak_request_record *r = bbl_calloc(1, sizeof(*r));
 
     snprintf(r->id, sizeof(r->id), "%s", id);
     r->once = once;
+    r->organisation = organisation;
     bbl_map_set(&servers->request_records, hash_text(id, strlen(id)), r);
     return r;
 }
@@ -127,6 +134,50 @@
 
 /* ---- servers ---- */
 
+/*
+ * Checks that the requests of the organisation with a limit that run within
+ * LIMIT_WINDOW_US stay within the bound that its operator states.
+ */
+static void
+check_limit(soak_servers *servers, bbl_usec now)
+{
+    bbl_vec *runs = &servers->limited_runs;
+
+    bbl_vec_push(runs, &now);
+    while (*BBL_VEC_AT(bbl_usec, runs, 0) + LIMIT_WINDOW_US <= now) {
+        bbl_vec_remove(runs, 0);
+    }
+    if (runs->size > LIMIT_BOUND) {
+        soak_servers_report_violation(
+            servers, "%zu requests of an organisation ran in 5 s, allowed %u",
+            runs->size, (unsigned)LIMIT_BOUND);
+    }
+}
+
+/* Checks the organisation that a request names, and that it holds no key. */
+static void
+check_organisation(server *s, const bbl_edge_call *call,
+                   const soak_request_record *r)
+{
+    bbl_str name = bbl_http_message_field(call->message, "Tenant-Id");
+
+    if (r->organisation == NULL) {
+        soak_servers_report_violation(
+            s->all_servers, "request %s ran with an unknown key", r->id);
+    }
+    else if (bbl_http_message_field_count(call->message, "Key") > 0 ||
+             bbl_http_message_field_count(call->message, "Tenant-Id") != 1 ||
+             !bbl_str_equal(
+                 name, (bbl_str){r->organisation, strlen(r->organisation)})) {
+        soak_servers_report_violation(
+            s->all_servers, "request %s of %s came as of \"%.*s\"", r->id,
+            r->organisation, (int)name.size, name.ptr ? name.ptr : "");
+    }
+    else if (strcmp(r->organisation, SOAK_LIMITED) == 0 && r->run_count == 0) {
+        check_limit(s->all_servers, call->received_at);
+    }
+}
+
 static void
 record_run(server *s, const bbl_edge_call *call)
 {
@@ -140,6 +191,7 @@
             s->all_servers, "%s ran a request that no caller sent", s->id);
         return;
     }
+    check_organisation(s, call, r);
     r->run_count++;
     if (r->once && r->run_count > 1) {
         soak_servers_report_violation(s->all_servers, "request %s ran twice",
@@ -353,6 +405,7 @@
     servers->loop = loop;
     servers->options = *options;
     servers->running_requests = (bbl_vec)BBL_VEC_INIT(running_request);
+    servers->limited_runs = (bbl_vec)BBL_VEC_INIT(bbl_usec);
     servers->count = options->service_count * options->servers_per_service;
     servers->items = bbl_calloc(servers->count, sizeof(server));
     error = open_server_list(servers);
@@ -382,6 +435,7 @@
         free(r);
     }
     bbl_map_free(&servers->request_records);
+    bbl_vec_free(&servers->limited_runs);
     bbl_vec_free(&servers->running_requests);
     free(servers->items);
     free(servers);
--- a/tools/soak/servers.h
+++ b/tools/soak/servers.h
@@ -27,6 +27,9 @@
     bool once;          /* whether it may run at most once */
     bool refused;       /* whether the caller was told that it has not run */
     unsigned run_count; /* on all servers */
+    /* The organisation whose key it carries; NULL: the key is unknown, and no
+     * server may run it. */
+    const char *organisation;
 } soak_request_record;
 
 typedef struct {
@@ -58,7 +61,13 @@
  * @return the record, valid until soak_servers_free
  */
 soak_request_record *soak_servers_register_request(soak_servers *servers,
-                                                   const char *id, bool once);
+                                                   const char *id, bool once,
+                                                   const char *organisation);
+
+/* The organisation with a limit, which holds over all hosts together. */
+#define SOAK_LIMITED "cat"
+#define SOAK_LIMIT_PER_S 5
+#define SOAK_LIMIT_BURST 5
 
 /* Returns a description of the first violation, or NULL. */
 const char *soak_servers_violation(const soak_servers *servers);
