--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -36,7 +36,7 @@
     bbl_usec wait;        /* shortest wait that a reply has stated */
     bool waits;           /* for load: the grantor asked last has queued it */
     bbl_usec refused_for; /* local refusal: time left of it; 0 if none */
-    bbl_usec retry_after; /* local refusal: time to come back */
+    bbl_usec retry_after; /* local refusal: time to the retry */
     /* Position of the grantor to ask first, and of the next one if that was
      * not asked yet; those that follow it come after that. */
     unsigned first;
--- a/src/admission/pressure.h
+++ b/src/admission/pressure.h
@@ -5,8 +5,12 @@
  * short queues. A sharded query touches every shard, so the share of its parts
  * that servers refuse tells how loaded the whole fleet is, also to a host that
  * sends one or two queries a second. Slow servers refuse parts as well, at the
- * usual load; so a host only asks then, and saves work once a grantor has told
- * that the load of all hosts is limited.
+ * usual load; so a host asks a grantor for a small share of refused parts, and
+ * saves work once a grantor has told that the load of all hosts is limited.
+ *
+ * At a large share a host saves work without waiting for a grantor. Known
+ * fault: servers that refuse many parts without being full look the same, and
+ * retries, which would reach other servers, are then not sent (KNOWN-RED.txt).
  */
 #ifndef BBL_ADMISSION_PRESSURE_H
 #define BBL_ADMISSION_PRESSURE_H
--- a/src/admission/quota_book.c
+++ b/src/admission/quota_book.c
@@ -26,8 +26,8 @@
 #define RESTART_SLACK_SHARE_TOLERANT 0.2
 #define GRANTED_SLACK_SHARE_TOLERANT 0.5
 /*
- * Refused requests that count as coming back, in the tokens of this time: of
- * a caller that sends far more than its limit, many do not come back, and the
+ * Refused requests that are expected to be retried, in the tokens of this
+ * time: of a caller that sends far more than its limit, many are not, and the
  * later ones should not be told to wait for long after it has stopped.
  */
 #define EXPECTED_SECONDS 0.5
@@ -286,7 +286,7 @@
     }
     out->wait_us =
         bbl_share_bucket_get_wait(&b->share, 1 - b->share.tokens, WAIT_MAX_US);
-    /* All grantors refuse the request, and it comes back to one of them. */
+    /* All grantors refuse the request, and its retry reaches one of them. */
     b->share.expected =
         fmin(b->share.expected + 1.0 / grantors,
              fmax(EXPECTED_SECONDS * b->share.rate, 1.0 / grantors));
--- a/src/admission/share_bucket.h
+++ b/src/admission/share_bucket.h
@@ -12,7 +12,7 @@
     double rate;     /* of this grantor, tokens per second */
     double capacity; /* tokens of an unused bucket */
     double tokens;
-    /* Tokens that refused requests will come back for. */
+    /* Tokens that the retries of refused requests will need. */
     double expected;
     bbl_usec filled_at;
 } bbl_share_bucket;
@@ -50,8 +50,8 @@
 
 /*
  * Returns the time until the bucket has earned `missing` tokens besides those
- * that earlier refused requests will come back for, microseconds; at least 1
- * and at most `max` + 1.
+ * that the retries of refused requests will need, microseconds; at least 1 and
+ * at most `max` + 1.
  */
 uint32_t bbl_share_bucket_get_wait(const bbl_share_bucket *bucket,
                                    double missing, uint32_t max);
--- a/src/control/rollouts.c
+++ b/src/control/rollouts.c
@@ -76,7 +76,7 @@
     bbl_usec listed_at;
     bbl_map runs;     /* order -> run */
     bbl_map hosts;    /* host -> counting_host */
-    bbl_vec unproven; /* uint64_t, see bbl_control_next_unproven */
+    bbl_vec unproven; /* uint64_t, see bbl_control_get_unproven */
     bbl_usec next_tick;
     uint64_t received;
 };
--- a/src/daemon/publisher.c
+++ b/src/daemon/publisher.c
@@ -226,6 +226,9 @@
     u->health_count = health.size;
 }
 
+_Static_assert(BBL_PERMIT_GRANTORS_MAX <= BBL_ADMIT_GRANTORS_MAX,
+               "a forwarder cannot hold all grantors");
+
 /* Fills the hosts that grant permits and admission. */
 static void
 fill_grantors(bbl_publisher *p, bbl_forward_update *u)
--- a/src/forward/admission_ask.c
+++ b/src/forward/admission_ask.c
@@ -20,8 +20,8 @@
 #define UNANSWERED_US (1 * BBL_USEC_PER_SEC)
 /* Interval of the reports about an organisation that is over its limit. */
 #define REPORT_INTERVAL_US (10 * BBL_USEC_PER_SEC)
-/* Refused requests that count as coming back: those of this time. */
-#define COMING_BACK_US (500 * BBL_USEC_PER_MS)
+/* Longest delay of a retry for the retries of requests refused before it. */
+#define RETRY_DELAY_MAX_US (500 * BBL_USEC_PER_MS)
 /* Limits of organisations above which those not in use are forgotten. */
 #define LIMITS_MAX 1024
 /* Random part of a retry time: one in this many. */
@@ -216,8 +216,8 @@
     f->options.port.report_quota(f->options.port.ctx, &r);
 }
 
-/* Refuses a query that a grantor has refused for load. The time to come back
- * is spread by the grantor. */
+/* Refuses a query that a grantor has refused for load. The grantor has spread
+ * the retry time. */
 static void
 refuse_load(bbl_forwarder *f, bbl_usec now, bbl_query *q, bbl_usec retry_after)
 {
@@ -271,10 +271,10 @@
     if (l->told_until > l->refused_until) {
         out->retry_after = l->told_until - now;
     }
-    /* Those refused before come back earlier. */
+    /* Requests that were refused before are retried earlier. */
     more = (bbl_usec)(l->refused * (double)BBL_USEC_PER_SEC /
                       q->organisation->rate_per_s);
-    out->retry_after += more < COMING_BACK_US ? more : COMING_BACK_US;
+    out->retry_after += more < RETRY_DELAY_MAX_US ? more : RETRY_DELAY_MAX_US;
 }
 
 static void
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -361,7 +361,7 @@
                  bbl_forward_reason reason, unsigned status,
                  bbl_usec retry_after)
 {
-    /* Rounded up: a caller that comes back earlier is refused again. */
+    /* Rounded up: a caller that retries earlier is refused again. */
     q->record.retry_after_ms =
         (uint32_t)((retry_after + BBL_USEC_PER_MS - 1) / BBL_USEC_PER_MS);
     finish_with_error(f, now, q, reason, status);
--- a/src/forward/delegate.h
+++ b/src/forward/delegate.h
@@ -39,7 +39,7 @@
     uint64_t routing_version;
     /* The service that was chosen for it; empty if none was. */
     bbl_str service;
-    /* Name of the organisation that calls; empty if none has to. */
+    /* Name of the caller's organisation; empty if the route needs none. */
     bbl_str organisation;
     /* Whether its organisation's token was taken, and how long ago. Otherwise
      * the host that answers it has to ask for it. */
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -173,7 +173,7 @@
     bbl_forward_reason reason;
     unsigned status;
     const bbl_route *route; /* NULL if no route matched */
-    bbl_str organisation;   /* that calls; empty if none has to */
+    bbl_str organisation;   /* of the caller; empty if none is needed */
     uint64_t routing_version;
     /* Age of the list of servers; UINT64_MAX if none was read yet. */
     bbl_usec list_age;
--- a/src/forward/forwarder_core.h
+++ b/src/forward/forwarder_core.h
@@ -354,7 +354,7 @@
                       const bbl_forward_answer *answer);
 
 /*
- * Finishes a query with an error answer that states when to come back.
+ * Finishes a query with an error answer that states when to retry.
  *
  * @param retry_after microseconds
  */
--- a/src/forward/query.h
+++ b/src/forward/query.h
@@ -82,7 +82,8 @@
     bbl_forward_request request;
     bbl_route_table *table;
     const bbl_route *route;
-    /* That calls, in the routing of `table`; NULL if none has to. */
+    /* Organisation of the caller, owned by the routing of `table`; NULL if the
+     * route needs none. */
     const bbl_organisation *organisation;
     /* That of the organisation, or of the route if it has none. */
     uint32_t priority;
