Setting load-admission, off unless a deployment asks for it

Callers of earlier deployments could be refused by a limit that nothing in their settings asked for: load admission worked wherever a fleet of more than 16 entry hosts serves sharded routes, and no setting switched it off.

A grantor answers hosts that ask, whatever its own setting is, so hosts can be changed one after the other.

The test without_the_setting_no_host_asks_or_saves_work fails if the setting is not looked at: the host asks and answers early.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -1058,6 +1058,7 @@
     f.port.report_rollouts = report_rollouts;
     f.permit_ttl = BBL_PERMIT_TTL_US;
     f.token_time = bbl_quota_get_token_time(&o->quota_limits);
+    f.load_admission = o->load_admission;
     f.port.ctx = g;
     return bbl_forwarder_new(&g->forwarder, &f);
 }
--- a/src/daemon/node_options.c
+++ b/src/daemon/node_options.c
@@ -115,17 +115,23 @@
 }
 
 static int
-read_bootstrap(void *out, const char *text)
+parse_switch(bool *out, const char *text)
 {
     bool yes = strcmp(text, "true") == 0;
 
     if (!yes && strcmp(text, "false") != 0) {
         return bbl_error_set(BBL_EINVAL, "true or false");
     }
-    ((bbl_node_options *)out)->bootstrap = yes;
+    *out = yes;
     return 0;
 }
 
+static int
+read_bootstrap(void *out, const char *text)
+{
+    return parse_switch(&((bbl_node_options *)out)->bootstrap, text);
+}
+
 static int
 read_lost_disks(void *out, const char *text)
 {
@@ -230,6 +236,12 @@
         &((bbl_node_options *)out)->quota_limits.tolerance, text, 0, 1);
 }
 
+static int
+read_load_admission(void *out, const char *text)
+{
+    return parse_switch(&((bbl_node_options *)out)->load_admission, text);
+}
+
 static int
 read_heartbeat(void *out, const char *text)
 {
@@ -320,6 +332,10 @@
     {"quota-tolerance", VARIABLE("QUOTA_TOLERANCE"), "0", "", "0 to 1",
      "part of that which is granted, not kept for faults",
      read_quota_tolerance},
+    {"load-admission", VARIABLE("LOAD_ADMISSION"), "false", "",
+     "true or false",
+     "limit the sharded queries of all hosts together under load",
+     read_load_admission},
     {"beat-ms", VARIABLE("BEAT_MS"), "200", "ms", "10 to 375",
      "time between heartbeats", read_heartbeat},
     {"memory-mb", VARIABLE("MEMORY_MB"), "0", "MB", "0 to 16777216",
--- a/src/daemon/node_options.h
+++ b/src/daemon/node_options.h
@@ -42,8 +42,9 @@
     uint32_t extra_window_ms;
     double extra_constant;
     bbl_quota_limits quota_limits; /* bound on the requests of organisations */
-    uint32_t heartbeat_ms;         /* interval of a member's heartbeats */
-    uint32_t memory_mb; /* see bbl_node_options_get_memory; 0: not set */
+    bool load_admission; /* grantors limit the sharded queries of all hosts */
+    uint32_t heartbeat_ms; /* interval of a member's heartbeats */
+    uint32_t memory_mb;    /* see bbl_node_options_get_memory; 0: not set */
     uint32_t log_lines_per_s;
     bbl_log_level log_level;
 } bbl_node_options;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -636,7 +636,8 @@
         q->shards[i].attempts_maybe_run = q->request.delegated.attempts;
     }
     q->load_limit = &q->shards[0].pool->load_limit;
-    if (route->kind == BBL_ROUTE_GATHER && f->entry_hosts > SMALL_FLEET_MAX) {
+    if (route->kind == BBL_ROUTE_GATHER && f->options.load_admission &&
+        f->entry_hosts > SMALL_FLEET_MAX) {
         q->pressure_pool = q->shards[0].pool;
     }
     q->probes_limits = bbl_rng_below(&f->rng, PROBE_INTERVAL) == 0;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -374,6 +374,8 @@
     /* The same for the token of an organisation; see admission/quota_book.h.
      */
     bbl_usec token_time;
+    /* Whether sharded queries ask grantors for admission under load. */
+    bool load_admission;
     const bbl_dialect *dialect;
     bbl_forward_port port;
 } bbl_forwarder_options;
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -702,14 +702,8 @@
 
 /* ---- the simulation ---- */
 
-forward_sim *
-forward_sim_new(unsigned entry_hosts)
-{
-    return forward_sim_new_seeded(entry_hosts, 1);
-}
-
-forward_sim *
-forward_sim_new_seeded(unsigned entry_hosts, uint64_t seed)
+static forward_sim *
+new_sim(unsigned entry_hosts, uint64_t seed, bool load_admission)
 {
     forward_sim *sim = bbl_calloc(1, sizeof(*sim));
     bbl_forwarder_options o = BBL_FORWARDER_OPTIONS_INIT;
@@ -720,6 +714,7 @@
     sim->exchanges = (bbl_vec)BBL_VEC_INIT(exchange);
     bbl_name_set(&o.zone, "z1", 2);
     o.seed = seed;
+    o.load_admission = load_admission;
     o.dialect = bbl_platform_dialect();
     o.port.send = on_send;
     o.port.is_sent = on_is_sent;
@@ -758,6 +753,24 @@
     return sim;
 }
 
+forward_sim *
+forward_sim_new(unsigned entry_hosts)
+{
+    return new_sim(entry_hosts, 1, true);
+}
+
+forward_sim *
+forward_sim_new_seeded(unsigned entry_hosts, uint64_t seed)
+{
+    return new_sim(entry_hosts, seed, true);
+}
+
+forward_sim *
+forward_sim_new_without_load_admission(unsigned entry_hosts)
+{
+    return new_sim(entry_hosts, 1, false);
+}
+
 const char *
 forward_sim_get_violation(const forward_sim *sim)
 {
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -93,6 +93,9 @@
 /* The same for one of several hosts, which have different seeds. */
 forward_sim *forward_sim_new_seeded(unsigned entry_hosts, uint64_t seed);
 
+/* The same for a host whose settings do not ask for load admission. */
+forward_sim *forward_sim_new_without_load_admission(unsigned entry_hosts);
+
 /* Frees the simulation; fails the test if a guarantee was violated. */
 void forward_sim_free(forward_sim *sim);
 
--- a/tests/test_load_pressure.c
+++ b/tests/test_load_pressure.c
@@ -97,14 +97,14 @@
 }
 
 static void
-init(fixture *x, unsigned hosts)
+init_with(fixture *x, forward_sim *sim)
 {
     static const bbl_listed_grantor grantors[GRANTORS] = {
         {11, false}, {12, true}, {13, false}};
     forward_sim_control control = {.send_admission = on_send, .ctx = x};
 
     memset(x, 0, sizeof(*x));
-    x->sim = forward_sim_new(hosts);
+    x->sim = sim;
     bbl_load_book_init(&x->book, 1);
     for (unsigned i = 0; i < SHARDS; i++) {
         for (unsigned k = 0; k < 2; k++) {
@@ -123,6 +123,12 @@
     forward_sim_set_grantors(x->sim, grantors, GRANTORS);
 }
 
+static void
+init(fixture *x, unsigned hosts)
+{
+    init_with(x, forward_sim_new(hosts));
+}
+
 static void
 end(fixture *x)
 {
@@ -228,6 +234,24 @@
 }
 END_TEST
 
+/* Fleets whose settings do not ask for it are served as without it. */
+START_TEST(without_the_setting_no_host_asks_or_saves_work)
+{
+    fixture x;
+    const forward_sim_call *c;
+
+    init_with(&x, forward_sim_new_without_load_admission(85));
+    begin_pressure(&x, 10);
+    ck_assert(!forward_sim_is_under_pressure(x.sim));
+    set_mode(&x, 20, 24, SERVER_SILENT);
+    c = send_query(&x, 400 * MS);
+    ck_assert_uint_eq(c->status, 200);
+    ck_assert_uint_ge(c->answered_at - c->sent_at, 250 * MS);
+    ck_assert_uint_eq(x.requests, 0);
+    end(&x);
+}
+END_TEST
+
 /* Guards against callers that are held, and against parts of refused queries
  * at servers. */
 START_TEST(refused_queries_are_answered_within_a_quarter_of_their_target)
@@ -355,6 +379,7 @@
     tcase_add_test(
         tc, refused_queries_are_answered_within_a_quarter_of_their_target);
     tcase_add_test(tc, without_an_answer_queries_run_soon);
+    tcase_add_test(tc, without_the_setting_no_host_asks_or_saves_work);
     tcase_add_test(tc, refusals_without_queues_leave_retries_on);
     tcase_add_test(tc, decided_queries_leave_no_work_at_servers);
     tcase_add_test(tc, without_a_limit_an_answer_waits_for_its_parts);
