Event loop on kernels without epoll_pwait2

Callers saw no answer at all on such a kernel (before Linux 5.11), and in an emulator of arm64 that lacks the call: the loop ignored ENOSYS, so it spun and reported no event.

The loop falls back to epoll_wait, rounded up to a millisecond. On kernels with epoll_pwait2 nothing changes. Both tests of test_loop fail without it (no event; the wait ends after 3 us).

--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -1,6 +1,7 @@
 #include "net/loop.h"
 
 #include <errno.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -26,6 +27,7 @@
 
 struct bbl_loop {
     int epoll_fd;
+    bool waits_in_ms; /* the kernel has no epoll_pwait2 */
     int wake_fd;
     uint64_t last_serial;
     bbl_usec polled_at;   /* when the last poll returned; 0 before it */
@@ -126,13 +128,24 @@
     }
 }
 
+/* Kernels before 5.11 have no epoll_pwait2; they wait up to 1 ms longer. */
 static int
 poll_events(bbl_loop *loop, struct epoll_event *events, bbl_usec timeout)
 {
     struct timespec ts = {(time_t)(timeout / BBL_USEC_PER_SEC),
                           (long)(timeout % BBL_USEC_PER_SEC) * 1000};
+    bbl_usec ms = (timeout + BBL_USEC_PER_MS - 1) / BBL_USEC_PER_MS;
 
-    return epoll_pwait2(loop->epoll_fd, events, EVENTS_MAX, &ts, NULL);
+    if (!loop->waits_in_ms) {
+        int n = epoll_pwait2(loop->epoll_fd, events, EVENTS_MAX, &ts, NULL);
+
+        if (n >= 0 || errno != ENOSYS) {
+            return n;
+        }
+        loop->waits_in_ms = true;
+    }
+    return epoll_wait(loop->epoll_fd, events, EVENTS_MAX,
+                      ms < INT_MAX ? (int)ms : INT_MAX);
 }
 
 /*
