serve: a silent exchange no longer fills the pool of its searcher

After an exchange without a response the next 32 exchanges each opened a connection, and libcurl kept up to 16 of them open, besides those given up.

Trace of one run of scripts/bench.sh run e2e (connections of the stand-in by time and peer, before this change): in the 1.3 s after "silence 0" host 5 opens 16 connections to searcher 9, of which 2 slots need 5 at most. With the 3 given up the searcher counts 19. Host 5 is stopped 4.5 s after the silence, and host 2 becomes owner at 5.9 s: 3 connections at once, 25 of 25 by 10.2 s. One more connection is the known failure. Ruled out: connections of a third host (none in the trace), and a burst of the new owner (it opened 6 in all).

After a silence the kept connections, which may be dead as well, are now closed, and the exchanges that follow use the pool as usual. libcurl cannot close a kept connection, so the HTTP client keeps track of its sockets and shuts down those that no request uses.

after_a_silence_no_connections_pile_up failed before (16 connections, limit 12) and a_silence_closes_the_kept_connections too (2 open, not 0).

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -4,11 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 
 #include "bbl/errors.h"
 #include "util/alloc.h"
+#include "util/map.h"
 #include "util/vec.h"
 
 #define POOL_CONNECTIONS_MAX 4096L  /* to all addresses, kept open */
@@ -34,6 +37,13 @@
     bbl_http_response response;
 } exchange;
 
+/* A socket of a connection that libcurl has open. */
+typedef struct {
+    int fd;
+    bblx_address peer;
+    bool in_use; /* by a request */
+} open_socket;
+
 struct bbl_http_client {
     bbl_loop *loop;
     CURLM *multi;
@@ -42,6 +52,7 @@
     bbl_vec idle_handles; /* CURL * */
     bbl_vec aborted;      /* exchange *, to be ended by the next tick */
     bbl_vec running;      /* exchange * */
+    bbl_map sockets;      /* file descriptor + 1 -> open_socket */
     uint64_t connect_count;
 };
 
@@ -61,14 +72,66 @@
     finish_completed(http);
 }
 
+static curl_socket_t
+open_tracked_socket(void *ctx, curlsocktype purpose, struct curl_sockaddr *a)
+{
+    bbl_http_client *http = ctx;
+    const struct sockaddr_in *peer = (const void *)&a->addr;
+    int fd = socket(a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
+    open_socket *s;
+
+    (void)purpose;
+    if (fd < 0) {
+        return CURL_SOCKET_BAD;
+    }
+    s = bbl_calloc(1, sizeof(*s));
+    s->fd = fd;
+    s->in_use = true;
+    if (a->family == AF_INET) {
+        s->peer.ip = ntohl(peer->sin_addr.s_addr);
+        s->peer.port = ntohs(peer->sin_port);
+    }
+    bbl_map_set(&http->sockets, (uint64_t)fd + 1, s);
+    return fd;
+}
+
+static int
+close_tracked_socket(void *ctx, curl_socket_t fd)
+{
+    bbl_http_client *http = ctx;
+
+    free(bbl_map_remove(&http->sockets, (uint64_t)fd + 1));
+    return close(fd);
+}
+
+void
+bbl_http_client_close_idle(bbl_http_client *http, bblx_address address)
+{
+    open_socket *s;
+    size_t pos = 0;
+
+    while ((s = bbl_map_next(&http->sockets, &pos)) != NULL) {
+        if (!s->in_use && s->peer.ip == address.ip &&
+            s->peer.port == address.port) {
+            /* libcurl has no call to close a kept connection; it closes the
+             * socket itself when it next looks for a connection. */
+            shutdown(s->fd, SHUT_RDWR);
+        }
+    }
+}
+
 static int
 on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *unused)
 {
     bbl_http_client *http = ctx;
+    open_socket *s = bbl_map_get(&http->sockets, (uint64_t)fd + 1);
     uint32_t events = 0;
 
     (void)easy;
     (void)unused;
+    if (s != NULL) {
+        s->in_use = what != CURL_POLL_REMOVE;
+    }
     if (what == CURL_POLL_REMOVE) {
         bbl_loop_unwatch(http->loop, fd);
         return 0;
@@ -200,6 +263,10 @@
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 5L);
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_tracked_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, http);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_tracked_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, http);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, http->headers);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -358,6 +425,7 @@
         curl_easy_cleanup(*BBL_VEC_AT(CURL *, &http->idle_handles, i));
     }
     curl_multi_cleanup(http->multi);
+    bbl_map_free(&http->sockets);
     curl_slist_free_all(http->headers);
     bbl_vec_free(&http->idle_handles);
     bbl_vec_free(&http->aborted);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -7,6 +7,7 @@
 #ifndef BBL_HTTP_CLIENT_H
 #define BBL_HTTP_CLIENT_H
 
+#include "net/address.h"
 #include "net/loop.h"
 #include "util/buf.h"
 
@@ -87,6 +88,12 @@
 /* Ends requests that timed out or were aborted; call it about every 1 ms. */
 void bbl_http_client_tick(bbl_http_client *http);
 
+/*
+ * Ends the connections to an address that are kept open without a request; the
+ * peer learns of it at once. Requests in progress are not affected.
+ */
+void bbl_http_client_close_idle(bbl_http_client *http, bblx_address address);
+
 /* Returns the number of connections opened so far. */
 uint64_t bbl_http_client_connect_count(const bbl_http_client *http);
 
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -20,8 +20,6 @@
 #define THREAD_STALL_US (25 * BBL_USEC_PER_MS)
 /* A request is taken to have reached the searcher after this time. */
 #define ARRIVAL_TIME_US (50 * BBL_USEC_PER_MS)
-/* Number of exchanges that avoid the pooled connections after a silence. */
-#define FRESH_EXCHANGES 32
 #define STATUS_CANCELLED 499
 #define PATH_MAX_BYTES 192
 #define URL_MAX_BYTES 256
@@ -29,7 +27,6 @@
 /* The state of the connections to one searcher. */
 typedef struct {
     uint32_t searcher;
-    unsigned fresh_exchanges; /* exchanges left that avoid the pool */
     bool poll_running;
     bbl_usec last_response; /* last complete one to an exchange; 0: none */
 } searcher_state;
@@ -93,7 +90,9 @@
 static void
 record_silence(bbl_searcher_client *c, const open_exchange *x)
 {
-    get_searcher_state(c, x->searcher)->fresh_exchanges = FRESH_EXCHANGES;
+    /* The kept connections may be dead as well. To leave them open beside new
+     * ones would exceed the searcher's limit of connections. */
+    bbl_http_client_close_idle(c->http, x->address);
     c->counters.silent_exchanges++;
     bbl_log(BBL_EV_CONNECTION_SILENT, "searcher=%u", x->searcher);
 }
@@ -180,7 +179,6 @@
                                    const bbl_exchange *e)
 {
     open_exchange *x = bbl_calloc(1, sizeof(*x));
-    searcher_state *to = get_searcher_state(c, e->searcher);
     bbl_http_request r;
     char path[PATH_MAX_BYTES];
     char url[URL_MAX_BYTES];
@@ -209,14 +207,9 @@
     r.body = e->text;
     r.timeout = e->deadline - now + c->response_grace;
     r.response_max = BBL_RESULT_MAX_BYTES;
-    r.fresh_connection = to->fresh_exchanges > 0;
     r.exchange = e->exchange_id;
     r.done = on_exchange_response;
     r.ctx = x;
-    if (to->fresh_exchanges > 0) {
-        to->fresh_exchanges--;
-        c->counters.fresh_connections++;
-    }
     c->counters.exchanges++;
     bbl_map_set(&c->open_exchanges, x->exchange, x);
     if (bbl_http_request_start(&x->http_request, c->http, &r) != 0) {
@@ -313,6 +306,7 @@
      * connections may be dead. */
     r.fresh_connection =
         get_searcher_state(c, x->searcher)->last_response < x->started_at;
+    c->counters.fresh_connections += r.fresh_connection;
     aux_request_start(c, exchange, x->searcher, &r);
 }
 
--- a/src/net/searcher_client.h
+++ b/src/net/searcher_client.h
@@ -31,7 +31,7 @@
     uint64_t cancels;
     uint64_t info_requests;
     uint64_t silent_exchanges; /* timed out or aborted for lack of progress */
-    /* Exchanges that were kept off the pooled connections after a silence. */
+    /* Cancels that were kept off the pooled connections. */
     uint64_t fresh_connections;
 } bbl_searcher_counters;
 
--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -6,6 +6,7 @@
 #include "net/searcher_client.h"
 #include "support/run.h"
 #include "support/tcp.h"
+#include "util/clock.h"
 
 static void
 on_complete(void *ctx, uint64_t exchange, const bbl_exchange_result *result)
@@ -273,6 +274,179 @@
 }
 END_TEST
 
+/* ---- connections kept open ---- */
+
+#define SEARCHER 1u
+#define CONNECTIONS_MAX 64
+/* The searchers of the end-to-end bench accept 25 connections, and a former
+ * owner that is stopped does not close its own. */
+#define OWNER_CONNECTIONS_MAX 12
+
+/* A searcher on a listening socket, and the client under test. */
+typedef struct {
+    bbl_loop *loop;
+    bbl_http_client *http;
+    bbl_searcher_client *client;
+    bblx_address address;
+    int listener;
+    int connections[CONNECTIONS_MAX]; /* open ones */
+    size_t connection_count;
+    bool silent; /* does not respond to searches */
+    uint64_t exchange_count;
+    unsigned ended;
+    bbl_exchange_outcome outcome; /* of the last exchange */
+} connection_test;
+
+static void
+on_end(void *ctx, uint64_t exchange, const bbl_exchange_result *result)
+{
+    connection_test *t = ctx;
+
+    (void)exchange;
+    t->ended++;
+    t->outcome = result->outcome;
+}
+
+static void
+on_any_info(void *ctx, uint32_t searcher, const bbl_searcher_info *info)
+{
+    (void)ctx;
+    (void)searcher;
+    (void)info;
+}
+
+static void
+open_connection_test(connection_test *t)
+{
+    bbl_searcher_port port = {on_end, on_any_info, t};
+
+    memset(t, 0, sizeof(*t));
+    t->listener = tcp_listen(&t->address);
+    ck_assert_int_eq(bbl_loop_open(&t->loop), 0);
+    ck_assert_int_eq(bbl_http_client_open(&t->http, t->loop, 0), 0);
+    bbl_searcher_client_new(&t->client, t->http, &port, 0);
+}
+
+static void
+close_connection_test(connection_test *t)
+{
+    bbl_http_client_free(t->http);
+    bbl_searcher_client_free(t->client);
+    bbl_loop_free(t->loop);
+    for (size_t i = 0; i < t->connection_count; i++) {
+        close(t->connections[i]);
+    }
+    close(t->listener);
+}
+
+/* Responds to what has arrived, and forgets connections that were closed. */
+static void
+serve(connection_test *t)
+{
+    char request[4096];
+    int fd;
+
+    while ((fd = accept4(t->listener, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+        ck_assert_uint_lt(t->connection_count, CONNECTIONS_MAX);
+        t->connections[t->connection_count++] = fd;
+    }
+    for (size_t i = t->connection_count; i > 0; i--) {
+        ssize_t n;
+
+        fd = t->connections[i - 1];
+        n = recv(fd, request, sizeof(request) - 1, 0);
+        if (n == 0 || (n < 0 && errno != EAGAIN)) {
+            close(fd);
+            t->connections[i - 1] = t->connections[--t->connection_count];
+        }
+        else if (n > 0) {
+            request[n] = '\0';
+            if (!t->silent || strstr(request, "/search") == NULL) {
+                tcp_send(fd, "HTTP/1.1 200 OK\r\nX-Boot: 1\r\n"
+                             "Content-Length: 2\r\n\r\nok");
+            }
+        }
+    }
+}
+
+/* Runs the client and the searcher for about `ms` milliseconds. */
+static void
+run_connection_test(connection_test *t, int ms)
+{
+    for (int i = 0; i < ms; i++) {
+        bbl_http_client_tick(t->http);
+        bbl_loop_run_once(t->loop, BBL_USEC_PER_MS);
+        serve(t);
+    }
+}
+
+static void
+start_search(connection_test *t, bbl_usec timeout)
+{
+    bbl_usec now = bbl_clock_now();
+    bbl_exchange e = {.exchange_id = ++t->exchange_count,
+                      .searcher = SEARCHER,
+                      .address = t->address,
+                      .deadline = now + timeout};
+
+    bbl_searcher_client_start_exchange(t->client, now, &e);
+}
+
+/* Runs until all exchanges have ended. */
+static void
+finish_searches(connection_test *t)
+{
+    for (int i = 0; i < 2000 && t->ended < t->exchange_count; i++) {
+        run_connection_test(t, 1);
+    }
+    ck_assert_uint_eq(t->ended, t->exchange_count);
+}
+
+/*
+ * Guards against exchanges that each open and keep a connection after one
+ * without a response: 16 of one owner, with those of the next one more than
+ * the searcher accepts.
+ */
+START_TEST(after_a_silence_no_connections_pile_up)
+{
+    connection_test t;
+
+    open_connection_test(&t);
+    t.silent = true;
+    start_search(&t, 20 * BBL_USEC_PER_MS);
+    finish_searches(&t);
+    ck_assert_int_eq(t.outcome, BBL_EXCHANGE_TIMED_OUT);
+    t.silent = false;
+    for (int i = 0; i < 20; i++) {
+        start_search(&t, BBL_USEC_PER_SEC);
+        finish_searches(&t);
+        ck_assert_int_eq(t.outcome, BBL_EXCHANGE_OK);
+    }
+    ck_assert_uint_le(t.connection_count, OWNER_CONNECTIONS_MAX);
+    close_connection_test(&t);
+}
+END_TEST
+
+/* Guards against an exchange on a kept connection that may be dead. */
+START_TEST(a_silence_closes_the_kept_connections)
+{
+    connection_test t;
+
+    open_connection_test(&t);
+    for (int i = 0; i < 3; i++) {
+        start_search(&t, BBL_USEC_PER_SEC);
+    }
+    finish_searches(&t);
+    ck_assert_uint_eq(t.connection_count, 3);
+    t.silent = true;
+    start_search(&t, 20 * BBL_USEC_PER_MS);
+    finish_searches(&t);
+    run_connection_test(&t, 5);
+    ck_assert_uint_eq(t.connection_count, 0);
+    close_connection_test(&t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -284,6 +458,8 @@
     tcase_add_test(tc, an_answer_that_ends_early_is_never_complete);
     tcase_add_loop_test(
         tc, a_late_copy_is_not_the_response_to_the_next_request, 0, 2);
+    tcase_add_test(tc, after_a_silence_no_connections_pile_up);
+    tcase_add_test(tc, a_silence_closes_the_kept_connections);
     tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0, 2);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
