serve: cancels no longer fill the pool of a searcher

A cancel of an exchange since whose start nothing was received opens a connection of its own, which libcurl then kept: 16 after 20 cancels, where an owner needs 5 for 2 slots.

cancels_leave_no_connections_behind failed before (16 connections, limit 12).

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -234,6 +234,8 @@
                      (long)((r->timeout + 999) / BBL_USEC_PER_MS));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      r->fresh_connection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+                     r->close_connection ? 1L : 0L);
     if (r->post) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -44,6 +44,7 @@
     bbl_usec timeout;      /* until the complete response */
     size_t response_max;   /* maximum bytes in the response body */
     bool fresh_connection; /* open a new connection for this request */
+    bool close_connection; /* do not keep the connection after this request */
     /* The value that a response must have if it has a field X-Exchange; a
      * response to another request fails this one and ends the connection. 0:
      * no check. */
--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -303,9 +303,11 @@
     r.response_max = 4096;
     r.done = on_cancel_response;
     /* If no response has arrived since the start of the exchange, all pooled
-     * connections may be dead. */
+     * connections may be dead. The new one is not kept: cancels would fill the
+     * pool with connections that no exchange needs. */
     r.fresh_connection =
         get_searcher_state(c, x->searcher)->last_response < x->started_at;
+    r.close_connection = r.fresh_connection;
     c->counters.fresh_connections += r.fresh_connection;
     aux_request_start(c, exchange, x->searcher, &r);
 }
--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -447,6 +447,25 @@
 }
 END_TEST
 
+/* Guards against cancels that each leave a connection in the pool. */
+START_TEST(cancels_leave_no_connections_behind)
+{
+    connection_test t;
+
+    open_connection_test(&t);
+    for (int i = 0; i < 20; i++) {
+        start_search(&t, BBL_USEC_PER_SEC);
+        bbl_searcher_client_cancel_exchange(t.client, bbl_clock_now(),
+                                            t.exchange_count);
+        finish_searches(&t);
+        run_connection_test(&t, 5);
+    }
+    ck_assert_uint_eq(bbl_searcher_client_get_counters(t.client)->cancels, 20);
+    ck_assert_uint_le(t.connection_count, OWNER_CONNECTIONS_MAX);
+    close_connection_test(&t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -460,6 +479,7 @@
         tc, a_late_copy_is_not_the_response_to_the_next_request, 0, 2);
     tcase_add_test(tc, after_a_silence_no_connections_pile_up);
     tcase_add_test(tc, a_silence_closes_the_kept_connections);
+    tcase_add_test(tc, cancels_leave_no_connections_behind);
     tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0, 2);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
