serve: a former owner closes its connections to a searcher

A host kept its connections to a searcher after another host had become owner, until the searcher or the process ended them. In the trace of e2e (searcher 9, host 5 stopped for 2 s) host 5 held its 16 connections from its loss of ownership 5.9 s after the silence until its shutdown at 14.4 s, while host 2 used the searcher.

An owner polls its searchers each 250 ms. The client now closes the kept connections to a searcher that got no request for 1 s, and those to an address that the searcher no longer has. Exchanges in progress are not cut off.

connections_to_a_searcher_of_another_owner_are_closed failed before (3 kept connections open, expected none beside the running exchange).

--- a/src/net/searcher_client.c
+++ b/src/net/searcher_client.c
@@ -20,6 +20,12 @@
 #define THREAD_STALL_US (25 * BBL_USEC_PER_MS)
 /* A request is taken to have reached the searcher after this time. */
 #define ARRIVAL_TIME_US (50 * BBL_USEC_PER_MS)
+/*
+ * Kept connections to a searcher are closed after this time without a request.
+ * Its owner polls it each 250 ms, so another host owns it by then, and the
+ * connections of both count towards the limit of the searcher.
+ */
+#define UNUSED_CONNECTIONS_US BBL_USEC_PER_SEC
 #define STATUS_CANCELLED 499
 #define PATH_MAX_BYTES 192
 #define URL_MAX_BYTES 256
@@ -29,6 +35,8 @@
     uint32_t searcher;
     bool poll_running;
     bbl_usec last_response; /* last complete one to an exchange; 0: none */
+    bblx_address address;   /* of the last request */
+    bbl_usec used_at;       /* last request; 0: none, or closed since */
 } searcher_state;
 
 /* An exchange that has not ended. */
@@ -78,6 +86,34 @@
     return state;
 }
 
+/* Records that a request to a searcher is about to be sent. */
+static void
+record_use(bbl_searcher_client *c, searcher_state *state, bbl_usec now,
+           bblx_address address)
+{
+    if (state->used_at != 0 && (state->address.ip != address.ip ||
+                                state->address.port != address.port)) {
+        bbl_http_client_close_idle(c->http, state->address);
+    }
+    state->address = address;
+    state->used_at = now;
+}
+
+static void
+close_unused_connections(bbl_searcher_client *c, bbl_usec now)
+{
+    searcher_state *state;
+    size_t pos = 0;
+
+    while ((state = bbl_map_next(&c->searchers, &pos)) != NULL) {
+        if (state->used_at != 0 &&
+            now > state->used_at + UNUSED_CONNECTIONS_US) {
+            state->used_at = 0;
+            bbl_http_client_close_idle(c->http, state->address);
+        }
+    }
+}
+
 static void
 format_url(char *url, size_t size, bblx_address a, const char *path)
 {
@@ -210,6 +246,7 @@
     r.exchange = e->exchange_id;
     r.done = on_exchange_response;
     r.ctx = x;
+    record_use(c, get_searcher_state(c, e->searcher), now, e->address);
     c->counters.exchanges++;
     bbl_map_set(&c->open_exchanges, x->exchange, x);
     if (bbl_http_request_start(&x->http_request, c->http, &r) != 0) {
@@ -318,6 +355,7 @@
     bool stalled = c->ticked_at != 0 && now > c->ticked_at + THREAD_STALL_US;
 
     c->ticked_at = now;
+    close_unused_connections(c, now);
     for (size_t i = c->ending.size; i > 0; i--) {
         uint64_t exchange = *BBL_VEC_AT(uint64_t, &c->ending, i - 1);
         open_exchange *x = bbl_map_get(&c->open_exchanges, exchange);
@@ -479,6 +517,7 @@
 {
     searcher_state *state = get_searcher_state(c, searcher);
 
+    record_use(c, state, bbl_clock_now(), address);
     if (!state->poll_running &&
         request_info(c, searcher, address, false) == 0) {
         state->poll_running = true;
@@ -489,6 +528,7 @@
 bbl_searcher_client_preconnect(bbl_searcher_client *c, uint32_t searcher,
                                bblx_address address, unsigned count)
 {
+    record_use(c, get_searcher_state(c, searcher), bbl_clock_now(), address);
     for (unsigned i = 0; i < count; i++) {
         request_info(c, searcher, address, true);
     }
--- a/src/net/searcher_client.h
+++ b/src/net/searcher_client.h
@@ -82,6 +82,7 @@
                                     unsigned count);
 
 /*
+ * Closes the kept connections to searchers that this host no longer uses.
  * Aborts exchanges whose cancellation the searcher has confirmed, but whose
  * response does not arrive, and reports exchanges that could not be started.
  */
--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -466,6 +466,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a former owner that keeps its connections beside those of the
+ * next owner. An exchange that still runs is not cut off.
+ */
+START_TEST(connections_to_a_searcher_of_another_owner_are_closed)
+{
+    connection_test t;
+    bbl_usec now;
+
+    open_connection_test(&t);
+    bbl_searcher_client_preconnect(t.client, SEARCHER, t.address, 3);
+    run_connection_test(&t, 20);
+    ck_assert_uint_eq(t.connection_count, 3);
+    now = bbl_clock_now();
+    bbl_searcher_client_tick(t.client, now + BBL_USEC_PER_SEC / 2);
+    run_connection_test(&t, 5);
+    ck_assert_uint_eq(t.connection_count, 3);
+    t.silent = true;
+    start_search(&t, BBL_USEC_PER_SEC);
+    run_connection_test(&t, 20);
+    bbl_searcher_client_tick(t.client, now + 2 * BBL_USEC_PER_SEC);
+    run_connection_test(&t, 5);
+    ck_assert_uint_eq(t.connection_count, 1);
+    ck_assert_uint_eq(t.ended, 0);
+    close_connection_test(&t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -480,6 +508,7 @@
     tcase_add_test(tc, after_a_silence_no_connections_pile_up);
     tcase_add_test(tc, a_silence_closes_the_kept_connections);
     tcase_add_test(tc, cancels_leave_no_connections_behind);
+    tcase_add_test(tc, connections_to_a_searcher_of_another_owner_are_closed);
     tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0, 2);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
