serve: delays of a host neither hide a silent owner nor count as its silence

The observer began to wait anew after each interval over 25 ms between two checks, so a host whose every turn takes longer never suspected an owner.

Now an interval between checks that is longer than the silence itself does not count, and the check after it marks no owner; shorter intervals count in full. So an owner is suspect within the silence plus one interval, and a host that was delayed for the whole time suspects none. A wait that was interrupted goes on where it was, as one that starts anew could be postponed without bound.

--- a/src/policy/observer.c
+++ b/src/policy/observer.c
@@ -5,10 +5,8 @@
 
 #include "util/alloc.h"
 
-#define SERVICE_SHIFT 3         /* weight of a new service time: 1/8 */
-#define SERVICE_UNKNOWN_US 1000 /* assumed until a searcher has answered */
-/* A longer interval between two checks shows that this host was delayed. */
-#define CHECK_DELAYED_US 25000u
+#define SERVICE_SHIFT 3          /* weight of a new service time: 1/8 */
+#define SERVICE_UNKNOWN_US 1000  /* assumed until a searcher has answered */
 #define SUSPECTS_LIMIT_DIVISOR 3 /* suspects are ignored above 1 in 3 */
 
 typedef struct {
@@ -19,7 +17,9 @@
 } searcher_row;
 
 typedef struct {
-    bbl_usec waiting_since; /* first unanswered request; 0: none */
+    /* Time of the first unanswered request, moved on by the time in which this
+     * host was delayed; 0: none */
+    bbl_usec waiting_since;
     bool suspect;
 } owner_row;
 
@@ -154,8 +154,8 @@
 unsigned
 bbl_observer_check_silence(bbl_observer *o, bbl_usec now, bbl_usec silence)
 {
-    bool delayed =
-        o->checked_at != 0 && now > o->checked_at + CHECK_DELAYED_US;
+    bbl_usec checked_before = o->checked_at;
+    bool delayed = checked_before != 0 && now > checked_before + silence;
     unsigned found = 0;
     owner_row *row;
     size_t pos = 0;
@@ -166,8 +166,12 @@
             continue;
         }
         if (delayed) {
-            row->waiting_since =
-                now; /* the response may not have been read yet */
+            /* The response may not have been read yet. Time observed before
+             * the delay still counts, or repeated delays would hide a silent
+             * owner without bound. */
+            row->waiting_since +=
+                now - (row->waiting_since > checked_before ? row->waiting_since
+                                                           : checked_before);
         }
         else if (now > row->waiting_since + silence) {
             row->suspect = true;
--- a/src/policy/observer.h
+++ b/src/policy/observer.h
@@ -41,8 +41,10 @@
 
 /*
  * Marks the owners as suspect that have not responded within `silence` of a
- * request. Call it at least every 25 ms: after a longer interval this host
- * itself was delayed, and the call marks no owner.
+ * request. An interval between two calls that is longer than `silence` shows
+ * that this host itself was delayed: it does not count, and the call marks no
+ * owner. Shorter ones count in full, so a silent owner is suspect within
+ * `silence` plus one interval.
  *
  * @return the number of owners that became suspect
  */
