backend_link: test that no form of chunks raises the limit of a response

Change: the test also plays one chunk that states 2 GB and does not end. The attempt is a function, as further tests need it.

--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -875,7 +875,8 @@
 }
 END_TEST
 
-/* Responses without end: a body, chunks, and a head of short fields. */
+/* Responses without end: a body, chunks, one chunk, and a head of short
+ * fields. */
 static const struct {
     const char *start;
     const char *more;
@@ -884,9 +885,14 @@
     {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: "
      "chunked\r\n\r\n",
      "20\r\n0123456789abcdef0123456789abcdef\r\n"},
+    {"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n7fffffff\r\n",
+     "0123456789abcdef"},
     {"HTTP/1.1 200 OK\r\n", "a:b\r\n"},
 };
 
+enum { ENDLESS_BODY_KINDS = 3 }; /* the others have an endless head */
+
 /*
  * As many servers as a large deployment has send without end, and their
  * requests are sent again as soon as they fail. The limit holds for what is
@@ -976,37 +982,49 @@
     }
 }
 
+/*
+ * Starts an exchange with a server that sends a response of a kind without
+ * end, until the exchange breaks. Returns the most bytes that were buffered.
+ */
+static size_t
+receive_endless_response(fixture *f, int kind)
+{
+    char more[8192];
+    outcome o;
+    size_t peak = 0;
+    int fd;
+
+    fill_repeated(more, sizeof(more), endless_kinds[kind].more);
+    start_exchange(f, &o);
+    fd = accept_connection(f);
+    tcp_receive(f->loop, fd);
+    tcp_send(fd, endless_kinds[kind].start);
+    for (int k = 0; k < 100000 && o.calls == 0; k++) {
+        size_t buffered = bbl_backend_client_get_buffered(f->client);
+
+        peak = buffered > peak ? buffered : peak;
+        send(fd, more, strlen(more), MSG_NOSIGNAL | MSG_DONTWAIT);
+        bbl_loop_run_once(f->loop, 0);
+    }
+    ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
+    close(fd);
+    return peak;
+}
+
 /*
  * A server that sends without end again and again is allowed less each time,
- * also if it sends chunks, which state no length of the whole.
+ * also if it sends chunks, short or long, which state no length of the whole.
  */
 START_TEST(a_server_that_sends_without_end_is_allowed_less)
 {
     enum { RESPONSE_MAX = 1 << 20, ATTEMPTS = 4 };
-    static char more[8192];
     fixture f;
-    outcome o;
-    size_t peaks[ATTEMPTS] = {0};
+    size_t peaks[ATTEMPTS];
 
-    fill_repeated(more, sizeof(more), endless_kinds[_i].more);
     open_fixture_with(&f, RESPONSE_MAX, 8 * RESPONSE_MAX);
     bbl_backend_link_set_limit(f.link, 1, false);
     for (int i = 0; i < ATTEMPTS; i++) {
-        int fd;
-
-        start_exchange(&f, &o);
-        fd = accept_connection(&f);
-        tcp_receive(f.loop, fd);
-        tcp_send(fd, endless_kinds[_i].start);
-        for (int k = 0; k < 100000 && o.calls == 0; k++) {
-            size_t buffered = bbl_backend_client_get_buffered(f.client);
-
-            peaks[i] = buffered > peaks[i] ? buffered : peaks[i];
-            send(fd, more, strlen(more), MSG_NOSIGNAL | MSG_DONTWAIT);
-            bbl_loop_run_once(f.loop, 0);
-        }
-        ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
-        close(fd);
+        peaks[i] = receive_endless_response(&f, _i);
     }
     ck_assert_uint_le(peaks[ATTEMPTS - 1], peaks[0] / 4);
     close_fixture(&f);
@@ -1140,7 +1158,7 @@
     tcase_add_loop_test(tc, endless_responses_are_bounded_in_allocated_bytes,
                         0, ARRAY_SIZE(endless_kinds));
     tcase_add_loop_test(tc, a_server_that_sends_without_end_is_allowed_less, 0,
-                        2);
+                        ENDLESS_BODY_KINDS);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, a_paused_client_opens_no_connection_in_advance);
