backend_link: a connect ended to save memory is no failure of the server

A host short of memory took servers that were not at fault for unreachable.

Cause: the largest connection was ended like one that had failed. While it was still connecting, that reported a failed connect, and its response counted as one without an end. The exchange ended as unsent, upon which the forwarder took the server for down as well.

Change: such a connection is closed without a result of the attempt to connect, and the exchange states that this host has ended it (ended_by_host). The forwarder treats the attempt as not run, as before, but does not count it against the server. A preconnect for which the closed connection made up is due again.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -110,6 +110,7 @@
                                                       : BBL_ATTEMPT_BROKEN;
     out->failure_reason = r->reason;
     out->sent_at = r->sent_at;
+    out->ended_by_host = r->ended_by_host;
     if (r->message != NULL) {
         out->status = bbl_http_message_status(r->message);
         out->headers = r->message->headers.ptr;
--- a/src/forward/attempt.c
+++ b/src/forward/attempt.c
@@ -575,8 +575,10 @@
          * The server is not down if the failed connection has already been
          * recorded and showed that the server is only full.
          */
-        b->down = b->down || b->full_until <= now;
-        b->silent = false;
+        if (!r->ended_by_host) {
+            b->down = b->down || b->full_until <= now;
+            b->silent = false;
+        }
     }
     else if (m != RESULT_FINAL && r->outcome != BBL_ATTEMPT_SERVER_FULL &&
              !head->has_backoff) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -107,6 +107,9 @@
     bbl_usec ready_since;
     /* Driver's handle of the response, used to relay it unchanged. */
     const void *driver_message;
+    /* With BBL_ATTEMPT_UNSENT: this host ended the attempt to save memory, so
+     * the failure does not count against the server. */
+    bool ended_by_host;
 } bbl_attempt_result;
 
 /* Why a request was answered as it was. */
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -77,6 +77,8 @@
     bool any_sent;       /* at least one byte of the request was sent */
     bool served;         /* at least one exchange has completed */
     bool no_body;
+    /* A preconnect was due when it was opened, which it makes up for. */
+    bool replaces_preconnect;
     size_t stray_bytes; /* received before the response to this request */
     size_t charged;     /* bytes allocated, charged to the account */
     bbl_buf request_id;
@@ -192,17 +194,24 @@
     client->closed = c;
 }
 
-/* Closes a connection that failed and reports the failure. */
+/*
+ * Closes a connection that failed and reports the failure.
+ *
+ * @param ended_by_host whether this host has ended it; if so, an attempt to
+ *                      connect has no result, as nothing is known of the
+ *                      server
+ */
 static void
-conn_fail_with_outcome(conn *c, bbl_link_exchange_outcome outcome,
-                       const char *reason)
+conn_end(conn *c, bbl_link_exchange_outcome outcome, const char *reason,
+         bool ended_by_host)
 {
     bbl_backend_client *client = c->link->client;
-    bool connecting = c->state == CONN_CONNECTING;
+    bool connecting = c->state == CONN_CONNECTING && !ended_by_host;
     bool had_request = c->has_request;
     bbl_link_exchange_done done = c->done;
     bbl_link_exchange_result r = {outcome, reason,
-                                  c->any_sent ? c->state_since : 0, NULL};
+                                  c->any_sent ? c->state_since : 0, NULL,
+                                  ended_by_host};
     void *ctx = c->ctx;
     void *link_ctx = c->link->link_ctx;
     bool released = c->link->released;
@@ -231,11 +240,26 @@
     }
 }
 
+static bbl_link_exchange_outcome
+get_failure_outcome(const conn *c)
+{
+    return c->any_sent ? BBL_LINK_BROKEN : BBL_LINK_UNSENT;
+}
+
 static void
 conn_fail(conn *c, const char *reason)
 {
-    conn_fail_with_outcome(c, c->any_sent ? BBL_LINK_BROKEN : BBL_LINK_UNSENT,
-                           reason);
+    conn_end(c, get_failure_outcome(c), reason, false);
+}
+
+/* Ends a connection to save memory. */
+static void
+conn_end_for_memory(conn *c, const char *reason)
+{
+    if (c->state == CONN_CONNECTING && c->replaces_preconnect) {
+        c->link->preconnect_due = true;
+    }
+    conn_end(c, get_failure_outcome(c), reason, true);
 }
 
 /* ---- responses ---- */
@@ -305,7 +329,7 @@
 {
     bbl_backend_client *client = c->link->client;
     bbl_link_exchange_result r = {BBL_LINK_RESPONSE, NULL, c->state_since,
-                                  &client->last_response};
+                                  &client->last_response, false};
     bbl_link_exchange_done done = c->done;
     void *ctx = c->ctx;
     /* A server may respond before it has read the whole request, and reads on
@@ -405,11 +429,12 @@
         "the responses of all servers take too much memory";
     conn *largest = find_largest(ctx);
 
-    if (largest != NULL && largest->has_request && !has_length(largest)) {
+    if (largest != NULL && largest->state == CONN_BUSY &&
+        !has_length(largest)) {
         fail_oversized(largest, reason);
     }
     else if (largest != NULL) {
-        conn_fail(largest, reason);
+        conn_end_for_memory(largest, reason);
     }
 }
 
@@ -586,10 +611,11 @@
         error != 0) {
         /* ECONNRESET instead of ECONNREFUSED means that the server is
          * running but full. */
-        conn_fail_with_outcome(
-            c, error == ECONNRESET ? BBL_LINK_SERVER_FULL : BBL_LINK_UNSENT,
-            error == ECONNRESET ? "the server accepts no more connections"
-                                : "connecting failed");
+        conn_end(c,
+                 error == ECONNRESET ? BBL_LINK_SERVER_FULL : BBL_LINK_UNSENT,
+                 error == ECONNRESET ? "the server accepts no more connections"
+                                     : "connecting failed",
+                 false);
         return;
     }
     if (c->has_request) {
@@ -656,6 +682,7 @@
     c->carried_ids = (bbl_vec)BBL_VEC_INIT(uint64_t);
     bbl_http_message_init(&c->message, false, client->options.response_max);
     bbl_vec_push(&link->connections, &c);
+    c->replaces_preconnect = link->preconnect_due;
     link->preconnect_due = false;
     client->counters.connects++;
     c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -39,6 +39,9 @@
     bbl_usec sent_at; /* when sending began; 0 if nothing was sent */
     /* The response, valid during the callback; NULL for a failure. */
     const bbl_http_message *message;
+    /* This host has ended the exchange to save memory: the failure says
+     * nothing about the server. */
+    bool ended_by_host;
 } bbl_link_exchange_result;
 
 typedef void (*bbl_link_exchange_done)(void *ctx,
@@ -88,7 +91,8 @@
     size_t seed;
     /*
      * Called after an attempt to connect, unless the server is full, the link
-     * has been released or the connection has been closed meanwhile.
+     * has been released or the connection has been closed meanwhile, also to
+     * save memory.
      *
      * `link_ctx` is the value given to bbl_backend_link_new, `ok` whether the
      * attempt succeeded, `duration` the time that it took.
--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -150,8 +150,10 @@
     forward_sim *sim = ctx;
     forward_sim_server *s = find_server(sim, backend);
     exchange *x;
-    bool runs = s->mode != SERVER_SHEDS && s->mode != SERVER_REFUSES &&
-                s->mode != SERVER_REPLACED && s->mode != SERVER_DARK;
+    bool arrives = s->mode != SERVER_REFUSES && s->mode != SERVER_DARK &&
+                   s->mode != SERVER_UNSENT;
+    bool runs = arrives && s->mode != SERVER_SHEDS &&
+                s->mode != SERVER_REPLACED;
     unsigned call = (unsigned)(uintptr_t)request->request_handle - 1;
 
     if (s->connections != 0 && s->in_use >= s->connections) {
@@ -181,9 +183,8 @@
         x->ends = UINT64_MAX;
     }
     s->in_use++;
-    s->arrivals += s->mode != SERVER_REFUSES && s->mode != SERVER_DARK;
-    if (sim->arrived != NULL && s->mode != SERVER_REFUSES &&
-        s->mode != SERVER_DARK) {
+    s->arrivals += arrives;
+    if (sim->arrived != NULL && arrives) {
         sim->arrived(sim->arrived_ctx, s, sim->now);
     }
     s->runs += runs;
@@ -611,6 +612,10 @@
     case SERVER_REFUSES:
         r.outcome = BBL_ATTEMPT_UNSENT;
         break;
+    case SERVER_UNSENT:
+        r.outcome = BBL_ATTEMPT_UNSENT;
+        r.ended_by_host = true;
+        break;
     case SERVER_UNSIGNED:
         r.header_count = 0;
         break;
--- a/tests/support/forward_sim.h
+++ b/tests/support/forward_sim.h
@@ -20,6 +20,7 @@
     SERVER_FAILS,    /* runs it, responds with a failure */
     SERVER_BREAKS,   /* runs it, the connection breaks */
     SERVER_REFUSES,  /* refuses connections */
+    SERVER_UNSENT,   /* the host ends attempts unsent, to save memory */
     SERVER_REPLACED, /* another incarnation has the address */
     SERVER_UNSIGNED, /* responds without a signature */
     SERVER_DENIES    /* runs it, responds 503 without saying that it did not */
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -26,6 +26,7 @@
 typedef struct {
     unsigned calls;
     bbl_link_exchange_outcome end;
+    bool ended_by_host;
     unsigned status;
     char body[256];
 } outcome;
@@ -48,6 +49,7 @@
 
     o->calls++;
     o->end = r->exchange_outcome;
+    o->ended_by_host = r->ended_by_host;
     if (r->message != NULL) {
         o->status = bbl_http_message_status(r->message);
         snprintf(o->body, sizeof(o->body), "%.*s", (int)r->message->body.size,
@@ -55,8 +57,10 @@
     }
 }
 
+/* Opens a fixture whose client charges `account`, or its own if it is NULL. */
 static void
-open_fixture_with(fixture *f, size_t response_max, size_t buffered_max)
+open_fixture_on(fixture *f, size_t response_max, size_t buffered_max,
+                bbl_memory_account *account)
 {
     bbl_backend_client_options o = {
         .dialect = bbl_platform_dialect(),
@@ -64,6 +68,7 @@
         .tcp_user_timeout = 500 * BBL_USEC_PER_MS,
         .response_max = response_max,
         .buffered_max = buffered_max,
+        .account = account,
         .on_connect = record_connect,
         .ctx = f,
     };
@@ -76,6 +81,12 @@
     bbl_backend_link_set_limit(f->link, 2, true);
 }
 
+static void
+open_fixture_with(fixture *f, size_t response_max, size_t buffered_max)
+{
+    open_fixture_on(f, response_max, buffered_max, NULL);
+}
+
 static void
 open_fixture(fixture *f)
 {
@@ -1031,6 +1042,48 @@
 }
 END_TEST
 
+/*
+ * A connection that is closed to save memory while it is connecting tells
+ * nothing of the server: no failed connect may be reported, no lower limit may
+ * follow, and a preconnect that waits for its result must be made up for.
+ */
+START_TEST(ending_a_connect_for_memory_is_no_failure_of_the_server)
+{
+    enum { LIMIT = 1 << 20 };
+    static char body[LIMIT * 5 / 8];
+    bbl_memory_account *account = bbl_memory_account_new(LIMIT);
+    outcome o = {0};
+    bbl_link_exchange_request r = {
+        .body = {body, sizeof(body)}, .done = on_done, .ctx = &o};
+    const bbl_backend_counters *counters;
+    bbl_link_exchange *x;
+    bbl_usec now = bbl_clock_now();
+    size_t others = 0;
+    fixture f;
+
+    open_fixture_on(&f, LIMIT / 4, 0, account);
+    counters = bbl_backend_client_get_counters(f.client);
+    bbl_backend_link_set_limit(f.link, 0, false);
+    bbl_backend_link_preconnect(f.link, now); /* there is no room yet */
+    bbl_backend_link_set_limit(f.link, 1, false);
+    ck_assert_int_eq(bbl_link_exchange_start(&x, f.link, now, &r), 0);
+    bbl_memory_account_charge(account, &others, LIMIT / 2);
+    bbl_memory_account_enforce(account);
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, BBL_LINK_UNSENT);
+    ck_assert(o.ended_by_host);
+    ck_assert_uint_eq(f.failed, 0);
+    ck_assert_uint_eq(counters->connect_failures, 0);
+    ck_assert_uint_eq(counters->oversized, 0);
+    bbl_backend_client_tick(f.client, now);
+    ck_assert_uint_eq(counters->connects, 2);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(f.opened, 1);
+    close_fixture(&f);
+    bbl_memory_account_free(account);
+}
+END_TEST
+
 /* With less room than for one response, none that comes in pieces gets in. */
 START_TEST(a_client_needs_room_for_one_response)
 {
@@ -1159,6 +1212,8 @@
                         0, ARRAY_SIZE(endless_kinds));
     tcase_add_loop_test(tc, a_server_that_sends_without_end_is_allowed_less, 0,
                         ENDLESS_BODY_KINDS);
+    tcase_add_test(tc,
+                   ending_a_connect_for_memory_is_no_failure_of_the_server);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, a_paused_client_opens_no_connection_in_advance);
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -460,7 +460,7 @@
 /* All failure modes in which a server does not stay silent. */
 static const server_mode failure_modes[] = {
     SERVER_SHEDS,    SERVER_FAILS,    SERVER_BREAKS, SERVER_REFUSES,
-    SERVER_REPLACED, SERVER_UNSIGNED, SERVER_DENIES,
+    SERVER_REPLACED, SERVER_UNSIGNED, SERVER_DENIES, SERVER_UNSENT,
 };
 
 START_TEST(idempotent_requests_are_retried_at_another_server)
@@ -504,6 +504,26 @@
 }
 END_TEST
 
+/* A host short of memory ends attempts unsent; no server is at fault. */
+START_TEST(attempts_ended_for_memory_do_not_count_against_a_server)
+{
+    fixture f;
+
+    init_fixture(&f);
+    f.one[0]->mode = SERVER_UNSENT;
+    f.one[1]->mode = SERVER_UNSENT;
+    ck_assert_uint_eq(send_and_wait(&f, "/once/1")->status, 503);
+    for (int i = 0; i < 2; i++) {
+        ck_assert_int_eq(bbl_backend_get_state(f.one[i]->backend,
+                                               forward_sim_get_time(f.sim)),
+                         BBL_BACKEND_USABLE);
+        f.one[i]->mode = SERVER_OK;
+    }
+    ck_assert_uint_eq(send_and_wait(&f, "/once/1")->status, 200);
+    free_fixture(&f);
+}
+END_TEST
+
 /* Responses of servers that have run the request but do not say so soundly. */
 static const server_mode unsound_modes[] = {SERVER_UNSIGNED, SERVER_DENIES};
 
@@ -886,6 +906,8 @@
     tcase_add_test(tc, requests_that_cannot_succeed_are_refused_at_once);
     tcase_add_loop_test(tc, idempotent_requests_are_retried_at_another_server,
                         0, ARRAY_SIZE(failure_modes));
+    tcase_add_test(tc,
+                   attempts_ended_for_memory_do_not_count_against_a_server);
     tcase_add_loop_test(tc, non_idempotent_requests_run_once, 0,
                         ARRAY_SIZE(failure_modes));
     tcase_add_loop_test(tc, unsound_responses_are_not_relayed, 0,
