backend_link: a lowered limit for responses rises with time

A sound server that states no length, and whose limit for such responses was lowered, could keep the low limit for good.

Cause: only a complete response lifted the limit. This host cancels responses (hedges), and the limit fell to 10 KB on a host with 160 MB, so that a usual response of 36,000 bytes could not complete and lowered it again. The limit was also lowered when the host ended a short response because all servers together took too much memory, and the number of halvings had no bound.

Change: the lowest limit admits a usual response (48 KB, twice that allocated). A lowered limit doubles after 2 s without another response that does not end: whole again after 14 s on a host with 160 MB and 18 s at most. A response that the lowest limit admits lowers nothing when it is ended for memory.

Ways weighed: lifting the limit at once after some time lets all faulty servers send whole responses at the same time again.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -49,9 +49,19 @@
 /* A connection is closed after it has carried this many requests, as it
  * remembers the ID of each. */
 #define REQUESTS_PER_CONNECTION_MAX 256
-/* Maximum bytes in a response of unknown length, after many that did not end.
+/*
+ * Maximum bytes in a response of unknown length, after many that did not end;
+ * twice that may be allocated. Usual responses have up to 36,000 bytes, which
+ * take a buffer of 64 KB; the rest is for the head.
+ */
+#define UNBOUNDED_RESPONSE_MIN_BYTES (48u << 10)
+/*
+ * A lowered limit for responses of unknown length doubles after this time
+ * without another one that does not end. A server that is at fault and in use
+ * is asked more often and stays limited; with bodies of 16 MB, the largest
+ * that is configured, the limit is whole again after 9 such periods.
  */
-#define UNBOUNDED_RESPONSE_MIN_BYTES (16u << 10)
+#define LIMIT_RECOVERY_US (2 * BBL_USEC_PER_SEC)
 /* Bytes that the kernel buffers of a response; they use memory as well. */
 #define RECEIVE_BUFFER_BYTES (32 << 10)
 /* A request buffer that is larger is freed after the exchange. */
@@ -108,9 +118,10 @@
     bool unreachable;    /* the last attempt to connect has failed */
     bool preconnect_due; /* one found no room; a tick makes up for it */
     bool released;       /* a tick frees the link once it has no connection */
-    /* Responses in a row that were too long or without an end. */
-    unsigned oversized;
-    bbl_vec connections; /* conn *, most recently used last */
+    /* How often the limit for responses of unknown length is halved. */
+    unsigned limit_halvings;
+    bbl_usec limit_changed_at; /* when that was last changed */
+    bbl_vec connections;       /* conn *, most recently used last */
 };
 
 struct bbl_backend_client {
@@ -342,7 +353,7 @@
 
     client->counters.stray += has_stray_bytes;
     c->done = NULL;
-    c->link->oversized = 0;
+    c->link->limit_halvings = 0;
     move_message(&client->last_response, &c->message);
     charge(client, &client->last_charged,
            bbl_http_message_get_allocated(&client->last_response));
@@ -413,15 +424,58 @@
            c->message.parser.content_length != UINT64_MAX;
 }
 
+/* Returns the maximum bytes in a response of unknown length. */
+static size_t
+get_unbounded_max(const bbl_backend_link *link)
+{
+    size_t max = link->client->options.response_max;
+    size_t lowered = max >> link->limit_halvings;
+
+    if (max <= UNBOUNDED_RESPONSE_MIN_BYTES) {
+        return max;
+    }
+    return lowered > UNBOUNDED_RESPONSE_MIN_BYTES
+               ? lowered
+               : UNBOUNDED_RESPONSE_MIN_BYTES;
+}
+
 /* Ends an exchange whose response was too long or did not end. */
 static void
 fail_oversized(conn *c, const char *reason)
 {
-    c->link->oversized++;
-    c->link->client->counters.oversized++;
+    bbl_backend_link *link = c->link;
+
+    if (get_unbounded_max(link) > UNBOUNDED_RESPONSE_MIN_BYTES) {
+        link->limit_halvings++;
+    }
+    link->limit_changed_at = bbl_clock_now();
+    link->client->counters.oversized++;
     conn_fail(c, reason);
 }
 
+/*
+ * Returns whether a response of unknown length is longer than a server may
+ * send after many that did not end. A lower limit would not prevent others.
+ */
+static bool
+exceeds_lowest_limit(const conn *c)
+{
+    return c->state == CONN_BUSY && !has_length(c) &&
+           bbl_http_message_get_allocated(&c->message) >
+               2 * UNBOUNDED_RESPONSE_MIN_BYTES;
+}
+
+/* Raises a lowered limit as time has passed. */
+static void
+raise_limit(bbl_backend_link *link, bbl_usec now)
+{
+    while (link->limit_halvings > 0 &&
+           now >= link->limit_changed_at + LIMIT_RECOVERY_US) {
+        link->limit_halvings--;
+        link->limit_changed_at += LIMIT_RECOVERY_US;
+    }
+}
+
 static void
 end_largest(void *ctx)
 {
@@ -429,8 +483,7 @@
         "the responses of all servers take too much memory";
     conn *largest = find_largest(ctx);
 
-    if (largest != NULL && largest->state == CONN_BUSY &&
-        !has_length(largest)) {
+    if (largest != NULL && exceeds_lowest_limit(largest)) {
         fail_oversized(largest, reason);
     }
     else if (largest != NULL) {
@@ -439,33 +492,17 @@
 }
 
 /*
- * Returns the maximum bytes in the body of the next response. A response that
- * states its length may have all of them, also from a server whose responses
- * did not end before.
+ * Returns whether a response exceeds the server's limit. A response that
+ * states its length may have all of it, also from a server whose responses did
+ * not end before.
  */
-static size_t
-get_response_max(const conn *c)
-{
-    size_t max = c->link->client->options.response_max;
-
-    if (has_length(c)) {
-        return max;
-    }
-    for (unsigned i = 0;
-         i < c->link->oversized && max > UNBOUNDED_RESPONSE_MIN_BYTES; i++) {
-        max /= 2;
-    }
-    return max;
-}
-
-/* Returns whether a response of unknown length exceeds the server's limit. */
 static bool
 is_oversized(const conn *c)
 {
     return c->message.too_large ||
            (!c->message.done && !has_length(c) &&
             bbl_http_message_get_allocated(&c->message) >
-                2 * get_response_max(c));
+                2 * get_unbounded_max(c->link));
 }
 
 /* Parses received bytes; may complete the exchange or close `c`. */
@@ -1042,6 +1079,7 @@
             *BBL_VEC_AT(bbl_backend_link *, &client->links, i - 1);
 
         check_link_timeouts(link, now);
+        raise_limit(link, now);
         if (link->released && link->connections.size == 0) {
             bbl_vec_swap_remove(&client->links, i - 1);
             bbl_vec_free(&link->connections);
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -8,7 +8,8 @@
  * of a response cannot be taken for the response to a retry.
  *
  * A server whose responses do not end gets a lower limit for responses of
- * unknown length, until it completes a response.
+ * unknown length. The limit is whole again once the server completes a
+ * response, and rises with time. It always admits a response of usual size.
  *
  * All functions must be called from the thread of the loop.
  */
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -1042,6 +1042,121 @@
 }
 END_TEST
 
+/* Lowers the limit of a server as far as it goes. */
+static void
+lower_limit(fixture *f)
+{
+    for (int i = 0; i < 10; i++) {
+        receive_endless_response(f, i % ENDLESS_BODY_KINDS);
+    }
+}
+
+/* Usual responses have up to this many bytes. */
+#define USUAL_MAX_BYTES 36000
+
+/* Sends a part of a body of unknown length, while the loop runs. */
+static void
+send_body(fixture *f, int fd, size_t size)
+{
+    static const char piece[1000];
+
+    for (size_t sent = 0; sent < size; sent += sizeof(piece)) {
+        ck_assert_int_eq(send(fd, piece, sizeof(piece), MSG_NOSIGNAL),
+                         (ssize_t)sizeof(piece));
+        bbl_loop_run_once(f->loop, 1000);
+    }
+}
+
+/*
+ * A lowered limit that does not admit a response of usual size is lowered by
+ * each such response again, and never lifted.
+ */
+START_TEST(usual_responses_end_a_lowered_limit)
+{
+    enum { RESPONSE_MAX = 5 << 20 }; /* of a host with 160 MB */
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture_with(&f, RESPONSE_MAX, 4 * RESPONSE_MAX);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    lower_limit(&f);
+    start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, endless_kinds[0].start);
+    send_body(&f, fd, USUAL_MAX_BYTES);
+    close(fd);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
+    ck_assert_uint_ge(receive_endless_response(&f, 0), RESPONSE_MAX);
+    close_fixture(&f);
+}
+END_TEST
+
+/*
+ * All responses of a sound server whose limit was lowered may be cancelled by
+ * this host, so that none is complete. The limit must rise without them.
+ */
+START_TEST(a_lowered_limit_rises_while_responses_are_cancelled)
+{
+    enum { RESPONSE_MAX = 5 << 20, SECONDS = 20 };
+    fixture f;
+    outcome o;
+    bbl_usec now = bbl_clock_now();
+
+    open_fixture_with(&f, RESPONSE_MAX, 4 * RESPONSE_MAX);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    lower_limit(&f);
+    ck_assert_uint_le(receive_endless_response(&f, 0), RESPONSE_MAX / 16);
+    for (int i = 0; i < SECONDS; i++) {
+        bbl_link_exchange *x = start_exchange(&f, &o);
+        int fd = accept_connection(&f);
+
+        tcp_receive(f.loop, fd);
+        tcp_send(fd, endless_kinds[0].start);
+        send_body(&f, fd, 6000);
+        bbl_link_exchange_abandon(x);
+        close(fd);
+        now += BBL_USEC_PER_SEC;
+        bbl_backend_client_tick(f.client, now);
+    }
+    ck_assert_uint_ge(receive_endless_response(&f, 0), RESPONSE_MAX);
+    close_fixture(&f);
+}
+END_TEST
+
+/*
+ * A host short of memory may end a response of usual size. This says nothing
+ * about the server, whose limit must not be lowered for it.
+ */
+START_TEST(ending_a_usual_response_for_memory_lowers_no_limit)
+{
+    enum { LIMIT = 1 << 20 };
+    bbl_memory_account *account = bbl_memory_account_new(LIMIT);
+    size_t others = 0;
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture_on(&f, LIMIT / 4, 0, account);
+    start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, endless_kinds[0].start);
+    send_body(&f, fd, USUAL_MAX_BYTES);
+    bbl_memory_account_charge(account, &others, LIMIT);
+    bbl_memory_account_enforce(account);
+    ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
+    ck_assert(o.ended_by_host);
+    ck_assert_uint_eq(bbl_backend_client_get_counters(f.client)->oversized, 0);
+    close(fd);
+    close_fixture(&f);
+    bbl_memory_account_free(account);
+}
+END_TEST
+
 /*
  * A connection that is closed to save memory while it is connecting tells
  * nothing of the server: no failed connect may be reported, no lower limit may
@@ -1214,6 +1329,9 @@
                         ENDLESS_BODY_KINDS);
     tcase_add_test(tc,
                    ending_a_connect_for_memory_is_no_failure_of_the_server);
+    tcase_add_test(tc, usual_responses_end_a_lowered_limit);
+    tcase_add_test(tc, a_lowered_limit_rises_while_responses_are_cancelled);
+    tcase_add_test(tc, ending_a_usual_response_for_memory_lowers_no_limit);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, a_paused_client_opens_no_connection_in_advance);
