backend_link: one server holds at most half of the memory for responses

A server that sends long responses on many connections could cause the responses of other servers to be ended: beyond the limit the largest response was ended, whichever server sent it, and a server could take all memory with responses that were each smaller than another server's.

Change: the connections of one server hold at most half of the limit, or one response of the maximum size with its head if that is more. Beyond it the largest responses of that server are ended; while requests take the share, the server gets no further ones (not run). A client with one server has no share. Half, because a response of the maximum size (a quarter of the limit) takes up to half in its buffer, and because a server that holds half on 66 connections, the most that one accepts, holds 159 KB on each at 160 MB: more than a usual response (66 KB), so it is ended first if the others need more than their half.

Ways weighed: a quarter refuses responses of the maximum size; ending the largest response of the server that holds most ends sound responses of a busy server when many faulty servers hold a little each.

Measured: a_server_does_not_displace_the_responses_of_others (the other server's response was ended) and a_server_gets_no_more_requests_than_its_share (20 MB for a limit of 4 MB) fail before. the_only_server_has_no_share and a_response_of_the_maximum_size_fits_in_the_share guard the exceptions and fail with these taken out. After: test_backend_link 78 of 78.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -62,6 +62,17 @@
  * that is configured, the limit is whole again after 9 such periods.
  */
 #define LIMIT_RECOVERY_US (2 * BBL_USEC_PER_SEC)
+/*
+ * Share of the account's limit that the requests and responses of one server
+ * may take, as a divisor. A response of the maximum size, a quarter of the
+ * limit, takes up to half in a buffer that grows by doubling. A server at its
+ * share with 66 connections, the most that one accepts, holds more on each
+ * than a usual response takes, so the host ends these first if the others need
+ * more than the other half.
+ */
+#define SERVER_SHARE_DIVISOR 2
+/* Bytes of the head of a response of the maximum size. */
+#define HEAD_ALLOWANCE_BYTES (64u << 10)
 /* Bytes that the kernel buffers of a response; they use memory as well. */
 #define RECEIVE_BUFFER_BYTES (32 << 10)
 /* A request buffer that is larger is freed after the exchange. */
@@ -121,6 +132,7 @@
     /* How often the limit for responses of unknown length is halved. */
     unsigned limit_halvings;
     bbl_usec limit_changed_at; /* when that was last changed */
+    size_t charged;            /* bytes of all its connections */
     bbl_vec connections;       /* conn *, most recently used last */
 };
 
@@ -170,8 +182,10 @@
 static void
 charge_conn(conn *c)
 {
-    charge(c->link->client, &c->charged,
-           bbl_http_message_get_allocated(&c->message) + c->out.cap);
+    size_t bytes = bbl_http_message_get_allocated(&c->message) + c->out.cap;
+
+    c->link->charged = c->link->charged - c->charged + bytes;
+    charge(c->link->client, &c->charged, bytes);
 }
 
 /* Frees the buffers of a connection. */
@@ -476,18 +490,27 @@
     }
 }
 
+/* Ends a connection to save memory; lowers the limit of a server whose
+ * response is long and states no length. */
+static void
+end_for_memory(conn *c, const char *reason)
+{
+    if (exceeds_lowest_limit(c)) {
+        fail_oversized(c, reason);
+    }
+    else {
+        conn_end_for_memory(c, reason);
+    }
+}
+
 static void
 end_largest(void *ctx)
 {
-    static const char reason[] =
-        "the responses of all servers take too much memory";
     conn *largest = find_largest(ctx);
 
-    if (largest != NULL && exceeds_lowest_limit(largest)) {
-        fail_oversized(largest, reason);
-    }
-    else if (largest != NULL) {
-        conn_end_for_memory(largest, reason);
+    if (largest != NULL) {
+        end_for_memory(largest,
+                       "the responses of all servers take too much memory");
     }
 }
 
@@ -505,6 +528,67 @@
                 2 * get_unbounded_max(c->link));
 }
 
+/*
+ * Returns the maximum bytes that the connections of one server may hold. A
+ * response of the maximum size always fits. A client with one server has no
+ * others to protect.
+ */
+static size_t
+get_server_share(const bbl_backend_client *client)
+{
+    size_t limit = bbl_memory_account_get_limit(client->account);
+    size_t share = limit / SERVER_SHARE_DIVISOR;
+    size_t response = 2 * client->options.response_max + HEAD_ALLOWANCE_BYTES;
+
+    if (client->links.size <= 1) {
+        return limit;
+    }
+    return share > response ? share : response;
+}
+
+/*
+ * Returns the bytes that the responses of a server have allocated.
+ *
+ * @param largest set to the connection with the largest of them, or NULL
+ */
+static size_t
+sum_responses(const bbl_backend_link *link, conn **largest)
+{
+    size_t sum = 0;
+    size_t most = 0;
+
+    *largest = NULL;
+    for (size_t i = 0; i < link->connections.size; i++) {
+        conn *c = *BBL_VEC_AT(conn *, &link->connections, i);
+        size_t bytes = bbl_http_message_get_allocated(&c->message);
+
+        sum += bytes;
+        if (bytes > most) {
+            *largest = c;
+            most = bytes;
+        }
+    }
+    return sum;
+}
+
+/*
+ * Ends the largest responses of a server that holds more than its share. None
+ * is ended if it is mostly requests that take the share: new ones are not sent
+ * then, and ending responses would save little.
+ */
+static void
+enforce_server_share(bbl_backend_link *link)
+{
+    size_t share = get_server_share(link->client);
+    conn *largest;
+
+    while (link->charged > share &&
+           sum_responses(link, &largest) > share / 2) {
+        end_for_memory(largest,
+                       "the responses of the server take too much memory");
+    }
+}
+
 /* Parses received bytes; may complete the exchange or close `c`. */
 static void
 parse_response(conn *c, bbl_str bytes)
@@ -530,6 +614,7 @@
                 fail_oversized(c, "the response does not end");
             }
             else {
+                enforce_server_share(c->link);
                 bbl_memory_account_enforce(c->link->client->account);
             }
             return;
@@ -924,7 +1009,8 @@
 bool
 bbl_backend_link_has_room(const bbl_backend_link *link)
 {
-    return link->busy_count < link->max_connections;
+    return link->busy_count < link->max_connections &&
+           link->charged < get_server_share(link->client);
 }
 
 bool
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -11,6 +11,10 @@
  * unknown length. The limit is whole again once the server completes a
  * response, and rises with time. It always admits a response of usual size.
  *
+ * If a client has several links, one of them holds at most half of the memory
+ * of the account, or one response of the maximum size if that is more. Beyond
+ * it, its largest responses are ended, and it has no room for requests.
+ *
  * All functions must be called from the thread of the loop.
  */
 #ifndef BBL_BACKEND_LINK_H
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -1060,9 +1060,11 @@
 {
     static const char piece[1000];
 
-    for (size_t sent = 0; sent < size; sent += sizeof(piece)) {
-        ck_assert_int_eq(send(fd, piece, sizeof(piece), MSG_NOSIGNAL),
-                         (ssize_t)sizeof(piece));
+    while (size > 0) {
+        size_t n = size < sizeof(piece) ? size : sizeof(piece);
+
+        ck_assert_int_eq(send(fd, piece, n, MSG_NOSIGNAL), (ssize_t)n);
+        size -= n;
         bbl_loop_run_once(f->loop, 1000);
     }
 }
@@ -1157,6 +1159,154 @@
 }
 END_TEST
 
+enum {
+    SHARE_LIMIT = 4 << 20,
+    SHARE_RESPONSE_MAX = SHARE_LIMIT / 8,
+    SHARE_CONNECTIONS = 50,
+    /* With the buffer of 128 KB in which each is received, the responses on
+     * all connections take more than the limit. */
+    SHARE_RESPONSE_BYTES = 120000
+};
+
+/*
+ * Starts a response that states its length and does not end on each of some
+ * connections of the fixture's server.
+ */
+static void
+receive_incomplete_responses(fixture *f, unsigned count, outcome *o, int *fds)
+{
+    bbl_backend_link_set_limit(f->link, count, false);
+    for (unsigned i = 0; i < count; i++) {
+        start_exchange(f, &o[i]);
+        fds[i] = accept_connection(f);
+        tcp_receive(f->loop, fds[i]);
+        tcp_send(fds[i], "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n"
+                         "Content-Length: 130000\r\n\r\n");
+        send_body(f, fds[i], SHARE_RESPONSE_BYTES);
+    }
+}
+
+/*
+ * A server holds many responses, each smaller than that of another server.
+ * Without a limit for one server, the other's would be ended for them.
+ */
+START_TEST(a_server_does_not_displace_the_responses_of_others)
+{
+    fixture f;
+    outcome o[SHARE_CONNECTIONS];
+    outcome other;
+    bbl_backend_link *link;
+    int fds[SHARE_CONNECTIONS];
+    int fd;
+
+    open_fixture_with(&f, SHARE_RESPONSE_MAX, SHARE_LIMIT);
+    link = bbl_backend_link_new(f.client, f.address, &f);
+    start_exchange_on(link, &other);
+    fd = accept_connection(&f);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n"
+                 "Content-Length: 400000\r\n\r\n");
+    send_body(&f, fd, 300000);
+    receive_incomplete_responses(&f, SHARE_CONNECTIONS, o, fds);
+    ck_assert_uint_eq(other.calls, 0);
+    ck_assert_uint_le(bbl_backend_client_get_buffered(f.client),
+                      SHARE_LIMIT / 2 + 2 * SHARE_RESPONSE_MAX);
+    send_body(&f, fd, 100000);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(other.calls, 1);
+    ck_assert_int_eq(other.end, BBL_LINK_RESPONSE);
+    ck_assert(o[0].ended_by_host);
+    for (int i = 0; i < SHARE_CONNECTIONS; i++) {
+        close(fds[i]);
+    }
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* The only server may use all of the memory: there are no others. */
+START_TEST(the_only_server_has_no_share)
+{
+    enum { CONNECTIONS = 25 }; /* which take more than half */
+    fixture f;
+    outcome o[CONNECTIONS];
+    int fds[CONNECTIONS];
+
+    open_fixture_with(&f, SHARE_RESPONSE_MAX, SHARE_LIMIT);
+    receive_incomplete_responses(&f, CONNECTIONS, o, fds);
+    ck_assert_uint_gt(bbl_backend_client_get_buffered(f.client),
+                      SHARE_LIMIT / 2);
+    for (int i = 0; i < CONNECTIONS; i++) {
+        ck_assert_uint_eq(o[i].calls, 0);
+        close(fds[i]);
+    }
+    close_fixture(&f);
+}
+END_TEST
+
+/*
+ * A response of the maximum size takes all of its server's half of the memory
+ * in a buffer of twice its size, and its head takes more. It must not be
+ * refused for the share.
+ */
+START_TEST(a_response_of_the_maximum_size_fits_in_the_share)
+{
+    enum { RESPONSE_MAX = (1 << 20) + 24, FIRST_BYTES = (1 << 20) + 4 };
+    fixture f;
+    outcome o;
+    char head[128];
+    int fd;
+
+    open_fixture_with(&f, RESPONSE_MAX, 4 * RESPONSE_MAX);
+    bbl_backend_link_new(f.client, f.address, &f);
+    start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_receive(f.loop, fd);
+    snprintf(head, sizeof(head),
+             "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n"
+             "Content-Length: %d\r\n\r\n",
+             RESPONSE_MAX);
+    tcp_send(fd, head);
+    send_body(&f, fd, FIRST_BYTES);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(o.calls, 0);
+    send_body(&f, fd, RESPONSE_MAX - FIRST_BYTES);
+    tcp_run_loop(f.loop, 10);
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, BBL_LINK_RESPONSE);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+/* Requests that a server does not read must not take all of the memory. */
+START_TEST(a_server_gets_no_more_requests_than_its_share)
+{
+    static char body[SHARE_LIMIT / 8];
+    fixture f;
+    outcome o = {0};
+    bbl_link_exchange_request r = {
+        .body = {body, sizeof(body)}, .done = on_done, .ctx = &o};
+    bbl_backend_link *link;
+    bbl_link_exchange *x;
+    unsigned started = 0;
+
+    open_fixture_with(&f, SHARE_RESPONSE_MAX, SHARE_LIMIT);
+    link = bbl_backend_link_new(f.client, f.address, &f);
+    bbl_backend_link_set_limit(f.link, 20, false);
+    while (started < 20 && bbl_backend_link_has_room(f.link)) {
+        ck_assert_int_eq(
+            bbl_link_exchange_start(&x, f.link, bbl_clock_now(), &r), 0);
+        started++;
+    }
+    ck_assert_uint_ge(started, 1);
+    ck_assert_uint_le(bbl_backend_client_get_buffered(f.client),
+                      SHARE_LIMIT / 2 + 2 * sizeof(body));
+    ck_assert(bbl_backend_link_has_room(link));
+    close_fixture(&f);
+}
+END_TEST
+
 /*
  * A connection that is closed to save memory while it is connecting tells
  * nothing of the server: no failed connect may be reported, no lower limit may
@@ -1332,6 +1482,10 @@
     tcase_add_test(tc, usual_responses_end_a_lowered_limit);
     tcase_add_test(tc, a_lowered_limit_rises_while_responses_are_cancelled);
     tcase_add_test(tc, ending_a_usual_response_for_memory_lowers_no_limit);
+    tcase_add_test(tc, a_server_does_not_displace_the_responses_of_others);
+    tcase_add_test(tc, the_only_server_has_no_share);
+    tcase_add_test(tc, a_response_of_the_maximum_size_fits_in_the_share);
+    tcase_add_test(tc, a_server_gets_no_more_requests_than_its_share);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, a_paused_client_opens_no_connection_in_advance);
