--- a/tests/support/forward_sim.c
+++ b/tests/support/forward_sim.c
@@ -152,8 +152,8 @@
     exchange *x;
     bool arrives = s->mode != SERVER_REFUSES && s->mode != SERVER_DARK &&
                    s->mode != SERVER_UNSENT;
-    bool runs = arrives && s->mode != SERVER_SHEDS &&
-                s->mode != SERVER_REPLACED;
+    bool runs =
+        arrives && s->mode != SERVER_SHEDS && s->mode != SERVER_REPLACED;
     unsigned call = (unsigned)(uintptr_t)request->request_handle - 1;
 
     if (s->connections != 0 && s->in_use >= s->connections) {
