A query that may have run is not refused as not run

Cause: a query whose delegation broke goes on at this host. If it needs a token or admission for load, it asked for it, and no grantor, a refusal or the deadline ended it with 503 or 429.

Change: such a query ends as broken (502) instead of asking, as no attempt of it may be sent anyway. Besides, every error answer whose status states that the query has not run is checked in one place; if the query may have run, it becomes 502.

a_query_whose_delegation_broke_is_not_refused_as_not_run got 503 before, both for a broken delegation and for a host that gave up after an attempt.

--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -350,6 +350,16 @@
     bbl_buf fields = BBL_BUF_INIT;
     bbl_forward_answer a;
 
+    if (status == BBL_STATUS_UNAVAILABLE ||
+        status == BBL_STATUS_TOO_MANY_REQUESTS) {
+        bbl_query_cancel_unsent(f, q);
+        if (bbl_query_may_have_run(q)) {
+            /* These statuses state that it has not run. */
+            reason = BBL_FORWARD_BROKEN;
+            status = BBL_STATUS_BAD_GATEWAY;
+            q->record.retry_after_ms = 0;
+        }
+    }
     init_error_answer(f, &a, &fields, reason, status,
                       q->record.retry_after_ms);
     bbl_query_finish(f, now, q, reason, &a);
--- a/src/forward/delegate.c
+++ b/src/forward/delegate.c
@@ -344,6 +344,12 @@
         q->started = true;
         bbl_query_count_first(f, now, q);
     }
+    else if (q->delegation_may_have_run) {
+        /* It may not run again, so a token is of no use, and a refusal would
+         * state that it has not run. */
+        bbl_query_fail_decided(f, now, q);
+        return;
+    }
     if (!q->attempted && bbl_query_is_hopeless(f, q)) {
         bbl_query_fail_decided(f, now, q);
         return;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -530,6 +530,40 @@
 }
 END_TEST
 
+/* A refusal would state that it has not run, and callers would repeat what the
+ * other host has done. */
+START_TEST(a_query_whose_delegation_broke_is_not_refused_as_not_run)
+{
+    quota_fleet f;
+    /* It gave up after an attempt that may have run. */
+    forward_sim_call gave_up = {
+        .status = 502, .reason = BBL_FORWARD_BROKEN, .attempts_maybe_run = 1};
+    peer p;
+    unsigned n;
+
+    quota_fleet_init(&f, 2, 1, 10, 10);
+    connect_peers(&f, &p);
+    quota_fleet_run(&f, 10 * SEC);
+    n = quota_fleet_send(&f, 0, HOT);
+    quota_fleet_run(&f, 45 * MS);
+    ck_assert_ptr_nonnull(p.open);
+    forward_sim_complete_delegation(f.hosts[0], p.open, NULL, BBL_REACH_MOST,
+                                    BBL_ATTEMPT_BROKEN);
+    quota_fleet_run(&f, 100 * MS);
+    ck_assert_uint_eq(get_answer(&f, 0, n)->status, 502);
+    p.open = NULL;
+    quota_fleet_run(&f, 10 * SEC); /* the peer is avoided for some time */
+    n = quota_fleet_send(&f, 0, HOT);
+    quota_fleet_run(&f, 45 * MS);
+    ck_assert_ptr_nonnull(p.open);
+    forward_sim_complete_delegation(f.hosts[0], p.open, &gave_up,
+                                    BBL_REACH_NONE, BBL_ATTEMPT_RESPONSE);
+    quota_fleet_run(&f, 100 * MS);
+    ck_assert_uint_eq(get_answer(&f, 0, n)->status, 502);
+    quota_fleet_free(&f);
+}
+END_TEST
+
 /* Two hosts that both have no grantors must not hold the query. */
 START_TEST(a_query_that_no_host_can_admit_is_refused_as_not_run)
 {
@@ -595,6 +629,8 @@
     tcase_add_test(tc, a_request_takes_one_token);
     tcase_add_test(tc, a_frozen_host_uses_no_old_token);
     tcase_add_test(tc, a_host_without_grantors_lets_another_one_ask);
+    tcase_add_test(tc,
+                   a_query_whose_delegation_broke_is_not_refused_as_not_run);
     tcase_add_test(tc, without_another_host_all_grantors_are_asked);
     tcase_add_test(tc, a_query_that_no_host_can_admit_is_refused_as_not_run);
     suite_add_tcase(suite, tc);
