A host that connects anew learns of a rollout

The first feed to a child is made before the connection to it is established, when nothing is announced yet.

Change: while there are rollouts, a child gets no entries before the connection to it is established; the first feed carries grants only. Without rollouts nothing changes.

a_host_that_connects_anew_learns_of_a_rollout fails without the change.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -188,6 +188,20 @@
     }
 }
 
+/*
+ * Returns whether it is unknown what a child can decode, as the connection to
+ * it is not established, and the state has rollouts: it would get a snapshot
+ * without these and count as a host that applies them.
+ */
+static bool
+may_not_know_rollouts(const bbl_control *c, const bbl_feed_child *k)
+{
+    return bbl_state_rollout(c->state, 0) != NULL &&
+           c->options.port.accepts_kind != NULL &&
+           !c->options.port.accepts_kind(c->options.port.ctx, k->host,
+                                         BBLX_VOTE_REQUEST);
+}
+
 /*
  * Returns whether entries and rows may be sent to a child now: nothing is in
  * flight to it, and the window of all children has room.
@@ -197,7 +211,7 @@
 {
     count_bytes_in_flight(c);
     return c->bytes_in_flight < FEED_WINDOW_BYTES &&
-           get_backlog(c, k->host) == 0;
+           get_backlog(c, k->host) == 0 && !may_not_know_rollouts(c, k);
 }
 
 /* Adds the rows that the child lacks, as far as one message holds them. */
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -416,6 +416,7 @@
     bool no_feed;      /* host 2 does not learn of changes */
     bool old_leader;   /* host 1 cannot read conditional commands */
     bool old_voter;    /* host 2 is not known to decode rollouts */
+    bool connecting;   /* the connection to host 2 is not established */
     unsigned proposes; /* proposals that host 2 has sent */
     unsigned completions;
     int status; /* of the last completion */
@@ -476,8 +477,10 @@
 {
     const port_ctx *p = ctx;
 
-    (void)kind;
-    return host != 2 || !p->sim->old_voter;
+    if (host == 2 && p->sim->connecting) {
+        return false;
+    }
+    return host != 2 || !p->sim->old_voter || kind <= BBLX_TRANSFER;
 }
 
 static void
@@ -521,6 +524,28 @@
     }
 }
 
+static void
+open_host(simulation *sim, uint32_t h)
+{
+    bbl_control_options o = BBL_CONTROL_OPTIONS_INIT;
+
+    contexts[h] = (port_ctx){sim, h};
+    o.host = h;
+    o.incarnation = h;
+    bbl_name_set(&o.zone, "dc2", 3);
+    o.control = (bblx_address){h, 1};
+    o.seeds.list.list_len = 1;
+    o.seeds.list.list_val = &sim->seed;
+    o.port.send = on_send;
+    o.port.complete_proposal = on_proposed;
+    o.port.accepts_kind = on_accepts_kind;
+    o.port.ctx = &contexts[h];
+    ck_assert_int_eq(bbl_control_open(&sim->hosts[h], &o,
+                                      h == 1 ? memdisk_open(&sim->disk) : NULL,
+                                      sim->now),
+                     0);
+}
+
 static void
 open_simulation(simulation *sim)
 {
@@ -531,26 +556,8 @@
     sim->held = (bbl_vec)BBL_VEC_INIT(packet);
     memdisk_init(&sim->disk);
     ck_assert_int_eq(bbl_quorum_bootstrap(memdisk_open(&sim->disk), 1), 0);
-    for (uint32_t h = 1; h <= 2; h++) {
-        bbl_control_options o = BBL_CONTROL_OPTIONS_INIT;
-
-        contexts[h] = (port_ctx){sim, h};
-        o.host = h;
-        o.incarnation = h;
-        bbl_name_set(&o.zone, "dc2", 3);
-        o.control = (bblx_address){h, 1};
-        o.seeds.list.list_len = 1;
-        o.seeds.list.list_val = &sim->seed;
-        o.port.send = on_send;
-        o.port.complete_proposal = on_proposed;
-        o.port.accepts_kind = on_accepts_kind;
-        o.port.ctx = &contexts[h];
-        ck_assert_int_eq(
-            bbl_control_open(&sim->hosts[h], &o,
-                             h == 1 ? memdisk_open(&sim->disk) : NULL,
-                             sim->now),
-            0);
-    }
+    open_host(sim, 1);
+    open_host(sim, 2);
     run_hosts(sim, 3000);
     ck_assert(bbl_control_leads(sim->hosts[1], sim->now));
 }
@@ -702,6 +709,31 @@
 }
 END_TEST
 
+/* A host that joins would otherwise send to the new version without a limit,
+ * and count as one that applies the rollout. */
+START_TEST(a_host_that_connects_anew_learns_of_a_rollout)
+{
+    simulation sim;
+
+    open_simulation(&sim);
+    propose_rollout(&sim, 1);
+    run_hosts(&sim, 500);
+    ck_assert(has_rollout(sim.hosts[2]));
+    for (unsigned i = 0; i < 400; i++) { /* a snapshot is shorter then */
+        propose(&sim, 1, i % 2 == 0);
+        run_hosts(&sim, 5);
+    }
+    bbl_control_free(sim.hosts[2]);
+    open_host(&sim, 2);
+    sim.connecting = true;
+    run_hosts(&sim, 1000);
+    sim.connecting = false;
+    run_hosts(&sim, 1000);
+    ck_assert(has_rollout(sim.hosts[2]));
+    close_simulation(&sim);
+}
+END_TEST
+
 /* The order is held up; meanwhile the rollout runs by way of another host and
  * ends. What was held up must not start it anew. */
 START_TEST(a_delayed_order_starts_no_rollout_anew)
@@ -763,6 +795,7 @@
     tcase_add_loop_test(
         tc, an_order_of_a_rollout_that_was_given_up_is_not_recorded, 0, 2);
     tcase_add_test(tc, a_rollout_is_refused_while_a_voter_may_not_decode_it);
+    tcase_add_test(tc, a_host_that_connects_anew_learns_of_a_rollout);
     tcase_add_test(tc, a_delayed_order_starts_no_rollout_anew);
     tcase_add_loop_test(tc, a_list_that_waited_too_long_is_not_used, 0, 2);
     tcase_add_loop_test(tc, a_delayed_command_does_not_undo_a_newer_one, 0, 2);
