A new leader reads the list before it rolls a rollout back

Operators saw a good version rolled back as "too few warm servers" although all were warm: forward_e2e and the experiment good failed so on a busy machine (load 30), and the case leader-late of the experiment each time.

Cause: a leader that is elected after the deadline has read no list yet, counts no slots, and decided in its first tick.

Change: without a list of the last 5 s it waits, as long as other overdue rollouts do (15 s).

a_new_leader_reads_the_list_before_it_rolls_back fails without the change.

--- a/src/control/rollouts.c
+++ b/src/control/rollouts.c
@@ -342,6 +342,7 @@
                 server->slots;
         }
     }
+    in->listed = recent;
     in->alone = in->target_slots > 0 && others == 0;
 }
 
--- a/src/rollout/plan.c
+++ b/src/rollout/plan.c
@@ -142,7 +142,7 @@
         return decide(BBL_PLAN_WAIT, in->share, "no step is due");
     }
     if (!has_capacity(in, next)) {
-        return in->left == 0
+        return in->left == 0 && (in->listed || in->overdue > OVERDUE_MAX_US)
                    ? decide(BBL_PLAN_ROLL_BACK, 0, "too few warm servers")
                    : decide(BBL_PLAN_WAIT, in->share, "too few warm servers");
     }
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -27,6 +27,9 @@
     /* Whether the leases granted by an earlier leader have expired. */
     bool stable;
     bbl_verdict verdict; /* the worst one of all routes */
+    /* Whether the list was read lately; a new leader has read none, and counts
+     * no slots. */
+    bool listed;
     /* Slots of the warm servers of the new version, and of all others. */
     unsigned target_slots;
     unsigned other_slots;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -232,6 +232,7 @@
                             .in_force = true,
                             .stable = true,
                             .verdict = BBL_VERDICT_UNDECIDED,
+                            .listed = true,
                             .target_slots = 4,
                             .other_slots = 4};
 }
@@ -326,6 +327,32 @@
 }
 END_TEST
 
+/* A leader that is elected after the deadline has read no list and counts no
+ * slots; a good version was rolled back for that. */
+START_TEST(a_new_leader_reads_the_list_before_it_rolls_back)
+{
+    bbl_plan_input in = usual_input(60 * SEC);
+    bbl_plan_result r;
+
+    in.share = 2000;
+    in.left = 0;
+    in.overdue = SEC;
+    in.listed = false;
+    in.target_slots = 0;
+    in.other_slots = 0;
+    bbl_plan_next(&r, &in);
+    ck_assert_int_eq(r.action, BBL_PLAN_WAIT);
+    in.overdue = 16 * SEC; /* it reads none */
+    bbl_plan_next(&r, &in);
+    ck_assert_int_eq(r.action, BBL_PLAN_ROLL_BACK);
+    in.overdue = SEC;
+    in.listed = true; /* without servers of the version */
+    in.other_slots = 4;
+    bbl_plan_next(&r, &in);
+    ck_assert_int_eq(r.action, BBL_PLAN_ROLL_BACK);
+}
+END_TEST
+
 START_TEST(a_share_is_not_raised_beyond_what_the_servers_can_take)
 {
     bbl_plan_input in = usual_input(60 * SEC);
@@ -465,6 +492,7 @@
                         9);
     tcase_add_test(tc, without_warm_servers_the_rollout_is_rolled_back);
     tcase_add_test(tc, a_share_is_not_raised_beyond_what_the_servers_can_take);
+    tcase_add_test(tc, a_new_leader_reads_the_list_before_it_rolls_back);
     tcase_add_loop_test(tc, no_step_is_made_before_the_last_one_is_in_force, 0,
                         2);
     tcase_add_test(tc,
