Count what is refused for memory by cause, and name the servers

An operator saw how many exchanges and connections were ended for memory (held_memory_ended_total), but neither why nor at which server.

Change: the memory account counts by cause (memory_refused_total{cause=...}): the limit of the host, the share of a server, responses that are too long, do not end or follow too many stray bytes, requests that a server at its share does not get, and requests, answers and idle connections of callers. Event BBL4011 names the server or the entry host, the cause, how often and what its connections hold; one line for each server and cause in 5 s, as a faulty server may fail many times a second.

--- a/src/daemon/forward_metrics.c
+++ b/src/daemon/forward_metrics.c
@@ -34,6 +34,24 @@
                    (double)h->sum / 1e6, (unsigned long long)h->count);
 }
 
+/* Appends what was refused or ended to save memory, by cause. */
+static void
+append_memory_causes(bbl_buf *out, const bbl_memory_account *memory)
+{
+    bbl_buf_append_cstr(
+        out, "# HELP " PREFIX "memory_refused_total requests, responses and "
+             "connections refused or ended to save memory\n"
+             "# TYPE " PREFIX "memory_refused_total counter\n");
+    for (int i = 0; i < BBL_MEMORY_CAUSES; i++) {
+        bbl_memory_cause cause = (bbl_memory_cause)i;
+
+        bbl_buf_printf(
+            out, PREFIX "memory_refused_total{cause=\"%s\"} %llu\n",
+            bbl_memory_cause_name(cause),
+            (unsigned long long)bbl_memory_account_get_count(memory, cause));
+    }
+}
+
 void
 bbl_forward_metrics_render(bbl_buf *out, const bbl_forwarder *f,
                            const bbl_edge_counters *callers,
@@ -76,6 +94,7 @@
     bbl_metrics_append_counter(out, "held_memory_ended_total",
                                "exchanges and connections ended for memory",
                                bbl_memory_account_get_ended(memory));
+    append_memory_causes(out, memory);
     bbl_metrics_append_counter(out, "oversized_responses_total",
                                "responses that were too long or did not end",
                                b->oversized);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -354,6 +354,17 @@
     (void)took;
 }
 
+static void
+on_peer_memory_report(void *ctx, void *owner, const bbl_link_memory_report *r)
+{
+    const bbl_peer *peer = owner;
+
+    (void)ctx;
+    bbl_log(BBL_EV_MEMORY, "peer=%u cause=%s count=%u held_bytes=%zu",
+            peer->listed.host, bbl_memory_cause_name(r->cause), r->count,
+            r->held);
+}
+
 /* ---- answers and log ---- */
 
 /* Returns whether another host has delegated a query to this one. */
@@ -698,6 +709,20 @@
                                  took);
 }
 
+static void
+on_memory_report(void *ctx, void *owner, const bbl_link_memory_report *r)
+{
+    const bbl_backend *b = owner;
+
+    (void)ctx;
+    bbl_log(BBL_EV_MEMORY,
+            "id=%.*s service=%.*s cause=%s count=%u held_bytes=%zu",
+            (int)b->listed.id.bblx_label_len, b->listed.id.bblx_label_val,
+            (int)b->listed.service.bblx_label_len,
+            b->listed.service.bblx_label_val, bbl_memory_cause_name(r->cause),
+            r->count, r->held);
+}
+
 static void
 on_server_ended(void *ctx, const bbl_broken_attempt *a)
 {
@@ -1104,11 +1129,13 @@
         .account = g->memory,
         .seed = seed,
         .on_connect = on_backend_connect,
+        .on_memory_report = on_memory_report,
         .ctx = g,
     };
 
     error = bbl_backend_client_open(&g->backend_client, g->loop, &o);
     o.on_connect = on_peer_connect;
+    o.on_memory_report = on_peer_memory_report;
     return error != 0 ? error
                       : bbl_backend_client_open(&g->peer_client, g->loop, &o);
 }
--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -73,6 +73,8 @@
 #define SERVER_SHARE_DIVISOR 2
 /* Bytes of the head of a response of the maximum size. */
 #define HEAD_ALLOWANCE_BYTES (64u << 10)
+/* Minimum time between reports of what was ended at one server for memory. */
+#define MEMORY_REPORT_INTERVAL_US (5 * BBL_USEC_PER_SEC)
 /* Bytes that the kernel buffers of a response; they use memory as well. */
 #define RECEIVE_BUFFER_BYTES (32 << 10)
 /* A request buffer that is larger is freed after the exchange. */
@@ -133,7 +135,10 @@
     unsigned limit_halvings;
     bbl_usec limit_changed_at; /* when that was last changed */
     size_t charged;            /* bytes of all its connections */
-    bbl_vec connections;       /* conn *, most recently used last */
+    /* What was ended or held back for memory and not reported yet. */
+    unsigned memory_counts[BBL_MEMORY_CAUSES];
+    bbl_usec next_memory_report_at;
+    bbl_vec connections; /* conn *, most recently used last */
 };
 
 struct bbl_backend_client {
@@ -453,12 +458,20 @@
                : UNBOUNDED_RESPONSE_MIN_BYTES;
 }
 
+static void
+count_memory(bbl_backend_link *link, bbl_memory_cause cause)
+{
+    link->memory_counts[cause]++;
+    bbl_memory_account_count(link->client->account, cause);
+}
+
 /* Ends an exchange whose response was too long or did not end. */
 static void
-fail_oversized(conn *c, const char *reason)
+fail_oversized(conn *c, bbl_memory_cause cause, const char *reason)
 {
     bbl_backend_link *link = c->link;
 
+    count_memory(link, cause);
     if (get_unbounded_max(link) > UNBOUNDED_RESPONSE_MIN_BYTES) {
         link->limit_halvings++;
     }
@@ -493,12 +506,13 @@
 /* Ends a connection to save memory; lowers the limit of a server whose
  * response is long and states no length. */
 static void
-end_for_memory(conn *c, const char *reason)
+end_for_memory(conn *c, bbl_memory_cause cause, const char *reason)
 {
     if (exceeds_lowest_limit(c)) {
-        fail_oversized(c, reason);
+        fail_oversized(c, cause, reason);
     }
     else {
+        count_memory(c->link, c->has_request ? cause : BBL_MEMORY_IDLE);
         conn_end_for_memory(c, reason);
     }
 }
@@ -509,7 +523,7 @@
     conn *largest = find_largest(ctx);
 
     if (largest != NULL) {
-        end_for_memory(largest,
+        end_for_memory(largest, BBL_MEMORY_HOST_LIMIT,
                        "the responses of all servers take too much memory");
     }
 }
@@ -584,7 +598,7 @@
 
     while (link->charged > share &&
            sum_responses(link, &largest) > share / 2) {
-        end_for_memory(largest,
+        end_for_memory(largest, BBL_MEMORY_SERVER_SHARE,
                        "the responses of the server take too much memory");
     }
 }
@@ -598,7 +612,8 @@
 
         if (bbl_http_message_feed(&c->message, bytes, &used) != 0) {
             if (c->message.too_large) {
-                fail_oversized(c, "the response is too large");
+                fail_oversized(c, BBL_MEMORY_TOO_LONG,
+                               "the response is too large");
             }
             else {
                 conn_fail(c, "the response is malformed or too large");
@@ -611,7 +626,8 @@
         if (!c->message.done) {
             charge_conn(c);
             if (is_oversized(c)) {
-                fail_oversized(c, "the response does not end");
+                fail_oversized(c, BBL_MEMORY_ENDLESS,
+                               "the response does not end");
             }
             else {
                 enforce_server_share(c->link);
@@ -625,8 +641,9 @@
                 bbl_http_message_status(&c->message) > INTERIM_STATUS_MAX;
             if (c->stray_bytes >
                 c->link->client->options.response_max + STRAY_MAX_BYTES) {
-                fail_oversized(c, "the server sends no response to the "
-                                  "request but other bytes");
+                fail_oversized(c, BBL_MEMORY_STRAY,
+                               "the server sends no response to the "
+                               "request but other bytes");
                 return;
             }
             if (!c->message.keep_alive) {
@@ -909,6 +926,10 @@
     c->link->busy_count++;
     c->any_sent = false;
     charge_conn(c);
+    if (c->link->charged >= get_server_share(c->link->client)) {
+        /* The link has no room from now on. */
+        count_memory(c->link, BBL_MEMORY_SERVER_REQUESTS);
+    }
 }
 
 int
@@ -1125,6 +1146,28 @@
     }
 }
 
+/* Reports what was ended or held back at a server to save memory. */
+static void
+report_memory(bbl_backend_link *link, bbl_usec now)
+{
+    const bbl_backend_client_options *options = &link->client->options;
+
+    if (options->on_memory_report == NULL || link->released ||
+        now < link->next_memory_report_at) {
+        return;
+    }
+    for (int i = 0; i < BBL_MEMORY_CAUSES; i++) {
+        bbl_link_memory_report r = {(bbl_memory_cause)i,
+                                    link->memory_counts[i], link->charged};
+
+        if (r.count > 0) {
+            link->memory_counts[i] = 0;
+            link->next_memory_report_at = now + MEMORY_REPORT_INTERVAL_US;
+            options->on_memory_report(options->ctx, link->link_ctx, &r);
+        }
+    }
+}
+
 /*
  * Opens a connection for each link without one that has `keep_open` set or
  * whose last connect failed, until PRECONNECTS_PER_TICK have been opened.
@@ -1166,6 +1209,7 @@
 
         check_link_timeouts(link, now);
         raise_limit(link, now);
+        report_memory(link, now);
         if (link->released && link->connections.size == 0) {
             bbl_vec_swap_remove(&client->links, i - 1);
             bbl_vec_free(&link->connections);
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -78,6 +78,13 @@
     uint64_t abandoned; /* calls of bbl_link_exchange_abandon */
 } bbl_backend_counters;
 
+/* What was ended or held back at one server to save memory. */
+typedef struct {
+    bbl_memory_cause cause;
+    unsigned count; /* since the report before */
+    size_t held;    /* bytes that the connections of the server hold now */
+} bbl_link_memory_report;
+
 typedef struct {
     /* Parses the request ID from the header fields of a response. */
     const bbl_dialect *dialect;
@@ -103,7 +110,14 @@
      * attempt succeeded, `duration` the time that it took.
      */
     void (*on_connect)(void *ctx, void *link_ctx, bool ok, bbl_usec duration);
-    void *ctx; /* passed to `on_connect` */
+    /*
+     * Called by a tick for each cause for which something was ended or held
+     * back to save memory, at most every 5 s for one link. Not called for
+     * released links. May be NULL.
+     */
+    void (*on_memory_report)(void *ctx, void *link_ctx,
+                             const bbl_link_memory_report *report);
+    void *ctx; /* passed to both */
 } bbl_backend_client_options;
 
 /* Creates a client without links; returns 0 or BBL_EINVAL. */
--- a/src/net/edge.c
+++ b/src/net/edge.c
@@ -407,6 +407,7 @@
     }
     charge_conn(c);
     if (c->message.done && is_memory_exhausted(c->edge)) {
+        bbl_memory_account_count(c->edge->account, BBL_MEMORY_CALLER_REQUEST);
         refuse_request(c, 503, "too much memory is in use\n");
     }
     else if (c->message.done) {
@@ -671,13 +672,18 @@
 static void
 end_largest(void *ctx)
 {
-    conn *c = find_largest(ctx);
+    bbl_edge *e = ctx;
+    conn *c = find_largest(e);
 
     if (c != NULL && c->state == CONN_READING && c->request_started != 0) {
+        bbl_memory_account_count(e->account, BBL_MEMORY_CALLER_REQUEST);
         bbl_buf_free(&c->in);
         refuse_request(c, 503, "too much memory is in use\n");
     }
     else if (c != NULL) {
+        bbl_memory_account_count(e->account, c->state == CONN_READING
+                                                 ? BBL_MEMORY_IDLE
+                                                 : BBL_MEMORY_CALLER_ANSWER);
         conn_close(c);
     }
 }
--- a/src/net/memory_account.c
+++ b/src/net/memory_account.c
@@ -9,6 +9,7 @@
     size_t limit;
     size_t used;
     uint64_t ended;
+    uint64_t counts[BBL_MEMORY_CAUSES];
     bbl_vec holders; /* bbl_memory_holder */
 };
 
@@ -79,6 +80,31 @@
     }
 }
 
+void
+bbl_memory_account_count(bbl_memory_account *a, bbl_memory_cause cause)
+{
+    a->counts[cause]++;
+}
+
+uint64_t
+bbl_memory_account_get_count(const bbl_memory_account *a,
+                             bbl_memory_cause cause)
+{
+    return a->counts[cause];
+}
+
+const char *
+bbl_memory_cause_name(bbl_memory_cause cause)
+{
+    static const char *const names[BBL_MEMORY_CAUSES] = {
+        "host-limit",     "server-share",  "server-requests",
+        "too-long",       "endless",       "stray",
+        "caller-request", "caller-answer", "idle",
+    };
+
+    return names[cause];
+}
+
 size_t
 bbl_memory_account_get_used(const bbl_memory_account *a)
 {
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -107,6 +107,9 @@
       "a backend server has said that it is leaving")                         \
     X(SERVER_HEALTH, 4010, INFO, "server-health",                             \
       "entry hosts agree that a backend server is bad, or well again")        \
+    X(MEMORY, 4011, WARN, "memory",                                           \
+      "exchanges with a backend server or another entry host were ended, or " \
+      "none is started, to save memory")                                      \
     X(REQUEST, 5001, INFO, "request", "a request was answered")               \
     X(REQUEST_FAILED, 5002, WARN, "request-failed",                           \
       "a request was refused, failed or answered partially")                  \
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -20,6 +20,7 @@
     int listener;
     unsigned opened;
     unsigned failed;
+    unsigned memory_reports[BBL_MEMORY_CAUSES]; /* sums of the counts */
 } fixture;
 
 /* The result of an exchange; `calls` counts the calls of the callback. */
@@ -42,6 +43,15 @@
     f->failed += !ok;
 }
 
+static void
+record_memory(void *ctx, void *owner, const bbl_link_memory_report *r)
+{
+    fixture *f = ctx;
+
+    ck_assert_ptr_eq(owner, f);
+    f->memory_reports[r->cause] += r->count;
+}
+
 static void
 on_done(void *ctx, const bbl_link_exchange_result *r)
 {
@@ -70,6 +80,7 @@
         .buffered_max = buffered_max,
         .account = account,
         .on_connect = record_connect,
+        .on_memory_report = record_memory,
         .ctx = f,
     };
 
@@ -1216,6 +1227,8 @@
     ck_assert_uint_eq(other.calls, 1);
     ck_assert_int_eq(other.end, BBL_LINK_RESPONSE);
     ck_assert(o[0].ended_by_host);
+    bbl_backend_client_tick(f.client, bbl_clock_now());
+    ck_assert_uint_gt(f.memory_reports[BBL_MEMORY_SERVER_SHARE], 0);
     for (int i = 0; i < SHARE_CONNECTIONS; i++) {
         close(fds[i]);
     }
@@ -1303,7 +1316,62 @@
     ck_assert_uint_le(bbl_backend_client_get_buffered(f.client),
                       SHARE_LIMIT / 2 + 2 * sizeof(body));
     ck_assert(bbl_backend_link_has_room(link));
+    bbl_backend_client_tick(f.client, bbl_clock_now());
+    ck_assert_uint_gt(f.memory_reports[BBL_MEMORY_SERVER_REQUESTS], 0);
+    close_fixture(&f);
+}
+END_TEST
+
+/*
+ * An operator has to see at which server and why exchanges were ended for
+ * memory, also if it happens often.
+ */
+START_TEST(what_is_ended_for_memory_is_reported_by_cause)
+{
+    enum { LIMIT = 1 << 20 };
+    static const bbl_memory_cause causes[] = {
+        BBL_MEMORY_ENDLESS, BBL_MEMORY_TOO_LONG, BBL_MEMORY_STRAY,
+        BBL_MEMORY_HOST_LIMIT};
+    bbl_memory_account *account = bbl_memory_account_new(LIMIT);
+    bbl_usec now = bbl_clock_now();
+    size_t others = 0;
+    fixture f;
+    outcome o;
+    int fd;
+
+    open_fixture_on(&f, LIMIT / 4, 0, account);
+    bbl_backend_link_set_limit(f.link, 1, false);
+    start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_send(fd, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n");
+    tcp_run_loop(f.loop, 10);
+    close(fd);
+    receive_endless_response(&f, 0); /* less is allowed now */
+    start_exchange(&f, &o);
+    fd = accept_connection(&f);
+    tcp_send_endlessly(f.loop, fd, "HTTP/1.1 100 Continue\r\n\r\n", LIMIT);
+    close(fd);
+    start_exchange(&f, &o);
+    close(accept_connection(&f));
+    bbl_memory_account_charge(account, &others, LIMIT);
+    bbl_memory_account_enforce(account);
+    bbl_backend_client_tick(f.client, now);
+    for (size_t i = 0; i < ARRAY_SIZE(causes); i++) {
+        const char *name = bbl_memory_cause_name(causes[i]);
+
+        ck_assert_msg(bbl_memory_account_get_count(account, causes[i]) == 1,
+                      "%s is not counted", name);
+        ck_assert_msg(f.memory_reports[causes[i]] == 1, "%s is not reported",
+                      name);
+    }
+    bbl_memory_account_charge(account, &others, 0);
+    receive_endless_response(&f, 0);
+    bbl_backend_client_tick(f.client, now + BBL_USEC_PER_SEC);
+    ck_assert_uint_eq(f.memory_reports[BBL_MEMORY_ENDLESS], 1);
+    bbl_backend_client_tick(f.client, now + 5 * BBL_USEC_PER_SEC);
+    ck_assert_uint_eq(f.memory_reports[BBL_MEMORY_ENDLESS], 2);
     close_fixture(&f);
+    bbl_memory_account_free(account);
 }
 END_TEST
 
@@ -1486,6 +1554,7 @@
     tcase_add_test(tc, the_only_server_has_no_share);
     tcase_add_test(tc, a_response_of_the_maximum_size_fits_in_the_share);
     tcase_add_test(tc, a_server_gets_no_more_requests_than_its_share);
+    tcase_add_test(tc, what_is_ended_for_memory_is_reported_by_cause);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
     tcase_add_test(tc, a_preconnect_that_found_no_room_is_made_up_for);
     tcase_add_test(tc, a_paused_client_opens_no_connection_in_advance);
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -194,6 +194,10 @@
         bbl_edge_tick(f.edge, bbl_clock_now());
     }
     ck_assert_uint_gt(bbl_memory_account_get_ended(account), 0);
+    ck_assert_uint_ge(
+        bbl_memory_account_get_count(account, BBL_MEMORY_CALLER_REQUEST) +
+            bbl_memory_account_get_count(account, BBL_MEMORY_CALLER_ANSWER),
+        bbl_memory_account_get_ended(account));
     ck_assert_uint_le(most, LIMIT + 2 * RESPONSE_BYTES + CALLERS * 2048);
     ck_assert_uint_le(bbl_memory_account_get_used(account), LIMIT);
     fd = tcp_connect(f.address);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -411,6 +411,8 @@
     }
     ck_assert_ptr_nonnull(strstr(text, "{outcome=\"unauthorized\"} 1\n"));
     ck_assert_ptr_nonnull(strstr(text, "organisation_keys 1\n"));
+    ck_assert_ptr_nonnull(
+        strstr(text, "memory_refused_total{cause=\"server-share\"} 0\n"));
     ck_assert_uint_eq(count(text, "hidden"), 0);
     ck_assert_uint_eq(count(text, "ant hill"), 0);
     close(fd);
