backend_link: idle connections take no share of the memory

A server with many idle connections could get no requests, or have its responses ended, on a host with little memory.

Cause: the share of a server included the buffers that idle connections keep, up to 20 KB each.

Change: only connections with an exchange count.

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -104,6 +104,7 @@
     bool replaces_preconnect;
     size_t stray_bytes; /* received before the response to this request */
     size_t charged;     /* bytes allocated, charged to the account */
+    size_t link_charge; /* these, while it has an exchange; else 0 */
     bbl_buf request_id;
     bbl_vec carried_ids; /* uint64_t: hashes of all IDs it has carried */
     /* NULL if no exchange runs or it was abandoned. */
@@ -134,7 +135,7 @@
     /* How often the limit for responses of unknown length is halved. */
     unsigned limit_halvings;
     bbl_usec limit_changed_at; /* when that was last changed */
-    size_t charged;            /* bytes of all its connections */
+    size_t charged;            /* bytes of its connections with exchanges */
     /* What was ended or held back for memory and not reported yet. */
     unsigned memory_counts[BBL_MEMORY_CAUSES];
     bbl_usec next_memory_report_at;
@@ -189,7 +190,11 @@
 {
     size_t bytes = bbl_http_message_get_allocated(&c->message) + c->out.cap;
 
-    c->link->charged = c->link->charged - c->charged + bytes;
+    /* Idle connections keep little, and must not keep a server from getting
+     * requests. */
+    c->link->charged -= c->link_charge;
+    c->link_charge = c->has_request ? bytes : 0;
+    c->link->charged += c->link_charge;
     charge(c->link->client, &c->charged, bytes);
 }
 
@@ -574,7 +579,8 @@
     *largest = NULL;
     for (size_t i = 0; i < link->connections.size; i++) {
         conn *c = *BBL_VEC_AT(conn *, &link->connections, i);
-        size_t bytes = bbl_http_message_get_allocated(&c->message);
+        size_t bytes =
+            c->has_request ? bbl_http_message_get_allocated(&c->message) : 0;
 
         sum += bytes;
         if (bytes > most) {
--- a/src/net/backend_link.h
+++ b/src/net/backend_link.h
@@ -82,7 +82,7 @@
 typedef struct {
     bbl_memory_cause cause;
     unsigned count; /* since the report before */
-    size_t held;    /* bytes that the connections of the server hold now */
+    size_t held;    /* bytes that exchanges with the server hold now */
 } bbl_link_memory_report;
 
 typedef struct {
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -1292,6 +1292,39 @@
 }
 END_TEST
 
+/* The buffers that idle connections keep would take the share for good. */
+START_TEST(idle_connections_take_no_share)
+{
+    enum { CONNECTIONS = 40, BODY = 3500, LIMIT = 1 << 17 };
+    fixture f;
+    outcome o[CONNECTIONS];
+    int fds[CONNECTIONS];
+
+    open_fixture_with(&f, 4000, LIMIT);
+    bbl_backend_link_new(f.client, f.address, &f);
+    bbl_backend_link_set_limit(f.link, CONNECTIONS + 1, false);
+    for (int i = 0; i < CONNECTIONS; i++) {
+        start_exchange(&f, &o[i]);
+        fds[i] = accept_connection(&f);
+        tcp_receive(f.loop, fds[i]);
+    }
+    for (int i = 0; i < CONNECTIONS; i++) {
+        tcp_send(fds[i], "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n"
+                         "Content-Length: 3500\r\n\r\n");
+        send_body(&f, fds[i], BODY);
+        tcp_run_loop(f.loop, 2);
+        ck_assert_uint_eq(o[i].calls, 1);
+        ck_assert_int_eq(o[i].end, BBL_LINK_RESPONSE);
+    }
+    ck_assert_uint_gt(bbl_backend_client_get_buffered(f.client), 100000);
+    ck_assert(bbl_backend_link_has_room(f.link));
+    for (int i = 0; i < CONNECTIONS; i++) {
+        close(fds[i]);
+    }
+    close_fixture(&f);
+}
+END_TEST
+
 /* Requests that a server does not read must not take all of the memory. */
 START_TEST(a_server_gets_no_more_requests_than_its_share)
 {
@@ -1553,6 +1586,7 @@
     tcase_add_test(tc, a_server_does_not_displace_the_responses_of_others);
     tcase_add_test(tc, the_only_server_has_no_share);
     tcase_add_test(tc, a_response_of_the_maximum_size_fits_in_the_share);
+    tcase_add_test(tc, idle_connections_take_no_share);
     tcase_add_test(tc, a_server_gets_no_more_requests_than_its_share);
     tcase_add_test(tc, what_is_ended_for_memory_is_reported_by_cause);
     tcase_add_test(tc, a_client_needs_room_for_one_response);
