Servers with versions that turn bad, in the emulator of the platform

An experiment needs a new version that is good, or bad in a stated way: at once, late, on one route or under load. The emulator knew one version that fails from its first request, and had to be restarted, with all servers, to start it.

Without these options the emulator behaves as before.

--- a/tools/platform_standin.c
+++ b/tools/platform_standin.c
@@ -7,7 +7,10 @@
  * requests over it; a request may end each server that runs it; and the first
  * server of each service may turn requests away and ask for a time without
  * any, or say that it is leaving. Servers of a second version of a service may
- * answer some requests with failures.
+ * answer some requests with failures, or follow a behaviour that is stated for
+ * their version. The servers of a version can be started and stopped while the
+ * others run, by POST /-/start/VERSION and /-/stop/VERSION at the address of
+ * the list.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,6 +26,7 @@
 #include "util/clock.h"
 #include "util/rng.h"
 #include "util/vec.h"
+#include "version_behaviour.h"
 
 #define RECORDS_PER_RESPONSE 20
 #define RECORD_BYTES 16
@@ -33,6 +37,9 @@
 /* Time in which all hosts learn that a server states a limit. */
 #define RATE_NOTICE_US (4 * BBL_USEC_PER_SEC)
 #define RESTART_US (1 * BBL_USEC_PER_SEC)
+/* A request of a slow version that was cancelled is recorded as slow from this
+ * multiple of the service time on, as hosts judge it. */
+#define SLOW_RECORD_FACTOR 2.5
 
 typedef struct {
     char service[64];
@@ -49,6 +56,8 @@
     unsigned starts;     /* part of the id after a restart */
     bool first;          /* of its service */
     unsigned unwanted;   /* requests turned away, or since it is leaving */
+    bool stopped;        /* neither listed nor listening */
+    version_behaviour *behaviour; /* of its version; NULL for none */
 } standin_server;
 
 /* A request that a server has not yet answered. */
@@ -56,6 +65,8 @@
     standin_server *server;
     bbl_edge_call *call;
     bbl_usec due_at;
+    bbl_usec started_at;
+    version_effect effect;
 } pending_request;
 
 typedef struct {
@@ -74,13 +85,99 @@
     char *crash_path; /* requests of it end their server; NULL for none */
     uint64_t crashes;
     gboolean odd_entries; /* whether the list has odd entries as well */
+    bbl_vec behaviours;   /* version_behaviour *, one a version */
+    char **held;          /* versions that do not run at the start */
+    FILE *record;         /* of each request and answer; NULL for none */
     bbl_rng rng;
 } platform_standin;
 
 static platform_standin self;
 
+static void open_server(standin_server *s);
+
+/* ---- record of requests ---- */
+
+/*
+ * Writes one line: time (ms since 1970), "run" or "end", version, server,
+ * method, id of the request, outcome and latency (ms) of an end.
+ */
+static void
+record_event(const pending_request *request, const char *event,
+             const char *outcome, bbl_usec latency)
+{
+    bbl_str id = bbl_http_message_field(request->call->message, "Request-Id");
+
+    if (self.record == NULL) {
+        return;
+    }
+    fprintf(self.record, "%llu,%s,%s,%s,%.*s,%.*s,%s,%.3f\n",
+            (unsigned long long)bbl_clock_wall_ms(), event,
+            request->server->version, request->server->id,
+            (int)request->call->method.size, request->call->method.ptr,
+            (int)id.size, id.ptr != NULL ? id.ptr : "", outcome,
+            (double)latency / BBL_USEC_PER_MS);
+}
+
+/* Records the end of a request, and counts it as no longer in progress. */
+static void
+end_request(const pending_request *request, bool answered)
+{
+    static const char *const outcomes[] = {"ok", "failed", "slow"};
+    bbl_usec latency = bbl_clock_now() - request->started_at;
+    bool slow = request->effect == VERSION_IS_SLOW &&
+                (double)latency >= SLOW_RECORD_FACTOR * self.work_ms *
+                                       (double)BBL_USEC_PER_MS;
+
+    record_event(request, "end",
+                 answered || slow ? outcomes[request->effect] : "cancelled",
+                 latency);
+    if (request->server->behaviour != NULL) {
+        version_behaviour_end(request->server->behaviour);
+    }
+}
+
 /* ---- the list of servers ---- */
 
+/* Starts or stops the servers of a version. A server that stops closes its
+ * connections at once, without draining. */
+static void
+set_version_stopped(const char *version, bool stopped)
+{
+    for (size_t i = 0; i < self.servers.size; i++) {
+        standin_server *s = *BBL_VEC_AT(standin_server *, &self.servers, i);
+
+        if (strcmp(s->version, version) != 0 || s->stopped == stopped) {
+            continue;
+        }
+        s->stopped = stopped;
+        if (!stopped) {
+            open_server(s);
+            continue;
+        }
+        bbl_edge_free(s->edge); /* cancels its requests */
+        s->edge = NULL;
+    }
+}
+
+/* Carries out an order to start or stop a version; returns false if the path
+ * is none. */
+static bool
+handle_version_order(const bbl_edge_call *call)
+{
+    static const char *const prefixes[] = {"/-/start/", "/-/stop/"};
+    char *path = g_strndup(call->path.ptr, call->path.size);
+    bool handled = false;
+
+    for (int i = 0; i < 2; i++) {
+        if (g_str_has_prefix(path, prefixes[i])) {
+            set_version_stopped(path + strlen(prefixes[i]), i == 1);
+            handled = true;
+        }
+    }
+    g_free(path);
+    return handled;
+}
+
 static void
 on_list_request(void *ctx, bbl_edge_call *call)
 {
@@ -90,12 +187,16 @@
     size_t listed = 0;
 
     (void)ctx;
+    if (handle_version_order(call)) {
+        bbl_edge_respond_text(call, 200, "", "");
+        return;
+    }
     bbl_buf_append_cstr(&body, "{\"instances\":[");
     for (size_t i = 0; i < self.servers.size; i++) {
         const standin_server *s =
             *BBL_VEC_AT(standin_server *, &self.servers, i);
 
-        if (s->restart_at != 0) {
+        if (s->restart_at != 0 || s->stopped) {
             continue;
         }
         odd_id = s->id;
@@ -197,8 +298,9 @@
     standin_server *s = ctx;
     bbl_usec now = bbl_clock_now();
     bbl_usec from = s->paused_until > now ? s->paused_until : now;
-    pending_request request = {
-        s, call, from + (bbl_usec)self.work_ms * BBL_USEC_PER_MS};
+    pending_request request = {s, call,
+                               from + (bbl_usec)self.work_ms * BBL_USEC_PER_MS,
+                               now, VERSION_ANSWERS};
 
     check_rate(s, now);
     if (!is_addressed_to(s, call)) {
@@ -218,6 +320,15 @@
         s->restart_at == 0) {
         crash_server(s, now);
     }
+    if (s->behaviour != NULL) {
+        request.effect =
+            version_behaviour_start(s->behaviour, &self.rng, now, call->path);
+    }
+    if (request.effect == VERSION_IS_SLOW) {
+        request.due_at += (bbl_usec)((s->behaviour->slow_factor - 1) *
+                                     self.work_ms * (double)BBL_USEC_PER_MS);
+    }
+    record_event(&request, "run", "", 0);
     bbl_vec_push(&self.pending_requests, &request);
 }
 
@@ -226,8 +337,11 @@
 {
     (void)ctx;
     for (size_t i = 0; i < self.pending_requests.size; i++) {
-        if (BBL_VEC_AT(pending_request, &self.pending_requests, i)->call ==
-            call) {
+        const pending_request *request =
+            BBL_VEC_AT(pending_request, &self.pending_requests, i);
+
+        if (request->call == call) {
+            end_request(request, false);
             bbl_vec_swap_remove(&self.pending_requests, i);
             return;
         }
@@ -243,6 +357,11 @@
     bbl_edge_response r = {200, {"", 0}, {records, sizeof(records)}, false};
 
     request->server->response_count++;
+    end_request(request, true);
+    if (request->effect == VERSION_FAILS) {
+        bbl_edge_respond_text(request->call, 500, "", "");
+        return;
+    }
     if (strcmp(request->server->version, "v1") != 0 &&
         (int)bbl_rng_below(&self.rng, 100) < self.failing) {
         printf("%s fails\n", request->server->id);
@@ -304,7 +423,7 @@
     for (size_t i = 0; i < self.servers.size; i++) {
         standin_server *s = *BBL_VEC_AT(standin_server *, &self.servers, i);
 
-        if (s->restart_at == 0) {
+        if (s->restart_at == 0 || s->stopped) {
             continue;
         }
         if (s->edge != NULL) {
@@ -342,6 +461,37 @@
 
 /* ---- start ---- */
 
+static version_behaviour *
+find_behaviour(const char *version)
+{
+    for (size_t i = 0; i < self.behaviours.size; i++) {
+        version_behaviour *b =
+            *BBL_VEC_AT(version_behaviour *, &self.behaviours, i);
+
+        if (strcmp(b->version, version) == 0) {
+            return b;
+        }
+    }
+    return NULL;
+}
+
+static int
+add_behaviour(const char *text)
+{
+    version_behaviour *b = bbl_calloc(1, sizeof(*b));
+    int error = version_behaviour_parse(b, text);
+
+    if (error == 0 && find_behaviour(b->version) != NULL) {
+        error = bbl_error_set(BBL_EINVAL, "%s has two behaviours", b->version);
+    }
+    if (error != 0) {
+        free(b);
+        return error;
+    }
+    bbl_vec_push(&self.behaviours, &b);
+    return 0;
+}
+
 /*
  * Starts the servers of "SERVICE=ADDRESS,ADDRESS..." or of a version by
  * "SERVICE@VERSION=...", alternately in zones z1 and z2.
@@ -366,7 +516,11 @@
         snprintf(s->zone, sizeof(s->zone), "z%d", i % 2 + 1);
         s->first = i == 0;
         error = bbl_address_parse(&s->address, addresses[i]);
-        if (error == 0) {
+        s->behaviour = find_behaviour(s->version);
+        s->stopped =
+            self.held != NULL &&
+            g_strv_contains((const char *const *)self.held, s->version);
+        if (error == 0 && !s->stopped) {
             open_server(s);
         }
         bbl_vec_push(&self.servers, &s);
@@ -382,6 +536,8 @@
 {
     char *list = NULL;
     char **services = NULL;
+    char **behaviours = NULL;
+    char *record = NULL;
     gboolean leaving = FALSE;
     GOptionEntry entries[] = {
         {"list", 'l', 0, G_OPTION_ARG_STRING, &list,
@@ -408,6 +564,19 @@
          "the first server of each service says that it is leaving", NULL},
         {"odd-entries", 'o', 0, G_OPTION_ARG_NONE, &self.odd_entries,
          "the list also has entries that name no server to use", NULL},
+        {"behaviour", 'b', 0, G_OPTION_ARG_STRING_ARRAY, &behaviours,
+         "how the servers of a version answer: good, bad-at-once, bad-late, "
+         "bad-route or bad-load, with share=PER CENT, slow=FACTOR, after-s=S, "
+         "path=PREFIX, requests=N; may be repeated",
+         "VERSION=KIND[,NAME=VALUE...]"},
+        {"held", 'd', 0, G_OPTION_ARG_STRING_ARRAY, &self.held,
+         "servers of this version run only after POST /-/start/VERSION; may "
+         "be repeated",
+         "VERSION"},
+        {"record", 'R', 0, G_OPTION_ARG_FILENAME, &record,
+         "file for each request and answer", "FILE"},
+        {"seed", 's', 0, G_OPTION_ARG_INT64, &self.rng.state,
+         "seed of the random choices", "N"},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &services, "",
          "SERVICE=ADDRESS,ADDRESS..."},
         {NULL},
@@ -423,6 +592,7 @@
     self.rng.state = 1;
     self.servers = (bbl_vec)BBL_VEC_INIT(standin_server *);
     self.pending_requests = (bbl_vec)BBL_VEC_INIT(pending_request);
+    self.behaviours = (bbl_vec)BBL_VEC_INIT(version_behaviour *);
     g_option_context_add_main_entries(context, entries, NULL);
     if (!g_option_context_parse(context, &argc, &argv, NULL) || list == NULL ||
         services == NULL || bbl_address_parse(&address, list) != 0) {
@@ -436,6 +606,19 @@
     if (error == 0) {
         error = bbl_edge_open(&self.list_server, self.loop, address, &handler);
     }
+    if (error == 0 && record != NULL) {
+        self.record = fopen(record, "w");
+        if (self.record == NULL) {
+            error = bbl_error_set(BBL_EIO, "%s cannot be written", record);
+        }
+        else {
+            setvbuf(self.record, NULL, _IOLBF, 0);
+        }
+    }
+    for (int i = 0; error == 0 && behaviours != NULL && behaviours[i] != NULL;
+         i++) {
+        error = add_behaviour(behaviours[i]);
+    }
     for (int i = 0; error == 0 && services[i] != NULL; i++) {
         error = add_service(services[i]);
     }
