Statuses of failed requests in the report of a rollout experiment

In one run 24 requests of callers failed beside a good version, and nothing told their statuses. The report now counts them by status. In the plot, the legends and the label of the deadline no longer cover the curves.

--- a/scripts/rollout-experiment.sh
+++ b/scripts/rollout-experiment.sh
@@ -257,17 +257,17 @@
     local select="< grep ,v%s, '$1.csv'"
     # shellcheck disable=SC2059
     gnuplot <<G
-set terminal svg size 900,900 background "white"
+set terminal svg size 1100,900 background "white"
 set output "$1.svg"
 set datafile separator ","
 set multiplot layout 4,1 title "$case_name: $end_line" font ",11" noenhanced
 set lmargin 10
-set key left top
+set key outside right top
 set xrange [$(awk -F, 'NR == 2 {print $1}' "$1.csv"):$(awk -F, 'END {print $1}' "$1.csv")]
 set arrow from 0, graph 0 to 0, graph 1 nohead dashtype 2
 set arrow from $duration_s, graph 0 to $duration_s, graph 1 nohead dashtype 2
 set label "order" at 0, graph 0.9 offset 0.5,0
-set label "deadline" at $duration_s, graph 0.9 offset 0.5,0
+set label "deadline" at $duration_s, graph 0.9 right offset -0.5,0
 $end_marks
 set ylabel "share of requests"
 set yrange [-0.02:1.05]
@@ -303,7 +303,7 @@
         >"$dir/report" || status=$?
     cat "$dir/report"
     [ $status -le 1 ] || abort "the records cannot be evaluated"
-    end_line=$(head -n 1 "$dir/report" | cut -d: -f2- | cut -c2-)
+    end_line=$(sed -n "1s/^[^:]*: //p" "$dir/report")
     if [ "$state" != running ]; then
         end_marks=$(awk -F, -v t="$ordered_at" '$2 == "completed" || $2 == "rolled_back" {
             printf "set arrow from %.2f, graph 0 to %.2f, graph 1 nohead linecolor rgb \"red\"\n", ($1 - t) / 1000, ($1 - t) / 1000
--- a/scripts/rollout-report.awk
+++ b/scripts/rollout-report.awk
@@ -53,7 +53,7 @@
 
 file == 2 {
     sent++
-    if ($5 != 200) caller_failures++
+    if ($5 != 200) { caller_failures++; statuses[$5]++ }
     if ($3 == "POST" && ($5 == 429 || $5 == 503 || $5 == 408 || $5 == 421) && $4 in ran)
         fail("request " $4 " was refused with " $5 " and has run")
     next
@@ -121,6 +121,8 @@
         name, end_state == "" ? "no end" : end_state, (end_at - ordered_at) / 1000, new, allowed,
         expected == "completed" ? " if it were bad" : "",
         caller_failures, sent
+    for (status in statuses)
+        print name ": " statuses[status] " of them " (status == 0 ? "without a response" : "with status " status)
     for (i = 1; i <= failed; i++) print name ": FAILED: " failures[i]
     exit failed > 0
 }
