--- a/scripts/rollout-report.awk
+++ b/scripts/rollout-report.awk
@@ -84,7 +84,8 @@
         fail("ended " (end_state == "" ? "not at all" : end_state) " instead of " expected)
     # If reads before and after the deadline leave it open, as on a machine that stops
     # the reader, the time at which a control host applied the end decides.
-    in_time = end_at <= deadline || (running_at <= deadline && applied_at != 0 && applied_at <= deadline)
+    limit = deadline + unstable_ms
+    in_time = end_at <= limit || (running_at <= limit && applied_at != 0 && applied_at <= limit)
     if (expected == "completed" && end_state == "completed" && !in_time)
         fail("completed " end_at - deadline " ms after the deadline")
     if (expected == "rolled_back") {
