Rollout experiments print for how long the machine stopped the driver

At a load of 37 on 7 cores, 1 of 14 runs of the case good completed 0.2 s after its deadline: the steps near the deadline were 1 s late, and the plan keeps 0.5 s. Nothing in the report told whether the machine had stopped the processes. The driver now prints the longest time for which it did not run, and a case that failed shows it.

--- a/scripts/rollout-experiment.sh
+++ b/scripts/rollout-experiment.sh
@@ -373,6 +373,7 @@
         status=$?
         # Why the leader decided so, with the counts that it decided from.
         cat "$dir"/c?.log | grep BBL2018 | sort | tail -n 3 >&2 || true
+        cat "$dir/driver.log" >&2
         echo "$case_name: the logs are in $dir" >&2
         exit $status
     }
--- a/tools/rollout_driver.c
+++ b/tools/rollout_driver.c
@@ -249,7 +249,9 @@
     return error;
 }
 
-/* Sends requests until SIGTERM, and then waits for the open ones. */
+/* Sends requests until SIGTERM, and then waits for the open ones. Prints the
+ * longest time for which this process did not run: on a machine that stops
+ * processes, late ends need not be faults of the hosts. */
 static void
 run(double rate)
 {
@@ -257,12 +259,16 @@
     bbl_usec next_request_at = bbl_clock_now();
     bbl_usec next_poll_at = 0;
     bbl_usec next_tick_at = 0;
+    bbl_usec last_run_at = bbl_clock_now();
+    bbl_usec longest = 0;
 
     while (!stopping || self.open_requests.size > 0) {
         bbl_usec now;
 
         bbl_loop_run_once(self.loop, BBL_USEC_PER_MS);
         now = bbl_clock_now();
+        longest = now - last_run_at > longest ? now - last_run_at : longest;
+        last_run_at = now;
         if (now >= next_poll_at) {
             next_poll_at = now + READY_POLL_US;
             poll_readiness(now);
@@ -278,6 +284,8 @@
             send_request(now);
         }
     }
+    printf("the driver did not run for up to %.0f ms\n",
+           (double)longest / BBL_USEC_PER_MS);
 }
 
 static int
