Soak: commands of the operator in a module of their own

The operator's jobs hold the redirects, time-outs and connections of a command. Orders of rollouts need the same, so they move to command.c. No change of what is sent and checked.

--- a/tools/soak/operator.c
+++ b/tools/soak/operator.c
@@ -4,18 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "net/address.h"
 #include "soak/callers.h"
-#include "soak/network.h"
+#include "soak/command.h"
 #include "util/alloc.h"
 #include "util/map.h"
 
-#define COMMAND_PORT 8106
 #define INSTALL_INTERVAL_US (600 * BBL_USEC_PER_MS)
 #define READ_INTERVAL_US (300 * BBL_USEC_PER_MS)
 #define RETRY_DELAY_US (200 * BBL_USEC_PER_MS)
-#define RESPONSE_TIMEOUT_US (1000 * BBL_USEC_PER_MS)
-#define REDIRECTS_MAX 2
 #define INVALID_INTERVAL_COMMANDS 8 /* installations */
 /* The platform's bound for a configuration to be in effect. A read that is
  * sent later than this after the installation of an acknowledged version must
@@ -28,19 +24,15 @@
 typedef struct {
     soak_operator *routing_operator;
     job_kind kind;
-    bbl_link_exchange *exchange; /* NULL if none is open */
-    bbl_usec sent_at;            /* time of the last request */
-    bbl_usec next_at;     /* time of the next request; 0: follow a redirect */
-    unsigned chosen_host; /* control host of the first request */
-    unsigned target_host; /* host of the last redirect, or chosen_host */
-    unsigned redirects;   /* number of redirects followed */
+    soak_command command;
+    bbl_usec next_at;     /* time of the next command */
     uint64_t version_min; /* oldest version that a read may return */
 } job;
 
 struct soak_operator {
     soak_servers *servers;
     soak_operator_options options;
-    bbl_backend_link *links[SOAK_CONTROL_HOSTS];
+    soak_command_client client;
     bbl_rng rng;
     job jobs[3];
     uint64_t version; /* created last */
@@ -73,19 +65,18 @@
 /* ---- responses ---- */
 
 static void
-check_read_response(job *j, const bbl_http_message *m)
+check_read_response(job *j, bbl_str text_read)
 {
     soak_operator *op = j->routing_operator;
     char text[64];
     unsigned long long version = 0;
     bbl_buf *body;
 
-    snprintf(text, sizeof(text), "%.*s", (int)m->body.size,
-             m->body.ptr ? m->body.ptr : "");
+    snprintf(text, sizeof(text), "%.*s", (int)text_read.size,
+             text_read.ptr ? text_read.ptr : "");
     sscanf(text, "{\"version\":%llu", &version);
     body = find_routing_body(op, version);
-    if (body == NULL ||
-        !bbl_str_equal(bbl_buf_str(body), bbl_buf_str(&m->body))) {
+    if (body == NULL || !bbl_str_equal(bbl_buf_str(body), text_read)) {
         soak_servers_report_violation(
             op->servers,
             "a read returned version %llu, which differs from what was sent",
@@ -98,43 +89,21 @@
             version, (unsigned long long)j->version_min);
     }
     if (op->stopped && version >= op->acked_version) {
-        op->host_confirmed[j->chosen_host] = true;
+        op->host_confirmed[j->command.chosen_host] = true;
     }
 }
 
-/* Sets the target host to that of a redirect. Returns false if the location is
- * no control host or there were too many redirects. */
-static bool
-follow_redirect(job *j, const bbl_http_message *m)
-{
-    bbl_str location = bbl_http_message_field(m, "Location");
-    char text[128];
-    unsigned host;
-
-    snprintf(text, sizeof(text), "%.*s", (int)location.size,
-             location.ptr ? location.ptr : "");
-    host = soak_network_parse_url(text, SOAK_NET_CONTROL);
-    if (host < 1 || host > SOAK_CONTROL_HOSTS ||
-        j->redirects >= REDIRECTS_MAX) {
-        return false;
-    }
-    j->redirects++;
-    j->target_host = host - 1;
-    return true;
-}
-
 static void
-check_status(job *j, const bbl_http_message *m)
+check_status(job *j, unsigned status, bbl_str body)
 {
     soak_operator *op = j->routing_operator;
-    unsigned status = bbl_http_message_status(m);
 
     if (j->kind == JOB_READ && status == 200) {
-        check_read_response(j, m);
+        check_read_response(j, body);
     }
     else if (j->kind == JOB_INSTALL && status == 200) {
         op->acked_version = op->version;
-        op->acked_sent_at = j->sent_at;
+        op->acked_sent_at = j->command.sent_at;
     }
     else if (j->kind == JOB_INSTALL_INVALID && status < 400) {
         soak_servers_report_violation(
@@ -149,87 +118,58 @@
 }
 
 static void
-on_job_response(void *ctx, const bbl_link_exchange_result *r)
+on_job_response(void *ctx, unsigned status, bbl_str body)
 {
     job *j = ctx;
-    bbl_usec now = j->sent_at;
+    bbl_usec sent_at = j->command.sent_at;
 
-    j->exchange = NULL;
-    j->next_at = now + RETRY_DELAY_US;
-    if (r->exchange_outcome != BBL_LINK_RESPONSE) {
-        return;
-    }
-    if (bbl_http_message_status(r->message) == 307) {
-        if (follow_redirect(j, r->message)) {
-            j->next_at = 0; /* without delay */
-        }
+    j->next_at = sent_at + RETRY_DELAY_US;
+    if (status == 0) {
         return;
     }
-    check_status(j, r->message);
+    check_status(j, status, body);
     if (j->kind == JOB_READ) {
-        j->next_at = now + READ_INTERVAL_US;
+        j->next_at = sent_at + READ_INTERVAL_US;
     }
-    else if (bbl_http_message_status(r->message) < 500) {
-        j->next_at = now + INSTALL_INTERVAL_US;
+    else if (status < 500) {
+        j->next_at = sent_at + INSTALL_INTERVAL_US;
     }
 }
 
 /* ---- requests ---- */
 
 static void
-send_job(job *j, bbl_usec now)
+send_job(job *j, bbl_usec now, unsigned host)
 {
     soak_operator *op = j->routing_operator;
-    bbl_buf head = BBL_BUF_INIT;
-    bbl_link_exchange_request r;
     bbl_buf *body = find_routing_body(op, op->version);
 
-    memset(&r, 0, sizeof(r));
     if (j->kind == JOB_READ) {
-        bbl_buf_append_cstr(&head, "GET /-/config HTTP/1.1\r\nHost: a\r\n");
+        soak_command_send(&j->command, now, host, "GET", "/-/config",
+                          (bbl_str){"", 0});
     }
     else {
         /* An invalid routing is truncated and has a higher version. */
-        r.body = j->kind == JOB_INSTALL_INVALID
-                     ? (bbl_str){"{\"version\":99999", 16}
-                     : bbl_buf_str(body);
-        bbl_buf_printf(&head,
-                       "PUT /-/config HTTP/1.1\r\nHost: a\r\n"
-                       "Content-Type: application/json\r\n"
-                       "Content-Length: %zu\r\n",
-                       r.body.size);
+        soak_command_send(&j->command, now, host, "PUT", "/-/config",
+                          j->kind == JOB_INSTALL_INVALID
+                              ? (bbl_str){"{\"version\":99999", 16}
+                              : bbl_buf_str(body));
     }
-    r.head = bbl_buf_str(&head);
-    r.done = on_job_response;
-    r.ctx = j;
-    j->sent_at = now;
-    if (bbl_link_exchange_start(&j->exchange, op->links[j->target_host], now,
-                                &r) != 0) {
-        j->next_at = now + RETRY_DELAY_US;
-    }
-    bbl_buf_free(&head);
 }
 
 static void
 start_job(job *j, bbl_usec now)
 {
     soak_operator *op = j->routing_operator;
+    unsigned host = (unsigned)bbl_rng_below(&op->rng, SOAK_CONTROL_HOSTS);
 
-    if (j->next_at == 0 && j->redirects > 0) {
-        send_job(j, now); /* to the target of the redirect */
-        return;
-    }
-    j->redirects = 0;
-    j->target_host = (unsigned)bbl_rng_below(&op->rng, SOAK_CONTROL_HOSTS);
     if (j->kind == JOB_READ && op->stopped) {
         /* Skips the hosts that have returned the newest version. */
         for (unsigned i = 0; i < SOAK_CONTROL_HOSTS; i++) {
-            j->target_host = op->host_confirmed[j->target_host]
-                                 ? (j->target_host + 1) % SOAK_CONTROL_HOSTS
-                                 : j->target_host;
+            host = op->host_confirmed[host] ? (host + 1) % SOAK_CONTROL_HOSTS
+                                            : host;
         }
     }
-    j->chosen_host = j->target_host;
     if (j->kind == JOB_INSTALL && op->acked_version == op->version) {
         if (op->stopped) {
             return;
@@ -239,7 +179,7 @@
     j->version_min = now > op->acked_sent_at + APPLY_BOUND_US
                          ? op->acked_version
                          : op->effective_version;
-    send_job(j, now);
+    send_job(j, now, host);
 }
 
 void
@@ -251,15 +191,9 @@
     for (int i = 0; i < 3; i++) {
         job *j = &op->jobs[i];
 
-        if (j->exchange != NULL) {
-            if (now >= j->sent_at + RESPONSE_TIMEOUT_US) {
-                bbl_link_exchange_abandon(j->exchange);
-                j->exchange = NULL;
-                j->next_at = now + RETRY_DELAY_US;
-            }
-        }
-        else if (now >= j->next_at &&
-                 (j->kind != JOB_INSTALL_INVALID || !op->stopped)) {
+        soak_command_tick(&j->command, now);
+        if (!j->command.running && now >= j->next_at &&
+            (j->kind != JOB_INSTALL_INVALID || !op->stopped)) {
             start_job(j, now);
         }
     }
@@ -299,19 +233,13 @@
     op->servers = servers;
     op->options = *options;
     op->rng.state = options->seed;
-    for (unsigned i = 0; i < SOAK_CONTROL_HOSTS; i++) {
-        char text[32];
-        bblx_address address;
-
-        soak_network_format(text, sizeof(text), SOAK_NET_CONTROL, i + 1,
-                            COMMAND_PORT);
-        bbl_address_parse(&address, text);
-        op->links[i] = bbl_backend_link_new(client, address, NULL);
-        bbl_backend_link_set_limit(op->links[i], 4, false);
-    }
+    soak_command_client_open(&op->client, client);
     for (int i = 0; i < 3; i++) {
         op->jobs[i].routing_operator = op;
         op->jobs[i].kind = (job_kind)i;
+        op->jobs[i].command = (soak_command){.client = &op->client,
+                                             .done = on_job_response,
+                                             .ctx = &op->jobs[i]};
         op->jobs[i].next_at = 1;
     }
     *out = op;
@@ -327,9 +255,7 @@
         return;
     }
     for (int i = 0; i < 3; i++) {
-        if (op->jobs[i].exchange != NULL) {
-            bbl_link_exchange_abandon(op->jobs[i].exchange);
-        }
+        soak_command_free(&op->jobs[i].command);
     }
     while ((body = bbl_map_next(&op->routing_bodies, &pos)) != NULL) {
         bbl_buf_free(body);
