Soak: rollouts of good and bad versions

The soak test played no rollouts. Now it orders one after the other, for services with servers of two versions: good ones and six kinds of bad ones, repeated orders, orders of another version meanwhile, evacuations, and kills and freezes of the leader. Servers have slots and a queue, as the list says. Checked: acknowledged orders are not forgotten, states only advance, nothing reaches a version 2 s after its rollback was read, the bounds of the requests to a bad version, and that no good version is judged bad.

--- a/tools/soak/proxy.c
+++ b/tools/soak/proxy.c
@@ -39,6 +39,7 @@
     bblx_address target;
     proxy_mode mode;
     bbl_usec delay;
+    bool refuse;         /* new connections */
     bbl_vec connections; /* of proxy_connection * */
 };
 
@@ -122,6 +123,7 @@
 {
     soak_proxy *proxy = ctx;
     struct sockaddr_in to = bbl_address_to_sockaddr(proxy->target);
+    struct linger reset_on_close = {1, 0};
     int client = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     int server;
     proxy_connection *c;
@@ -130,6 +132,12 @@
     if (client < 0) {
         return;
     }
+    if (proxy->refuse) {
+        setsockopt(client, SOL_SOCKET, SO_LINGER, &reset_on_close,
+                   sizeof(reset_on_close));
+        close(client);
+        return;
+    }
     server = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (server < 0 || (connect(server, (struct sockaddr *)&to, sizeof(to)) &&
                        errno != EINPROGRESS)) {
@@ -210,6 +218,12 @@
     }
 }
 
+void
+soak_proxy_refuse(soak_proxy *proxy, bool refuse)
+{
+    proxy->refuse = refuse;
+}
+
 void
 soak_proxy_silence_connections(soak_proxy *proxy)
 {
--- a/tools/soak/proxy.h
+++ b/tools/soak/proxy.h
@@ -43,6 +43,9 @@
 /* Closes every open connection with a TCP reset. */
 void soak_proxy_reset_connections(soak_proxy *proxy);
 
+/* Makes the proxy reset each new connection, as a server that has ended. */
+void soak_proxy_refuse(soak_proxy *proxy, bool refuse);
+
 /* Stops passing bytes on the open connections, which stay open. */
 void soak_proxy_silence_connections(soak_proxy *proxy);
 
--- a/tools/soak/schedule.c
+++ b/tools/soak/schedule.c
@@ -15,9 +15,10 @@
 fault_kind_name(fault_kind kind)
 {
     static const char *const names[FAULT_KINDS] = {
-        "kill",  "pause", "terminate", "wipe",     "kill-core",
-        "delay", "reset", "hold-in",   "hold-out", "silence",
-        "shed",  "lose",  "replace",   "list",
+        "kill",      "pause",   "terminate",   "wipe",
+        "kill-core", "delay",   "reset",       "hold-in",
+        "hold-out",  "silence", "shed",        "lose",
+        "replace",   "list",    "kill-leader", "pause-leader",
     };
 
     return names[kind];
--- a/tools/soak/schedule.h
+++ b/tools/soak/schedule.h
@@ -24,6 +24,8 @@
     FAULT_LOSE,      /* a server runs requests and does not respond */
     FAULT_REPLACE,   /* a new server starts at the address of a server */
     FAULT_LIST,      /* the platform's list of servers does not respond */
+    FAULT_KILL_LEADER,  /* SIGKILL to the control host that led last */
+    FAULT_PAUSE_LEADER, /* SIGSTOP to it, later SIGCONT */
     FAULT_KINDS
 } fault_kind;
 
--- a/tools/soak/servers.c
+++ b/tools/soak/servers.c
@@ -10,6 +10,7 @@
 #include "odd_entries.h"
 #include "soak/network.h"
 #include "util/alloc.h"
+#include "util/clock.h"
 #include "util/map.h"
 #include "util/vec.h"
 
@@ -21,6 +22,14 @@
 #define LIMIT_BOUND ((SOAK_LIMIT_PER_S * 5 + SOAK_LIMIT_BURST) * 1.1 + 20)
 #define VIOLATION_MAX 256
 #define SERVER_PORT 8080
+#define SLOTS 4
+#define QUEUE_MAX 12 /* requests that wait for a slot of a server */
+#define FAILS_LATE_US (1500 * BBL_USEC_PER_MS)
+/* A version gets nothing more this long after its rollback was read, and this
+ * long after its 50th bad answer; longer if control hosts were disturbed. */
+#define ROLLBACK_SEEN_US (2 * BBL_USEC_PER_SEC)
+#define ROLLBACK_US (5 * BBL_USEC_PER_SEC)
+#define ROLLBACK_UNSTABLE_US (20 * BBL_USEC_PER_SEC)
 
 typedef struct {
     soak_servers *all_servers;
@@ -28,6 +37,10 @@
     char id[SOAK_ID_MAX];
     char listed_address[ADDRESS_MAX]; /* that of the proxy */
     unsigned incarnation;             /* part of the ID; starts at 1 */
+    unsigned service_index;
+    unsigned version; /* 0: it has not started */
+    unsigned busy;    /* slots in use */
+    unsigned queued;  /* requests that wait for a slot */
     bbl_edge *edge;
     soak_proxy *proxy;
     bbl_usec shed_until; /* requests received earlier are refused */
@@ -39,7 +52,11 @@
 typedef struct {
     server *backend;
     bbl_edge_call *call;
-    bbl_usec respond_at;
+    uint64_t number;     /* in the order of arrival */
+    bbl_usec time;       /* from the start to the response */
+    bbl_usec respond_at; /* 0 while it waits for a slot */
+    bool dropped;        /* it gets no response, and uses no slot */
+    bool fails;          /* whether the response is 500 */
 } running_request;
 
 struct soak_servers {
@@ -52,6 +69,9 @@
     soak_proxy *list_proxy;
     bbl_map request_records; /* hash of the ID -> soak_request_record * */
     bbl_vec limited_runs;    /* bbl_usec, first runs of SOAK_LIMITED */
+    soak_rollout_record rollouts[SOAK_SERVICES_MAX];
+    bbl_usec control_disturbed_until;
+    uint64_t received; /* requests */
     char violation[VIOLATION_MAX];
 };
 
@@ -113,19 +133,24 @@
     soak_servers *servers = ctx;
     bbl_buf body = BBL_BUF_INIT;
     bbl_edge_response r = {200, {"", 0}, {"", 0}, false};
+    const char *odd_id = servers->items[0].id;
+    unsigned count = 0;
 
     bbl_buf_append_cstr(&body, "{\"instances\":[");
     for (unsigned i = 0; i < servers->count; i++) {
         const server *s = &servers->items[i];
 
+        if (s->version == 0) {
+            continue;
+        }
         bbl_buf_printf(&body,
                        "%s{\"service\":\"%s\",\"id\":\"%s\",\"zone\":\"z%u\","
-                       "\"slots\":4,\"state\":\"ready\",\"warmup_left_ms\":0,"
-                       "\"version\":\"v1\",\"address\":\"%s\"}",
-                       i > 0 ? "," : "", s->service, s->id, i % 3 + 1,
-                       s->listed_address);
+                       "\"slots\":%d,\"state\":\"ready\",\"warmup_left_ms\":0,"
+                       "\"version\":\"v%u\",\"address\":\"%s\"}",
+                       count++ > 0 ? "," : "", s->service, s->id, i % 3 + 1,
+                       SLOTS, s->version, s->listed_address);
     }
-    odd_entries_append(&body, servers->items[0].id);
+    odd_entries_append(&body, odd_id);
     bbl_buf_append_cstr(&body, "],\"next_page_token\":null}");
     r.body = bbl_buf_str(&body);
     bbl_edge_respond(call, &r);
@@ -204,6 +229,135 @@
     }
 }
 
+/* ---- rollouts ---- */
+
+static bool
+is_target(const server *s)
+{
+    const soak_rollout_record *r = &s->all_servers->rollouts[s->service_index];
+
+    return s->version != 0 && s->version == r->version;
+}
+
+/* Counts a request and checks that the version may get it. */
+static void
+check_rollout(server *s, bbl_usec now)
+{
+    soak_servers *all = s->all_servers;
+    soak_rollout_record *r = &all->rollouts[s->service_index];
+    bbl_usec limit = all->control_disturbed_until > r->bad_limit_at
+                         ? ROLLBACK_UNSTABLE_US
+                         : ROLLBACK_US;
+
+    if (r->version == 0) {
+        return;
+    }
+    r->requests += r->deadline == 0 || now <= r->deadline;
+    if (!is_target(s)) {
+        return;
+    }
+    r->target_requests += r->running;
+    if (r->first_target_request_at == 0) {
+        r->first_target_request_at = now;
+    }
+    if (r->rollback_at != 0 && now > r->rollback_at + ROLLBACK_SEEN_US) {
+        soak_servers_report_violation(
+            all, "v%u of %s got a request %llu ms after its rollback was read",
+            r->version, s->service,
+            (unsigned long long)(now - r->rollback_at) / BBL_USEC_PER_MS);
+    }
+    if (r->bad_limit_at != 0 && now > r->bad_limit_at + limit) {
+        soak_servers_report_violation(
+            all, "v%u of %s got a request %llu ms after %d bad answers",
+            r->version, s->service,
+            (unsigned long long)(now - r->bad_limit_at) / BBL_USEC_PER_MS,
+            SOAK_BAD_ANSWERS);
+    }
+}
+
+/* Applies the fault of its version to a request. */
+static void
+apply_version_fault(server *s, const bbl_edge_call *call, running_request *w)
+{
+    soak_rollout_record *r = &s->all_servers->rollouts[s->service_index];
+    bbl_usec now = call->received_at;
+
+    if (!is_target(s)) {
+        return;
+    }
+    switch (r->fault) {
+    case VERSION_FAILS:
+        w->fails = true;
+        break;
+    case VERSION_FAILS_OFTEN:
+        w->fails = r->target_requests % 2 == 0;
+        break;
+    case VERSION_SLOW:
+        w->time *= SOAK_SLOW_FACTOR;
+        r->bad_answers++;
+        break;
+    case VERSION_FAILS_LATE:
+        w->fails = now > r->first_target_request_at + FAILS_LATE_US;
+        break;
+    case VERSION_FAILS_ONE_ROUTE:
+        w->fails =
+            call->target.size > 4 && memcmp(call->target.ptr, "/all", 4) == 0;
+        break;
+    case VERSION_FAILS_UNDER_LOAD:
+        w->fails = s->busy > 0;
+        break;
+    default:
+        break;
+    }
+    r->bad_answers += w->fails;
+    if (r->bad_limit_at == 0 && r->bad_answers >= SOAK_BAD_ANSWERS) {
+        r->bad_limit_at = now;
+    }
+}
+
+/* Starts the requests that have waited longest, if slots are free. */
+static void
+start_queued(server *s, bbl_usec now)
+{
+    bbl_vec *all = &s->all_servers->running_requests;
+
+    while (s->busy < SLOTS && s->queued > 0) {
+        running_request *first = NULL;
+
+        for (size_t i = 0; i < all->size; i++) {
+            running_request *w = bbl_vec_at(all, i);
+
+            if (w->backend == s && w->respond_at == 0 &&
+                (first == NULL || w->number < first->number)) {
+                first = w;
+            }
+        }
+        if (first == NULL) {
+            return;
+        }
+        first->respond_at = now + first->time;
+        s->queued--;
+        s->busy++;
+    }
+}
+
+/* Removes a request; its slot or its place in the queue is free. */
+static void
+remove_request(soak_servers *servers, size_t i, bbl_usec now)
+{
+    running_request w =
+        *BBL_VEC_AT(running_request, &servers->running_requests, i);
+
+    bbl_vec_swap_remove(&servers->running_requests, i);
+    if (!w.dropped && w.respond_at != 0) {
+        w.backend->busy--;
+    }
+    else if (!w.dropped) {
+        w.backend->queued--;
+    }
+    start_queued(w.backend, now);
+}
+
 static void
 on_request(void *ctx, bbl_edge_call *call)
 {
@@ -211,23 +365,33 @@
     bbl_usec now = call->received_at;
     bbl_str expected_id =
         bbl_http_message_field(call->message, "Expect-Instance");
-    running_request w = {s, call, now + s->all_servers->options.service_time};
+    running_request w = {.backend = s,
+                         .call = call,
+                         .number = ++s->all_servers->received,
+                         .time = s->all_servers->options.service_time};
 
+    check_rollout(s, now);
     if (expected_id.ptr != NULL &&
         (expected_id.size != strlen(s->id) ||
          memcmp(expected_id.ptr, s->id, expected_id.size) != 0)) {
         bbl_edge_respond_text(call, 421, "", "");
         return;
     }
-    if (now < s->shed_until) {
+    if (now < s->shed_until || s->queued >= QUEUE_MAX) {
         bbl_edge_respond_text(call, 503, "Not-Executed: 1\r\n", "");
         return;
     }
     record_run(s, call);
+    apply_version_fault(s, call, &w);
     if (now < s->drop_responses_until) {
-        w.respond_at = now + 3600 * BBL_USEC_PER_SEC;
+        w.respond_at = UINT64_MAX;
+        w.dropped = true;
+    }
+    else {
+        s->queued++;
     }
     bbl_vec_push(&s->all_servers->running_requests, &w);
+    start_queued(s, now);
 }
 
 static void
@@ -238,7 +402,7 @@
     for (size_t i = 0; i < servers->running_requests.size; i++) {
         if (BBL_VEC_AT(running_request, &servers->running_requests, i)->call ==
             call) {
-            bbl_vec_swap_remove(&servers->running_requests, i);
+            remove_request(servers, i, bbl_clock_now());
             return;
         }
     }
@@ -253,6 +417,10 @@
     bbl_buf fields = BBL_BUF_INIT;
     bbl_edge_response r = {200, {"", 0}, {records, sizeof(records)}, false};
 
+    if (w->fails) {
+        bbl_edge_respond_text(w->call, 500, "", "");
+        return;
+    }
     snprintf(text, sizeof(text), "%.*s", (int)id.size, id.ptr ? id.ptr : "");
     soak_records_generate(records, w->backend->service, text);
     /* The stamp consists of the service and the ID of the request. */
@@ -270,11 +438,11 @@
         running_request w =
             *BBL_VEC_AT(running_request, &servers->running_requests, i);
 
-        if (w.respond_at > now) {
+        if (w.respond_at == 0 || w.respond_at > now) {
             i++;
             continue;
         }
-        bbl_vec_swap_remove(&servers->running_requests, i);
+        remove_request(servers, i, now);
         send_response(&w);
         i = 0;
     }
@@ -313,6 +481,84 @@
              (unsigned)(s - s->all_servers->items), ++s->incarnation);
 }
 
+bool
+soak_servers_may_fail(const soak_servers *servers, unsigned index)
+{
+    const server *s = &servers->items[index];
+    const soak_rollout_record *r = &servers->rollouts[s->service_index];
+
+    return s->version != 0 &&
+           !(is_target(s) && r->running && r->fault == VERSION_GOOD);
+}
+
+bool
+soak_servers_is_target(const soak_servers *servers, unsigned index)
+{
+    const server *s = &servers->items[index];
+    const soak_rollout_record *r = &servers->rollouts[s->service_index];
+
+    return is_target(s) && (r->running || r->rollback_at != 0);
+}
+
+void
+soak_servers_note_disturbance(soak_servers *servers, bbl_usec until)
+{
+    if (until > servers->control_disturbed_until) {
+        servers->control_disturbed_until = until;
+    }
+}
+
+soak_rollout_record *
+soak_servers_rollout(soak_servers *servers, unsigned service)
+{
+    return &servers->rollouts[service];
+}
+
+void
+soak_servers_start_version(soak_servers *servers, unsigned service)
+{
+    for (unsigned i = 0; i < servers->count; i++) {
+        server *s = &servers->items[i];
+
+        if (s->service_index == service && s->version == 0) {
+            assign_server_id(s);
+            s->version = servers->rollouts[service].version;
+            s->shed_until = 0;
+            s->drop_responses_until = 0;
+            soak_proxy_set_mode(s->proxy, PROXY_PASS, 0);
+            soak_proxy_refuse(s->proxy, false);
+        }
+    }
+}
+
+/* Ends the servers of the version that is rolled out, or the others. */
+static void
+end_servers(soak_servers *servers, unsigned service, bool targets)
+{
+    for (unsigned i = 0; i < servers->count; i++) {
+        server *s = &servers->items[i];
+
+        if (s->service_index == service && s->version != 0 &&
+            is_target(s) == targets) {
+            s->version = 0;
+            soak_proxy_refuse(s->proxy, true);
+            soak_proxy_reset_connections(s->proxy);
+        }
+    }
+}
+
+void
+soak_servers_end_version(soak_servers *servers, unsigned service)
+{
+    end_servers(servers, service, true);
+}
+
+void
+soak_servers_end_others(soak_servers *servers, unsigned service)
+{
+    end_servers(servers, service, false);
+}
+
 void
 soak_servers_replace(soak_servers *servers, unsigned index)
 {
@@ -346,9 +592,10 @@
     int error;
 
     s->all_servers = servers;
-    snprintf(s->service, sizeof(s->service), "s%u",
-             i / servers->options.servers_per_service);
+    s->service_index = i / (2 * servers->options.servers_per_service);
+    snprintf(s->service, sizeof(s->service), "s%u", s->service_index);
     assign_server_id(s);
+    s->version = i / servers->options.servers_per_service % 2 == 0 ? 1 : 0;
     soak_network_format(text, sizeof(text), SOAK_NET_SERVERS, i + 1,
                         SERVER_PORT);
     soak_network_format(s->listed_address, sizeof(s->listed_address),
@@ -365,6 +612,9 @@
         error = soak_proxy_open(&s->proxy, servers->loop, proxy_endpoint,
                                 server_endpoint);
     }
+    if (error == 0) {
+        soak_proxy_refuse(s->proxy, s->version == 0);
+    }
     return error;
 }
 
@@ -406,7 +656,7 @@
     servers->options = *options;
     servers->running_requests = (bbl_vec)BBL_VEC_INIT(running_request);
     servers->limited_runs = (bbl_vec)BBL_VEC_INIT(bbl_usec);
-    servers->count = options->service_count * options->servers_per_service;
+    servers->count = 2 * options->service_count * options->servers_per_service;
     servers->items = bbl_calloc(servers->count, sizeof(server));
     error = open_server_list(servers);
     for (unsigned i = 0; error == 0 && i < servers->count; i++) {
--- a/tools/soak/servers.h
+++ b/tools/soak/servers.h
@@ -18,6 +18,7 @@
 #define SOAK_RECORD_BYTES 16
 #define SOAK_RECORDS_PER_SERVICE 6 /* in one response */
 #define SOAK_ID_MAX 32
+#define SOAK_SERVICES_MAX 8
 
 typedef struct soak_servers soak_servers;
 
@@ -27,15 +28,50 @@
     bool once;          /* whether it may run at most once */
     bool refused;       /* whether the caller was told that it has not run */
     unsigned run_count; /* on all servers */
+    /* Services that have received it. */
+    bool received[SOAK_SERVICES_MAX];
     /* The organisation whose key it carries; NULL: the key is unknown, and no
      * server may run it. */
     const char *organisation;
 } soak_request_record;
 
+/* How the servers of a version misbehave. */
+typedef enum {
+    VERSION_GOOD,
+    VERSION_FAILS,            /* all answers are 500 */
+    VERSION_FAILS_OFTEN,      /* every other answer is 500 */
+    VERSION_SLOW,             /* takes SOAK_SLOW_FACTOR times the time */
+    VERSION_FAILS_LATE,       /* 500 from some time after its first request */
+    VERSION_FAILS_ONE_ROUTE,  /* 500 to the parts of merged answers */
+    VERSION_FAILS_UNDER_LOAD, /* 500 while it runs another request */
+    VERSION_FAULTS
+} version_fault;
+
+#define SOAK_SLOW_FACTOR 6
+/* Bad answers after which a version must be found, and bounds of the requests
+ * to it, see load-tenants-rollouts.md, section 6. */
+#define SOAK_BAD_ANSWERS 50
+#define SOAK_EXPOSURE_RATIO 0.1
+#define SOAK_EXPOSURE_CONSTANT 50
+
+/* The last rollout of a service, as its operator and the servers see it. */
 typedef struct {
-    unsigned service_count; /* named s0, s1, ... */
-    unsigned servers_per_service;
-    bbl_usec service_time; /* from a request to its response */
+    unsigned version; /* 0: there was none */
+    version_fault fault;
+    bool running;         /* ordered, and its end has not been read */
+    bbl_usec deadline;    /* the latest; 0 until the order is acknowledged */
+    bbl_usec rollback_at; /* when its rollback was read, or 0 */
+    unsigned requests;    /* to all servers of the service by the deadline */
+    unsigned target_requests;
+    unsigned bad_answers;
+    bbl_usec first_target_request_at;
+    bbl_usec bad_limit_at; /* when SOAK_BAD_ANSWERS was reached, or 0 */
+} soak_rollout_record;
+
+typedef struct {
+    unsigned service_count;       /* named s0, s1, ... */
+    unsigned servers_per_service; /* of one version */
+    bbl_usec service_time;        /* from a request to its response */
 } soak_servers_options;
 
 /*
@@ -81,8 +117,40 @@
 soak_records_generate(char out[SOAK_RECORDS_PER_SERVICE * SOAK_RECORD_BYTES],
                       const char *service, const char *id);
 
-/* Servers have the numbers 0 to soak_servers_count - 1. */
+/*
+ * Servers have the numbers 0 to soak_servers_count - 1. Each service has as
+ * many for the version in use as for the one that is rolled out.
+ */
 unsigned soak_servers_count(const soak_servers *servers);
+
+/*
+ * Returns whether faults may hit a server. They hit neither servers that have
+ * not started nor those of a good version that is rolled out, whose answers
+ * would be bad.
+ */
+bool soak_servers_may_fail(const soak_servers *servers, unsigned index);
+
+/* Returns whether a server is of the version that is or was rolled out, and
+ * has not replaced the others. */
+bool soak_servers_is_target(const soak_servers *servers, unsigned index);
+
+/* Notes that control hosts are disturbed until then, so that a version that is
+ * bad may be found later. */
+void soak_servers_note_disturbance(soak_servers *servers, bbl_usec until);
+
+/* ---- versions ---- */
+
+/* Returns the record of the last rollout of a service. */
+soak_rollout_record *soak_servers_rollout(soak_servers *servers,
+                                          unsigned service);
+
+/* Starts the servers of the version of the record beside the others. */
+void soak_servers_start_version(soak_servers *servers, unsigned service);
+
+/* Ends the servers of the version of the record, or all others, at once. */
+void soak_servers_end_version(soak_servers *servers, unsigned service);
+void soak_servers_end_others(soak_servers *servers, unsigned service);
+
 soak_proxy *soak_servers_proxy(soak_servers *servers, unsigned index);
 soak_proxy *soak_servers_list_proxy(soak_servers *servers);
 
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -20,6 +20,7 @@
 #include "soak/callers.h"
 #include "soak/network.h"
 #include "soak/operator.h"
+#include "soak/rollouts.h"
 #include "soak/schedule.h"
 #include "util/clock.h"
 
@@ -47,6 +48,7 @@
     bbl_backend_client *client;
     soak_callers *callers;
     soak_operator *routing_operator;
+    soak_rollouts *rollouts;
     soak_fleet fleet;
     bbl_vec proxy_fault_ends; /* of proxy_fault_end */
     unsigned fault_count;
@@ -80,6 +82,9 @@
     if (until + DISTURBANCE_GRACE_US > h->disturbed_until) {
         h->disturbed_until = until + DISTURBANCE_GRACE_US;
     }
+    if (soak_fleet_is_control(host)) {
+        soak_servers_note_disturbance(s->servers, h->disturbed_until);
+    }
 }
 
 static void
@@ -149,9 +154,20 @@
 apply_server_fault(soak *s, const fault *f, bbl_usec now)
 {
     unsigned i = (unsigned)(f->target % soak_servers_count(s->servers));
-    soak_proxy *proxy = soak_servers_proxy(s->servers, i);
+    soak_proxy *proxy;
+    fault_kind kind = f->kind;
 
-    switch (f->kind) {
+    while (!soak_servers_may_fail(s->servers, i)) {
+        i = (i + 1) % soak_servers_count(s->servers);
+    }
+    proxy = soak_servers_proxy(s->servers, i);
+    if (soak_servers_is_target(s->servers, i) &&
+        (kind == FAULT_DELAY || kind == FAULT_HOLD_IN)) {
+        /* A request that arrives late could not be told from one that a host
+         * sent after the rollback. */
+        kind = FAULT_HOLD_OUT;
+    }
+    switch (kind) {
     case FAULT_DELAY:
         start_proxy_fault(s, proxy, PROXY_DELAY, f, now);
         break;
@@ -202,6 +218,12 @@
     case FAULT_WIPE:
         wipe_hosts(s, f, now);
         break;
+    case FAULT_KILL_LEADER:
+        kill_host(s, soak_rollouts_leader(s->rollouts), now, f->duration);
+        break;
+    case FAULT_PAUSE_LEADER:
+        pause_host(s, soak_rollouts_leader(s->rollouts), now, f->duration);
+        break;
     case FAULT_KILL_CORE:
         for (unsigned i = 0; i < SOAK_CONTROL_HOSTS; i++) {
             kill_host(s, i, now, 0);
@@ -280,6 +302,7 @@
         soak_servers_tick(s->servers, now);
         soak_callers_tick(s->callers, now);
         soak_operator_tick(s->routing_operator, now);
+        soak_rollouts_tick(s->rollouts, now);
         bbl_backend_client_tick(s->client, now);
         if (interrupted != 0) {
             soak_servers_report_violation(s->servers,
@@ -300,6 +323,12 @@
            soak_callers_hosts_ready(s->callers);
 }
 
+static bool
+is_settled(const soak *s)
+{
+    return soak_rollouts_is_settled(s->rollouts);
+}
+
 static bool
 is_recovered(const soak *s)
 {
@@ -384,16 +413,24 @@
         bbl_vec_free(&faults);
         return false;
     }
+    soak_rollouts_start(s->rollouts);
     passed =
         run_until(s, bbl_clock_now() + duration, &faults, bbl_clock_now());
     bbl_vec_free(&faults);
     soak_operator_stop_updates(s->routing_operator);
+    soak_rollouts_stop(s->rollouts);
     if (passed && !wait_until_reached(s, is_recovered, RECOVERY_TIMEOUT_US)) {
         soak_servers_report_violation(
             s->servers, "no recovery within %llu s",
             (unsigned long long)(RECOVERY_TIMEOUT_US / BBL_USEC_PER_SEC));
         return false;
     }
+    if (passed && !wait_until_reached(s, is_settled, RECOVERY_TIMEOUT_US)) {
+        soak_servers_report_violation(
+            s->servers, "the rollout has not ended within %llu s",
+            (unsigned long long)(RECOVERY_TIMEOUT_US / BBL_USEC_PER_SEC));
+        return false;
+    }
     collect_counts(s);
     passed = passed && run_until(s, bbl_clock_now() + FAULT_FREE_US, NULL, 0);
     if (passed) {
@@ -422,6 +459,8 @@
     soak_callers_options callers = {SERVICE_COUNT, REQUEST_INTERVAL_US,
                                     seed + 1};
     soak_operator_options op = {SERVICE_COUNT, seed + 2};
+    soak_rollouts_options rollouts = {SERVICE_COUNT, seed + 3,
+                                      s->fleet.folder};
     bbl_backend_client_options client = {
         .dialect = bbl_platform_dialect(),
         .connect_timeout = 1000 * BBL_USEC_PER_MS,
@@ -444,6 +483,7 @@
     }
     soak_callers_open(&s->callers, s->client, s->servers, &s->fleet, &callers);
     soak_operator_open(&s->routing_operator, s->client, s->servers, &op);
+    soak_rollouts_open(&s->rollouts, s->client, s->servers, &rollouts);
     for (unsigned i = 0; error == 0 && i < SOAK_HOSTS; i++) {
         error = soak_fleet_start(&s->fleet, i, true);
     }
@@ -454,6 +494,7 @@
 close_soak(soak *s)
 {
     soak_fleet_kill_all(&s->fleet);
+    soak_rollouts_free(s->rollouts);
     soak_operator_free(s->routing_operator);
     soak_callers_free(s->callers);
     bbl_backend_client_free(s->client);
@@ -484,6 +525,7 @@
         {NULL},
     };
     GOptionContext *context = g_option_context_new(NULL);
+    soak_rollout_counts rollouts;
     bool passed;
 
     g_option_context_add_main_entries(context, entries, NULL);
@@ -507,12 +549,15 @@
     passed =
         run_soak(&s, (uint64_t)seed, (bbl_usec)seconds * BBL_USEC_PER_SEC);
     collect_counts(&s);
+    rollouts = soak_rollouts_get_counts(s.rollouts);
     printf("soak: seed %d, %d s, %u faults, %u requests (%u served, %u "
-           "refused, %u failed), version %llu: %s\n",
+           "refused, %u failed), version %llu, %u rollouts (%u completed, %u "
+           "rolled back): %s\n",
            seed, seconds, s.fault_count, s.total_counts.sent,
            s.total_counts.served, s.total_counts.refused,
            s.total_counts.failed,
            (unsigned long long)soak_operator_acked_version(s.routing_operator),
+           rollouts.ordered, rollouts.completed, rollouts.rolled_back,
            passed ? "kept"
                   : (soak_servers_violation(s.servers)
                          ? soak_servers_violation(s.servers)
