Soak: load spikes, and the budget for extra attempts

The callers now send 3 to 6 times the usual requests for some seconds, among the other faults and once after them. Checked: a refusal in a spike arrives within a quarter of the target (less what its host has waited for a processor), the usual load is served again within 5 s, and the requests to a service beyond the first ones stay within 0.2 times these and 50 in any 10 s.

Faults now begin when all five control hosts are voters: two of fewer may not be lost at once. A request sent less than its target ago is not owed an answer when the ratio of served requests is taken.

--- a/tools/soak/callers.c
+++ b/tools/soak/callers.c
@@ -7,9 +7,16 @@
 #include "net/address.h"
 #include "soak/network.h"
 #include "util/alloc.h"
+#include "util/clock.h"
 
-#define CONNECTIONS_PER_HOST 8
+/* Enough for the load of a spike; usually few are opened. */
+#define CONNECTIONS_PER_HOST 64
 #define DEADLINE_MS 2000
+#define TARGET_MS 500
+/* A refusal arrives within a quarter of the target. */
+#define REFUSAL_MAX_US (TARGET_MS * BBL_USEC_PER_MS / 4)
+/* A pause of this process from which the times of answers are not checked. */
+#define STALL_MIN_US (20 * BBL_USEC_PER_MS)
 /* A request without an answer this long after its deadline is overdue. */
 #define RESPONSE_GRACE_US (1000 * BBL_USEC_PER_MS)
 #define READY_POLL_INTERVAL_US (250 * BBL_USEC_PER_MS)
@@ -38,6 +45,8 @@
     route_kind route;
     const char *organisation; /* NULL: its key is unknown */
     unsigned entry;           /* index of the entry host */
+    bool in_spike;
+    bbl_usec run_delay; /* of the entry host before */
     bbl_usec sent_at;
 } caller_request;
 
@@ -46,6 +55,7 @@
     bbl_backend_link *ready_link;
     unsigned ready_failures;   /* consecutive */
     bbl_usec drain_started_at; /* 0 if the host is not draining */
+    bbl_usec run_delay;        /* see soak_fleet_get_run_delay */
 } entry_host;
 
 struct soak_callers {
@@ -57,6 +67,11 @@
     bbl_rng rng;
     unsigned last_id;
     bool stopped;
+    bbl_usec spike_until;
+    bbl_usec network_disturbed_until;
+    unsigned spike_factor;
+    bbl_usec last_tick_at;
+    bbl_usec stalled_at; /* when this process last resumed after a pause */
     bbl_usec next_request_at;
     bbl_usec next_ready_poll_at;
     soak_request_counts counts;
@@ -91,12 +106,12 @@
             out,
             "{\"name\":\"r%d\",\"hostname\":\"a.example\",\"path_prefix\":"
             "\"/%s/\",\"route_type\":%s,\"timeout_ms\":%d,"
-            "\"target_latency_ms\":500,\"priority\":1,\"max_attempts\":2,",
+            "\"target_latency_ms\":%d,\"priority\":1,\"max_attempts\":2,",
             i,
             i == ROUTE_GATHER   ? "all"
             : i == ROUTE_SINGLE ? "one"
                                 : "once",
-            i == ROUTE_ONCE ? once : safe, DEADLINE_MS);
+            i == ROUTE_ONCE ? once : safe, DEADLINE_MS, TARGET_MS);
         if (i == ROUTE_GATHER) {
             bbl_buf_append_cstr(out, "\"gather\":[");
             for (unsigned s = 0; s < service_count; s++) {
@@ -112,10 +127,10 @@
     bbl_buf_printf(out,
                    "{\"name\":\"v\",\"hostname\":\"a.example\","
                    "\"path_prefix\":\"/v%llu/\",\"route_type\":\"safe\","
-                   "\"timeout_ms\":%d,\"target_latency_ms\":500,"
+                   "\"timeout_ms\":%d,\"target_latency_ms\":%d,"
                    "\"priority\":1,\"max_attempts\":2,\"service\":\"s0\"}],"
                    "\"services\":[",
-                   (unsigned long long)version, DEADLINE_MS);
+                   (unsigned long long)version, DEADLINE_MS, TARGET_MS);
     for (unsigned s = 0; s < service_count; s++) {
         bbl_buf_printf(out,
                        "%s{\"name\":\"s%u\",\"health_path\":\"/h\","
@@ -227,8 +242,41 @@
     }
 }
 
+/*
+ * Checks the time of a refusal under load, less what the host has waited for a
+ * processor. If servers were cut off or silent, refusals may take longer: the
+ * host has sent the request to one of them, and learns of its refusal late.
+ */
 static void
-check_response(caller_request *c, const bbl_http_message *m)
+check_refusal_time(caller_request *c, bbl_usec sent_at)
+{
+    soak_callers *callers = c->all_callers;
+    const soak_host *h = &callers->fleet->hosts[SOAK_CONTROL_HOSTS + c->entry];
+    bbl_usec now = bbl_clock_now();
+    bbl_usec max = REFUSAL_MAX_US;
+
+    if (!c->in_spike || h->disturbed_until >= c->sent_at || h->draining ||
+        callers->stalled_at >= c->sent_at ||
+        callers->network_disturbed_until >= c->sent_at ||
+        now >= callers->last_tick_at + STALL_MIN_US) {
+        return;
+    }
+    callers->counts.timed_refusals++;
+    if (now > sent_at + max) {
+        max += soak_fleet_get_run_delay(callers->fleet,
+                                        SOAK_CONTROL_HOSTS + c->entry) -
+               c->run_delay;
+    }
+    if (now > sent_at + max) {
+        soak_servers_report_violation(
+            callers->servers, "request %s was refused by %s after %llu ms",
+            c->record->id, h->name,
+            (unsigned long long)(now - sent_at) / BBL_USEC_PER_MS);
+    }
+}
+
+static void
+check_response(caller_request *c, const bbl_http_message *m, bbl_usec sent_at)
 {
     soak_callers *callers = c->all_callers;
     unsigned status = bbl_http_message_status(m);
@@ -253,6 +301,7 @@
     else if (status == 503 || status == 429) {
         callers->counts.refused++;
         c->record->refused = true;
+        check_refusal_time(c, sent_at);
         if (c->record->run_count > 0) {
             soak_servers_report_violation(
                 callers->servers,
@@ -295,7 +344,7 @@
     caller_request *c = ctx;
 
     if (r->exchange_outcome == BBL_LINK_RESPONSE) {
-        check_response(c, r->message);
+        check_response(c, r->message, r->sent_at);
     }
     else if (r->exchange_outcome == BBL_LINK_BROKEN) {
         check_broken_connection(c);
@@ -340,9 +389,15 @@
     c->route = kind;
     c->entry = entry;
     c->sent_at = now;
+    c->in_spike = now < callers->spike_until;
+    c->run_delay = callers->entries[entry].run_delay;
     c->organisation = choose_organisation(callers, kind);
     c->record = soak_servers_register_request(
         callers->servers, id, kind == ROUTE_ONCE, c->organisation);
+    for (unsigned i = 0; i < callers->options.service_count; i++) {
+        c->record->wanted[i] =
+            kind == ROUTE_GATHER || i == (kind == ROUTE_ONCE ? 1 : 0);
+    }
     bbl_buf_printf(&head, "%s /%s", kind == ROUTE_ONCE ? "POST" : "GET",
                    paths[kind]);
     if (kind == ROUTE_VERSION) {
@@ -464,15 +519,41 @@
         callers->next_ready_poll_at = now + READY_POLL_INTERVAL_US;
         poll_readiness(callers, now);
     }
+    if (now > callers->last_tick_at + STALL_MIN_US) {
+        callers->stalled_at = now;
+    }
+    callers->last_tick_at = now;
+    for (unsigned i = 0; now < callers->spike_until && i < SOAK_ENTRY_HOSTS;
+         i++) {
+        callers->entries[i].run_delay =
+            soak_fleet_get_run_delay(callers->fleet, SOAK_CONTROL_HOSTS + i);
+    }
     while (!callers->stopped && now >= callers->next_request_at) {
         callers->next_request_at =
             (callers->next_request_at != 0 ? callers->next_request_at : now) +
-            callers->options.request_interval;
+            callers->options.request_interval /
+                (now < callers->spike_until ? callers->spike_factor : 1);
         send_next_request(callers, now);
     }
     abandon_overdue_requests(callers, now);
 }
 
+void
+soak_callers_note_cut_server(soak_callers *callers, bbl_usec until)
+{
+    if (until > callers->network_disturbed_until) {
+        callers->network_disturbed_until = until;
+    }
+}
+
+void
+soak_callers_start_spike(soak_callers *callers, bbl_usec until,
+                         unsigned factor)
+{
+    callers->spike_until = until;
+    callers->spike_factor = factor;
+}
+
 void
 soak_callers_stop(soak_callers *callers)
 {
@@ -497,10 +578,18 @@
     return true;
 }
 
-size_t
-soak_callers_count_open_requests(const soak_callers *callers)
+unsigned
+soak_callers_count_not_due(const soak_callers *callers, bbl_usec now)
 {
-    return callers->open_requests.size;
+    unsigned count = 0;
+
+    for (size_t i = 0; i < callers->open_requests.size; i++) {
+        const caller_request *c =
+            *BBL_VEC_AT(caller_request *, &callers->open_requests, i);
+
+        count += now < c->sent_at + TARGET_MS * BBL_USEC_PER_MS;
+    }
+    return count;
 }
 
 soak_request_counts
--- a/tools/soak/callers.h
+++ b/tools/soak/callers.h
@@ -26,6 +26,8 @@
     unsigned served;  /* answered with status 200 */
     unsigned refused; /* answered with status 429 or 503, not run */
     unsigned failed;  /* others that ended, with or without an answer */
+    /* Refused ones of a spike whose time was checked. */
+    unsigned timed_refusals;
 } soak_request_counts;
 
 /* Appends the JSON text of a routing. One of its routes has a path that
@@ -45,6 +47,14 @@
 /* Polls readiness, sends the due requests and abandons the overdue ones. */
 void soak_callers_tick(soak_callers *callers, bbl_usec now);
 
+/* Notes that servers do not answer until then, so that refusals take longer.
+ */
+void soak_callers_note_cut_server(soak_callers *callers, bbl_usec until);
+
+/* Sends `factor` times the usual number of requests until `until`. */
+void soak_callers_start_spike(soak_callers *callers, bbl_usec until,
+                              unsigned factor);
+
 /* Sends no more requests except probes. Open requests continue. */
 void soak_callers_stop(soak_callers *callers);
 
@@ -60,7 +70,9 @@
 /* Returns whether all entry hosts were ready at the last poll. */
 bool soak_callers_hosts_ready(const soak_callers *callers);
 
-size_t soak_callers_count_open_requests(const soak_callers *callers);
+/* Returns the number of open requests that were sent less than the target of
+ * their route ago, so that their answers are not due yet. */
+unsigned soak_callers_count_not_due(const soak_callers *callers, bbl_usec now);
 
 /* Returns the counts since the last call and resets them. */
 soak_request_counts soak_callers_collect_counts(soak_callers *callers);
--- a/tools/soak/fleet.c
+++ b/tools/soak/fleet.c
@@ -1,5 +1,6 @@
 #include "soak/fleet.h"
 
+#include <dirent.h>
 #include <fcntl.h>
 #include <ftw.h>
 #include <signal.h>
@@ -14,6 +15,7 @@
 
 #define TEXT_MAX 256
 #define ARGS_MAX 32
+#define LINE_MAX_BYTES 1024
 
 extern char **environ;
 
@@ -183,6 +185,82 @@
     nftw(folder, remove_entry, 8, FTW_DEPTH | FTW_PHYS);
 }
 
+bbl_usec
+soak_fleet_get_run_delay(const soak_fleet *fleet, unsigned host)
+{
+    unsigned long long sum = 0; /* nanoseconds */
+    char path[TEXT_MAX];
+    struct dirent *entry;
+    DIR *tasks;
+
+    snprintf(path, sizeof(path), "/proc/%d/task", (int)fleet->hosts[host].pid);
+    tasks = opendir(path);
+    while (tasks != NULL && (entry = readdir(tasks)) != NULL) {
+        unsigned long long delay = 0;
+        FILE *f;
+
+        snprintf(path, sizeof(path), "/proc/%d/task/%.16s/schedstat",
+                 (int)fleet->hosts[host].pid, entry->d_name);
+        f = entry->d_name[0] != '.' ? fopen(path, "r") : NULL;
+        if (f != NULL) {
+            sum += fscanf(f, "%*u %llu", &delay) == 1 ? delay : 0;
+            fclose(f);
+        }
+    }
+    if (tasks != NULL) {
+        closedir(tasks);
+    }
+    return sum / 1000;
+}
+
+bool
+soak_fleet_find_log_line(const soak_fleet *fleet,
+                         bool (*matches)(const char *line, const char *text),
+                         const char *text)
+{
+    char line[LINE_MAX_BYTES];
+    bool found = false;
+
+    for (unsigned i = 0; !found && i < SOAK_CONTROL_HOSTS; i++) {
+        char path[TEXT_MAX];
+        FILE *log;
+
+        snprintf(path, sizeof(path), "%s/%s.log", fleet->folder,
+                 fleet->hosts[i].name);
+        log = fopen(path, "r");
+        while (log != NULL && !found &&
+               fgets(line, sizeof(line), log) != NULL) {
+            found = matches(line, text);
+        }
+        if (log != NULL) {
+            fclose(log);
+        }
+    }
+    return found;
+}
+
+/* Returns whether a line lists all control hosts as voters. */
+static bool
+lists_all_voters(const char *line, const char *text)
+{
+    const char *voters = strstr(line, text);
+    unsigned count = 1;
+
+    if (voters == NULL || strstr(voters, "learner") != NULL) {
+        return false;
+    }
+    for (; *voters != '\0'; voters++) {
+        count += *voters == ',';
+    }
+    return count == SOAK_CONTROL_HOSTS;
+}
+
+bool
+soak_fleet_has_all_voters(const soak_fleet *fleet)
+{
+    return soak_fleet_find_log_line(fleet, lists_all_voters, " voters=");
+}
+
 int
 soak_fleet_reap(soak_fleet *fleet)
 {
--- a/tools/soak/fleet.h
+++ b/tools/soak/fleet.h
@@ -60,6 +60,22 @@
 /* Removes the data folder of a host, which must have no process. */
 void soak_fleet_wipe(soak_fleet *fleet, unsigned host);
 
+/*
+ * Returns for how long the threads of a host have waited for a processor since
+ * their start, microseconds; 0 if the system does not tell.
+ */
+bbl_usec soak_fleet_get_run_delay(const soak_fleet *fleet, unsigned host);
+
+/* Returns whether `matches` returns true for a line in the log of a control
+ * host. */
+bool soak_fleet_find_log_line(const soak_fleet *fleet,
+                              bool (*matches)(const char *line,
+                                              const char *text),
+                              const char *text);
+
+/* Returns whether all control hosts have become voters. */
+bool soak_fleet_has_all_voters(const soak_fleet *fleet);
+
 /*
  * Collects the exit status of ended processes. Stops at the first one that
  * ended without SIGTERM.
--- a/tools/soak/rollouts.c
+++ b/tools/soak/rollouts.c
@@ -16,6 +16,10 @@
 #define PAUSE_US (1500 * BBL_USEC_PER_MS) /* between two rollouts */
 #define DURATION_MIN_MS 3000
 #define DURATION_SPREAD_MS 3000
+/* In long runs. Shorter rollouts may give a version that turns bad at the last
+ * step more than the bound, see docs/design/rollouts.md, so these have only
+ * versions that are bad from the first answer. */
+#define LONG_DURATION_MIN_MS 30000
 #define START_SPREAD_US (400 * BBL_USEC_PER_MS) /* of the new servers */
 /* An order with another version is sent within this time after the first one:
  * a good version does not end earlier, whatever happens. */
@@ -110,7 +114,8 @@
 
     r->service = (unsigned)bbl_rng_below(&r->rng, r->options.service_count);
     r->duration_ms =
-        DURATION_MIN_MS + (unsigned)bbl_rng_below(&r->rng, DURATION_SPREAD_MS);
+        (r->options.long_durations ? LONG_DURATION_MIN_MS : DURATION_MIN_MS) +
+        (unsigned)bbl_rng_below(&r->rng, DURATION_SPREAD_MS);
     r->version++;
     r->first_sent_at = now;
     r->running_read_at = 0;
@@ -122,7 +127,10 @@
     record->running = true;
     if (bbl_rng_below(&r->rng, 2) == 0) {
         record->fault =
-            (version_fault)(1 + bbl_rng_below(&r->rng, VERSION_FAULTS - 1));
+            (version_fault)(1 + bbl_rng_below(&r->rng,
+                                              r->options.long_durations
+                                                  ? VERSION_FAULTS - 1
+                                                  : VERSION_FAULTS_AT_ONCE));
     }
 }
 
@@ -192,33 +200,23 @@
 
 /* ---- states ---- */
 
-/* Returns whether the log of a control host tells that a version was rolled
- * back because of its answers. */
+/* Returns whether a line tells that a version was rolled back because of its
+ * answers. */
+static bool
+tells_judged_bad(const char *line, const char *version)
+{
+    return strstr(line, version) != NULL &&
+           strstr(line, "why=\"judged bad\"") != NULL;
+}
+
 static bool
 was_judged_bad(const soak_rollouts *r)
 {
-    char wanted[64];
-    char line[2 * TEXT_MAX];
-    bool found = false;
+    char text[64];
 
-    snprintf(wanted, sizeof(wanted), "service=s%u target=v%u to=rolled-back",
+    snprintf(text, sizeof(text), "service=s%u target=v%u to=rolled-back",
              r->service, r->version);
-    for (unsigned i = 1; !found && i <= SOAK_CONTROL_HOSTS; i++) {
-        char path[TEXT_MAX];
-        FILE *log;
-
-        snprintf(path, sizeof(path), "%s/c%u.log", r->options.folder, i);
-        log = fopen(path, "r");
-        while (log != NULL && !found &&
-               fgets(line, sizeof(line), log) != NULL) {
-            found = strstr(line, wanted) != NULL &&
-                    strstr(line, "why=\"judged bad\"") != NULL;
-        }
-        if (log != NULL) {
-            fclose(log);
-        }
-    }
-    return found;
+    return soak_fleet_find_log_line(r->options.fleet, tells_judged_bad, text);
 }
 
 static void
@@ -472,6 +470,13 @@
     return r->phase == PHASE_IDLE && r->zone == 0;
 }
 
+bool
+soak_rollouts_allows_spike(const soak_rollouts *r)
+{
+    return (r->phase != PHASE_ORDERING && r->phase != PHASE_RUNNING) ||
+           soak_servers_rollout(r->servers, r->service)->fault == VERSION_GOOD;
+}
+
 unsigned
 soak_rollouts_leader(const soak_rollouts *r)
 {
--- a/tools/soak/rollouts.h
+++ b/tools/soak/rollouts.h
@@ -17,8 +17,10 @@
 
 typedef struct {
     unsigned service_count;
-    uint64_t seed;      /* of the choice of services, faults and hosts */
-    const char *folder; /* of the logs of the control hosts */
+    uint64_t seed; /* of the choice of services, faults and hosts */
+    const soak_fleet *fleet;
+    /* Whether rollouts take half a minute, and versions may turn bad late. */
+    bool long_durations;
 } soak_rollouts_options;
 
 /* Numbers of rollouts. */
@@ -48,6 +50,10 @@
 /* Returns whether no rollout runs and no data centre is evacuated. */
 bool soak_rollouts_is_settled(const soak_rollouts *rollouts);
 
+/* Returns whether no bad version is rolled out. The bound of its requests is a
+ * share of those until the deadline, which assumes an even load. */
+bool soak_rollouts_allows_spike(const soak_rollouts *rollouts);
+
 /* Returns the control host that answered as the leader last. */
 unsigned soak_rollouts_leader(const soak_rollouts *rollouts);
 
--- a/tools/soak/schedule.c
+++ b/tools/soak/schedule.c
@@ -15,10 +15,10 @@
 fault_kind_name(fault_kind kind)
 {
     static const char *const names[FAULT_KINDS] = {
-        "kill",      "pause",   "terminate",   "wipe",
-        "kill-core", "delay",   "reset",       "hold-in",
-        "hold-out",  "silence", "shed",        "lose",
-        "replace",   "list",    "kill-leader", "pause-leader",
+        "kill",         "pause", "terminate", "wipe",     "kill-core",
+        "delay",        "reset", "hold-in",   "hold-out", "silence",
+        "shed",         "lose",  "replace",   "list",     "kill-leader",
+        "pause-leader", "spike",
     };
 
     return names[kind];
@@ -43,6 +43,9 @@
         f.target = bbl_rng_next(&rng);
         f.duration = FAULT_DURATION_MIN_US +
                      bbl_rng_below(&rng, FAULT_DURATION_SPREAD_US);
+        if (f.kind == FAULT_SPIKE && offset + f.duration > total_duration) {
+            f.duration = total_duration - offset;
+        }
         if (f.kind == FAULT_WIPE) {
             if (last_wipe != 0 && offset < last_wipe + WIPE_INTERVAL_MIN_US) {
                 f.kind = FAULT_KILL;
--- a/tools/soak/schedule.h
+++ b/tools/soak/schedule.h
@@ -26,6 +26,7 @@
     FAULT_LIST,      /* the platform's list of servers does not respond */
     FAULT_KILL_LEADER,  /* SIGKILL to the control host that led last */
     FAULT_PAUSE_LEADER, /* SIGSTOP to it, later SIGCONT */
+    FAULT_SPIKE,        /* callers send several times the usual requests */
     FAULT_KINDS
 } fault_kind;
 
@@ -33,7 +34,8 @@
     bbl_usec start_offset; /* from the start of the fault phase */
     fault_kind kind;
     /* A random number. Its remainder by the number of hosts or servers selects
-     * the affected one; for FAULT_WIPE, the upper 32 bits select how many. */
+     * the affected one; for FAULT_WIPE, the upper 32 bits select how many, for
+     * FAULT_SPIKE, it selects the load. */
     uint64_t target;
     bbl_usec duration;
 } fault;
--- a/tools/soak/servers.c
+++ b/tools/soak/servers.c
@@ -20,6 +20,11 @@
 /* The bound of the default settings: a tenth and 20 requests over the limit.
  */
 #define LIMIT_BOUND ((SOAK_LIMIT_PER_S * 5 + SOAK_LIMIT_BURST) * 1.1 + 20)
+/* Default settings of the requests to a service beyond the first one of each
+ * request of a caller, over all hosts. */
+#define EXTRA_WINDOW_US (10 * BBL_USEC_PER_SEC)
+#define EXTRA_RATIO 0.2
+#define EXTRA_CONSTANT 50
 #define VIOLATION_MAX 256
 #define SERVER_PORT 8080
 #define SLOTS 4
@@ -59,6 +64,12 @@
     bool fails;          /* whether the response is 500 */
 } running_request;
 
+/* A request that a server received. */
+typedef struct {
+    bbl_usec at;
+    bool extra; /* not the first one to the service for its caller's request */
+} attempt;
+
 struct soak_servers {
     bbl_loop *loop;
     soak_servers_options options;
@@ -69,9 +80,12 @@
     soak_proxy *list_proxy;
     bbl_map request_records; /* hash of the ID -> soak_request_record * */
     bbl_vec limited_runs;    /* bbl_usec, first runs of SOAK_LIMITED */
+    bbl_vec attempts[SOAK_SERVICES_MAX]; /* of attempt, within a window */
+    unsigned extra[SOAK_SERVICES_MAX];   /* of these attempts */
     soak_rollout_record rollouts[SOAK_SERVICES_MAX];
     bbl_usec control_disturbed_until;
     uint64_t received; /* requests */
+    unsigned extra_max;
     char violation[VIOLATION_MAX];
 };
 
@@ -109,6 +123,7 @@
     snprintf(r->id, sizeof(r->id), "%s", id);
     r->once = once;
     r->organisation = organisation;
+    r->registered_at = bbl_clock_now();
     bbl_map_set(&servers->request_records, hash_text(id, strlen(id)), r);
     return r;
 }
@@ -358,6 +373,66 @@
     start_queued(w.backend, now);
 }
 
+/*
+ * Returns the number of requests since a time of which no attempt has arrived
+ * at a service, and which were not refused. Proxies may hold these attempts.
+ */
+static size_t
+count_undelivered(const server *s, bbl_usec since)
+{
+    const soak_request_record *r;
+    size_t pos = 0;
+    size_t count = 0;
+
+    while ((r = bbl_map_next(&s->all_servers->request_records, &pos)) !=
+           NULL) {
+        count += r->registered_at >= since && !r->refused &&
+                 r->wanted[s->service_index] && !r->received[s->service_index];
+    }
+    return count;
+}
+
+/* Counts an attempt and checks the extra ones within EXTRA_WINDOW_US. */
+static void
+check_extra(server *s, const bbl_edge_call *call)
+{
+    soak_servers *all = s->all_servers;
+    bbl_vec *attempts = &all->attempts[s->service_index];
+    unsigned *extra = &all->extra[s->service_index];
+    bbl_str id = bbl_http_message_field(call->message, "Request-Id");
+    soak_request_record *r = bbl_map_get(
+        &all->request_records, hash_text(id.ptr ? id.ptr : "", id.size));
+    attempt a = {call->received_at, false};
+    size_t old = 0;
+    size_t first;
+
+    if (r == NULL) {
+        return; /* see record_run */
+    }
+    a.extra = r->received[s->service_index];
+    r->received[s->service_index] = true;
+    bbl_vec_push(attempts, &a);
+    *extra += a.extra;
+    while (BBL_VEC_AT(attempt, attempts, old)->at + EXTRA_WINDOW_US <= a.at) {
+        *extra -= BBL_VEC_AT(attempt, attempts, old++)->extra;
+    }
+    if (old > 0) {
+        attempts->size -= old;
+        memmove(attempts->ptr, BBL_VEC_AT(attempt, attempts, old),
+                attempts->size * sizeof(attempt));
+    }
+    first = attempts->size - *extra;
+    if (*extra > EXTRA_RATIO * (double)first + EXTRA_CONSTANT) {
+        first += count_undelivered(s, a.at - EXTRA_WINDOW_US);
+    }
+    if (*extra > EXTRA_RATIO * (double)first + EXTRA_CONSTANT) {
+        soak_servers_report_violation(
+            all, "%s got %u extra requests with %zu first ones in 10 s",
+            s->service, *extra, first);
+    }
+    all->extra_max = *extra > all->extra_max ? *extra : all->extra_max;
+}
+
 static void
 on_request(void *ctx, bbl_edge_call *call)
 {
@@ -371,6 +446,7 @@
                          .time = s->all_servers->options.service_time};
 
     check_rollout(s, now);
+    check_extra(s, call);
     if (expected_id.ptr != NULL &&
         (expected_id.size != strlen(s->id) ||
          memcmp(expected_id.ptr, s->id, expected_id.size) != 0)) {
@@ -500,6 +576,12 @@
     return is_target(s) && (r->running || r->rollback_at != 0);
 }
 
+unsigned
+soak_servers_get_extra_max(const soak_servers *servers)
+{
+    return servers->extra_max;
+}
+
 void
 soak_servers_note_disturbance(soak_servers *servers, bbl_usec until)
 {
@@ -656,6 +738,9 @@
     servers->options = *options;
     servers->running_requests = (bbl_vec)BBL_VEC_INIT(running_request);
     servers->limited_runs = (bbl_vec)BBL_VEC_INIT(bbl_usec);
+    for (unsigned i = 0; i < SOAK_SERVICES_MAX; i++) {
+        servers->attempts[i] = (bbl_vec)BBL_VEC_INIT(attempt);
+    }
     servers->count = 2 * options->service_count * options->servers_per_service;
     servers->items = bbl_calloc(servers->count, sizeof(server));
     error = open_server_list(servers);
@@ -686,6 +771,9 @@
     }
     bbl_map_free(&servers->request_records);
     bbl_vec_free(&servers->limited_runs);
+    for (unsigned i = 0; i < SOAK_SERVICES_MAX; i++) {
+        bbl_vec_free(&servers->attempts[i]);
+    }
     bbl_vec_free(&servers->running_requests);
     free(servers->items);
     free(servers);
--- a/tools/soak/servers.h
+++ b/tools/soak/servers.h
@@ -28,8 +28,9 @@
     bool once;          /* whether it may run at most once */
     bool refused;       /* whether the caller was told that it has not run */
     unsigned run_count; /* on all servers */
-    /* Services that have received it. */
-    bool received[SOAK_SERVICES_MAX];
+    bbl_usec registered_at;
+    bool wanted[SOAK_SERVICES_MAX];   /* services that it asks */
+    bool received[SOAK_SERVICES_MAX]; /* services that have received it */
     /* The organisation whose key it carries; NULL: the key is unknown, and no
      * server may run it. */
     const char *organisation;
@@ -38,9 +39,10 @@
 /* How the servers of a version misbehave. */
 typedef enum {
     VERSION_GOOD,
-    VERSION_FAILS,            /* all answers are 500 */
-    VERSION_FAILS_OFTEN,      /* every other answer is 500 */
-    VERSION_SLOW,             /* takes SOAK_SLOW_FACTOR times the time */
+    VERSION_FAILS,       /* all answers are 500 */
+    VERSION_FAILS_OFTEN, /* every other answer is 500 */
+    VERSION_SLOW,        /* takes SOAK_SLOW_FACTOR times the time */
+    VERSION_FAULTS_AT_ONCE = VERSION_SLOW, /* the last of those */
     VERSION_FAILS_LATE,       /* 500 from some time after its first request */
     VERSION_FAILS_ONE_ROUTE,  /* 500 to the parts of merged answers */
     VERSION_FAILS_UNDER_LOAD, /* 500 while it runs another request */
@@ -134,6 +136,9 @@
  * has not replaced the others. */
 bool soak_servers_is_target(const soak_servers *servers, unsigned index);
 
+/* Returns the most extra requests that a service got within 10 s. */
+unsigned soak_servers_get_extra_max(const soak_servers *servers);
+
 /* Notes that control hosts are disturbed until then, so that a version that is
  * bad may be found later. */
 void soak_servers_note_disturbance(soak_servers *servers, bbl_usec until);
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -40,6 +40,18 @@
 #define FAULT_FREE_US (3 * BBL_USEC_PER_SEC)
 /* Time after a disturbance in which time bounds of a host are not checked. */
 #define DISTURBANCE_GRACE_US (4 * BBL_USEC_PER_SEC)
+/* From this duration on, rollouts take half a minute instead of seconds. */
+#define LONG_RUN_US (60 * BBL_USEC_PER_SEC)
+/* Load of a spike, as a multiple of the usual one. */
+#define SPIKE_FACTOR_MIN 3
+#define SPIKE_FACTORS 4
+#define SPIKE_US (1500 * BBL_USEC_PER_MS) /* after all other faults */
+/* After a spike, the usual load is served again within this time, as measured
+ * in intervals of the other length. */
+#define SPIKE_RECOVERY_US (5 * BBL_USEC_PER_SEC)
+#define SPIKE_INTERVAL_US (500 * BBL_USEC_PER_MS)
+/* Time after a cut of a server until requests that it held have ended. */
+#define CUT_GRACE_US (2 * BBL_USEC_PER_SEC)
 #define SERVED_RATIO_MIN 0.99 /* of the requests in a time without faults */
 
 typedef struct {
@@ -167,6 +179,10 @@
          * sent after the rollback. */
         kind = FAULT_HOLD_OUT;
     }
+    if (kind != FAULT_RESET && kind != FAULT_SHED && kind != FAULT_REPLACE) {
+        soak_callers_note_cut_server(s->callers,
+                                     now + f->duration + CUT_GRACE_US);
+    }
     switch (kind) {
     case FAULT_DELAY:
         start_proxy_fault(s, proxy, PROXY_DELAY, f, now);
@@ -224,6 +240,13 @@
     case FAULT_PAUSE_LEADER:
         pause_host(s, soak_rollouts_leader(s->rollouts), now, f->duration);
         break;
+    case FAULT_SPIKE:
+        if (soak_rollouts_allows_spike(s->rollouts)) {
+            soak_callers_start_spike(
+                s->callers, now + f->duration,
+                SPIKE_FACTOR_MIN + (unsigned)(f->target % SPIKE_FACTORS));
+        }
+        break;
     case FAULT_KILL_CORE:
         for (unsigned i = 0; i < SOAK_CONTROL_HOSTS; i++) {
             kill_host(s, i, now, 0);
@@ -319,8 +342,10 @@
 static bool
 is_started(const soak *s)
 {
+    /* Two of less than five voters may not be lost. */
     return soak_operator_acked_version(s->routing_operator) > 0 &&
-           soak_callers_hosts_ready(s->callers);
+           soak_callers_hosts_ready(s->callers) &&
+           soak_fleet_has_all_voters(&s->fleet);
 }
 
 static bool
@@ -366,15 +391,26 @@
     s->total_counts.served += t.served;
     s->total_counts.refused += t.refused;
     s->total_counts.failed += t.failed;
+    s->total_counts.timed_refusals += t.timed_refusals;
     return t;
 }
 
+/* Returns whether the requests whose answers are due were served. */
+static bool
+is_served(const soak *s, const soak_request_counts *t)
+{
+    unsigned not_due = soak_callers_count_not_due(s->callers, bbl_clock_now());
+
+    return t->sent > not_due &&
+           t->served >= SERVED_RATIO_MIN * (t->sent - not_due);
+}
+
 static void
 check_served_ratio(soak *s)
 {
     soak_request_counts t = collect_counts(s);
 
-    if (t.served < SERVED_RATIO_MIN * t.sent || t.sent == 0) {
+    if (!is_served(s, &t)) {
         soak_servers_report_violation(
             s->servers,
             "only %u of %u requests were served in the time without faults",
@@ -382,6 +418,36 @@
     }
 }
 
+/* Runs a spike without other faults, and checks that the usual load is served
+ * again in time. */
+static bool
+run_spike(soak *s, uint64_t seed)
+{
+    bbl_usec end = bbl_clock_now() + SPIKE_US;
+    soak_request_counts t;
+
+    soak_callers_start_spike(s->callers, end,
+                             SPIKE_FACTOR_MIN + SPIKE_FACTORS - 1 -
+                                 (unsigned)(seed % SPIKE_FACTORS));
+    if (!run_until(s, end, NULL, 0)) {
+        return false;
+    }
+    do {
+        collect_counts(s);
+        if (!run_until(s, bbl_clock_now() + SPIKE_INTERVAL_US, NULL, 0)) {
+            return false;
+        }
+        t = collect_counts(s);
+    } while (!is_served(s, &t) && bbl_clock_now() < end + SPIKE_RECOVERY_US);
+    if (!is_served(s, &t)) {
+        soak_servers_report_violation(
+            s->servers, "only %u of %u requests were served after a spike",
+            t.served, t.sent);
+        return false;
+    }
+    return true;
+}
+
 /* Checks that every entry host applies the newest version of the routing. */
 static bool
 probe_routes(soak *s)
@@ -437,7 +503,7 @@
         check_served_ratio(s);
     }
     return soak_servers_violation(s->servers) == NULL && passed &&
-           probe_routes(s);
+           run_spike(s, seed) && probe_routes(s);
 }
 
 /* ---- main program ---- */
@@ -452,15 +518,15 @@
 }
 
 static int
-open_soak(soak *s, uint64_t seed)
+open_soak(soak *s, uint64_t seed, bbl_usec duration)
 {
     soak_servers_options servers = {SERVICE_COUNT, SERVERS_PER_SERVICE,
                                     SERVICE_TIME_US};
     soak_callers_options callers = {SERVICE_COUNT, REQUEST_INTERVAL_US,
                                     seed + 1};
     soak_operator_options op = {SERVICE_COUNT, seed + 2};
-    soak_rollouts_options rollouts = {SERVICE_COUNT, seed + 3,
-                                      s->fleet.folder};
+    soak_rollouts_options rollouts = {SERVICE_COUNT, seed + 3, &s->fleet,
+                                      duration >= LONG_RUN_US};
     bbl_backend_client_options client = {
         .dialect = bbl_platform_dialect(),
         .connect_timeout = 1000 * BBL_USEC_PER_MS,
@@ -541,7 +607,9 @@
     signal(SIGTERM, on_signal);
     s.fleet.program = program;
     s.fleet.folder = folder;
-    if (soak_network_reserve() != 0 || open_soak(&s, (uint64_t)seed) != 0) {
+    if (soak_network_reserve() != 0 ||
+        open_soak(&s, (uint64_t)seed, (bbl_usec)seconds * BBL_USEC_PER_SEC) !=
+            0) {
         fprintf(stderr, "bbl-soak: %s\n", bbl_error_last());
         close_soak(&s);
         return 2;
@@ -550,18 +618,19 @@
         run_soak(&s, (uint64_t)seed, (bbl_usec)seconds * BBL_USEC_PER_SEC);
     collect_counts(&s);
     rollouts = soak_rollouts_get_counts(s.rollouts);
-    printf("soak: seed %d, %d s, %u faults, %u requests (%u served, %u "
-           "refused, %u failed), version %llu, %u rollouts (%u completed, %u "
-           "rolled back): %s\n",
-           seed, seconds, s.fault_count, s.total_counts.sent,
-           s.total_counts.served, s.total_counts.refused,
-           s.total_counts.failed,
-           (unsigned long long)soak_operator_acked_version(s.routing_operator),
-           rollouts.ordered, rollouts.completed, rollouts.rolled_back,
-           passed ? "kept"
-                  : (soak_servers_violation(s.servers)
-                         ? soak_servers_violation(s.servers)
-                         : bbl_error_last()));
+    printf(
+        "soak: seed %d, %d s, %u faults, %u requests (%u served, %u "
+        "refused, %u failed), version %llu, %u rollouts (%u completed, %u "
+        "rolled back), %u timed refusals, %u extra: %s\n",
+        seed, seconds, s.fault_count, s.total_counts.sent,
+        s.total_counts.served, s.total_counts.refused, s.total_counts.failed,
+        (unsigned long long)soak_operator_acked_version(s.routing_operator),
+        rollouts.ordered, rollouts.completed, rollouts.rolled_back,
+        s.total_counts.timed_refusals, soak_servers_get_extra_max(s.servers),
+        passed ? "kept"
+               : (soak_servers_violation(s.servers)
+                      ? soak_servers_violation(s.servers)
+                      : bbl_error_last()));
     close_soak(&s);
     return passed ? 0 : 1;
 }
