--- a/tools/soak/callers.c
+++ b/tools/soak/callers.c
@@ -578,6 +578,12 @@
     return true;
 }
 
+bool
+soak_callers_await_answers(const soak_callers *callers)
+{
+    return callers->open_requests.size > 0;
+}
+
 unsigned
 soak_callers_count_not_due(const soak_callers *callers, bbl_usec now)
 {
--- a/tools/soak/callers.h
+++ b/tools/soak/callers.h
@@ -70,6 +70,9 @@
 /* Returns whether all entry hosts were ready at the last poll. */
 bool soak_callers_hosts_ready(const soak_callers *callers);
 
+/* Returns whether a request has no answer yet. */
+bool soak_callers_await_answers(const soak_callers *callers);
+
 /* Returns the number of open requests that were sent less than the target of
  * their route ago, so that their answers are not due yet. */
 unsigned soak_callers_count_not_due(const soak_callers *callers, bbl_usec now);
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -379,6 +379,12 @@
     return soak_rollouts_is_settled(s->rollouts);
 }
 
+static bool
+is_answered(const soak *s)
+{
+    return !soak_callers_await_answers(s->callers);
+}
+
 static bool
 is_recovered(const soak *s)
 {
@@ -504,7 +510,8 @@
         soak_callers_probe(s->callers, now, i,
                            soak_operator_acked_version(s->routing_operator));
     }
-    return run_until(s, now + FAULT_FREE_US, NULL, 0) && check_served_ratio(s);
+    wait_until_reached(s, is_answered, FAULT_FREE_US);
+    return soak_servers_violation(s->servers) == NULL && check_served_ratio(s);
 }
 
 static bool
