Refusals after the last step are no verdict on a version

Cause: the judgement compares with the last answers of the old version, which gets none any more and might have refused as well; 30% more refusals are "bad" after a dozen of them.

--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -195,6 +195,28 @@
 END_TEST
 
 /* After the last step only the new version answers. */
+/* Callers bring more than usual after the last step, and the queues of a sound
+ * version fill up: the soak saw 28 of 177 requests refused. */
+START_TEST(refusals_after_the_last_step_are_no_verdict)
+{
+    static const behaviour sound = {0.0, 0.01, 0.0};
+    static const behaviour full = {0.0, 0.01, 0.16};
+    trial t;
+
+    start_trial(&t, 1);
+    while (t.now < 10 * SEC) {
+        run_interval(&t, 400, 0.5, &sound, &sound);
+    }
+    while (t.now < 11 * SEC) {
+        run_interval(&t, 400, 1, &sound, &sound);
+    }
+    while (t.now < 13 * SEC) {
+        run_interval(&t, 400, 1, &sound, &full);
+        ck_assert(!is_bad(&t));
+    }
+}
+END_TEST
+
 START_TEST(a_version_that_turns_bad_after_the_last_step_is_found)
 {
     static const behaviour good = {0.01, 0.03, 0.02};
@@ -486,6 +508,7 @@
                         6);
     tcase_add_test(tc, a_general_degradation_is_no_verdict);
     tcase_add_test(tc, a_version_that_refuses_requests_is_found);
+    tcase_add_test(tc, refusals_after_the_last_step_are_no_verdict);
     tcase_add_test(tc, a_version_that_turns_bad_after_the_last_step_is_found);
     tcase_add_loop_test(tc, a_good_version_is_completed_by_its_deadline, 0, 9);
     tcase_add_loop_test(tc, a_version_that_turns_bad_stays_within_a_tenth, 0,
