--- a/src/admission/pressure.h
+++ b/src/admission/pressure.h
@@ -33,7 +33,7 @@
     bbl_usec sent_at;    /* when the last part was sent */
     bbl_usec active_until;
     bbl_usec limited_until;
-    /* Decaying counts of the last second or so: whether servers are full. */
+    /* Decaying counts of the last seconds: whether servers are full. */
     double recent_refused;
     double recent_answered;
     double recent_late; /* of these */
--- a/src/admission/quota_book.c
+++ b/src/admission/quota_book.c
@@ -42,9 +42,9 @@
 #define SHORT_US (2 * BBL_USEC_PER_SEC)
 /* Time over which the requests of a class are counted. */
 #define DEMAND_US (2.0 * BBL_USEC_PER_SEC)
-/* The kept tokens are those of the urgent requests of this time... */
+/* Tokens are kept for the urgent requests of this time. */
 #define KEPT_SECONDS 0.5
-/* ...and at most this part of what the bucket can hold. */
+/* Maximum of the kept tokens, as a part of what the bucket can hold. */
 #define KEPT_SHARE 0.5
 /* Requests of more urgent classes below which nothing is kept for them: one
  * that came within about 5 s. */
@@ -60,8 +60,8 @@
     bbl_usec short_until; /* see SHORT_US */
     bbl_usec counted_at;
     float demand[BBL_QUOTA_CLASSES]; /* decaying counts of requests */
-    /* Tokens given to more urgent requests since the class last got one, while
-     * tokens were kept from it. */
+    /* Tokens given to more urgent requests since the class last got one, at
+     * most BBL_ORDER_LEAST_SHARE. */
     uint8_t passed_over[BBL_QUOTA_CLASSES];
 } bucket;
 
