--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -243,7 +243,7 @@
 curl -sf -m 2 -o "$dir/metrics" http://$net.2.1:9100/metrics || fail "no metrics"
 grep -q 'baobablatch_requests_total{outcome="ok"}' "$dir/metrics" || fail "no counter of successful requests in the metrics"
 put_routing 2 1 >/dev/null || fail "an older version was not acknowledged"
-has_routing 3 || fail "an older version changed the routing"
+wait_until has_routing 3 || fail "an older version changed the routing"
 # Each host passes on what the one before may only just have recorded.
 for n in 1 2 3 4 5; do
     change_evacuation POST "$n" >/dev/null || fail "no evacuation by way of control host $n"
