forward-test: check the retry time of a refusal by the grantors

The code with all requests in one class, as before, failed the same way in 2 of 6, so the order within an organisation is not the cause.

Cause, from the logs of two of them: the refusal whose time the script takes is one that the host makes by itself, for up to 250 ms, with the time that the grantors told before. Another host's request got a token in between (for example told at 12.835 until 13.239, token given elsewhere at 12.904, checked and refused at 13.570).

The script waits 0.3 s first, so that the refusal is one of the grantors and nobody else sends until its time.

--- a/scripts/forward-test.sh
+++ b/scripts/forward-test.sh
@@ -402,6 +402,9 @@
     grep -q '^429$' "$dir/statuses1" || fail "no request is refused for its limit ($step)"
     if grep -qv '^200$\|^429$' "$dir/statuses1"; then fail "a request fails beside a limit ($step)"; fi
 done
+# A host refuses by itself for up to 250 ms, with the time that it was told before; tokens
+# that other hosts got since then are not in it. The next refusal is of the grantors.
+sleep 0.3
 for _ in $(seq 200); do
     if [ "$(send_as key-of-bee 1)" = 429 ]; then break; fi
 done
