Review, case 7: a caller gets the answer to another request

A faulty searcher sends a late copy of its answer before, in which one byte of the head is spoiled. Where it lies in the name of Request-Id, the copy is taken as the answer to the next request on that connection.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p support-2/.build
-for name in list_and_servers slow_reader; do
+for name in list_and_servers slow_reader checking_callers; do
     cc -std=gnu11 -O2 -Wall -Wextra -pthread -o "support-2/.build/$name" "support-2/$name.c"
 done
--- a/review/support-2/fleet.sh
+++ b/review/support-2/fleet.sh
@@ -82,7 +82,8 @@
     unset "pids[$2]"
 }
 
-# start_servers SERVICE=ADDRESS...: starts the platform's list and the servers.
+# start_servers COPIES SERVICE=ADDRESS...: starts the platform's list and the
+# servers. The first one sends a late copy in one of COPIES exchanges; 0: none.
 start_servers() {
     "$tools/list_and_servers" "$record" "$net.4.1:8102" "$@" 2>"$dir/servers.log" &
     pids[servers]=$!
@@ -108,7 +109,8 @@
 # those of the example in PROTOCOL.md.
 write_config() {
     cat >"$dir/config.json" <<J
-{"version":$1,"routes":[{"name":"r-one","hostname":"a.example","path_prefix":"/one/","route_type":"safe","timeout_ms":90000,"target_latency_ms":800,"priority":2,"service":"joiner","max_attempts":2}],
+{"version":$1,"routes":[{"name":"r-one","hostname":"a.example","path_prefix":"/one/","route_type":"safe","timeout_ms":90000,"target_latency_ms":800,"priority":2,"service":"joiner","max_attempts":2},
+{"name":"r-once","hostname":"a.example","path_prefix":"/once/","route_type":"unsafe","timeout_ms":15000,"target_latency_ms":800,"priority":2,"service":"joiner","max_attempts":2}],
 "services":[{"name":"joiner","health_path":"/healthz","max_connections":100,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":0.0}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
 J
--- a/review/support-2/list_and_servers.c
+++ b/review/support-2/list_and_servers.c
@@ -1,17 +1,27 @@
 /*
  * list_and_servers.c - the platform's list and backend servers on loopback.
  *
- * usage: list_and_servers RECORD LIST_ADDRESS SERVICE=ADDRESS...
+ * usage: list_and_servers RECORD LIST_ADDRESS COPIES SERVICE=ADDRESS...
  *
- * A server answers each request at once. The last part of the path is the
- * number of bytes in the body. It echoes the id of the request, and refuses a
- * request for another instance. Each request that runs is a line in RECORD.
+ * A server answers each request after WORK_US. Of requests below /once/, a
+ * server runs SLOTS at the same time, and refuses others. The last part
+ * of the path is the number of bytes in the body. It echoes the id of the
+ * request, and refuses a request for another instance. Each request that runs
+ * is a line in RECORD.
+ *
+ * If COPIES is 1, the first server is faulty for COPIES_S of each 2 x
+ * COPIES_S: in one of COPIES_EVERY exchanges, once it has read a request, it
+ * first sends a copy of its answer before on that connection, in which one
+ * byte of the head, at random, is another letter.
  */
 #define _GNU_SOURCE
 
 #include <arpa/inet.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +35,11 @@
 #define BODY_MAX_BYTES (16 << 20)
 #define CHUNK_BYTES 65536
 #define BACKLOG 128
+#define WORK_US 5000
+#define SLOTS 6 /* as the searchers of joiner-app */
+/* for_s of garble, how "extra late", in the site's file. */
+#define COPIES_S 5
+#define COPY_MAX_BYTES 1024 /* longer answers are not copied */
 
 typedef struct {
     char service[64];
@@ -41,11 +56,17 @@
 typedef struct {
     const server *server;
     int fd;
+    unsigned seed;
+    char before[COPY_MAX_BYTES]; /* the answer before, if it is short */
+    size_t before_size;
+    size_t before_head_size;
 } connection;
 
 static server servers[SERVERS_MAX];
 static size_t server_count;
 static FILE *record;
+static int copies;
+static atomic_int once_running[SERVERS_MAX]; /* requests below /once/ */
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 
 static int
@@ -125,16 +146,73 @@
     return send_all(fd, head, strlen(head)) != 0 ? -1 : send_all(fd, body, n);
 }
 
+static void
+write_record(const char *server, const char *what, const char *id)
+{
+    pthread_mutex_lock(&record_lock);
+    fprintf(record, "server %s %s %s\n", server, what, id);
+    pthread_mutex_unlock(&record_lock);
+}
+
+/* Sends a spoiled copy of the answer before, if it is time for one. */
+static void
+send_late_copy(connection *c)
+{
+    char copy[COPY_MAX_BYTES];
+    size_t at;
+
+    if (copies == 0 || c->server != &servers[0] || c->before_size == 0 ||
+        time(NULL) / COPIES_S % 2 != 0 || rand_r(&c->seed) % copies != 0) {
+        return;
+    }
+    memcpy(copy, c->before, c->before_size);
+    at = (size_t)rand_r(&c->seed) % c->before_head_size;
+    copy[at] = (char)('a' + rand_r(&c->seed) % 26);
+    write_record(c->server->id, "sends a late copy of its answer before",
+                 "once more");
+    send_all(c->fd, copy, c->before_size);
+}
+
+/* Remembers an answer, of which the body is zeros, for late copies. */
+static void
+remember(connection *c, const char *head, size_t body_bytes)
+{
+    c->before_head_size = strlen(head);
+    c->before_size = 0;
+    if (c->before_head_size + body_bytes <= sizeof(c->before)) {
+        c->before_size = c->before_head_size + body_bytes;
+        memset(c->before, 0, sizeof(c->before));
+        memcpy(c->before, head, c->before_head_size);
+    }
+}
+
+/* Tells that a request has not run, as the server is full. */
+static int
+refuse(connection *c, const char *id)
+{
+    char head[512];
+
+    snprintf(head, sizeof(head),
+             "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\n"
+             "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+             id);
+    remember(c, head, 0);
+    return send_all(c->fd, head, strlen(head));
+}
+
 static int
-send_response(int fd, const server *s, const char *id, size_t bytes)
+send_response(connection *c, const char *id, size_t bytes)
 {
     static char zeros[CHUNK_BYTES];
     char head[LINE_BYTES * 2];
+    const server *s = c->server;
+    int fd = c->fd;
 
     snprintf(head, sizeof(head),
              "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s.%s\r\n"
              "Content-Length: %zu\r\n\r\n",
              id, s->id, id, bytes);
+    remember(c, head, bytes);
     if (send_all(fd, head, strlen(head)) != 0) {
         return -1;
     }
@@ -151,7 +229,7 @@
 
 /* Handles one request without a body; returns -1 at the end. */
 static int
-handle_request(FILE *in, const connection *c)
+handle_request(FILE *in, connection *c)
 {
     char target[LINE_BYTES] = "";
     char line[LINE_BYTES];
@@ -159,6 +237,8 @@
     char expected[256] = "";
     const char *slash;
     size_t bytes;
+    atomic_int *running;
+    bool once;
     int result;
 
     if (fgets(line, sizeof(line), in) == NULL ||
@@ -181,12 +261,19 @@
     slash = strrchr(target, '/');
     bytes = slash != NULL ? strtoul(slash + 1, NULL, 10) : 0;
     bytes = bytes < BODY_MAX_BYTES ? bytes : BODY_MAX_BYTES;
-    result = send_response(c->fd, c->server, id, bytes);
-    pthread_mutex_lock(&record_lock);
-    fprintf(record, "server %s ran %s: %zu bytes %s\n", c->server->id, id,
-            bytes, result == 0 ? "sent" : "not taken");
-    fflush(record);
-    pthread_mutex_unlock(&record_lock);
+    once = strncmp(target, "/once/", 6) == 0;
+    running = &once_running[c->server - servers];
+    if (once && atomic_fetch_add(running, 1) >= SLOTS) {
+        atomic_fetch_sub(running, 1);
+        return refuse(c, id);
+    }
+    send_late_copy(c);
+    usleep(WORK_US);
+    result = send_response(c, id, bytes);
+    if (once) {
+        atomic_fetch_sub(running, 1);
+    }
+    write_record(c->server->id, result == 0 ? "ran" : "ran, not taken", id);
     return result;
 }
 
@@ -219,6 +306,7 @@
             abort();
         }
         c->server = l->server;
+        c->seed = (unsigned)time(NULL) + (unsigned)(uintptr_t)c;
         c->fd = accept4(l->fd, NULL, NULL, SOCK_CLOEXEC);
         if (c->fd < 0 ||
             pthread_create(&thread, NULL, serve_connection, c) != 0) {
@@ -253,13 +341,16 @@
 int
 main(int argc, char **argv)
 {
-    if (argc < 4 || (record = fopen(argv[1], "a")) == NULL) {
-        fprintf(stderr, "usage: %s RECORD LIST_ADDRESS SERVICE=ADDRESS...\n",
+    if (argc < 5 || (record = fopen(argv[1], "a")) == NULL) {
+        fprintf(stderr,
+                "usage: %s RECORD LIST_ADDRESS COPIES SERVICE=ADDRESS...\n",
                 argv[0]);
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
-    for (int i = 3; i < argc && server_count < SERVERS_MAX; i++) {
+    setvbuf(record, NULL, _IOLBF, 0); /* the callers write to it as well */
+    copies = atoi(argv[3]);
+    for (int i = 4; i < argc && server_count < SERVERS_MAX; i++) {
         server *s = &servers[server_count];
 
         if (sscanf(argv[i], "%63[^=]=%63s", s->service, s->address) != 2) {
