--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,10 @@
 # SIGTERM. Right after it has left, two others lose their disks. See claim.txt.
 # With TROUBLE=0 no disk is lost.
 set -uo pipefail
-. "$(dirname "$0")/../support-2/fleet.sh"
+here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt # what is sent, answered and run
+: >"$record"
+. "$here/../support-2/fleet.sh"
 
 # Longer than catch_up_s, 4 s, for which a new machine counts as lost.
 successor_head_start_s=8
@@ -15,7 +18,10 @@
 
 # read_back HOST: prints the version that a control host returns, if it does.
 read_back() {
-    curl -sfL -m 1 "http://$net.1.$1:8106/-/config" -o "$dir/read" &&
+    local status
+    status=$(curl -sL -m 1 -o "$dir/read" -w '%{http_code}' "http://$net.1.$1:8106/-/config")
+    echo "$(date +%T.%3N) read sent to core machine $1, answered $status" >>"$record"
+    [ "$status" = 200 ] &&
         sed -n 's/^{"version":\([0-9]*\),.*/\1/p;q' "$dir/read"
 }
 
--- a/review/support-2/checking_callers.c
+++ b/review/support-2/checking_callers.c
@@ -71,17 +71,17 @@
     copy_field(signature, sizeof(signature), head, "\r\nResponse-Stamp:");
     dot = strchr(signature, '.');
     pthread_mutex_lock(&lock);
+    fprintf(record, "caller: sent %s, answered %d %s\n", id, status,
+            signature);
     if (status != 200) {
         others++;
-        fprintf(record, "caller: %d to %s\n", status, id);
     }
     else if (dot != NULL && strcmp(dot + 1, id) == 0) {
         successes++;
     }
     else {
         foreign++;
-        fprintf(record, "caller: the answer 200 to %s has the signature %s\n",
-                id, signature);
+        fprintf(record, "caller: that is the answer to another request\n");
     }
     pthread_mutex_unlock(&lock);
 }
@@ -125,6 +125,9 @@
         ssize_t n = recv(c->fd, head + have, 1, 0);
 
         if (n <= 0 || have + 1 >= HEAD_MAX_BYTES) {
+            pthread_mutex_lock(&lock);
+            fprintf(record, "caller: sent %s, no answer\n", id);
+            pthread_mutex_unlock(&lock);
             return false;
         }
         have += (size_t)n;
--- a/review/support-2/fleet.sh
+++ b/review/support-2/fleet.sh
@@ -1,14 +1,11 @@
 # fleet.sh - starts control hosts, entry hosts and stand-ins for a case, with
 # the command and the settings template of the deploy file. To be sourced by
-# run.sh in the folder of the case.
-here=$(cd "$(dirname "$0")" && pwd)
+# run.sh, which sets `here` to the folder of the case and `record` to its record.
 root=$(cd "$here/../.." && pwd)
 tools=$root/review/support-2/.build
 binary=$root/target/baobablatch
-record=$here/record.txt
 dir=$(mktemp -d)
 declare -A pids
-: >"$record"
 
 # unable REASON: ends a case that could not run.
 unable() {
