Control: a voter that shuts down hands over its place before it ends

No read of the configuration was answered in 40 s and every change got 503, without end.

Cause: a host that shuts down passed on the leadership but not its place among the voters. It ended 0.25 s after SIGTERM and counted as a voter until it had been silent for 1.5 s; its successor got no copy of the log before that. Five voters were counted of which one would never return, and two lost disks left two.

Ruled out: votes of the empty disks (they never count), the election itself, and the two hosts that return (they cannot join without a leader).

Change: hosts with a disk beside the wanted voters are spares, learners that hold the log and are not promoted (bbl_quorum_set_voter_limit). The place of a voter that drains or is lost goes to a spare in two changes, promotion first: the group bears two lost disks at every moment, and no group that is cut in two shrinks to four voters. The process stays until it is no voter any more, if a host can take its place, for three quarters of the grace period at most, and for 1 s in any case, as a new leader does not know all hosts at once (daemon/exit_plan.c). The leadership goes to no host that drains, and only after two heartbeats: two hosts that shut down at once had passed it to each other.

Why this works: with five voters two may be lost, with six, two as well; the process ends only in the first state again, without itself. One entry that exchanges both hosts would not do: majorities of five hosts that differ in one need not intersect.

Related paths: the replacement of a silent voter (same order now), the transfer of the leadership in `serve`, the returned host of a rolling restart (becomes a spare; three changes a host). Permit and quota grantors and relays hold nothing accepted; they follow the voters and the draining rows.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -6,7 +6,7 @@
 
 #include "bbl/errors.h"
 #include "control/fault.h"
-#include "control/voter_plan.h"
+#include "control/members.h"
 #include "util/alloc.h"
 
 #define FEED_ENTRIES_MAX 1024      /* public entries retained for children */
@@ -18,13 +18,10 @@
 #define PROPOSAL_RETRY_US (150 * BBL_USEC_PER_MS)
 /* Heartbeat intervals without a grant before another parent is chosen. */
 #define PARENT_SILENT_INTERVALS 2
-#define VOTER_CHECK_INTERVAL_US (100 * BBL_USEC_PER_MS)
-/* Silence of a voter before it is replaced. */
-#define VOTER_LOST_AFTER_US (1500 * BBL_USEC_PER_MS)
-/* Silence of a host before it is no candidate for a voter. */
-#define CANDIDATE_SILENT_US (1000 * BBL_USEC_PER_MS)
 /* Interval of attempts to reopen a disk that failed. */
 #define REOPEN_INTERVAL_US (500 * BBL_USEC_PER_MS)
+/* Heartbeat intervals until a new leader has heard of all members. */
+#define LEADER_HEARTBEATS 2
 #define ASSIGN_INTERVAL_US (100 * BBL_USEC_PER_MS)
 /* Reports that nobody withdraws are forgotten after some of these intervals.
  */
@@ -95,26 +92,19 @@
     return voters->list.list_len > 0 ? voters : &c->options.seeds;
 }
 
-static bool
-find_voter(const bblx_voters *voters, uint32_t host, bblx_address *out)
-{
-    for (u_int i = 0; i < voters->list.list_len; i++) {
-        if (voters->list.list_val[i].host == host) {
-            *out = voters->list.list_val[i].control;
-            return true;
-        }
-    }
-    return false;
-}
-
 bool
 bbl_control_find_address(const bbl_control *c, uint32_t host,
                          bblx_address *out)
 {
     const bblx_member_row *member = bbl_rows_get_member(&c->rows, host);
+    const bblx_voter *voter =
+        bbl_members_find(bbl_control_known_voters(c), host);
 
-    if (find_voter(bbl_control_known_voters(c), host, out) ||
-        find_voter(&c->options.seeds, host, out)) {
+    if (voter == NULL) {
+        voter = bbl_members_find(&c->options.seeds, host);
+    }
+    if (voter != NULL) {
+        *out = voter->control;
         return true;
     }
     if (member != NULL) {
@@ -863,66 +853,6 @@
     bbl_buf_free(&data);
 }
 
-static void
-fill_voter_plan_input(bbl_control *c, bbl_voter_plan_input *in)
-{
-    const bblx_voters *voters = bbl_quorum_get_members(c->quorum);
-    const bbl_quorum_peer *peers;
-    size_t n = bbl_quorum_get_peers(c->quorum, c->now, &peers);
-    const bbl_member *m;
-    size_t pos = 0;
-
-    for (u_int i = 0; i < voters->list.list_len; i++) {
-        bbl_voter_status *v = &in->voters[in->voter_count++];
-        const bblx_voter *known = &voters->list.list_val[i];
-
-        v->host = known->host;
-        v->disk_id = known->disk;
-        v->learner = known->role == BBLX_LEARNER;
-        v->silence = known->host == c->options.host ? 0 : UINT64_MAX;
-        for (size_t p = 0; p < n; p++) {
-            if (peers[p].host == known->host) {
-                v->silence = peers[p].time_since_reply;
-            }
-        }
-    }
-    while ((m = bbl_map_next(&c->registry.members, &pos)) != NULL &&
-           in->candidate_count < BBL_VOTER_CANDIDATES_MAX) {
-        if (m->disk != 0 && !m->draining &&
-            m->last_heartbeat + CANDIDATE_SILENT_US > c->now) {
-            in->candidates[in->candidate_count].host = m->host;
-            in->candidates[in->candidate_count++].disk_id = m->disk;
-        }
-    }
-}
-
-/* Adds hosts with a disk as voters, and replaces lost voters. */
-static void
-balance_voters(bbl_control *c)
-{
-    bbl_voter_plan_input in;
-    bbl_voter_change step;
-    const bbl_member *m;
-
-    if (c->options.voters_wanted == 0 || c->now < c->next_voter_check) {
-        return;
-    }
-    c->next_voter_check = c->now + VOTER_CHECK_INTERVAL_US;
-    memset(&in, 0, sizeof(in));
-    in.target_voters = c->options.voters_wanted;
-    in.lost_after = VOTER_LOST_AFTER_US;
-    fill_voter_plan_input(c, &in);
-    if (!bbl_voter_plan_next(&in, &step)) {
-        return;
-    }
-    m = bbl_registry_get_member(&c->registry, step.add_host);
-    if (m != NULL &&
-        bbl_quorum_replace_member(c->quorum, step.remove_host, step.add_host,
-                                  m->control) == 0) {
-        c->voter_changes++;
-    }
-}
-
 static void
 tick_leader(bbl_control *c)
 {
@@ -941,7 +871,7 @@
         c->heartbeat_due = true;
     }
     c->leader = c->options.host;
-    balance_voters(c);
+    bbl_voter_balance_tick(&c->voters, c->quorum, &c->registry, c->now);
     if (c->now >= c->next_publish) {
         c->next_publish = c->now + PUBLISH_INTERVAL_US;
         bbl_registry_publish(&c->registry, c->now, &c->rows);
@@ -994,6 +924,8 @@
     c->own_proposals = (bbl_vec)BBL_VEC_INIT(own_proposal);
     c->logged_proposals = (bbl_vec)BBL_VEC_INIT(logged_proposal);
     c->reports = (bbl_vec)BBL_VEC_INIT(bblx_report);
+    bbl_voter_balance_init(&c->voters, options->host, options->voters_wanted,
+                           options->copies);
     bbl_permits_init(c);
     bbl_admissions_init(c);
     bbl_rollouts_init(c);
@@ -1314,6 +1246,30 @@
     flush_output(c);
 }
 
+int
+bbl_control_transfer_leadership(bbl_control *c, bbl_usec now)
+{
+    /* Before, two hosts that drain would pass it to each other. */
+    bbl_usec knows_members = LEADER_HEARTBEATS * c->options.heartbeat_interval;
+
+    if (c->quorum == NULL) {
+        return bbl_error_set(BBL_ENOTLEADER, "this host has no journal");
+    }
+    if (now < bbl_quorum_leader_since(c->quorum) + knows_members) {
+        return bbl_error_set(BBL_ENOTFOUND,
+                             "it is not known yet which voters drain");
+    }
+    return bbl_voter_balance_transfer_leadership(c->quorum, &c->registry, now);
+}
+
+bool
+bbl_control_awaits_successor(const bbl_control *c)
+{
+    return c->draining && c->quorum != NULL &&
+           bbl_voter_balance_has_successor(
+               &c->voters, bbl_state_voters(c->state), &c->rows);
+}
+
 void
 bbl_control_mark_released(bbl_control *c, bbl_usec now)
 {
@@ -1379,7 +1335,7 @@
     out->grants_ignored = c->grants_ignored;
     out->snapshots_sent = c->snapshots_sent;
     out->parent_answered_at = c->parent_answered_at;
-    out->voter_changes = c->voter_changes;
+    out->voter_changes = c->voters.changes;
     out->permits_granted = c->permits.granted;
     out->permits_withheld = c->permits.refused;
     out->quota_granted = c->quotas.granted;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -313,6 +313,21 @@
 /* Starts to drain this daemon: it is assigned no more searchers. */
 void bbl_control_drain(bbl_control *control, bbl_usec now);
 
+/*
+ * Transfers the leadership to a voter that does not drain. To be called again
+ * while this host leads.
+ *
+ * @return 0, BBL_ENOTLEADER if this host does not lead, or BBL_ENOTFOUND if no
+ *         such voter holds the whole log, or none is known yet
+ */
+int bbl_control_transfer_leadership(bbl_control *control, bbl_usec now);
+
+/*
+ * Returns whether this host drains as a voter while another host can take its
+ * place. The group can lose one disk less if the process ends before.
+ */
+bool bbl_control_awaits_successor(const bbl_control *control);
+
 /* Reports that this daemon uses no searcher any more. */
 void bbl_control_mark_released(bbl_control *control, bbl_usec now);
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -10,6 +10,7 @@
 #include "admission/quota_book.h"
 #include "control/control.h"
 #include "control/permit_book.h"
+#include "control/voter_balance.h"
 
 #define BBL_HEARTBEAT_TIMES 64 /* heartbeats whose send time is stored */
 
@@ -108,11 +109,10 @@
     uint64_t public_index;   /* last index that matters to members */
     bbl_usec next_assignment;
     bbl_usec next_publish;
-    bbl_usec next_voter_check;
     bbl_usec next_reopen;
     bbl_usec next_report_expiry;
     bool reopening; /* the disk failed and is not in use again yet */
-    uint64_t voter_changes;
+    bbl_voter_balance voters;
     bbl_usec catalog_read_at; /* when the list was read; 0 without a list */
     bbl_vec backends;         /* scratch: bblx_backend */
     bbl_vec reports;          /* scratch: bblx_report */
--- a/src/control/quorum.c
+++ b/src/control/quorum.c
@@ -6,6 +6,7 @@
 #include "bbl/errors.h"
 #include "control/fault.h"
 #include "control/journal.h"
+#include "control/members.h"
 #include "util/alloc.h"
 #include "util/rng.h"
 
@@ -70,6 +71,7 @@
      */
     bblx_voters members;
     uint64_t members_index;        /* index of the entry that set `members` */
+    size_t voter_limit;            /* learners are promoted below it */
     bblx_voters compacted_members; /* members as of compacted_index; owned */
 
     bbl_usec now;
@@ -90,30 +92,6 @@
 
 /* ---- members ---- */
 
-static void
-copy_members(bblx_voters *to, const bblx_voters *from)
-{
-    size_t n = from->list.list_len;
-
-    free(to->list.list_val);
-    to->list.list_val = bbl_calloc(n, sizeof(bblx_voter));
-    to->list.list_len = (u_int)n;
-    if (n > 0) {
-        memcpy(to->list.list_val, from->list.list_val, n * sizeof(bblx_voter));
-    }
-}
-
-static bblx_voter *
-find_member(const bblx_voters *members, uint32_t host)
-{
-    for (u_int i = 0; i < members->list.list_len; i++) {
-        if (members->list.list_val[i].host == host) {
-            return &members->list.list_val[i];
-        }
-    }
-    return NULL;
-}
-
 /*
  * Returns whether votes and acknowledgements of a host count. They count only
  * with the journal that was registered for the voter: a replaced journal has
@@ -122,7 +100,7 @@
 static bool
 is_counted_voter(const bbl_quorum *q, uint32_t host, uint64_t disk_id)
 {
-    const bblx_voter *v = find_member(&q->members, host);
+    const bblx_voter *v = bbl_members_find(&q->members, host);
 
     if (v == NULL) {
         return false;
@@ -137,12 +115,7 @@
 static size_t
 majority(const bbl_quorum *q)
 {
-    size_t voters = 0;
-
-    for (u_int i = 0; i < q->members.list.list_len; i++) {
-        voters += q->members.list.list_val[i].role == BBLX_VOTER;
-    }
-    return voters / 2 + 1;
+    return bbl_members_count_voters(&q->members) / 2 + 1;
 }
 
 static bool
@@ -151,21 +124,6 @@
     return is_counted_voter(q, q->options.host, q->disk_id);
 }
 
-static bool
-decode_members(bblx_voters *out, bbl_str data)
-{
-    bblx_command command;
-
-    memset(&command, 0, sizeof(command));
-    if (data.size < 4 || data.ptr[3] != BBLX_VOTERS ||
-        BBL_XDR_DECODE(&command, bblx_command, data) != 0) {
-        return false;
-    }
-    copy_members(out, &command.bblx_command_u.voters);
-    BBL_XDR_FREE(bblx_command, &command);
-    return true;
-}
-
 /* ---- log ---- */
 
 static uint64_t
@@ -197,13 +155,13 @@
 {
     q->members_index = q->compacted_index;
     for (uint64_t i = log_last_index(q); i > q->compacted_index; i--) {
-        if (decode_members(&q->members,
-                           bbl_buf_str(&log_entry_at(q, i)->data))) {
+        if (bbl_members_decode(&q->members,
+                               bbl_buf_str(&log_entry_at(q, i)->data))) {
             q->members_index = i;
             return;
         }
     }
-    copy_members(&q->members, &q->compacted_members);
+    bbl_members_copy(&q->members, &q->compacted_members);
 }
 
 static void update_peers(bbl_quorum *q);
@@ -263,7 +221,7 @@
         handle_journal_failure(q);
         return false;
     }
-    if (decode_members(&q->members, data)) {
+    if (bbl_members_decode(&q->members, data)) {
         q->members_index = entry->index;
         update_peers(q);
     }
@@ -313,11 +271,11 @@
 copy_members_at(const bbl_quorum *q, uint64_t index, bblx_voters *out)
 {
     for (uint64_t i = index; i > q->compacted_index; i--) {
-        if (decode_members(out, bbl_buf_str(&log_entry_at(q, i)->data))) {
+        if (bbl_members_decode(out, bbl_buf_str(&log_entry_at(q, i)->data))) {
             return;
         }
     }
-    copy_members(out, &q->compacted_members);
+    bbl_members_copy(out, &q->compacted_members);
 }
 
 /*
@@ -531,7 +489,7 @@
     }
     for (size_t i = 0; i < q->peers.size; i++) {
         const peer *p = bbl_vec_at(&q->peers, i);
-        const bblx_voter *v = find_member(&q->members, p->host);
+        const bblx_voter *v = bbl_members_find(&q->members, p->host);
         bool learner = v != NULL && v->role == BBLX_LEARNER;
 
         if ((learner || is_counted_voter(q, p->host, p->disk_id)) && n < 64) {
@@ -584,7 +542,7 @@
     q->commit_index = index;
     apply_committed(q);
     if (q->role == BBL_ROLE_LEADER && q->commit_index >= q->members_index &&
-        find_member(&q->members, q->options.host) == NULL) {
+        bbl_members_find(&q->members, q->options.host) == NULL) {
         become_follower(q, 0);
     }
 }
@@ -706,7 +664,7 @@
     for (size_t i = q->peers.size; i > 0; i--) {
         peer *p = bbl_vec_at(&q->peers, i - 1);
 
-        if (find_member(&q->members, p->host) == NULL) {
+        if (bbl_members_find(&q->members, p->host) == NULL) {
             bbl_vec_swap_remove(&q->peers, i - 1);
         }
     }
@@ -1029,7 +987,7 @@
     q->compacted_term = s->last_term;
     q->commit_index = s->last_index;
     q->applied_index = s->last_index;
-    copy_members(&q->compacted_members, &s->voters);
+    bbl_members_copy(&q->compacted_members, &s->voters);
     recompute_members(q);
     if (write_journal(q, s) != 0 ||
         q->options.port.load(q->options.port.ctx, q->compacted_index, data) !=
@@ -1186,34 +1144,28 @@
     bblx_voters changed = {{0, NULL}};
 
     if (q->members_index > q->commit_index ||
-        q->commit_index < q->term_start_index) {
+        q->commit_index < q->term_start_index ||
+        bbl_members_count_voters(&q->members) >= q->voter_limit) {
         return;
     }
     for (size_t i = 0; i < q->peers.size; i++) {
         const peer *p = bbl_vec_at(&q->peers, i);
-        const bblx_voter *v = find_member(&q->members, p->host);
+        const bblx_voter *v = bbl_members_find(&q->members, p->host);
 
         if (v == NULL || v->role != BBLX_LEARNER || p->disk_id == 0 ||
             p->match_index < q->commit_index ||
             p->acked_send_time + q->options.election_timeout < q->now) {
             continue;
         }
-        copy_members(&changed, &q->members);
-        find_member(&changed, p->host)->role = BBLX_VOTER;
-        find_member(&changed, p->host)->disk = p->disk_id;
+        bbl_members_copy(&changed, &q->members);
+        bbl_members_find(&changed, p->host)->role = BBLX_VOTER;
+        bbl_members_find(&changed, p->host)->disk = p->disk_id;
         propose_members(q, &changed);
         free(changed.list.list_val);
         return;
     }
 }
 
-static void
-remove_member(bblx_voters *members, bblx_voter *v)
-{
-    *v = members->list.list_val[members->list.list_len - 1];
-    members->list.list_len--;
-}
-
 int
 bbl_quorum_add_learner(bbl_quorum *q, uint32_t host,
                        bblx_address control_address)
@@ -1237,12 +1189,12 @@
             BBL_EINVAL,
             "the host id is 0 or the cluster already has 31 members");
     }
-    copy_members(&changed, &q->members);
-    v = find_member(&changed, old_host);
+    bbl_members_copy(&changed, &q->members);
+    v = bbl_members_find(&changed, old_host);
     if (v != NULL && old_host != new_host) {
-        remove_member(&changed, v);
+        bbl_members_remove(&changed, v);
     }
-    v = find_member(&changed, new_host);
+    v = bbl_members_find(&changed, new_host);
     if (v == NULL) {
         u_int n = changed.list.list_len + 1;
 
@@ -1266,6 +1218,12 @@
     return error;
 }
 
+void
+bbl_quorum_set_voter_limit(bbl_quorum *q, size_t limit)
+{
+    q->voter_limit = limit;
+}
+
 int
 bbl_quorum_remove_member(bbl_quorum *q, uint32_t host)
 {
@@ -1276,8 +1234,8 @@
     if (q->role != BBL_ROLE_LEADER) {
         return bbl_error_set(BBL_ENOTLEADER, "this host is not the leader");
     }
-    copy_members(&changed, &q->members);
-    v = find_member(&changed, host);
+    bbl_members_copy(&changed, &q->members);
+    v = bbl_members_find(&changed, host);
     if (v == NULL) {
         error = bbl_error_set(
             BBL_ENOTFOUND, "host %u is neither a voter nor a learner", host);
@@ -1286,7 +1244,7 @@
         error = bbl_error_set(BBL_EINVAL, "host %u is the last voter", host);
     }
     else {
-        remove_member(&changed, v);
+        bbl_members_remove(&changed, v);
         error = propose_members(q, &changed);
     }
     free(changed.list.list_val);
@@ -1309,7 +1267,7 @@
     if (error != 0) {
         return error;
     }
-    copy_members(&q->compacted_members, &s.voters);
+    bbl_members_copy(&q->compacted_members, &s.voters);
     q->compacted_index = image->snapshot_index;
     q->compacted_term = image->snapshot_term;
     q->journal_snapshot_index = q->compacted_index;
@@ -1333,7 +1291,7 @@
     q->term = image->term;
     q->voted_for = image->voted_for;
     if (q->bootstrapped) {
-        copy_members(&q->compacted_members, &q->options.bootstrap_voters);
+        bbl_members_copy(&q->compacted_members, &q->options.bootstrap_voters);
         for (u_int i = 0; i < q->compacted_members.list.list_len; i++) {
             bblx_voter *v = &q->compacted_members.list.list_val[i];
 
@@ -1406,6 +1364,7 @@
     q->entries = (bbl_vec)BBL_VEC_INIT(bbl_journal_entry);
     q->peers = (bbl_vec)BBL_VEC_INIT(peer);
     q->peer_report = (bbl_vec)BBL_VEC_INIT(bbl_quorum_peer);
+    q->voter_limit = SIZE_MAX;
     q->now = now;
     q->started = now;
     error = open_journal(q, &image, disk);
@@ -1548,7 +1507,10 @@
 }
 
 int
-bbl_quorum_transfer_leadership(bbl_quorum *q, bbl_usec now)
+bbl_quorum_transfer_leadership(bbl_quorum *q, bbl_usec now,
+                               bool (*may_lead)(const void *ctx,
+                                                uint32_t host),
+                               const void *ctx)
 {
     const peer *best = NULL;
     bblx_message m;
@@ -1562,13 +1524,14 @@
 
         if (is_counted_voter(q, p->host, p->disk_id) &&
             p->match_index == log_last_index(q) &&
+            (may_lead == NULL || may_lead(ctx, p->host)) &&
             (best == NULL || p->acked_send_time > best->acked_send_time)) {
             best = p;
         }
     }
     if (best == NULL) {
-        return bbl_error_set(BBL_ENOTFOUND,
-                             "no other voter holds the whole log");
+        return bbl_error_set(
+            BBL_ENOTFOUND, "no other voter that may lead holds the whole log");
     }
     memset(&m, 0, sizeof(m));
     m.kind = BBLX_TRANSFER;
--- a/src/control/quorum.h
+++ b/src/control/quorum.h
@@ -174,9 +174,10 @@
 void bbl_quorum_flush(bbl_quorum *quorum, bbl_usec now);
 
 /*
- * Adds a host as a learner, which is promoted to a voter once it holds all
- * committed entries. When `host` is a voter that does not answer, or answers
- * with another journal, it is demoted to a learner.
+ * Adds a host as a learner. Once it holds all committed entries, it is
+ * promoted to a voter while there are fewer voters than the limit. When `host`
+ * is a voter that does not answer, or answers with another journal, it is
+ * demoted to a learner.
  *
  * @return 0 once the change is proposed, BBL_ENOTLEADER when this host is not
  *         the leader or has not yet committed an entry of its term,
@@ -198,6 +199,12 @@
 int bbl_quorum_replace_member(bbl_quorum *quorum, uint32_t old_host,
                               uint32_t new_host, bblx_address control_address);
 
+/*
+ * Sets the number of voters up to which learners are promoted. A learner above
+ * it stays one and receives the log. Unlimited after bbl_quorum_open.
+ */
+void bbl_quorum_set_voter_limit(bbl_quorum *quorum, size_t limit);
+
 /*
  * Removes a voter or a learner.
  *
@@ -212,10 +219,14 @@
  * voters that hold the whole log it chooses the one that answered the most
  * recently sent append.
  *
+ * @param may_lead returns whether a host may become the leader; NULL: each may
  * @return 0, BBL_ENOTLEADER when this host is not the leader, or BBL_ENOTFOUND
- *         when no other voter holds the whole log
+ *         when no other voter that may lead holds the whole log
  */
-int bbl_quorum_transfer_leadership(bbl_quorum *quorum, bbl_usec now);
+int bbl_quorum_transfer_leadership(bbl_quorum *quorum, bbl_usec now,
+                                   bool (*may_lead)(const void *ctx,
+                                                    uint32_t host),
+                                   const void *ctx);
 
 /*
  * Returns whether this host is the leader, has committed an entry of its term
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -532,12 +532,6 @@
     case PHASE_RELEASING:
         bbl_control_mark_released(d->control, d->now);
         break;
-    case PHASE_LEAVING:
-        if (bbl_control_quorum(d->control) != NULL) {
-            bbl_quorum_transfer_leadership(bbl_control_quorum(d->control),
-                                           d->now);
-        }
-        break;
     default:
         break;
     }
@@ -574,6 +568,9 @@
         (!owns_searchers(d) || elapsed >= RELEASE_TIMEOUT_US)) {
         enter_phase(d, PHASE_LEAVING);
     }
+    if (d->phase == PHASE_LEAVING && bbl_control_leads(d->control, d->now)) {
+        bbl_control_transfer_leadership(d->control, d->now);
+    }
     if (d->phase == PHASE_LEAVING && elapsed >= LEAVE_DELAY_US) {
         enter_phase(d, PHASE_DONE);
     }
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -13,6 +13,7 @@
 #include "bbl/errors.h"
 #include "control/control.h"
 #include "control/list_plan.h"
+#include "daemon/exit_plan.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/gateway.h"
 #include "daemon/operator_api.h"
@@ -37,10 +38,6 @@
 #define CONTROL_SILENT_US (1500 * BBL_USEC_PER_MS)
 /* Between two reads of the settings while there is no leader. */
 #define REREAD_INTERVAL_US (3 * BBL_USEC_PER_SEC)
-/* A control host exits when no operator call is open, but not before it has
- * had time to transfer the leadership, and no later than EXIT_MAX_US. */
-#define EXIT_MAX_US (1500 * BBL_USEC_PER_MS)
-#define EXIT_MIN_US (250 * BBL_USEC_PER_MS)
 #define SHARE_UNITS 10000.0 /* of the shares in bblx_rollout */
 
 typedef struct {
@@ -79,7 +76,6 @@
     uint64_t logged_voters_hash;
     uint64_t logged_rollouts[BBL_ROLLOUTS_MAX]; /* hashes, as recorded */
     bbl_usec stopping_since; /* when the shutdown began; 0 if it did not */
-    bool leadership_transferred;
     bool done;
 } node;
 
@@ -533,7 +529,7 @@
 static void
 tick_shutdown(node *n)
 {
-    bbl_usec spent = n->now - n->stopping_since;
+    bbl_exit_input in = {.spent = n->now - n->stopping_since};
 
     if (n->stopping_since == 0) {
         return;
@@ -542,13 +538,13 @@
         n->done = bbl_gateway_is_drained(n->gateway);
         return;
     }
-    if (!n->leadership_transferred && bbl_control_quorum(n->control) != NULL) {
-        n->leadership_transferred = true;
-        bbl_quorum_transfer_leadership(bbl_control_quorum(n->control), n->now);
+    if (bbl_control_leads(n->control, n->now)) {
+        bbl_control_transfer_leadership(n->control, n->now);
     }
-    n->done = spent > EXIT_MAX_US ||
-              (spent > EXIT_MIN_US &&
-               bbl_edge_open_call_count(n->operator_edge) == 0);
+    in.grace = n->options->grace_ms * BBL_USEC_PER_MS;
+    in.awaits_successor = bbl_control_awaits_successor(n->control);
+    in.open_calls = bbl_edge_open_call_count(n->operator_edge);
+    n->done = bbl_exit_plan_is_due(&in);
 }
 
 /* ---- the thread ---- */
@@ -864,9 +860,10 @@
         while (!n.done) {
             run_once(&n);
         }
-        bbl_log(BBL_EV_STOP, "uptime_ms=%llu",
+        bbl_log(BBL_EV_STOP, "uptime_ms=%llu awaits_successor=%s",
                 (unsigned long long)((bbl_clock_now() - n.started_at) /
-                                     BBL_USEC_PER_MS));
+                                     BBL_USEC_PER_MS),
+                bbl_control_awaits_successor(n.control) ? "yes" : "no");
     }
     close_node(&n);
     bbl_log_flush();
--- a/tests/property/control_property.cc
+++ b/tests/property/control_property.cc
@@ -47,14 +47,16 @@
         rc::gen::set(&control_op::second_arg, rc::gen::inRange(0u, 400u)));
 }
 
-int
-main()
+using schedule_runner = const char *(*)(uint64_t, const control_op *,
+                                        unsigned);
+
+static bool
+check_schedules(const char *property, schedule_runner run)
 {
-    bool ok = rc::check("the control core keeps its invariants", [] {
+    return rc::check(property, [run] {
         auto seed = *rc::gen::arbitrary<uint64_t>();
         auto ops = *rc::gen::container<std::vector<control_op>>(anyOp());
-        const char *violation =
-            control_sim_run(seed, ops.data(), (unsigned)ops.size());
+        const char *violation = run(seed, ops.data(), (unsigned)ops.size());
 
         if (violation != nullptr) {
             std::ostringstream os;
@@ -67,6 +69,16 @@
             RC_FAIL(os.str());
         }
     });
+}
+
+int
+main()
+{
+    bool ok = check_schedules("the control core keeps its invariants",
+                              control_sim_run);
 
+    ok = check_schedules("a group with a spare keeps them too",
+                         control_sim_run_with_spare) &&
+         ok;
     return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/support/control_group.c
+++ b/tests/support/control_group.c
@@ -137,7 +137,8 @@
     const group_host *to = &sim->hosts[k->to];
     bblx_message m;
 
-    if (to->control != NULL && !to->disconnected && !from->disconnected) {
+    if (to->control != NULL && !to->disconnected && !from->disconnected &&
+        to->side == from->side) {
         memset(&m, 0, sizeof(m));
         ck_assert_int_eq(
             BBL_XDR_DECODE(&m, bblx_message, bbl_buf_str(&k->bytes)), 0);
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -22,6 +22,8 @@
     bbl_control *control;
     memdisk disk;
     bool disconnected;
+    unsigned side; /* hosts reach only those of their side */
+    bool draining; /* set by tests */
     bbl_usec frozen_until;
     uint64_t proposal; /* number of the last proposal */
     int outcome;
--- a/tests/support/control_sim.c
+++ b/tests/support/control_sim.c
@@ -61,6 +61,7 @@
     bbl_usec now;
     host hosts[CONTROL_HOSTS + 1];
     bool link_cut[CONTROL_HOSTS + 1][CONTROL_HOSTS + 1];
+    bool has_spare;  /* the leader keeps three voters */
     bool lossless;   /* at the end: no loss, no duplicates */
     bbl_vec packets; /* of packet */
     uint64_t last_sequence;
@@ -368,6 +369,8 @@
     o.takeover_delay = 200 * BBL_USEC_PER_MS;
     o.relay_members = 4;
     o.compact_entries = 12;
+    o.voters_wanted = sim->has_spare ? CONTROL_VOTERS : 0;
+    o.copies = sim->has_spare ? CONTROL_VOTERS - 1 : 0;
     o.port.send = on_send;
     o.port.complete_proposal = on_proposed;
     o.port.reopen_disk = on_reopen;
@@ -884,7 +887,8 @@
             uint32_t h = leader_of(sim);
 
             bbl_quorum_transfer_leadership(
-                bbl_control_quorum(sim->hosts[h].control), local_time(sim, h));
+                bbl_control_quorum(sim->hosts[h].control), local_time(sim, h),
+                NULL, NULL);
         }
         break;
     case CONTROL_LEAVE:
@@ -992,12 +996,14 @@
     bbl_vec_free(&sim->changes);
 }
 
-const char *
-control_sim_run(uint64_t seed, const control_op *ops, unsigned count)
+static const char *
+run_schedule(uint64_t seed, const control_op *ops, unsigned count,
+             bool has_spare)
 {
     control_sim *sim = bbl_calloc(1, sizeof(*sim));
     bool broken;
 
+    sim->has_spare = has_spare;
     start_sim(sim, seed);
     run_steps(sim, 200);
     for (unsigned i = 0; i < count && !sim->violated; i++) {
@@ -1012,3 +1018,16 @@
     free(sim);
     return broken ? violation : NULL;
 }
+
+const char *
+control_sim_run(uint64_t seed, const control_op *ops, unsigned count)
+{
+    return run_schedule(seed, ops, count, false);
+}
+
+const char *
+control_sim_run_with_spare(uint64_t seed, const control_op *ops,
+                           unsigned count)
+{
+    return run_schedule(seed, ops, count, true);
+}
--- a/tests/support/control_sim.h
+++ b/tests/support/control_sim.h
@@ -54,6 +54,13 @@
 const char *control_sim_run(uint64_t seed, const control_op *ops,
                             unsigned count);
 
+/*
+ * The same, but the leader keeps three voters, as a deployment that bears the
+ * loss of one disk does: hosts 1 to 4 take turns as the spare.
+ */
+const char *control_sim_run_with_spare(uint64_t seed, const control_op *ops,
+                                       unsigned count);
+
 /* Returns the name of an operation kind for reports. */
 const char *control_op_name(control_op_kind kind);
 
--- a/tests/support/rollout_sim.c
+++ b/tests/support/rollout_sim.c
@@ -911,7 +911,7 @@
         leader = find_leader(sim);
         if (leader != NULL) {
             bbl_quorum_transfer_leadership(bbl_control_quorum(leader->control),
-                                           local_time(leader));
+                                           local_time(leader), NULL, NULL);
         }
         of_quorum = true;
         break;
--- a/tests/test_control_join.c
+++ b/tests/test_control_join.c
@@ -137,7 +137,8 @@
     for (int i = 0; i < 20 && control_group_find_leader(sim) < 4; i++) {
         if (control_group_find_leader(sim) == 1) {
             bbl_quorum_transfer_leadership(
-                bbl_control_quorum(sim->hosts[1].control), sim->now);
+                bbl_control_quorum(sim->hosts[1].control), sim->now, NULL,
+                NULL);
         }
         control_group_run_for(sim, SEC / 2);
     }
