Responses with a status that is none are malformed

What callers saw: a server in trouble answered with the status 000. Without a length the response was complete where its connection ended, and the caller got "HTTP/1.1 0 <unknown>" with its body. With a length, and for every status up to 099, the exchange waited for another response on that connection until the route's time-out: 504, and a slot of the server taken meanwhile. 600 to 999 were passed on.

Cause: each status up to 199 counted as interim, and a response that ends with its connection was checked for its request id only; the parser accepts any number up to 999.

Evidence: on the code before, the new tests fail: the gateway's with 504 and with the status 0 in place of 502, the link's for all six responses, the parser's for 7 of 11 statuses. `serve` and the platform's list take only 200 for a success; the test of the former passed before.

Change: a response whose status is not from 100 to 599 (RFC 9110, section 15) fails at the end of its head. The exchange ends as broken at once, so an unsafe request gets 502, and a safe one is tried again; the reason in the log says why. One place serves callers' requests, parts, health checks, the list and answers of other hosts.

Measured: test_gateway 16, test_backend_link 86, test_http_message 37 and test_searcher_client 13 checks pass, none of which has been changed otherwise (receive_response() of test_gateway now takes the beginning of a status).

--- a/src/net/backend_link.c
+++ b/src/net/backend_link.c
@@ -622,7 +622,9 @@
                                "the response is too large");
             }
             else {
-                conn_fail(c, "the response is malformed or too large");
+                conn_fail(c, c->message.bad_status
+                                 ? "the response has no valid status"
+                                 : "the response is malformed or too large");
             }
             return;
         }
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -12,6 +12,8 @@
 #define RESPONSE_FIELDS_MAX 1000
 /* A buffer that has grown beyond this is freed before the next message. */
 #define KEPT_BUFFER_BYTES (4u << 10)
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 /* The place of one field in `head_text`. */
 typedef struct {
@@ -102,6 +104,11 @@
 {
     bbl_http_message *m = p->data;
 
+    if (p->type == HTTP_RESPONSE &&
+        (p->status_code < STATUS_MIN || p->status_code > STATUS_MAX)) {
+        m->bad_status = true;
+        return -1;
+    }
     m->head_done = true;
     m->headers.size = 0;
     for (size_t i = 0; i < m->field_spans.size; i++) {
@@ -222,6 +229,7 @@
     m->done = false;
     m->keep_alive = false;
     m->too_large = false;
+    m->bad_status = false;
 }
 
 /*
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -36,6 +36,7 @@
     bool done;       /* the message is complete */
     bool keep_alive; /* set with `done`: the connection can be reused */
     bool too_large;  /* the body exceeds `body_max` */
+    bool bad_status; /* the status is none that HTTP allows */
 } bbl_http_message;
 
 /*
@@ -59,7 +60,8 @@
 
 /*
  * Parses bytes up to the end of the message. A response whose stated length
- * exceeds `body_max` fails at the end of its head.
+ * exceeds `body_max`, or whose status is not from 100 to 599 (RFC 9110,
+ * section 15), fails at the end of its head.
  *
  * @param used set to the number of bytes that were parsed; the others belong
  *             to the next message
--- a/tests/test_backend_link.c
+++ b/tests/test_backend_link.c
@@ -648,6 +648,43 @@
 }
 END_TEST
 
+/* Responses with a status that is none. A caller got the second one as the
+ * answer, and the exchange waited for another response after the first. */
+static const struct {
+    const char *text;
+    bool closes;
+} responses_without_status[] = {
+    {"HTTP/1.1 000 None\r\nRequest-Id: q1\r\nContent-Length: 2\r\n\r\nok",
+     false},
+    {"HTTP/1.1 000 None\r\n\r\nok", true},
+    {"HTTP/1.1 0\r\n\r\n", true},
+    {"HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n", false},
+    {"HTTP/1.1 600 None\r\nContent-Length: 0\r\n\r\n", false},
+    {"HTTP/1.1 999 None\r\n\r\nok", true},
+};
+
+START_TEST(a_response_without_a_valid_status_ends_the_exchange)
+{
+    fixture f;
+    outcome o;
+    int fd;
+
+    fd = start_first_exchange(&f, &o);
+    tcp_receive(f.loop, fd);
+    tcp_send(fd, responses_without_status[_i].text);
+    if (responses_without_status[_i].closes) {
+        shutdown(fd, SHUT_WR);
+    }
+    tcp_run_loop(f.loop, 30);
+    ck_assert_uint_eq(o.calls, 1);
+    ck_assert_int_eq(o.end, BBL_LINK_BROKEN);
+    /* Nothing else is read from the connection. */
+    ck_assert_str_eq(tcp_receive(f.loop, fd), "");
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 static const char *const whole_answers[] = {
     OK("q1", "abc", "3"),
     "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n"
@@ -1563,6 +1600,9 @@
     tcase_add_test(tc,
                    a_connection_is_kept_if_the_request_was_sent_in_the_end);
     tcase_add_test(tc, bytes_after_a_response_close_the_connection);
+    tcase_add_loop_test(tc,
+                        a_response_without_a_valid_status_ends_the_exchange, 0,
+                        ARRAY_SIZE(responses_without_status));
     tcase_add_loop_test(tc, only_complete_responses_are_accepted, 0,
                         ARRAY_SIZE(closed_responses));
     tcase_add_loop_test(tc, an_answer_that_ends_early_is_never_complete, 0, 4);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -31,6 +31,11 @@
         "p", "/p/", ",\"public\":true") "],\"services\":[{\"name\":\"s\","    \
                                         "\"max_connections\":26}]" tenants    \
                                         "}"
+#define UNSAFE_DOCUMENT                                                       \
+    "{\"version\":4,\"routes\":[{\"name\":\"u\",\"hostname\":\"a.example\","  \
+    "\"path_prefix\":\"/u/\",\"route_type\":\"unsafe\",\"timeout_ms\":2000,"  \
+    "\"target_latency_ms\":500,\"max_attempts\":2,\"service\":\"s\"}],"       \
+    "\"services\":[{\"name\":\"s\",\"max_connections\":26}]}"
 #define TENANTS                                                               \
     ",\"tenants\":[{\"name\":\"ant hill\",\"api_keys\":[\"k-hidden\"]}]"
 
@@ -258,14 +263,14 @@
     return fd;
 }
 
-/* Receives the response to a request with an expected status. */
+/* Receives the response to a request; `status` is how its status begins. */
 static const char *
 receive_response(int fd, const char *status)
 {
     static char text[TEXT_MAX];
 
     ck_assert(read_head(fd, text));
-    ck_assert_msg(strncmp(text + 9, status, 3) == 0, "%s", text);
+    ck_assert_msg(strncmp(text + 9, status, strlen(status)) == 0, "%s", text);
     return text;
 }
 
@@ -461,6 +466,55 @@
 }
 END_TEST
 
+/* What a server in trouble sends; the connection ends after the second. */
+static const char *const answers_without_status[] = {
+    "HTTP/1.1 000 None\r\nResponse-Stamp: s.1\r\nRequest-Id: q1\r\n"
+    "Content-Length: 2\r\n\r\nok",
+    "HTTP/1.1 000 None\r\nResponse-Stamp: s.1\r\nRequest-Id: q1\r\n\r\nok",
+};
+
+/* The caller got the second answer as it was, and 504 after the route's
+ * time-out for the first. */
+START_TEST(an_answer_without_a_status_is_a_failure_at_once)
+{
+    fixture f;
+    bbl_usec sent_at;
+    int fd;
+    int server;
+
+    open_fixture(&f, UNSAFE_DOCUMENT);
+    fd = send_request(f.options.caller_address, -1, "/u/a", "");
+    server = receive_request(&f.server);
+    sent_at = bbl_clock_now();
+    tcp_send(server, answers_without_status[_i]);
+    if (_i == 1) {
+        shutdown(server, SHUT_WR);
+    }
+    receive_response(fd, "502");
+    ck_assert_uint_lt(bbl_clock_now() - sent_at, BBL_USEC_PER_SEC);
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
+START_TEST(another_host_s_answer_without_a_status_is_not_relayed)
+{
+    fixture f;
+    int fd;
+
+    open_fixture(&f, DOCUMENT(""));
+    update(&f, DOCUMENT(""), tcp_free_address()); /* nobody listens */
+    fd = send_request(f.options.caller_address, -1, "/x/a", "");
+    tcp_send(receive_request(&f.other_host),
+             "HTTP/1.1 000 None\r\nResponse-Stamp: s.1\r\nRequest-Id: q1\r\n"
+             "Baobablatch-Outcome: reason=ok reach=most attempts=1\r\n"
+             "Content-Length: 2\r\n\r\nok");
+    receive_response(fd, "50");
+    close(fd);
+    close_fixture(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -474,6 +528,9 @@
                         0, ARRAY_SIZE(bad_fields));
     tcase_add_test(t, the_metrics_count_refused_requests_and_keys);
     tcase_add_test(t, a_delegated_query_has_the_name_instead_of_the_key);
+    tcase_add_loop_test(t, an_answer_without_a_status_is_a_failure_at_once, 0,
+                        ARRAY_SIZE(answers_without_status));
+    tcase_add_test(t, another_host_s_answer_without_a_status_is_not_relayed);
     suite_add_tcase(s, t);
     return run_suite(s);
 }
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -207,6 +207,47 @@
 }
 END_TEST
 
+/* The first is what a server in trouble has sent. A status below 100 was taken
+ * for that of an interim response, or relayed if the body had no length. */
+static const char *const invalid_statuses[] = {
+    "000", "0", "1", "20", "099", "600", "999", "1000", "-01", "2x0", "",
+};
+
+START_TEST(a_response_without_a_valid_status_is_refused)
+{
+    for (int length = 0; length < 2; length++) {
+        bbl_http_message m;
+        char text[128];
+        size_t total;
+
+        snprintf(text, sizeof(text), "HTTP/1.1 %s None\r\n%s\r\nab",
+                 invalid_statuses[_i], length ? "Content-Length: 2\r\n" : "");
+        bbl_http_message_init(&m, false, BODY_MAX);
+        ck_assert_int_eq(feed(&m, text, strlen(text), &total), BBL_EDAMAGED);
+        bbl_http_message_free(&m);
+    }
+}
+END_TEST
+
+START_TEST(the_range_of_statuses_is_accepted)
+{
+    static const unsigned statuses[] = {100, 200, 299, 418, 500, 599};
+
+    for (size_t i = 0; i < ARRAY_SIZE(statuses); i++) {
+        bbl_http_message m;
+        char text[128];
+        size_t total;
+
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 %u X\r\nContent-Length: 0\r\n\r\n", statuses[i]);
+        bbl_http_message_init(&m, false, BODY_MAX);
+        ck_assert_int_eq(feed(&m, text, strlen(text), &total), 0);
+        ck_assert_uint_eq(bbl_http_message_status(&m), statuses[i]);
+        bbl_http_message_free(&m);
+    }
+}
+END_TEST
+
 START_TEST(hop_by_hop_fields_are_recognised)
 {
     bbl_http_message m;
@@ -238,6 +279,9 @@
     tcase_add_test(tc, trailer_fields_leave_the_head_intact);
     tcase_add_test(tc, a_large_body_is_refused);
     tcase_add_test(tc, a_body_without_length_ends_with_the_connection);
+    tcase_add_loop_test(tc, a_response_without_a_valid_status_is_refused, 0,
+                        ARRAY_SIZE(invalid_statuses));
+    tcase_add_test(tc, the_range_of_statuses_is_accepted);
     tcase_add_test(tc, hop_by_hop_fields_are_recognised);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -494,6 +494,55 @@
 }
 END_TEST
 
+static void
+keep_status(void *ctx, const bbl_http_response *r)
+{
+    *(long *)ctx = r->end == BBL_HTTP_DONE ? r->status : -1;
+}
+
+/* A response with a status that is none must not pass for a success, nor
+ * hold the request until its time-out. */
+START_TEST(a_response_without_a_valid_status_is_a_failure)
+{
+    static const char *const responses[] = {
+        "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 099 None\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\nok",
+    };
+    bbl_http_request r = {.timeout = 30 * BBL_USEC_PER_SEC,
+                          .response_max = 4096};
+    long status = 200;
+    bbl_loop *loop;
+    bbl_http_client *http;
+    bblx_address address;
+    int listener = tcp_listen(&address);
+    char url[64];
+    void *handle;
+    int fd = -1;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/", address.port);
+    r.url = url;
+    r.done = keep_status;
+    r.ctx = &status;
+    ck_assert_int_eq(bbl_loop_open(&loop), 0);
+    ck_assert_int_eq(bbl_http_client_open(&http, loop, 0), 0);
+    ck_assert_int_eq(bbl_http_request_start(&handle, http, &r), 0);
+    for (int i = 0; i < 500 && status == 200; i++) {
+        bbl_http_client_tick(http);
+        bbl_loop_run_once(loop, 1000);
+        if (fd < 0 && (fd = accept(listener, NULL, NULL)) >= 0) {
+            ck_assert_ptr_nonnull(tcp_receive(loop, fd));
+            tcp_send(fd, responses[_i]);
+        }
+    }
+    ck_assert_msg(status < 100 || status > 599, "status %ld", status);
+    bbl_http_client_free(http);
+    bbl_loop_free(loop);
+    close(fd);
+    close(listener);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -510,6 +559,8 @@
     tcase_add_test(tc, cancels_leave_no_connections_behind);
     tcase_add_test(tc, connections_to_a_searcher_of_another_owner_are_closed);
     tcase_add_loop_test(tc, a_request_never_follows_an_incomplete_one, 0, 2);
+    tcase_add_loop_test(tc, a_response_without_a_valid_status_is_a_failure, 0,
+                        3);
     suite_add_tcase(suite, tc);
     return run_suite(suite);
 }
