Control: the only voter of a group hands its place to a spare as well

A group that bears no lost disk (--lost-disks 0) has one voter. It kept no spare, and its voter waited for three quarters of the grace period for a successor that could not come: the leader is never removed, and there was nobody to lead.

Also: the input of the plan calls members what are voters or learners.

--- a/src/control/voter_balance.c
+++ b/src/control/voter_balance.c
@@ -18,7 +18,7 @@
     memset(b, 0, sizeof(*b));
     b->host = host;
     b->wanted = wanted;
-    b->spares = wanted > copies ? wanted - copies : 0;
+    b->spares = wanted > copies ? wanted - copies : 1;
 }
 
 static void
@@ -30,7 +30,7 @@
     size_t n = bbl_quorum_get_peers(q, now, &peers);
 
     for (u_int i = 0; i < voters->list.list_len; i++) {
-        bbl_voter_status *v = &in->voters[in->voter_count++];
+        bbl_member_status *v = &in->members[in->member_count++];
         const bblx_voter *known = &voters->list.list_val[i];
         const bbl_member *m = bbl_registry_get_member(registry, known->host);
 
--- a/src/control/voter_balance.h
+++ b/src/control/voter_balance.h
@@ -19,7 +19,8 @@
 /*
  * @param wanted number of voters; 0 leaves all changes to operators
  * @param copies disks that store a command before it is committed. As many
- *               spares are kept as disks may be lost at once.
+ *               spares are kept as disks may be lost at once, and one at
+ *               least.
  */
 void bbl_voter_balance_init(bbl_voter_balance *balance, uint32_t host,
                             uint32_t wanted, uint32_t copies);
--- a/src/control/voter_plan.h
+++ b/src/control/voter_plan.h
@@ -15,7 +15,7 @@
 
 #include "bbl/types.h"
 
-#define BBL_VOTERS_MAX 31
+#define BBL_MEMBERS_MAX 31
 #define BBL_VOTER_CANDIDATES_MAX 64
 
 /* State of a voter or learner, as the leader knows it. */
@@ -25,7 +25,7 @@
     bool learner;
     bool draining;    /* its process shuts down */
     bbl_usec silence; /* time since its last reply */
-} bbl_voter_status;
+} bbl_member_status;
 
 /* A running host that has a disk. */
 typedef struct {
@@ -38,8 +38,8 @@
     uint32_t target_voters;
     uint32_t spares_max; /* learners that are kept beside the voters */
     bbl_usec lost_after; /* silence after which a voter is lost */
-    bbl_voter_status voters[BBL_VOTERS_MAX];
-    size_t voter_count;
+    bbl_member_status members[BBL_MEMBERS_MAX];
+    size_t member_count;
     bbl_voter_candidate candidates[BBL_VOTER_CANDIDATES_MAX];
     size_t candidate_count;
 } bbl_voter_plan_input;
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -1,7 +1,8 @@
 /*
  * control_group.h - control cores over a simulated network without loss or
  * delay. Hosts 1 to 3 are the seeds; 4 to 6 have a disk too, 7 and 8 have
- * none. A group wants five voters and bears the loss of two disks.
+ * none. A group wants five voters and bears the loss of two disks, unless a
+ * test sets other numbers before the first start.
  */
 #ifndef BBL_TEST_CONTROL_GROUP_H
 #define BBL_TEST_CONTROL_GROUP_H
@@ -35,6 +36,8 @@
     uint64_t starts;
     group_host hosts[GROUP_HOSTS + 1];
     bbl_vec packets;
+    uint32_t voters_wanted;
+    uint32_t copies;
     u_int seed_count;
     bblx_voter seeds[3];
     uint32_t compact_entries; /* 0: the default */
