Control: the leader tells members that do not answer its address

What callers would see: nothing at first. A host that has lost its disk knows only its seeds. If these have left or are emptied too, it never joins again, and the next lost host leaves no majority: no read of the configuration, 503 to every change.

Cause: the leader sends appends to the emptied voter, which learns the leader's id from them but no address, so it cannot even answer.

Change: every 500 ms the leader sends an empty feed message with its address to each member that has been silent for 300 ms. A host without a lease records it. Earlier builds know the message and ignore it. Weighed: the address derived from the host id (ports may differ), a new kind of message (earlier builds close the connection).

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -872,6 +872,7 @@
     }
     c->leader = c->options.host;
     bbl_voter_balance_tick(&c->voters, c->quorum, &c->registry, c->now);
+    bbl_feed_introduce_leader(c);
     if (c->now >= c->next_publish) {
         c->next_publish = c->now + PUBLISH_INTERVAL_US;
         bbl_registry_publish(&c->registry, c->now, &c->rows);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -109,6 +109,7 @@
     uint64_t public_index;   /* last index that matters to members */
     bbl_usec next_assignment;
     bbl_usec next_publish;
+    bbl_usec next_introduction;
     bbl_usec next_reopen;
     bbl_usec next_report_expiry;
     bool reopening; /* the disk failed and is not in use again yet */
@@ -264,6 +265,13 @@
 /* Returns whether a host is known to decode rollouts. */
 bool bbl_control_knows_rollouts(const bbl_control *c, uint32_t host);
 
+/*
+ * Tells the members that do not answer the address of this host, the leader. A
+ * member that has lost its disk knows only its seeds, and these may all be
+ * lost: without the address it could neither answer nor join again.
+ */
+void bbl_feed_introduce_leader(bbl_control *c);
+
 /* Sends each child the entries and rows that it lacks. */
 void bbl_feed_push(bbl_control *c);
 
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "control/fault.h"
+#include "control/members.h"
 #include "util/alloc.h"
 
 #define FEED_MESSAGE_ENTRIES 256 /* entries in one feed message */
@@ -40,6 +41,10 @@
  */
 #define RESEND_REQUEST_US (50 * BBL_USEC_PER_MS)
 #define CATALOG_UNKNOWN UINT32_MAX /* catalog_age_ms without a list */
+/* Interval between two introductions of the leader to silent members. */
+#define INTRODUCTION_INTERVAL_US (500 * BBL_USEC_PER_MS)
+/* Silence of a member until the leader introduces itself. */
+#define MEMBER_SILENT_US (300 * BBL_USEC_PER_MS)
 
 /* ---- feed to children ---- */
 
@@ -316,6 +321,55 @@
     }
 }
 
+/* ---- introduction of the leader ---- */
+
+static void
+send_introduction(bbl_control *c, const bblx_voter *to)
+{
+    bblx_message m;
+    bblx_feed *f = &m.bblx_message_u.feed;
+
+    memset(&m, 0, sizeof(m));
+    m.kind = BBLX_FEED;
+    f->leader = c->options.host;
+    f->leader_address = c->options.control;
+    f->boot = c->feed_boot;
+    f->catalog_age_ms = CATALOG_UNKNOWN;
+    bbl_control_send(c, to->host, to->control, &m);
+}
+
+void
+bbl_feed_introduce_leader(bbl_control *c)
+{
+    const bblx_voters *members = bbl_quorum_get_members(c->quorum);
+    const bbl_quorum_peer *peers;
+    size_t n;
+
+    if (c->now < c->next_introduction) {
+        return;
+    }
+    c->next_introduction = c->now + INTRODUCTION_INTERVAL_US;
+    n = bbl_quorum_get_peers(c->quorum, c->now, &peers);
+    for (size_t i = 0; i < n; i++) {
+        const bblx_voter *v = bbl_members_find(members, peers[i].host);
+
+        if (v != NULL && peers[i].time_since_reply >= MEMBER_SILENT_US) {
+            send_introduction(c, v);
+        }
+    }
+}
+
+/* Records the address of a leader that introduces itself. */
+static void
+receive_introduction(bbl_control *c, uint32_t from, const bblx_feed *f)
+{
+    if (f->leader == from && f->leader_address.ip != 0 &&
+        c->lease_until <= c->now) {
+        c->reported_leader = from;
+        c->reported_address = f->leader_address;
+    }
+}
+
 /* ---- heartbeats from children ---- */
 
 void
@@ -631,6 +685,7 @@
 bbl_feed_receive(bbl_control *c, uint32_t from, const bblx_feed *f)
 {
     if (from != c->parent || bbl_control_leads_now(c)) {
+        receive_introduction(c, from, f);
         c->feeds_ignored++;
         return;
     }
--- a/tests/test_voter_balance.c
+++ b/tests/test_voter_balance.c
@@ -149,6 +149,32 @@
 }
 END_TEST
 
+/*
+ * The hosts that lost their disks know only themselves and a host that has
+ * left. They never joined again, and the next lost disk ended the group.
+ */
+START_TEST(hosts_whose_seeds_are_all_lost_join_again)
+{
+    control_group *sim = open_with_spare(_i % 2 == 0);
+
+    ck_assert(control_group_propose_routing(sim, 4, 9, "nine"));
+    drain(sim, 1);
+    end_draining(sim, 1);
+    lose_two_disks(sim, 2, 3);
+    check_group(sim, 9, 5);
+    ck_assert_uint_eq(control_group_count_voters(sim, 2), 1);
+    ck_assert_uint_eq(control_group_count_voters(sim, 3), 1);
+    lose_two_disks(sim, 4, 5);
+    check_group(sim, 10, 5);
+    /* A new host with the same seeds becomes a spare. */
+    control_group_wipe_disk(sim, 1);
+    control_group_start_host(sim, 1, false);
+    control_group_run_for(sim, 2 * SEC);
+    ck_assert_uint_eq(control_group_routing_version_at(sim, 1), 11);
+    control_group_close(sim);
+}
+END_TEST
+
 START_TEST(a_voter_without_a_successor_ends_at_once)
 {
     control_group *sim = control_group_open_grown();
@@ -595,6 +621,7 @@
         tc, two_disks_may_be_lost_right_after_a_planned_replacement, 0, 6);
     tcase_add_loop_test(tc, the_disk_of_the_successor_may_be_lost, 0, 8);
     tcase_add_loop_test(tc, two_disks_may_be_lost_during_a_handover, 0, 40);
+    tcase_add_loop_test(tc, hosts_whose_seeds_are_all_lost_join_again, 0, 2);
     tcase_add_test(tc, a_voter_without_a_successor_ends_at_once);
     tcase_add_test(tc, a_successor_that_has_just_started_takes_the_place);
     tcase_add_loop_test(tc, two_hosts_are_replaced_at_once, 0, 6);
