--- a/tools/soak/fleet.c
+++ b/tools/soak/fleet.c
@@ -22,7 +22,18 @@
 bool
 soak_fleet_is_control(unsigned host)
 {
-    return host < SOAK_CONTROL_HOSTS;
+    return host < SOAK_CONTROL_HOSTS || host == SOAK_SPARE;
+}
+
+/* Returns the number of a host among the control or the entry hosts. */
+static unsigned
+get_number(unsigned host)
+{
+    if (host == SOAK_SPARE) {
+        return SOAK_CONTROL_HOSTS + 1;
+    }
+    return soak_fleet_is_control(host) ? host + 1
+                                       : host - SOAK_CONTROL_HOSTS + 1;
 }
 
 static void
@@ -53,7 +64,7 @@
     soak_host *h = &fleet->hosts[host];
     bool control = soak_fleet_is_control(host);
     unsigned group = control ? SOAK_NET_CONTROL : SOAK_NET_ENTRY;
-    unsigned n = control ? host + 1 : host - SOAK_CONTROL_HOSTS + 1;
+    unsigned n = get_number(host);
     char seeds[3 * TEXT_MAX];
     char catalog_address[TEXT_MAX];
     char zone[TEXT_MAX];
@@ -110,6 +121,7 @@
     posix_spawn_file_actions_destroy(&actions);
     h->paused = false;
     h->draining = false;
+    h->replaced = false;
     h->restart_at = 0;
     h->resume_at = 0;
     if (error != 0) {
@@ -129,6 +141,7 @@
         kill(h->pid, SIGKILL);
         waitpid(h->pid, NULL, 0);
         h->pid = 0;
+        h->replaced = false;
     }
 }
 
@@ -239,20 +252,31 @@
     return found;
 }
 
-/* Returns whether a line lists all control hosts as voters. */
+/* Returns the number of members that a line lists; 0 if it lists none. */
+static unsigned
+count_members(const char *line, const char *text)
+{
+    const char *members = strstr(line, text);
+    unsigned count = members != NULL;
+
+    for (; members != NULL && *members != '\0'; members++) {
+        count += *members == ',';
+    }
+    return count;
+}
+
 static bool
 lists_all_voters(const char *line, const char *text)
 {
-    const char *voters = strstr(line, text);
-    unsigned count = 1;
+    return strstr(line, "learner") == NULL &&
+           count_members(line, text) == SOAK_CONTROL_HOSTS;
+}
 
-    if (voters == NULL || strstr(voters, "learner") != NULL) {
-        return false;
-    }
-    for (; *voters != '\0'; voters++) {
-        count += *voters == ',';
-    }
-    return count == SOAK_CONTROL_HOSTS;
+static bool
+lists_spare(const char *line, const char *text)
+{
+    return strstr(line, "learner") != NULL &&
+           count_members(line, text) == SOAK_CONTROL_HOSTS + 1;
 }
 
 bool
@@ -261,10 +285,16 @@
     return soak_fleet_find_log_line(fleet, lists_all_voters, " voters=");
 }
 
+bool
+soak_fleet_has_spare(const soak_fleet *fleet)
+{
+    return soak_fleet_find_log_line(fleet, lists_spare, " voters=");
+}
+
 int
 soak_fleet_reap(soak_fleet *fleet)
 {
-    for (unsigned i = 0; i < SOAK_HOSTS; i++) {
+    for (unsigned i = 0; i < SOAK_PROCESSES; i++) {
         soak_host *h = &fleet->hosts[i];
 
         if (h->pid > 0 && waitpid(h->pid, NULL, WNOHANG) == h->pid) {
@@ -282,7 +312,7 @@
 void
 soak_fleet_kill_all(soak_fleet *fleet)
 {
-    for (unsigned i = 0; i < SOAK_HOSTS; i++) {
+    for (unsigned i = 0; i < SOAK_PROCESSES; i++) {
         soak_fleet_kill(fleet, i);
     }
 }
--- a/tools/soak/fleet.h
+++ b/tools/soak/fleet.h
@@ -2,8 +2,8 @@
  * fleet.h - the daemons of a soak run, as processes of the program under test.
  *
  * Hosts have the numbers 0 to SOAK_HOSTS - 1: the control hosts first, then
- * the entry hosts. Functions that signal a host do nothing if it has no
- * process.
+ * the entry hosts. In runs with a spare, SOAK_SPARE is a sixth control host.
+ * Functions that signal a host do nothing if it has no process.
  */
 #ifndef BBL_SOAK_FLEET_H
 #define BBL_SOAK_FLEET_H
@@ -16,14 +16,17 @@
 #define SOAK_CONTROL_HOSTS 5
 #define SOAK_ENTRY_HOSTS 3
 #define SOAK_HOSTS (SOAK_CONTROL_HOSTS + SOAK_ENTRY_HOSTS)
+#define SOAK_SPARE SOAK_HOSTS
+#define SOAK_PROCESSES (SOAK_HOSTS + 1)
 /* Maximum number of control hosts that lose their disks at the same time. */
 #define SOAK_LOST_DISKS_MAX 2
 
 typedef struct {
-    char name[8];        /* c1 to c5, e1 to e3 */
+    char name[8];        /* c1 to c6, e1 to e3; empty before a start */
     pid_t pid;           /* 0 if no process exists */
     bool paused;         /* whether SIGSTOP was sent, and no SIGCONT since */
     bool draining;       /* whether SIGTERM was sent */
+    bool replaced;       /* its disk is lost once it has ended */
     bbl_usec restart_at; /* when to start the process again; 0 if not set */
     bbl_usec resume_at;  /* when to send SIGCONT to a paused process */
     /* Until then, time bounds are not checked for requests to this host. */
@@ -33,7 +36,7 @@
 typedef struct {
     const char *program;
     const char *folder; /* for logs and data; must exist */
-    soak_host hosts[SOAK_HOSTS];
+    soak_host hosts[SOAK_PROCESSES];
 } soak_fleet;
 
 bool soak_fleet_is_control(unsigned host);
@@ -73,9 +76,12 @@
                                               const char *text),
                               const char *text);
 
-/* Returns whether all control hosts have become voters. */
+/* Returns whether all control hosts have become voters, but for the spare. */
 bool soak_fleet_has_all_voters(const soak_fleet *fleet);
 
+/* Returns whether the spare has become a learner. */
+bool soak_fleet_has_spare(const soak_fleet *fleet);
+
 /*
  * Collects the exit status of ended processes. Stops at the first one that
  * ended without SIGTERM.
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -3,7 +3,8 @@
  * hosts run as processes on loopback addresses. Backend servers, callers and
  * an operator run in this process. Faults are injected from outside: by
  * signals, by removed data folders, and by proxies in front of the servers and
- * the platform's list.
+ * the platform's list. With a spare, a sixth control host, control hosts are
+ * replaced as planned instead, and others lose their disks right after it.
  *
  * Prints one line with the outcome. Exits with 0 if no guarantee was violated,
  * 1 otherwise, and 2 if the arguments are wrong or the setup failed.
@@ -56,6 +57,8 @@
 #define SPIKE_INTERVAL_US (500 * BBL_USEC_PER_MS)
 /* Time after a cut of a server until requests that it held have ended. */
 #define CUT_GRACE_US (2 * BBL_USEC_PER_SEC)
+/* From the end of a replaced control host to the loss of other disks. */
+#define WIPE_DELAY_MAX_US (500 * BBL_USEC_PER_MS)
 #define SERVED_RATIO_MIN 0.99 /* of the requests in a time without faults */
 
 typedef struct {
@@ -67,6 +70,10 @@
     soak_rollouts *rollouts;
     soak_fleet fleet;
     bbl_vec proxy_fault_ends; /* of proxy_fault_end */
+    gboolean with_spare;
+    fault replacement; /* the planned replacement that runs, or ran last */
+    bbl_usec wipe_at;  /* when disks are lost after it; 0: none is */
+    unsigned replacement_count;
     unsigned fault_count;
     soak_request_counts total_counts;
     gboolean verbose;
@@ -96,7 +103,7 @@
 static void
 on_crash(int number)
 {
-    for (unsigned i = 0; i < SOAK_HOSTS; i++) {
+    for (unsigned i = 0; i < SOAK_PROCESSES; i++) {
         if (running_fleet->hosts[i].pid > 0) {
             kill(running_fleet->hosts[i].pid, SIGKILL);
         }
@@ -145,6 +152,92 @@
     }
 }
 
+/* ---- planned replacements ---- */
+
+static unsigned
+get_control_host(unsigned i)
+{
+    return i < SOAK_CONTROL_HOSTS ? i : SOAK_SPARE;
+}
+
+/* Returns whether all control hosts run and none has to catch up. */
+static bool
+is_group_whole(const soak *s, bbl_usec now)
+{
+    for (unsigned i = 0; i <= SOAK_CONTROL_HOSTS; i++) {
+        const soak_host *h = &s->fleet.hosts[get_control_host(i)];
+
+        if (h->pid == 0 || h->paused || h->draining ||
+            now < h->disturbed_until) {
+            return false;
+        }
+    }
+    return s->wipe_at == 0;
+}
+
+/*
+ * Takes a control host out of service for good, if the group is whole. An
+ * empty one takes its address once it has ended.
+ */
+static void
+replace_host(soak *s, const fault *f, bbl_usec now)
+{
+    unsigned host =
+        get_control_host((unsigned)(f->target % (SOAK_CONTROL_HOSTS + 1)));
+
+    if (!is_group_whole(s, now)) {
+        return;
+    }
+    soak_fleet_terminate(&s->fleet, host);
+    s->fleet.hosts[host].replaced = true;
+    s->replacement = *f;
+    s->replacement_count++;
+    mark_disturbed(s, host, now);
+}
+
+/* Two disks, one or none are lost right after the end of a replaced host. */
+static void
+complete_replacement(soak *s, unsigned host, bbl_usec now)
+{
+    const fault *f = &s->replacement;
+
+    soak_fleet_wipe(&s->fleet, host);
+    s->fleet.hosts[host].replaced = false;
+    s->fleet.hosts[host].restart_at = now + f->duration;
+    mark_disturbed(s, host, now + f->duration);
+    s->wipe_at = now + 1 + (f->target >> 16) % WIPE_DELAY_MAX_US;
+}
+
+static void
+wipe_after_replacement(soak *s, bbl_usec now)
+{
+    const fault *f = &s->replacement;
+    unsigned count = (unsigned)(f->target >> 40) % (SOAK_LOST_DISKS_MAX + 1);
+
+    if (s->wipe_at == 0 || now < s->wipe_at) {
+        return;
+    }
+    s->wipe_at = 0;
+    for (unsigned i = 1; i <= count; i++) {
+        unsigned host = get_control_host((unsigned)(f->target + i) %
+                                         (SOAK_CONTROL_HOSTS + 1));
+
+        kill_host(s, host, now, f->duration);
+        soak_fleet_wipe(&s->fleet, host);
+    }
+}
+
+static bool
+is_core_fault(const fault *f)
+{
+    return f->kind == FAULT_WIPE || f->kind == FAULT_KILL_CORE ||
+           f->kind == FAULT_KILL_LEADER || f->kind == FAULT_PAUSE_LEADER ||
+           ((f->kind == FAULT_KILL || f->kind == FAULT_PAUSE) &&
+            soak_fleet_is_control((unsigned)(f->target % SOAK_HOSTS)));
+}
+
+/* ---- faults of processes ---- */
+
 static void
 pause_host(soak *s, unsigned host, bbl_usec now, bbl_usec duration)
 {
@@ -242,6 +335,11 @@
                (unsigned long long)(f->target % 1000),
                (unsigned long long)(f->duration / BBL_USEC_PER_MS));
     }
+    if (s->with_spare && is_core_fault(f)) {
+        /* Others would leave no time in which the group is whole. */
+        replace_host(s, f, now);
+        return;
+    }
     switch (f->kind) {
     case FAULT_KILL:
         kill_host(s, (unsigned)(f->target % SOAK_HOSTS), now, f->duration);
@@ -296,9 +394,16 @@
         soak_servers_report_violation(s->servers, "%s ended unexpectedly",
                                       s->fleet.hosts[ended].name);
     }
-    for (unsigned i = 0; i < SOAK_HOSTS; i++) {
+    wipe_after_replacement(s, now);
+    for (unsigned i = 0; i < SOAK_PROCESSES; i++) {
         soak_host *h = &s->fleet.hosts[i];
 
+        if (h->name[0] == '\0') {
+            continue; /* the spare, in a run without one */
+        }
+        if (h->pid == 0 && h->replaced) {
+            complete_replacement(s, i, now);
+        }
         if (h->pid == 0 && h->restart_at == 0) {
             h->restart_at = now + RESTART_DELAY_US; /* it has drained */
             mark_disturbed(s, i, now + RESTART_DELAY_US);
@@ -373,6 +478,12 @@
            soak_fleet_has_all_voters(&s->fleet);
 }
 
+static bool
+has_spare(const soak *s)
+{
+    return soak_fleet_has_spare(&s->fleet);
+}
+
 static bool
 is_settled(const soak *s)
 {
@@ -521,7 +632,10 @@
     bool passed;
 
     soak_schedule_generate(&faults, seed, duration);
-    if (!wait_until_reached(s, is_started, START_TIMEOUT_US)) {
+    if (!wait_until_reached(s, is_started, START_TIMEOUT_US) ||
+        (s->with_spare &&
+         (soak_fleet_start(&s->fleet, SOAK_SPARE, false) != 0 ||
+          !wait_until_reached(s, has_spare, START_TIMEOUT_US)))) {
         soak_servers_report_violation(s->servers,
                                       "the hosts did not start in time");
         bbl_vec_free(&faults);
@@ -629,6 +743,9 @@
          "the program under test", "FILE"},
         {"folder", 'd', 0, G_OPTION_ARG_FILENAME, &folder,
          "existing folder for logs and data", "FOLDER"},
+        {"spare", 'r', 0, G_OPTION_ARG_NONE, &s.with_spare,
+         "a sixth control host; faults of control hosts are replacements",
+         NULL},
         {"verbose", 'v', 0, G_OPTION_ARG_NONE, &s.verbose, "print each fault",
          NULL},
         {NULL},
@@ -641,7 +758,7 @@
     if (!g_option_context_parse(context, &argc, &argv, NULL) ||
         program == NULL || folder == NULL) {
         fputs("usage: bbl-soak --program FILE --folder FOLDER [--seed N] "
-              "[--seconds N] [--verbose]\n",
+              "[--seconds N] [--spare] [--verbose]\n",
               stderr);
         return 2;
     }
@@ -664,19 +781,20 @@
         run_soak(&s, (uint64_t)seed, (bbl_usec)seconds * BBL_USEC_PER_SEC);
     collect_counts(&s);
     rollouts = soak_rollouts_get_counts(s.rollouts);
-    printf(
-        "soak: seed %d, %d s, %u faults, %u requests (%u served, %u "
-        "refused, %u failed), version %llu, %u rollouts (%u completed, %u "
-        "rolled back), %u timed refusals, %u extra: %s\n",
-        seed, seconds, s.fault_count, s.total_counts.sent,
-        s.total_counts.served, s.total_counts.refused, s.total_counts.failed,
-        (unsigned long long)soak_operator_acked_version(s.routing_operator),
-        rollouts.ordered, rollouts.completed, rollouts.rolled_back,
-        s.total_counts.timed_refusals, soak_servers_get_extra_max(s.servers),
-        passed ? "kept"
-               : (soak_servers_violation(s.servers)
-                      ? soak_servers_violation(s.servers)
-                      : bbl_error_last()));
+    printf("soak: seed %d, %d s, %u faults, %u requests (%u served, %u "
+           "refused, %u failed), version %llu, %u rollouts (%u completed, %u "
+           "rolled back), %u timed refusals, %u extra, %u replacements: %s\n",
+           seed, seconds, s.fault_count, s.total_counts.sent,
+           s.total_counts.served, s.total_counts.refused,
+           s.total_counts.failed,
+           (unsigned long long)soak_operator_acked_version(s.routing_operator),
+           rollouts.ordered, rollouts.completed, rollouts.rolled_back,
+           s.total_counts.timed_refusals,
+           soak_servers_get_extra_max(s.servers), s.replacement_count,
+           passed ? "kept"
+                  : (soak_servers_violation(s.servers)
+                         ? soak_servers_violation(s.servers)
+                         : bbl_error_last()));
     close_soak(&s);
     return passed ? 0 : 1;
 }
