--- a/tools/soak/command.c
+++ b/tools/soak/command.c
@@ -14,7 +14,7 @@
 soak_command_client_open(soak_command_client *client,
                          bbl_backend_client *links)
 {
-    for (unsigned i = 0; i < SOAK_CONTROL_HOSTS; i++) {
+    for (unsigned i = 0; i < SOAK_CONTROL_HOSTS_MAX; i++) {
         char text[32];
         bblx_address address;
 
@@ -45,7 +45,7 @@
     snprintf(text, sizeof(text), "%.*s", (int)location.size,
              location.ptr ? location.ptr : "");
     host = soak_network_parse_url(text, SOAK_NET_CONTROL);
-    if (host < 1 || host > SOAK_CONTROL_HOSTS ||
+    if (host < 1 || host > SOAK_CONTROL_HOSTS_MAX ||
         command->redirects >= REDIRECTS_MAX) {
         return false;
     }
--- a/tools/soak/command.h
+++ b/tools/soak/command.h
@@ -10,7 +10,7 @@
 
 /* The connections to all control hosts. */
 typedef struct {
-    bbl_backend_link *links[SOAK_CONTROL_HOSTS];
+    bbl_backend_link *links[SOAK_CONTROL_HOSTS_MAX];
 } soak_command_client;
 
 /*
--- a/tools/soak/fleet.h
+++ b/tools/soak/fleet.h
@@ -17,6 +17,7 @@
 #define SOAK_ENTRY_HOSTS 3
 #define SOAK_HOSTS (SOAK_CONTROL_HOSTS + SOAK_ENTRY_HOSTS)
 #define SOAK_SPARE SOAK_HOSTS
+#define SOAK_CONTROL_HOSTS_MAX (SOAK_CONTROL_HOSTS + 1) /* with the spare */
 #define SOAK_PROCESSES (SOAK_HOSTS + 1)
 /* Maximum number of control hosts that lose their disks at the same time. */
 #define SOAK_LOST_DISKS_MAX 2
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -164,7 +164,7 @@
 static bool
 is_group_whole(const soak *s, bbl_usec now)
 {
-    for (unsigned i = 0; i <= SOAK_CONTROL_HOSTS; i++) {
+    for (unsigned i = 0; i < SOAK_CONTROL_HOSTS_MAX; i++) {
         const soak_host *h = &s->fleet.hosts[get_control_host(i)];
 
         if (h->pid == 0 || h->paused || h->draining ||
@@ -183,7 +183,7 @@
 replace_host(soak *s, const fault *f, bbl_usec now)
 {
     unsigned host =
-        get_control_host((unsigned)(f->target % (SOAK_CONTROL_HOSTS + 1)));
+        get_control_host((unsigned)(f->target % SOAK_CONTROL_HOSTS_MAX));
 
     if (!is_group_whole(s, now)) {
         return;
@@ -220,7 +220,7 @@
     s->wipe_at = 0;
     for (unsigned i = 1; i <= count; i++) {
         unsigned host = get_control_host((unsigned)(f->target + i) %
-                                         (SOAK_CONTROL_HOSTS + 1));
+                                         SOAK_CONTROL_HOSTS_MAX);
 
         kill_host(s, host, now, f->duration);
         soak_fleet_wipe(&s->fleet, host);
