--- a/tests/test_searcher_client.c
+++ b/tests/test_searcher_client.c
@@ -64,12 +64,14 @@
     *end = r->end;
 }
 
-/* Returns how a request ends if the server sends `size` bytes and closes. */
-static bbl_http_end
-get_end_of_response(const char *response, size_t size)
+/*
+ * Runs a request to a server that sends `size` bytes and then closes the
+ * connection, or leaves it open, until the request has ended or for 300 ms.
+ */
+static void
+run_request(bbl_http_request *r, const bool *ended, const char *response,
+            size_t size, bool closes)
 {
-    bbl_http_request r = {.timeout = BBL_USEC_PER_SEC, .response_max = 4096};
-    bbl_http_end end = BBL_HTTP_ABORTED;
     bbl_loop *loop;
     bbl_http_client *http;
     bblx_address address;
@@ -79,26 +81,52 @@
     int fd = -1;
 
     snprintf(url, sizeof(url), "http://127.0.0.1:%u/", address.port);
-    r.url = url;
-    r.done = on_response;
-    r.ctx = &end;
+    r->url = url;
     ck_assert_int_eq(bbl_loop_open(&loop), 0);
     ck_assert_int_eq(bbl_http_client_open(&http, loop, 0), 0);
-    ck_assert_int_eq(bbl_http_request_start(&handle, http, &r), 0);
-    for (int i = 0; i < 300 && end == BBL_HTTP_ABORTED; i++) {
+    ck_assert_int_eq(bbl_http_request_start(&handle, http, r), 0);
+    for (int i = 0; i < 300 && !*ended; i++) {
         bbl_http_client_tick(http);
         bbl_loop_run_once(loop, 1000);
         if (fd < 0 && (fd = accept(listener, NULL, NULL)) >= 0) {
             ck_assert_ptr_nonnull(tcp_receive(loop, fd));
             ck_assert_int_eq(send(fd, response, size, MSG_NOSIGNAL),
                              (ssize_t)size);
-            close(fd);
+            if (closes) {
+                shutdown(fd, SHUT_RDWR);
+            }
         }
     }
     bbl_http_client_free(http);
     bbl_loop_free(loop);
+    close(fd);
     close(listener);
-    return end;
+}
+
+typedef struct {
+    bool ended;
+    bbl_http_end end;
+    long status;
+} recorded_response;
+
+static void
+record_response(void *ctx, const bbl_http_response *r)
+{
+    *(recorded_response *)ctx = (recorded_response){true, r->end, r->status};
+}
+
+/* Returns how a request ends if the server sends `size` bytes and closes. */
+static bbl_http_end
+get_end_of_response(const char *response, size_t size)
+{
+    recorded_response recorded = {false, BBL_HTTP_ABORTED, 0};
+    bbl_http_request r = {.timeout = BBL_USEC_PER_SEC,
+                          .response_max = 4096,
+                          .done = record_response,
+                          .ctx = &recorded};
+
+    run_request(&r, &recorded.ended, response, size, true);
+    return recorded.end;
 }
 
 /*
@@ -494,12 +522,6 @@
 }
 END_TEST
 
-static void
-keep_status(void *ctx, const bbl_http_response *r)
-{
-    *(long *)ctx = r->end == BBL_HTTP_DONE ? r->status : -1;
-}
-
 /* A response with a status that is none must not pass for a success, nor
  * hold the request until its time-out. */
 START_TEST(a_response_without_a_valid_status_is_a_failure)
@@ -509,37 +531,18 @@
         "HTTP/1.1 099 None\r\nContent-Length: 2\r\n\r\nok",
         "HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\nok",
     };
+    recorded_response recorded = {false, BBL_HTTP_ABORTED, 0};
     bbl_http_request r = {.timeout = 30 * BBL_USEC_PER_SEC,
-                          .response_max = 4096};
-    long status = 200;
-    bbl_loop *loop;
-    bbl_http_client *http;
-    bblx_address address;
-    int listener = tcp_listen(&address);
-    char url[64];
-    void *handle;
-    int fd = -1;
-
-    snprintf(url, sizeof(url), "http://127.0.0.1:%u/", address.port);
-    r.url = url;
-    r.done = keep_status;
-    r.ctx = &status;
-    ck_assert_int_eq(bbl_loop_open(&loop), 0);
-    ck_assert_int_eq(bbl_http_client_open(&http, loop, 0), 0);
-    ck_assert_int_eq(bbl_http_request_start(&handle, http, &r), 0);
-    for (int i = 0; i < 500 && status == 200; i++) {
-        bbl_http_client_tick(http);
-        bbl_loop_run_once(loop, 1000);
-        if (fd < 0 && (fd = accept(listener, NULL, NULL)) >= 0) {
-            ck_assert_ptr_nonnull(tcp_receive(loop, fd));
-            tcp_send(fd, responses[_i]);
-        }
-    }
-    ck_assert_msg(status < 100 || status > 599, "status %ld", status);
-    bbl_http_client_free(http);
-    bbl_loop_free(loop);
-    close(fd);
-    close(listener);
+                          .response_max = 4096,
+                          .done = record_response,
+                          .ctx = &recorded};
+
+    run_request(&r, &recorded.ended, responses[_i], strlen(responses[_i]),
+                false);
+    ck_assert(recorded.ended);
+    ck_assert_msg(recorded.end != BBL_HTTP_DONE || recorded.status < 100 ||
+                      recorded.status > 599,
+                  "status %ld", recorded.status);
 }
 END_TEST
 
