--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -22,7 +22,7 @@
     export UBSAN_OPTIONS=halt_on_error=1
     for name in util lists journal gather routing platform http_message \
         forward_policy forwarder forward_schedules rate_limit permit_book repeated_crashes crash_ledger mesh searcher_client edge \
-        backend_link voter_plan control_join publisher rows observer lost_links operator_api order pressure load_gate load_book load_pressure \
+        backend_link voter_plan voter_balance exit_plan control_join publisher rows observer lost_links operator_api order pressure load_gate load_book load_pressure \
         key_index caller_identity organisations delegation_field gateway \
         admission admission_messages quota; do
         "$build/tests/test_$name" >>"$log" 2>&1 || failed=1
