review: show that a server that turns cold keeps its whole load

Claim: a server that becomes cold again gets more than the bound of 8 requests within a second, and crashes with requests that run, as its health is never asked and the list lags.

--- a/review/tools-3/callers.c
+++ b/review/tools-3/callers.c
@@ -3,7 +3,8 @@
  * connection of its own, to entry hosts in turn, and records when each was
  * sent and how it was answered.
  *
- * usage: callers RECORD PER_S SECONDS HOSTNAME PATH DEADLINE_MS ADDRESS...
+ * usage: callers RECORD METHOD PER_S SECONDS HOSTNAME PATH DEADLINE_MS
+ *                ADDRESS...
  */
 #include <errno.h>
 #include <fcntl.h>
@@ -31,6 +32,7 @@
 static call *calls;
 static FILE *record;
 static const char *hostname;
+static const char *method;
 static const char *path;
 static int deadline_ms;
 
@@ -66,10 +68,12 @@
                 (long long)wall_ms(), number, (long long)wall_ms());
         return;
     }
-    n = snprintf(text, sizeof(text),
-                 "GET %s%lu HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%lu\r\n"
-                 "Deadline-Ms: %d\r\nConnection: close\r\n\r\n",
-                 path, number, hostname, number, deadline_ms);
+    n = snprintf(
+        text, sizeof(text),
+        "%s %s%lu HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%lu\r\n"
+        "Deadline-Ms: %d\r\nContent-Length: 0\r\nConnection: close\r\n"
+        "\r\n",
+        method, path, number, hostname, number, deadline_ms);
     if (send(c->fd, text, (size_t)n, MSG_NOSIGNAL) != n) {
         end_call(c, "closed");
     }
@@ -136,11 +140,11 @@
     double per_s;
     int64_t start = clock_ms();
     int64_t end;
-    int count = argc - 7;
+    int count = argc - 8;
 
     if (count < 1 || count > ADDRESSES_MAX) {
-        fputs("usage: callers RECORD PER_S SECONDS HOSTNAME PATH DEADLINE_MS "
-              "ADDRESS...\n",
+        fputs("usage: callers RECORD METHOD PER_S SECONDS HOSTNAME PATH "
+              "DEADLINE_MS ADDRESS...\n",
               stderr);
         return 2;
     }
@@ -151,13 +155,14 @@
         return 2;
     }
     setvbuf(record, NULL, _IOLBF, 0);
-    per_s = atof(argv[2]);
-    end = start + (int64_t)(1000 * atof(argv[3]));
-    hostname = argv[4];
-    path = argv[5];
-    deadline_ms = atoi(argv[6]);
+    method = argv[2];
+    per_s = atof(argv[3]);
+    end = start + (int64_t)(1000 * atof(argv[4]));
+    hostname = argv[5];
+    path = argv[6];
+    deadline_ms = atoi(argv[7]);
     for (int i = 0; i < count; i++) {
-        to[i] = parse_address(argv[7 + i]);
+        to[i] = parse_address(argv[8 + i]);
     }
     for (size_t i = 0; i < OPEN_MAX; i++) {
         calls[i].fd = -1;
--- a/review/tools-3/fleet.sh
+++ b/review/tools-3/fleet.sh
@@ -10,6 +10,7 @@
 config_apply_ms=3000
 evacuation_ms=5000
 max_skew_ms=12000
+discovery_lag_ms=800
 declare -A pids
 
 # fail_setup TEXT: ends a case that could not run.
@@ -36,7 +37,7 @@
 open_case() {
     record=$1/record.txt
     : >"$record"
-    for program in platform callers order link; do
+    for program in platform callers order link storm; do
         [ -x "$tools/$program" ] || fail_setup "review/build-3.sh has not run"
     done
     [ -x target/baobablatch ] || fail_setup "the build of the deploy file has not run"
@@ -77,7 +78,7 @@
         -e "s|{{seeds}}|$net.1.1:8106,$net.1.2:8106,$net.1.3:8106|" \
         -e "s|{{data_dir}}|$data|" -e "s|{{bootstrap}}|$2|" \
         -e "s|{{fault_tolerance.machines}}|2|" -e "s|{{cloud.rate_per_s}}|42.0|" \
-        -e "s|{{cloud.discovery_lag_ms}}|800|" \
+        -e "s|{{cloud.discovery_lag_ms}}|$discovery_lag_ms|" \
         -e "s|{{bounds.config_apply_ms}}|$config_apply_ms|" \
         -e "s|{{bounds.grace_s}}|6|" -e "s|{{bounds.retry_budget_ratio}}|0.2|" \
         -e "s|{{bounds.retry_window_s}}|10|" -e "s|{{bounds.retry_budget_slack}}|54|" \
@@ -101,11 +102,12 @@
     for i in $(seq $front_count); do start_host "e$i" true; done
 }
 
-# start_platform WORK_MS COLD_MS LAG_MS SERVER...
+# start_platform WORK_MS COLD_MS CRASH_PER_S SERVER...
 start_platform() {
-    local servers=() work=$1 cold=$2 lag=$3
+    local work=$1 cold=$2 crash=$3
     shift 3
-    "$tools/platform" "$net.4.1:8102" "$dir/platform.txt" "$work" "$cold" "$lag" "$@" &
+    "$tools/platform" "$net.4.1:8102" "$dir/platform.txt" "$work" "$cold" \
+        "$discovery_lag_ms" "$crash" "$@" &
     pids[platform]=$!
     disown $!
 }
--- a/review/tools-3/platform.c
+++ b/review/tools-3/platform.c
@@ -2,11 +2,12 @@
  * platform.c - stand-in of the platform's list of servers and of the backend
  * servers themselves. Servers answer each request after a fixed time with
  * their id as the signature, and 421 if the request names another instance.
- * Each request that begins to run is recorded. On SIGUSR1 the servers of the
- * first service turn cold: their health answers say so at once, the list after
- * its lag.
+ * Each request that begins to run is recorded. On SIGUSR1 the first
+ * server turns cold: its health answers say so at once, the list after its
+ * lag. A cold server that gets more than CRASH_PER_S requests within a second
+ * ends, and starts again a second later under another id.
  *
- * usage: platform LIST-ADDRESS RECORD WORK_MS COLD_MS LAG_MS
+ * usage: platform LIST-ADDRESS RECORD WORK_MS COLD_MS LAG_MS CRASH_PER_S
  *                 ID,SERVICE,ZONE,ADDRESS...
  */
 #include <errno.h>
@@ -26,6 +27,8 @@
 #define IN_MAX_BYTES (64 << 10)
 #define LIST_MAX_BYTES (16 << 10)
 #define POLL_MS 1
+#define RESTART_MS 1000
+#define ARRIVALS_MAX 256 /* of a cold server, in a second */
 
 typedef struct {
     char id[64];
@@ -36,6 +39,10 @@
     int64_t cold_until;       /* steady clock */
     int64_t listed_cold_from; /* when the list begins to say so */
     unsigned long answers;
+    int64_t arrivals[ARRIVALS_MAX]; /* the newest requests, while it is cold */
+    size_t arrival_count;
+    int64_t restart_at; /* 0: it runs */
+    unsigned starts;
 } server;
 
 typedef struct {
@@ -54,6 +61,7 @@
 static int work_ms;
 static int cold_ms;
 static int lag_ms;
+static size_t crash_per_s;
 static volatile sig_atomic_t turns_cold;
 
 static void
@@ -79,18 +87,14 @@
 }
 
 static void
-turn_cold(void)
+turn_cold(server *s)
 {
     int64_t now = clock_ms();
 
-    turns_cold = 0;
-    for (size_t i = 0; i < server_count; i++) {
-        if (strcmp(servers[i].service, servers[0].service) == 0) {
-            servers[i].cold_until = now + cold_ms;
-            servers[i].listed_cold_from = now + lag_ms;
-            record_line(&servers[i], "cold", "-", (unsigned)cold_ms);
-        }
-    }
+    s->cold_until = now + cold_ms;
+    s->listed_cold_from = now + lag_ms;
+    s->arrival_count = 0;
+    record_line(s, "cold", "-", (unsigned)cold_ms);
 }
 
 static void
@@ -100,6 +104,63 @@
     c->fd = -1;
 }
 
+/* Ends a server as a crash does, with the requests that it runs. */
+static void
+crash(server *s)
+{
+    char id[128];
+
+    record_line(s, "crash", "-", get_cold_left(s));
+    for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
+        connection *c = &connections[i];
+
+        if (c->fd < 0 || c->server != s) {
+            continue;
+        }
+        if (c->due_at != 0) {
+            get_field(id, sizeof(id), c->in, c->request_size, "Request-Id");
+            record_line(s, "lost", id, 0);
+        }
+        close_connection(c);
+    }
+    close(s->listener);
+    s->listener = -1;
+    s->restart_at = clock_ms() + RESTART_MS;
+}
+
+static void
+restart(server *s)
+{
+    char *suffix = strchr(s->id, '+');
+
+    if (suffix != NULL) {
+        *suffix = '\0';
+    }
+    snprintf(s->id + strlen(s->id), sizeof(s->id) - strlen(s->id), "+%u",
+             ++s->starts);
+    s->listener = listen_on(s->address);
+    s->restart_at = 0;
+    turn_cold(s);
+    s->listed_cold_from = 0; /* its entry is a new one */
+}
+
+/* Returns whether a cold server gets too many requests with this one. */
+static bool
+is_overloaded(server *s)
+{
+    int64_t now = clock_ms();
+    size_t recent = 0;
+
+    if (get_cold_left(s) == 0 || crash_per_s == 0) {
+        return false;
+    }
+    s->arrivals[s->arrival_count++ % ARRIVALS_MAX] = now;
+    for (size_t i = 0; i < s->arrival_count && i < ARRIVALS_MAX; i++) {
+        recent += s->arrivals[i] > now - 1000;
+    }
+    return recent > crash_per_s;
+}
+
 static void
 send_answer(connection *c, unsigned status, const char *fields,
             const char *body)
@@ -163,6 +224,9 @@
     }
     record_line(c->server, "run", id, get_cold_left(c->server));
     c->due_at = clock_ms() + work_ms;
+    if (is_overloaded(c->server)) {
+        crash(c->server);
+    }
 }
 
 static void
@@ -172,6 +236,7 @@
     char id[128];
 
     get_field(id, sizeof(id), c->in, c->request_size, "Request-Id");
+    record_line(c->server, "answered", id, get_cold_left(c->server));
     snprintf(fields, sizeof(fields),
              "Response-Stamp: %s.%lu\r\nRequest-Id: %s\r\n", c->server->id,
              ++c->server->answers, id);
@@ -262,6 +327,10 @@
     fds[0] = (struct pollfd){list, POLLIN, 0};
     for (size_t i = 0; i < server_count; i++) {
         fds[1 + i] = (struct pollfd){servers[i].listener, POLLIN, 0};
+        if (servers[i].restart_at != 0 &&
+            clock_ms() >= servers[i].restart_at) {
+            restart(&servers[i]);
+        }
     }
     for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
         if (connections[i].fd >= 0) {
@@ -271,10 +340,11 @@
     }
     poll(fds, count, POLL_MS);
     if (turns_cold) {
-        turn_cold();
+        turns_cold = 0;
+        turn_cold(&servers[0]);
     }
     for (nfds_t i = first; i < count; i++) {
-        if (fds[i].revents != 0) {
+        if (fds[i].revents != 0 && polled[i - first]->fd == fds[i].fd) {
             read_connection(polled[i - first]);
         }
     }
@@ -301,9 +371,9 @@
     struct sigaction action = {.sa_handler = on_signal};
     int list;
 
-    if (argc < 7 || argc - 6 > SERVERS_MAX) {
+    if (argc < 8 || argc - 7 > SERVERS_MAX) {
         fputs("usage: platform LIST RECORD WORK_MS COLD_MS LAG_MS "
-              "ID,SERVICE,ZONE,ADDRESS...\n",
+              "CRASH_PER_S ID,SERVICE,ZONE,ADDRESS...\n",
               stderr);
         return 2;
     }
@@ -317,10 +387,11 @@
     work_ms = atoi(argv[3]);
     cold_ms = atoi(argv[4]);
     lag_ms = atoi(argv[5]);
+    crash_per_s = (size_t)atol(argv[6]);
     for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
         connections[i].fd = -1;
     }
-    for (int i = 6; i < argc; i++) {
+    for (int i = 7; i < argc; i++) {
         server *s = &servers[server_count++];
 
         if (sscanf(argv[i], "%63[^,],%63[^,],%63[^,],%63s", s->id, s->service,
