--- a/review/tools-3/fleet.sh
+++ b/review/tools-3/fleet.sh
@@ -27,6 +27,9 @@
 # end_processes: ends what this case has started, by id.
 end_processes() {
     local pid
+    if [ -n "${pids[operator]:-}" ]; then
+        kill -TERM "${pids[operator]}" 2>/dev/null && sleep 0.2 # ends its child
+    fi
     for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
     for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
     wait 2>/dev/null || true
@@ -53,6 +56,7 @@
     done
     [ -n "$net" ] || fail_setup "no free loopback network"
     trap end_processes EXIT
+    trap "exit 2" INT TERM
 }
 
 zone_of() { echo "z$(($1 % 3 + 1))"; }
